Keep each duty's control state in a file of its own

Cause: control.go held membership, slots, configuration and quotas at once, so that no two of them could grow without touching the same lines. Change: one state struct, tick and messages per duty; the loop only calls them.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -6,41 +6,28 @@
 
 	"balsambarrow/internal/config"
 	"balsambarrow/internal/membership"
-	"balsambarrow/internal/platform"
-	"balsambarrow/internal/quota"
-	"balsambarrow/internal/upstream"
 	"balsambarrow/internal/view"
 )
 
 // Timing of the control thread.
 const (
-	tickEvery  = 100 * time.Millisecond
-	hostsEvery = 2 * time.Second
-	inboxSize  = 1024
-	// forgetAfter keeps a silent peer's last account for status and posting
-	// ids; it no longer counts as live long before.
-	forgetAfter = time.Minute
+	tickEvery = 100 * time.Millisecond
+	inboxSize = 1024
 )
 
+// message is what the control thread receives.
+type message interface{ apply(c *control) }
+
 // control is the state that the control thread owns. Nothing else reads or
-// writes its fields.
+// writes its fields. Each duty keeps its part in a file of its own.
 type control struct {
 	d       *Daemon
 	inbox   chan message
 	state   membership.State
-	table   *membership.Table
-	slots   *membership.Slots
-	hosts   []platform.Host
-	record  *config.Record
-	active  *config.Active
-	confirm time.Time
-
-	sequence  uint64
-	nextBeat  time.Time
-	nextHosts time.Time
-	nextSlots time.Time
-	slotsBusy bool
-	pulling   map[string]bool
+	members memberState
+	slots   slotState
+	config  configState
+	quota   quotaState
 }
 
 func newControl(d *Daemon) *control {
@@ -48,9 +35,10 @@
 		d:       d,
 		inbox:   make(chan message, inboxSize),
 		state:   membership.StateStarting,
-		table:   membership.NewTable(),
-		slots:   membership.NewSlots(),
-		pulling: map[string]bool{},
+		members: newMemberState(),
+		slots:   newSlotState(),
+		config:  newConfigState(),
+		quota:   newQuotaState(),
 	}
 }
 
@@ -79,105 +67,55 @@
 }
 
 func (c *control) tick(now time.Time) {
-	c.table.Forget(now, forgetAfter)
-	if !now.Before(c.nextHosts) {
-		c.nextHosts = now.Add(hostsEvery)
-		c.d.spawn(c.d.listHosts)
-	}
-	if !now.Before(c.nextBeat) {
-		c.nextBeat = now.Add(membership.BeatEvery)
-		c.beat()
-	}
-	if c.active != nil && !c.slotsBusy && !now.Before(c.nextSlots) && c.state != membership.StateLeaving {
-		c.startSlotRound(now)
-	}
-}
-
-func (m heardFrom) apply(c *control) {
-	c.table.Hear(m.member, time.Now())
-	c.pullFrom(m.member)
-}
-
-func (m hostsListed) apply(c *control) { c.hosts = m.hosts }
-
-// apply adopts only a higher version: a version in force never reverts.
-func (m recordFound) apply(c *control) {
-	have := c.version()
-	if m.record.Version == have && m.confirmed.After(c.confirm) {
-		c.confirm = m.confirmed
-	}
-	if m.record.Version <= have {
-		return
-	}
-	active, err := m.record.Activate()
-	if err != nil {
-		c.d.log.Error("config_rejected", "version", m.record.Version, "err", err)
-		return
-	}
-	c.record, c.active = m.record, active
-	if m.confirmed.After(c.confirm) {
-		c.confirm = m.confirmed
-	}
-	if c.state == membership.StateStarting {
-		c.state = membership.StateReady
-	}
-	c.nextBeat = time.Time{}
-	c.d.log.Info("config_adopted", "version", active.Version)
-}
-
-func (m leave) apply(c *control) {
-	c.state = membership.StateLeaving
-	c.nextBeat = time.Time{}
-	close(m.done)
-}
-
-func (c *control) version() uint64 {
-	if c.active == nil {
-		return 0
-	}
-	return c.active.Version
+	c.tickMembers(now)
+	c.tickConfig(now)
+	c.tickSlots(now)
+	c.tickQuota(now)
 }
 
 // publish makes the snapshot that traffic threads read from now on.
 func (c *control) publish(now time.Time) {
-	live := c.table.Live(now)
-	self := c.self(now)
-	snap := &view.Snapshot{Self: self, Config: c.active, ConfirmedAt: c.confirm, Members: live}
-	if self.State == membership.StateReady {
-		snap.Ready = append(snap.Ready, self)
+	live := c.members.table.Live(now)
+	snap := &view.Snapshot{
+		Self: c.self(now), Config: c.config.active, ConfirmedAt: c.config.confirmed, Members: live,
+	}
+	if snap.Self.State == membership.StateReady {
+		snap.Ready = append(snap.Ready, snap.Self)
 	}
 	for _, m := range live {
 		if m.State == membership.StateReady {
 			snap.Ready = append(snap.Ready, m)
 		}
 	}
-	if c.active != nil {
-		c.d.handler.Assign(upstream.Assigned(c.active.Config, self.Instance, snap.Ready))
-		c.d.ledger.SetShares(quota.Shares(c.active, self.Zone, len(self.Slots)), now)
+	if snap.Config != nil {
+		c.publishHandler(snap)
+		c.publishShares(snap, now)
 	}
 	c.d.view.Store(snap)
 }
 
+// self is this daemon as its heartbeats show it.
 func (c *control) self(now time.Time) membership.Member {
 	m := c.d.identity
 	m.State = c.state
-	m.Sequence = c.sequence
-	m.ConfigVersion = c.version()
-	m.PostingEpoch = c.d.postings.Epoch(now)
-	m.Slots = c.slots.Usable(now)
-	m.Headroom = c.d.handler.Headroom()
+	m.Sequence = c.members.sequence
+	m.ConfigVersion = c.config.version()
+	m.ConfirmedAt = c.config.confirmed
 	m.Watches = c.watches(now)
-	m.ConfirmedAt = c.confirm
+	m.Slots = c.slots.slots.Usable(now)
+	m.Headroom = c.d.handler.Headroom()
+	m.PostingEpoch = c.d.postings.Epoch(now)
 	return m
 }
 
-// watches tells whether this daemon is the one of its zone that waits on the
-// store: the live one with the lowest instance name.
-func (c *control) watches(now time.Time) bool {
-	for _, m := range c.table.Live(now) {
-		if m.Zone == c.d.identity.Zone && m.Instance < c.d.identity.Instance {
-			return false
-		}
-	}
-	return true
+// active is the configuration in force; nil until there is one.
+func (c *control) active() *config.Active { return c.config.active }
+
+// leave: the planned stop has begun.
+type leave struct{ done chan struct{} }
+
+func (m leave) apply(c *control) {
+	c.state = membership.StateLeaving
+	c.members.nextBeat = time.Time{}
+	close(m.done)
 }
--- a/internal/daemon/beats.go
+++ b/internal/daemon/members.go
@@ -4,17 +4,61 @@
 	"context"
 	"time"
 
-	"balsambarrow/internal/config"
 	"balsambarrow/internal/membership"
 	"balsambarrow/internal/peer"
+	"balsambarrow/internal/platform"
 )
 
 // callTimeout bounds one control call to a peer.
 const callTimeout = time.Second
 
+// Timing of membership.
+const (
+	hostsEvery = 2 * time.Second
+	// forgetAfter keeps a silent peer's last account for status and posting
+	// ids; it no longer counts as live long before.
+	forgetAfter = time.Minute
+)
+
+// memberState is the control thread's part for membership.
+type memberState struct {
+	table     *membership.Table
+	hosts     []platform.Host
+	sequence  uint64
+	nextBeat  time.Time
+	nextHosts time.Time
+}
+
+func newMemberState() memberState { return memberState{table: membership.NewTable()} }
+
+func (c *control) tickMembers(now time.Time) {
+	c.members.table.Forget(now, forgetAfter)
+	if !now.Before(c.members.nextHosts) {
+		c.members.nextHosts = now.Add(hostsEvery)
+		c.d.spawn(c.d.listHosts)
+	}
+	if !now.Before(c.members.nextBeat) {
+		c.members.nextBeat = now.Add(membership.BeatEvery)
+		c.beat()
+	}
+}
+
+// heardFrom: a peer's account of itself arrived.
+type heardFrom struct{ member membership.Member }
+
+func (m heardFrom) apply(c *control) {
+	c.members.table.Hear(m.member, time.Now())
+	c.pullFrom(m.member)
+}
+
+// hostsListed: the platform's host list was read.
+type hostsListed struct{ hosts []platform.Host }
+
+func (m hostsListed) apply(c *control) { c.members.hosts = m.hosts }
+
 // beat sends a heartbeat to every peer known from the host list or heard of.
 func (c *control) beat() {
-	c.sequence++
+	c.members.sequence++
 	message := toWire(c.self(time.Now()))
 	for address := range c.peerAddresses() {
 		c.d.spawn(func(ctx context.Context) { c.d.beatTo(ctx, address, message) })
@@ -23,10 +67,10 @@
 
 func (c *control) peerAddresses() map[string]bool {
 	addresses := map[string]bool{}
-	for _, h := range c.hosts {
+	for _, h := range c.members.hosts {
 		addresses[h.Peers] = true
 	}
-	for _, m := range c.table.Live(time.Now()) {
+	for _, m := range c.members.table.Live(time.Now()) {
 		addresses[m.Peers] = true
 	}
 	delete(addresses, c.d.identity.Peers)
@@ -50,38 +94,13 @@
 	return toWire(d.view.Load().Self), nil
 }
 
-// pullFrom asks a peer for its configuration if it has a higher version.
-func (c *control) pullFrom(m membership.Member) {
-	if m.ConfigVersion <= c.version() || c.pulling[m.Instance] {
-		return
-	}
-	c.pulling[m.Instance] = true
-	have := c.version()
-	c.d.spawn(func(ctx context.Context) {
-		c.d.pull(ctx, m.Peers, have)
-		c.send(pullDone{m.Instance})
-	})
-}
-
-// pullDone: a pull from a peer ended, with or without a record.
-type pullDone struct{ instance string }
-
-func (m pullDone) apply(c *control) { delete(c.pulling, m.instance) }
-
-func (d *Daemon) pull(ctx context.Context, address string, have uint64) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	reply, err := peer.NewDRPCConfigurationClient(d.conns.To(ctx, address)).Pull(ctx, &peer.PullRequest{HaveVersion: have})
-	if err != nil || len(reply.Record) == 0 {
-		d.log.Debug("pull_failed", "peer", address, "err", err)
-		return
-	}
-	record, err := config.ParseRecord(reply.Record)
+func (d *Daemon) listHosts(ctx context.Context) {
+	hosts, err := d.hostList.Hosts(ctx)
 	if err != nil {
-		d.log.Warn("pull_unreadable", "peer", address, "err", err)
+		d.log.Debug("hosts_not_listed", "err", err)
 		return
 	}
-	d.control.send(recordFound{record: record})
+	d.control.send(hostsListed{hosts})
 }
 
 func toWire(m membership.Member) *peer.Heartbeat {
--- a/internal/daemon/slots.go
+++ b/internal/daemon/slots.go
@@ -29,13 +29,32 @@
 	released []int
 }
 
+// slotState is the control thread's part for slots.
+type slotState struct {
+	slots *membership.Slots
+	next  time.Time
+	busy  bool
+}
+
+func newSlotState() slotState { return slotState{slots: membership.NewSlots()} }
+
+func (c *control) tickSlots(now time.Time) {
+	due := !c.slots.busy && !now.Before(c.slots.next)
+	if due && c.active() != nil && c.state != membership.StateLeaving {
+		c.startSlotRound(now)
+	}
+}
+
+// slotRoundDone: one round of calls for the lease and slots ended.
+type slotRoundDone struct{ result slotResult }
+
 func (c *control) startSlotRound(now time.Time) {
-	c.slotsBusy = true
-	c.nextSlots = now.Add(membership.RenewEvery)
+	c.slots.busy = true
+	c.slots.next = now.Add(membership.RenewEvery)
 	zone := c.d.identity.Zone
 	plan := slotPlan{
-		zone: zone, lease: c.d.lease, total: c.active.Config.Zones[zone].Slots,
-		holders: c.zoneHolders(now), held: c.slots.Held(),
+		zone: zone, lease: c.d.lease, total: c.active().Config.Zones[zone].Slots,
+		holders: c.zoneHolders(now), held: c.slots.slots.Held(),
 	}
 	c.d.spawn(func(ctx context.Context) { c.send(slotRoundDone{c.d.slotRound(ctx, plan)}) })
 }
@@ -43,7 +62,7 @@
 // zoneHolders counts the daemons of the zone that share its slots.
 func (c *control) zoneHolders(now time.Time) int {
 	n := 1
-	for _, m := range c.table.Live(now) {
+	for _, m := range c.members.table.Live(now) {
 		if m.Zone == c.d.identity.Zone && m.State == membership.StateReady {
 			n++
 		}
@@ -52,23 +71,23 @@
 }
 
 func (m slotRoundDone) apply(c *control) {
-	c.slotsBusy = false
+	c.slots.busy = false
 	r := m.result
 	if r.lost {
-		c.slots.Lost()
+		c.slots.slots.Lost()
 	}
 	c.d.lease = r.lease
 	if !r.renewed.IsZero() {
-		c.slots.Renewed(r.renewed)
+		c.slots.slots.Renewed(r.renewed)
 	}
 	for _, s := range r.claimed {
-		c.slots.Claimed(s)
+		c.slots.slots.Claimed(s)
 	}
 	for _, s := range r.released {
-		c.slots.Released(s)
+		c.slots.slots.Released(s)
 	}
 	if len(r.claimed)+len(r.released) > 0 {
-		c.d.log.Info("slots_changed", "claimed", len(r.claimed), "released", len(r.released), "held", len(c.slots.Held()))
+		c.d.log.Info("slots_changed", "claimed", len(r.claimed), "released", len(r.released), "held", len(c.slots.slots.Held()))
 	}
 }
 
