Steer by zone, region and caps; answer lookups from an index

Cause: the thin path picked a handler by distance alone, knew no shift cap, link or region limit, and walked every client block for each lookup.

Entry takes these from the ledger before it asks, all or nothing, and refunds what certainly did not run.

Failed first: a target whose region has no declared link asked for a quota that does not exist and was never used; TestRequestIsRelayedToAZoneWithUpstreams timed out on it. Links are now charged only where declared.

--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -8,6 +8,7 @@
 	DefaultExpectedMs    = 10
 	DefaultExpectedBytes = 4096
 	DefaultRampSeconds   = 60
+	DefaultShiftCap      = 50
 )
 
 func (c *Config) applyDefaults() {
@@ -21,6 +22,7 @@
 		setDefault(&s.TimeoutMs, DefaultTimeoutMs)
 		setDefault(&s.ExpectedMs, DefaultExpectedMs)
 		setDefault(&s.ExpectedBytes, DefaultExpectedBytes)
+		setDefault(&s.ShiftCapPerSecond, DefaultShiftCap)
 		c.Services[name] = s
 	}
 	for name, u := range c.Upstreams {
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -78,6 +78,10 @@
 	// ExpectedBytes is the answer size assumed for link quotas before any is
 	// measured. Default 4096.
 	ExpectedBytes float64 `json:"expected_bytes,omitempty"`
+	// ShiftCapPerSecond bounds the requests per second that start in one
+	// region and run in another, for each pair of regions, where no move
+	// names a cap. Default 50.
+	ShiftCapPerSecond float64 `json:"shift_cap_per_second,omitempty"`
 }
 
 // Upstream is one worker of a service.
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -127,6 +127,7 @@
 		v.require(s.TimeoutMs > 0, path("services", name, "timeout_ms"), "want a positive number of milliseconds")
 		v.require(s.ExpectedMs > 0, path("services", name, "expected_ms"), "want a positive number of milliseconds")
 		v.require(s.ExpectedBytes > 0, path("services", name, "expected_bytes"), "want a positive number of bytes")
+		v.require(s.ShiftCapPerSecond > 0, path("services", name, "shift_cap_per_second"), "want a positive number of requests per second")
 		v.regions(s.Regions, "services", name)
 	}
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -28,6 +28,7 @@
 	slots   slotState
 	config  configState
 	quota   quotaState
+	steer   steerState
 }
 
 func newControl(d *Daemon) *control {
@@ -39,6 +40,7 @@
 		slots:   newSlotState(),
 		config:  newConfigState(),
 		quota:   newQuotaState(),
+		steer:   newSteerState(d.identity.Zone),
 	}
 }
 
@@ -59,6 +61,7 @@
 			return
 		case m := <-c.inbox:
 			m.apply(c)
+			c.drain()
 		case <-ticker.C:
 			c.tick(time.Now())
 		}
@@ -66,6 +69,19 @@
 	}
 }
 
+// drain applies the messages that wait already, so that a burst of them costs
+// one snapshot.
+func (c *control) drain() {
+	for range inboxSize {
+		select {
+		case m := <-c.inbox:
+			m.apply(c)
+		default:
+			return
+		}
+	}
+}
+
 func (c *control) tick(now time.Time) {
 	c.tickMembers(now)
 	c.tickConfig(now)
@@ -90,6 +106,7 @@
 	if snap.Config != nil {
 		c.publishHandler(snap)
 		c.publishShares(snap, now)
+		c.publishSteering(snap, now)
 	}
 	c.d.view.Store(snap)
 }
--- /dev/null
+++ b/internal/daemon/steering.go
@@ -0,0 +1,30 @@
+package daemon
+
+import (
+	"time"
+
+	"balsambarrow/internal/lookup"
+	"balsambarrow/internal/steer"
+	"balsambarrow/internal/view"
+)
+
+// steerState is the control thread's part for steering and lookups.
+type steerState struct {
+	builder *steer.Builder
+	// index is made once for each version of the configuration.
+	index        *lookup.Index
+	indexVersion uint64
+}
+
+func newSteerState(zone string) steerState { return steerState{builder: steer.NewBuilder(zone)} }
+
+// publishSteering adds to a snapshot what traffic threads steer and answer
+// lookups by.
+func (c *control) publishSteering(snap *view.Snapshot, now time.Time) {
+	if c.steer.index == nil || c.steer.indexVersion != snap.Config.Version {
+		c.steer.index = lookup.NewIndex(snap.Config.Config)
+		c.steer.indexVersion = snap.Config.Version
+	}
+	snap.Lookup = lookup.NewDirectory(snap.Config, c.steer.index, snap.Ready)
+	snap.Steer = c.steer.builder.Build(snap.Config, snap.Ready, now)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,7 +12,6 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"balsambarrow/internal/lookup"
 	"balsambarrow/internal/posting"
 	"balsambarrow/internal/quota"
 	"balsambarrow/internal/relay"
@@ -21,9 +20,6 @@
 	"balsambarrow/internal/wire"
 )
 
-// maxTargets bounds the handlers asked for one request.
-const maxTargets = 3
-
 // Deps is what the request path works with.
 type Deps struct {
 	View     *view.Published
@@ -62,7 +58,7 @@
 		return
 	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	answer := lookup.Entries(snap.Config, snap.Ready, callerAddr(r), rng)
+	answer := snap.Lookup.Entries(callerAddr(r), rng)
 	w.Header().Set("Cache-Control", "max-age="+strconv.FormatInt(answer.TTLMs/1000, 10))
 	writeJSON(w, answer)
 }
--- a/internal/entry/steer.go
+++ b/internal/entry/steer.go
@@ -16,17 +16,24 @@
 func (s *Server) steer(ctx context.Context, call *wire.Call) (*wire.Answer, *wire.Problem) {
 	snap := s.View.Load()
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	targets := steer.Choose(snap.Config, snap.Ready, call.Customer, call.Service, snap.Self.Zone, rng)
+	targets := snap.Steer.Choose(steerRequest(call), time.Now(), rng)
 	problem := wire.Refuse(wire.TypeNoRoom, "no zone that may serve this has a ready handler", time.Second)
-	for _, target := range targets[:min(len(targets), maxTargets)] {
+	for i := range targets {
+		target := &targets[i]
 		if ctx.Err() != nil {
 			break
 		}
+		if !s.takeCaps(target, time.Now()) {
+			continue
+		}
 		var answer *wire.Answer
 		answer, problem = s.ask(ctx, target, call)
 		if problem == nil {
 			return answer, nil
 		}
+		if problem.Outcome == wire.OutcomeNotRun {
+			s.refundCaps(target, time.Now())
+		}
 		if !another(call, problem) {
 			break
 		}
@@ -34,13 +41,15 @@
 	return nil, problem
 }
 
-func (s *Server) ask(ctx context.Context, target steer.Target, call *wire.Call) (*wire.Answer, *wire.Problem) {
-	if target.Member.Instance == s.View.Load().Self.Instance {
+func (s *Server) ask(ctx context.Context, target *steer.Target, call *wire.Call) (*wire.Answer, *wire.Problem) {
+	target.Sent()
+	member := target.Handler.Member
+	if member.Instance == s.View.Load().Self.Instance {
 		return s.Local.Run(ctx, call)
 	}
 	ctx, span := s.Tracer.Start(ctx, "relay")
 	defer span.End()
-	return s.Relay.Send(ctx, target.Member.Relay, wire.RoleHandle, call)
+	return s.Relay.Send(ctx, member.Relay, wire.RoleHandle, call)
 }
 
 // another tells whether another handler may be asked after a problem.
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -43,8 +43,10 @@
 	Headroom              map[string]Headroom
 	Demand                map[string]float64
 	Watches               bool
-	ConfirmedAt           time.Time
-	HeardAt               time.Time
+	// Load is the part of the host's own room that is in use, 0 to 1.
+	Load        float64
+	ConfirmedAt time.Time
+	HeardAt     time.Time
 }
 
 // Table holds the members that this daemon hears of, without itself.
--- a/internal/steer/choose.go
+++ b/internal/steer/choose.go
@@ -3,63 +3,249 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"balsambarrow/internal/config"
-	"balsambarrow/internal/membership"
 )
 
-// Target is a daemon that handles upstreams of the service.
+// Request is what steering knows of a request.
+type Request struct {
+	Service  string
+	Customer string
+	// Key decides which part of a shifted traffic a request belongs to: the
+	// same key goes to the same region, so that caches warm.
+	Key string
+	// Bytes is the size of the request on the way to another region.
+	Bytes float64
+}
+
+// Target is a daemon to ask, with what has to be taken before.
 type Target struct {
-	Member membership.Member
-	// Distance is 0 in the same zone, 1 in the same region, 2 elsewhere.
-	Distance int
-}
-
-// Choose returns the daemons to ask, best first: nearest first, and among
-// equals the one with more free room out of two picked at random. members
-// holds every ready daemon, this one included.
-func Choose(a *config.Active, members []membership.Member, customer, service, zone string, rng *rand.Rand) []Target {
-	var targets []Target
-	for _, m := range members {
-		if _, handles := m.Headroom[service]; !handles {
+	Handler *Handler
+	// Shift is the quota of the shift's cap; "" in the home region.
+	Shift string
+	// Drain is the quota of the drain that causes the shift; "" if none.
+	Drain string
+	// Link is the quota of the link that the request crosses; "" if none.
+	Link string
+	// LinkBits is the cost on that link.
+	LinkBits float64
+}
+
+// Sent notes that the target was asked.
+func (t *Target) Sent() { t.Handler.sent.Add(1) }
+
+// MaxTargets bounds the handlers asked for one request: a second and a third
+// for a refusal by lagging headroom; more would only add load when all are full.
+const MaxTargets = 3
+
+// Choose returns the daemons to ask, best first, MaxTargets at most.
+func (t *Table) Choose(r Request, now time.Time, rng *rand.Rand) []Target {
+	s := t.services[r.Service]
+	if s == nil {
+		return nil
+	}
+	c := chooser{t: t, s: s, r: r, now: now, rng: rng, where: position(r)}
+	c.targets = make([]Target, 0, MaxTargets)
+	c.run()
+	return c.targets
+}
+
+// position places a request between 0 and 1 by its key.
+func position(r Request) float64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(r.Customer)
+	_, _ = h.WriteString("\x00")
+	_, _ = h.WriteString(r.Key)
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
+
+type chooser struct {
+	t       *Table
+	s       *serviceTable
+	r       Request
+	now     time.Time
+	rng     *rand.Rand
+	where   float64
+	targets []Target
+}
+
+func (c *chooser) run() {
+	first, drain := c.planned()
+	if first == nil && c.where >= 1-c.s.spill {
+		first = c.roomiest()
+	}
+	if first != nil {
+		c.add(first, drain, 1)
+	}
+	if c.homeAllowed() {
+		c.add(&c.s.home, "", MaxTargets)
+	}
+	c.elsewhere(first)
+}
+
+// planned returns the region that a move or a drain of the home region sends
+// this request to, and the drain's quota.
+func (c *chooser) planned() (*regionTable, string) {
+	edge := 0.0
+	for _, m := range c.s.moves {
+		next := edge + m.move.Share*ramp(m.move.StartUnixMs, m.move.RampSeconds, c.now)
+		if c.where >= edge && c.where < next {
+			if r := c.region(m.to); r != nil {
+				return r, ""
+			}
+		}
+		edge = next
+	}
+	if d := c.s.homeDrain; d != nil && c.where < ramp(d.StartUnixMs, d.RampSeconds, c.now) {
+		return c.roomiest(), drainQuota(*d)
+	}
+	return nil, ""
+}
+
+// ramp grows from 0 at start to 1 after seconds.
+func ramp(startUnixMs int64, seconds float64, now time.Time) float64 {
+	passed := now.Sub(time.UnixMilli(startUnixMs)).Seconds()
+	switch {
+	case passed <= 0:
+		return 0
+	case passed >= seconds:
+		return 1
+	}
+	return passed / seconds
+}
+
+// homeAllowed is false where neither service nor customer may be served in
+// the home region.
+func (c *chooser) homeAllowed() bool { return c.allowed(c.t.region) }
+
+func (c *chooser) allowed(region string) bool {
+	cfg := c.t.active.Config
+	return allows(cfg.Services[c.r.Service].Regions, region) && allows(cfg.Customers[c.r.Customer].Regions, region)
+}
+
+func allows(list []string, region string) bool {
+	return len(list) == 0 || slices.Contains(list, region)
+}
+
+func (c *chooser) region(name string) *regionTable {
+	for i := range c.s.others {
+		if c.s.others[i].name == name && c.allowed(name) {
+			return &c.s.others[i]
+		}
+	}
+	return nil
+}
+
+// roomiest picks the other region to start in: the one with less pressure
+// out of two picked at random, so that not everybody picks the same.
+func (c *chooser) roomiest() *regionTable {
+	var best *regionTable
+	n := len(c.s.others)
+	if n == 0 {
+		return nil
+	}
+	for i, start := 0, c.rng.IntN(n); i < n; i++ {
+		r := &c.s.others[(start+i)%n]
+		if !c.allowed(r.name) || c.draining(r.name) {
+			continue
+		}
+		if best == nil {
+			best = r
 			continue
 		}
-		if allowed(a.Config, customer, service, a.Region(m.Zone)) {
-			targets = append(targets, Target{Member: m, Distance: distance(a, zone, m.Zone)})
+		if r.pressure() < best.pressure() {
+			best = r
 		}
+		break
 	}
-	rng.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	slices.SortStableFunc(targets, func(x, y Target) int {
-		return x.Distance - y.Distance
-	})
-	preferRoomier(targets, service)
-	return targets
+	return best
 }
 
-func preferRoomier(targets []Target, service string) {
-	if len(targets) < 2 || targets[0].Distance != targets[1].Distance {
+func (c *chooser) draining(region string) bool {
+	_, is := c.t.regionDrains[region]
+	return is
+}
+
+// elsewhere fills up with other regions, for when the first ones refuse.
+func (c *chooser) elsewhere(first *regionTable) {
+	n := len(c.s.others)
+	if n == 0 {
 		return
 	}
-	if targets[1].Member.Headroom[service].Free > targets[0].Member.Headroom[service].Free {
-		targets[0], targets[1] = targets[1], targets[0]
+	for i, start := 0, c.rng.IntN(n); i < n && len(c.targets) < MaxTargets; i++ {
+		r := &c.s.others[(start+i)%n]
+		if r != first && c.allowed(r.name) && !c.draining(r.name) {
+			c.add(r, "", 1)
+		}
+	}
+}
+
+// add appends at most most handlers of a region, nearest zone first; a zone
+// that is being drained comes last. One place is kept for another region.
+func (c *chooser) add(r *regionTable, drain string, most int) {
+	home := r.name == c.t.region
+	room := MaxTargets - len(c.targets)
+	if home && len(c.s.others) > 0 {
+		room = max(room-1, 1)
+	}
+	most = min(most, room)
+	for _, drained := range []bool{false, true} {
+		for i := range r.zones {
+			z := &r.zones[i]
+			if most == 0 {
+				return
+			}
+			if c.zoneDrained(z.name) != drained || len(z.handlers) == 0 {
+				continue
+			}
+			c.targets = append(c.targets, c.target(pick(z.handlers, c.rng), home, r.name, drain))
+			most--
+		}
 	}
 }
 
-func allowed(c *config.Config, customer, service, region string) bool {
-	return allows(c.Services[service].Regions, region) && allows(c.Customers[customer].Regions, region)
+// zoneDrained tells whether this request is in the part of a zone's traffic
+// that its drain has already moved.
+func (c *chooser) zoneDrained(zone string) bool {
+	d, ok := c.t.zoneDrains[zone]
+	return ok && c.where < ramp(d.StartUnixMs, d.RampSeconds, c.now)
 }
 
-func allows(list []string, region string) bool {
-	return len(list) == 0 || slices.Contains(list, region)
+// pick takes the roomier of two handlers picked at random.
+func pick(handlers []*Handler, rng *rand.Rand) *Handler {
+	n := len(handlers)
+	if n == 1 {
+		return handlers[0]
+	}
+	i := rng.IntN(n)
+	j := (i + 1 + rng.IntN(n-1)) % n
+	if handlers[j].free() > handlers[i].free() {
+		return handlers[j]
+	}
+	return handlers[i]
 }
 
-func distance(a *config.Active, from, to string) int {
-	switch {
-	case from == to:
-		return 0
-	case a.Region(from) == a.Region(to):
-		return 1
-	default:
-		return 2
+func (c *chooser) target(h *Handler, home bool, region, drain string) Target {
+	if home {
+		return Target{Handler: h}
+	}
+	t := Target{Handler: h, Drain: drain, Shift: config.ShiftQuota(c.r.Service, c.t.region, region)}
+	if c.t.linked[region] {
+		t.Link = config.LinkQuota(c.t.region, region)
+		t.LinkBits = bitsPerByte * c.r.Bytes
+	}
+	return t
+}
+
+const bitsPerByte = 8
+
+// drainQuota names the quota of a drain's own cap; "" if it has none.
+func drainQuota(d config.Drain) string {
+	if d.CapPerSecond == 0 {
+		return ""
 	}
+	return config.DrainQuota(d.Kind, d.Target)
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"balsambarrow/internal/config"
+	"balsambarrow/internal/lookup"
 	"balsambarrow/internal/membership"
+	"balsambarrow/internal/steer"
 )
 
 // Snapshot is the control state at one moment. It is never modified.
@@ -20,6 +22,10 @@
 	ConfirmedAt time.Time
 	// Ready are the ready daemons, this one included if it is ready.
 	Ready []membership.Member
+	// Steer says where requests run; nil while Config is.
+	Steer *steer.Table
+	// Lookup says which entry hosts callers are given; nil while Config is.
+	Lookup *lookup.Directory
 	// Members are all daemons heard of lately, without this one.
 	Members []membership.Member
 }
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -159,3 +159,6 @@
 func (c *Call) WithDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithDeadline(ctx, c.Deadline)
 }
+
+// Held is how many bytes of the body are held in memory.
+func (b *Body) Held() int { return len(b.held) }
