Spill between regions by what a daemon's own requests met

Cause: in the simulation (two regions at 1.3 and 0.3 of capacity, headroom heard 5 s late) the spill fraction grew by the advertised pressure, overshot from the 0.23 that was needed to about 0.5 and filled the neighbour; and all that left a region went to the first zone of the other one, which filled alone.

Ruled out: a slower growth, since it leaves callers waiting half a second for 15 s.

Change: the fraction grows by the part of a daemon's own requests that waited over 50 ms or were refused at home, and shrinks by what it hears. A handler of another region is picked over all its zones.

Left: entry does not report the wait yet; the handler has to send it.

--- a/internal/steer/choose.go
+++ b/internal/steer/choose.go
@@ -32,11 +32,21 @@
 	Link string
 	// LinkBits is the cost on that link.
 	LinkBits float64
+	// feedback is told how requests in the home region fared; nil elsewhere.
+	feedback *feedback
 }
 
 // Sent notes that the target was asked.
 func (t *Target) Sent() { t.Handler.sent.Add(1) }
 
+// Ended notes how long the request waited for room there, or that there was
+// none.
+func (t *Target) Ended(waited time.Duration, refused bool) {
+	if t.feedback != nil {
+		t.feedback.note(waited, refused)
+	}
+}
+
 // MaxTargets bounds the handlers asked for one request: a second and a third
 // for a refusal by lagging headroom; more would only add load when all are full.
 const MaxTargets = 3
@@ -78,10 +88,10 @@
 		first = c.roomiest()
 	}
 	if first != nil {
-		c.add(first, drain, 1)
+		c.addOther(first, drain)
 	}
 	if c.homeAllowed() {
-		c.add(&c.s.home, "", MaxTargets)
+		c.addHome()
 	}
 	c.elsewhere(first)
 }
@@ -178,35 +188,45 @@
 	for i, start := 0, c.rng.IntN(n); i < n && len(c.targets) < MaxTargets; i++ {
 		r := &c.s.others[(start+i)%n]
 		if r != first && c.allowed(r.name) && !c.draining(r.name) {
-			c.add(r, "", 1)
+			c.addOther(r, "")
 		}
 	}
 }
 
-// add appends at most most handlers of a region, nearest zone first; a zone
-// that is being drained comes last. One place is kept for another region.
-func (c *chooser) add(r *regionTable, drain string, most int) {
-	home := r.name == c.t.region
+// addHome appends a handler of each zone of the home region, nearest zone
+// first; a zone that is being drained comes last. One place is kept for
+// another region.
+func (c *chooser) addHome() {
 	room := MaxTargets - len(c.targets)
-	if home && len(c.s.others) > 0 {
+	if len(c.s.others) > 0 {
 		room = max(room-1, 1)
 	}
-	most = min(most, room)
+	zones := c.s.home.zones
 	for _, drained := range []bool{false, true} {
-		for i := range r.zones {
-			z := &r.zones[i]
-			if most == 0 {
+		for i := range zones {
+			if room == 0 {
 				return
 			}
-			if c.zoneDrained(z.name) != drained || len(z.handlers) == 0 {
-				continue
+			if c.zoneDrained(zones[i].name) == drained {
+				c.targets = append(c.targets, Target{Handler: pick(zones[i].handlers, c.rng), feedback: c.s.feedback})
+				room--
 			}
-			c.targets = append(c.targets, c.target(pick(z.handlers, c.rng), home, r.name, drain))
-			most--
 		}
 	}
 }
 
+// addOther appends a handler of another region, of any zone of it: seen from
+// far its zones are equally near, and one of them alone would fill first.
+func (c *chooser) addOther(r *regionTable, drain string) {
+	t := Target{Handler: pick(r.handlers, c.rng), Drain: drain}
+	t.Shift = config.ShiftQuota(c.r.Service, c.t.region, r.name)
+	if c.t.linked[r.name] {
+		t.Link = config.LinkQuota(c.t.region, r.name)
+		t.LinkBits = bitsPerByte * c.r.Bytes
+	}
+	c.targets = append(c.targets, t)
+}
+
 // zoneDrained tells whether this request is in the part of a zone's traffic
 // that its drain has already moved.
 func (c *chooser) zoneDrained(zone string) bool {
@@ -228,18 +248,6 @@
 	return handlers[i]
 }
 
-func (c *chooser) target(h *Handler, home bool, region, drain string) Target {
-	if home {
-		return Target{Handler: h}
-	}
-	t := Target{Handler: h, Drain: drain, Shift: config.ShiftQuota(c.r.Service, c.t.region, region)}
-	if c.t.linked[region] {
-		t.Link = config.LinkQuota(c.t.region, region)
-		t.LinkBits = bitsPerByte * c.r.Bytes
-	}
-	return t
-}
-
 const bitsPerByte = 8
 
 // drainQuota names the quota of a drain's own cap; "" if it has none.
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -28,6 +28,8 @@
 	name string
 	// zones lists the handlers by zone, the daemon's own zone first.
 	zones []zoneTable
+	// handlers lists them all.
+	handlers []*Handler
 }
 
 type zoneTable struct {
@@ -43,7 +45,9 @@
 	others []regionTable
 	// spill is the part of the home region's traffic that starts elsewhere.
 	spill float64
-	moves []activeMove
+	// feedback goes to the spill.
+	feedback *feedback
+	moves    []activeMove
 	// homeDrain is the drain of the home region; nil if there is none.
 	homeDrain *config.Drain
 }
@@ -141,7 +145,8 @@
 	}
 	slices.SortFunc(s.others, func(x, y regionTable) int { return cmp.Compare(x.name, y.name) })
 	s.plan(t, service)
-	s.spill = b.spill(service).Update(s.home.pressure(), now)
+	spill := b.spill(service)
+	s.spill, s.feedback = spill.Update(s.home.pressure(), now), &spill.feedback
 	return s
 }
 
@@ -192,6 +197,7 @@
 }
 
 func (r *regionTable) add(h *Handler) {
+	r.handlers = append(r.handlers, h)
 	for i := range r.zones {
 		if r.zones[i].name == h.Member.Zone {
 			r.zones[i].handlers = append(r.zones[i].handlers, h)
@@ -216,14 +222,25 @@
 // pressure is the region's running and waiting work over its room; 1 is full.
 func (r *regionTable) pressure() float64 {
 	used, limit := 0, 0
-	for _, z := range r.zones {
-		for _, h := range z.handlers {
-			used += h.room.Limit - h.room.Free + h.room.Queued
-			limit += h.room.Limit
-		}
+	for _, h := range r.handlers {
+		used += h.room.Limit - h.room.Free + h.room.Queued
+		limit += h.room.Limit
 	}
 	if limit == 0 {
 		return 1
 	}
 	return float64(used) / float64(limit)
 }
+
+// Handlers lists every handler of a service that is known here.
+func (t *Table) Handlers(service string) []*Handler {
+	s := t.services[service]
+	if s == nil {
+		return nil
+	}
+	var all []*Handler
+	for _, r := range append([]regionTable{s.home}, s.others...) {
+		all = append(all, r.handlers...)
+	}
+	return all
+}
