--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -137,9 +137,10 @@
 
 func (d *Daemon) listenAll() (net.Listener, error) {
 	runner := &upstream.Runner{Handler: d.handler, Client: d.client, KeyValid: d.keyValid, Tracer: d.tracing.Tracer}
+	handle := &regionGate{next: runner, view: &d.view, ledger: d.ledger}
 	scheme := "http"
 	front := entry.New(entry.Deps{
-		View: &d.view, Ledger: d.ledger, Postings: d.postings, Local: runner,
+		View: &d.view, Ledger: d.ledger, Postings: d.postings, Local: handle,
 		Relay:        relay.NewClient(d.client, scheme, d.identity.Instance),
 		MaxBodyBytes: d.settings.Limits.MaxBodyBytes, Tracer: d.tracing.Tracer, Log: d.log,
 	})
@@ -147,7 +148,7 @@
 		View: &d.view, Repository: config.NewRepository(d.store, time.Now), Metrics: d.metrics,
 		Adopt: func(r *config.Record) { d.control.send(recordFound{record: r, confirmed: time.Now()}) },
 	})
-	relays := &relay.Server{Handle: runner, Posting: entry.PostingRunner{Server: front}}
+	relays := &relay.Server{Handle: handle, Posting: entry.PostingRunner{Server: front}}
 	var err error
 	if d.identity.Callers, err = d.serveHTTP(d.settings.Listen.Callers, front); err != nil {
 		return nil, err
--- a/internal/steer/sim_test.go
+++ b/internal/steer/sim_test.go
@@ -48,12 +48,11 @@
 type policy func(s *sim, entry string, r steer.Request) []steer.Target
 
 type simHandler struct {
-	zone    string
-	free    []time.Duration // when each slot is free again
-	waiting int
-	starts  []time.Duration
-	warm    map[string]bool
-	cold    bool
+	zone   string
+	free   []time.Duration // when each slot is free again
+	starts []time.Duration
+	warm   map[string]bool
+	cold   bool
 }
 
 type sim struct {
