Look answers of the steering simulation up by their time

Cause: internal/steer took 44 s with the race detector; each step walked all answers under way. Change: answers are kept by the step they arrive in, and the two deployments run in parallel.

--- a/internal/steer/sim_test.go
+++ b/internal/steer/sim_test.go
@@ -72,12 +72,11 @@
 	policy   policy
 	sequence uint64
 	// answers are told to steering when they arrive.
-	answers []simAnswer
+	answers map[time.Duration][]simAnswer
 	result  simResult
 }
 
 type simAnswer struct {
-	at      time.Duration
 	target  steer.Target
 	waited  time.Duration
 	refused bool
@@ -95,7 +94,7 @@
 	s := &sim{
 		d: d, c: c, stale: stale, policy: p, rng: rand.New(rand.NewPCG(20261202, 1)),
 		handlers: map[string]*simHandler{}, builders: map[string]*steer.Builder{}, tables: map[string]*steer.Table{},
-		lost: map[string]bool{}, caps: map[string]*quota.Bucket{},
+		lost: map[string]bool{}, caps: map[string]*quota.Bucket{}, answers: map[time.Duration][]simAnswer{},
 	}
 	for z := range c.Zones {
 		s.handlers[z] = &simHandler{zone: z, free: make([]time.Duration, d.slots), warm: map[string]bool{}}
@@ -136,13 +135,10 @@
 }
 
 func (s *sim) answer() {
-	s.answers = slices.DeleteFunc(s.answers, func(a simAnswer) bool {
-		if a.at > s.now {
-			return false
-		}
+	for _, a := range s.answers[s.now] {
 		a.target.Ended(a.waited, a.refused)
-		return true
-	})
+	}
+	delete(s.answers, s.now)
 }
 
 func (s *sim) poisson(mean float64) int {
@@ -212,7 +208,8 @@
 		if t.Shift != "" {
 			second[t.Shift]++
 		}
-		s.answers = append(s.answers, simAnswer{at: s.now + wait, target: t, waited: wait - serviceTime, refused: !ok})
+		arrives := (s.now + wait).Truncate(simStep) + simStep
+		s.answers[arrives] = append(s.answers[arrives], simAnswer{target: t, waited: wait - serviceTime, refused: !ok})
 		if !ok {
 			continue
 		}
@@ -334,6 +331,7 @@
 func TestTwoRegionsDoNotOscillate(t *testing.T) {
 	for _, d := range deployments {
 		t.Run(d.name, func(t *testing.T) {
+			t.Parallel()
 			g := NewWithT(t)
 			demand := func(region string, _ time.Duration) float64 {
 				return map[string]float64{"vt": 1.3, "me": 0.3}[region] * d.capacity()
@@ -363,6 +361,7 @@
 func TestLossOfARegionWithColdCaches(t *testing.T) {
 	for _, d := range deployments {
 		t.Run(d.name, func(t *testing.T) {
+			t.Parallel()
 			g := NewWithT(t)
 			for name, p := range map[string]policy{"naive": roomiestFirst, "steered": steered} {
 				limit := 0.1 * d.capacity()
@@ -398,6 +397,7 @@
 func TestMoveAndDrainTogetherStayUnderTheCap(t *testing.T) {
 	for _, d := range deployments {
 		t.Run(d.name, func(t *testing.T) {
+			t.Parallel()
 			g := NewWithT(t)
 			limit := math.Floor(0.2 * d.capacity())
 			c := simRegions(limit, "vt", "me")
