Measure what a daemon adds to a call, paired with direct calls

Cause: nothing told the cost of the path itself. Change: balsamlab overhead and metric, scripts/overhead.sh over a fleet that demo.sh shares; process metrics on /metrics.

--- /dev/null
+++ b/cmd/balsamlab/overhead.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+)
+
+var errNotAnswered = errors.New("balsamlab: request was not answered with 200")
+
+// overhead compares calls through a daemon with direct calls to an upstream.
+type overhead struct {
+	entry, upstream  string
+	service, key     string
+	pairs, clients   int
+	throughputLength time.Duration
+	client           *http.Client
+}
+
+func overheadCommand() *cobra.Command {
+	o := &overhead{}
+	cmd := &cobra.Command{
+		Use:   "overhead",
+		Short: "Compare calls through a daemon with direct calls to an upstream",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			o.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: o.clients}}
+			if err := o.pairsOf(cmd.Context()); err != nil {
+				return err
+			}
+			return o.throughput(cmd.Context())
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&o.entry, "entry", "", "callers' address of a daemon")
+	f.StringVar(&o.upstream, "upstream", "", "address of an upstream")
+	f.StringVar(&o.service, "service", "lookup", "service to call")
+	f.StringVar(&o.key, "key", "", "a customer's key")
+	f.IntVar(&o.pairs, "pairs", 3000, "pairs of calls")
+	f.IntVar(&o.clients, "clients", 16, "callers at once for the throughput")
+	f.DurationVar(&o.throughputLength, "duration", 5*time.Second, "how long to measure the throughput")
+	return cmd
+}
+
+func (o *overhead) direct() string  { return "http://" + o.upstream + "/animal/7" }
+func (o *overhead) through() string { return "http://" + o.entry + "/svc/" + o.service + "/animal/7" }
+
+// pairsOf alternates direct calls and calls through the daemon, so that both
+// meet the same state of the machine.
+func (o *overhead) pairsOf(ctx context.Context) error {
+	direct, through := newLatency(), newLatency()
+	for i := range o.pairs {
+		first, second := o.direct, o.through
+		a, b := direct, through
+		if i%2 == 1 {
+			first, second, a, b = second, first, b, a
+		}
+		if err := o.timed(ctx, first(), a); err != nil {
+			return err
+		}
+		if err := o.timed(ctx, second(), b); err != nil {
+			return err
+		}
+	}
+	report("direct", direct)
+	report("through a daemon", through)
+	added := func(q float64) int64 { return through.ValueAtQuantile(q) - direct.ValueAtQuantile(q) }
+	_, err := fmt.Fprintf(os.Stdout, "added              p50 %d us, p99 %d us\n", added(50), added(99))
+	return err
+}
+
+func newLatency() *hdrhistogram.Histogram { return hdrhistogram.New(1, 10_000_000, 3) }
+
+func report(name string, h *hdrhistogram.Histogram) {
+	fmt.Printf("%-18s p50 %d us, p99 %d us, %d calls\n", name, h.ValueAtQuantile(50), h.ValueAtQuantile(99), h.TotalCount())
+}
+
+func (o *overhead) timed(ctx context.Context, url string, h *hdrhistogram.Histogram) error {
+	start := time.Now()
+	if err := o.call(ctx, url); err != nil {
+		return err
+	}
+	return h.RecordValue(time.Since(start).Microseconds())
+}
+
+func (o *overhead) call(ctx context.Context, url string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	req.Header.Set("Authorization", "Bearer "+o.key)
+	resp, err := o.client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "call")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.Wrapf(errNotAnswered, "status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// throughput sends as fast as the callers get answers, for a bounded time.
+func (o *overhead) throughput(ctx context.Context) error {
+	var tasks sync.WaitGroup
+	var ran, failed atomic.Int64
+	end := time.Now().Add(o.throughputLength)
+	for range o.clients {
+		tasks.Go(func() {
+			for time.Now().Before(end) {
+				if o.call(ctx, o.through()) != nil {
+					failed.Add(1)
+					continue
+				}
+				ran.Add(1)
+			}
+		})
+	}
+	tasks.Wait()
+	_, err := fmt.Printf("throughput         %.0f requests/s, %d ran, %d did not\n",
+		float64(ran.Load())/o.throughputLength.Seconds(), ran.Load(), failed.Load())
+	return err
+}
+
+func metricCommand() *cobra.Command {
+	var address string
+	cmd := &cobra.Command{
+		Use:   "metric NAME",
+		Short: "Print one metric of a daemon",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			value, err := readMetric(cmd.Context(), address, args[0])
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Println(value)
+			return err
+		},
+	}
+	cmd.Flags().StringVar(&address, "operators", "", "operators' address of a daemon")
+	return cmd
+}
+
+var errNoMetric = errors.New("balsamlab: no such metric")
+
+func readMetric(ctx context.Context, address, name string) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+	if err != nil {
+		return "", errors.Wrap(err, "request")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", errors.Wrap(err, "read metrics")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if value, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			return value, nil
+		}
+	}
+	return "", errors.Wrap(errNoMetric, name)
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -50,7 +50,10 @@
 	s.mux.HandleFunc("GET /v1/fleet", s.getFleet)
 	s.mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	s.mux.HandleFunc("GET /readyz", s.ready)
-	s.mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { s.Metrics.WritePrometheus(w) })
+	s.mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		s.Metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
 	return s
 }
 
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,76 @@
+# Starts and stops a fleet of stand-ins and daemons; sourced by demo.sh and
+# the measuring scripts. After start_fleet CONFIG [MERGE...], where each MERGE
+# is a merge patch to lay over the configuration, and with the flags of
+# `balsamlab upstreams` in upstream_flags:
+#   $work       folder with logs, removed by stop_fleet
+#   $platform   URL of the platform
+#   $zones      zones, one daemon in each
+#   $daemons    process ids of the daemons
+#   $operators, $callers   addresses of the first daemon
+bin="$PWD/.bin"
+pids=()
+daemons=()
+upstream_flags=()
+
+stop_fleet() {
+  local pid
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  rm -rf "$work"
+}
+
+# await FILE TEXT: waits until a file holds a text.
+await() {
+  local _
+  for _ in $(seq 200); do
+    grep -q "$2" "$1" 2>/dev/null && return
+    sleep 0.1
+  done
+  echo "$1 holds no $2 after 20 s"
+  exit 1
+}
+
+# field NAME FILE: one value of a daemon's listening event.
+field() { grep -m1 'msg=listening' "$2" | tr ' ' '\n' | sed -n "s/^$1=//p"; }
+
+start_daemon() {
+  local zone="$1"
+  cat >"$work/$zone.jsonc" <<S
+{
+  "host": "entry-$zone",
+  "zone": "$zone",
+  "platform": { "url": "$platform" },
+  "tls": { "plain": true } // loopback only
+}
+S
+  "$bin/balsambarrowd" "$work/$zone.jsonc" 2>"$work/$zone.log" &
+  daemons+=($!)
+  pids+=($!)
+}
+
+start_fleet() {
+  local config="$1" zone merges=()
+  shift
+  for patch in "$@"; do merges+=(--merge "$patch"); done
+  work="$(mktemp -d)"
+  trap stop_fleet EXIT
+  "$bin/balsamlab" platform --announce "$work/platform" &
+  pids+=($!)
+  "$bin/balsamlab" upstreams "$config" --announce "$work/addresses.json" --report "$work/upstreams.json" "${upstream_flags[@]}" &
+  upstreams=$!
+  pids+=("$upstreams")
+  await "$work/platform" :
+  await "$work/addresses.json" upstreams
+  platform="http://$(cat "$work/platform")"
+  zones="$(sed -n '/"zones"/,/^  }/s/^ *"\([a-z0-9-]*\)": { "region".*/\1/p' "$config")"
+  for zone in $zones; do start_daemon "$zone"; done
+  for zone in $zones; do
+    await "$work/$zone.log" 'msg=listening'
+    "$bin/balsamlab" host --platform "$platform" --name "entry-$zone" --zone "$zone" --peers "$(field peers "$work/$zone.log")"
+  done
+  first="$(head -1 <<<"$zones")"
+  operators="$(field operators "$work/$first.log")"
+  callers="$(field callers "$work/$first.log")"
+  "$bin/balsamctl" --operators "$operators" config apply "$config" --merge "$work/addresses.json" "${merges[@]}" --wait
+  for zone in $zones; do await "$work/$zone.log" 'msg=slots_changed'; done
+}
--- /dev/null
+++ b/scripts/overhead.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Measures what a daemon adds to a call, against direct calls to the same
+# stand-in upstreams in the same run, and how many requests a core carries.
+#
+# usage: scripts/overhead.sh
+set -euo pipefail
+cd "$(dirname "$0")/.."
+# shellcheck source=scripts/fleet.sh
+. scripts/fleet.sh
+upstream_flags=(--service-time 1us)
+unbounded="$(mktemp)"
+echo '{"customers":{"addison-farms":{"rate":1000000,"burst":1000000}}}' >"$unbounded"
+start_fleet examples/granite-hollow.jsonc "$unbounded"
+rm "$unbounded"
+sleep 3
+
+# cpu ADDRESS: processor seconds that the daemon has used.
+cpu() { "$bin/balsamlab" metric --operators "$1" process_cpu_seconds_total; }
+
+upstream="$(grep -o '"lookup-01":{"address":"[^"]*' "$work/addresses.json" | cut -d'"' -f6)"
+before="$(cpu "$operators")"
+"$bin/balsamlab" overhead --entry "$callers" --upstream "$upstream" --key demo-addison-farms "$@"
+after="$(cpu "$operators")"
+echo "processor time of the entry daemon, pairs and throughput together: $before s before, $after s after"
