--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -49,6 +49,8 @@
 	sides map[string]string // address -> side
 	cuts  map[[2]string]bool
 	conns map[[2]string][]net.Conn
+	// delay gives the one-way delay from side to side; nil: none.
+	delay func(from, to string) time.Duration
 }
 
 var errCut = errors.New("test network: cut")
@@ -63,6 +65,11 @@
 			return nil, &net.OpError{Op: "dial", Err: errCut}
 		}
 		conn, err := (&net.Dialer{}).DialContext(ctx, proto, address)
+		if err == nil && n.delay != nil {
+			if d := n.delay(from, link[1]); d > 0 {
+				conn = newDelayedConn(conn, d)
+			}
+		}
 		if err == nil {
 			n.mu.Lock()
 			n.conns[link] = append(n.conns[link], conn)
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -35,6 +35,11 @@
 	Key func(customer string) string
 	// Fraction of each customer's rate that is sent.
 	Fraction float64
+	// Fractions names it for single customers.
+	Fractions map[string]float64
+	// Pick chooses the entry host of each request, at a time since the start.
+	// Default: any of the entry hosts that the lookup gave, at random.
+	Pick func(customer string, entries []lookup.Entry, since time.Duration, rng *rand.Rand) lookup.Entry
 	// Posts are the services that are called with POST.
 	Posts map[string]bool
 	// BulkBytes is the answer size asked of bulk services.
@@ -54,11 +59,18 @@
 	// the whole fleet would have admitted.
 	Refused, Wrongful int
 	Sent              int
-	perCustomer       map[string]*served
-	latency           *hdrhistogram.Histogram
-	reference         map[string]*quota.Bucket
+	// Seconds counts requests and wrongful refusals by the second they were
+	// sent in.
+	Seconds     []Second
+	start       time.Time
+	perCustomer map[string]*served
+	latency     *hdrhistogram.Histogram
+	reference   map[string]*quota.Bucket
 }
 
+// Second is what was sent in one second of a load.
+type Second struct{ Sent, Wrongful int }
+
 type served struct{ sent, ran int }
 
 const maxLatencyMicros = 60_000_000
@@ -108,6 +120,7 @@
 
 func newReport(c *config.Config) *Report {
 	r := &Report{
+		start:    time.Now(),
 		Outcomes: map[string]int{}, perCustomer: map[string]*served{},
 		latency: hdrhistogram.New(1, maxLatencyMicros, 3), reference: map[string]*quota.Bucket{},
 	}
@@ -128,7 +141,11 @@
 }
 
 func (c *customerLoad) run(ctx context.Context, tasks *sync.WaitGroup) {
-	rate := c.Config.Customers[c.customer].Rate * c.Fraction
+	fraction, own := c.Fractions[c.customer]
+	if !own {
+		fraction = c.Fraction
+	}
+	rate := c.Config.Customers[c.customer].Rate * fraction
 	end := time.Now().Add(c.Duration)
 	next := time.Now()
 	for n := 0; next.Before(end) && ctx.Err() == nil; n++ {
@@ -139,7 +156,15 @@
 	}
 }
 
+func (c *customerLoad) pick() lookup.Entry {
+	if c.Pick != nil {
+		return c.Pick(c.customer, c.entries, time.Since(c.report.start), c.rng)
+	}
+	return c.entries[c.rng.IntN(len(c.entries))]
+}
+
 type shot struct {
+	second  int
 	entry   lookup.Entry
 	service string
 	name    string
@@ -151,7 +176,7 @@
 	services := slices.Sorted(maps.Keys(c.Config.Services))
 	service := services[c.rng.IntN(len(services))]
 	s := shot{
-		entry: c.entries[c.rng.IntN(len(c.entries))], service: service,
+		entry: c.pick(), service: service, second: int(time.Since(c.report.start) / time.Second),
 		name: fmt.Sprintf("%s-%d", c.customer, n), size: 512, post: c.Posts[service],
 	}
 	if c.Config.Services[service].Class == config.ClassBulk {
@@ -166,7 +191,7 @@
 	start := time.Now()
 	resp, err := c.client.Do(req)
 	if err != nil {
-		c.report.note(c.customer, "no-answer", time.Since(start), false)
+		c.report.note(c.customer, "no-answer", s, time.Since(start), false)
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -174,14 +199,14 @@
 	took := time.Since(start)
 	outcome := wire.Outcome(resp.Header.Get(wire.HeaderOutcome))
 	if outcome == wire.OutcomeRan {
-		c.report.note(c.customer, string(outcome), took, err != nil || !whole(resp, s, body))
+		c.report.note(c.customer, string(outcome), s, took, err != nil || !whole(resp, s, body))
 		return
 	}
 	var p wire.Problem
 	wrong := json.Unmarshal(body, &p) != nil
-	c.report.note(c.customer, p.Type, took, wrong)
+	c.report.note(c.customer, p.Type, s, took, wrong)
 	if p.Type == wire.TypeOverRate {
-		c.report.refused(admitted)
+		c.report.refused(s, admitted)
 	}
 }
 
@@ -220,19 +245,21 @@
 	return r.reference[customer].Take(1, time.Now())
 }
 
-func (r *Report) refused(wrongful bool) {
+func (r *Report) refused(s shot, wrongful bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Refused++
 	if wrongful {
 		r.Wrongful++
+		r.second(s).Wrongful++
 	}
 }
 
-func (r *Report) note(customer, outcome string, took time.Duration, wrong bool) {
+func (r *Report) note(customer, outcome string, s shot, took time.Duration, wrong bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Sent++
+	r.second(s).Sent++
 	r.Outcomes[outcome]++
 	r.perCustomer[customer].sent++
 	if wrong {
@@ -244,6 +271,13 @@
 	}
 }
 
+func (r *Report) second(s shot) *Second {
+	for len(r.Seconds) <= s.second {
+		r.Seconds = append(r.Seconds, Second{})
+	}
+	return &r.Seconds[s.second]
+}
+
 // Quantile of the latency of requests that ran; q in percent.
 func (r *Report) Quantile(q float64) time.Duration {
 	return time.Duration(r.latency.ValueAtQuantile(q)) * time.Microsecond
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -31,6 +31,8 @@
 	ServiceTime time.Duration
 	// ColdRequests is how many first requests take four times as long.
 	ColdRequests int
+	// RecordArrivals keeps the time and customer of each request.
+	RecordArrivals bool
 }
 
 // Upstream is a stand-in for one worker. It answers any path with bytes that
@@ -45,6 +47,21 @@
 	keysSeen int
 	postings map[string]int
 	byTenant map[string]int
+	arrivals []Arrival
+}
+
+// Arrival is one request that an upstream began to run.
+type Arrival struct {
+	Customer string
+	At       time.Time
+}
+
+// Arrivals returns the requests that the upstream ran, if RecordArrivals is
+// set.
+func (u *Upstream) Arrivals() []Arrival {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]Arrival(nil), u.arrivals...)
 }
 
 // NewUpstream returns a stand-in upstream.
@@ -115,6 +132,9 @@
 	}
 	u.running++
 	u.total++
+	if u.options.RecordArrivals {
+		u.arrivals = append(u.arrivals, Arrival{Customer: r.Header.Get("Balsam-Customer"), At: time.Now()})
+	}
 	u.byTenant[r.Header.Get("Balsam-Customer")]++
 	if name := r.Header.Get(HeaderPosting); name != "" {
 		u.postings[name]++
