Count requests, store calls and state; prove that no key is shown

Cause: a daemon's metrics were empty, and nothing showed that a key stays out of logs, spans, metrics and answers.

With one debug line that logs the key the test fails, as it must.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
@@ -52,7 +51,7 @@
 	options  Options
 	log      *log.Logger
 	tracing  *telemetry.Tracing
-	metrics  *metrics.Set
+	metrics  *telemetry.Metrics
 	identity membership.Member
 
 	store    platform.Store
@@ -88,7 +87,7 @@
 	}
 	instance := s.Host + "-" + uuid.NewString()[:8]
 	d := &Daemon{
-		settings: s, options: opts, tracing: tracing, metrics: metrics.NewSet(),
+		settings: s, options: opts, tracing: tracing, metrics: telemetry.NewMetrics(),
 		log:      logger.With("host", s.Host, "zone", s.Zone),
 		platform: platform.NewClient(s.Platform.URL, s.PlatformTimeout(), opts.Dial),
 		conns:    peer.NewConns(opts.Dial, nil),
@@ -98,7 +97,8 @@
 		postings: posting.NewTable(instance, time.Now()),
 		errs:     make(chan error, 4),
 	}
-	d.store, d.hostList = d.platform, d.platform
+	d.store, d.hostList = platform.Counted(d.platform, d.metrics.StoreCall), d.platform
+	d.registerGauges()
 	d.identity = membership.Member{Instance: instance, Host: s.Host, Zone: s.Zone}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.control = newControl(d)
@@ -145,12 +145,12 @@
 		MaxBodyBytes: d.settings.Limits.MaxBodyBytes, Tracer: d.tracing.Tracer, Log: d.log,
 	})
 	operators := operator.New(operator.Deps{
-		View: &d.view, Repository: config.NewRepository(d.store, time.Now), Metrics: d.metrics,
+		View: &d.view, Repository: config.NewRepository(d.store, time.Now), Metrics: d.metrics.Set,
 		Adopt: func(r *config.Record) { d.control.send(recordFound{record: r, confirmed: time.Now()}) },
 	})
 	relays := &relay.Server{Handle: handle, Posting: entry.PostingRunner{Server: front}}
 	var err error
-	if d.identity.Callers, err = d.serveHTTP(d.settings.Listen.Callers, front); err != nil {
+	if d.identity.Callers, err = d.serveHTTP(d.settings.Listen.Callers, &observed{next: front, metrics: d.metrics, known: d.knownService}); err != nil {
 		return nil, err
 	}
 	if _, err = d.serveHTTP(d.settings.Listen.Operators, operators); err != nil {
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,6 +42,10 @@
 	daemons   map[string]*daemon.Daemon
 	network   *network
 	client    *http.Client
+	// traces is a folder that each daemon writes its spans to; "" is none.
+	traces string
+	// logs receives the daemons' logs; nil is the test's output.
+	logs io.Writer
 }
 
 // network decides which dials succeed. Sides are host names and "platform".
@@ -51,6 +56,10 @@
 	conns map[[2]string][]net.Conn
 	// delay gives the one-way delay from side to side; nil: none.
 	delay func(from, to string) time.Duration
+	// bytes counts what crossed connections to peers listeners, both ways.
+	bytes atomic.Int64
+	// count turns the counting on.
+	count bool
 }
 
 var errCut = errors.New("test network: cut")
@@ -65,6 +74,9 @@
 			return nil, &net.OpError{Op: "dial", Err: errCut}
 		}
 		conn, err := (&net.Dialer{}).DialContext(ctx, proto, address)
+		if err == nil && n.count && link[1] != "" && link[1] != "platform" {
+			conn = &countedConn{Conn: conn, bytes: &n.bytes}
+		}
 		if err == nil && n.delay != nil {
 			if d := n.delay(from, link[1]); d > 0 {
 				conn = newDelayedConn(conn, d)
@@ -132,10 +144,17 @@
 
 // start runs a daemon on a host and enters it in the host list.
 func (f *fleet) start(host, zone string) *daemon.Daemon {
-	text := fmt.Sprintf(`{"host":%q,"zone":%q,"platform":{"url":%q,"timeout_ms":1000},"tls":{"plain":true}}`, host, zone, f.url)
+	trace := ""
+	if f.traces != "" {
+		trace = f.traces + "/" + host
+	}
+	text := fmt.Sprintf(`{"host":%q,"zone":%q,"platform":{"url":%q,"timeout_ms":1000},"tls":{"plain":true},"trace_file":%q}`, host, zone, f.url, trace)
 	s, err := settings.Parse("test", []byte(text))
 	f.g.Expect(err).NotTo(HaveOccurred())
-	log := telemetry.NewLogger(f.t.Output(), "info")
+	if f.logs == nil {
+		f.logs = f.t.Output()
+	}
+	log := telemetry.NewLogger(f.logs, "debug")
 	d, err := daemon.New(s, log, daemon.Options{Dial: f.network.dialer(host), LookupTTL: 300 * time.Millisecond})
 	f.g.Expect(err).NotTo(HaveOccurred())
 	f.g.Expect(d.Start()).To(Succeed())
--- a/internal/daemon/measure_test.go
+++ b/internal/daemon/measure_test.go
@@ -44,10 +44,10 @@
 func cooperative(t *testing.T, customers map[string]config.Customer) *fleet {
 	f := newFleet(t)
 	f.network.delay = func(from, to string) time.Duration {
-		switch {
-		case to == "":
+		switch to {
+		case "":
 			return 0
-		case to == "platform":
+		case "platform":
 			to = "vt-a-1"
 		}
 		if regionOf(from) == regionOf(to) {
