Send a request to an upstream once, and know when nothing was sent

Cause: http.Transport replays a request on a dead kept-alive connection by method, by Idempotency-Key or for want of a body; and a connection that was chosen counted as 'sent' although nothing had been written, so a dead idle connection turned a certain not-run into a doubt.

Change: bytes written are counted under the connection's lock and a connection that was given up is sealed, so that not-run stays true. HTTP/2 is off by name.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 )
 
-// Bounds of the connections to upstreams.
+// Bounds of the connections to upstreams and relay listeners.
 const (
 	dialTimeout  = time.Second
 	idlePerHost  = 8
@@ -28,41 +28,77 @@
 }
 
 // NewClient returns a client that connects with dial (nil: net.Dialer).
-func NewClient(dial Dialer) *Client {
+func NewClient(dial Dialer) *Client { return NewSecureClient(dial, nil) }
+
+// NewSecureClient returns a client whose https connections use what conf
+// returns at the moment of dialling, so that a changed certificate counts from
+// the next connection on.
+func NewSecureClient(dial Dialer, conf func() *tls.Config) *Client {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &Client{transport: &http.Transport{
-		DialContext:            dial,
+	// HTTP/2 stays off: its transport replays requests by rules of its own
+	// (GOAWAY, refused streams), and the guard of Send is written for HTTP/1.
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	transport := &http.Transport{
+		Protocols:              &protocols,
+		DialContext:            countedDialer(dial),
 		MaxIdleConnsPerHost:    idlePerHost,
 		IdleConnTimeout:        idleTime,
 		MaxResponseHeaderBytes: headerBounds,
 		DisableCompression:     true,
-	}}
+	}
+	if conf != nil {
+		transport.DialTLSContext = secureDialer(dial, conf)
+	}
+	return &Client{transport: transport}
+}
+
+func secureDialer(dial Dialer, conf func() *tls.Config) Dialer {
+	counted := countedDialer(dial)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := counted(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		conn := tls.Client(raw, conf())
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		if err := conn.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		return conn, nil
+	}
 }
 
 // Close drops idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-// Send sends a request once. sent is false only where no byte of it can have
-// reached the other side.
+// Send sends a request once and follows no redirect. sent is false only where
+// no byte of the request can have reached the other side, nor will.
 //
 // http.Transport replays a request whose kept-alive connection turned out
 // dead if its method is idempotent, if it bears Idempotency-Key, or if it has
 // no body: an upstream that had run it before the connection broke would run
 // it twice. The body is therefore always set, without GetBody, which the
-// transport cannot rewind; see TestSendNeverReplays.
+// transport cannot rewind; see TestSendNeverReplays. A body whose length is
+// not declared goes out chunked, so an empty POST does too.
 func (c *Client) Send(req *http.Request) (resp *http.Response, sent bool, err error) {
 	if req.Body == nil || req.Body == http.NoBody {
 		req.Body = io.NopCloser(emptyBody{})
 		req.ContentLength = 0
 	}
 	req.GetBody = nil
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var use connUse
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { use.begin(info.Conn) }}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	resp, err = c.transport.RoundTrip(req)
-	return resp, connected.Load(), err
+	if err != nil {
+		return nil, !use.unsent(), err
+	}
+	return resp, true, nil
 }
 
 // emptyBody is a body of no bytes that is not http.NoBody.
--- /dev/null
+++ b/internal/upstream/client_test.go
@@ -0,0 +1,178 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"balsambarrow/internal/upstream"
+)
+
+// rawUpstream speaks TCP: it serves answers of each connection in turn, the
+// last for ever, and counts the requests it has read. An answer of "" closes
+// the connection without one.
+type rawUpstream struct {
+	address  string
+	requests atomic.Int64
+}
+
+func newRawUpstream(t *testing.T, answers ...string) *rawUpstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = l.Close() })
+	u := &rawUpstream{address: l.Addr().String()}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(conn, answers)
+		}
+	}()
+	return u
+}
+
+func (u *rawUpstream) serve(conn net.Conn, answers []string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for i := 0; ; i++ {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		u.requests.Add(1)
+		answer := answers[min(i, len(answers)-1)]
+		if _, err := io.WriteString(conn, answer); err != nil || answer == "" {
+			return
+		}
+	}
+}
+
+const fine = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func send(t *testing.T, c *upstream.Client, method, address, body, key string) (*http.Response, bool, error) {
+	t.Helper()
+	var reader io.Reader
+	if body != "" {
+		reader = strings.NewReader(body)
+	}
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+address+"/x", reader)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	return c.Send(req)
+}
+
+// A farmer's weight posting goes out on a kept-alive connection. The worker
+// reads it, runs it, and dies before it answers. A client library that sends
+// the request again on a new connection bills the animal twice.
+func TestSendNeverReplays(t *testing.T) {
+	for name, c := range map[string]struct{ method, body, key string }{
+		"POST with Idempotency-Key":       {http.MethodPost, "weight=612", "p-0.1"},
+		"empty POST with Idempotency-Key": {http.MethodPost, "", "p-0.1"},
+		"empty POST":                      {http.MethodPost, "", ""},
+		"GET":                             {http.MethodGet, "", ""},
+		"GET with Idempotency-Key":        {http.MethodGet, "", "p-0.1"},
+		"PUT without body":                {http.MethodPut, "", ""},
+		"PUT with Idempotency-Key":        {http.MethodPut, "x", "p-0.1"},
+		"DELETE":                          {http.MethodDelete, "", "p-0.1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			u := newRawUpstream(t, fine, "")
+			client := upstream.NewClient(nil)
+			defer client.Close()
+			resp, _, err := send(t, client, http.MethodGet, u.address, "", "")
+			g.Expect(err).NotTo(HaveOccurred())
+			_, _ = io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+
+			_, sent, err := send(t, client, c.method, u.address, c.body, c.key)
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(sent).To(BeTrue())
+			g.Expect(u.requests.Load()).To(Equal(int64(2)))
+		})
+	}
+}
+
+// Workers close idle connections at the very moment at which the next posting
+// is written. Whatever the client reports, a request that it calls unsent was
+// never read, and none is read twice.
+func TestSendOnClosingConnections(t *testing.T) {
+	g := NewWithT(t)
+	last := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Last: 1\r\n\r\nok"
+	u := newRawUpstream(t, last, "")
+	client := upstream.NewClient(nil)
+	defer client.Close()
+	const rounds = 400
+	var mayHaveRun int64
+	for range rounds {
+		resp, sent, err := send(t, client, http.MethodPost, u.address, "w", "p-0.1")
+		if err != nil {
+			if sent {
+				mayHaveRun++
+			}
+			continue
+		}
+		mayHaveRun++
+		_, _ = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+	}
+	g.Expect(u.requests.Load()).To(BeNumerically("<=", mayHaveRun))
+}
+
+// A caller gives up before a connection was made, or while the request waits
+// for one: nothing was sent, and nothing may be sent afterwards.
+func TestSendReportsUnsent(t *testing.T) {
+	for name, dial := range map[string]upstream.Dialer{
+		"refused": func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed },
+		"dead connection": func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			if err == nil {
+				_ = conn.Close()
+			}
+			return conn, err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			u := newRawUpstream(t, fine)
+			client := upstream.NewClient(dial)
+			defer client.Close()
+			_, sent, err := send(t, client, http.MethodPost, u.address, "w", "")
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(sent).To(BeFalse())
+			g.Expect(u.requests.Load()).To(BeZero())
+		})
+	}
+}
+
+// An upstream redirects, or sends interim answers before the final one: the
+// caller gets the redirect itself, and the final answer alone.
+func TestSendPassesRedirectsAndSkipsInterimAnswers(t *testing.T) {
+	g := NewWithT(t)
+	u := newRawUpstream(t,
+		"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"+fine,
+		"HTTP/1.1 307 Temporary Redirect\r\nLocation: http://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n")
+	client := upstream.NewClient(nil)
+	defer client.Close()
+	for _, want := range []int{http.StatusOK, http.StatusTemporaryRedirect} {
+		resp, _, err := send(t, client, http.MethodPost, u.address, "w", "")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(resp.StatusCode).To(Equal(want))
+		_, _ = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+	}
+	g.Expect(u.requests.Load()).To(Equal(int64(2)))
+}
