Remember postings by epoch, in bounds, and hand them over at a planned stop

Cause: a scan of the whole table per new posting; no bound on its memory; a running record of a forgotten epoch left its askers waiting; an id that came with another request got the first one's answer; the wrong instance behind an address answered not-run for an id that may have run; a second attempt's not-run hid the first attempt's doubt; a stopped host's outcomes were lost.

Change: records lie by epoch and customer, bear the request's digest, and are bounded (new ids are refused, nothing is forgotten early); Seal and Take carry a table to a peer, which answers and never runs. Problems keep an earlier doubt. TLS for peers and relay, bounds on messages and silent connections.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -105,6 +105,7 @@
 	m.Slots = c.slots.slots.Usable(now)
 	m.Headroom = c.d.handler.Headroom()
 	m.PostingEpoch = c.d.postings.Epoch(now)
+	m.AnswersFor = c.d.postings.AnswersFor(now)
 	return m
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,7 +12,6 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 
 	"balsambarrow/internal/config"
 	"balsambarrow/internal/entry"
@@ -30,10 +29,14 @@
 	"balsambarrow/internal/view"
 )
 
-// Bounds of slow callers.
+// Bounds of slow callers, on every HTTP listener. Bodies are bounded where
+// they are read.
 const (
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
+	// operatorTimeout bounds an operator's whole request: a patch is at most
+	// some megabytes.
+	operatorTimeout = 30 * time.Second
 )
 
 // Options are what tests replace.
@@ -58,8 +61,11 @@
 	store    platform.Store
 	hostList platform.HostList
 	platform *platform.Client
+	security security
 	conns    *peer.Conns
-	client   *upstream.Client
+	// client talks to upstreams, relayClient to other daemons.
+	client      *upstream.Client
+	relayClient *upstream.Client
 
 	view     view.Published
 	ledger   *quota.Ledger
@@ -86,17 +92,24 @@
 	if opts.LookupTTL == 0 {
 		opts.LookupTTL = lookup.TTL
 	}
+	secured, err := newSecurity(s.TLS)
+	if err != nil {
+		return nil, err
+	}
 	instance := s.Host + "-" + uuid.NewString()[:8]
 	d := &Daemon{
 		settings: s, options: opts, tracing: tracing, metrics: metrics.NewSet(),
 		log:      logger.With("host", s.Host, "zone", s.Zone),
 		platform: platform.NewClient(s.Platform.URL, s.PlatformTimeout(), opts.Dial),
-		conns:    peer.NewConns(opts.Dial, nil),
+		security: secured,
+		conns:    peer.NewConns(opts.Dial, secured.client()),
 		client:   upstream.NewClient(opts.Dial),
-		ledger:   quota.NewLedger(),
-		handler:  upstream.NewHandler(),
-		postings: posting.NewTable(instance, time.Now()),
-		errs:     make(chan error, 4),
+
+		relayClient: upstream.NewSecureClient(opts.Dial, secured.client()),
+		ledger:      quota.NewLedger(),
+		handler:     upstream.NewHandler(),
+		postings:    posting.NewTable(instance, time.Now(), posting.DefaultLimits()),
+		errs:        make(chan error, 4),
 	}
 	d.store, d.hostList = d.platform, d.platform
 	d.identity = membership.Member{Instance: instance, Host: s.Host, Zone: s.Zone}
@@ -127,7 +140,13 @@
 	if err := errors.WithStack(peer.DRPCRegisterConfiguration(mux, d)); err != nil {
 		return err
 	}
-	d.spawn(func(ctx context.Context) { _ = drpcserver.New(mux).Serve(ctx, peers) })
+	if err := errors.WithStack(peer.DRPCRegisterHandover(mux, newHandover(d))); err != nil {
+		return err
+	}
+	d.spawn(func(ctx context.Context) { _ = peer.Serve(ctx, mux, peers) })
+	if d.security.source != nil {
+		d.spawn(d.followTLSFiles)
+	}
 	d.spawn(d.control.run)
 	d.spawn(d.followConfig)
 	d.log.Info("listening", "instance", d.identity.Instance, "callers", d.identity.Callers,
@@ -137,25 +156,26 @@
 
 func (d *Daemon) listenAll() (net.Listener, error) {
 	runner := &upstream.Runner{Handler: d.handler, Client: d.client, KeyValid: d.keyValid, Tracer: d.tracing.Tracer}
-	scheme := "http"
 	front := entry.New(entry.Deps{
 		View: &d.view, Ledger: d.ledger, Postings: d.postings, Local: runner,
-		Relay:        relay.NewClient(d.client, scheme, d.identity.Instance),
+		Relay:        relay.NewClient(d.relayClient, d.security.scheme(), d.identity.Instance),
 		MaxBodyBytes: d.settings.Limits.MaxBodyBytes, Tracer: d.tracing.Tracer, Log: d.log,
 	})
 	operators := operator.New(operator.Deps{
 		View: &d.view, Repository: config.NewRepository(d.store, time.Now), Metrics: d.metrics,
 		Adopt: func(r *config.Record) { d.control.send(recordFound{record: r, confirmed: time.Now()}) },
 	})
-	relays := &relay.Server{Handle: runner, Posting: entry.PostingRunner{Server: front}}
+	relays := &relay.Server{Handle: runner, Posting: entry.PostingRunner{Server: front}, MaxBodyBytes: d.settings.Limits.MaxBodyBytes}
 	var err error
-	if d.identity.Callers, err = d.serveHTTP(d.settings.Listen.Callers, front); err != nil {
+	if d.identity.Callers, err = d.serveHTTP(d.settings.Listen.Callers, &http.Server{Handler: front}, asIs); err != nil {
 		return nil, err
 	}
-	if _, err = d.serveHTTP(d.settings.Listen.Operators, operators); err != nil {
+	if _, err = d.serveHTTP(d.settings.Listen.Operators, &http.Server{
+		Handler: operators, ReadTimeout: operatorTimeout,
+	}, asIs); err != nil {
 		return nil, err
 	}
-	if d.identity.Relay, err = d.serveHTTP(d.settings.Listen.Relay, relays); err != nil {
+	if d.identity.Relay, err = d.serveHTTP(d.settings.Listen.Relay, &http.Server{Handler: relays}, d.security.listener); err != nil {
 		return nil, err
 	}
 	peers, err := net.Listen("tcp", d.settings.Listen.Peers)
@@ -163,20 +183,22 @@
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	d.identity.Peers = peers.Addr().String()
-	return peers, nil
+	return d.security.listener(peer.Bounded(peers)), nil
 }
 
-func (d *Daemon) serveHTTP(address string, handler http.Handler) (string, error) {
+// asIs serves plain TCP.
+func asIs(l net.Listener) net.Listener { return l }
+
+func (d *Daemon) serveHTTP(address string, server *http.Server, wrap func(net.Listener) net.Listener) (string, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return "", errors.Wrap(err, "listen")
 	}
-	server := &http.Server{
-		Addr: l.Addr().String(), Handler: handler,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: d.settings.Limits.MaxHeaderBytes,
-		ErrorLog:       d.log.StandardLog(),
-	}
+	server.Addr = l.Addr().String()
+	server.ReadHeaderTimeout, server.IdleTimeout = headerTimeout, idleTimeout
+	server.MaxHeaderBytes = d.settings.Limits.MaxHeaderBytes
+	server.ErrorLog = d.log.StandardLog()
+	l = wrap(l)
 	d.servers = append(d.servers, server)
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -109,6 +109,7 @@
 		Callers: m.Callers, Peers: m.Peers, Relay: m.Relay, Sequence: m.Sequence,
 		ConfigVersion: m.ConfigVersion, PostingEpoch: m.PostingEpoch, Watches: m.Watches,
 		ConfirmedUnixMs: m.ConfirmedAt.UnixMilli(),
+		AnswersFor:      m.AnswersFor,
 	}
 	for _, slot := range m.Slots {
 		out.Slots = append(out.Slots, uint32(slot))
@@ -127,6 +128,7 @@
 		Callers: in.Callers, Peers: in.Peers, Relay: in.Relay, Sequence: in.Sequence,
 		ConfigVersion: in.ConfigVersion, PostingEpoch: in.PostingEpoch, Watches: in.Watches,
 		ConfirmedAt: time.UnixMilli(in.ConfirmedUnixMs),
+		AnswersFor:  in.AnswersFor,
 		Headroom:    map[string]membership.Headroom{},
 	}
 	for _, slot := range in.Slots {
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -25,6 +25,7 @@
 			first = errors.Wrap(err, "shut down")
 		}
 	}
+	d.handOverPostings(ctx)
 	if lease := d.lease; lease != "" {
 		_ = d.store.Revoke(ctx, lease)
 	}
@@ -43,6 +44,7 @@
 	d.tasks.Wait()
 	_ = d.conns.Close()
 	d.client.Close()
+	d.relayClient.Close()
 	d.platform.Close()
 }
 
--- /dev/null
+++ b/internal/daemon/tls.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"balsambarrow/internal/settings"
+	"balsambarrow/internal/tlsfiles"
+)
+
+// refreshEvery is how often the TLS files are read: a withdrawn authority
+// counts within seconds, for the price of three small reads.
+const refreshEvery = 2 * time.Second
+
+// security protects the peers and relay listeners. The relay listener believes
+// what it is told about customer and key, since the sender has checked it:
+// mutual TLS is what makes sure that the sender is a daemon of the fleet.
+// Without it (settings: tls.plain) whoever reaches the port is believed.
+type security struct {
+	source *tlsfiles.Source
+}
+
+func newSecurity(t settings.TLS) (security, error) {
+	if t.Plain {
+		return security{}, nil
+	}
+	source, err := tlsfiles.Load(tlsfiles.Files{Cert: t.CertFile, Key: t.KeyFile, CA: t.CAFile})
+	return security{source: source}, err
+}
+
+// scheme of URLs of relay listeners.
+func (s security) scheme() string {
+	if s.source == nil {
+		return "http"
+	}
+	return "https"
+}
+
+// client returns the configuration of new connections; nil means plain TCP.
+func (s security) client() func() *tls.Config {
+	if s.source == nil {
+		return nil
+	}
+	return s.source.Client
+}
+
+func (s security) listener(l net.Listener) net.Listener {
+	if s.source == nil {
+		return l
+	}
+	return tls.NewListener(l, s.source.Server())
+}
+
+// followTLSFiles takes over changed files until the daemon ends.
+func (d *Daemon) followTLSFiles(ctx context.Context) {
+	ticker := time.NewTicker(refreshEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.refreshTLS()
+		}
+	}
+}
+
+func (d *Daemon) refreshTLS() {
+	changed, err := d.security.source.Refresh()
+	if err != nil {
+		d.log.Warn("tls_files_unusable", "err", err)
+		return
+	}
+	if !changed {
+		return
+	}
+	d.log.Info("tls_files_changed")
+	d.conns.DropIdle()
+	d.relayClient.Close()
+}
--- a/internal/entry/authenticate.go
+++ b/internal/entry/authenticate.go
@@ -47,9 +47,7 @@
 		Header: r.Header.Clone(), Body: body,
 		Customer: owner.Customer, KeyDigest: digest.String(), Deadline: deadline,
 	}
-	call.Header.Del("Authorization")
-	wire.StripHops(call.Header)
-	wire.StripOwn(call.Header)
+	wire.StripRequest(call.Header)
 	return call, nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,7 +80,7 @@
 	ctx, span := s.Tracer.Start(telemetry.Extract(r.Context(), r.Header), "entry")
 	defer span.End()
 	snap := s.View.Load()
-	call, problem := s.authenticate(w, r, snap)
+	call, problem := s.read(w, r, snap)
 	if problem == nil {
 		span.SetAttributes(attribute.String("service", call.Service), attribute.String("customer", call.Customer))
 		var answer *wire.Answer
@@ -96,7 +96,7 @@
 
 // serve runs a call: by its posting id if it bears one.
 func (s *Server) serve(ctx context.Context, call *wire.Call, idempotencyKey string) (*wire.Answer, *wire.Problem) {
-	if idempotencyKey == "" || !posting.NeedsID(call.Method) {
+	if idempotencyKey == "" || call.Safe() {
 		bounded, cancel := call.WithDeadline(ctx)
 		return bindCancel(cancel)(s.admit(bounded, call))
 	}
--- a/internal/entry/post.go
+++ b/internal/entry/post.go
@@ -3,11 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
+	"balsambarrow/internal/membership"
 	"balsambarrow/internal/posting"
+	"balsambarrow/internal/view"
 	"balsambarrow/internal/wire"
 )
 
@@ -18,20 +22,47 @@
 	if err != nil {
 		return nil, wire.Refuse(wire.TypeBadRequest, err.Error(), 0)
 	}
+	if !call.Body.Held() {
+		return nil, wire.Refuse(wire.TypeTooLarge, "a request with a posting id may bear 64 KiB", 0)
+	}
+	// A caller may have listed the header in Connection, which removed it.
+	call.Header.Set(wire.HeaderIdempotencyKey, id.String())
+	found := s.Postings.Begin(request(call, id), time.Now())
+	if found.Verdict == posting.VerdictElsewhere {
+		bounded, cancel := call.WithDeadline(ctx)
+		return bindCancel(cancel)(s.askOwner(bounded, call, id))
+	}
+	return s.conclude(ctx, call, id, found)
+}
+
+// askOwner relays a posting to the instance that its id names, or to the one
+// that took its memory over. It is never run anywhere else.
+func (s *Server) askOwner(ctx context.Context, call *wire.Call, id posting.ID) (*wire.Answer, *wire.Problem) {
 	snap := s.View.Load()
-	if id.Instance == snap.Self.Instance {
-		return s.runPosting(ctx, call, id)
+	for _, m := range owners(snap, id.Instance) {
+		answer, problem := s.Relay.Send(ctx, m.Relay, wire.RolePosting, call)
+		if problem == nil || !problem.Unreached {
+			return answer, problem
+		}
 	}
-	owner, known := snap.Find(id.Instance)
-	if !known {
-		return nil, unknownOutcome("the instance that this posting id names is gone")
+	return nil, unknownOutcome("the instance that this posting id names is gone or cannot be reached")
+}
+
+// owners lists who may know of an instance's postings: itself, then those
+// that say they answer for it.
+func owners(snap *view.Snapshot, instance string) []membership.Member {
+	var owners []membership.Member
+	if m, known := snap.Find(instance); known {
+		owners = append(owners, m)
 	}
-	bounded, cancel := call.WithDeadline(ctx)
-	answer, problem := s.Relay.Send(bounded, owner.Relay, wire.RolePosting, call)
-	if problem != nil && problem.Type == wire.TypeNoRoom && problem.Detail == "peer unreachable" {
-		problem = unknownOutcome("the instance that this posting id names cannot be reached")
+	for _, m := range snap.Members {
+		for _, other := range m.AnswersFor {
+			if other == instance {
+				owners = append(owners, m)
+			}
+		}
 	}
-	return bindCancel(cancel)(answer, problem)
+	return owners
 }
 
 // unknownOutcome is may-have-run even where this try was not sent: an earlier
@@ -41,87 +72,130 @@
 }
 
 // PostingRunner runs calls that other daemons passed on because their posting
-// id names this instance.
+// id names this instance, or one that it answers for.
 type PostingRunner struct{ Server *Server }
 
 // Run implements relay.Runner.
 func (p PostingRunner) Run(ctx context.Context, call *wire.Call) (*wire.Answer, *wire.Problem) {
 	id, err := posting.ParseID(call.Header.Get(wire.HeaderIdempotencyKey))
-	if err != nil || id.Instance != p.Server.View.Load().Self.Instance {
-		return nil, wire.Refuse(wire.TypeBadRequest, "posting id does not name this instance", 0)
+	if err != nil || !call.Body.Held() {
+		return nil, wire.Refuse(wire.TypeBadRequest, "relay: no posting id, or a body too large for one", 0)
 	}
-	return p.Server.runPosting(ctx, call, id)
+	found := p.Server.Postings.Begin(request(call, id), time.Now())
+	return p.Server.conclude(ctx, call, id, found)
 }
 
-func (s *Server) runPosting(ctx context.Context, call *wire.Call, id posting.ID) (*wire.Answer, *wire.Problem) {
-	for {
-		verdict, record, done := s.Postings.Begin(id, call.Customer, time.Now())
-		switch verdict {
-		case posting.VerdictRun:
-			return s.runOnce(ctx, call, id)
-		case posting.VerdictStale:
-			return nil, &wire.Problem{
-				Type: wire.TypeStalePostingID, Status: http.StatusConflict,
-				Detail: "the posting id is older than is remembered", Outcome: wire.OutcomeMayHaveRun,
-			}
-		case posting.VerdictForeign:
-			return nil, wire.Refuse(wire.TypeForbidden, "another customer used this posting id", 0)
-		case posting.VerdictDone:
-			return remembered(record)
-		case posting.VerdictWait:
-			select {
-			case <-done:
-			case <-ctx.Done():
-				return nil, wire.Doubt(wire.TypeDeadline, "the posting still runs")
-			}
+func request(call *wire.Call, id posting.ID) posting.Request {
+	return posting.Request{ID: id, Customer: call.Customer, Digest: call.Digest()}
+}
+
+// conclude acts on what the table found, waiting for a run that is under way.
+func (s *Server) conclude(ctx context.Context, call *wire.Call, id posting.ID, found posting.Found) (*wire.Answer, *wire.Problem) {
+	ctx, cancel := call.WithDeadline(ctx)
+	defer cancel()
+	for found.Verdict == posting.VerdictWait {
+		select {
+		case <-found.Done:
+		case <-ctx.Done():
+			return nil, wire.Doubt(wire.TypeDeadline, "the posting still runs")
 		}
+		found = s.Postings.Begin(request(call, id), time.Now())
+	}
+	switch found.Verdict {
+	case posting.VerdictRun:
+		return s.runOnce(ctx, call, found.Run)
+	case posting.VerdictDone:
+		return remembered(found)
 	}
+	return nil, refusal(found)
+}
+
+// refusal is the problem of a posting that neither runs nor is known.
+func refusal(found posting.Found) *wire.Problem {
+	switch found.Verdict {
+	case posting.VerdictStale:
+		return wire.Doubt(wire.TypeStalePostingID, "the posting id is older than is remembered")
+	case posting.VerdictFuture:
+		return wire.Refuse(wire.TypeStalePostingID, "the posting id's prefix was not given out", 0)
+	case posting.VerdictClosed:
+		return wire.Refuse(wire.TypeStalePostingID, "the named instance has stopped and did not run it; take a new prefix", 0)
+	case posting.VerdictReused:
+		return wire.Refuse(wire.TypePostingIDReused, "the posting id came before with another request", 0)
+	case posting.VerdictFull:
+		return wire.Refuse(wire.TypeNoRoom, "no more postings can be remembered here", found.RetryAfter)
+	}
+	return unknownOutcome("the posting id names an instance that is not known here")
 }
 
 // runOnce is reached once per id unless the call certainly did not run. The
 // run does not end with the caller's connection: its outcome is kept for when
 // the caller asks again.
-func (s *Server) runOnce(ctx context.Context, call *wire.Call, id posting.ID) (*wire.Answer, *wire.Problem) {
+func (s *Server) runOnce(ctx context.Context, call *wire.Call, run *posting.Run) (*wire.Answer, *wire.Problem) {
+	// A panic on the way must not leave askers waiting for a run that has
+	// ended. After an end by the lines below this one changes nothing.
+	defer run.Finish(posting.StateUnknown, nil)
 	ctx, cancel := call.WithDeadline(context.WithoutCancel(ctx))
-	defer cancel()
-	answer, problem := s.admit(ctx, call)
+	answer, problem := bindCancel(cancel)(s.admit(ctx, call))
 	if problem != nil {
 		if problem.Outcome == wire.OutcomeNotRun {
-			s.Postings.Abandon(id)
-		} else {
-			s.Postings.Finish(id, posting.StateUnknown, posting.Answer{})
+			run.NotRun()
 		}
 		return nil, problem
 	}
-	return s.keep(answer, id)
+	return keep(answer, run)
 }
 
-func (s *Server) keep(answer *wire.Answer, id posting.ID) (*wire.Answer, *wire.Problem) {
-	body, err := io.ReadAll(answer.Body)
-	_ = answer.Body.Close()
+// keep reads an answer as far as one may be kept. A larger one is passed on
+// as it comes: it ran, but only that is remembered.
+func keep(answer *wire.Answer, run *posting.Run) (*wire.Answer, *wire.Problem) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, posting.MaxKeptAnswer+1))
 	if err != nil {
-		s.Postings.Finish(id, posting.StateUnknown, posting.Answer{})
+		_ = answer.Body.Close()
 		return nil, wire.Doubt(wire.TypeOutcomeUnknown, "the upstream's answer broke off")
 	}
-	kept := posting.Answer{Status: answer.Status, ContentType: answer.Header.Get("Content-Type"), Body: body}
-	if len(body) > posting.MaxKeptBody {
-		kept.Body, kept.Cut = nil, true
+	header := http.Header{}
+	wire.CopyHeader(header, answer.Header)
+	run.Finish(posting.StateRan, &posting.Answer{Status: answer.Status, Header: header, Body: body})
+	if len(body) <= posting.MaxKeptAnswer {
+		_ = answer.Body.Close()
+		answer.Body = io.NopCloser(bytes.NewReader(body))
+		return answer, nil
 	}
-	s.Postings.Finish(id, posting.StateRan, kept)
-	answer.Body = io.NopCloser(bytes.NewReader(body))
+	rest := answer.Body
+	answer.Body = &joinedBody{Reader: io.MultiReader(bytes.NewReader(body), rest), Closer: rest}
 	return answer, nil
 }
 
-func remembered(r posting.Record) (*wire.Answer, *wire.Problem) {
-	if r.State == posting.StateUnknown || r.Answer.Cut {
-		return nil, unknownOutcome("the posting was dispatched; its answer is not known here")
-	}
-	header := http.Header{}
-	if r.Answer.ContentType != "" {
-		header.Set("Content-Type", r.Answer.ContentType)
+type joinedBody struct {
+	io.Reader
+	io.Closer
+}
+
+// remembered is the answer to a repeated asking for a posting that ended.
+func remembered(found posting.Found) (*wire.Answer, *wire.Problem) {
+	switch {
+	case found.State != posting.StateRan || found.Answer == nil:
+		return nil, unknownOutcome("the posting was dispatched; how it ended is not known")
+	case found.Answer.Dropped:
+		return notKept(found.Answer), nil
 	}
+	kept := found.Answer
 	return &wire.Answer{
-		Status: r.Answer.Status, Header: header,
-		Body: io.NopCloser(bytes.NewReader(r.Answer.Body)),
+		Status: kept.Status, Header: kept.Header.Clone(),
+		Body: io.NopCloser(bytes.NewReader(kept.Body)),
 	}, nil
 }
+
+// notKept says that a posting ran where its answer is not there to be sent
+// again. It is an answer and not a refusal: the outcome is ran.
+func notKept(kept *posting.Answer) *wire.Answer {
+	p := wire.Problem{
+		Type: wire.TypeAnswerNotKept, Status: http.StatusConflict, Outcome: wire.OutcomeRan,
+		Detail: "the posting ran and was answered with status " + strconv.Itoa(kept.Status) + "; that answer was not kept",
+	}
+	body, _ := json.Marshal(p) // strings and integers only
+	return &wire.Answer{
+		Status: p.Status, Header: http.Header{"Content-Type": {"application/problem+json"}},
+		Body: io.NopCloser(bytes.NewReader(body)),
+	}
+}
--- a/internal/entry/steer.go
+++ b/internal/entry/steer.go
@@ -17,21 +17,32 @@
 	snap := s.View.Load()
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	targets := steer.Choose(snap.Config, snap.Ready, call.Customer, call.Service, snap.Self.Zone, rng)
-	problem := wire.Refuse(wire.TypeNoRoom, "no zone that may serve this has a ready handler", time.Second)
+	var problem *wire.Problem
 	for _, target := range targets[:min(len(targets), maxTargets)] {
 		if ctx.Err() != nil {
 			break
 		}
-		var answer *wire.Answer
-		answer, problem = s.ask(ctx, target, call)
-		if problem == nil {
+		answer, latest := s.ask(ctx, target, call)
+		if latest == nil {
 			return answer, nil
 		}
-		if !another(call, problem) {
+		problem = latest.After(problem)
+		if !another(call, latest) {
 			break
 		}
 	}
-	return nil, problem
+	return nil, lastProblem(ctx, problem)
+}
+
+// lastProblem is the final answer where no handler ran the call.
+func lastProblem(ctx context.Context, problem *wire.Problem) *wire.Problem {
+	switch {
+	case problem != nil:
+		return problem
+	case ctx.Err() != nil:
+		return wire.Refuse(wire.TypeDeadline, "the budget was spent before a handler was asked", time.Second)
+	}
+	return wire.Refuse(wire.TypeNoRoom, "no zone that may serve this has a ready handler", time.Second)
 }
 
 func (s *Server) ask(ctx context.Context, target steer.Target, call *wire.Call) (*wire.Answer, *wire.Problem) {
@@ -51,7 +62,7 @@
 	switch p.Type {
 	case wire.TypeNoRoom:
 		return p.Outcome == wire.OutcomeNotRun
-	case wire.TypeUpstreamFailed:
+	case wire.TypeUpstreamFailed, wire.TypeUpstreamShed:
 		return p.Outcome == wire.OutcomeNotRun || call.Safe()
 	}
 	return false
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -44,7 +44,9 @@
 	Demand                map[string]float64
 	Watches               bool
 	ConfirmedAt           time.Time
-	HeardAt               time.Time
+	// AnswersFor lists the stopped instances whose postings it remembers.
+	AnswersFor []string
+	HeardAt    time.Time
 }
 
 // Table holds the members that this daemon hears of, without itself.
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -36,12 +36,12 @@
 type Conns struct {
 	pool *drpcpool.Pool[string, drpcpool.Conn]
 	dial Dialer
-	tls  *tls.Config
+	tls  func() *tls.Config
 }
 
 // NewConns returns connections made with dial (nil: net.Dialer) and, unless
-// conf is nil, protected by TLS.
-func NewConns(dial Dialer, conf *tls.Config) *Conns {
+// conf is nil, protected by TLS with what conf returns when one is made.
+func NewConns(dial Dialer, conf func() *tls.Config) *Conns {
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
@@ -65,7 +65,7 @@
 	if c.tls == nil {
 		return drpcconn.New(raw), nil
 	}
-	secured := tls.Client(raw, c.tls)
+	secured := tls.Client(raw, c.tls())
 	if err := secured.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
@@ -73,5 +73,8 @@
 	return drpcconn.New(secured), nil
 }
 
+// DropIdle closes the idle connections; new ones take their place.
+func (c *Conns) DropIdle() { _ = c.pool.Close() }
+
 // Close closes all idle connections.
 func (c *Conns) Close() error { return c.pool.Close() }
--- a/internal/posting/table.go
+++ b/internal/posting/table.go
@@ -1,6 +1,7 @@
 package posting
 
 import (
+	"crypto/sha256"
 	"net/http"
 	"sync"
 	"time"
@@ -8,14 +9,35 @@
 
 // Bounds of the table.
 const (
-	// EpochLength is how long one prefix is given out.
+	// EpochLength is how long one prefix is given out. Callers keep a prefix
+	// for the lookup's time to live, seconds, so most ids are young.
 	EpochLength = 5 * time.Minute
-	// EpochsKept is how many epochs back an id is still known.
+	// EpochsKept is how many epochs back an id is still known: it can be asked
+	// for again for ten to fifteen minutes, longer than a caller's patience.
 	EpochsKept = 2
-	// MaxKeptBody is the largest answer body kept for a repeated asking.
-	MaxKeptBody = 16 << 10
+	// MaxKeptAnswer is the largest answer, headers and body, kept for a
+	// repeated asking. Answers to postings and top-ups are receipts.
+	MaxKeptAnswer = 16 << 10
+	// MaxRecords bounds the postings remembered: 100 a second over fifteen
+	// minutes, twice the sum of all customers' rates over ten hosts of today.
+	// See docs/measurements/posting.md for the bytes of each.
+	MaxRecords = 90_000
+	// MaxAnswerBytes bounds the answers kept, all together. Beyond it a
+	// posting runs and is remembered, but its answer is not kept.
+	MaxAnswerBytes = 32 << 20
+	// MaxArchives bounds the stopped instances answered for.
+	MaxArchives = 32
 )
 
+// Limits bounds a table; tests make them small.
+type Limits struct {
+	Records     int
+	AnswerBytes int
+}
+
+// DefaultLimits are the bounds of a daemon.
+func DefaultLimits() Limits { return Limits{Records: MaxRecords, AnswerBytes: MaxAnswerBytes} }
+
 // State of a posting.
 type State string
 
@@ -29,22 +51,37 @@
 	StateUnknown State = "unknown"
 )
 
+// Digest identifies the request that a posting id came with.
+type Digest [sha256.Size]byte
+
+// Request is one asking for a posting.
+type Request struct {
+	ID       ID
+	Customer string
+	Digest   Digest
+}
+
+func (r Request) key() key { return key{customer: r.Customer, own: r.ID.Own} }
+
 // Answer is what an upstream answered to a posting.
 type Answer struct {
-	Status      int
-	ContentType string
-	Body        []byte
-	// Cut: the body was larger than MaxKeptBody and was not kept.
-	Cut bool
+	Status int
+	Header http.Header
+	Body   []byte
+	// Dropped: it was too large to keep; only Status is known.
+	Dropped bool
 }
 
-// Record is what is remembered of one posting.
-type Record struct {
-	Customer string
-	State    State
-	Answer   Answer
-	At       time.Time
-	done     chan struct{}
+// size is the bytes that the answer counts with.
+func (a *Answer) size() int {
+	n := len(a.Body)
+	for name, values := range a.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return n
 }
 
 // Verdict says what Begin found.
@@ -52,98 +89,205 @@
 
 // Verdicts of Begin.
 const (
-	// VerdictRun: the asker is the first and must run it, then call Finish.
+	// VerdictRun: the asker is the first and must run it, then end Found.Run.
 	VerdictRun Verdict = iota
-	// VerdictWait: another asker runs it; wait on the returned channel.
+	// VerdictWait: another asker runs it; wait for Found.Done, begin again.
 	VerdictWait
-	// VerdictDone: it has ended; the record tells how.
+	// VerdictDone: it has ended; Found.State and Found.Answer tell how.
 	VerdictDone
-	// VerdictStale: its epoch is forgotten.
+	// VerdictStale: its epoch is forgotten; it may have run.
 	VerdictStale
-	// VerdictForeign: another customer used this id.
-	VerdictForeign
+	// VerdictFuture: its prefix was never given out; it has not run.
+	VerdictFuture
+	// VerdictReused: the id came before with another request.
+	VerdictReused
+	// VerdictFull: no more postings can be remembered; it has not run.
+	VerdictFull
+	// VerdictClosed: the instance runs no more postings; it has not run.
+	VerdictClosed
+	// VerdictElsewhere: the id names an instance not answered for here.
+	VerdictElsewhere
 )
 
-// Table remembers the postings that this instance ran. It is safe for
-// concurrent use.
+// Found is what Begin found.
+type Found struct {
+	Verdict Verdict
+	// Run of VerdictRun.
+	Run *Run
+	// Done of VerdictWait is closed when the posting has ended.
+	Done <-chan struct{}
+	// State and Answer of VerdictDone; the answer must not be modified.
+	State  State
+	Answer *Answer
+	// RetryAfter of VerdictFull is when an epoch will be forgotten.
+	RetryAfter time.Duration
+}
+
+// Table remembers the postings that this instance ran, and those of stopped
+// instances that were handed over to it. It is safe for concurrent use.
 type Table struct {
 	mu       sync.Mutex
 	instance string
 	start    time.Time
-	records  map[ID]*Record
+	limits   Limits
+	own      memory
+	archives map[string]*archive
+	// records and answerBytes count own and archives together.
+	records     int
+	answerBytes int
+	sealed      bool
 }
 
 // NewTable returns an empty table of an instance that started at start.
-func NewTable(instance string, start time.Time) *Table {
-	return &Table{instance: instance, start: start, records: map[ID]*Record{}}
+func NewTable(instance string, start time.Time, limits Limits) *Table {
+	return &Table{
+		instance: instance, start: start, limits: limits,
+		own: newMemory(0), archives: map[string]*archive{},
+	}
 }
 
-// Epoch is the epoch at now.
-func (t *Table) Epoch(now time.Time) uint64 { return uint64(now.Sub(t.start) / EpochLength) }
+// epochAt counts the epochs since start. Both times must bear the monotonic
+// clock: with the wall clock a step back would bring a forgotten epoch's ids
+// back to life, and they would run again.
+func epochAt(start, now time.Time) uint64 { return uint64(max(now.Sub(start), 0) / EpochLength) }
 
-// Prefix is the posting prefix given out at now.
-func (t *Table) Prefix(now time.Time) string { return Prefix(t.instance, t.Epoch(now)) }
+// Epoch is the epoch at now.
+func (t *Table) Epoch(now time.Time) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.advance(now)
+	return t.own.epoch
+}
 
 // Begin enters a posting, or finds what became of it.
-func (t *Table) Begin(id ID, customer string, now time.Time) (Verdict, Record, <-chan struct{}) {
+func (t *Table) Begin(req Request, now time.Time) Found {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	epoch := t.Epoch(now)
-	if id.Epoch > epoch || id.Epoch+EpochsKept < epoch {
-		return VerdictStale, Record{}, nil
+	t.advance(now)
+	if req.ID.Instance != t.instance {
+		return t.recall(req)
+	}
+	if found, known := known(&t.own, req); known {
+		return found
+	}
+	if t.sealed {
+		return Found{Verdict: VerdictClosed}
+	}
+	if t.records >= t.limits.Records {
+		return Found{Verdict: VerdictFull, RetryAfter: t.untilForgotten(now)}
 	}
-	r := t.records[id]
-	if r == nil {
-		t.forget(epoch)
-		t.records[id] = &Record{Customer: customer, State: StateRunning, At: now, done: make(chan struct{})}
-		return VerdictRun, Record{}, nil
+	r := &record{digest: req.Digest, state: StateRunning, done: make(chan struct{})}
+	t.own.put(req.ID.Epoch, req.key(), r)
+	t.records++
+	return Found{Verdict: VerdictRun, Run: &Run{table: t, epoch: req.ID.Epoch, key: req.key(), record: r}}
+}
+
+// recall finds what became of a stopped instance's posting.
+func (t *Table) recall(req Request) Found {
+	a := t.archives[req.ID.Instance]
+	if a == nil {
+		return Found{Verdict: VerdictElsewhere}
+	}
+	if found, known := known(&a.memory, req); known {
+		return found
 	}
+	return Found{Verdict: VerdictClosed}
+}
+
+// known judges an id by its epoch and its record; false if it is new.
+func known(m *memory, req Request) (Found, bool) {
 	switch {
-	case r.Customer != customer:
-		return VerdictForeign, Record{}, nil
-	case r.State == StateRunning:
-		return VerdictWait, Record{}, r.done
-	default:
-		return VerdictDone, *r, nil
+	case m.forgotten(req.ID.Epoch):
+		return Found{Verdict: VerdictStale}, true
+	case req.ID.Epoch > m.epoch:
+		return Found{Verdict: VerdictFuture}, true
 	}
+	return judge(m.find(req), req)
 }
 
-// forget drops records of epochs that Begin refuses anyway.
-func (t *Table) forget(epoch uint64) {
-	for id := range t.records {
-		if id.Epoch+EpochsKept < epoch {
-			delete(t.records, id)
+// advance forgets what is too old at now.
+func (t *Table) advance(now time.Time) {
+	t.own.advance(epochAt(t.start, now))
+	t.drop(t.own.takeForgotten())
+	for instance, a := range t.archives {
+		a.advanceTo(now)
+		t.drop(a.takeForgotten())
+		if a.forgotten(a.atEpoch) {
+			delete(t.archives, instance)
 		}
 	}
 }
 
-// Abandon takes a posting out that certainly did not run: asking again runs it.
-func (t *Table) Abandon(id ID) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if r := t.records[id]; r != nil && r.State == StateRunning {
-		delete(t.records, id)
-		close(r.done)
+func (t *Table) drop(epochs []map[key]*record) {
+	for _, records := range epochs {
+		t.records -= len(records)
+		for _, r := range records {
+			if r.answer != nil {
+				t.answerBytes -= r.answer.size()
+			}
+		}
 	}
 }
 
-// Finish keeps how a posting ended.
-func (t *Table) Finish(id ID, state State, answer Answer) {
+// untilForgotten is the time until the oldest epoch leaves the table.
+func (t *Table) untilForgotten(now time.Time) time.Duration {
+	end := t.start.Add(time.Duration(t.own.oldest()+EpochsKept+1) * EpochLength)
+	return max(end.Sub(now), 0)
+}
+
+// Run is the right to run one posting, given out once. It must be ended by
+// one call of NotRun or Finish.
+type Run struct {
+	table  *Table
+	epoch  uint64
+	key    key
+	record *record
+}
+
+// NotRun takes the posting out: it certainly did not run, nor will by this
+// attempt, so asking again runs it.
+func (r *Run) NotRun() {
+	r.end(func(t *Table) {
+		delete(t.own.epochs[r.epoch], r.key)
+		t.records--
+	})
+}
+
+// Finish keeps how the posting ended. answer is nil where it is not known;
+// the table owns it from now on.
+func (r *Run) Finish(state State, answer *Answer) {
+	r.end(func(t *Table) { t.keep(r.record, state, answer) })
+}
+
+// end lets the waiting askers go. An epoch that was forgotten meanwhile took
+// the record with it; then there is nothing to change.
+func (r *Run) end(change func(*Table)) {
+	t := r.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.records[id]
-	if r == nil || r.State != StateRunning {
+	if r.record.done == nil {
 		return
 	}
-	r.State, r.Answer = state, answer
-	close(r.done)
+	if t.own.epochs[r.epoch][r.key] == r.record {
+		change(t)
+	}
+	close(r.record.done)
+	r.record.done = nil
 }
 
-// NeedsID tells whether a method is one that may not run twice.
-func NeedsID(method string) bool {
-	switch method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions:
-		return false
+func (t *Table) keep(r *record, state State, answer *Answer) {
+	if answer != nil && (answer.size() > MaxKeptAnswer || t.answerBytes+answer.size() > t.limits.AnswerBytes) {
+		answer = &Answer{Status: answer.Status, Dropped: true}
 	}
-	return true
+	r.state, r.answer = state, answer
+	if answer != nil {
+		t.answerBytes += answer.size()
+	}
+}
+
+// Size returns the postings remembered and the bytes of their answers.
+func (t *Table) Size() (records, answerBytes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.records, t.answerBytes
 }
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -15,8 +15,11 @@
 	"balsambarrow/internal/wire"
 )
 
-// maxProblemBytes bounds a peer's refusal.
-const maxProblemBytes = 16 << 10
+const (
+	// maxProblemBytes bounds a peer's refusal.
+	maxProblemBytes = 16 << 10
+	maxStatus       = 599
+)
 
 // ErrBadAnswer says that a peer's answer bears no outcome.
 var ErrBadAnswer = errors.New("relay: answer without outcome")
@@ -76,7 +79,9 @@
 // lost tells what may be concluded from a peer that did not answer.
 func lost(ctx context.Context, sent bool, err error) *wire.Problem {
 	if !sent {
-		return wire.Refuse(wire.TypeNoRoom, "peer unreachable", time.Second)
+		p := wire.Refuse(wire.TypeNoRoom, "peer unreachable", time.Second)
+		p.Unreached = true
+		return p
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return wire.Doubt(wire.TypeDeadline, "no answer before the deadline")
@@ -88,8 +93,18 @@
 	defer func() { _ = resp.Body.Close() }()
 	p := &wire.Problem{}
 	err := json.NewDecoder(io.LimitReader(resp.Body, maxProblemBytes)).Decode(p)
-	if err != nil || p.Outcome == "" || p.Status == 0 {
+	if err != nil || !believable(p) {
 		return wire.Doubt(wire.TypeUpstreamFailed, ErrBadAnswer.Error())
 	}
 	return p
 }
+
+// believable tells whether a problem is one that a daemon writes. Anything
+// else proves nothing: passing on a not-run that nobody vouched for, or a
+// status that net/http panics on, would be worse than a doubt.
+func believable(p *wire.Problem) bool {
+	if p.Status < http.StatusBadRequest || p.Status > maxStatus || p.RetryAfterMs < 0 {
+		return false
+	}
+	return p.Outcome == wire.OutcomeNotRun || p.Outcome == wire.OutcomeMayHaveRun
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -22,11 +22,13 @@
 	Handle Runner
 	// Posting runs a call whose posting id names this instance.
 	Posting Runner
+	// MaxBodyBytes bounds a body; it is the callers' bound.
+	MaxBodyBytes int64
 }
 
 // ServeHTTP implements http.Handler for /relay/.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	call, problem := readCall(r)
+	call, problem := s.readCall(w, r)
 	if problem != nil {
 		problem.Write(w)
 		return
@@ -45,7 +47,7 @@
 	answer.Write(w)
 }
 
-func readCall(r *http.Request) (*wire.Call, *wire.Problem) {
+func (s *Server) readCall(w http.ResponseWriter, r *http.Request) (*wire.Call, *wire.Problem) {
 	service, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/relay/"), "/")
 	budget, err := strconv.ParseInt(r.Header.Get(wire.HeaderBudgetMs), 10, 64)
 	if err != nil || service == "" {
@@ -54,9 +56,9 @@
 	if budget <= 0 {
 		return nil, wire.Refuse(wire.TypeDeadline, "budget spent before the handler", 0)
 	}
-	body, err := wire.ReadBody(r.Body, r.ContentLength)
+	body, err := wire.ReadBody(http.MaxBytesReader(w, r.Body, s.MaxBodyBytes), r.ContentLength)
 	if err != nil {
-		return nil, wire.Refuse(wire.TypeBadRequest, "relay: body broke off", 0)
+		return nil, wire.Refuse(wire.TypeBadRequest, "relay: body broke off or is too large", 0)
 	}
 	call := &wire.Call{
 		Service: service, Path: "/" + path, RawQuery: r.URL.RawQuery, Method: r.Method,
@@ -65,7 +67,6 @@
 		KeyDigest: r.Header.Get(wire.HeaderKeyDigest),
 		Deadline:  time.Now().Add(time.Duration(budget) * time.Millisecond),
 	}
-	wire.StripHops(call.Header)
-	wire.StripOwn(call.Header)
+	wire.StripRequest(call.Header)
 	return call, nil
 }
--- a/internal/upstream/run.go
+++ b/internal/upstream/run.go
@@ -35,21 +35,25 @@
 	defer span.End()
 	var problem *wire.Problem
 	for range maxAttempts {
-		var answer *wire.Answer
-		answer, problem = r.attempt(ctx, call)
-		if problem == nil {
+		answer, latest := r.attempt(ctx, call)
+		if latest == nil {
 			return answer, nil
 		}
-		span.AddEvent(problem.Type)
-		if problem.Type != wire.TypeUpstreamFailed || !repeatable(call, problem) {
+		span.AddEvent(latest.Type)
+		problem = latest.After(problem)
+		if !repeatable(call, latest) {
 			break
 		}
 	}
 	return nil, problem
 }
 
-// repeatable tells whether a call may be sent again after a problem.
+// repeatable tells whether a call may be sent to another upstream after the
+// problem that one attempt met.
 func repeatable(call *wire.Call, p *wire.Problem) bool {
+	if p.Type != wire.TypeUpstreamFailed && p.Type != wire.TypeUpstreamShed {
+		return false
+	}
 	return call.Body.Sendable() && (p.Outcome == wire.OutcomeNotRun || call.Safe())
 }
 
@@ -75,9 +79,15 @@
 		ticket.Done(Result{Failed: true, Took: time.Since(start)})
 		return nil, failed(ctx, sent, err)
 	}
+	body := &trackedBody{ReadCloser: resp.Body, ticket: ticket, start: start}
+	body.shed = resp.StatusCode == http.StatusServiceUnavailable
+	body.failed = resp.StatusCode >= http.StatusInternalServerError
+	if problem := unusable(resp); problem != nil {
+		body.failed = true
+		_ = body.Close()
+		return nil, problem
+	}
 	wire.StripOwn(resp.Header)
-	shed := resp.StatusCode == http.StatusServiceUnavailable
-	body := &trackedBody{ReadCloser: resp.Body, ticket: ticket, start: start, shed: shed, failed: resp.StatusCode >= http.StatusInternalServerError}
 	return &wire.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
@@ -109,19 +119,6 @@
 	return req, nil
 }
 
-func failed(ctx context.Context, sent bool, err error) *wire.Problem {
-	switch {
-	case !sent && ctx.Err() != nil:
-		return wire.Refuse(wire.TypeDeadline, "no connection before the deadline", time.Second)
-	case !sent:
-		return wire.Refuse(wire.TypeUpstreamFailed, "upstream unreachable", time.Second)
-	case ctx.Err() != nil:
-		return wire.Doubt(wire.TypeDeadline, "no answer before the deadline")
-	default:
-		return wire.Doubt(wire.TypeUpstreamFailed, "connection to upstream broke: "+err.Error())
-	}
-}
-
 // trackedBody gives the room back when the answer has ended.
 type trackedBody struct {
 	io.ReadCloser
--- /dev/null
+++ b/internal/wire/answer.go
@@ -0,0 +1,59 @@
+package wire
+
+import (
+	"io"
+	"net/http"
+	"time"
+)
+
+// writeStall is how long a caller may take none of an answer before it is cut
+// off. A caller that stops reading would hold an upstream's room until its
+// deadline; a working one takes some bytes within a few round trips.
+const writeStall = 15 * time.Second
+
+const copyBuffer = 32 << 10
+
+// Answer is what came back for a call from where it ran.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+}
+
+// Write streams the answer to the caller. An answer whose body breaks off is
+// broken off too: net/http then cuts the connection without the final chunk
+// or with bytes of the declared length missing, so the caller cannot take a
+// part for the whole.
+func (a *Answer) Write(w http.ResponseWriter) {
+	defer func() { _ = a.Body.Close() }()
+	CopyHeader(w.Header(), a.Header)
+	w.Header().Set(HeaderOutcome, string(OutcomeRan))
+	w.WriteHeader(a.Status)
+	if err := copyFlushing(w, a.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func copyFlushing(w http.ResponseWriter, body io.Reader) error {
+	control := http.NewResponseController(w)
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			_ = control.SetWriteDeadline(time.Now().Add(writeStall))
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return werr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if n > 0 {
+			_ = control.Flush()
+		}
+	}
+}
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
 	"io"
 	"net/http"
 	"net/textproto"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -63,6 +65,9 @@
 	return Body{stream: io.MultiReader(bytes.NewReader(held), r), length: length}, nil
 }
 
+// Held tells whether the whole body is in memory.
+func (b *Body) Held() bool { return b.stream == nil }
+
 // Sendable tells whether the body can be sent (again).
 func (b *Body) Sendable() bool { return b.stream == nil || !b.used }
 
@@ -75,56 +80,25 @@
 	return bytes.NewReader(b.held), int64(len(b.held))
 }
 
-// Answer is what came back for a call from where it ran.
-type Answer struct {
-	Status int
-	Header http.Header
-	Body   io.ReadCloser
-}
-
-// Write streams the answer to the caller. An answer whose body breaks off is
-// broken off too: net/http then cuts the connection without the final chunk,
-// so the caller cannot take a part for the whole.
-func (a *Answer) Write(w http.ResponseWriter) {
-	defer func() { _ = a.Body.Close() }()
-	CopyHeader(w.Header(), a.Header)
-	w.Header().Set(HeaderOutcome, string(OutcomeRan))
-	w.WriteHeader(a.Status)
-	if err := copyFlushing(w, a.Body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-}
-
-const copyBuffer = 32 << 10
-
-func copyFlushing(w http.ResponseWriter, body io.Reader) error {
-	flusher, _ := w.(http.Flusher)
-	buf := make([]byte, copyBuffer)
-	for {
-		n, err := body.Read(buf)
-		if n > 0 {
-			if _, werr := w.Write(buf[:n]); werr != nil {
-				return werr
-			}
-			if flusher != nil && err == nil {
-				flusher.Flush()
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 // hopByHop headers concern one connection only (RFC 9110, section 7.6.1).
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
+// StripRequest removes from a caller's headers what must not reach an
+// upstream: its key, hop-by-hop headers, this system's own, and Expect, which
+// the listener has answered already.
+//
+// The key goes first and by name: a caller may list Authorization in
+// Connection, send it twice or in an odd case, and it is gone all the same.
+func StripRequest(h http.Header) {
+	h.Del("Authorization")
+	h.Del("Expect")
+	StripHops(h)
+	StripOwn(h)
+}
+
 // CopyHeader copies end-to-end headers.
 func CopyHeader(to, from http.Header) {
 	for name, values := range from {
@@ -145,16 +119,31 @@
 	}
 }
 
+// ownPrefix begins the names of this system's headers, in any case.
+const ownPrefix = "balsam-"
+
 // StripOwn removes every header of this system's own, so that none that a
 // caller or an upstream wrote is believed.
 func StripOwn(h http.Header) {
 	for name := range h {
-		if strings.HasPrefix(name, "Balsam-") {
+		if strings.HasPrefix(strings.ToLower(name), ownPrefix) {
 			delete(h, name)
 		}
 	}
 }
 
+// Digest identifies the request: service, method, path, query and body. Two
+// requests with the same posting id must have the same digest. It is defined
+// for held bodies only.
+func (c *Call) Digest() [sha256.Size]byte {
+	h := sha256.New()
+	for _, part := range []string{c.Service, c.Method, c.Path, c.RawQuery} {
+		_, _ = io.WriteString(h, strconv.Itoa(len(part))+":"+part)
+	}
+	_, _ = h.Write(c.Body.held)
+	return [sha256.Size]byte(h.Sum(nil))
+}
+
 // WithDeadline bounds a context by the call's deadline.
 func (c *Call) WithDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithDeadline(ctx, c.Deadline)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -17,6 +17,13 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
+// HeaderShed is what an upstream may set on a 503 to declare that nothing of
+// the request ran; the value is ShedNotRun. Without it a 503 proves nothing.
+const (
+	HeaderShed = "Balsam-Shed"
+	ShedNotRun = "not-run"
+)
+
 // Headers between daemons, on the relay listener only. Whatever a caller
 // sends under these names is dropped.
 const (
@@ -47,7 +54,7 @@
 const (
 	// OutcomeRan: an upstream ran it and this is its answer.
 	OutcomeRan Outcome = "ran"
-	// OutcomeNotRun: no upstream has seen any of it, nor will.
+	// OutcomeNotRun: no upstream has run any of it, nor will.
 	OutcomeNotRun Outcome = "not-run"
 	// OutcomeMayHaveRun: an upstream may have run it.
 	OutcomeMayHaveRun Outcome = "may-have-run"
@@ -58,10 +65,25 @@
 	Type   string `json:"type"`
 	Status int    `json:"status"`
 	Detail string `json:"detail"`
-	// Outcome is never OutcomeRan.
+	// Outcome is OutcomeRan for TypeAnswerNotKept alone.
 	Outcome Outcome `json:"outcome"`
 	// RetryAfterMs is when coming back makes sense; 0: not known.
 	RetryAfterMs int64 `json:"retry_after_ms,omitempty"`
+	// Unreached: this daemon could not send the request to the peer at all.
+	// It does not travel: a peer's own problem never bears it.
+	Unreached bool `json:"-"`
+}
+
+// After returns p as the answer to a request that had met earlier problems.
+// A doubt stays: when a first attempt may have run, a second one that was
+// refused does not make the request not-run.
+func (p *Problem) After(earlier *Problem) *Problem {
+	if earlier == nil || earlier.Outcome != OutcomeMayHaveRun || p.Outcome == OutcomeMayHaveRun {
+		return p
+	}
+	doubted := *p
+	doubted.Outcome = OutcomeMayHaveRun
+	return &doubted
 }
 
 // Error makes Problem an error, so that a refusal travels as one.
@@ -81,6 +103,12 @@
 	TypeOutcomeUnknown  = "outcome-unknown"
 	TypeStalePostingID  = "stale-posting-id"
 	TypeTooLarge        = "too-large"
+	// TypeUpstreamShed: an upstream answered 503.
+	TypeUpstreamShed = "upstream-shed"
+	// TypePostingIDReused: the posting id came before with another request.
+	TypePostingIDReused = "posting-id-reused"
+	// TypeAnswerNotKept: the posting ran; its answer was too large to keep.
+	TypeAnswerNotKept = "answer-not-kept"
 )
 
 var statusOf = map[string]int{
@@ -96,6 +124,9 @@
 	TypeOutcomeUnknown:  http.StatusConflict,
 	TypeStalePostingID:  http.StatusConflict,
 	TypeTooLarge:        http.StatusRequestEntityTooLarge,
+	TypeUpstreamShed:    http.StatusServiceUnavailable,
+	TypePostingIDReused: http.StatusUnprocessableEntity,
+	TypeAnswerNotKept:   http.StatusConflict,
 }
 
 // Refuse makes a problem whose request has certainly not run.
