--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -125,7 +125,12 @@
 
 // start runs a daemon on a host and enters it in the host list.
 func (f *fleet) start(host, zone string) *daemon.Daemon {
-	text := fmt.Sprintf(`{"host":%q,"zone":%q,"platform":{"url":%q,"timeout_ms":1000},"tls":{"plain":true}}`, host, zone, f.url)
+	return f.startWith(host, zone, `"tls":{"plain":true}`)
+}
+
+// startWith is start with further settings.
+func (f *fleet) startWith(host, zone, more string) *daemon.Daemon {
+	text := fmt.Sprintf(`{"host":%q,"zone":%q,"platform":{"url":%q,"timeout_ms":1000},%s}`, host, zone, f.url, more)
 	s, err := settings.Parse("test", []byte(text))
 	f.g.Expect(err).NotTo(HaveOccurred())
 	log := telemetry.NewLogger(f.t.Output(), "info")
