--- a/internal/entry/caps.go
+++ b/internal/entry/caps.go
@@ -55,7 +55,7 @@
 func steerRequest(call *wire.Call) steer.Request {
 	return steer.Request{
 		Service: call.Service, Customer: call.Customer, Key: call.Path,
-		Bytes: float64(call.Body.Held()) + requestOverhead,
+		Bytes: float64(max(call.Body.Length(), 0)) + requestOverhead,
 	}
 }
 
--- a/internal/entry/steer.go
+++ b/internal/entry/steer.go
@@ -17,7 +17,7 @@
 	snap := s.View.Load()
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	targets := snap.Steer.Choose(steerRequest(call), time.Now(), rng)
-	problem := wire.Refuse(wire.TypeNoRoom, "no zone that may serve this has a ready handler", time.Second)
+	var problem *wire.Problem
 	for i := range targets {
 		target := &targets[i]
 		if ctx.Err() != nil {
@@ -26,19 +26,30 @@
 		if !s.takeCaps(target, time.Now()) {
 			continue
 		}
-		var answer *wire.Answer
-		answer, problem = s.ask(ctx, target, call)
-		if problem == nil {
+		answer, latest := s.ask(ctx, target, call)
+		if latest == nil {
 			return answer, nil
 		}
-		if problem.Outcome == wire.OutcomeNotRun {
+		if latest.Outcome == wire.OutcomeNotRun {
 			s.refundCaps(target, time.Now())
 		}
-		if !another(call, problem) {
+		problem = latest.After(problem)
+		if !another(call, latest) {
 			break
 		}
 	}
-	return nil, problem
+	return nil, lastProblem(ctx, problem)
+}
+
+// lastProblem is the final answer where no handler ran the call.
+func lastProblem(ctx context.Context, problem *wire.Problem) *wire.Problem {
+	switch {
+	case problem != nil:
+		return problem
+	case ctx.Err() != nil:
+		return wire.Refuse(wire.TypeDeadline, "the budget was spent before a handler was asked", time.Second)
+	}
+	return wire.Refuse(wire.TypeNoRoom, "no zone that may serve this has a ready handler", time.Second)
 }
 
 func (s *Server) ask(ctx context.Context, target *steer.Target, call *wire.Call) (*wire.Answer, *wire.Problem) {
@@ -60,7 +71,7 @@
 	switch p.Type {
 	case wire.TypeNoRoom:
 		return p.Outcome == wire.OutcomeNotRun
-	case wire.TypeUpstreamFailed:
+	case wire.TypeUpstreamFailed, wire.TypeUpstreamShed:
 		return p.Outcome == wire.OutcomeNotRun || call.Safe()
 	}
 	return false
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -46,7 +46,9 @@
 	// Load is the part of the host's own room that is in use, 0 to 1.
 	Load        float64
 	ConfirmedAt time.Time
-	HeardAt     time.Time
+	// AnswersFor lists the stopped instances whose postings it remembers.
+	AnswersFor []string
+	HeardAt    time.Time
 }
 
 // Table holds the members that this daemon hears of, without itself.
