Report queue waits to steering, pace links, bound what runs at a host

Cause: steering's spill had nothing to go by in the real path; a link's quota was not charged for answers; a stalled upstream could pile requests up in a daemon without bound, while lookups still sent callers there.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -121,6 +121,7 @@
 	m.Watches = c.watches(now)
 	m.Slots = c.slots.slots.Usable(now)
 	m.Headroom = c.d.handler.Headroom()
+	m.Load = c.d.gauge.Load()
 	m.PostingEpoch = c.d.postings.Epoch(now)
 	m.AnswersFor = c.d.postings.AnswersFor(now)
 	return m
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -70,6 +70,7 @@
 	ledger   *quota.Ledger
 	handler  *upstream.Handler
 	postings *posting.Table
+	gauge    *entry.Gauge
 	control  *control
 	// lease is the store's lease that slots are held under; it is written by
 	// the control thread only.
@@ -109,6 +110,7 @@
 		handler:     upstream.NewHandler(),
 		postings:    posting.NewTable(instance, time.Now(), posting.DefaultLimits()),
 		errs:        make(chan error, 4),
+		gauge:       entry.NewGauge(s.Limits.MaxRunning),
 	}
 	d.store, d.hostList = platform.Counted(d.platform, d.metrics.StoreCall), d.platform
 	d.registerGauges()
@@ -166,10 +168,10 @@
 		View: &d.view, Repository: config.NewRepository(d.store, time.Now), Metrics: d.metrics.Set,
 		Adopt: func(r *config.Record) { d.control.send(recordFound{record: r, confirmed: time.Now()}) },
 	})
-	relays := &relay.Server{Handle: handle, Posting: entry.PostingRunner{Server: front}, MaxBodyBytes: d.settings.Limits.MaxBodyBytes}
+	relays := &relay.Server{Handle: handle, Posting: entry.PostingRunner{Server: front}, MaxBodyBytes: d.settings.Limits.MaxBodyBytes, Pace: d.pace}
 	var err error
 	if d.identity.Callers, err = d.serveHTTP(d.settings.Listen.Callers, &http.Server{
-		Handler: &observed{next: front, metrics: d.metrics, known: d.knownService},
+		Handler: &observed{next: d.gauge.Bounded(front), metrics: d.metrics, known: d.knownService},
 	}, asIs); err != nil {
 		return nil, err
 	}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -110,6 +110,7 @@
 		ConfigVersion: m.ConfigVersion, PostingEpoch: m.PostingEpoch, Watches: m.Watches,
 		ConfirmedUnixMs: m.ConfirmedAt.UnixMilli(),
 		AnswersFor:      m.AnswersFor,
+		Load:            m.Load,
 	}
 	for _, slot := range m.Slots {
 		out.Slots = append(out.Slots, uint32(slot))
@@ -129,6 +130,7 @@
 		ConfigVersion: in.ConfigVersion, PostingEpoch: in.PostingEpoch, Watches: in.Watches,
 		ConfirmedAt: time.UnixMilli(in.ConfirmedUnixMs),
 		AnswersFor:  in.AnswersFor,
+		Load:        in.Load,
 		Headroom:    map[string]membership.Headroom{},
 	}
 	for _, slot := range in.Slots {
--- a/internal/entry/steer.go
+++ b/internal/entry/steer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"balsambarrow/internal/steer"
@@ -28,8 +29,10 @@
 		}
 		answer, latest := s.ask(ctx, target, call)
 		if latest == nil {
+			target.Ended(queued(answer), false)
 			return answer, nil
 		}
+		target.Ended(0, latest.Type == wire.TypeNoRoom)
 		if latest.Outcome == wire.OutcomeNotRun {
 			s.refundCaps(target, time.Now())
 		}
@@ -102,3 +105,13 @@
 }
 
 func jsonEncode(w io.Writer, v any) error { return json.NewEncoder(w).Encode(v) }
+
+// queued takes out of an answer how long it waited at its handler.
+func queued(a *wire.Answer) time.Duration {
+	ms, err := strconv.ParseInt(a.Header.Get(wire.HeaderQueuedMs), 10, 64)
+	a.Header.Del(wire.HeaderQueuedMs)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -24,6 +25,9 @@
 	Posting Runner
 	// MaxBodyBytes bounds a body; it is the callers' bound.
 	MaxBodyBytes int64
+	// Pace bounds an answer's body on its way to the daemon that asked; nil
+	// bounds nothing.
+	Pace func(ctx context.Context, from string, body io.ReadCloser) io.ReadCloser
 }
 
 // ServeHTTP implements http.Handler for /relay/.
@@ -44,6 +48,9 @@
 		problem.Write(w)
 		return
 	}
+	if s.Pace != nil {
+		answer.Body = s.Pace(ctx, r.Header.Get(wire.HeaderFrom), answer.Body)
+	}
 	answer.Write(w)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,7 @@
 	DefaultShutdownBound  = 60 * time.Second
 	DefaultMaxHeaderBytes = 16 << 10
 	DefaultMaxBodyBytes   = 64 << 20
+	DefaultMaxRunning     = 4096
 )
 
 // Settings is the daemon's settings file. Every duration is in milliseconds.
@@ -83,6 +84,9 @@
 	MaxHeaderBytes int `json:"max_header_bytes"`
 	// MaxBodyBytes bounds one request's body. Default 64 MiB.
 	MaxBodyBytes int64 `json:"max_body_bytes"`
+	// MaxRunning bounds the requests that run at this host at once. From nine
+	// tenths of it callers are sent elsewhere. Default 4096.
+	MaxRunning int `json:"max_running"`
 }
 
 // PlatformTimeout is the bound of one platform call.
@@ -131,6 +135,7 @@
 	setDefault(&s.ShutdownBoundMs, DefaultShutdownBound.Milliseconds())
 	setDefault(&s.Limits.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDefault(&s.Limits.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&s.Limits.MaxRunning, DefaultMaxRunning)
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -158,6 +163,7 @@
 	require(s.ShutdownBoundMs > 0, "/shutdown_bound_ms", "want a positive number of milliseconds")
 	require(s.Limits.MaxHeaderBytes > 0, "/limits/max_header_bytes", "want a positive number of bytes")
 	require(s.Limits.MaxBodyBytes > 0, "/limits/max_body_bytes", "want a positive number of bytes")
+	require(s.Limits.MaxRunning > 0, "/limits/max_running", "want a positive number of requests")
 	require(isLevel(s.LogLevel), "/log_level", "want debug, info, warn or error")
 	if !s.TLS.Plain {
 		require(s.TLS.CertFile != "", "/tls/cert_file", "required unless /tls/plain is true")
--- a/internal/upstream/run.go
+++ b/internal/upstream/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -58,6 +59,7 @@
 }
 
 func (r *Runner) attempt(ctx context.Context, call *wire.Call) (*wire.Answer, *wire.Problem) {
+	asked := time.Now()
 	ticket, problem := r.acquire(ctx, call)
 	if problem != nil {
 		return nil, problem
@@ -88,6 +90,7 @@
 		return nil, problem
 	}
 	wire.StripOwn(resp.Header)
+	resp.Header.Set(wire.HeaderQueuedMs, strconv.FormatInt(start.Sub(asked).Milliseconds(), 10))
 	return &wire.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -34,6 +34,9 @@
 	HeaderRole = "Balsam-Role"
 	// HeaderBudgetMs is what is left of the caller's budget when sent.
 	HeaderBudgetMs = "Balsam-Budget-Ms"
+	// HeaderQueuedMs is how long an answered request waited at the handler.
+	// The entry host takes it out of the answer.
+	HeaderQueuedMs = "Balsam-Queued-Ms"
 	// HeaderFrom names the sending daemon's instance.
 	HeaderFrom = "Balsam-From"
 )
