Keep an accepted configuration through lost answers, cold starts and pauses

Cause: a daemon served by the first version it heard of, so one that started while the store was out could let in a key withdrawn before; the age of a confirmed version came from another host's clock; a watcher that lived but had lost the store left its zone to chance; a retried change id with another patch was taken for the same change; the answer of a write sent again while its outcome was unknown could say "not applied" falsely.

Change: - Record, merge and repository apart. A change based on version n can only make n+1, which settles every submission: applied, refused for good, still open, or forgotten. The same write is sent up to three times while its outcome is unknown. Typed: reused change id, record too large, store behind the version in force. Large patches are kept as paths and a digest. - A daemon is ready only after the store answered, or after every peer in the host list, heard, or known to those was asked. A paused one admits nobody until it has compared its version again. - Confirmations travel as ages, only in answers to own calls, and count from the call. A watch that ends unchanged confirms the end of its wait, and carries no value. The watcher's heartbeat says whether it reaches the store; otherwise its zone peers ask, one call a second per zone. - One pull at a time with a hedge after 300 ms instead of one from each peer. - A key is checked again before dispatch, by the version then in force. - /v1/fleet shows every host that is listed or was heard, with ages; new: /v1/changes, /v1/explain. - jsonc refuses nesting beyond 64 (a megabyte of brackets would use the stack up) and allocates 20 times less.

Ruled out: wall-clock confirmations with a margin (hosts' clocks differ by more than any margin); pulling from each peer that has a higher version (moves the record as often as there are peers).

--- a/internal/config/active.go
+++ b/internal/config/active.go
@@ -3,9 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
-
-	"github.com/pkg/errors"
 )
 
 // Digest is the SHA-256 of a customer's key.
@@ -86,45 +83,3 @@
 
 // Region returns the region of a zone, "" if unknown.
 func (a *Active) Region(zone string) string { return a.Config.Zones[zone].Region }
-
-// Record is the configuration as it lies in the store: one value.
-type Record struct {
-	Version uint64 `json:"version"`
-	// Document is the configuration as plain JSON.
-	Document json.RawMessage `json:"document"`
-	// Changes are the most recent changes, newest last, MaxChanges at most.
-	// They settle a write whose answer was lost.
-	Changes []Change `json:"changes"`
-}
-
-// Change is one accepted change.
-type Change struct {
-	ID      string `json:"id"`
-	Version uint64 `json:"version"`
-	// AtUnixMs is when the daemon that applied it submitted it.
-	AtUnixMs int64 `json:"at_unix_ms"`
-	// Patch is what was submitted.
-	Patch json.RawMessage `json:"patch"`
-}
-
-// MaxChanges bounds the recent changes kept in a Record: more than can be
-// submitted (6,200 a day is one in 14 s) while a lost answer is being settled.
-const MaxChanges = 64
-
-// Activate parses and indexes the record's document.
-func (r *Record) Activate() (*Active, error) {
-	c, err := Parse("store", r.Document)
-	if err != nil {
-		return nil, errors.Wrapf(err, "version %d", r.Version)
-	}
-	return NewActive(r.Version, c), nil
-}
-
-// ParseRecord reads a stored value.
-func ParseRecord(value []byte) (*Record, error) {
-	r := &Record{}
-	if err := json.Unmarshal(value, r); err != nil {
-		return nil, errors.Wrap(ErrBadRecord, err.Error())
-	}
-	return r, nil
-}
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -110,7 +110,8 @@
 	// Keys by id. Only hashes are kept.
 	Keys map[string]Key `json:"keys,omitempty"`
 	// MaxStalenessMs refuses the customer where the configuration has not
-	// been confirmed for so long. Default 0: a cut-off zone goes on serving.
+	// been confirmed for so long, at least MinStalenessMs. Default 0: a
+	// cut-off zone goes on serving.
 	MaxStalenessMs int64 `json:"max_staleness_ms,omitempty"`
 }
 
--- a/internal/config/repository.go
+++ b/internal/config/repository.go
@@ -3,20 +3,25 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
-	"slices"
 	"time"
 
-	jsonpatch "github.com/evanphx/json-patch/v5"
 	"github.com/pkg/errors"
 
-	"balsambarrow/internal/jsonc"
 	"balsambarrow/internal/platform"
 )
 
 // StoreKey is the store's key of the one value that holds the configuration.
 const StoreKey = "balsambarrow/config"
 
+// Bounds of one submission.
+const (
+	// writeTries is how often the same write is sent while its outcome is
+	// unknown.
+	writeTries = 3
+	// writePause lies between two of them.
+	writePause = 50 * time.Millisecond
+)
+
 // Patch is one change as an operator submits it.
 type Patch struct {
 	// ChangeID is chosen by the operator (a UUID) and settles lost answers.
@@ -25,6 +30,16 @@
 	Base uint64
 	// Merge is a JSON Merge Patch (RFC 7396).
 	Merge json.RawMessage
+	// Floor is the version in force where the change is submitted.
+	Floor uint64
+}
+
+// Applied is a change that took effect.
+type Applied struct {
+	// Record is the store's, at the change's version or a later one.
+	Record *Record
+	// Version that the change made.
+	Version uint64
 }
 
 // Repository reads and writes the configuration in the platform's store.
@@ -52,162 +67,97 @@
 	return rec, e.Revision, err
 }
 
-// Apply writes a change. Errors: *StaleError, jsonc.Faults, ErrNotApplied,
-// ErrOutcomeUnknown. Submitting an applied change again returns its record.
-func (r *Repository) Apply(ctx context.Context, p Patch) (*Record, error) {
+// Apply writes a change. Errors: *StaleError, *ReusedIDError, *TooLargeError,
+// jsonc.Faults, ErrStoreBehind, ErrNotApplied, ErrOutcomeUnknown. Submitting
+// an applied change again tells that it was applied and changes nothing.
+func (r *Repository) Apply(ctx context.Context, p Patch) (Applied, error) {
 	old, revision, err := r.Load(ctx)
 	if err != nil {
-		return nil, errors.Wrap(ErrNotApplied, err.Error())
+		return Applied{}, errors.Wrap(ErrNotApplied, err.Error())
 	}
 	if old == nil {
 		old = &Record{Document: json.RawMessage(`{}`)}
 	}
-	if old.change(p.ChangeID) != nil {
-		return old, nil
+	if old.Version < p.Floor {
+		return Applied{}, errors.Wrapf(ErrStoreBehind, "version %d, in force %d", old.Version, p.Floor)
 	}
-	if p.Base != old.Version {
-		return nil, &StaleError{Base: p.Base, Current: old.Version, Conflicts: old.conflicts(p)}
+	if applied, err := old.settle(p); applied.Record != nil || err != nil {
+		return applied, err
 	}
 	next, err := old.next(p, r.now())
 	if err != nil {
-		return nil, err
+		return Applied{}, err
 	}
 	return r.write(ctx, next, revision, p)
 }
 
-func (r *Repository) write(ctx context.Context, next *Record, revision uint64, p Patch) (*Record, error) {
-	value, err := json.Marshal(next)
-	if err != nil {
-		return nil, errors.Wrap(ErrNotApplied, err.Error())
-	}
-	_, err = r.store.Swap(ctx, StoreKey, revision, value, "")
-	var conflict *platform.ConflictError
-	switch {
-	case err == nil:
-		return next, nil
-	case errors.As(err, &conflict), errors.Is(err, platform.ErrOutcomeUnknown):
-		return r.settle(ctx, p)
-	default:
-		return nil, errors.Wrap(ErrNotApplied, err.Error())
-	}
-}
-
-// settle guards against a lost answer: the write took effect, the operator
-// sees an error, submits again and meets a conflict with its own change. The
-// change id in the record tells the two apart. An id that is absent proves
-// nothing while the write may still be on its way, so that stays unknown,
-// unless another write has since moved the revision: then ours cannot succeed.
-func (r *Repository) settle(ctx context.Context, p Patch) (*Record, error) {
-	rec, _, err := r.Load(ctx)
-	if err != nil {
-		return nil, errors.Wrap(ErrOutcomeUnknown, err.Error())
-	}
-	if rec != nil && rec.change(p.ChangeID) != nil {
-		return rec, nil
-	}
-	if rec != nil && rec.Version != p.Base {
-		return nil, &StaleError{Base: p.Base, Current: rec.Version, Conflicts: rec.conflicts(p)}
-	}
-	return nil, ErrOutcomeUnknown
-}
-
-// Change looks a recent change up by its id; ErrUnknownChange if there is none.
-func (r *Repository) Change(ctx context.Context, id string) (Change, error) {
-	rec, _, err := r.Load(ctx)
-	if err != nil {
-		return Change{}, err
-	}
-	if rec != nil {
-		if c := rec.change(id); c != nil {
-			return *c, nil
+// write sends the same write until its outcome is known. That is safe: each
+// try names the same revision, so at most one of them takes effect, and a try
+// that comes late finds another revision.
+func (r *Repository) write(ctx context.Context, next *Record, revision uint64, p Patch) (Applied, error) {
+	if len(next.raw) > platform.MaxValueBytes {
+		return Applied{}, &TooLargeError{Bytes: len(next.raw), Limit: platform.MaxValueBytes}
+	}
+	doubt := false
+	for try := range writeTries {
+		if try > 0 {
+			pause(ctx, writePause)
 		}
-	}
-	return Change{}, errors.Wrap(ErrUnknownChange, id)
-}
-
-func (r *Record) change(id string) *Change {
-	for i := range r.Changes {
-		if r.Changes[i].ID == id {
-			return &r.Changes[i]
+		_, err := r.store.Swap(ctx, StoreKey, revision, next.raw, "")
+		var conflict *platform.ConflictError
+		switch {
+		case err == nil:
+			return Applied{Record: next, Version: next.Version}, nil
+		case errors.As(err, &conflict):
+			return r.afterConflict(ctx, p, doubt)
+		case errors.Is(err, platform.ErrOutcomeUnknown):
+			doubt = true
+		case !doubt:
+			return Applied{}, errors.Wrap(ErrNotApplied, err.Error())
 		}
 	}
-	return nil
+	return r.afterConflict(ctx, p, doubt)
 }
 
-func (r *Record) next(p Patch, now time.Time) (*Record, error) {
-	if !json.Valid(p.Merge) {
-		_, err := jsonc.Parse("patch", p.Merge)
-		if err == nil {
-			err = jsonc.Faults{{File: "patch", Line: 1, Problem: "want plain JSON"}}
+// afterConflict guards against a lost answer: the write took effect, the
+// daemon sees an error, sends it again and meets a conflict with its own
+// change. The change id in the record tells whose write it was.
+func (r *Repository) afterConflict(ctx context.Context, p Patch, doubt bool) (Applied, error) {
+	rec, _, err := r.Load(ctx)
+	if err == nil && rec != nil {
+		if applied, err := rec.settle(p); applied.Record != nil || err != nil {
+			return applied, err
 		}
-		return nil, err
-	}
-	merged, err := jsonpatch.MergePatch(r.Document, p.Merge)
-	if err != nil {
-		return nil, jsonc.Faults{{File: "patch", Line: 1, Problem: err.Error()}}
-	}
-	if _, err := Parse("patched", merged); err != nil {
-		return nil, err
 	}
-	version := r.Version + 1
-	changes := append(slices.Clone(r.Changes), Change{
-		ID: p.ChangeID, Version: version, AtUnixMs: now.UnixMilli(), Patch: p.Merge,
-	})
-	if extra := len(changes) - MaxChanges; extra > 0 {
-		changes = changes[extra:]
+	if !doubt {
+		return Applied{}, errors.Wrap(ErrNotApplied, "lost against another write")
 	}
-	return &Record{Version: version, Document: merged, Changes: changes}, nil
+	return Applied{}, ErrOutcomeUnknown
 }
 
-// conflicts lists the paths that p writes and that a change after p.Base
-// wrote too, itself or a parent or child of it.
-func (r *Record) conflicts(p Patch) []string {
-	mine := leaves(p.Merge)
-	theirs := map[string]bool{}
-	for _, c := range r.Changes {
-		if c.Version > p.Base {
-			for _, l := range leaves(c.Patch) {
-				theirs[l] = true
-			}
+// settle tells what has become of a change: applied, refused for good, or, by
+// the zero values, still open. A change based on version n could only make
+// version n+1, so whatever made that version settles it. While n is current,
+// a write may still be on its way and nothing is settled.
+func (r *Record) settle(p Patch) (Applied, error) {
+	if c := r.change(p.ChangeID); c != nil {
+		if c.Version != p.Base+1 || c.PatchSHA256 != patchDigest(p.Merge) {
+			return Applied{}, &ReusedIDError{ID: p.ChangeID, Version: c.Version}
 		}
+		return Applied{Record: r, Version: c.Version}, nil
 	}
-	var out []string
-	for _, m := range mine {
-		for t := range theirs {
-			if related(m, t) {
-				out = append(out, m)
-				break
-			}
-		}
+	if p.Base == r.Version {
+		return Applied{}, nil
 	}
-	return out
-}
-
-func related(a, b string) bool {
-	if len(a) > len(b) {
-		a, b = b, a
+	return Applied{}, &StaleError{
+		Base: p.Base, Current: r.Version, Conflicts: r.conflicts(p),
+		Forgotten: p.Base < r.Version && r.made(p.Base+1) == nil,
 	}
-	return a == b || (len(b) > len(a) && b[:len(a)] == a && b[len(a)] == '/')
 }
 
-// leaves lists the paths a merge patch writes, in order.
-func leaves(merge json.RawMessage) []string {
-	var v any
-	if json.Unmarshal(merge, &v) != nil {
-		return nil
-	}
-	var out []string
-	var walk func(any, string)
-	walk = func(v any, at string) {
-		obj, ok := v.(map[string]any)
-		if !ok {
-			out = append(out, at)
-			return
-		}
-		for _, k := range slices.Sorted(maps.Keys(obj)) {
-			walk(obj[k], at+"/"+jsonc.Escape(k))
-		}
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
 	}
-	walk(v, "")
-	return out
 }
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -14,6 +14,11 @@
 // MaxSlots bounds the slots of all zones together; see docs/CAPACITY.md.
 const MaxSlots = 4096
 
+// MinStalenessMs is the smallest bound a customer may set on the age of the
+// configuration. A version is confirmed about every 2 s, and every 5 s while
+// a zone's watcher is replaced; below that, refusals would be ordinary.
+const MinStalenessMs = 5000
+
 var (
 	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
@@ -161,7 +166,8 @@
 		v.require(c.Rate > 0, path("customers", name, "rate"), "want a positive number of requests per second")
 		v.require(c.Burst >= 1, path("customers", name, "burst"), "want at least 1 request")
 		v.require(c.Weight > 0, path("customers", name, "weight"), "want a positive number")
-		v.require(c.MaxStalenessMs >= 0, path("customers", name, "max_staleness_ms"), "want 0 or more")
+		v.require(c.MaxStalenessMs == 0 || c.MaxStalenessMs >= MinStalenessMs,
+			path("customers", name, "max_staleness_ms"), "want 0 or at least %d milliseconds", MinStalenessMs)
 		v.regions(c.Regions, "customers", name)
 		for i, s := range c.Services {
 			v.known(has(v.config.Services, s), "service", s, "customers", name, "services", strconv.Itoa(i))
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -1,35 +1,32 @@
 package daemon
 
 import (
-	"context"
-	"encoding/json"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"balsambarrow/internal/config"
 	"balsambarrow/internal/membership"
-	"balsambarrow/internal/peer"
-	"balsambarrow/internal/platform"
-)
-
-// Timing of the watch on the store.
-const (
-	watchWait  = 20 * time.Second
-	watchPause = 500 * time.Millisecond
+	"balsambarrow/internal/view"
 )
 
 // configState is the control thread's part for the configuration.
 type configState struct {
 	record *config.Record
 	active *config.Active
-	// confirmed is when record was last known to be the store's version.
+	// confirmed is a time such that every change accepted before it is in
+	// force here. Zero: none is known.
 	confirmed time.Time
-	// pulling marks the peers that are being asked for a record.
-	pulling map[string]bool
+	// rejected is the highest version met that cannot be read here.
+	rejected uint64
+	// caughtUp says that the version in force was compared with the store's,
+	// or with every reachable peer's, at or after needed.
+	caughtUp bool
+	needed   time.Time
+	lastTurn time.Time
+	store    storeState
+	pulls    pullState
 }
 
-func newConfigState() configState { return configState{pulling: map[string]bool{}} }
+func newConfigState() configState { return configState{pulls: newPullState()} }
 
 func (s *configState) version() uint64 {
 	if s.active == nil {
@@ -38,148 +35,104 @@
 	return s.active.Version
 }
 
-func (c *control) tickConfig(time.Time) {}
-
-// recordFound: a configuration was read from the store, a peer or an operator.
-type recordFound struct {
+// candidate is a record that was read, with its document parsed. That is done
+// outside the control thread: a document of thousands of customers takes
+// longer than a tick.
+type candidate struct {
 	record *config.Record
-	// confirmed is when the store was asked; zero if it came from a peer.
-	confirmed time.Time
+	active *config.Active
+	err    error
 }
 
-// apply adopts only a higher version: a version in force never reverts.
-func (m recordFound) apply(c *control) {
-	have := c.config.version()
-	if m.record.Version == have && m.confirmed.After(c.config.confirmed) {
-		c.config.confirmed = m.confirmed
-	}
-	if m.record.Version <= have {
-		return
-	}
-	active, err := m.record.Activate()
-	if err != nil {
-		c.d.log.Error("config_rejected", "version", m.record.Version, "err", err)
-		return
-	}
-	c.config.record, c.config.active = m.record, active
-	if m.confirmed.After(c.config.confirmed) {
-		c.config.confirmed = m.confirmed
-	}
-	if c.state == membership.StateStarting {
-		c.state = membership.StateReady
-	}
-	c.members.nextBeat = time.Time{}
-	c.d.log.Info("config_adopted", "version", active.Version)
+func examine(record *config.Record) candidate {
+	active, err := record.Activate()
+	return candidate{record: record, active: active, err: err}
 }
 
-// watches tells whether this daemon is the one of its zone that waits on the
-// store: the live one with the lowest instance name.
-func (c *control) watches(now time.Time) bool {
-	for _, m := range c.members.table.Live(now) {
-		if m.Zone == c.d.identity.Zone && m.Instance < c.d.identity.Instance {
-			return false
-		}
-	}
-	return true
+func (c *control) tickConfig(now time.Time) {
+	c.readStore(now)
+	c.pullHighest(now)
 }
 
-// followConfig reads the configuration once, then waits for changes of it as
-// long as this daemon is its zone's watcher.
-func (d *Daemon) followConfig(ctx context.Context) {
-	revision := uint64(0)
-	for ctx.Err() == nil {
-		if revision > 0 && !d.view.Load().Self.Watches {
-			sleep(ctx, watchPause)
-			continue
-		}
-		asked := time.Now()
-		entry, err := d.readConfig(ctx, revision)
-		if err != nil {
-			if !errors.Is(err, platform.ErrNotFound) {
-				d.log.Debug("config_not_read", "err", err)
-			}
-			sleep(ctx, watchPause)
-			continue
-		}
-		revision = entry.Revision
-		record, err := config.ParseRecord(entry.Value)
-		if err != nil {
-			d.log.Error("config_unreadable", "err", err)
-			sleep(ctx, watchPause)
-			continue
-		}
-		d.control.send(recordFound{record: record, confirmed: asked})
+// noticePause guards against a paused process: it goes on as if no time had
+// passed, with a configuration in which a key withdrawn meanwhile still
+// counts. Until it has compared its version again it admits nobody. It is
+// called before each snapshot, so that none is made of the time in between.
+func (c *control) noticePause(now time.Time) {
+	last := c.config.lastTurn
+	c.config.lastTurn = now
+	if last.IsZero() || now.Sub(last) <= view.MaxAge {
+		return
 	}
+	c.d.log.Warn("paused", "version", c.config.version())
+	c.config.caughtUp = false
+	c.config.needed = now
+	c.survey(now)
 }
 
-func (d *Daemon) readConfig(ctx context.Context, revision uint64) (platform.Entry, error) {
-	if revision == 0 {
-		return d.store.Get(ctx, config.StoreKey)
+// adopt brings a record into force if its version is higher: a version in
+// force never reverts, whatever a peer or a store that lost data answers.
+func (c *control) adopt(found candidate) {
+	version := found.record.Version
+	if version <= c.config.version() {
+		return
+	}
+	if found.err != nil {
+		c.reject(version, found.err)
+		return
 	}
-	return d.store.Watch(ctx, config.StoreKey, revision, watchWait)
+	c.config.record, c.config.active = found.record, found.active
+	c.members.nextBeat = time.Time{}
+	c.d.log.Info("config_adopted", "version", version)
 }
 
-// Pull answers a peer that has an older version; it implements
-// peer.DRPCConfigurationServer.
-func (d *Daemon) Pull(ctx context.Context, in *peer.PullRequest) (*peer.PullReply, error) {
-	ask := recordWanted{have: in.HaveVersion, reply: make(chan *config.Record, 1)}
-	d.control.send(ask)
-	select {
-	case record := <-ask.reply:
-		if record == nil {
-			return &peer.PullReply{}, nil
-		}
-		raw, err := json.Marshal(record)
-		return &peer.PullReply{Record: raw}, errors.Wrap(err, "encode record")
-	case <-ctx.Done():
-		return nil, ctx.Err()
+// reject keeps the version in force where a newer release of the daemon wrote
+// a record that this one cannot read, and shows it in the fleet's status.
+func (c *control) reject(version uint64, err error) {
+	if version <= c.config.rejected {
+		return
 	}
+	c.config.rejected = version
+	c.members.nextBeat = time.Time{}
+	c.d.log.Error("config_rejected", "version", version, "in_force", c.config.version(), "err", err)
 }
 
-// recordWanted: a peer asks for a record above the version it has.
-type recordWanted struct {
-	have  uint64
-	reply chan *config.Record
+// confirm notes that version was the store's at a time. Whoever has that
+// version or a higher one lacks no change accepted before.
+func (c *control) confirm(version uint64, at time.Time) {
+	if version <= c.config.version() && at.After(c.config.confirmed) {
+		c.config.confirmed = at
+	}
 }
 
-func (m recordWanted) apply(c *control) {
-	if c.config.version() > m.have {
-		m.reply <- c.config.record
+// caughtUp notes that the version in force was compared at a time, and lets a
+// starting daemon that has a configuration serve.
+func (c *control) caughtUp(at time.Time) {
+	if at.Before(c.config.needed) {
 		return
 	}
-	m.reply <- nil
+	c.config.caughtUp = true
+	c.serveOnce()
 }
 
-// pullFrom asks a peer for its configuration if it has a higher version.
-func (c *control) pullFrom(m membership.Member) {
-	if m.ConfigVersion <= c.config.version() || c.config.pulling[m.Instance] {
-		return
+func (c *control) serveOnce() {
+	if c.state == membership.StateStarting && c.config.caughtUp && c.config.active != nil {
+		c.state = membership.StateReady
+		c.members.nextBeat = time.Time{}
 	}
-	c.config.pulling[m.Instance] = true
-	have := c.config.version()
-	c.d.spawn(func(ctx context.Context) {
-		c.d.pull(ctx, m.Peers, have)
-		c.send(pullDone{m.Instance})
-	})
 }
 
-// pullDone: a pull from a peer ended, with or without a record.
-type pullDone struct{ instance string }
-
-func (m pullDone) apply(c *control) { delete(c.config.pulling, m.instance) }
+// recordAccepted: an operator's change was written to the store through this
+// daemon by a call that began at asked.
+type recordAccepted struct {
+	found candidate
+	asked time.Time
+}
 
-func (d *Daemon) pull(ctx context.Context, address string, have uint64) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	reply, err := peer.NewDRPCConfigurationClient(d.conns.To(ctx, address)).Pull(ctx, &peer.PullRequest{HaveVersion: have})
-	if err != nil || len(reply.Record) == 0 {
-		d.log.Debug("pull_failed", "peer", address, "err", err)
-		return
-	}
-	record, err := config.ParseRecord(reply.Record)
-	if err != nil {
-		d.log.Warn("pull_unreadable", "peer", address, "err", err)
-		return
+func (m recordAccepted) apply(c *control) {
+	c.adopt(m.found)
+	c.confirm(m.found.record.Version, m.asked)
+	if m.found.record.Version <= c.config.version() {
+		c.caughtUp(m.asked)
 	}
-	d.control.send(recordFound{record: record})
 }
--- /dev/null
+++ b/internal/daemon/confirm_test.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"balsambarrow/internal/config"
+	"balsambarrow/internal/view"
+)
+
+// The clocks of two hosts differ by minutes, and a heartbeat's answer takes
+// seconds. A customer with a bound on staleness must not be served by a
+// configuration that is older than it seems, so the time that is derived from
+// the answer must never be later than the confirmation.
+func TestConfirmationIsNeverTakenForFresher(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		ms := func(name string, most int) time.Duration {
+			return time.Duration(rapid.IntRange(0, most*1000).Draw(t, name)) * time.Microsecond
+		}
+		zero := time.Unix(1_000_000, 0)
+		confirmed := zero.Add(ms("confirmed", 10_000))
+		built := confirmed.Add(ms("age when the answer was made", 10_000))
+		// The call may have left long before its answer was made.
+		asked := built.Add(-ms("way there", 5000))
+		skew := ms("skew", 600_000)
+		age := ageMs(confirmed.Add(skew), built.Add(skew))
+		g.Expect(confirmedAt(asked, age)).To(BeTemporally("<=", confirmed))
+		g.Expect(confirmed.Sub(confirmedAt(asked, age))).To(BeNumerically("<=", built.Sub(asked)+2*time.Millisecond))
+	})
+}
+
+func TestConfirmationThatNeverWas(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(ageMs(time.Time{}, time.Unix(1, 0))).To(BeZero())
+	g.Expect(confirmedAt(time.Unix(1, 0), 0)).To(BeZero())
+}
+
+func TestUnchangedAnswerConfirmsTheEndOfItsWait(t *testing.T) {
+	g := NewWithT(t)
+	asked := time.Unix(1000, 0)
+	g.Expect(unchangedUntil(asked, asked.Add(3*time.Second), 2*time.Second)).To(Equal(asked.Add(2 * time.Second)))
+	g.Expect(unchangedUntil(asked, asked.Add(time.Second), 2*time.Second)).To(Equal(asked))
+}
+
+// A host is frozen for ten seconds and goes on. A key may have been withdrawn
+// meanwhile, so it must admit nobody until it has compared its version; a
+// comparison that began before the freeze does not count.
+func TestPausedDaemonAdmitsNobodyUntilItHasCaughtUp(t *testing.T) {
+	g := NewWithT(t)
+	c := idleControl(t)
+	t.Cleanup(c.d.Kill)
+	start := time.Now()
+	record := &config.Record{Version: 1, Document: []byte(seed)}
+	recordAccepted{examine(record), start}.apply(c)
+	c.publish(start)
+	g.Expect(c.d.view.Load().Current(start)).To(BeTrue())
+
+	resumed := start.Add(10 * time.Second)
+	g.Expect(c.d.view.Load().Current(resumed)).To(BeFalse(), "before the control thread has turned")
+	c.publish(resumed)
+	g.Expect(c.d.view.Load().Current(resumed)).To(BeFalse(), "after it has turned")
+	storeRead{revision: 1, found: examine(record), at: start}.apply(c)
+	c.publish(resumed)
+	g.Expect(c.d.view.Load().Current(resumed)).To(BeFalse(), "an answer from before the pause")
+	surveyDone{started: resumed}.apply(c)
+	c.publish(resumed)
+	g.Expect(c.d.view.Load().Current(resumed)).To(BeTrue(), "every reachable peer was asked")
+}
+
+func TestBusyControlThreadIsNoPause(t *testing.T) {
+	g := NewWithT(t)
+	c := idleControl(t)
+	t.Cleanup(c.d.Kill)
+	start := time.Now()
+	recordAccepted{examine(&config.Record{Version: 1, Document: []byte(seed)}), start}.apply(c)
+	c.publish(start)
+	c.publish(start.Add(view.MaxAge))
+	g.Expect(c.d.view.Load().Current(start.Add(view.MaxAge))).To(BeTrue())
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -28,6 +28,7 @@
 	slots   slotState
 	config  configState
 	quota   quotaState
+	fleet   fleetState
 }
 
 func newControl(d *Daemon) *control {
@@ -39,6 +40,7 @@
 		slots:   newSlotState(),
 		config:  newConfigState(),
 		quota:   newQuotaState(),
+		fleet:   newFleetState(),
 	}
 }
 
@@ -71,14 +73,18 @@
 	c.tickConfig(now)
 	c.tickSlots(now)
 	c.tickQuota(now)
+	c.tickFleet(now)
 }
 
 // publish makes the snapshot that traffic threads read from now on.
 func (c *control) publish(now time.Time) {
+	c.noticePause(now)
 	live := c.members.table.Live(now)
 	snap := &view.Snapshot{
 		Self: c.self(now), Config: c.config.active, ConfirmedAt: c.config.confirmed, Members: live,
+		PublishedAt: now, CaughtUp: c.config.caughtUp,
 	}
+	c.publishFleet(snap)
 	if snap.Self.State == membership.StateReady {
 		snap.Ready = append(snap.Ready, snap.Self)
 	}
@@ -100,6 +106,7 @@
 	m.State = c.state
 	m.Sequence = c.members.sequence
 	m.ConfigVersion = c.config.version()
+	m.ConfigRejected = c.config.rejected
 	m.ConfirmedAt = c.config.confirmed
 	m.Watches = c.watches(now)
 	m.Slots = c.slots.slots.Usable(now)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -129,7 +129,6 @@
 	}
 	d.spawn(func(ctx context.Context) { _ = drpcserver.New(mux).Serve(ctx, peers) })
 	d.spawn(d.control.run)
-	d.spawn(d.followConfig)
 	d.log.Info("listening", "instance", d.identity.Instance, "callers", d.identity.Callers,
 		"operators", d.OperatorsAddress(), "peers", d.identity.Peers, "relay", d.identity.Relay)
 	return nil
@@ -145,7 +144,7 @@
 	})
 	operators := operator.New(operator.Deps{
 		View: &d.view, Repository: config.NewRepository(d.store, time.Now), Metrics: d.metrics,
-		Adopt: func(r *config.Record) { d.control.send(recordFound{record: r, confirmed: time.Now()}) },
+		Adopt: func(r *config.Record, asked time.Time) { d.control.send(recordAccepted{examine(r), asked}) },
 	})
 	relays := &relay.Server{Handle: runner, Posting: entry.PostingRunner{Server: front}}
 	var err error
@@ -186,13 +185,15 @@
 	return server.Addr, nil
 }
 
+// keyValid tells the handler whether a key is still the customer's.
 func (d *Daemon) keyValid(digest config.Digest, customer string) bool {
-	active := d.view.Load().Config
-	if active == nil {
-		return false
+	snap := d.view.Load()
+	for end := time.Now().Add(view.MaxAge); !snap.Current(time.Now()) && time.Now().Before(end); {
+		// Just resumed after a pause: the withdrawal may have come meanwhile.
+		time.Sleep(tickEvery / 2)
+		snap = d.view.Load()
 	}
-	owner, ok := active.Owner(digest)
-	return ok && owner.Customer == customer
+	return snap.OwnsKey(digest, customer)
 }
 
 // spawn runs a task that ends with the daemon.
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -47,14 +47,19 @@
 type heardFrom struct{ member membership.Member }
 
 func (m heardFrom) apply(c *control) {
-	c.members.table.Hear(m.member, time.Now())
-	c.pullFrom(m.member)
+	now := time.Now()
+	c.members.table.Hear(m.member, now)
+	c.heardHost(m.member, now)
+	c.heardConfig(m.member, now)
 }
 
 // hostsListed: the platform's host list was read.
 type hostsListed struct{ hosts []platform.Host }
 
-func (m hostsListed) apply(c *control) { c.members.hosts = m.hosts }
+func (m hostsListed) apply(c *control) {
+	c.members.hosts = m.hosts
+	c.listedHosts(m.hosts, time.Now())
+}
 
 // beat sends a heartbeat to every peer known from the host list or heard of.
 func (c *control) beat() {
@@ -80,12 +85,15 @@
 func (d *Daemon) beatTo(ctx context.Context, address string, message *peer.Heartbeat) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	asked := time.Now()
 	reply, err := peer.NewDRPCMembershipClient(d.conns.To(ctx, address)).Beat(ctx, message)
 	if err != nil {
 		d.log.Debug("beat_failed", "peer", address, "err", err)
 		return
 	}
-	d.control.send(heardFrom{fromWire(reply)})
+	member := fromWire(reply)
+	member.ConfirmedAt = confirmedAt(asked, reply.ConfirmedAgeMs)
+	d.control.send(heardFrom{member})
 }
 
 // Beat answers a peer's heartbeat; it implements peer.DRPCMembershipServer.
@@ -108,7 +116,7 @@
 		Instance: m.Instance, Host: m.Host, Zone: m.Zone, State: string(m.State),
 		Callers: m.Callers, Peers: m.Peers, Relay: m.Relay, Sequence: m.Sequence,
 		ConfigVersion: m.ConfigVersion, PostingEpoch: m.PostingEpoch, Watches: m.Watches,
-		ConfirmedUnixMs: m.ConfirmedAt.UnixMilli(),
+		ConfirmedAgeMs: ageMs(m.ConfirmedAt, time.Now()), ConfigRejected: m.ConfigRejected,
 	}
 	for _, slot := range m.Slots {
 		out.Slots = append(out.Slots, uint32(slot))
@@ -126,8 +134,8 @@
 		Instance: in.Instance, Host: in.Host, Zone: in.Zone, State: membership.State(in.State),
 		Callers: in.Callers, Peers: in.Peers, Relay: in.Relay, Sequence: in.Sequence,
 		ConfigVersion: in.ConfigVersion, PostingEpoch: in.PostingEpoch, Watches: in.Watches,
-		ConfirmedAt: time.UnixMilli(in.ConfirmedUnixMs),
-		Headroom:    map[string]membership.Headroom{},
+		ConfigRejected: in.ConfigRejected,
+		Headroom:       map[string]membership.Headroom{},
 	}
 	for _, slot := range in.Slots {
 		m.Slots = append(m.Slots, int(slot))
--- a/internal/entry/authenticate.go
+++ b/internal/entry/authenticate.go
@@ -14,7 +14,7 @@
 // authenticate finds whose key came with the request and makes a call that
 // bears the customer instead of the key.
 func (s *Server) authenticate(w http.ResponseWriter, r *http.Request, snap *view.Snapshot) (*wire.Call, *wire.Problem) {
-	if snap.Config == nil {
+	if !snap.Current(time.Now()) {
 		return nil, noConfiguration()
 	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
@@ -53,6 +53,18 @@
 	return call, nil
 }
 
+// recheckKey refuses a call whose key was withdrawn after it was admitted,
+// while it waited for the customer's rate: it asks the version in force now,
+// not the one of the admission. The handler asks again by its own version, so
+// whichever of the two daemons knows of the withdrawal refuses.
+func (s *Server) recheckKey(call *wire.Call) *wire.Problem {
+	digest, ok := config.ParseDigest(call.KeyDigest)
+	if ok && s.View.Load().OwnsKey(digest, call.Customer) {
+		return nil
+	}
+	return wire.Refuse(wire.TypeUnknownKey, "the key was withdrawn", 0)
+}
+
 // staleness refuses a customer whose operators prefer refusal to serving by a
 // configuration that may be out of date.
 func staleness(snap *view.Snapshot, customer string) *wire.Problem {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,7 +73,7 @@
 }
 
 func noConfiguration() *wire.Problem {
-	return wire.Refuse(wire.TypeNoConfiguration, "this daemon has no configuration yet", time.Second)
+	return wire.Refuse(wire.TypeNoConfiguration, "this daemon has no current configuration yet", time.Second)
 }
 
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/steer.go
+++ b/internal/entry/steer.go
@@ -35,6 +35,9 @@
 }
 
 func (s *Server) ask(ctx context.Context, target steer.Target, call *wire.Call) (*wire.Answer, *wire.Problem) {
+	if problem := s.recheckKey(call); problem != nil {
+		return nil, problem
+	}
 	if target.Member.Instance == s.View.Load().Self.Instance {
 		return s.Local.Run(ctx, call)
 	}
--- a/internal/jsonc/document.go
+++ b/internal/jsonc/document.go
@@ -21,8 +21,15 @@
 
 var syntaxLine = regexp.MustCompile(`line (\d+), column \d+: `)
 
+// MaxDepth bounds the nesting of a document: several times that of any
+// configuration or settings file.
+const MaxDepth = 64
+
 // Parse reads text. name appears in every fault. The error is a Faults value.
 func Parse(name string, text []byte) (*Document, error) {
+	if line := tooDeep(text); line > 0 {
+		return nil, Faults{{File: name, Line: line, Problem: "nested too deeply"}}
+	}
 	root, err := hujson.Parse(text)
 	if err != nil {
 		return nil, Faults{syntaxFault(name, err)}
@@ -30,6 +37,58 @@
 	return &Document{name: name, text: text, root: root}, nil
 }
 
+// tooDeep returns the line at which the nesting exceeds MaxDepth, 0 if it
+// never does. The parser recurses, and a stack that is used up ends the whole
+// process: a megabyte of brackets in one patch would stop a daemon.
+func tooDeep(text []byte) int {
+	depth := 0
+	for i := 0; i < len(text); i++ {
+		switch text[i] {
+		case '"':
+			i = endOfString(text, i)
+		case '/':
+			i = endOfComment(text, i)
+		case '{', '[':
+			depth++
+		case '}', ']':
+			depth--
+		}
+		if depth > MaxDepth {
+			return 1 + bytes.Count(text[:i], []byte{'\n'})
+		}
+	}
+	return 0
+}
+
+// endOfString returns the offset of the quote that closes the one at i.
+func endOfString(text []byte, i int) int {
+	for i++; i < len(text) && text[i] != '"'; i++ {
+		if text[i] == '\\' {
+			i++
+		}
+	}
+	return i
+}
+
+// endOfComment returns the last offset of the comment that begins at i, or i
+// if none does.
+func endOfComment(text []byte, i int) int {
+	end := ""
+	switch rest := text[i:]; {
+	case bytes.HasPrefix(rest, []byte("//")):
+		end = "\n"
+	case bytes.HasPrefix(rest, []byte("/*")):
+		end = "*/"
+	default:
+		return i
+	}
+	n := bytes.Index(text[i+2:], []byte(end))
+	if n < 0 {
+		return len(text)
+	}
+	return i + 2 + n + len(end) - 1
+}
+
 func syntaxFault(name string, err error) Fault {
 	problem := strings.TrimPrefix(err.Error(), "hujson: ")
 	fault := Fault{File: name, Line: 1, Problem: problem}
@@ -47,6 +106,25 @@
 	return v.Pack()
 }
 
+// Names returns a fault for each name that stands twice in one object, at any
+// depth.
+func (d *Document) Names() Faults {
+	w := walker{doc: d}
+	w.names(d.root, "")
+	return w.faults
+}
+
+func (w *walker) names(v hujson.Value, path string) {
+	switch v.Value.(type) {
+	case *hujson.Object:
+		w.eachMember(v, path, func(_ string, m hujson.ObjectMember, at string) { w.names(m.Value, at) })
+	case *hujson.Array:
+		for i, e := range v.Value.(*hujson.Array).Elements {
+			w.names(e, path+"/"+strconv.Itoa(i))
+		}
+	}
+}
+
 // Locate makes a fault for the value at path, with the line where it (or its
 // nearest parent that exists) stands.
 func (d *Document) Locate(path, problem string) Fault {
@@ -176,14 +254,21 @@
 }
 
 func (w *walker) checkLeaf(v hujson.Value, t reflect.Type, path string) {
-	c := v.Clone()
-	c.Standardize()
 	if kind(v) == "null" {
 		w.fault(v, path, "want %s, got null", t.Kind())
 		return
 	}
-	if err := json.Unmarshal(c.Pack(), reflect.New(t).Interface()); err != nil {
-		w.fault(v, path, "want %s, got %s", t.Kind(), bytes.TrimSpace(c.Pack()))
+	plain, ok := v.Value.(hujson.Literal)
+	if !ok {
+		c := v.Clone()
+		c.Standardize()
+		plain = bytes.TrimSpace(c.Pack())
+	}
+	if ok && kind(v) == "a string" && t.Kind() == reflect.String && !reflect.PointerTo(t).Implements(unmarshaler) {
+		return
+	}
+	if err := json.Unmarshal(plain, reflect.New(t).Interface()); err != nil {
+		w.fault(v, path, "want %s, got %s", t.Kind(), plain)
 	}
 }
 
@@ -204,7 +289,7 @@
 	}
 }
 
+var pointerEscapes = strings.NewReplacer("~", "~0", "/", "~1")
+
 // Escape makes a name usable as one step of a JSON pointer.
-func Escape(name string) string {
-	return strings.NewReplacer("~", "~0", "/", "~1").Replace(name)
-}
+func Escape(name string) string { return pointerEscapes.Replace(name) }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -38,13 +38,17 @@
 	Callers, Peers, Relay string
 	Sequence              uint64
 	ConfigVersion         uint64
-	PostingEpoch          uint64
-	Slots                 []int
-	Headroom              map[string]Headroom
-	Demand                map[string]float64
-	Watches               bool
-	ConfirmedAt           time.Time
-	HeardAt               time.Time
+	// ConfigRejected is a version that the daemon has met and cannot read.
+	ConfigRejected uint64
+	PostingEpoch   uint64
+	Slots          []int
+	Headroom       map[string]Headroom
+	Demand         map[string]float64
+	Watches        bool
+	// ConfirmedAt is when ConfigVersion was last known to be the store's, by
+	// the clock of the daemon that holds this value; zero: not known.
+	ConfirmedAt time.Time
+	HeardAt     time.Time
 }
 
 // Table holds the members that this daemon hears of, without itself.
--- /dev/null
+++ b/internal/operator/explain.go
@@ -0,0 +1,164 @@
+package operator
+
+import (
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"balsambarrow/internal/config"
+	"balsambarrow/internal/steer"
+	"balsambarrow/internal/upstream"
+	"balsambarrow/internal/view"
+	"balsambarrow/internal/wire"
+)
+
+// Explanation is the body of GET /v1/explain: what this daemon would do now
+// with a request that enters in a zone.
+type Explanation struct {
+	Service  string `json:"service"`
+	Customer string `json:"customer"`
+	From     string `json:"from"`
+	// Version of the configuration in force.
+	Version uint64 `json:"version"`
+	// Refused is the problem type that the caller would get; "" if none is
+	// foreseen. The customer's rate is not looked at.
+	Refused string `json:"refused,omitempty"`
+	Reason  string `json:"reason"`
+	// Targets are the daemons that would be asked, in order. Among equal ones
+	// the order is drawn anew for each request.
+	Targets []ExplainedTarget `json:"targets"`
+	// Upstreams of the service, by name.
+	Upstreams []ExplainedUpstream `json:"upstreams"`
+}
+
+// ExplainedTarget is a daemon that would be asked to run the request.
+type ExplainedTarget struct {
+	Host   string `json:"host"`
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
+	// Free and Limit are the room it advertises for the service.
+	Free  int `json:"free"`
+	Limit int `json:"limit"`
+}
+
+// ExplainedUpstream tells whether an upstream can get the request.
+type ExplainedUpstream struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Handler string `json:"handler,omitempty"`
+	Usable  bool   `json:"usable"`
+	Reason  string `json:"reason"`
+}
+
+func (s *Server) getExplanation(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	snap := s.View.Load()
+	e := Explanation{Service: q.Get("service"), Customer: q.Get("customer"), From: q.Get("from"), Version: snap.Self.ConfigVersion}
+	if e.From == "" {
+		e.From = snap.Self.Zone
+	}
+	if problem := explainFault(e, snap); problem != "" {
+		fail(w, http.StatusBadRequest, Failure{Type: FailBadRequest, Detail: problem})
+		return
+	}
+	e.fill(snap, time.Now())
+	answer(w, http.StatusOK, e)
+}
+
+func explainFault(e Explanation, snap *view.Snapshot) string {
+	if snap.Config == nil {
+		return "this daemon has no configuration yet"
+	}
+	c := snap.Config.Config
+	if _, ok := c.Services[e.Service]; !ok {
+		return "there is no service of this name"
+	}
+	if _, ok := c.Customers[e.Customer]; !ok {
+		return "there is no customer of this name"
+	}
+	if _, ok := c.Zones[e.From]; !ok {
+		return "there is no zone of this name"
+	}
+	return ""
+}
+
+func (e *Explanation) fill(snap *view.Snapshot, now time.Time) {
+	c := snap.Config.Config
+	for _, name := range slices.Sorted(maps.Keys(c.Upstreams)) {
+		if c.Upstreams[name].Service == e.Service {
+			e.Upstreams = append(e.Upstreams, explainUpstream(snap, e.Customer, name))
+		}
+	}
+	rng := rand.New(rand.NewPCG(0, 0))
+	for _, t := range steer.Choose(snap.Config, snap.Ready, e.Customer, e.Service, e.From, rng) {
+		room := t.Member.Headroom[e.Service]
+		e.Targets = append(e.Targets, ExplainedTarget{
+			Host: t.Member.Host, Zone: t.Member.Zone, Region: snap.Config.Region(t.Member.Zone),
+			Free: room.Free, Limit: room.Limit,
+		})
+	}
+	e.conclude(snap, now)
+}
+
+func (e *Explanation) conclude(snap *view.Snapshot, now time.Time) {
+	limit := time.Duration(snap.Config.Config.Customers[e.Customer].MaxStalenessMs) * time.Millisecond
+	switch {
+	case !snap.Config.Allows(e.Customer, e.Service):
+		e.Refused, e.Reason = wire.TypeForbidden, "the customer may not call this service"
+	case limit > 0 && now.Sub(snap.ConfirmedAt) > limit:
+		e.Refused, e.Reason = wire.TypeNoConfiguration, "the configuration here has not been confirmed for longer than the customer allows"
+	case len(e.Targets) == 0:
+		e.Refused, e.Reason = wire.TypeNoRoom, "no zone that may serve this has a ready handler"
+	case e.Targets[0].Zone == e.From:
+		e.Reason = "served in the zone where it enters"
+	case e.Targets[0].Region == snap.Config.Region(e.From):
+		e.Reason = "no handler in the zone where it enters; served in the same region"
+	default:
+		e.Reason = "no handler in the region where it enters; served in another region"
+	}
+}
+
+func explainUpstream(snap *view.Snapshot, customer, name string) ExplainedUpstream {
+	c := snap.Config.Config
+	u := c.Upstreams[name]
+	out := ExplainedUpstream{Name: name, Zone: u.Zone}
+	if handler, ok := snap.Find(upstream.HandlerOf(c, name, snap.Ready)); ok {
+		out.Handler = handler.Host
+	}
+	region := snap.Config.Region(u.Zone)
+	switch {
+	case !allowsRegion(c.Services[u.Service].Regions, region):
+		out.Reason = "the service may not be served in region " + region
+	case !allowsRegion(c.Customers[customer].Regions, region):
+		out.Reason = "the customer may not be served in region " + region
+	case u.Leaving:
+		out.Reason = "leaving"
+	case draining(c, name, u) != "":
+		out.Reason = "drain " + draining(c, name, u)
+	case out.Handler == "":
+		out.Reason = "no ready daemon in its zone or the zone's sibling"
+	default:
+		out.Usable, out.Reason = true, "in use"
+	}
+	return out
+}
+
+func allowsRegion(regions []string, region string) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
+}
+
+// draining names the drain that empties an upstream, "" if there is none.
+func draining(c *config.Config, name string, u config.Upstream) string {
+	for _, id := range slices.Sorted(maps.Keys(c.Drains)) {
+		d := c.Drains[id]
+		switch {
+		case d.Kind == config.DrainUpstream && d.Target == name,
+			d.Kind == config.DrainZone && d.Target == u.Zone,
+			d.Kind == config.DrainRegion && d.Target == c.Zones[u.Zone].Region:
+			return id
+		}
+	}
+	return ""
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -59,8 +59,8 @@
 	Swap(ctx context.Context, key string, revision uint64, value []byte, lease string) (uint64, error)
 	// Delete removes the key if it is at revision.
 	Delete(ctx context.Context, key string, revision uint64) error
-	// Watch returns once the key's revision differs from revision, or with
-	// the unchanged entry after wait.
+	// Watch returns the entry once the key's revision differs from revision,
+	// or after wait the unchanged revision without a value.
 	Watch(ctx context.Context, key string, revision uint64, wait time.Duration) (Entry, error)
 	// Grant makes a lease that lapses ttl after its last renewal; the keys
 	// written under it are then deleted.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -33,6 +33,9 @@
 	calls    map[string]int
 }
 
+// hostsCall names the call for the host list, which is no call of the store.
+const hostsCall = "hosts"
+
 type lease struct {
 	ttl     time.Duration
 	expires time.Time
@@ -42,6 +45,8 @@
 type Faults struct {
 	// Down refuses every call with 503.
 	Down bool `json:"down"`
+	// StoreDown refuses the store's calls; the host list still answers.
+	StoreDown bool `json:"store_down"`
 	// DelayMs holds every call back.
 	DelayMs int64 `json:"delay_ms"`
 	// LoseAnswers drops the connection after this many further writes took
@@ -73,7 +78,7 @@
 	p.mux.HandleFunc("POST /v1/leases", p.counted("grant", p.grant))
 	p.mux.HandleFunc("POST /v1/leases/{id}/renew", p.counted("renew", p.renew))
 	p.mux.HandleFunc("DELETE /v1/leases/{id}", p.counted("revoke", p.revoke))
-	p.mux.HandleFunc("GET /v1/hosts", p.counted("hosts", p.listHosts))
+	p.mux.HandleFunc("GET /v1/hosts", p.counted(hostsCall, p.listHosts))
 	p.mux.HandleFunc("PUT /v1/hosts/{name}", p.putHost)
 	p.mux.HandleFunc("PUT /v1/faults", p.putFaults)
 	return p
@@ -113,7 +118,7 @@
 		p.calls[name]++
 		f := p.faults
 		p.mu.Unlock()
-		if f.Down {
+		if f.Down || (f.StoreDown && name != hostsCall) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -249,7 +254,7 @@
 		p.mu.Lock()
 		p.expire()
 		e, ok := p.entries[key]
-		changed, down := p.changed, p.faults.Down
+		changed, down := p.changed, p.faults.Down || p.faults.StoreDown
 		p.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -268,7 +273,7 @@
 				w.WriteHeader(http.StatusNotFound)
 				return
 			}
-			writeJSON(w, e)
+			writeJSON(w, platform.Entry{Key: key, Revision: e.Revision})
 			return
 		}
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -18,12 +18,38 @@
 	Config *config.Active
 	// ConfirmedAt is when Config was last known to be the store's version.
 	ConfirmedAt time.Time
+	// PublishedAt is when the control thread made this snapshot.
+	PublishedAt time.Time
+	// CaughtUp says that Config was compared with the store's or the peers'
+	// version since the daemon started or was last paused.
+	CaughtUp bool
+	// Fleet is what is known of every host, for operators.
+	Fleet Fleet
 	// Ready are the ready daemons, this one included if it is ready.
 	Ready []membership.Member
 	// Members are all daemons heard of lately, without this one.
 	Members []membership.Member
 }
 
+// Fleet is what a daemon knows of every host that is listed or was heard.
+type Fleet struct {
+	// ListedAt is when the host list was last read; zero: never.
+	ListedAt time.Time
+	// Hosts by name, without the daemon itself.
+	Hosts []Host
+}
+
+// Host is one entry host as another daemon knows it.
+type Host struct {
+	Name, Zone string
+	// Listed says that the platform's host list has it.
+	Listed bool
+	// Last is the newest account of itself; its Instance is "" if there is none.
+	Last membership.Member
+	// KnownSince is when the host was first listed or heard.
+	KnownSince time.Time
+}
+
 // Published is where the control thread puts the snapshot.
 type Published struct {
 	p atomic.Pointer[Snapshot]
@@ -40,6 +66,28 @@
 	return &Snapshot{}
 }
 
+// MaxAge is the age at which a snapshot no longer counts as current: the
+// control thread makes one at least every 100 ms, so an older one means that
+// the process was paused: thirty turns, which a loaded host does not miss, and
+// no longer than a change takes to spread.
+const MaxAge = 3 * time.Second
+
+// Current tells whether requests may be admitted by this snapshot: its
+// configuration was compared with the store's or the peers', and the process
+// has not been paused since.
+func (s *Snapshot) Current(now time.Time) bool {
+	return s.Config != nil && s.CaughtUp && now.Sub(s.PublishedAt) <= MaxAge
+}
+
+// OwnsKey tells whether a key is a customer's in the version in force.
+func (s *Snapshot) OwnsKey(digest config.Digest, customer string) bool {
+	if s.Config == nil {
+		return false
+	}
+	owner, ok := s.Config.Owner(digest)
+	return ok && owner.Customer == customer
+}
+
 // Find returns a daemon by its instance.
 func (s *Snapshot) Find(instance string) (membership.Member, bool) {
 	if s.Self.Instance == instance {
