--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -29,6 +29,7 @@
 	config  configState
 	quota   quotaState
 	steer   steerState
+	fleet   fleetState
 }
 
 func newControl(d *Daemon) *control {
@@ -41,6 +42,7 @@
 		config:  newConfigState(),
 		quota:   newQuotaState(),
 		steer:   newSteerState(d.identity.Zone),
+		fleet:   newFleetState(),
 	}
 }
 
@@ -87,14 +89,18 @@
 	c.tickConfig(now)
 	c.tickSlots(now)
 	c.tickQuota(now)
+	c.tickFleet(now)
 }
 
 // publish makes the snapshot that traffic threads read from now on.
 func (c *control) publish(now time.Time) {
+	c.noticePause(now)
 	live := c.members.table.Live(now)
 	snap := &view.Snapshot{
 		Self: c.self(now), Config: c.config.active, ConfirmedAt: c.config.confirmed, Members: live,
+		PublishedAt: now, CaughtUp: c.config.caughtUp,
 	}
+	c.publishFleet(snap)
 	if snap.Self.State == membership.StateReady {
 		snap.Ready = append(snap.Ready, snap.Self)
 	}
@@ -117,6 +123,7 @@
 	m.State = c.state
 	m.Sequence = c.members.sequence
 	m.ConfigVersion = c.config.version()
+	m.ConfigRejected = c.config.rejected
 	m.ConfirmedAt = c.config.confirmed
 	m.Watches = c.watches(now)
 	m.Slots = c.slots.slots.Usable(now)
--- a/internal/entry/steer.go
+++ b/internal/entry/steer.go
@@ -56,6 +56,9 @@
 }
 
 func (s *Server) ask(ctx context.Context, target *steer.Target, call *wire.Call) (*wire.Answer, *wire.Problem) {
+	if problem := s.recheckKey(call); problem != nil {
+		return nil, problem
+	}
 	target.Sent()
 	member := target.Handler.Member
 	if member.Instance == s.View.Load().Self.Instance {
