--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # make demo   runs the whole path on stand-ins, for both deployments
 # make check  runs everything that CI runs
-.PHONY: demo check format vet lint build test model bench fuzz
+.PHONY: demo check format vet lint build test model bench fuzz measure
 
 BIN := .bin
 
@@ -31,3 +31,9 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
+
+fuzz:
+	scripts/fuzz.sh
+
+measure:
+	BALSAM_MEASURE=1 go test -count=1 -p 1 -v -timeout 60m -run 'Measure' ./...
