--- a/internal/daemon/posting_test.go
+++ b/internal/daemon/posting_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"balsambarrow/internal/config"
+	"balsambarrow/internal/peer"
 	"balsambarrow/internal/standin"
 	"balsambarrow/internal/wire"
 )
@@ -299,3 +300,33 @@
 	}
 	return sum
 }
+
+// A stopping peer's table arrives in broken or foreign parts. Nothing of it
+// may be believed: the ids stay unknown, and are not called not-run.
+func TestBrokenTablesAreNotTaken(t *testing.T) {
+	g := NewWithT(t)
+	f, u := edgeFleet(t)
+	conns := peer.NewConns(nil, nil)
+	defer func() { _ = conns.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), settle)
+	defer cancel()
+	client := peer.NewDRPCHandoverClient(conns.To(ctx, f.daemons["vt-1"].Identity().Peers))
+	digest := make([]byte, 32)
+	for name, table := range map[string]*peer.PostingTable{
+		"incomplete":      {Instance: "gone", Total: 2, Postings: []*peer.Posting{{Id: "gone-0.1", State: "ran", Digest: digest}}},
+		"another's id":    {Instance: "gone", Total: 1, Postings: []*peer.Posting{{Id: "other-0.1", State: "ran", Digest: digest}}},
+		"still running":   {Instance: "gone", Total: 1, Postings: []*peer.Posting{{Id: "gone-0.1", State: "running", Digest: digest}}},
+		"short digest":    {Instance: "gone", Total: 1, Postings: []*peer.Posting{{Id: "gone-0.1", State: "ran", Digest: digest[:9]}}},
+		"unreadable id":   {Instance: "gone", Total: 1, Postings: []*peer.Posting{{Id: "1", State: "ran", Digest: digest}}},
+		"the own name":    {Instance: f.daemons["vt-1"].Identity().Instance, Total: 0},
+		"impossible size": {Instance: "big", Total: 1 << 60},
+	} {
+		reply, err := client.TakePostings(ctx, table)
+		g.Expect(err == nil && reply.Taken).To(BeFalse(), name)
+	}
+	r := f.call("vt-1", http.MethodPost, "posting/fine", "secret", map[string]string{
+		standin.HeaderPosting: "w", wire.HeaderIdempotencyKey: "gone-0.2",
+	})
+	g.Expect(r.Problem.Type).To(Equal(wire.TypeOutcomeUnknown))
+	g.Expect(u.ran("w")).To(BeZero())
+}
--- a/internal/daemon/postings.go
+++ b/internal/daemon/postings.go
@@ -24,6 +24,8 @@
 	// assemblyFor is how long the parts of an unfinished table are kept: more
 	// than a planned stop takes.
 	assemblyFor = 2 * time.Minute
+	// maxStatus is the highest status of an answer.
+	maxStatus = 599
 	// maxAssemblies bounds the tables on their way at once.
 	maxAssemblies = 8
 )
@@ -240,6 +242,9 @@
 	if in.Status == 0 {
 		return kept, nil
 	}
+	if in.Status < http.StatusOK || in.Status > maxStatus {
+		return posting.Kept{}, errors.Wrap(errBadPosting, "status")
+	}
 	kept.Answer = &posting.Answer{
 		Status: int(in.Status), Header: http.Header{}, Body: in.Body, Dropped: in.Dropped,
 	}
--- a/internal/entry/authenticate.go
+++ b/internal/entry/authenticate.go
@@ -68,7 +68,7 @@
 		if err != nil || ms <= 0 {
 			return time.Time{}, wire.Refuse(wire.TypeBadRequest, wire.HeaderTimeoutMs+": want a positive number of milliseconds", 0)
 		}
-		budget = min(budget, time.Duration(ms)*time.Millisecond)
+		budget = time.Duration(min(ms, sv.TimeoutMs)) * time.Millisecond
 	}
 	return time.Now().Add(budget), nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,8 +34,10 @@
 	Relay *relay.Client
 	// MaxBodyBytes bounds a caller's body.
 	MaxBodyBytes int64
-	Tracer       trace.Tracer
-	Log          *log.Logger
+	// BodyTimeout bounds the reading of a held body; 0: the default.
+	BodyTimeout time.Duration
+	Tracer      trace.Tracer
+	Log         *log.Logger
 }
 
 // Server serves the callers' listener.
@@ -46,6 +48,9 @@
 
 // New returns a server over deps.
 func New(deps Deps) *Server {
+	if deps.BodyTimeout == 0 {
+		deps.BodyTimeout = bodyTimeout
+	}
 	s := &Server{Deps: deps, mux: http.NewServeMux()}
 	s.mux.HandleFunc("GET /v1/entries", s.entries)
 	s.mux.HandleFunc("/svc/", s.service)
--- a/internal/entry/read.go
+++ b/internal/entry/read.go
@@ -20,7 +20,7 @@
 		return nil, problem
 	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = control.SetReadDeadline(time.Now().Add(s.BodyTimeout))
 	call, problem := s.authenticate(w, r, snap)
 	if problem != nil {
 		return nil, problem
--- /dev/null
+++ b/internal/entry/read_test.go
@@ -0,0 +1,174 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"balsambarrow/internal/config"
+	"balsambarrow/internal/entry"
+	"balsambarrow/internal/membership"
+	"balsambarrow/internal/posting"
+	"balsambarrow/internal/quota"
+	"balsambarrow/internal/view"
+	"balsambarrow/internal/wire"
+)
+
+// worker stands in for an upstream behind the handler.
+type worker struct {
+	mu    sync.Mutex
+	calls []*wire.Call
+}
+
+func (w *worker) Run(_ context.Context, call *wire.Call) (*wire.Answer, *wire.Problem) {
+	body, _ := call.Body.Reader()
+	_, err := io.Copy(io.Discard, body)
+	w.mu.Lock()
+	w.calls = append(w.calls, call)
+	w.mu.Unlock()
+	if err != nil {
+		return nil, wire.Doubt(wire.TypeUpstreamFailed, err.Error())
+	}
+	return &wire.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("whole"))}, nil
+}
+
+func (w *worker) seen() []*wire.Call {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.calls
+}
+
+// newEntry serves the customer "farm" with the key "secret".
+func newEntry(t *testing.T) (address string, w *worker) {
+	t.Helper()
+	c := &config.Config{
+		Regions:  map[string]config.Region{"vermont": {}},
+		Zones:    map[string]config.Zone{"vt-a": {Region: "vermont", Slots: 1, Weight: 1}},
+		Services: map[string]config.Service{"posting": {TimeoutMs: 5000}},
+		Customers: map[string]config.Customer{"farm": {Rate: 1000, Burst: 1000, Keys: map[string]config.Key{
+			"k": {SHA256: config.DigestOf("secret").String()},
+		}}},
+		Upstreams: map[string]config.Upstream{"posting-1": {Service: "posting", Zone: "vt-a", Slots: 4}},
+	}
+	self := membership.Member{
+		Instance: "vt-1-ab", Zone: "vt-a", State: membership.StateReady, Slots: []int{0},
+		Headroom: map[string]membership.Headroom{"posting": {Free: 4, Limit: 4}},
+	}
+	snap := &view.Snapshot{Self: self, Config: config.NewActive(1, c), ConfirmedAt: time.Now(), Ready: []membership.Member{self}}
+	published := &view.Published{}
+	published.Store(snap)
+	ledger := quota.NewLedger()
+	ledger.SetShares(quota.Shares(snap.Config, "vt-a", 1), time.Now().Add(-time.Minute))
+	w = &worker{}
+	server := httptest.NewServer(entry.New(entry.Deps{
+		View: published, Ledger: ledger, Local: w, MaxBodyBytes: 200 << 10, BodyTimeout: 100 * time.Millisecond,
+		Postings: posting.NewTable("vt-1-ab", time.Now(), posting.DefaultLimits()),
+		Tracer:   noop.NewTracerProvider().Tracer(""),
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), w
+}
+
+// raw sends bytes as they are and reads one answer.
+func raw(t *testing.T, address, text string) *http.Response {
+	t.Helper()
+	g := NewWithT(t)
+	conn, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, text)
+	g.Expect(err).NotTo(HaveOccurred())
+	_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	return resp
+}
+
+// Callers send what must not be passed on: versions and methods that cannot
+// be answered truthfully, doubled headers, bodies that are too large, that
+// stop half-way. Each gets its final answer, and no worker sees a request.
+func TestWhatIsNotPassedOn(t *testing.T) {
+	const key = "Authorization: Bearer secret\r\n"
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"HTTP/1.0":           {"GET /svc/posting/x HTTP/1.0\r\n" + key + "\r\n", 400},
+		"TRACE":              {"TRACE /svc/posting/x HTTP/1.1\r\nHost: x\r\n" + key + "\r\n", 400},
+		"two keys":           {"GET /svc/posting/x HTTP/1.1\r\nHost: x\r\n" + key + key + "\r\n", 400},
+		"two posting ids":    {"POST /svc/posting/x HTTP/1.1\r\nHost: x\r\n" + key + "Idempotency-Key: a-0.1\r\nIdempotency-Key: a-0.2\r\n\r\n", 400},
+		"foreign posting id": {"POST /svc/posting/x HTTP/1.1\r\nHost: x\r\n" + key + "Idempotency-Key: 7\r\n\r\n", 400},
+		"two lengths":        {"POST /svc/posting/x HTTP/1.1\r\nHost: x\r\n" + key + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx", 400},
+		"body that stops":    {"POST /svc/posting/x HTTP/1.1\r\nHost: x\r\n" + key + "Content-Length: 9\r\n\r\nhalf", 413},
+		"chunks that stop":   {"POST /svc/posting/x HTTP/1.1\r\nHost: x\r\n" + key + "Transfer-Encoding: chunked\r\n\r\n9\r\nhalf", 413},
+		"posting id, large body": {
+			"POST /svc/posting/x HTTP/1.1\r\nHost: x\r\n" + key + "Idempotency-Key: vt-1-ab-0.1\r\n" +
+				fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 70<<10, make([]byte, 70<<10)), 413,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			address, w := newEntry(t)
+			resp := raw(t, address, c.text)
+			g.Expect(resp.StatusCode).To(Equal(c.status))
+			if name != "two lengths" { // refused by net/http itself
+				g.Expect(resp.Header.Get(wire.HeaderOutcome)).To(Equal(string(wire.OutcomeNotRun)))
+			}
+			g.Expect(w.seen()).To(BeEmpty())
+		})
+	}
+}
+
+// A body over the limit whose length was not declared has partly been sent on
+// when that shows: the answer must say that it may have run.
+func TestOversizedStreamIsInDoubt(t *testing.T) {
+	g := NewWithT(t)
+	address, _ := newEntry(t)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", 100<<10, make([]byte, 100<<10))
+	resp := raw(t, address, "POST /svc/posting/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk+chunk+chunk+"0\r\n\r\n")
+	g.Expect(resp.Header.Get(wire.HeaderOutcome)).To(Equal(string(wire.OutcomeMayHaveRun)))
+}
+
+// A caller's key and its forged identity never get past the entry host,
+// however they are written; its posting id does.
+func TestKeyStaysAtTheEntry(t *testing.T) {
+	g := NewWithT(t)
+	address, w := newEntry(t)
+	resp := raw(t, address, "POST /svc/posting/x HTTP/1.1\r\nHost: x\r\nauthorization: Bearer secret\r\n"+
+		"Connection: Authorization, Idempotency-Key\r\nProxy-Authorization: Bearer secret\r\nBalsam-Customer: other\r\n"+
+		"Idempotency-Key: vt-1-ab-0.1\r\nCookie: c=1\r\nExpect: 100-continue\r\nContent-Length: 0\r\n\r\n")
+	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	g.Expect(w.seen()).To(HaveLen(1))
+	call := w.seen()[0]
+	g.Expect(call.Customer).To(Equal("farm"))
+	g.Expect(fmt.Sprint(call.Header)).NotTo(Or(ContainSubstring("secret"), ContainSubstring("other"), ContainSubstring("Expect")))
+	g.Expect(call.Header).To(And(HaveKey("Cookie"), HaveKey("Idempotency-Key")))
+}
+
+// Many callers ask for the same posting at once. One runs; all get its answer.
+func TestConcurrentRepeatsRunOnce(t *testing.T) {
+	g := NewWithT(t)
+	address, w := newEntry(t)
+	var callers sync.WaitGroup
+	for range 16 {
+		callers.Go(func() {
+			resp := raw(t, address, "POST /svc/posting/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\nIdempotency-Key: vt-1-ab-0.1\r\nContent-Length: 0\r\n\r\n")
+			body, err := io.ReadAll(resp.Body)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(string(body)).To(Equal("whole"))
+		})
+	}
+	callers.Wait()
+	g.Expect(w.seen()).To(HaveLen(1))
+}
--- /dev/null
+++ b/internal/peer/server_test.go
@@ -0,0 +1,82 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"storj.io/drpc/drpcmux"
+)
+
+// taker counts the postings that arrive.
+type taker struct {
+	DRPCHandoverUnimplementedServer
+	postings chan int
+}
+
+func (s *taker) TakePostings(_ context.Context, in *PostingTable) (*HandoverReply, error) {
+	s.postings <- len(in.Postings)
+	return &HandoverReply{Taken: true}, nil
+}
+
+func serve(t *testing.T, silence time.Duration) (address string, s *taker) {
+	t.Helper()
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	s = &taker{postings: make(chan int, 8)}
+	mux := drpcmux.New()
+	g.Expect(DRPCRegisterHandover(mux, s)).To(Succeed())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = Serve(ctx, mux, boundedListener{Listener: l, silence: silence})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		_ = l.Close()
+		<-done
+	})
+	return l.Addr().String(), s
+}
+
+// A broken or hostile peer sends a message beyond the bound, or bytes that are
+// no message. Its connection ends; other peers are served as before.
+func TestBrokenPeersEndTheirOwnConnection(t *testing.T) {
+	g := NewWithT(t)
+	address, s := serve(t, time.Minute)
+	conns := NewConns(nil, nil)
+	defer func() { _ = conns.Close() }()
+	client := NewDRPCHandoverClient(conns.To(context.Background(), address))
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	_, err := client.TakePostings(ctx, &PostingTable{Postings: []*Posting{{Body: make([]byte, MaxMessage+1)}}})
+	g.Expect(err).To(HaveOccurred())
+
+	raw, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = raw.Close() }()
+	_, _ = raw.Write([]byte("GET / HTTP/1.1\r\n\r\n\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff"))
+
+	g.Expect(s.postings).To(BeEmpty())
+	_, err = client.TakePostings(ctx, &PostingTable{Postings: []*Posting{{Id: "x"}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(<-s.postings).To(Equal(1))
+}
+
+// Someone connects to the peers listener and stays silent. The connection must
+// not be held for good.
+func TestSilentPeersAreClosed(t *testing.T) {
+	g := NewWithT(t)
+	address, _ := serve(t, 50*time.Millisecond)
+	raw, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = raw.Close() }()
+	_ = raw.SetReadDeadline(time.Now().Add(20 * time.Second))
+	_, err = raw.Read(make([]byte, 1))
+	g.Expect(err).To(MatchError(io.EOF))
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -11,6 +11,9 @@
 	"balsambarrow/internal/wire"
 )
 
+// maxBudget bounds what a peer may claim to be left of a caller's budget.
+const maxBudget = time.Hour
+
 // Runner runs a call here and now.
 type Runner interface {
 	Run(ctx context.Context, call *wire.Call) (*wire.Answer, *wire.Problem)
@@ -65,7 +68,7 @@
 		Header: r.Header.Clone(), Body: body,
 		Customer:  r.Header.Get(wire.HeaderCustomer),
 		KeyDigest: r.Header.Get(wire.HeaderKeyDigest),
-		Deadline:  time.Now().Add(time.Duration(budget) * time.Millisecond),
+		Deadline:  time.Now().Add(time.Duration(min(budget, maxBudget.Milliseconds())) * time.Millisecond),
 	}
 	wire.StripRequest(call.Header)
 	return call, nil
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,14 @@
 	DefaultMaxBodyBytes   = 64 << 20
 )
 
+// Upper bounds. Beyond them a field is a mistake: a duration would overflow,
+// and a limit would no longer protect the host's memory.
+const (
+	maxDurationMs  = 24 * 60 * 60 * 1000
+	maxHeaderBytes = 1 << 20
+	maxBodyBytes   = 1 << 30
+)
+
 // Settings is the daemon's settings file. Every duration is in milliseconds.
 type Settings struct {
 	// Host names the entry host, as the platform's host list does. Required.
@@ -154,10 +162,10 @@
 	require(isAddress(s.Listen.Peers), "/listen/peers", "want an IP address and a port")
 	require(isAddress(s.Listen.Relay), "/listen/relay", "want an IP address and a port")
 	require(isPlatformURL(s.Platform.URL), "/platform/url", "want http://IP:PORT or https://IP:PORT")
-	require(s.Platform.TimeoutMs > 0, "/platform/timeout_ms", "want a positive number of milliseconds")
-	require(s.ShutdownBoundMs > 0, "/shutdown_bound_ms", "want a positive number of milliseconds")
-	require(s.Limits.MaxHeaderBytes > 0, "/limits/max_header_bytes", "want a positive number of bytes")
-	require(s.Limits.MaxBodyBytes > 0, "/limits/max_body_bytes", "want a positive number of bytes")
+	require(within(s.Platform.TimeoutMs, maxDurationMs), "/platform/timeout_ms", "want a positive number of milliseconds, a day at most")
+	require(within(s.ShutdownBoundMs, maxDurationMs), "/shutdown_bound_ms", "want a positive number of milliseconds, a day at most")
+	require(within(int64(s.Limits.MaxHeaderBytes), maxHeaderBytes), "/limits/max_header_bytes", "want a positive number of bytes, a megabyte at most")
+	require(within(s.Limits.MaxBodyBytes, maxBodyBytes), "/limits/max_body_bytes", "want a positive number of bytes, a gigabyte at most")
 	require(isLevel(s.LogLevel), "/log_level", "want debug, info, warn or error")
 	if !s.TLS.Plain {
 		require(s.TLS.CertFile != "", "/tls/cert_file", "required unless /tls/plain is true")
@@ -167,6 +175,8 @@
 	return faults
 }
 
+func within(value, most int64) bool { return value > 0 && value <= most }
+
 func isAddress(s string) bool {
 	_, err := netip.ParseAddrPort(s)
 	return err == nil
