--- a/internal/daemon/postings.go
+++ b/internal/daemon/postings.go
@@ -199,8 +199,13 @@
 	return taken
 }
 
+// stateNames are the states that travel. A running one does not.
+var stateNames = map[posting.State]string{posting.StateRan: "ran", posting.StateUnknown: "unknown"}
+
+var statesByName = map[string]posting.State{"ran": posting.StateRan, "unknown": posting.StateUnknown}
+
 func postingToWire(k posting.Kept) *peer.Posting {
-	out := &peer.Posting{Id: k.ID.String(), Customer: k.Customer, State: string(k.State), Digest: k.Digest[:]}
+	out := &peer.Posting{Id: k.ID.String(), Customer: k.Customer, State: stateNames[k.State], Digest: k.Digest[:]}
 	if k.Answer == nil {
 		return out
 	}
@@ -234,8 +239,8 @@
 	if err != nil {
 		return posting.Kept{}, errors.Wrap(errBadPosting, err.Error())
 	}
-	state := posting.State(in.State)
-	if len(in.Digest) != len(posting.Digest{}) || (state != posting.StateRan && state != posting.StateUnknown) {
+	state, known := statesByName[in.State]
+	if len(in.Digest) != len(posting.Digest{}) || !known {
 		return posting.Kept{}, errors.Wrap(errBadPosting, "digest or state")
 	}
 	kept := posting.Kept{ID: id, Customer: in.Customer, Digest: posting.Digest(in.Digest), State: state}
--- a/internal/posting/handover.go
+++ b/internal/posting/handover.go
@@ -42,11 +42,11 @@
 
 func handover(instance string, m *memory) Handover {
 	h := Handover{Instance: instance, Epoch: m.epoch}
-	for epoch, records := range m.epochs {
-		for k, r := range records {
+	for epoch, e := range m.epochs {
+		for k, r := range e.records {
 			kept := Kept{
 				ID:       ID{Instance: instance, Epoch: epoch, Own: k.own},
-				Customer: k.customer, Digest: r.digest, State: r.state, Answer: r.answer,
+				Customer: k.customer, Digest: r.digest, State: r.state, Answer: r.answer.unpack(),
 			}
 			if kept.State == StateRunning {
 				kept.State = StateUnknown
@@ -73,8 +73,8 @@
 	a := &archive{memory: newMemory(h.Epoch), takenAt: now, atEpoch: h.Epoch}
 	for _, kept := range h.Postings {
 		r := &record{digest: kept.Digest}
-		t.keep(r, kept.State, kept.Answer)
 		a.put(kept.ID.Epoch, key{customer: kept.Customer, own: kept.ID.Own}, r)
+		t.keep(a.epochs[kept.ID.Epoch], r, kept.State, pack(kept.Answer))
 		t.records++
 	}
 	t.archives[h.Instance] = a
--- a/internal/posting/memory.go
+++ b/internal/posting/memory.go
@@ -15,20 +15,28 @@
 type record struct {
 	digest Digest
 	state  State
-	answer *Answer
+	answer *keptAnswer
 	// done is closed when the posting ends; nil afterwards.
 	done chan struct{}
 }
 
+// epochRecords are the records of one epoch, with what they count together, so
+// that forgetting an epoch takes no walk through it: traffic and the control
+// thread wait for the table meanwhile.
+type epochRecords struct {
+	records     map[key]*record
+	answerBytes int
+}
+
 // memory holds the records of one instance, by epoch, so that an epoch is
 // forgotten as a whole.
 type memory struct {
 	epoch  uint64
-	epochs map[uint64]map[key]*record
+	epochs map[uint64]*epochRecords
 }
 
 func newMemory(epoch uint64) memory {
-	return memory{epoch: epoch, epochs: map[uint64]map[key]*record{}}
+	return memory{epoch: epoch, epochs: map[uint64]*epochRecords{}}
 }
 
 // advance sets the current epoch. It never goes back: a record of a forgotten
@@ -41,11 +49,11 @@
 func (m *memory) forgotten(epoch uint64) bool { return epoch+EpochsKept < m.epoch }
 
 // takeForgotten removes the epochs that are refused anyway.
-func (m *memory) takeForgotten() []map[key]*record {
-	var gone []map[key]*record
-	for epoch, records := range m.epochs {
+func (m *memory) takeForgotten() []*epochRecords {
+	var gone []*epochRecords
+	for epoch, e := range m.epochs {
 		if m.forgotten(epoch) {
-			gone = append(gone, records)
+			gone = append(gone, e)
 			delete(m.epochs, epoch)
 		}
 	}
@@ -53,21 +61,27 @@
 }
 
 func (m *memory) put(epoch uint64, k key, r *record) {
-	records := m.epochs[epoch]
-	if records == nil {
-		records = map[key]*record{}
-		m.epochs[epoch] = records
+	e := m.epochs[epoch]
+	if e == nil {
+		e = &epochRecords{records: map[key]*record{}}
+		m.epochs[epoch] = e
 	}
-	records[k] = r
+	e.records[k] = r
 }
 
-func (m *memory) find(req Request) *record { return m.epochs[req.ID.Epoch][req.key()] }
+func (m *memory) find(epoch uint64, k key) *record {
+	e := m.epochs[epoch]
+	if e == nil {
+		return nil
+	}
+	return e.records[k]
+}
 
 // oldest is the oldest epoch with a record.
 func (m *memory) oldest() uint64 {
 	oldest := m.epoch
-	for epoch, records := range m.epochs {
-		if len(records) > 0 {
+	for epoch, e := range m.epochs {
+		if len(e.records) > 0 {
 			oldest = min(oldest, epoch)
 		}
 	}
@@ -85,7 +99,7 @@
 	case r.state == StateRunning:
 		return Found{Verdict: VerdictWait, Done: r.done}, true
 	}
-	return Found{Verdict: VerdictDone, State: r.state, Answer: r.answer}, true
+	return Found{Verdict: VerdictDone, State: r.state, Answer: r.answer.unpack()}, true
 }
 
 // archive is the memory taken over from an instance that stopped. Nothing is
--- a/internal/posting/table.go
+++ b/internal/posting/table.go
@@ -2,7 +2,7 @@
 
 import (
 	"crypto/sha256"
-	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -39,16 +39,16 @@
 func DefaultLimits() Limits { return Limits{Records: MaxRecords, AnswerBytes: MaxAnswerBytes} }
 
 // State of a posting.
-type State string
+type State uint8
 
 // States of a posting. It only moves forward.
 const (
 	// StateRunning: a dispatch is under way.
-	StateRunning State = "running"
+	StateRunning State = iota
 	// StateRan: an upstream answered; the answer is kept.
-	StateRan State = "ran"
+	StateRan
 	// StateUnknown: an upstream may have run it, its answer was lost.
-	StateUnknown State = "unknown"
+	StateUnknown
 )
 
 // Digest identifies the request that a posting id came with.
@@ -63,27 +63,6 @@
 
 func (r Request) key() key { return key{customer: r.Customer, own: r.ID.Own} }
 
-// Answer is what an upstream answered to a posting.
-type Answer struct {
-	Status int
-	Header http.Header
-	Body   []byte
-	// Dropped: it was too large to keep; only Status is known.
-	Dropped bool
-}
-
-// size is the bytes that the answer counts with.
-func (a *Answer) size() int {
-	n := len(a.Body)
-	for name, values := range a.Header {
-		n += len(name)
-		for _, v := range values {
-			n += len(v)
-		}
-	}
-	return n
-}
-
 // Verdict says what Begin found.
 type Verdict int
 
@@ -116,7 +95,7 @@
 	Run *Run
 	// Done of VerdictWait is closed when the posting has ended.
 	Done <-chan struct{}
-	// State and Answer of VerdictDone; the answer must not be modified.
+	// State and Answer of VerdictDone; Answer.Body must not be modified.
 	State  State
 	Answer *Answer
 	// RetryAfter of VerdictFull is when an epoch will be forgotten.
@@ -176,6 +155,8 @@
 	if t.records >= t.limits.Records {
 		return Found{Verdict: VerdictFull, RetryAfter: t.untilForgotten(now)}
 	}
+	// The own part is a piece of the caller's header; a copy lets that go.
+	req.ID.Own = strings.Clone(req.ID.Own)
 	r := &record{digest: req.Digest, state: StateRunning, done: make(chan struct{})}
 	t.own.put(req.ID.Epoch, req.key(), r)
 	t.records++
@@ -202,7 +183,7 @@
 	case req.ID.Epoch > m.epoch:
 		return Found{Verdict: VerdictFuture}, true
 	}
-	return judge(m.find(req), req)
+	return judge(m.find(req.ID.Epoch, req.key()), req)
 }
 
 // advance forgets what is too old at now.
@@ -218,14 +199,10 @@
 	}
 }
 
-func (t *Table) drop(epochs []map[key]*record) {
-	for _, records := range epochs {
-		t.records -= len(records)
-		for _, r := range records {
-			if r.answer != nil {
-				t.answerBytes -= r.answer.size()
-			}
-		}
+func (t *Table) drop(epochs []*epochRecords) {
+	for _, e := range epochs {
+		t.records -= len(e.records)
+		t.answerBytes -= e.answerBytes
 	}
 }
 
@@ -248,7 +225,7 @@
 // attempt, so asking again runs it.
 func (r *Run) NotRun() {
 	r.end(func(t *Table) {
-		delete(t.own.epochs[r.epoch], r.key)
+		delete(t.own.epochs[r.epoch].records, r.key)
 		t.records--
 	})
 }
@@ -256,7 +233,8 @@
 // Finish keeps how the posting ended. answer is nil where it is not known;
 // the table owns it from now on.
 func (r *Run) Finish(state State, answer *Answer) {
-	r.end(func(t *Table) { t.keep(r.record, state, answer) })
+	kept := pack(answer)
+	r.end(func(t *Table) { t.keep(t.own.epochs[r.epoch], r.record, state, kept) })
 }
 
 // end lets the waiting askers go. An epoch that was forgotten meanwhile took
@@ -268,21 +246,20 @@
 	if r.record.done == nil {
 		return
 	}
-	if t.own.epochs[r.epoch][r.key] == r.record {
+	if t.own.find(r.epoch, r.key) == r.record {
 		change(t)
 	}
 	close(r.record.done)
 	r.record.done = nil
 }
 
-func (t *Table) keep(r *record, state State, answer *Answer) {
-	if answer != nil && (answer.size() > MaxKeptAnswer || t.answerBytes+answer.size() > t.limits.AnswerBytes) {
-		answer = &Answer{Status: answer.Status, Dropped: true}
+func (t *Table) keep(e *epochRecords, r *record, state State, answer *keptAnswer) {
+	if size := answer.size(); size > MaxKeptAnswer || t.answerBytes+size > t.limits.AnswerBytes {
+		answer = answer.drop()
 	}
 	r.state, r.answer = state, answer
-	if answer != nil {
-		t.answerBytes += answer.size()
-	}
+	e.answerBytes += answer.size()
+	t.answerBytes += answer.size()
 }
 
 // Size returns the postings remembered and the bytes of their answers.
