--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
@@ -55,7 +54,7 @@
 	options  Options
 	log      *log.Logger
 	tracing  *telemetry.Tracing
-	metrics  *metrics.Set
+	metrics  *telemetry.Metrics
 	identity membership.Member
 
 	store    platform.Store
@@ -71,6 +70,7 @@
 	ledger   *quota.Ledger
 	handler  *upstream.Handler
 	postings *posting.Table
+	gauge    *entry.Gauge
 	control  *control
 	// lease is the store's lease that slots are held under; it is written by
 	// the control thread only.
@@ -98,7 +98,7 @@
 	}
 	instance := s.Host + "-" + uuid.NewString()[:8]
 	d := &Daemon{
-		settings: s, options: opts, tracing: tracing, metrics: metrics.NewSet(),
+		settings: s, options: opts, tracing: tracing, metrics: telemetry.NewMetrics(),
 		log:      logger.With("host", s.Host, "zone", s.Zone),
 		platform: platform.NewClient(s.Platform.URL, s.PlatformTimeout(), opts.Dial),
 		security: secured,
@@ -110,8 +110,10 @@
 		handler:     upstream.NewHandler(),
 		postings:    posting.NewTable(instance, time.Now(), posting.DefaultLimits()),
 		errs:        make(chan error, 4),
+		gauge:       entry.NewGauge(s.Limits.MaxRunning),
 	}
-	d.store, d.hostList = d.platform, d.platform
+	d.store, d.hostList = platform.Counted(d.platform, d.metrics.StoreCall), d.platform
+	d.registerGauges()
 	d.identity = membership.Member{Instance: instance, Host: s.Host, Zone: s.Zone}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.control = newControl(d)
@@ -156,18 +158,21 @@
 
 func (d *Daemon) listenAll() (net.Listener, error) {
 	runner := &upstream.Runner{Handler: d.handler, Client: d.client, KeyValid: d.keyValid, Tracer: d.tracing.Tracer}
+	handle := &regionGate{next: runner, view: &d.view, ledger: d.ledger}
 	front := entry.New(entry.Deps{
-		View: &d.view, Ledger: d.ledger, Postings: d.postings, Local: runner,
+		View: &d.view, Ledger: d.ledger, Postings: d.postings, Local: handle,
 		Relay:        relay.NewClient(d.relayClient, d.security.scheme(), d.identity.Instance),
 		MaxBodyBytes: d.settings.Limits.MaxBodyBytes, Tracer: d.tracing.Tracer, Log: d.log,
 	})
 	operators := operator.New(operator.Deps{
-		View: &d.view, Repository: config.NewRepository(d.store, time.Now), Metrics: d.metrics,
+		View: &d.view, Repository: config.NewRepository(d.store, time.Now), Metrics: d.metrics.Set,
 		Adopt: func(r *config.Record) { d.control.send(recordFound{record: r, confirmed: time.Now()}) },
 	})
-	relays := &relay.Server{Handle: runner, Posting: entry.PostingRunner{Server: front}, MaxBodyBytes: d.settings.Limits.MaxBodyBytes}
+	relays := &relay.Server{Handle: handle, Posting: entry.PostingRunner{Server: front}, MaxBodyBytes: d.settings.Limits.MaxBodyBytes, Pace: d.pace}
 	var err error
-	if d.identity.Callers, err = d.serveHTTP(d.settings.Listen.Callers, &http.Server{Handler: front}, asIs); err != nil {
+	if d.identity.Callers, err = d.serveHTTP(d.settings.Listen.Callers, &http.Server{
+		Handler: &observed{next: d.gauge.Bounded(front), metrics: d.metrics, known: d.knownService},
+	}, asIs); err != nil {
 		return nil, err
 	}
 	if _, err = d.serveHTTP(d.settings.Listen.Operators, &http.Server{
--- a/internal/entry/read_test.go
+++ b/internal/entry/read_test.go
@@ -21,6 +21,7 @@
 	"balsambarrow/internal/membership"
 	"balsambarrow/internal/posting"
 	"balsambarrow/internal/quota"
+	"balsambarrow/internal/steer"
 	"balsambarrow/internal/view"
 	"balsambarrow/internal/wire"
 )
@@ -66,6 +67,7 @@
 		Headroom: map[string]membership.Headroom{"posting": {Free: 4, Limit: 4}},
 	}
 	snap := &view.Snapshot{Self: self, Config: config.NewActive(1, c), ConfirmedAt: time.Now(), Ready: []membership.Member{self}}
+	snap.Steer = steer.NewBuilder("vt-a").Build(snap.Config, snap.Ready, time.Now())
 	published := &view.Published{}
 	published.Store(snap)
 	ledger := quota.NewLedger()
--- a/internal/entry/steer.go
+++ b/internal/entry/steer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"balsambarrow/internal/steer"
@@ -16,16 +17,25 @@
 func (s *Server) steer(ctx context.Context, call *wire.Call) (*wire.Answer, *wire.Problem) {
 	snap := s.View.Load()
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	targets := steer.Choose(snap.Config, snap.Ready, call.Customer, call.Service, snap.Self.Zone, rng)
+	targets := snap.Steer.Choose(steerRequest(call), time.Now(), rng)
 	var problem *wire.Problem
-	for _, target := range targets[:min(len(targets), maxTargets)] {
+	for i := range targets {
+		target := &targets[i]
 		if ctx.Err() != nil {
 			break
 		}
+		if !s.takeCaps(target, time.Now()) {
+			continue
+		}
 		answer, latest := s.ask(ctx, target, call)
 		if latest == nil {
+			target.Ended(queued(answer), false)
 			return answer, nil
 		}
+		target.Ended(0, latest.Type == wire.TypeNoRoom)
+		if latest.Outcome == wire.OutcomeNotRun {
+			s.refundCaps(target, time.Now())
+		}
 		problem = latest.After(problem)
 		if !another(call, latest) {
 			break
@@ -45,13 +55,15 @@
 	return wire.Refuse(wire.TypeNoRoom, "no zone that may serve this has a ready handler", time.Second)
 }
 
-func (s *Server) ask(ctx context.Context, target steer.Target, call *wire.Call) (*wire.Answer, *wire.Problem) {
-	if target.Member.Instance == s.View.Load().Self.Instance {
+func (s *Server) ask(ctx context.Context, target *steer.Target, call *wire.Call) (*wire.Answer, *wire.Problem) {
+	target.Sent()
+	member := target.Handler.Member
+	if member.Instance == s.View.Load().Self.Instance {
 		return s.Local.Run(ctx, call)
 	}
 	ctx, span := s.Tracer.Start(ctx, "relay")
 	defer span.End()
-	return s.Relay.Send(ctx, target.Member.Relay, wire.RoleHandle, call)
+	return s.Relay.Send(ctx, member.Relay, wire.RoleHandle, call)
 }
 
 // another tells whether another handler may be asked after a problem.
@@ -93,3 +105,13 @@
 }
 
 func jsonEncode(w io.Writer, v any) error { return json.NewEncoder(w).Encode(v) }
+
+// queued takes out of an answer how long it waited at its handler.
+func queued(a *wire.Answer) time.Duration {
+	ms, err := strconv.ParseInt(a.Header.Get(wire.HeaderQueuedMs), 10, 64)
+	a.Header.Del(wire.HeaderQueuedMs)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -43,7 +43,9 @@
 	Headroom              map[string]Headroom
 	Demand                map[string]float64
 	Watches               bool
-	ConfirmedAt           time.Time
+	// Load is the part of the host's own room that is in use, 0 to 1.
+	Load        float64
+	ConfirmedAt time.Time
 	// AnswersFor lists the stopped instances whose postings it remembers.
 	AnswersFor []string
 	HeardAt    time.Time
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -68,6 +68,9 @@
 // Held tells whether the whole body is in memory.
 func (b *Body) Held() bool { return b.stream == nil }
 
+// Length is the body's size in bytes; -1 where a stream's is not known.
+func (b *Body) Length() int64 { return b.length }
+
 // Sendable tells whether the body can be sent (again).
 func (b *Body) Sendable() bool { return b.stream == nil || !b.used }
 
