--- a/internal/steer/sim_test.go
+++ b/internal/steer/sim_test.go
@@ -66,7 +66,7 @@
 	tables   map[string]*steer.Table
 	heard    []map[string]membership.Headroom // by beat
 	ready    []membership.Member
-	lost     map[string]bool // regions
+	lost     map[string]bool // regions and zones
 	caps     map[string]*quota.Bucket
 	demand   func(region string, now time.Duration) float64
 	policy   policy
@@ -127,7 +127,11 @@
 				continue
 			}
 			for range s.poisson(s.demand(region, s.now) * simStep.Seconds()) {
-				s.arrive([]string{region + "-a", region + "-b"}[s.rng.IntN(2)])
+				entry := []string{region + "-a", region + "-b"}[s.rng.IntN(2)]
+				if s.lost[entry] {
+					entry = region + "-a"
+				}
+				s.arrive(entry)
 			}
 		}
 	}
@@ -160,7 +164,7 @@
 	seen := s.heard[max(0, len(s.heard)-1-int(s.stale/beatEvery))]
 	var ready []membership.Member
 	for _, z := range sortedKeys(s.c.Zones) {
-		if s.lost[s.c.Zones[z].Region] {
+		if s.lost[s.c.Zones[z].Region] || s.lost[z] {
 			continue
 		}
 		m := member(z, seen[z])
@@ -421,3 +425,62 @@
 		})
 	}
 }
+
+// Load pattern: operators drain a region; half way another region is lost.
+// What leaves the drained region has only one place left. The drain must not
+// push past the cap, and what does not fit must go on at home, unrefused.
+func TestDrainWhileAnotherRegionFails(t *testing.T) {
+	for _, d := range deployments {
+		t.Run(d.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			limit := math.Floor(0.3 * d.capacity())
+			c := simRegions(limit, "vt", "me", "ma")
+			c.Drains = map[string]config.Drain{"d": {
+				Kind: config.DrainRegion, Target: "vt", RampSeconds: 20, StartUnixMs: start.Add(5 * time.Second).UnixMilli(),
+			}}
+			s := newSim(d, c, beatEvery, steered)
+			s.demand = func(string, time.Duration) float64 { return 0.5 * d.capacity() }
+			r := s.run(60*time.Second, func(now time.Duration) {
+				if now == 15*time.Second {
+					s.lost["me"] = true
+				}
+			})
+			r.line(t, d, "drain, then another region lost", "steered")
+			for _, to := range []string{"me", "ma"} {
+				most, _, _ := r.most("shift/lookup/vt/"+to, 0)
+				t.Logf("    most shifted to %s in a second: %d, cap %.0f", to, most, limit)
+				g.Expect(float64(most)).To(BeNumerically("<=", limit))
+			}
+			load, _, _ := r.most("ma", 0)
+			g.Expect(float64(load)).To(BeNumerically("<=", d.capacity()))
+			g.Expect(r.refused).To(BeZero())
+		})
+	}
+}
+
+// Load pattern: one zone of a region is lost; its sibling takes what it can,
+// the rest spills to other regions under the cap.
+func TestLossOfAZone(t *testing.T) {
+	for _, d := range deployments {
+		t.Run(d.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			for name, p := range map[string]policy{"naive": roomiestFirst, "steered": steered} {
+				s := newSim(d, simRegions(0.5*d.capacity(), "vt", "me"), beatEvery, p)
+				s.demand = func(string, time.Duration) float64 { return 0.7 * d.capacity() }
+				r := s.run(60*time.Second, func(now time.Duration) {
+					if now == 20*time.Second {
+						s.lost["vt-b"] = true
+					}
+				})
+				r.line(t, d, "a zone lost", name)
+				most, _, _ := r.most("shift/lookup/vt/me", 0)
+				t.Logf("    most shifted in a second: %d, cap %.0f", most, 0.5*d.capacity())
+				if name == "steered" {
+					g.Expect(float64(most)).To(BeNumerically("<=", 0.5*d.capacity()))
+				}
+			}
+		})
+	}
+}
