--- a/internal/daemon/posting_test.go
+++ b/internal/daemon/posting_test.go
@@ -330,3 +330,24 @@
 	g.Expect(r.Problem.Type).To(Equal(wire.TypeOutcomeUnknown))
 	g.Expect(u.ran("w")).To(BeZero())
 }
+
+// The link to the host that an id names breaks while it runs the posting. A
+// farmer who asks through another host is told that nothing is known, not that
+// it did not run; when the link is back, the answer is there.
+func TestCutOwnerIsNotReplaced(t *testing.T) {
+	g := NewWithT(t)
+	f, u := edgeFleet(t)
+	w := ways[5] // enters at vt-1, names me-1
+	first := make(chan reply, 1)
+	go func() { first <- f.send(w, "slow", "w1", nil) }()
+	g.Eventually(func() int { return u.ran("w1") }, settle).Should(Equal(1))
+	f.network.cut("vt-1", "me-1")
+	g.Expect((<-first).Outcome).To(Equal(wire.OutcomeMayHaveRun))
+	r := f.send(w, "slow", "w1", nil)
+	g.Expect(r.Problem.Type).To(Equal(wire.TypeOutcomeUnknown))
+	g.Expect(r.Outcome).To(Equal(wire.OutcomeMayHaveRun))
+	close(u.release)
+	f.network.heal("vt-1", "me-1")
+	g.Eventually(func() wire.Outcome { return f.send(w, "slow", "w1", nil).Outcome }, settle).Should(Equal(wire.OutcomeRan))
+	g.Expect(u.ran("w1")).To(Equal(1))
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -66,6 +66,11 @@
 	if budget <= 0 {
 		return nil, wire.Refuse(wire.TypeDeadline, "budget spent before the handler", 0)
 	}
+	deadline := time.Now().Add(time.Duration(min(budget, maxBudget.Milliseconds())) * time.Millisecond)
+	// A peer that is paused in the middle of a body would hold this goroutine
+	// for as long as its connection stands; it shows as a growing number of
+	// them. Past the deadline nobody waits for the call any more.
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
 	body, err := wire.ReadBody(http.MaxBytesReader(w, r.Body, s.MaxBodyBytes), r.ContentLength)
 	if err != nil {
 		return nil, wire.Refuse(wire.TypeBadRequest, "relay: body broke off or is too large", 0)
@@ -75,7 +80,7 @@
 		Header: r.Header.Clone(), Body: body,
 		Customer:  r.Header.Get(wire.HeaderCustomer),
 		KeyDigest: r.Header.Get(wire.HeaderKeyDigest),
-		Deadline:  time.Now().Add(time.Duration(min(budget, maxBudget.Milliseconds())) * time.Millisecond),
+		Deadline:  deadline,
 	}
 	wire.StripRequest(call.Header)
 	return call, nil
