--- a/internal/daemon/postings.go
+++ b/internal/daemon/postings.go
@@ -136,8 +136,17 @@
 // assembly is a table of which parts are missing, by the postings' ids: a part
 // that arrives twice counts once.
 type assembly struct {
-	begun    time.Time
-	postings map[postingKey]posting.Kept
+	begun       time.Time
+	postings    map[postingKey]posting.Kept
+	answerBytes int
+}
+
+func (a *assembly) add(kept posting.Kept) {
+	k := postingKey{customer: kept.Customer, id: kept.ID}
+	if _, twice := a.postings[k]; !twice && kept.Answer != nil {
+		a.answerBytes += len(kept.Answer.Body)
+	}
+	a.postings[k] = kept
 }
 
 type postingKey struct {
@@ -164,7 +173,11 @@
 		return &peer.HandoverReply{}, nil
 	}
 	for _, kept := range postings {
-		a.postings[postingKey{customer: kept.Customer, id: kept.ID}] = kept
+		a.add(kept)
+	}
+	if a.answerBytes > posting.MaxAnswerBytes {
+		delete(h.assemblies, in.Instance)
+		return &peer.HandoverReply{}, nil
 	}
 	if uint64(len(a.postings)) < in.Total {
 		return &peer.HandoverReply{}, nil
