Keep custody of slots through store outages, pauses and lost answers

Cause: a slot's entry died with its holder's lease. A store outage longer than the lease stopped all spending, a claim whose answer was lost lay idle until the lease lapsed, and traffic threads of a woken process could spend before the control thread ran.

Change: entries outlive the lease and name their holder; spending starts only after a swap of one's own since the last suspension; a taker waits until the holder's lease is gone and it was silent for 8 s while the taker listened; a late control tick (3 s) or hearing nobody suspends. Traffic threads compare each spend with a fence that only the control thread extends. Slots are spread evenly; a leaving daemon passes slots and levels to its mates.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -58,8 +58,10 @@
 		case <-ctx.Done():
 			return
 		case m := <-c.inbox:
+			c.guardSlots(time.Now())
 			m.apply(c)
 		case <-ticker.C:
+			c.guardSlots(time.Now())
 			c.tick(time.Now())
 		}
 		c.publish(time.Now())
@@ -91,6 +93,7 @@
 		c.publishHandler(snap)
 		c.publishShares(snap, now)
 	}
+	c.d.ledger.Fence.Extend(c.slots.custody.SpendUntil())
 	c.d.view.Store(snap)
 }
 
@@ -102,7 +105,10 @@
 	m.ConfigVersion = c.config.version()
 	m.ConfirmedAt = c.config.confirmed
 	m.Watches = c.watches(now)
-	m.Slots = c.slots.slots.Usable(now)
+	m.Held = c.slots.custody.Usable(now)
+	for _, h := range m.Held {
+		m.Slots = append(m.Slots, h.Slot)
+	}
 	m.Headroom = c.d.handler.Headroom()
 	m.PostingEpoch = c.d.postings.Epoch(now)
 	return m
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,15 +66,11 @@
 	handler  *upstream.Handler
 	postings *posting.Table
 	control  *control
-	// lease is the store's lease that slots are held under; it is written by
-	// the control thread only.
-	lease string
-
-	ctx     context.Context
-	cancel  context.CancelFunc
-	tasks   sync.WaitGroup
-	servers []*http.Server
-	errs    chan error
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+	servers  []*http.Server
+	errs     chan error
 }
 
 // New makes a daemon and opens its listeners. Start lets it serve.
@@ -127,6 +123,9 @@
 	if err := errors.WithStack(peer.DRPCRegisterConfiguration(mux, d)); err != nil {
 		return err
 	}
+	if err := errors.WithStack(peer.DRPCRegisterHandover(mux, &slotTaker{d: d})); err != nil {
+		return err
+	}
 	d.spawn(func(ctx context.Context) { _ = drpcserver.New(mux).Serve(ctx, peers) })
 	d.spawn(d.control.run)
 	d.spawn(d.followConfig)
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -47,7 +47,11 @@
 type heardFrom struct{ member membership.Member }
 
 func (m heardFrom) apply(c *control) {
-	c.members.table.Hear(m.member, time.Now())
+	now := time.Now()
+	newest := c.members.table.Hear(m.member, now)
+	if newest && m.member.Zone == c.d.identity.Zone {
+		c.yieldSlots(m.member, now)
+	}
 	c.pullFrom(m.member)
 }
 
@@ -73,6 +77,10 @@
 	for _, m := range c.members.table.Live(time.Now()) {
 		addresses[m.Peers] = true
 	}
+	// Holders that the store names are asked before their slots are taken.
+	for _, address := range c.slots.holders {
+		addresses[address] = true
+	}
 	delete(addresses, c.d.identity.Peers)
 	return addresses
 }
--- a/internal/daemon/slots.go
+++ b/internal/daemon/slots.go
@@ -2,163 +2,332 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"balsambarrow/internal/membership"
+	"balsambarrow/internal/peer"
 	"balsambarrow/internal/platform"
+	"balsambarrow/internal/quota"
 )
 
-// slotPlan is what one round of store calls is to do.
-type slotPlan struct {
-	zone    string
+// hurryEvery is the time between two rounds while slots are about to move: a
+// mate joined or left, or a holder fell silent.
+const hurryEvery = time.Second
+
+// slotState is the control thread's part for slots.
+type slotState struct {
+	custody *membership.Custody
 	lease   string
-	total   int
-	holders int
-	held    []int
+	next    time.Time
+	busy    bool
+	// holders are the addresses of the daemons that the store names; a
+	// holder that no list shows is still asked before its slot is taken.
+	holders []string
+	// ready counts the zone's daemons, to see when one joins or leaves.
+	ready int
+	// levels came with a hand-over and wait for their slots.
+	levels map[int]pendingLevels
+	// givenUp is closed when a leaving daemon holds no slot any more.
+	givenUp chan struct{}
 }
 
-// slotResult is what one round found.
-type slotResult struct {
-	lease    string
-	renewed  time.Time
-	lost     bool
-	claimed  []int
-	released []int
+// pendingLevels are tokens that came with a slot which the store has not yet
+// confirmed.
+type pendingLevels struct {
+	levels []quota.Level
+	until  time.Time
 }
 
-// slotState is the control thread's part for slots.
-type slotState struct {
-	slots *membership.Slots
-	next  time.Time
-	busy  bool
-}
+func newSlotState() slotState { return slotState{levels: map[int]pendingLevels{}} }
 
-func newSlotState() slotState { return slotState{slots: membership.NewSlots()} }
+// guardSlots comes before everything else that the control thread does.
+func (c *control) guardSlots(now time.Time) {
+	if c.slots.custody == nil {
+		self := membership.Holder{Instance: c.d.identity.Instance, Peers: c.d.identity.Peers}
+		c.slots.custody = membership.NewCustody(self, now)
+	}
+	if c.slots.custody.Run(now) {
+		c.d.log.Warn("paused", "slots", "suspended")
+		c.slots.next = now
+	}
+}
 
 func (c *control) tickSlots(now time.Time) {
+	mates := c.mates()
+	if c.slots.custody.Hearing(c.members.table.LastHeard(), staying(mates), now) {
+		c.d.log.Warn("isolated", "slots", "suspended")
+	}
+	c.adoptLevels(now)
+	ready := readyMates(mates, now)
+	if ready != c.slots.ready {
+		c.slots.ready = ready
+		c.slots.next = now
+	}
 	due := !c.slots.busy && !now.Before(c.slots.next)
-	if due && c.active() != nil && c.state != membership.StateLeaving {
+	if due && c.active() != nil && c.state != membership.StateStarting {
 		c.startSlotRound(now)
 	}
 }
 
-// slotRoundDone: one round of calls for the lease and slots ended.
-type slotRoundDone struct{ result slotResult }
+// yieldSlots gives way to a mate that spends from the same slots.
+func (c *control) yieldSlots(m membership.Member, now time.Time) {
+	if dropped := c.slots.custody.Heard(m, now); len(dropped) > 0 {
+		c.d.log.Error("slots_yielded", "to", m.Instance, "slots", dropped)
+		c.slots.next = now
+	}
+}
 
-func (c *control) startSlotRound(now time.Time) {
-	c.slots.busy = true
-	c.slots.next = now.Add(membership.RenewEvery)
-	zone := c.d.identity.Zone
-	plan := slotPlan{
-		zone: zone, lease: c.d.lease, total: c.active().Config.Zones[zone].Slots,
-		holders: c.zoneHolders(now), held: c.slots.slots.Held(),
+// mates are the other daemons of the zone that are remembered.
+func (c *control) mates() []membership.Member {
+	var out []membership.Member
+	for _, m := range c.members.table.All() {
+		if m.Zone == c.d.identity.Zone {
+			out = append(out, m)
+		}
 	}
-	c.d.spawn(func(ctx context.Context) { c.send(slotRoundDone{c.d.slotRound(ctx, plan)}) })
+	return out
 }
 
-// zoneHolders counts the daemons of the zone that share its slots.
-func (c *control) zoneHolders(now time.Time) int {
-	n := 1
-	for _, m := range c.members.table.Live(now) {
-		if m.Zone == c.d.identity.Zone && m.State == membership.StateReady {
+// staying counts the mates that did not say that they leave.
+func staying(mates []membership.Member) int {
+	n := 0
+	for _, m := range mates {
+		if m.State != membership.StateLeaving {
 			n++
 		}
 	}
 	return n
 }
 
-func (m slotRoundDone) apply(c *control) {
-	c.slots.busy = false
-	r := m.result
-	if r.lost {
-		c.slots.slots.Lost()
-	}
-	c.d.lease = r.lease
-	if !r.renewed.IsZero() {
-		c.slots.slots.Renewed(r.renewed)
-	}
-	for _, s := range r.claimed {
-		c.slots.slots.Claimed(s)
-	}
-	for _, s := range r.released {
-		c.slots.slots.Released(s)
-	}
-	if len(r.claimed)+len(r.released) > 0 {
-		c.d.log.Info("slots_changed", "claimed", len(r.claimed), "released", len(r.released), "held", len(c.slots.slots.Held()))
+func readyMates(mates []membership.Member, now time.Time) int {
+	n := 0
+	for _, m := range mates {
+		if m.State == membership.StateReady && now.Sub(m.HeardAt) <= membership.GoneAfter {
+			n++
+		}
 	}
+	return n
 }
 
-func (d *Daemon) slotRound(ctx context.Context, p slotPlan) slotResult {
-	result := slotResult{lease: p.lease}
+func (c *control) startSlotRound(now time.Time) {
+	c.slots.busy = true
+	c.slots.next = now.Add(membership.RenewEvery)
+	lease := c.slots.lease
+	c.d.spawn(func(ctx context.Context) { c.send(c.d.readSlots(ctx, lease)) })
+}
+
+// slotsRead: the lease was renewed and the zone's entries were read.
+type slotsRead struct {
+	lease string
+	// renewed is when the call was sent that renewed the lease; zero if none
+	// succeeded.
+	renewed time.Time
+	// reading is nil if the store was not read.
+	reading *membership.Reading
+}
+
+// readSlots is the first half of a round.
+func (d *Daemon) readSlots(ctx context.Context, lease string) slotsRead {
+	out := slotsRead{lease: lease}
 	sent := time.Now()
-	if err := d.holdLease(ctx, &result); err != nil {
+	lease, err := d.holdLease(ctx, lease)
+	if err != nil {
 		d.log.Warn("lease_not_held", "err", err)
-		return result
+		return out
 	}
-	result.renewed = sent
-	entries, err := d.store.List(ctx, membership.SlotPrefix(p.zone))
+	out.lease, out.renewed = lease, sent
+	entries, err := d.store.List(ctx, membership.SlotPrefix(d.identity.Zone))
 	if err != nil {
 		d.log.Warn("slots_not_listed", "err", err)
-		return result
+		return out
 	}
-	held := p.held
-	if result.lost {
-		held = nil
-	}
-	d.claim(ctx, p, held, entries, &result)
-	return result
+	out.reading = membership.ReadSlots(d.identity.Zone, entries)
+	return out
 }
 
-func (d *Daemon) holdLease(ctx context.Context, result *slotResult) error {
-	if result.lease != "" {
-		err := d.store.Renew(ctx, result.lease)
+// holdLease renews the lease or gets a new one, with the entry that shows it.
+// A grant whose answer is lost leaves a lease without entry, which lapses.
+func (d *Daemon) holdLease(ctx context.Context, lease string) (string, error) {
+	if lease != "" {
+		err := d.store.Renew(ctx, lease)
 		if !errors.Is(err, platform.ErrLeaseLapsed) && !errors.Is(err, platform.ErrNotFound) {
-			return err
+			return lease, err
 		}
-		result.lost = true
 		d.log.Warn("lease_lapsed")
 	}
 	lease, err := d.store.Grant(ctx, membership.LeaseTTL)
-	result.lease = lease
-	return err
+	if err != nil {
+		return "", err
+	}
+	self := membership.Holder{Instance: d.identity.Instance, Peers: d.identity.Peers}
+	if _, err := d.store.Swap(ctx, membership.AliveKey(d.identity.Zone, lease), 0, self.Value(), lease); err != nil {
+		return "", err
+	}
+	return lease, nil
 }
 
-func (d *Daemon) claim(ctx context.Context, p slotPlan, held []int, entries []platform.Entry, result *slotResult) {
-	slots := membership.NewSlots()
-	for _, s := range held {
-		slots.Claimed(s)
+func (m slotsRead) apply(c *control) {
+	now := time.Now()
+	c.slots.lease = m.lease
+	if !m.renewed.IsZero() {
+		c.slots.custody.LeaseRenewed(m.renewed)
 	}
-	for _, slot := range slots.Wanted(freeSlots(p, entries), p.total, p.holders) {
-		_, err := d.store.Swap(ctx, membership.SlotKey(p.zone, slot), 0, []byte(d.identity.Instance), result.lease)
-		if err == nil {
-			result.claimed = append(result.claimed, slot)
+	if m.reading == nil {
+		c.endSlotRound(now, false)
+		return
+	}
+	c.slots.holders = m.reading.Holders()
+	if dropped := c.slots.custody.Observe(m.reading); len(dropped) > 0 {
+		c.d.log.Error("slots_dropped", "slots", dropped)
+	}
+	steps := c.planSlots(m.reading, now)
+	gifts := c.withdraw(steps, now)
+	if len(steps) == 0 {
+		c.endSlotRound(now, true)
+		return
+	}
+	c.d.spawn(func(ctx context.Context) { c.send(c.d.writeSlots(ctx, gifts)) })
+}
+
+// planSlots leaves everything as it is between the start of a planned stop and
+// the moment when no request runs any more.
+func (c *control) planSlots(r *membership.Reading, now time.Time) []membership.Step {
+	leaving := c.slots.givenUp != nil
+	if c.state == membership.StateLeaving && !leaving {
+		return nil
+	}
+	slots := c.active().Config.Zones[c.d.identity.Zone].Slots
+	return c.slots.custody.Plan(membership.Round{Reading: r, Slots: slots, Mates: c.mates(), Leaving: leaving}, now)
+}
+
+// gift is a step with the bucket levels that go along.
+type gift struct {
+	membership.Step
+	levels []quota.Level
+}
+
+// withdraw takes the levels out of the buckets of a leaving daemon, so that
+// nobody spends them here any more, and parts them over the slots that it
+// gives to mates. A slot that moves for balance starts empty at its new holder.
+func (c *control) withdraw(steps []membership.Step, now time.Time) []gift {
+	gifts := make([]gift, 0, len(steps))
+	for _, s := range steps {
+		gifts = append(gifts, gift{Step: s})
+	}
+	if c.slots.givenUp == nil || len(gifts) == 0 {
+		return gifts
+	}
+	levels, clean := c.d.ledger.Surrender(now)
+	if !clean {
+		return gifts
+	}
+	for i := range gifts {
+		for _, l := range levels {
+			part := quota.Level{Quota: l.Quota, Tokens: l.Tokens / float64(len(gifts))}
+			gifts[i].levels = append(gifts[i].levels, part)
+		}
+	}
+	return gifts
+}
+
+// slotsWritten: the writes of a round ended.
+type slotsWritten struct{ results []slotResult }
+
+// slotResult is how one write ended; revision is 0 if the store refused it or
+// its outcome is unknown.
+type slotResult struct {
+	step     membership.Step
+	revision uint64
+}
+
+// writeSlots is the second half of a round.
+func (d *Daemon) writeSlots(ctx context.Context, gifts []gift) slotsWritten {
+	var out slotsWritten
+	for _, g := range gifts {
+		revision, err := d.writeSlot(ctx, g)
+		if err != nil {
+			d.log.Warn("slot_not_written", "slot", g.Slot, "err", err)
+			out.results = append(out.results, slotResult{step: g.Step})
+			continue
+		}
+		out.results = append(out.results, slotResult{step: g.Step, revision: revision})
+		if g.To.Instance != "" && g.To.Instance != d.identity.Instance {
+			d.passLevels(ctx, g)
 		}
 	}
-	revisions := map[string]uint64{}
-	for _, e := range entries {
-		revisions[e.Key] = e.Revision
+	return out
+}
+
+func (d *Daemon) writeSlot(ctx context.Context, g gift) (uint64, error) {
+	key := membership.SlotKey(d.identity.Zone, g.Slot)
+	if g.To.Instance == "" {
+		return 0, d.store.Delete(ctx, key, g.At)
+	}
+	return d.store.Swap(ctx, key, g.At, g.To.Value(), "")
+}
+
+// passLevels tells the new holder that a slot is its own, with the levels. It
+// is sent once: levels that are lost on the way are lost tokens, sent twice
+// they would be made.
+func (d *Daemon) passLevels(ctx context.Context, g gift) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	message := &peer.SlotHandover{From: d.identity.Instance, Slots: []uint32{uint32(g.Slot)}}
+	for _, l := range g.levels {
+		message.Levels = append(message.Levels, &peer.Level{Quota: l.Quota, Tokens: l.Tokens})
 	}
-	for _, slot := range slots.Excess(p.total, p.holders) {
-		key := membership.SlotKey(p.zone, slot)
-		if d.store.Delete(ctx, key, revisions[key]) == nil {
-			result.released = append(result.released, slot)
+	if _, err := peer.NewDRPCHandoverClient(d.conns.To(ctx, g.To.Peers)).TakeSlots(ctx, message); err != nil {
+		d.log.Warn("levels_not_passed", "slot", g.Slot, "to", g.To.Instance, "err", err)
+	}
+}
+
+func (m slotsWritten) apply(c *control) {
+	now := time.Now()
+	started, moved := 0, false
+	for _, r := range m.results {
+		if c.slots.custody.Done(r.step, r.revision, now) {
+			started++
 		}
+		moved = moved || r.revision != 0
 	}
+	c.d.log.Info("slots_changed", "started", started, "held", len(c.slots.custody.Usable(now)))
+	c.endSlotRound(now, !moved)
 }
 
-func freeSlots(p slotPlan, entries []platform.Entry) []int {
-	taken := map[string]bool{}
-	for _, e := range entries {
-		taken[strings.TrimPrefix(e.Key, membership.SlotPrefix(p.zone))] = true
+// endSlotRound closes a round; a settled zone is looked at again when the
+// lease is due, an unsettled one soon.
+func (c *control) endSlotRound(now time.Time, settled bool) {
+	c.slots.busy = false
+	if !settled || c.holderSilent(now) {
+		c.slots.next = earlier(c.slots.next, now.Add(hurryEvery))
+	}
+	if c.slots.givenUp == nil {
+		return
 	}
-	var free []int
-	for slot := range p.total {
-		if !taken[strings.TrimPrefix(membership.SlotKey(p.zone, slot), membership.SlotPrefix(p.zone))] {
-			free = append(free, slot)
+	c.slots.next = earlier(c.slots.next, now.Add(tickEvery))
+	if settled {
+		close(c.slots.givenUp)
+		c.slots.givenUp = nil
+		c.slots.next = now.Add(time.Hour)
+	}
+}
+
+// holderSilent tells whether a mate of the zone is silent and may be taken
+// over from soon.
+func (c *control) holderSilent(now time.Time) bool {
+	for _, m := range c.mates() {
+		if now.Sub(m.HeardAt) > membership.GoneAfter && m.State != membership.StateLeaving {
+			return true
 		}
 	}
-	return free
+	return false
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
--- /dev/null
+++ b/internal/membership/reading.go
@@ -0,0 +1,84 @@
+package membership
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"balsambarrow/internal/platform"
+)
+
+// aliveDir holds the entries that live as long as their daemons' leases.
+const aliveDir = "alive/"
+
+// SlotPrefix is the store's prefix of a zone's slots.
+func SlotPrefix(zone string) string { return "balsambarrow/slots/" + zone + "/" }
+
+// SlotKey is the store's key of one slot.
+func SlotKey(zone string, slot int) string { return fmt.Sprintf("%s%04d", SlotPrefix(zone), slot) }
+
+// AliveKey is the store's key that lives as long as a daemon's lease.
+func AliveKey(zone, lease string) string { return SlotPrefix(zone) + aliveDir + lease }
+
+// Holder is a daemon as a slot's entry names it.
+type Holder struct {
+	Instance string `json:"instance"`
+	// Peers is the address at which it answers other daemons.
+	Peers string `json:"peers"`
+}
+
+// Value is the entry's value in the store.
+func (h Holder) Value() []byte {
+	raw, err := json.Marshal(h)
+	if err != nil {
+		panic(err) // two strings always encode
+	}
+	return raw
+}
+
+// SlotEntry is one slot's entry.
+type SlotEntry struct {
+	Holder   Holder
+	Revision uint64
+}
+
+// Reading is what the store says of a zone.
+type Reading struct {
+	// Slots by index; a slot without an entry is free.
+	Slots map[int]SlotEntry
+	// Leased are the instances whose lease is in force.
+	Leased map[string]bool
+}
+
+// ReadSlots sorts the entries under a zone's prefix. An entry that cannot be
+// read is held by nobody known: it is taken like a silent daemon's.
+func ReadSlots(zone string, entries []platform.Entry) *Reading {
+	r := &Reading{Slots: map[int]SlotEntry{}, Leased: map[string]bool{}}
+	for _, e := range entries {
+		name := strings.TrimPrefix(e.Key, SlotPrefix(zone))
+		var holder Holder
+		_ = json.Unmarshal(e.Value, &holder)
+		if strings.HasPrefix(name, aliveDir) {
+			r.Leased[holder.Instance] = true
+			continue
+		}
+		if slot, err := strconv.Atoi(name); err == nil {
+			r.Slots[slot] = SlotEntry{Holder: holder, Revision: e.Revision}
+		}
+	}
+	return r
+}
+
+// Holders returns the addresses of the daemons that the entries name.
+func (r *Reading) Holders() []string {
+	seen := map[string]bool{}
+	var out []string
+	for _, e := range r.Slots {
+		if peers := e.Holder.Peers; peers != "" && !seen[peers] {
+			seen[peers] = true
+			out = append(out, peers)
+		}
+	}
+	return out
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -39,17 +39,21 @@
 	Sequence              uint64
 	ConfigVersion         uint64
 	PostingEpoch          uint64
-	Slots                 []int
-	Headroom              map[string]Headroom
-	Demand                map[string]float64
-	Watches               bool
-	ConfirmedAt           time.Time
-	HeardAt               time.Time
+	// Slots are the slots that it spends from, by index in its zone.
+	Slots []int
+	// Held are the same with their times. Only a daemon's own account has it.
+	Held        []Holding
+	Headroom    map[string]Headroom
+	Demand      map[string]float64
+	Watches     bool
+	ConfirmedAt time.Time
+	HeardAt     time.Time
 }
 
 // Table holds the members that this daemon hears of, without itself.
 type Table struct {
-	members map[string]Member
+	members   map[string]Member
+	lastHeard time.Time
 }
 
 // NewTable returns an empty table.
@@ -57,13 +61,27 @@
 
 // Hear notes a member's own account of itself. An account that arrives after
 // a newer one of the same instance is dropped; a new instance on the same
-// host replaces the old one.
-func (t *Table) Hear(m Member, now time.Time) {
+// host replaces the old one. It reports whether the account is the newest.
+func (t *Table) Hear(m Member, now time.Time) bool {
 	if old, ok := t.members[m.Instance]; ok && old.Sequence >= m.Sequence {
-		return
+		return false
 	}
 	m.HeardAt = now
 	t.members[m.Instance] = m
+	t.lastHeard = now
+	return true
+}
+
+// LastHeard is when any member was heard last; zero if none ever was.
+func (t *Table) LastHeard() time.Time { return t.lastHeard }
+
+// All returns every member that is remembered, by instance.
+func (t *Table) All() []Member {
+	var all []Member
+	for _, instance := range slices.Sorted(maps.Keys(t.members)) {
+		all = append(all, t.members[instance])
+	}
+	return all
 }
 
 // Forget drops members that have been silent for longer than after.
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -16,6 +16,8 @@
 // Ledger holds this daemon's bucket of each quota. Traffic threads take from
 // it; the control thread sets the shares. It is safe for concurrent use.
 type Ledger struct {
+	// Fence stops spending after a pause.
+	Fence   Fence
 	mu      sync.Mutex
 	buckets map[string]*Bucket
 }
@@ -48,7 +50,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.buckets[name]
-	if b == nil {
+	if b == nil || !l.Fence.Open(now) {
 		return false, -1
 	}
 	return b.Take(cost, now)
