--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -6,6 +6,7 @@
 
 	"balsambarrow/internal/config"
 	"balsambarrow/internal/membership"
+	"balsambarrow/internal/upstream"
 	"balsambarrow/internal/view"
 )
 
@@ -62,9 +63,11 @@
 		case <-ctx.Done():
 			return
 		case m := <-c.inbox:
+			c.guardSlots(time.Now())
 			m.apply(c)
 			c.drain()
 		case <-ticker.C:
+			c.guardSlots(time.Now())
 			c.tick(time.Now())
 		}
 		c.publish(time.Now())
@@ -110,10 +113,12 @@
 		}
 	}
 	if snap.Config != nil {
-		c.publishHandler(snap)
+		assigned := upstream.Assign(snap.Config.Config, snap.Ready)
+		c.publishHandler(snap, assigned)
 		c.publishShares(snap, now)
-		c.publishSteering(snap, now)
+		c.publishSteering(snap, assigned, now)
 	}
+	c.d.ledger.Fence.Extend(c.slots.custody.SpendUntil())
 	c.d.view.Store(snap)
 }
 
@@ -126,7 +131,10 @@
 	m.ConfigRejected = c.config.rejected
 	m.ConfirmedAt = c.config.confirmed
 	m.Watches = c.watches(now)
-	m.Slots = c.slots.slots.Usable(now)
+	m.Held = c.slots.custody.Usable(now)
+	for _, h := range m.Held {
+		m.Slots = append(m.Slots, h.Slot)
+	}
 	m.Headroom = c.d.handler.Headroom()
 	m.Load = c.d.gauge.Load()
 	m.PostingEpoch = c.d.postings.Epoch(now)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -72,15 +72,11 @@
 	postings *posting.Table
 	gauge    *entry.Gauge
 	control  *control
-	// lease is the store's lease that slots are held under; it is written by
-	// the control thread only.
-	lease string
-
-	ctx     context.Context
-	cancel  context.CancelFunc
-	tasks   sync.WaitGroup
-	servers []*http.Server
-	errs    chan error
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+	servers  []*http.Server
+	errs     chan error
 }
 
 // New makes a daemon and opens its listeners. Start lets it serve.
@@ -142,7 +138,7 @@
 	if err := errors.WithStack(peer.DRPCRegisterConfiguration(mux, d)); err != nil {
 		return err
 	}
-	if err := errors.WithStack(peer.DRPCRegisterHandover(mux, newHandover(d))); err != nil {
+	if err := errors.WithStack(peer.DRPCRegisterHandover(mux, newHandoverServer(d))); err != nil {
 		return err
 	}
 	d.spawn(func(ctx context.Context) { _ = peer.Serve(ctx, mux, peers) })
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -48,7 +48,10 @@
 
 func (m heardFrom) apply(c *control) {
 	now := time.Now()
-	c.members.table.Hear(m.member, now)
+	newest := c.members.table.Hear(m.member, now)
+	if newest && m.member.Zone == c.d.identity.Zone {
+		c.yieldSlots(m.member, now)
+	}
 	c.heardHost(m.member, now)
 	c.heardConfig(m.member, now)
 }
@@ -78,6 +81,10 @@
 	for _, m := range c.members.table.Live(time.Now()) {
 		addresses[m.Peers] = true
 	}
+	// Holders that the store names are asked before their slots are taken.
+	for _, address := range c.slots.holders {
+		addresses[address] = true
+	}
 	delete(addresses, c.d.identity.Peers)
 	return addresses
 }
--- a/internal/entry/authenticate_test.go
+++ b/internal/entry/authenticate_test.go
@@ -16,6 +16,7 @@
 	"balsambarrow/internal/quota"
 	"balsambarrow/internal/steer"
 	"balsambarrow/internal/telemetry"
+	"balsambarrow/internal/upstream"
 	"balsambarrow/internal/view"
 	"balsambarrow/internal/wire"
 )
@@ -45,7 +46,7 @@
 	active, ready := config.NewActive(version, c), []membership.Member{self}
 	return &view.Snapshot{
 		Self: self, Ready: ready, Config: active,
-		Steer:       steer.NewBuilder("vt-a").Build(active, ready, time.Now()),
+		Steer:       steer.NewBuilder("vt-a").Build(active, ready, upstream.Assign(active.Config, ready), time.Now()),
 		PublishedAt: time.Now(), CaughtUp: true, ConfirmedAt: time.Now(),
 	}
 }
@@ -98,6 +99,7 @@
 			}
 			published.Store(snap)
 			ledger := quota.NewLedger()
+			ledger.Fence.Extend(time.Now().Add(time.Hour))
 			ledger.SetShares(quota.Shares(snap.Config, "vt-a", 1), time.Now().Add(-time.Minute))
 			tracing, err := telemetry.NewTracing("")
 			g.Expect(err).NotTo(HaveOccurred())
