Make balsamctl the tool to change, drain and diagnose a fleet

Faults of a patch are given with the lines of the operator's file.

Ruled out: printing a granted key whose change has an unknown outcome: its id can be withdrawn, and a key that may not work invites a second grant.

The first run of the demo showed "never" as the age of every other daemon's confirmation: only answers carry it, and the heartbeat of the same beat had overwritten it.

--- a/internal/daemon/config_test.go
+++ b/internal/daemon/config_test.go
@@ -260,6 +260,18 @@
 	}, settle).Should(Equal(wire.OutcomeRan))
 }
 
+// status is what one daemon shows of a host.
+func (f *fleet) status(through, host string) operator.DaemonStatus {
+	fleet, err := ctl.NewClient(f.daemons[through].OperatorsAddress()).Fleet()
+	f.g.Expect(err).NotTo(HaveOccurred())
+	for _, d := range fleet.Daemons {
+		if d.Host == host {
+			return d
+		}
+	}
+	return operator.DaemonStatus{ConfirmedMs: -1}
+}
+
 // A host that is listed stops without a word before anyone asks for a change,
 // and another one has only been listed so far. Nobody can say that a version
 // is in force there, so the status must show both until they are delisted.
@@ -271,6 +283,7 @@
 	f.start("me-1", "me-a")
 	f.platform.SetHost(platform.Host{Name: "me-2", Zone: "me-a", State: platform.HostLive, Peers: "127.0.0.1:1"})
 	f.awaitReady(f.apply("vt-1", twoRegions()))
+	g.Eventually(func() int64 { return f.status("vt-1", "me-1").ConfirmedMs }, settle).Should(BeNumerically(">=", 0))
 	f.kill("me-1")
 	status := func() []operator.DaemonStatus {
 		fleet, err := ctl.NewClient(f.daemons["vt-1"].OperatorsAddress()).Fleet()
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -22,10 +22,17 @@
 // heardHost notes a daemon's account of itself.
 func (c *control) heardHost(m membership.Member, now time.Time) {
 	h := c.fleet.known(m.Host, now)
-	if h.Last.Instance == m.Instance && h.Last.Sequence >= m.Sequence {
-		return
+	last := h.Last
+	if last.Instance == m.Instance {
+		// Only answers say when a version was confirmed.
+		m.ConfirmedAt = later(m.ConfirmedAt, last.ConfirmedAt)
+	}
+	if last.Instance == m.Instance && last.Sequence >= m.Sequence {
+		last.ConfirmedAt = m.ConfirmedAt
+		m = last
+	} else {
+		m.HeardAt = now
 	}
-	m.HeardAt = now
 	h.Zone, h.Last = m.Zone, m
 	c.fleet.hosts[m.Host] = h
 }
--- a/internal/operator/ctl/ctl.go
+++ b/internal/operator/ctl/ctl.go
@@ -3,8 +3,10 @@
 package ctl
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -14,14 +16,33 @@
 
 // Exit codes.
 const (
-	ExitOK          = 0
-	ExitFailed      = 1
-	ExitBadInput    = 2
-	ExitStale       = 3
+	ExitOK = 0
+	// ExitFailed: anything that has no code of its own.
+	ExitFailed = 1
+	// ExitRefused: the input is wrong; nothing was changed.
+	ExitRefused = 2
+	// ExitStale: the change was built on an old version; nothing was changed.
+	ExitStale = 3
+	// ExitUnavailable: no daemon or no store answered; nothing was changed.
 	ExitUnavailable = 4
-	ExitUnknown     = 5
+	// ExitUnknown: the change may or may not have taken effect.
+	ExitUnknown = 5
+	// ExitNotEverywhere: accepted, but --wait ended before it was in force
+	// everywhere.
+	ExitNotEverywhere = 6
 )
 
+const rootHelp = `balsamctl talks to the operators' listener of any daemon.
+
+Exit codes:
+  0  done
+  1  failed for another reason
+  2  refused: the input is wrong, nothing was changed
+  3  stale: built on an old version, nothing was changed
+  4  unavailable: no daemon or no store answered, nothing was changed
+  5  unknown: the change may have taken effect; ask "config change ID"
+  6  accepted, but not confirmed everywhere before --timeout`
+
 // Run runs one command line and returns the exit code.
 func Run(args []string, out, errOut io.Writer) int {
 	cmd := command(out)
@@ -38,36 +59,82 @@
 
 func exitCode(err error) int {
 	var faults jsonc.Faults
-	if errors.As(err, &faults) {
-		return ExitBadInput
-	}
 	var refused *RefusedError
-	if errors.As(err, &refused) {
+	var unknown *UnknownError
+	var missing *NotEverywhereError
+	switch {
+	case errors.As(err, &faults), errors.Is(err, ErrBadUsage):
+		return ExitRefused
+	case errors.As(err, &refused):
 		return refused.exitCode()
-	}
-	if errors.Is(err, ErrUnreachable) {
+	case errors.As(err, &unknown):
+		return ExitUnknown
+	case errors.As(err, &missing):
+		return ExitNotEverywhere
+	case errors.Is(err, ErrUnreachable):
 		return ExitUnavailable
 	}
 	return ExitFailed
 }
 
+// Output formats.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// ErrBadUsage says that flags or arguments contradict each other or the
+// configuration.
+var ErrBadUsage = errors.New("balsamctl: bad usage")
+
 // env is what every command shares.
 type env struct {
-	out     io.Writer
-	address string
+	out       io.Writer
+	addresses []string
+	output    string
 }
 
-func (e *env) client() *Client { return NewClient(e.address) }
+func (e *env) client() *Client { return NewClient(e.addresses...) }
+
+// show prints v as JSON, or what text writes.
+func (e *env) show(v any, text func(io.Writer) error) error {
+	if e.output == outputText {
+		return text(e.out)
+	}
+	encoder := json.NewEncoder(e.out)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(v), "print")
+}
 
 func command(out io.Writer) *cobra.Command {
 	e := &env{out: out}
 	root := &cobra.Command{
 		Use:           "balsamctl",
 		Short:         "Operate a balsambarrow fleet",
+		Long:          rootHelp,
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			if e.output != outputText && e.output != outputJSON {
+				return errors.Wrap(ErrBadUsage, "--output: want text or json")
+			}
+			return nil
+		},
 	}
-	root.PersistentFlags().StringVar(&e.address, "operators", "127.0.0.1:7101", "operators' address of any daemon")
-	root.AddCommand(configCommand(e), fleetCommand(e))
+	flags := root.PersistentFlags()
+	flags.StringSliceVar(&e.addresses, "operators", []string{"127.0.0.1:7101"}, "operators' addresses of daemons, tried in turn")
+	flags.StringVarP(&e.output, "output", "o", outputText, "text or json")
+	root.AddCommand(configCommand(e), keyCommand(e), drainCommand(e), moveCommand(e), fleetCommand(e), explainCommand(e))
 	return root
 }
+
+// waitFlags are those of every command that submits a change.
+type waitFlags struct {
+	wait    bool
+	timeout time.Duration
+}
+
+func (w *waitFlags) add(cmd *cobra.Command) {
+	cmd.Flags().BoolVar(&w.wait, "wait", false, "wait until the version is in force everywhere")
+	cmd.Flags().DurationVar(&w.timeout, "timeout", defaultWait, "how long --wait waits")
+}
--- /dev/null
+++ b/internal/operator/ctl/drain.go
@@ -0,0 +1,99 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"balsambarrow/internal/config"
+)
+
+func drainCommand(e *env) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "drain",
+		Short: "Empty an upstream, zone, region or entry host",
+		Long: "Empty an upstream, zone, region or entry host. The plan is shown first and\n" +
+			"submitted with --yes. A drain stays in the configuration until it is undone.",
+		Example: "  balsamctl drain zone vt-a --cap 200 --ramp 5m\n" +
+			"  balsamctl drain zone vt-a --cap 200 --ramp 5m --yes --wait\n" +
+			"  balsamctl drain undo zone-vt-a --yes",
+	}
+	for _, kind := range []config.DrainKind{config.DrainUpstream, config.DrainZone, config.DrainRegion, config.DrainHost} {
+		cmd.AddCommand(drainKind(e, kind))
+	}
+	cmd.AddCommand(drainUndo(e), drainList(e))
+	return cmd
+}
+
+func drainKind(e *env, kind config.DrainKind) *cobra.Command {
+	f := &shiftFlags{}
+	cmd := &cobra.Command{
+		Use:     string(kind) + " NAME",
+		Short:   "Empty a " + string(kind),
+		Example: fmt.Sprintf("  balsamctl drain %s NAME --cap 200 --ramp 5m --yes --wait", kind),
+		Args:    cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			if f.name == "" {
+				f.name = string(kind) + "-" + args[0]
+			}
+			return e.carryOut(f, shifts{Drains: map[string]*config.Drain{f.name: {
+				Kind: kind, Target: args[0], CapPerSecond: f.cap,
+				RampSeconds: f.ramp.Seconds(), StartUnixMs: time.Now().UnixMilli(),
+			}}})
+		},
+	}
+	f.add(cmd)
+	return cmd
+}
+
+func drainUndo(e *env) *cobra.Command {
+	f := &shiftFlags{}
+	cmd := &cobra.Command{
+		Use:     "undo NAME",
+		Short:   "Take a drain back",
+		Example: "  balsamctl drain undo zone-vt-a --yes",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			c, err := e.current()
+			if err != nil {
+				return err
+			}
+			if _, ok := c.Drains[args[0]]; !ok {
+				return errors.Wrapf(ErrBadUsage, "there is no drain %s", args[0])
+			}
+			return e.carryOut(f, shifts{Drains: map[string]*config.Drain{args[0]: nil}})
+		},
+	}
+	f.addConsent(cmd)
+	return cmd
+}
+
+func drainList(e *env) *cobra.Command {
+	return &cobra.Command{
+		Use:     "list",
+		Short:   "Show the drains and how far their ramps are",
+		Example: "  balsamctl drain list",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			c, err := e.current()
+			if err != nil {
+				return err
+			}
+			return e.show(c.Drains, func(out io.Writer) error {
+				w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+				_, _ = fmt.Fprintln(w, "NAME\tKIND\tTARGET\tCAP/S\tRAMP")
+				for _, name := range slices.Sorted(maps.Keys(c.Drains)) {
+					d := c.Drains[name]
+					_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%g\t%s\n", name, d.Kind, d.Target, d.CapPerSecond, progress(d.StartUnixMs, d.RampSeconds, time.Now()))
+				}
+				return w.Flush()
+			})
+		},
+	}
+}
--- /dev/null
+++ b/internal/operator/ctl/move.go
@@ -0,0 +1,93 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"balsambarrow/internal/config"
+)
+
+func moveCommand(e *env) *cobra.Command {
+	f := &shiftFlags{}
+	m := &config.Move{}
+	cmd := &cobra.Command{
+		Use:   "move SERVICE",
+		Short: "Move a service's traffic from one region to another",
+		Long: "Move a service's traffic from one region to another. The plan is shown first and\n" +
+			"submitted with --yes. A move stays in the configuration until it is undone.",
+		Example: "  balsamctl move lookup --from vermont --to maine --share 0.5 --cap 100 --ramp 10m --yes --wait\n" +
+			"  balsamctl move undo lookup-vermont-maine --yes",
+		Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			m.Service = args[0]
+			m.CapPerSecond, m.RampSeconds, m.StartUnixMs = f.cap, f.ramp.Seconds(), time.Now().UnixMilli()
+			if f.name == "" {
+				f.name = m.Service + "-" + m.From + "-" + m.To
+			}
+			return e.carryOut(f, shifts{Moves: map[string]*config.Move{f.name: m}})
+		},
+	}
+	cmd.Flags().StringVar(&m.From, "from", "", "region that gives traffic")
+	cmd.Flags().StringVar(&m.To, "to", "", "region that takes it")
+	cmd.Flags().Float64Var(&m.Share, "share", 1, "share of the traffic, 0 to 1")
+	f.add(cmd)
+	for _, name := range []string{"from", "to", "cap"} {
+		_ = cmd.MarkFlagRequired(name)
+	}
+	cmd.AddCommand(moveUndo(e), moveList(e))
+	return cmd
+}
+
+func moveUndo(e *env) *cobra.Command {
+	f := &shiftFlags{}
+	cmd := &cobra.Command{
+		Use:     "undo NAME",
+		Short:   "Take a move back",
+		Example: "  balsamctl move undo lookup-vermont-maine --yes",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			c, err := e.current()
+			if err != nil {
+				return err
+			}
+			if _, ok := c.Moves[args[0]]; !ok {
+				return errors.Wrapf(ErrBadUsage, "there is no move %s", args[0])
+			}
+			return e.carryOut(f, shifts{Moves: map[string]*config.Move{args[0]: nil}})
+		},
+	}
+	f.addConsent(cmd)
+	return cmd
+}
+
+func moveList(e *env) *cobra.Command {
+	return &cobra.Command{
+		Use:     "list",
+		Short:   "Show the moves and how far their ramps are",
+		Example: "  balsamctl move list",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			c, err := e.current()
+			if err != nil {
+				return err
+			}
+			return e.show(c.Moves, func(out io.Writer) error {
+				w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+				_, _ = fmt.Fprintln(w, "NAME\tSERVICE\tFROM\tTO\tSHARE\tCAP/S\tRAMP")
+				for _, name := range slices.Sorted(maps.Keys(c.Moves)) {
+					m := c.Moves[name]
+					_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%g\t%g\t%s\n", name, m.Service, m.From, m.To, m.Share, m.CapPerSecond,
+						progress(m.StartUnixMs, m.RampSeconds, time.Now()))
+				}
+				return w.Flush()
+			})
+		},
+	}
+}
--- /dev/null
+++ b/internal/operator/ctl/shift.go
@@ -0,0 +1,174 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"balsambarrow/internal/config"
+	"balsambarrow/internal/operator"
+)
+
+// shiftFlags are those of every drain and move.
+type shiftFlags struct {
+	name   string
+	cap    float64
+	ramp   time.Duration
+	yes    bool
+	dryRun bool
+	change change
+}
+
+func (f *shiftFlags) add(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.name, "name", "", "name in the configuration, for its undoing (default: made from what it shifts)")
+	cmd.Flags().Float64Var(&f.cap, "cap", 0, "most requests shifted per second")
+	cmd.Flags().DurationVar(&f.ramp, "ramp", time.Minute, "time from nothing to all")
+	f.addConsent(cmd)
+}
+
+func (f *shiftFlags) addConsent(cmd *cobra.Command) {
+	cmd.Flags().BoolVar(&f.yes, "yes", false, "submit the plan")
+	cmd.Flags().BoolVar(&f.dryRun, "dry-run", false, "show the plan only")
+	f.change.wait.add(cmd)
+}
+
+// plan is what a drain, a move or its undoing would change.
+type plan struct {
+	// Base is the version that the plan was made on.
+	Base  uint64          `json:"base"`
+	Merge json.RawMessage `json:"patch"`
+	// Affected are the upstreams that lose the traffic, for drains.
+	Affected []string `json:"affected_upstreams,omitempty"`
+	// Warnings are for the operator to weigh.
+	Warnings []string `json:"warnings,omitempty"`
+	// Result is set once the plan was submitted.
+	Result *accepted `json:"result,omitempty"`
+}
+
+// shifts is a patch of drains and moves; a nil value removes an entry.
+type shifts struct {
+	Drains map[string]*config.Drain `json:"drains,omitempty"`
+	Moves  map[string]*config.Move  `json:"moves,omitempty"`
+}
+
+// carryOut shows the plan of a patch and submits it if the operator said so.
+func (e *env) carryOut(f *shiftFlags, s shifts) error {
+	if f.yes && f.dryRun {
+		return errors.Wrap(ErrBadUsage, "--yes and --dry-run exclude each other")
+	}
+	current, err := e.client().Config()
+	if err != nil {
+		return err
+	}
+	p, err := newPlan(current, s)
+	if err != nil {
+		return err
+	}
+	if f.yes {
+		f.change.base, f.change.merge = p.Base, p.Merge
+		var result accepted
+		result, err = e.submit(f.change)
+		if result.Version == 0 {
+			return err
+		}
+		p.Result = &result
+	}
+	if shown := e.show(p, p.text); shown != nil {
+		return shown
+	}
+	return err
+}
+
+func newPlan(current operator.ConfigAnswer, s shifts) (*plan, error) {
+	merge, err := json.Marshal(s)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode patch")
+	}
+	after, err := tryMerge(current, merge)
+	if err != nil {
+		return nil, err
+	}
+	p := &plan{Base: current.Version, Merge: merge}
+	for _, d := range s.Drains {
+		if d != nil {
+			p.weigh(after, d)
+		}
+	}
+	return p, nil
+}
+
+// weigh lists what a drain empties, and each service that it leaves without
+// an upstream.
+func (p *plan) weigh(c *config.Config, d *config.Drain) {
+	left := map[string]int{}
+	emptied := map[string]bool{}
+	for _, name := range slices.Sorted(maps.Keys(c.Upstreams)) {
+		u := c.Upstreams[name]
+		if empties(c, d, name) {
+			p.Affected = append(p.Affected, name)
+			emptied[u.Service] = true
+		} else if !u.Leaving {
+			left[u.Service]++
+		}
+	}
+	for _, service := range slices.Sorted(maps.Keys(emptied)) {
+		if left[service] == 0 {
+			p.Warnings = append(p.Warnings, "no upstream of "+service+" is left: its requests will be refused")
+		}
+	}
+	if d.CapPerSecond == 0 && d.Kind != config.DrainHost {
+		p.Warnings = append(p.Warnings, "no --cap: only the caps of moves and the links bound what is shifted")
+	}
+}
+
+func empties(c *config.Config, d *config.Drain, upstream string) bool {
+	zone := c.Upstreams[upstream].Zone
+	switch d.Kind {
+	case config.DrainUpstream:
+		return d.Target == upstream
+	case config.DrainZone:
+		return d.Target == zone
+	case config.DrainRegion:
+		return d.Target == c.Zones[zone].Region
+	}
+	return false
+}
+
+func (p *plan) text(w io.Writer) error {
+	_, _ = fmt.Fprintf(w, "plan on version %d: %s\n", p.Base, p.Merge)
+	for _, name := range p.Affected {
+		_, _ = fmt.Fprintf(w, "  upstream %s gets no new work\n", name)
+	}
+	for _, warning := range p.Warnings {
+		_, _ = fmt.Fprintf(w, "warning: %s\n", warning)
+	}
+	if p.Result == nil {
+		_, err := fmt.Fprintln(w, "nothing submitted; add --yes to submit")
+		return err
+	}
+	return p.Result.text(w)
+}
+
+// progress of a ramp at a time, as text.
+func progress(startUnixMs int64, rampSeconds float64, now time.Time) string {
+	if rampSeconds <= 0 {
+		return "100%"
+	}
+	since := float64(now.UnixMilli()-startUnixMs) / 1000
+	return fmt.Sprintf("%.0f%%", 100*min(max(since/rampSeconds, 0), 1))
+}
+
+// current reads and parses the configuration.
+func (e *env) current() (*config.Config, error) {
+	a, err := e.client().Config()
+	if err != nil {
+		return nil, err
+	}
+	return config.Parse("current", a.Document)
+}
--- /dev/null
+++ b/internal/operator/ctl/submit.go
@@ -0,0 +1,161 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"balsambarrow/internal/config"
+	"balsambarrow/internal/jsonc"
+	"balsambarrow/internal/operator"
+)
+
+// Timing of --wait.
+const (
+	defaultWait = 30 * time.Second
+	waitEvery   = 200 * time.Millisecond
+)
+
+// NotEverywhereError says that --wait ended before a version was known to be
+// in force everywhere.
+type NotEverywhereError struct {
+	Version uint64
+	// Missing are the hosts that have not confirmed it.
+	Missing []operator.DaemonStatus
+	// ListUnknown says that the daemon could not read the host list, so that
+	// there may be hosts it does not know of.
+	ListUnknown bool
+}
+
+func (e *NotEverywhereError) Error() string {
+	text := fmt.Sprintf("version %d is accepted, but not confirmed everywhere", e.Version)
+	if len(e.Missing) > 0 {
+		text += "\nzones that have not confirmed: " + strings.Join(e.Zones(), ", ")
+	}
+	for _, d := range e.Missing {
+		text += fmt.Sprintf("\n  %s (%s): %s, version %d, heard %s ago", d.Host, d.Zone, d.State, d.ConfigVersion, milliseconds(d.HeardMs))
+	}
+	if e.ListUnknown {
+		text += "\nthe platform's host list cannot be read: there may be hosts that are not known"
+	}
+	return text
+}
+
+// Zones names the zones of the missing hosts, in order.
+func (e *NotEverywhereError) Zones() []string {
+	var zones []string
+	for _, d := range e.Missing {
+		zones = append(zones, d.Zone)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
+// change is one change on its way from a command to the fleet.
+type change struct {
+	base  uint64
+	merge []byte
+	// id is the change's id; "" stands for a new one.
+	id   string
+	wait waitFlags
+}
+
+// accepted is what a command prints of a change.
+type accepted struct {
+	Version    uint64 `json:"version"`
+	Everywhere bool   `json:"everywhere,omitempty"`
+}
+
+// submit submits a change and waits for it, without printing.
+func (e *env) submit(c change) (accepted, error) {
+	if c.id == "" {
+		c.id = uuid.NewString()
+	}
+	a, err := e.client().Submit(c.base, c.merge, c.id)
+	if err != nil {
+		return accepted{}, err
+	}
+	result := accepted{Version: a.Version}
+	if c.wait.wait {
+		err = e.waitFor(a.Version, c.wait.timeout)
+		result.Everywhere = err == nil
+	}
+	return result, err
+}
+
+// submitAndShow submits a change and prints what became of it.
+func (e *env) submitAndShow(c change) error {
+	result, err := e.submit(c)
+	if result.Version == 0 {
+		return err
+	}
+	shown := e.show(result, result.text)
+	if err != nil {
+		return err
+	}
+	return shown
+}
+
+func (a accepted) text(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "version %d accepted\n", a.Version)
+	if err == nil && a.Everywhere {
+		_, err = fmt.Fprintf(w, "version %d in force everywhere\n", a.Version)
+	}
+	return err
+}
+
+// waitFor waits until every host that is listed or was heard has a version.
+func (e *env) waitFor(version uint64, timeout time.Duration) error {
+	for end := time.Now().Add(timeout); ; time.Sleep(waitEvery) {
+		fleet, err := e.client().Fleet()
+		if err == nil {
+			err = missing(fleet, version)
+		}
+		if err == nil || time.Now().After(end) {
+			return err
+		}
+	}
+}
+
+func missing(fleet operator.FleetAnswer, version uint64) error {
+	e := &NotEverywhereError{Version: version, ListUnknown: !fleet.Complete}
+	for _, d := range fleet.Daemons {
+		if d.ConfigVersion < version {
+			e.Missing = append(e.Missing, d)
+		}
+	}
+	if len(e.Missing) == 0 && !e.ListUnknown {
+		return nil
+	}
+	return e
+}
+
+// check tries a patch on the current document, so that its faults come with
+// the places in the operator's file.
+func check(current operator.ConfigAnswer, file *jsonc.Document) error {
+	_, err := tryMerge(current, file.Standard())
+	var faults jsonc.Faults
+	if !errors.As(err, &faults) {
+		return err
+	}
+	placed := make(jsonc.Faults, len(faults))
+	for i, f := range faults {
+		placed[i] = file.Locate(f.Path, f.Problem)
+	}
+	return placed
+}
+
+func tryMerge(current operator.ConfigAnswer, merge []byte) (*config.Config, error) {
+	merged, err := config.Merge(current.Document, merge)
+	if err != nil {
+		return nil, err
+	}
+	return config.Parse("patched", merged)
+}
+
+func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
