--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -28,6 +28,7 @@
 	slots   slotState
 	config  configState
 	quota   quotaState
+	steer   steerState
 	fleet   fleetState
 }
 
@@ -40,6 +41,7 @@
 		slots:   newSlotState(),
 		config:  newConfigState(),
 		quota:   newQuotaState(),
+		steer:   newSteerState(d.identity.Zone),
 		fleet:   newFleetState(),
 	}
 }
@@ -61,6 +63,7 @@
 			return
 		case m := <-c.inbox:
 			m.apply(c)
+			c.drain()
 		case <-ticker.C:
 			c.tick(time.Now())
 		}
@@ -68,6 +71,19 @@
 	}
 }
 
+// drain applies the messages that wait already, so that a burst of them costs
+// one snapshot.
+func (c *control) drain() {
+	for range inboxSize {
+		select {
+		case m := <-c.inbox:
+			m.apply(c)
+		default:
+			return
+		}
+	}
+}
+
 func (c *control) tick(now time.Time) {
 	c.tickMembers(now)
 	c.tickConfig(now)
@@ -96,6 +112,7 @@
 	if snap.Config != nil {
 		c.publishHandler(snap)
 		c.publishShares(snap, now)
+		c.publishSteering(snap, now)
 	}
 	c.d.view.Store(snap)
 }
@@ -111,7 +128,9 @@
 	m.Watches = c.watches(now)
 	m.Slots = c.slots.slots.Usable(now)
 	m.Headroom = c.d.handler.Headroom()
+	m.Load = c.d.gauge.Load()
 	m.PostingEpoch = c.d.postings.Epoch(now)
+	m.AnswersFor = c.d.postings.AnswersFor(now)
 	return m
 }
 
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -116,6 +116,8 @@
 		Instance: m.Instance, Host: m.Host, Zone: m.Zone, State: string(m.State),
 		Callers: m.Callers, Peers: m.Peers, Relay: m.Relay, Sequence: m.Sequence,
 		ConfigVersion: m.ConfigVersion, PostingEpoch: m.PostingEpoch, Watches: m.Watches,
+		AnswersFor:     m.AnswersFor,
+		Load:           m.Load,
 		ConfirmedAgeMs: ageMs(m.ConfirmedAt, time.Now()), ConfigRejected: m.ConfigRejected,
 	}
 	for _, slot := range m.Slots {
@@ -134,6 +136,8 @@
 		Instance: in.Instance, Host: in.Host, Zone: in.Zone, State: membership.State(in.State),
 		Callers: in.Callers, Peers: in.Peers, Relay: in.Relay, Sequence: in.Sequence,
 		ConfigVersion: in.ConfigVersion, PostingEpoch: in.PostingEpoch, Watches: in.Watches,
+		AnswersFor:     in.AnswersFor,
+		Load:           in.Load,
 		ConfigRejected: in.ConfigRejected,
 		Headroom:       map[string]membership.Headroom{},
 	}
--- a/internal/entry/authenticate_test.go
+++ b/internal/entry/authenticate_test.go
@@ -14,6 +14,7 @@
 	"balsambarrow/internal/entry"
 	"balsambarrow/internal/membership"
 	"balsambarrow/internal/quota"
+	"balsambarrow/internal/steer"
 	"balsambarrow/internal/telemetry"
 	"balsambarrow/internal/view"
 	"balsambarrow/internal/wire"
@@ -41,8 +42,10 @@
 		Instance: "vt-1-x", Host: "vt-1", Zone: "vt-a", State: membership.StateReady,
 		Headroom: map[string]membership.Headroom{"lookup": {Free: 1, Limit: 1}},
 	}
+	active, ready := config.NewActive(version, c), []membership.Member{self}
 	return &view.Snapshot{
-		Self: self, Ready: []membership.Member{self}, Config: config.NewActive(version, c),
+		Self: self, Ready: ready, Config: active,
+		Steer:       steer.NewBuilder("vt-a").Build(active, ready, time.Now()),
 		PublishedAt: time.Now(), CaughtUp: true, ConfirmedAt: time.Now(),
 	}
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -45,6 +45,10 @@
 	Headroom       map[string]Headroom
 	Demand         map[string]float64
 	Watches        bool
+	// Load is the part of the host's own room that is in use, 0 to 1.
+	Load float64
+	// AnswersFor lists the stopped instances whose postings it remembers.
+	AnswersFor []string
 	// ConfirmedAt is when ConfigVersion was last known to be the store's, by
 	// the clock of the daemon that holds this value; zero: not known.
 	ConfirmedAt time.Time
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -41,6 +41,10 @@
 	// Free and Limit are the room it advertises for the service.
 	Free  int `json:"free"`
 	Limit int `json:"limit"`
+	// Shift and Link name the caps that a request to another region takes
+	// from; "" in the home region.
+	Shift string `json:"shift,omitempty"`
+	Link  string `json:"link,omitempty"`
 }
 
 // ExplainedUpstream tells whether an upstream can get the request.
@@ -92,11 +96,13 @@
 		}
 	}
 	rng := rand.New(rand.NewPCG(0, 0))
-	for _, t := range steer.Choose(snap.Config, snap.Ready, e.Customer, e.Service, e.From, rng) {
-		room := t.Member.Headroom[e.Service]
+	table := steer.NewBuilder(e.From).Build(snap.Config, snap.Ready, now)
+	for _, t := range table.Choose(steer.Request{Service: e.Service, Customer: e.Customer}, now, rng) {
+		m := t.Handler.Member
+		room := m.Headroom[e.Service]
 		e.Targets = append(e.Targets, ExplainedTarget{
-			Host: t.Member.Host, Zone: t.Member.Zone, Region: snap.Config.Region(t.Member.Zone),
-			Free: room.Free, Limit: room.Limit,
+			Host: m.Host, Zone: m.Zone, Region: snap.Config.Region(m.Zone),
+			Free: room.Free, Limit: room.Limit, Shift: t.Shift, Link: t.Link,
 		})
 	}
 	e.conclude(snap, now)
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -47,7 +47,10 @@
 	s.mux.HandleFunc("GET /v1/explain", s.getExplanation)
 	s.mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	s.mux.HandleFunc("GET /readyz", s.ready)
-	s.mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { s.Metrics.WritePrometheus(w) })
+	s.mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		s.Metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
 	return s
 }
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +12,9 @@
 	"balsambarrow/internal/wire"
 )
 
+// maxBudget bounds what a peer may claim to be left of a caller's budget.
+const maxBudget = time.Hour
+
 // Runner runs a call here and now.
 type Runner interface {
 	Run(ctx context.Context, call *wire.Call) (*wire.Answer, *wire.Problem)
@@ -22,11 +26,16 @@
 	Handle Runner
 	// Posting runs a call whose posting id names this instance.
 	Posting Runner
+	// MaxBodyBytes bounds a body; it is the callers' bound.
+	MaxBodyBytes int64
+	// Pace bounds an answer's body on its way to the daemon that asked; nil
+	// bounds nothing.
+	Pace func(ctx context.Context, from string, body io.ReadCloser) io.ReadCloser
 }
 
 // ServeHTTP implements http.Handler for /relay/.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	call, problem := readCall(r)
+	call, problem := s.readCall(w, r)
 	if problem != nil {
 		problem.Write(w)
 		return
@@ -42,10 +51,13 @@
 		problem.Write(w)
 		return
 	}
+	if s.Pace != nil {
+		answer.Body = s.Pace(ctx, r.Header.Get(wire.HeaderFrom), answer.Body)
+	}
 	answer.Write(w)
 }
 
-func readCall(r *http.Request) (*wire.Call, *wire.Problem) {
+func (s *Server) readCall(w http.ResponseWriter, r *http.Request) (*wire.Call, *wire.Problem) {
 	service, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/relay/"), "/")
 	budget, err := strconv.ParseInt(r.Header.Get(wire.HeaderBudgetMs), 10, 64)
 	if err != nil || service == "" {
@@ -54,18 +66,22 @@
 	if budget <= 0 {
 		return nil, wire.Refuse(wire.TypeDeadline, "budget spent before the handler", 0)
 	}
-	body, err := wire.ReadBody(r.Body, r.ContentLength)
+	deadline := time.Now().Add(time.Duration(min(budget, maxBudget.Milliseconds())) * time.Millisecond)
+	// A peer that is paused in the middle of a body would hold this goroutine
+	// for as long as its connection stands; it shows as a growing number of
+	// them. Past the deadline nobody waits for the call any more.
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+	body, err := wire.ReadBody(http.MaxBytesReader(w, r.Body, s.MaxBodyBytes), r.ContentLength)
 	if err != nil {
-		return nil, wire.Refuse(wire.TypeBadRequest, "relay: body broke off", 0)
+		return nil, wire.Refuse(wire.TypeBadRequest, "relay: body broke off or is too large", 0)
 	}
 	call := &wire.Call{
 		Service: service, Path: "/" + path, RawQuery: r.URL.RawQuery, Method: r.Method,
 		Header: r.Header.Clone(), Body: body,
 		Customer:  r.Header.Get(wire.HeaderCustomer),
 		KeyDigest: r.Header.Get(wire.HeaderKeyDigest),
-		Deadline:  time.Now().Add(time.Duration(budget) * time.Millisecond),
+		Deadline:  deadline,
 	}
-	wire.StripHops(call.Header)
-	wire.StripOwn(call.Header)
+	wire.StripRequest(call.Header)
 	return call, nil
 }
