--- a/internal/operator/ctl/ctl.go
+++ b/internal/operator/ctl/ctl.go
@@ -121,6 +121,7 @@
 			return nil
 		},
 	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Wrap(ErrBadUsage, err.Error()) })
 	flags := root.PersistentFlags()
 	flags.StringSliceVar(&e.addresses, "operators", []string{"127.0.0.1:7101"}, "operators' addresses of daemons, tried in turn")
 	flags.StringVarP(&e.output, "output", "o", outputText, "text or json")
--- a/internal/operator/ctl/shift.go
+++ b/internal/operator/ctl/shift.go
@@ -143,7 +143,7 @@
 func (p *plan) text(w io.Writer) error {
 	_, _ = fmt.Fprintf(w, "plan on version %d: %s\n", p.Base, p.Merge)
 	for _, name := range p.Affected {
-		_, _ = fmt.Fprintf(w, "  upstream %s gets no new work\n", name)
+		_, _ = fmt.Fprintf(w, "  upstream %s loses its traffic\n", name)
 	}
 	for _, warning := range p.Warnings {
 		_, _ = fmt.Fprintf(w, "warning: %s\n", warning)
