--- a/internal/operator/ctl/shift.go
+++ b/internal/operator/ctl/shift.go
@@ -119,7 +119,7 @@
 	}
 	for _, service := range slices.Sorted(maps.Keys(emptied)) {
 		if left[service] == 0 {
-			p.Warnings = append(p.Warnings, "no upstream of "+service+" is left: its requests will be refused")
+			p.Warnings = append(p.Warnings, "no other upstream of "+service+" is left: "+consequence(d.Kind))
 		}
 	}
 	if d.CapPerSecond == 0 && d.Kind != config.DrainHost {
@@ -127,6 +127,15 @@
 	}
 }
 
+// consequence is what becomes of a service's requests when a drain leaves no
+// other upstream: an upstream's drain is final, a zone's or region's gives way.
+func consequence(kind config.DrainKind) string {
+	if kind == config.DrainUpstream {
+		return "its requests will be refused"
+	}
+	return "its requests stay where they are"
+}
+
 func empties(c *config.Config, d *config.Drain, upstream string) bool {
 	zone := c.Upstreams[upstream].Zone
 	switch d.Kind {
