--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -19,6 +19,14 @@
 	d.metrics.Gauge("balsambarrow_config_version", func() float64 { return float64(d.view.Load().Self.ConfigVersion) })
 	d.metrics.Gauge("balsambarrow_slots", func() float64 { return float64(len(d.view.Load().Self.Slots)) })
 	d.metrics.Gauge("balsambarrow_ready_daemons", func() float64 { return float64(len(d.view.Load().Ready)) })
+	d.metrics.Gauge("balsambarrow_postings", func() float64 {
+		records, _ := d.postings.Size()
+		return float64(records)
+	})
+	d.metrics.Gauge("balsambarrow_posting_answer_bytes", func() float64 {
+		_, answerBytes := d.postings.Size()
+		return float64(answerBytes)
+	})
 	d.metrics.Gauge("balsambarrow_load", func() float64 { return d.view.Load().Self.Load })
 }
 
--- a/internal/daemon/posting_test.go
+++ b/internal/daemon/posting_test.go
@@ -79,12 +79,14 @@
 	g.Expect(u.ran("w1")).To(Equal(1))
 }
 
-// Seeds of the failure runs. An ordinary test runs a few; with
-// BALSAM_MEASURE=1 the figures of docs/measurements/posting.md are made.
+// Seeds of the failure runs. The ordinary test makes a few; the measured one
+// makes the figures of docs/measurements/posting.md.
 const (
 	firstSeed    = 1
 	ordinaryRuns = 5
 	measuredRuns = 200
+	// runsAtOnce bounds the fleets that run side by side.
+	runsAtOnce = 4
 )
 
 // postingStory is one farmer's weight: what the caller was told, over all tries.
@@ -102,36 +104,49 @@
 // tally sums up a run.
 type tally struct {
 	postings, tries, doubled, untrue, mayHaveRun, doubted int
+	kills, stops, cuts                                    int
 }
 
 func (a *tally) add(b tally) {
 	a.postings += b.postings
+	a.tries += b.tries
 	a.doubled += b.doubled
 	a.untrue += b.untrue
 	a.mayHaveRun += b.mayHaveRun
-	a.tries += b.tries
 	a.doubted += b.doubted
+	a.kills += b.kills
+	a.stops += b.stops
+	a.cuts += b.cuts
 }
 
 // Callers post weights at all hosts and ask again elsewhere whenever they
 // doubt, while hosts die, are stopped, or are cut off from each other and from
 // the workers at random moments. No weight may be run twice; one that was
 // called not-run, and never in doubt, did not run; one that was called ran did.
-func TestPostingsUnderSeededFailures(t *testing.T) {
-	runs := ordinaryRuns
-	if os.Getenv("BALSAM_MEASURE") == "1" {
-		runs = measuredRuns
+func TestPostingsUnderSeededFailures(t *testing.T) { failureRuns(t, ordinaryRuns) }
+
+// TestMeasurePostings is TestPostingsUnderSeededFailures over many seeds.
+func TestMeasurePostings(t *testing.T) {
+	if os.Getenv("BALSAM_MEASURE") != "1" {
+		t.Skip("set BALSAM_MEASURE=1 to measure")
 	}
+	failureRuns(t, measuredRuns)
+}
+
+func failureRuns(t *testing.T, runs int) {
 	var mu sync.Mutex
 	var sum tally
 	t.Cleanup(func() {
-		t.Logf("runs=%d postings=%d tries=%d doubled=%d untrue_not_run=%d ended_may_have_run=%d (%.2f%%) ever_may_have_run=%d",
-			runs, sum.postings, sum.tries, sum.doubled, sum.untrue, sum.mayHaveRun,
+		t.Logf("runs=%d kills=%d stops=%d cuts=%d postings=%d tries=%d doubled=%d untrue=%d ended_may_have_run=%d (%.2f%%) ever_may_have_run=%d",
+			runs, sum.kills, sum.stops, sum.cuts, sum.postings, sum.tries, sum.doubled, sum.untrue, sum.mayHaveRun,
 			100*float64(sum.mayHaveRun)/float64(max(sum.postings, 1)), sum.doubted)
 	})
+	room := make(chan struct{}, runsAtOnce)
 	for seed := firstSeed; seed < firstSeed+runs; seed++ {
 		t.Run("seed "+strconv.Itoa(seed), func(t *testing.T) {
 			t.Parallel()
+			room <- struct{}{}
+			defer func() { <-room }()
 			one := failureRun(t, uint64(seed))
 			mu.Lock()
 			sum.add(one)
@@ -186,15 +201,17 @@
 		}
 		callers.Go(func() { stories[i] = f.postAll(rng, i, key, entries, ids, over) })
 	}
-	f.disturb(rand.New(rand.NewPCG(seed, 99)))
+	made := f.disturb(rand.New(rand.NewPCG(seed, 99)))
 	time.Sleep(50 * time.Millisecond)
 	close(over)
 	callers.Wait()
-	return f.judge(stories)
+	made.add(f.judge(stories))
+	return made
 }
 
 // disturb makes one to three failures at random moments.
-func (f *fleet) disturb(rng *rand.Rand) {
+func (f *fleet) disturb(rng *rand.Rand) tally {
+	var made tally
 	for range 1 + rng.IntN(3) {
 		time.Sleep(time.Duration(20+rng.IntN(150)) * time.Millisecond)
 		host := failureHosts[rng.IntN(len(failureHosts))]
@@ -203,6 +220,7 @@
 		case 0:
 			if f.daemons[host] != nil && len(f.daemons) > 2 {
 				f.kill(host)
+				made.kills++
 			}
 		case 1:
 			if f.daemons[host] != nil && len(f.daemons) > 2 {
@@ -210,13 +228,16 @@
 				_ = f.daemons[host].Stop(ctx)
 				cancel()
 				delete(f.daemons, host)
+				made.stops++
 			}
 		default:
+			made.cuts++
 			f.network.cut(host, other)
 			time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
 			f.network.heal(host, other)
 		}
 	}
+	return made
 }
 
 // postAll is one caller: each weight is tried at any host until it is known
