--- a/internal/daemon/answers_test.go
+++ b/internal/daemon/answers_test.go
@@ -110,8 +110,12 @@
 }
 
 // edgeFleet is vt-1 without an upstream and me-1 with the edge upstream.
-func edgeFleet(t *testing.T) (*fleet, *edgeUpstream) {
+func edgeFleet(t *testing.T) (*fleet, *edgeUpstream) { return edgeFleetOn(t, nil) }
+
+// edgeFleetOn is edgeFleet with something between its connections.
+func edgeFleetOn(t *testing.T, wrap func([2]string, net.Conn) net.Conn) (*fleet, *edgeUpstream) {
 	f := newFleet(t)
+	f.network.wrap = wrap
 	f.client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	f.start("vt-1", "vt-a")
 	f.start("me-1", "me-a")
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -60,6 +60,8 @@
 	bytes atomic.Int64
 	// count turns the counting on.
 	count bool
+	// wrap, where set, stands between a dialled connection and its user.
+	wrap func(link [2]string, conn net.Conn) net.Conn
 }
 
 var errCut = errors.New("test network: cut")
@@ -84,6 +86,9 @@
 		}
 		if err == nil {
 			n.mu.Lock()
+			if n.wrap != nil {
+				conn = n.wrap(link, conn)
+			}
 			n.conns[link] = append(n.conns[link], conn)
 			n.mu.Unlock()
 		}
