Check standing connections against the authority in force

Cause: reading the TLS files again changed new connections only, so a daemon of a withdrawn authority went on being believed for as long as it kept a connection.

Guard off (relay not checked), trial: TestRelayBelievesTheFleetOnly fails.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,6 +61,7 @@
 	hostList platform.HostList
 	platform *platform.Client
 	security security
+	peers    *peer.Listener
 	conns    *peer.Conns
 	// client talks to upstreams, relayClient to other daemons.
 	client      *upstream.Client
@@ -179,7 +180,7 @@
 	}, asIs); err != nil {
 		return nil, err
 	}
-	if d.identity.Relay, err = d.serveHTTP(d.settings.Listen.Relay, &http.Server{Handler: relays}, d.security.listener); err != nil {
+	if d.identity.Relay, err = d.serveHTTP(d.settings.Listen.Relay, &http.Server{Handler: d.security.guarded(relays)}, d.security.listener); err != nil {
 		return nil, err
 	}
 	peers, err := net.Listen("tcp", d.settings.Listen.Peers)
@@ -187,7 +188,8 @@
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	d.identity.Peers = peers.Addr().String()
-	return d.security.listener(peer.Bounded(peers)), nil
+	d.peers = peer.Bounded(peers)
+	return d.security.listener(d.peers), nil
 }
 
 // asIs serves plain TCP.
--- a/internal/daemon/tls.go
+++ b/internal/daemon/tls.go
@@ -4,10 +4,12 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"net/http"
 	"time"
 
 	"balsambarrow/internal/settings"
 	"balsambarrow/internal/tlsfiles"
+	"balsambarrow/internal/wire"
 )
 
 // refreshEvery is how often the TLS files are read: a withdrawn authority
@@ -53,6 +55,22 @@
 	return tls.NewListener(l, s.source.Server())
 }
 
+// guarded refuses requests of clients that the authority in force no longer
+// vouches for, on connections made before it changed.
+func (s security) guarded(next http.Handler) http.Handler {
+	if s.source == nil {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := s.source.Trusts(r.TLS); err != nil {
+			w.Header().Set("Connection", "close")
+			wire.Refuse(wire.TypeNoRoom, "relay: "+err.Error(), refreshEvery).Write(w)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // followTLSFiles takes over changed files until the daemon ends.
 func (d *Daemon) followTLSFiles(ctx context.Context) {
 	ticker := time.NewTicker(refreshEvery)
@@ -78,5 +96,6 @@
 	}
 	d.log.Info("tls_files_changed")
 	d.conns.DropIdle()
+	d.peers.CloseConns()
 	d.relayClient.Close()
 }
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -8,6 +8,7 @@
 	"crypto/x509"
 	"encoding/pem"
 	"fmt"
+	"io"
 	"math/big"
 	"net/http"
 	"os"
@@ -16,6 +17,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"balsambarrow/internal/config"
 	"balsambarrow/internal/daemon"
@@ -57,7 +59,8 @@
 // Someone inside the network talks to a relay listener and claims to be a
 // customer, without the fleet's certificate: over plain HTTP and over TLS of
 // its own. No request of theirs may reach a worker. The fleet itself relays as
-// before, also after its certificates were changed.
+// before, also after its certificates were changed; who held the old ones is
+// refused then, on standing connections too.
 func TestRelayBelievesTheFleetOnly(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(t)
@@ -77,36 +80,47 @@
 	wrong := writeFleetTLS(t, t.TempDir())
 	own, err := tls.LoadX509KeyPair(wrong.CertFile, wrong.KeyFile)
 	g.Expect(err).NotTo(HaveOccurred())
-	forge := func(scheme string, conf *tls.Config) error {
+	ask := func(scheme string, transport *http.Transport) error {
 		req, err := http.NewRequest(http.MethodGet, scheme+"://"+f.daemons["me-1"].Identity().Relay+"/relay/lookup/x", nil)
 		g.Expect(err).NotTo(HaveOccurred())
 		req.Header.Set(wire.HeaderRole, wire.RoleHandle)
 		req.Header.Set(wire.HeaderCustomer, "farm")
 		req.Header.Set(wire.HeaderKeyDigest, config.DigestOf("secret").String())
 		req.Header.Set(wire.HeaderBudgetMs, "1000")
-		transport := &http.Transport{TLSClientConfig: conf}
-		defer transport.CloseIdleConnections()
 		resp, err := transport.RoundTrip(req)
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
-			return fmt.Errorf("status %d", resp.StatusCode)
+		if err != nil {
+			return err
 		}
-		return err
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return errors.Errorf("status %d", resp.StatusCode)
+		}
+		return nil
+	}
+	forge := func(scheme string, conf *tls.Config) error {
+		transport := &http.Transport{TLSClientConfig: conf}
+		defer transport.CloseIdleConnections()
+		return ask(scheme, transport)
 	}
 	g.Expect(forge("http", nil)).NotTo(Succeed())
 	g.Expect(forge("https", &tls.Config{InsecureSkipVerify: true})).NotTo(Succeed())
 	g.Expect(forge("https", &tls.Config{InsecureSkipVerify: true, Certificates: []tls.Certificate{own}})).NotTo(Succeed())
 	g.Expect(f.upstreams["lookup-1"].Stats().Total).To(Equal(seen))
 
+	before, err := tls.LoadX509KeyPair(files.CertFile, files.KeyFile)
+	g.Expect(err).NotTo(HaveOccurred())
+	standing := &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true, Certificates: []tls.Certificate{before}}}
+	defer standing.CloseIdleConnections()
+	g.Expect(ask("https", standing)).To(Succeed())
+
 	writeFleetTLS(t, filepath.Dir(files.CertFile))
 	fresh, err := tls.LoadX509KeyPair(files.CertFile, files.KeyFile)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(func() error {
 		return forge("https", &tls.Config{InsecureSkipVerify: true, Certificates: []tls.Certificate{fresh}})
 	}, settle).Should(Succeed())
+	g.Expect(ask("https", standing)).NotTo(Succeed())
 	g.Eventually(lookup, settle).Should(Equal(wire.OutcomeRan))
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"storj.io/drpc"
@@ -31,32 +32,63 @@
 	return drpcserver.NewWithOptions(handler, options).Serve(ctx, l)
 }
 
-// Bounded wraps a listener so that silent connections are closed. It goes
-// below TLS, so that an unfinished handshake counts as silence.
-func Bounded(l net.Listener) net.Listener { return boundedListener{Listener: l, silence: silenceBound} }
-
-type boundedListener struct {
+// Listener closes connections on which nothing arrives, and can close all. It
+// goes below TLS, so that an unfinished handshake counts as silence.
+type Listener struct {
 	net.Listener
 	silence time.Duration
+
+	mu   sync.Mutex
+	open map[*boundedConn]struct{}
+}
+
+// Bounded wraps a listener for peers.
+func Bounded(l net.Listener) *Listener { return newListener(l, silenceBound) }
+
+func newListener(l net.Listener, silence time.Duration) *Listener {
+	return &Listener{Listener: l, silence: silence, open: map[*boundedConn]struct{}{}}
 }
 
 // Accept implements net.Listener.
-func (l boundedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+func (l *Listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &boundedConn{Conn: conn, silence: l.silence}, nil
+	conn := &boundedConn{Conn: raw, listener: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[conn] = struct{}{}
+	return conn, nil
+}
+
+// CloseConns closes every connection: peers make new ones, by the certificates
+// in force now. A call that is cut off counts as lost, as on any network.
+func (l *Listener) CloseConns() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.open {
+		_ = conn.Conn.Close()
+	}
+	clear(l.open)
 }
 
 type boundedConn struct {
 	net.Conn
-	silence time.Duration
+	listener *Listener
+}
+
+// Close implements net.Conn.
+func (c *boundedConn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.open, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
 }
 
 // Read implements net.Conn.
 func (c *boundedConn) Read(p []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(c.silence)); err != nil {
+	if err := c.SetReadDeadline(time.Now().Add(c.listener.silence)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Read(p)
@@ -64,7 +96,7 @@
 
 // Write implements net.Conn.
 func (c *boundedConn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.silence)); err != nil {
+	if err := c.SetWriteDeadline(time.Now().Add(c.listener.silence)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(p)
--- a/internal/peer/server_test.go
+++ b/internal/peer/server_test.go
@@ -34,7 +34,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = Serve(ctx, mux, boundedListener{Listener: l, silence: silence})
+		_ = Serve(ctx, mux, newListener(l, silence))
 	}()
 	t.Cleanup(func() {
 		cancel()
@@ -80,3 +80,22 @@
 	_, err = raw.Read(make([]byte, 1))
 	g.Expect(err).To(MatchError(io.EOF))
 }
+
+// The fleet's authority is replaced. Connections made by the old one must not
+// go on being used.
+func TestCloseConnsEndsStandingConnections(t *testing.T) {
+	g := NewWithT(t)
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	l := Bounded(raw)
+	defer func() { _ = l.Close() }()
+	client, err := net.Dial("tcp", l.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = client.Close() }()
+	_, err = l.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	l.CloseConns()
+	_ = client.SetReadDeadline(time.Now().Add(20 * time.Second))
+	_, err = client.Read(make([]byte, 1))
+	g.Expect(err).To(MatchError(io.EOF))
+}
--- a/internal/tlsfiles/source.go
+++ b/internal/tlsfiles/source.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +36,9 @@
 	contents
 	certificate tls.Certificate
 	authority   *x509.CertPool
+	// trusted are the digests ([32]byte) of clients' certificates that were
+	// checked against this authority; a fleet has one or two for each daemon.
+	trusted sync.Map
 }
 
 // Source holds the certificate in force. It is safe for concurrent use;
@@ -130,11 +135,33 @@
 		MinVersion:         tls.VersionTLS13,
 		Certificates:       []tls.Certificate{now.certificate},
 		InsecureSkipVerify: true,
-		VerifyConnection:   func(state tls.ConnectionState) error { return verify(now.authority, state) },
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return verify(now.authority, state, x509.ExtKeyUsageServerAuth)
+		},
+	}
+}
+
+// Trusts checks the client of a standing connection against the authority in
+// force now. A connection that is in use outlives the files that it was made
+// by: a daemon whose authority was withdrawn would go on being believed.
+func (s *Source) Trusts(state *tls.ConnectionState) error {
+	if state == nil || len(state.PeerCertificates) == 0 {
+		return ErrNoCertificate
+	}
+	now := s.current.Load()
+	leaf := state.PeerCertificates[0]
+	digest := sha256.Sum256(leaf.Raw)
+	if _, known := now.trusted.Load(digest); known && time.Now().Before(leaf.NotAfter) {
+		return nil
+	}
+	if err := verify(now.authority, *state, x509.ExtKeyUsageClientAuth); err != nil {
+		return err
 	}
+	now.trusted.Store(digest, struct{}{})
+	return nil
 }
 
-func verify(authority *x509.CertPool, state tls.ConnectionState) error {
+func verify(authority *x509.CertPool, state tls.ConnectionState, usage x509.ExtKeyUsage) error {
 	if len(state.PeerCertificates) == 0 {
 		return ErrNoCertificate
 	}
@@ -144,7 +171,7 @@
 	}
 	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
 		Roots: authority, Intermediates: between, CurrentTime: time.Now(),
-		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+		KeyUsages: []x509.ExtKeyUsage{usage},
 	})
 	return errors.Wrap(err, "verify peer")
 }
