--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -30,6 +30,9 @@
 	zones []zoneTable
 	// handlers lists them all.
 	handlers []*Handler
+	// former are daemons that still advertise headroom while the assignment
+	// names others: their own view may be the newer one.
+	former []*Handler
 }
 
 type zoneTable struct {
@@ -92,9 +95,19 @@
 	return &Builder{zone: zone, spills: map[string]*Spill{}, sent: map[sentKey]*sentCount{}}
 }
 
-// Build makes the table of a configuration and the ready daemons, this one
-// included.
-func (b *Builder) Build(a *config.Active, ready []membership.Member, now time.Time) *Table {
+// Assignment says how many slots of a service a daemon handles.
+type Assignment interface {
+	Slots(instance, service string) int
+}
+
+// Build makes the table of a configuration, the ready daemons, this one
+// included, and the assignment that follows from both.
+//
+// A daemon that has just become a handler has not told its headroom yet. If
+// only advertised headroom counted, requests would be refused for want of a
+// handler until its next heartbeat: half a second at every start and stop of a
+// daemon. So the slots that are assigned to it stand in for its headroom.
+func (b *Builder) Build(a *config.Active, ready []membership.Member, assigned Assignment, now time.Time) *Table {
 	t := &Table{
 		active: a, zone: b.zone, region: a.Region(b.zone), services: map[string]*serviceTable{},
 		zoneDrains: map[string]config.Drain{}, regionDrains: map[string]config.Drain{}, linked: map[string]bool{},
@@ -113,17 +126,17 @@
 		}
 	}
 	for service := range a.Config.Services {
-		t.services[service] = b.service(t, service, ready, now)
+		t.services[service] = b.service(t, service, ready, assigned, now)
 	}
 	b.forget(ready)
 	return t
 }
 
-func (b *Builder) service(t *Table, service string, ready []membership.Member, now time.Time) *serviceTable {
+func (b *Builder) service(t *Table, service string, ready []membership.Member, assigned Assignment, now time.Time) *serviceTable {
 	regions := map[string]*regionTable{}
 	for _, m := range ready {
-		room, handles := m.Headroom[service]
-		if !handles || room.Limit == 0 {
+		room, slots := m.Headroom[service], assigned.Slots(m.Instance, service)
+		if room.Limit == 0 && slots == 0 {
 			continue
 		}
 		name := t.active.Region(m.Zone)
@@ -132,10 +145,11 @@
 			r = &regionTable{name: name}
 			regions[name] = r
 		}
-		r.add(&Handler{Member: m, room: room, sent: b.counter(m, service)})
+		r.add(&Handler{Member: m, room: roomOf(room, slots), sent: b.counter(m, service)}, slots > 0)
 	}
 	s := &serviceTable{home: regionTable{name: t.region}}
 	for name, r := range regions {
+		r.settle()
 		r.sort(t.zone)
 		if name == t.region {
 			s.home = *r
@@ -150,6 +164,14 @@
 	return s
 }
 
+// roomOf is the advertised headroom, or the assigned slots until it is heard.
+func roomOf(advertised membership.Headroom, slots int) membership.Headroom {
+	if advertised.Limit == 0 {
+		return membership.Headroom{Free: slots, Limit: slots}
+	}
+	return advertised
+}
+
 func (s *serviceTable) plan(t *Table, service string) {
 	for _, m := range t.active.Config.Moves {
 		if m.Service == service && m.From == t.region {
@@ -196,7 +218,11 @@
 	}
 }
 
-func (r *regionTable) add(h *Handler) {
+func (r *regionTable) add(h *Handler, assigned bool) {
+	if !assigned {
+		r.former = append(r.former, h)
+		return
+	}
 	r.handlers = append(r.handlers, h)
 	for i := range r.zones {
 		if r.zones[i].name == h.Member.Zone {
@@ -207,6 +233,19 @@
 	r.zones = append(r.zones, zoneTable{name: h.Member.Zone, handlers: []*Handler{h}})
 }
 
+// settle lets former handlers stand where the assignment names nobody: this
+// daemon may know fewer ready ones than they do.
+func (r *regionTable) settle() {
+	if len(r.handlers) > 0 {
+		return
+	}
+	former := r.former
+	r.former = nil
+	for _, h := range former {
+		r.add(h, true)
+	}
+}
+
 func (r *regionTable) sort(own string) {
 	slices.SortFunc(r.zones, func(x, y zoneTable) int {
 		if (x.name == own) != (y.name == own) {
