Find peers that the host list does not show

Cause: heartbeats went only to listed hosts and to peers heard within two seconds. A daemon missing from the lagging list was reached by those it could list itself, and two that lost each other for longer met again only by the list.

Change: heartbeats name a few peers that the sender hears; silent peers are tried every 5 s for an hour; an instance that answers at the address of another replaces it; all of it bounded. Also: the header Connection: close of a leaving daemon is set last, since answers strip hop-by-hop headers, and the lookup ttl is waited out from when every other daemon has heard of the leaving.

--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"balsambarrow/internal/membership"
@@ -23,7 +24,7 @@
 // memberState is the control thread's part for membership.
 type memberState struct {
 	table     *membership.Table
-	hosts     []platform.Host
+	contacts  *membership.Contacts
 	sequence  uint64
 	nextBeat  time.Time
 	nextHosts time.Time
@@ -31,6 +32,15 @@
 
 func newMemberState() memberState { return memberState{table: membership.NewTable()} }
 
+// knownContacts is made at the first use: the daemon's own address is known
+// only once it listens.
+func (c *control) knownContacts() *membership.Contacts {
+	if c.members.contacts == nil {
+		c.members.contacts = membership.NewContacts(c.d.identity.Peers)
+	}
+	return c.members.contacts
+}
+
 func (c *control) tickMembers(now time.Time) {
 	c.members.table.Forget(now, forgetAfter)
 	if !now.Before(c.members.nextHosts) {
@@ -39,7 +49,7 @@
 	}
 	if !now.Before(c.members.nextBeat) {
 		c.members.nextBeat = now.Add(membership.BeatEvery)
-		c.beat()
+		c.beat(now)
 	}
 }
 
@@ -49,6 +59,7 @@
 func (m heardFrom) apply(c *control) {
 	now := time.Now()
 	newest := c.members.table.Hear(m.member, now)
+	c.contact(m.member, now)
 	if newest && m.member.Zone == c.d.identity.Zone {
 		c.yieldSlots(m.member, now)
 	}
@@ -58,31 +69,46 @@
 // hostsListed: the platform's host list was read.
 type hostsListed struct{ hosts []platform.Host }
 
-func (m hostsListed) apply(c *control) { c.members.hosts = m.hosts }
+func (m hostsListed) apply(c *control) {
+	addresses := make([]string, 0, len(m.hosts))
+	for _, h := range m.hosts {
+		addresses = append(addresses, h.Peers)
+	}
+	c.knownContacts().Listed(addresses)
+}
+
+// contact notes where a member is and whom it hears.
+func (c *control) contact(m membership.Member, now time.Time) {
+	contacts := c.knownContacts()
+	contacts.Rumored(m.Known, now)
+	if m.State == membership.StateLeaving {
+		contacts.Left(m.Peers)
+		return
+	}
+	contacts.Heard(m.Peers, now)
+}
 
-// beat sends a heartbeat to every peer known from the host list or heard of.
-func (c *control) beat() {
+// beat sends a heartbeat to every address that may be a daemon's.
+func (c *control) beat(now time.Time) {
 	c.members.sequence++
-	message := toWire(c.self(time.Now()))
-	for address := range c.peerAddresses() {
+	self := c.self(now)
+	self.Known = c.knownContacts().Gossip(now)
+	message := toWire(self)
+	for _, address := range c.peerAddresses(now) {
 		c.d.spawn(func(ctx context.Context) { c.d.beatTo(ctx, address, message) })
 	}
 }
 
-func (c *control) peerAddresses() map[string]bool {
-	addresses := map[string]bool{}
-	for _, h := range c.members.hosts {
-		addresses[h.Peers] = true
-	}
-	for _, m := range c.members.table.Live(time.Now()) {
-		addresses[m.Peers] = true
-	}
-	// Holders that the store names are asked before their slots are taken.
+// peerAddresses adds to the contacts the holders that the store names: they
+// are asked before their slots are taken.
+func (c *control) peerAddresses(now time.Time) []string {
+	due := c.knownContacts().Due(now)
 	for _, address := range c.slots.holders {
-		addresses[address] = true
+		if address != c.d.identity.Peers && !slices.Contains(due, address) {
+			due = append(due, address)
+		}
 	}
-	delete(addresses, c.d.identity.Peers)
-	return addresses
+	return due
 }
 
 func (d *Daemon) beatTo(ctx context.Context, address string, message *peer.Heartbeat) {
@@ -116,7 +142,7 @@
 		Instance: m.Instance, Host: m.Host, Zone: m.Zone, State: string(m.State),
 		Callers: m.Callers, Peers: m.Peers, Relay: m.Relay, Sequence: m.Sequence,
 		ConfigVersion: m.ConfigVersion, PostingEpoch: m.PostingEpoch, Watches: m.Watches,
-		ConfirmedUnixMs: m.ConfirmedAt.UnixMilli(),
+		ConfirmedUnixMs: m.ConfirmedAt.UnixMilli(), Known: m.Known,
 	}
 	for _, slot := range m.Slots {
 		out.Slots = append(out.Slots, uint32(slot))
@@ -134,8 +160,8 @@
 		Instance: in.Instance, Host: in.Host, Zone: in.Zone, State: membership.State(in.State),
 		Callers: in.Callers, Peers: in.Peers, Relay: in.Relay, Sequence: in.Sequence,
 		ConfigVersion: in.ConfigVersion, PostingEpoch: in.PostingEpoch, Watches: in.Watches,
-		ConfirmedAt: time.UnixMilli(in.ConfirmedUnixMs),
-		Headroom:    map[string]membership.Headroom{},
+		ConfirmedAt: time.UnixMilli(in.ConfirmedUnixMs), Known: in.Known,
+		Headroom: map[string]membership.Headroom{},
 	}
 	for _, slot := range in.Slots {
 		m.Slots = append(m.Slots, int(slot))
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -10,6 +10,12 @@
 	"balsambarrow/internal/membership"
 )
 
+// leaveMargin is how long other daemons may still name this one in their lookup
+// answers: until they hear that it leaves, or hear it no more. The lookup ttl
+// runs from the last such answer; without the margin a caller that got it uses
+// a listener that is closed.
+const leaveMargin = membership.GoneAfter
+
 // giveUpBound bounds the passing on of slots: above two rounds of calls to a
 // slow store, so that an outage of it does not hold a stop up for long.
 const giveUpBound = 5 * time.Second
@@ -28,7 +34,7 @@
 	left := make(chan struct{})
 	d.control.send(leave{left})
 	<-left
-	sleep(ctx, d.options.LookupTTL)
+	sleep(ctx, leaveMargin+d.options.LookupTTL)
 	first := d.shutDown(ctx)
 	d.giveUpSlots(ctx)
 	d.Kill()
@@ -54,12 +60,36 @@
 func (d *Daemon) closing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.view.Load().Self.State == membership.StateLeaving {
-			w.Header().Set("Connection", "close")
+			w = &closingWriter{ResponseWriter: w}
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// closingWriter sets the header last: handlers strip hop-by-hop headers from
+// what they copy, and would take it off again.
+type closingWriter struct{ http.ResponseWriter }
+
+func (w *closingWriter) WriteHeader(status int) {
+	w.Header().Set("Connection", "close")
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *closingWriter) Write(p []byte) (int, error) {
+	w.Header().Set("Connection", "close")
+	return w.ResponseWriter.Write(p)
+}
+
+// Flush keeps answers streaming.
+func (w *closingWriter) Flush() {
+	if f, ok := w.ResponseWriter.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // giveUpSlots passes the slots and their levels to the zone's other daemons.
 // Where the store does not answer within the bound the entries stay: others
 // take the slots when this daemon's lease has lapsed.
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -19,9 +19,10 @@
 	"balsambarrow/internal/wire"
 )
 
-// steady is callers who follow the lookup answers and keep their connections
-// alive, each with one request after another. Requests are POST without a
-// posting id: no library replays those, so a cut one shows.
+// steady is callers with one request after another over connections that they
+// keep alive. Half of them follow each lookup answer; the others stay with a
+// host until an answer asks them to close the connection. Requests are POST
+// without a posting id: no library replays those, so a cut one shows.
 type steady struct {
 	f       *fleet
 	stop    chan struct{}
@@ -39,8 +40,9 @@
 	for i := range n {
 		rng := rand.New(rand.NewPCG(1, uint64(i)))
 		client := &http.Client{Transport: &http.Transport{}}
+		caller := &steadyCaller{steady: s, client: client, rng: rng, sticky: i%2 == 0}
 		s.tasks.Go(func() {
-			s.each(5*time.Millisecond, func() { s.post(client, rng) })
+			s.each(5*time.Millisecond, caller.post)
 			client.CloseIdleConnections()
 		})
 	}
@@ -88,28 +90,43 @@
 	}
 }
 
-func (s *steady) post(client *http.Client, rng *rand.Rand) {
+type steadyCaller struct {
+	*steady
+	client *http.Client
+	rng    *rand.Rand
+	sticky bool
+	host   string
+}
+
+func (s *steadyCaller) post() {
 	s.mu.Lock()
-	entry := s.entries[rng.IntN(len(s.entries))]
+	if !s.sticky || s.host == "" {
+		s.host = s.entries[s.rng.IntN(len(s.entries))].Address
+	}
 	s.sent++
 	s.mu.Unlock()
-	r := postOnce(client, "http://"+entry.Address+"/svc/lookup/x?size=2000")
+	r, closed := postOnce(s.client, "http://"+s.host+"/svc/lookup/x?size=2000")
+	if closed {
+		s.host = ""
+	}
 	if r.Err != nil || r.Outcome != wire.OutcomeRan || len(r.Body) != 2000 {
+		s.f.t.Logf("bad: sticky=%v host=%s problem=%s err=%v", s.sticky, s.host, r.Problem.Type, r.Err)
 		s.mu.Lock()
 		s.bad = append(s.bad, r)
 		s.mu.Unlock()
 	}
 }
 
-func postOnce(client *http.Client, url string) reply {
+// postOnce also tells whether the answer asks to close the connection.
+func postOnce(client *http.Client, url string) (reply, bool) {
 	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader("{}"))
 	if err != nil {
-		return reply{Err: err}
+		return reply{Err: err}, true
 	}
 	req.Header.Set("Authorization", "Bearer secret")
 	resp, err := client.Do(req)
 	if err != nil {
-		return reply{Err: err}
+		return reply{Err: err}, true
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
@@ -117,7 +134,7 @@
 	if r.Outcome != wire.OutcomeRan {
 		_ = json.Unmarshal(body, &r.Problem)
 	}
-	return r
+	return r, resp.Close
 }
 
 func (s *steady) end() {
--- /dev/null
+++ b/internal/membership/contacts.go
@@ -0,0 +1,124 @@
+package membership
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Timing and bounds of contacts.
+const (
+	// rumorFor is how long an address that another daemon named is tried. The
+	// other names only daemons that it hears, again and again, so the address
+	// of a dead one soon comes from nobody.
+	rumorFor = 10 * time.Second
+	// silentFor is how long a daemon that fell silent is tried, so that it is
+	// found again after a cut although no list shows it. Cuts last minutes.
+	silentFor = time.Hour
+	// silentEvery is the time between two tries of a silent daemon.
+	silentEvery = 5 * time.Second
+	// maxContacts bounds the addresses kept: above the planned 2,300 daemons
+	// with a day's replacements.
+	maxContacts = 4096
+	// GossipSize is how many addresses one heartbeat names: at two beats a
+	// second every address of 10 daemons is named within 2 s, for under 100
+	// bytes a beat.
+	GossipSize = 3
+)
+
+// Contacts is the set of addresses to which heartbeats are sent. It belongs to
+// the control thread.
+//
+// The platform's host list lags: a daemon may be missing from it, or be listed
+// and gone. Without the other sources a daemon that is missing would hear
+// nobody until the list catches up, and two that lost each other would not
+// meet again.
+type Contacts struct {
+	self    string
+	listed  map[string]bool
+	heard   map[string]time.Time
+	rumored map[string]time.Time
+	tried   map[string]time.Time
+	cursor  int
+}
+
+// NewContacts returns contacts that never include self.
+func NewContacts(self string) *Contacts {
+	return &Contacts{
+		self: self, listed: map[string]bool{}, heard: map[string]time.Time{},
+		rumored: map[string]time.Time{}, tried: map[string]time.Time{},
+	}
+}
+
+// Listed replaces the addresses of the host list.
+func (c *Contacts) Listed(addresses []string) {
+	clear(c.listed)
+	for _, a := range addresses[:min(len(addresses), maxContacts)] {
+		c.listed[a] = true
+	}
+}
+
+// Heard notes that the daemon at address was heard.
+func (c *Contacts) Heard(address string, now time.Time) { note(c.heard, address, now) }
+
+// Left notes that the daemon at address has said that it leaves.
+func (c *Contacts) Left(address string) {
+	delete(c.heard, address)
+	delete(c.rumored, address)
+}
+
+// Rumored notes addresses that another daemon hears.
+func (c *Contacts) Rumored(addresses []string, now time.Time) {
+	for _, a := range addresses[:min(len(addresses), GossipSize)] {
+		note(c.rumored, a, now)
+	}
+}
+
+func note(m map[string]time.Time, address string, now time.Time) {
+	if _, known := m[address]; known || len(m) < maxContacts {
+		m[address] = now
+	}
+}
+
+// Due returns the addresses to send a heartbeat to at now, in order.
+func (c *Contacts) Due(now time.Time) []string {
+	c.forget(now)
+	due := maps.Clone(c.listed)
+	for a := range c.rumored {
+		due[a] = true
+	}
+	for a, heard := range c.heard {
+		if now.Sub(heard) <= GoneAfter || now.Sub(c.tried[a]) >= silentEvery {
+			c.tried[a] = now
+			due[a] = true
+		}
+	}
+	delete(due, c.self)
+	delete(due, "")
+	return slices.Sorted(maps.Keys(due))
+}
+
+func (c *Contacts) forget(now time.Time) {
+	olderThan := func(d time.Duration) func(string, time.Time) bool {
+		return func(_ string, at time.Time) bool { return now.Sub(at) > d }
+	}
+	maps.DeleteFunc(c.rumored, olderThan(rumorFor))
+	maps.DeleteFunc(c.heard, olderThan(silentFor))
+	maps.DeleteFunc(c.tried, olderThan(silentFor))
+}
+
+// Gossip returns the next few of the addresses heard lately, each in turn.
+func (c *Contacts) Gossip(now time.Time) []string {
+	var live []string
+	for _, a := range slices.Sorted(maps.Keys(c.heard)) {
+		if now.Sub(c.heard[a]) <= GoneAfter {
+			live = append(live, a)
+		}
+	}
+	var out []string
+	for i := range min(GossipSize, len(live)) {
+		out = append(out, live[(c.cursor+i)%len(live)])
+	}
+	c.cursor += GossipSize
+	return out
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -48,6 +48,8 @@
 	Watches     bool
 	ConfirmedAt time.Time
 	HeardAt     time.Time
+	// Known are peers addresses of some daemons that it hears.
+	Known []string
 }
 
 // Table holds the members that this daemon hears of, without itself.
@@ -66,12 +68,25 @@
 	if old, ok := t.members[m.Instance]; ok && old.Sequence >= m.Sequence {
 		return false
 	}
+	t.replace(m, now)
+	if _, known := t.members[m.Instance]; !known && len(t.members) >= maxContacts {
+		return false
+	}
 	m.HeardAt = now
 	t.members[m.Instance] = m
 	t.lastHeard = now
 	return true
 }
 
+// replace drops the earlier instances of a host: one that had the same address
+// is certainly dead, one that is silent is taken for dead.
+func (t *Table) replace(by Member, now time.Time) {
+	maps.DeleteFunc(t.members, func(instance string, m Member) bool {
+		return m.Host == by.Host && instance != by.Instance &&
+			(m.Peers == by.Peers || now.Sub(m.HeardAt) > GoneAfter)
+	})
+}
+
 // LastHeard is when any member was heard last; zero if none ever was.
 func (t *Table) LastHeard() time.Time { return t.lastHeard }
 
