--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -1,12 +1,42 @@
 package daemon
 
 import (
+	"maps"
+	"slices"
+	"time"
+
+	"balsambarrow/internal/membership"
 	"balsambarrow/internal/upstream"
 	"balsambarrow/internal/view"
 )
 
 // publishHandler gives the handler the upstreams that rendezvous hashing over
-// the ready daemons assigns to this one.
-func (c *control) publishHandler(snap *view.Snapshot) {
-	c.d.handler.Assign(upstream.Assigned(snap.Config.Config, snap.Self.Instance, snap.Ready))
+// the ready daemons assigns to this one. A daemon that has begun to leave goes
+// on with those that it would have if it stayed. Others learn of a change by a
+// heartbeat at once: until they do, nobody asks the new handler.
+func (c *control) publishHandler(snap *view.Snapshot, now time.Time) {
+	ready := snap.Ready
+	// It goes on for longer than others ask it: they count from their hearing.
+	if snap.Self.State == membership.StateLeaving && now.Sub(snap.Self.LeavingSince) < leaveMargin {
+		ready = append(slices.Clone(ready), snap.Self)
+	}
+	mine := upstream.Assigned(snap.Config.Config, snap.Self.Instance, ready)
+	c.d.handler.Assign(mine)
+	names := slices.Sorted(maps.Keys(mine))
+	if !slices.Equal(names, c.members.handled) {
+		c.members.handled = names
+		c.members.nextBeat = time.Time{}
+	}
+}
+
+// handling are the daemons whose upstreams may be asked: the ready ones, and
+// for a moment those that leave.
+func (c *control) handling(snap *view.Snapshot, now time.Time) []membership.Member {
+	out := slices.Clone(snap.Ready)
+	for _, m := range append([]membership.Member{snap.Self}, snap.Members...) {
+		if m.State == membership.StateLeaving && m.Handles(now) {
+			out = append(out, m)
+		}
+	}
+	return out
 }
--- a/internal/daemon/levels.go
+++ b/internal/daemon/levels.go
@@ -11,21 +11,15 @@
 // levelsWait is how long tokens wait for the store to confirm their slot.
 const levelsWait = 5 * time.Second
 
-// slotTaker implements peer.DRPCHandoverServer for slots.
-type slotTaker struct {
-	peer.DRPCHandoverUnimplementedServer
-	d *Daemon
-}
-
 // TakeSlots receives the levels of slots that a peer of the zone gave to this
 // daemon.
-func (t *slotTaker) TakeSlots(_ context.Context, in *peer.SlotHandover) (*peer.HandoverReply, error) {
+func (h *handover) TakeSlots(_ context.Context, in *peer.SlotHandover) (*peer.HandoverReply, error) {
 	var levels []quota.Level
 	for _, l := range in.Levels {
 		levels = append(levels, quota.Level{Quota: l.Quota, Tokens: l.Tokens})
 	}
 	for _, slot := range in.Slots {
-		t.d.control.send(slotGiven{slot: int(slot), levels: levels})
+		h.d.control.send(slotGiven{slot: int(slot), levels: levels})
 	}
 	return &peer.HandoverReply{Taken: true}, nil
 }
@@ -48,7 +42,7 @@
 	if len(c.slots.levels) == 0 {
 		return
 	}
-	for _, h := range c.slots.custody.Usable(now) {
+	for _, h := range c.custody().Usable(now) {
 		pending, ok := c.slots.levels[h.Slot]
 		if ok && c.published(h.Slot) {
 			c.d.ledger.Adopt(pending.levels, now)
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -23,11 +23,15 @@
 
 // memberState is the control thread's part for membership.
 type memberState struct {
-	table     *membership.Table
-	contacts  *membership.Contacts
-	sequence  uint64
-	nextBeat  time.Time
-	nextHosts time.Time
+	table    *membership.Table
+	contacts *membership.Contacts
+	// handled are the upstreams that this daemon was last assigned.
+	handled []string
+	// leavingSince is when this daemon's planned stop began.
+	leavingSince time.Time
+	sequence     uint64
+	nextBeat     time.Time
+	nextHosts    time.Time
 }
 
 func newMemberState() memberState { return memberState{table: membership.NewTable()} }
@@ -63,7 +67,8 @@
 	if newest && m.member.Zone == c.d.identity.Zone {
 		c.yieldSlots(m.member, now)
 	}
-	c.pullFrom(m.member)
+	c.heardHost(m.member, now)
+	c.heardConfig(m.member, now)
 }
 
 // hostsListed: the platform's host list was read.
@@ -75,6 +80,7 @@
 		addresses = append(addresses, h.Peers)
 	}
 	c.knownContacts().Listed(addresses)
+	c.listedHosts(m.hosts, time.Now())
 }
 
 // contact notes where a member is and whom it hears.
@@ -94,14 +100,14 @@
 	self := c.self(now)
 	self.Known = c.knownContacts().Gossip(now)
 	message := toWire(self)
-	for _, address := range c.peerAddresses(now) {
+	for _, address := range c.beatAddresses(now) {
 		c.d.spawn(func(ctx context.Context) { c.d.beatTo(ctx, address, message) })
 	}
 }
 
-// peerAddresses adds to the contacts the holders that the store names: they
+// beatAddresses adds to the contacts the holders that the store names: they
 // are asked before their slots are taken.
-func (c *control) peerAddresses(now time.Time) []string {
+func (c *control) beatAddresses(now time.Time) []string {
 	due := c.knownContacts().Due(now)
 	for _, address := range c.slots.holders {
 		if address != c.d.identity.Peers && !slices.Contains(due, address) {
@@ -111,15 +117,21 @@
 	return due
 }
 
+// peerAddresses are the addresses of all daemons that may be there.
+func (c *control) peerAddresses() map[string]bool { return c.knownContacts().All() }
+
 func (d *Daemon) beatTo(ctx context.Context, address string, message *peer.Heartbeat) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	asked := time.Now()
 	reply, err := peer.NewDRPCMembershipClient(d.conns.To(ctx, address)).Beat(ctx, message)
 	if err != nil {
 		d.log.Debug("beat_failed", "peer", address, "err", err)
 		return
 	}
-	d.control.send(heardFrom{fromWire(reply)})
+	member := fromWire(reply)
+	member.ConfirmedAt = confirmedAt(asked, reply.ConfirmedAgeMs)
+	d.control.send(heardFrom{member})
 }
 
 // Beat answers a peer's heartbeat; it implements peer.DRPCMembershipServer.
@@ -142,7 +154,10 @@
 		Instance: m.Instance, Host: m.Host, Zone: m.Zone, State: string(m.State),
 		Callers: m.Callers, Peers: m.Peers, Relay: m.Relay, Sequence: m.Sequence,
 		ConfigVersion: m.ConfigVersion, PostingEpoch: m.PostingEpoch, Watches: m.Watches,
-		ConfirmedUnixMs: m.ConfirmedAt.UnixMilli(), Known: m.Known,
+		AnswersFor:     m.AnswersFor,
+		Load:           m.Load,
+		ConfirmedAgeMs: ageMs(m.ConfirmedAt, time.Now()), ConfigRejected: m.ConfigRejected,
+		Known: m.Known,
 	}
 	for _, slot := range m.Slots {
 		out.Slots = append(out.Slots, uint32(slot))
@@ -160,8 +175,11 @@
 		Instance: in.Instance, Host: in.Host, Zone: in.Zone, State: membership.State(in.State),
 		Callers: in.Callers, Peers: in.Peers, Relay: in.Relay, Sequence: in.Sequence,
 		ConfigVersion: in.ConfigVersion, PostingEpoch: in.PostingEpoch, Watches: in.Watches,
-		ConfirmedAt: time.UnixMilli(in.ConfirmedUnixMs), Known: in.Known,
-		Headroom: map[string]membership.Headroom{},
+		AnswersFor:     in.AnswersFor,
+		Load:           in.Load,
+		ConfigRejected: in.ConfigRejected,
+		Headroom:       map[string]membership.Headroom{},
+		Known:          in.Known,
 	}
 	for _, slot := range in.Slots {
 		m.Slots = append(m.Slots, int(slot))
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -36,6 +36,7 @@
 	<-left
 	sleep(ctx, leaveMargin+d.options.LookupTTL)
 	first := d.shutDown(ctx)
+	d.handOverPostings(ctx)
 	d.giveUpSlots(ctx)
 	d.Kill()
 	_ = d.tracing.Close(ctx)
@@ -137,6 +138,7 @@
 	d.tasks.Wait()
 	_ = d.conns.Close()
 	d.client.Close()
+	d.relayClient.Close()
 	d.platform.Close()
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,7 +12,6 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"balsambarrow/internal/lookup"
 	"balsambarrow/internal/posting"
 	"balsambarrow/internal/quota"
 	"balsambarrow/internal/relay"
@@ -21,9 +20,6 @@
 	"balsambarrow/internal/wire"
 )
 
-// maxTargets bounds the handlers asked for one request.
-const maxTargets = 3
-
 // Deps is what the request path works with.
 type Deps struct {
 	View     *view.Published
@@ -34,8 +30,10 @@
 	Relay *relay.Client
 	// MaxBodyBytes bounds a caller's body.
 	MaxBodyBytes int64
-	Tracer       trace.Tracer
-	Log          *log.Logger
+	// BodyTimeout bounds the reading of a held body; 0: the default.
+	BodyTimeout time.Duration
+	Tracer      trace.Tracer
+	Log         *log.Logger
 }
 
 // Server serves the callers' listener.
@@ -46,6 +44,9 @@
 
 // New returns a server over deps.
 func New(deps Deps) *Server {
+	if deps.BodyTimeout == 0 {
+		deps.BodyTimeout = bodyTimeout
+	}
 	s := &Server{Deps: deps, mux: http.NewServeMux()}
 	s.mux.HandleFunc("GET /v1/entries", s.entries)
 	s.mux.HandleFunc("/svc/", s.service)
@@ -62,7 +63,7 @@
 		return
 	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	answer := lookup.Entries(snap.Config, snap.Ready, callerAddr(r), rng)
+	answer := snap.Lookup.Entries(callerAddr(r), rng)
 	w.Header().Set("Cache-Control", "max-age="+strconv.FormatInt(answer.TTLMs/1000, 10))
 	writeJSON(w, answer)
 }
@@ -73,14 +74,14 @@
 }
 
 func noConfiguration() *wire.Problem {
-	return wire.Refuse(wire.TypeNoConfiguration, "this daemon has no configuration yet", time.Second)
+	return wire.Refuse(wire.TypeNoConfiguration, "this daemon has no current configuration yet", time.Second)
 }
 
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
 	ctx, span := s.Tracer.Start(telemetry.Extract(r.Context(), r.Header), "entry")
 	defer span.End()
 	snap := s.View.Load()
-	call, problem := s.authenticate(w, r, snap)
+	call, problem := s.read(w, r, snap)
 	if problem == nil {
 		span.SetAttributes(attribute.String("service", call.Service), attribute.String("customer", call.Customer))
 		var answer *wire.Answer
@@ -96,7 +97,7 @@
 
 // serve runs a call: by its posting id if it bears one.
 func (s *Server) serve(ctx context.Context, call *wire.Call, idempotencyKey string) (*wire.Answer, *wire.Problem) {
-	if idempotencyKey == "" || !posting.NeedsID(call.Method) {
+	if idempotencyKey == "" || call.Safe() {
 		bounded, cancel := call.WithDeadline(ctx)
 		return bindCancel(cancel)(s.admit(bounded, call))
 	}
--- a/internal/membership/contacts.go
+++ b/internal/membership/contacts.go
@@ -98,6 +98,19 @@
 	return slices.Sorted(maps.Keys(due))
 }
 
+// All returns every address kept.
+func (c *Contacts) All() map[string]bool {
+	all := maps.Clone(c.listed)
+	for a := range c.rumored {
+		all[a] = true
+	}
+	for a := range c.heard {
+		all[a] = true
+	}
+	delete(all, c.self)
+	return all
+}
+
 func (c *Contacts) forget(now time.Time) {
 	olderThan := func(d time.Duration) func(string, time.Time) bool {
 		return func(_ string, at time.Time) bool { return now.Sub(at) > d }
--- /dev/null
+++ b/internal/membership/contacts_test.go
@@ -0,0 +1,97 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var t0 = time.Unix(1e9, 0)
+
+// The host list lags: it shows a host that is gone and misses one that is
+// live. Both of the others hear the live one; a newcomer must reach it by
+// their word, and must stop trying what nobody names.
+func TestMissingHostIsReachedByRumor(t *testing.T) {
+	g := NewWithT(t)
+	c := NewContacts("self")
+	c.Listed([]string{"self", "gone", "b"})
+	c.Rumored([]string{"missing"}, t0)
+	g.Expect(c.Due(t0)).To(Equal([]string{"b", "gone", "missing"}))
+	g.Expect(c.Due(t0.Add(rumorFor + time.Second))).To(Equal([]string{"b", "gone"}))
+}
+
+// Two regions lose each other for minutes. Peers that no list shows must still
+// be tried, at a slower pace, and be beaten as before once they are heard.
+func TestSilentPeersAreTriedAfterACut(t *testing.T) {
+	g := NewWithT(t)
+	c := NewContacts("self")
+	c.Heard("far", t0)
+	tries := 0
+	for now := t0; now.Before(t0.Add(10 * time.Minute)); now = now.Add(BeatEvery) {
+		tries += len(c.Due(now))
+	}
+	g.Expect(tries).To(BeNumerically("~", 10*60/5, 5))
+	c.Heard("far", t0.Add(10*time.Minute))
+	g.Expect(c.Due(t0.Add(10*time.Minute + BeatEvery))).To(Equal([]string{"far"}))
+	c.Left("far")
+	g.Expect(c.Due(t0.Add(10*time.Minute + 2*BeatEvery))).To(BeEmpty())
+}
+
+// Every live peer must be named in turn, and a silent one no more.
+func TestGossipNamesLivePeersInTurn(t *testing.T) {
+	g := NewWithT(t)
+	c := NewContacts("self")
+	c.Heard("silent", t0.Add(-time.Minute))
+	for i := range 10 {
+		c.Heard(fmt.Sprintf("p%d", i), t0)
+	}
+	named := map[string]bool{}
+	for range 4 {
+		for _, a := range c.Gossip(t0) {
+			named[a] = true
+		}
+	}
+	g.Expect(named).To(HaveLen(10))
+	g.Expect(named).NotTo(HaveKey("silent"))
+}
+
+// A daemon is replaced again and again for hours, with new addresses. Neither
+// contacts nor members may grow without bound.
+func TestMembershipIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	c, table := NewContacts("self"), NewTable()
+	for i := range 3 * maxContacts {
+		a := fmt.Sprintf("p%d", i)
+		c.Heard(a, t0)
+		c.Rumored([]string{a}, t0)
+		table.Hear(Member{Instance: a, Host: a, Sequence: 1}, t0)
+	}
+	g.Expect(len(c.heard)).To(Equal(maxContacts))
+	g.Expect(len(c.rumored)).To(Equal(maxContacts))
+	g.Expect(table.All()).To(HaveLen(maxContacts))
+}
+
+// A daemon crashes and starts again at once on its host. Requests must go to
+// the new instance only, not to the one that is gone until it falls silent.
+func TestNewInstanceReplacesTheOneAtItsAddress(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable()
+	table.Hear(Member{Instance: "a-1", Host: "a", Peers: "10.0.0.1:1", Sequence: 9}, t0)
+	table.Hear(Member{Instance: "a-2", Host: "a", Peers: "10.0.0.1:1", Sequence: 1}, t0)
+	live := table.Live(t0)
+	g.Expect(live).To(HaveLen(1))
+	g.Expect(live[0].Instance).To(Equal("a-2"))
+}
+
+// An account that was overtaken on its way must not undo a newer one.
+func TestOvertakenAccountIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable()
+	g.Expect(table.Hear(Member{Instance: "a", State: StateLeaving, Sequence: 2}, t0)).To(BeTrue())
+	g.Expect(table.Hear(Member{Instance: "a", State: StateReady, Sequence: 1}, t0)).To(BeFalse())
+	m, _ := table.Find("a")
+	g.Expect(m.State).To(Equal(StateLeaving))
+	g.Expect(m.LeavingSince).To(Equal(t0))
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -25,6 +25,16 @@
 	GoneAfter = 4 * BeatEvery
 )
 
+// HandlesFor is how long a leaving daemon goes on handling its upstreams: until
+// the next handlers have heard of it and their own heartbeats have shown their
+// room. Without it nobody has room for those upstreams in between.
+const HandlesFor = 2 * BeatEvery
+
+// Handles tells whether requests may be sent to a member's upstreams at now.
+func (m *Member) Handles(now time.Time) bool {
+	return m.State == StateReady || m.State == StateLeaving && now.Sub(m.LeavingSince) < HandlesFor
+}
+
 // Headroom is how many more requests of a service a daemon can start now.
 type Headroom struct {
 	Free, Limit, Queued int
@@ -38,16 +48,26 @@
 	Callers, Peers, Relay string
 	Sequence              uint64
 	ConfigVersion         uint64
-	PostingEpoch          uint64
+	// ConfigRejected is a version that the daemon has met and cannot read.
+	ConfigRejected uint64
+	PostingEpoch   uint64
 	// Slots are the slots that it spends from, by index in its zone.
 	Slots []int
 	// Held are the same with their times. Only a daemon's own account has it.
-	Held        []Holding
-	Headroom    map[string]Headroom
-	Demand      map[string]float64
-	Watches     bool
+	Held     []Holding
+	Headroom map[string]Headroom
+	Demand   map[string]float64
+	Watches  bool
+	// Load is the part of the host's own room that is in use, 0 to 1.
+	Load float64
+	// AnswersFor lists the stopped instances whose postings it remembers.
+	AnswersFor []string
+	// ConfirmedAt is when ConfigVersion was last known to be the store's, by
+	// the clock of the daemon that holds this value; zero: not known.
 	ConfirmedAt time.Time
 	HeardAt     time.Time
+	// LeavingSince is when it was first heard to leave; zero if it does not.
+	LeavingSince time.Time
 	// Known are peers addresses of some daemons that it hears.
 	Known []string
 }
@@ -68,11 +88,17 @@
 	if old, ok := t.members[m.Instance]; ok && old.Sequence >= m.Sequence {
 		return false
 	}
-	t.replace(m, now)
-	if _, known := t.members[m.Instance]; !known && len(t.members) >= maxContacts {
-		return false
+	if _, known := t.members[m.Instance]; !known {
+		t.replace(m, now)
+		if len(t.members) >= maxContacts {
+			return false
+		}
 	}
 	m.HeardAt = now
+	m.LeavingSince = t.members[m.Instance].LeavingSince
+	if m.State == StateLeaving && m.LeavingSince.IsZero() {
+		m.LeavingSince = now
+	}
 	t.members[m.Instance] = m
 	t.lastHeard = now
 	return true
