--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -6,7 +6,6 @@
 
 	"balsambarrow/internal/config"
 	"balsambarrow/internal/membership"
-	"balsambarrow/internal/upstream"
 	"balsambarrow/internal/view"
 )
 
@@ -113,12 +112,11 @@
 		}
 	}
 	if snap.Config != nil {
-		assigned := upstream.Assign(snap.Config.Config, snap.Ready)
-		c.publishHandler(snap, assigned)
+		c.publishHandler(snap, now)
 		c.publishShares(snap, now)
-		c.publishSteering(snap, assigned, now)
+		c.publishSteering(snap, now)
 	}
-	c.d.ledger.Fence.Extend(c.slots.custody.SpendUntil())
+	c.d.ledger.Fence.Extend(c.custody().SpendUntil())
 	c.d.view.Store(snap)
 }
 
@@ -126,12 +124,13 @@
 func (c *control) self(now time.Time) membership.Member {
 	m := c.d.identity
 	m.State = c.state
+	m.LeavingSince = c.members.leavingSince
 	m.Sequence = c.members.sequence
 	m.ConfigVersion = c.config.version()
 	m.ConfigRejected = c.config.rejected
 	m.ConfirmedAt = c.config.confirmed
 	m.Watches = c.watches(now)
-	m.Held = c.slots.custody.Usable(now)
+	m.Held = c.custody().Usable(now)
 	for _, h := range m.Held {
 		m.Slots = append(m.Slots, h.Slot)
 	}
@@ -150,6 +149,7 @@
 
 func (m leave) apply(c *control) {
 	c.state = membership.StateLeaving
+	c.members.leavingSince = time.Now()
 	c.members.nextBeat = time.Time{}
 	close(m.done)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -139,7 +139,7 @@
 	if err := errors.WithStack(peer.DRPCRegisterConfiguration(mux, d)); err != nil {
 		return err
 	}
-	if err := errors.WithStack(peer.DRPCRegisterHandover(mux, newHandoverServer(d))); err != nil {
+	if err := errors.WithStack(peer.DRPCRegisterHandover(mux, newHandover(d))); err != nil {
 		return err
 	}
 	d.spawn(func(ctx context.Context) { _ = peer.Serve(ctx, mux, peers) })
@@ -196,6 +196,7 @@
 	if err != nil {
 		return "", errors.Wrap(err, "listen")
 	}
+	server.Handler = d.closing(server.Handler)
 	server.Addr = l.Addr().String()
 	server.ReadHeaderTimeout, server.IdleTimeout = headerTimeout, idleTimeout
 	server.MaxHeaderBytes = d.settings.Limits.MaxHeaderBytes
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"balsambarrow/internal/membership"
@@ -22,15 +23,28 @@
 
 // memberState is the control thread's part for membership.
 type memberState struct {
-	table     *membership.Table
-	hosts     []platform.Host
-	sequence  uint64
-	nextBeat  time.Time
-	nextHosts time.Time
+	table    *membership.Table
+	contacts *membership.Contacts
+	// handled are the upstreams that this daemon was last assigned.
+	handled []string
+	// leavingSince is when this daemon's planned stop began.
+	leavingSince time.Time
+	sequence     uint64
+	nextBeat     time.Time
+	nextHosts    time.Time
 }
 
 func newMemberState() memberState { return memberState{table: membership.NewTable()} }
 
+// knownContacts is made at the first use: the daemon's own address is known
+// only once it listens.
+func (c *control) knownContacts() *membership.Contacts {
+	if c.members.contacts == nil {
+		c.members.contacts = membership.NewContacts(c.d.identity.Peers)
+	}
+	return c.members.contacts
+}
+
 func (c *control) tickMembers(now time.Time) {
 	c.members.table.Forget(now, forgetAfter)
 	if !now.Before(c.members.nextHosts) {
@@ -39,7 +53,7 @@
 	}
 	if !now.Before(c.members.nextBeat) {
 		c.members.nextBeat = now.Add(membership.BeatEvery)
-		c.beat()
+		c.beat(now)
 	}
 }
 
@@ -49,6 +63,7 @@
 func (m heardFrom) apply(c *control) {
 	now := time.Now()
 	newest := c.members.table.Hear(m.member, now)
+	c.contact(m.member, now)
 	if newest && m.member.Zone == c.d.identity.Zone {
 		c.yieldSlots(m.member, now)
 	}
@@ -60,35 +75,51 @@
 type hostsListed struct{ hosts []platform.Host }
 
 func (m hostsListed) apply(c *control) {
-	c.members.hosts = m.hosts
+	addresses := make([]string, 0, len(m.hosts))
+	for _, h := range m.hosts {
+		addresses = append(addresses, h.Peers)
+	}
+	c.knownContacts().Listed(addresses)
 	c.listedHosts(m.hosts, time.Now())
 }
 
-// beat sends a heartbeat to every peer known from the host list or heard of.
-func (c *control) beat() {
+// contact notes where a member is and whom it hears.
+func (c *control) contact(m membership.Member, now time.Time) {
+	contacts := c.knownContacts()
+	contacts.Rumored(m.Known, now)
+	if m.State == membership.StateLeaving {
+		contacts.Left(m.Peers)
+		return
+	}
+	contacts.Heard(m.Peers, now)
+}
+
+// beat sends a heartbeat to every address that may be a daemon's.
+func (c *control) beat(now time.Time) {
 	c.members.sequence++
-	message := toWire(c.self(time.Now()))
-	for address := range c.peerAddresses() {
+	self := c.self(now)
+	self.Known = c.knownContacts().Gossip(now)
+	message := toWire(self)
+	for _, address := range c.beatAddresses(now) {
 		c.d.spawn(func(ctx context.Context) { c.d.beatTo(ctx, address, message) })
 	}
 }
 
-func (c *control) peerAddresses() map[string]bool {
-	addresses := map[string]bool{}
-	for _, h := range c.members.hosts {
-		addresses[h.Peers] = true
-	}
-	for _, m := range c.members.table.Live(time.Now()) {
-		addresses[m.Peers] = true
-	}
-	// Holders that the store names are asked before their slots are taken.
+// beatAddresses adds to the contacts the holders that the store names: they
+// are asked before their slots are taken.
+func (c *control) beatAddresses(now time.Time) []string {
+	due := c.knownContacts().Due(now)
 	for _, address := range c.slots.holders {
-		addresses[address] = true
+		if address != c.d.identity.Peers && !slices.Contains(due, address) {
+			due = append(due, address)
+		}
 	}
-	delete(addresses, c.d.identity.Peers)
-	return addresses
+	return due
 }
 
+// peerAddresses are the addresses of all daemons that may be there.
+func (c *control) peerAddresses() map[string]bool { return c.knownContacts().All() }
+
 func (d *Daemon) beatTo(ctx context.Context, address string, message *peer.Heartbeat) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -126,6 +157,7 @@
 		AnswersFor:     m.AnswersFor,
 		Load:           m.Load,
 		ConfirmedAgeMs: ageMs(m.ConfirmedAt, time.Now()), ConfigRejected: m.ConfigRejected,
+		Known: m.Known,
 	}
 	for _, slot := range m.Slots {
 		out.Slots = append(out.Slots, uint32(slot))
@@ -147,6 +179,7 @@
 		Load:           in.Load,
 		ConfigRejected: in.ConfigRejected,
 		Headroom:       map[string]membership.Headroom{},
+		Known:          in.Known,
 	}
 	for _, slot := range in.Slots {
 		m.Slots = append(m.Slots, int(slot))
--- a/internal/daemon/steering.go
+++ b/internal/daemon/steering.go
@@ -21,11 +21,12 @@
 
 // publishSteering adds to a snapshot what traffic threads steer and answer
 // lookups by.
-func (c *control) publishSteering(snap *view.Snapshot, assigned *upstream.Assignment, now time.Time) {
+func (c *control) publishSteering(snap *view.Snapshot, now time.Time) {
 	if c.steer.index == nil || c.steer.indexVersion != snap.Config.Version {
 		c.steer.index = lookup.NewIndex(snap.Config.Config)
 		c.steer.indexVersion = snap.Config.Version
 	}
 	snap.Lookup = lookup.NewDirectory(snap.Config, c.steer.index, snap.Ready)
-	snap.Steer = c.steer.builder.Build(snap.Config, snap.Ready, assigned, now)
+	handling := c.handling(snap, now)
+	snap.Steer = c.steer.builder.Build(snap.Config, handling, upstream.Assign(snap.Config.Config, handling), now)
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -25,6 +25,16 @@
 	GoneAfter = 4 * BeatEvery
 )
 
+// HandlesFor is how long a leaving daemon goes on handling its upstreams: until
+// the next handlers have heard of it and their own heartbeats have shown their
+// room. Without it nobody has room for those upstreams in between.
+const HandlesFor = 2 * BeatEvery
+
+// Handles tells whether requests may be sent to a member's upstreams at now.
+func (m *Member) Handles(now time.Time) bool {
+	return m.State == StateReady || m.State == StateLeaving && now.Sub(m.LeavingSince) < HandlesFor
+}
+
 // Headroom is how many more requests of a service a daemon can start now.
 type Headroom struct {
 	Free, Limit, Queued int
@@ -56,6 +66,10 @@
 	// the clock of the daemon that holds this value; zero: not known.
 	ConfirmedAt time.Time
 	HeardAt     time.Time
+	// LeavingSince is when it was first heard to leave; zero if it does not.
+	LeavingSince time.Time
+	// Known are peers addresses of some daemons that it hears.
+	Known []string
 }
 
 // Table holds the members that this daemon hears of, without itself.
@@ -74,12 +88,31 @@
 	if old, ok := t.members[m.Instance]; ok && old.Sequence >= m.Sequence {
 		return false
 	}
+	if _, known := t.members[m.Instance]; !known {
+		t.replace(m, now)
+		if len(t.members) >= maxContacts {
+			return false
+		}
+	}
 	m.HeardAt = now
+	m.LeavingSince = t.members[m.Instance].LeavingSince
+	if m.State == StateLeaving && m.LeavingSince.IsZero() {
+		m.LeavingSince = now
+	}
 	t.members[m.Instance] = m
 	t.lastHeard = now
 	return true
 }
 
+// replace drops the earlier instances of a host: one that had the same address
+// is certainly dead, one that is silent is taken for dead.
+func (t *Table) replace(by Member, now time.Time) {
+	maps.DeleteFunc(t.members, func(instance string, m Member) bool {
+		return m.Host == by.Host && instance != by.Instance &&
+			(m.Peers == by.Peers || now.Sub(m.HeardAt) > GoneAfter)
+	})
+}
+
 // LastHeard is when any member was heard last; zero if none ever was.
 func (t *Table) LastHeard() time.Time { return t.lastHeard }
 
