--- a/cmd/balsamlab/overhead.go
+++ b/cmd/balsamlab/overhead.go
@@ -23,6 +23,7 @@
 type overhead struct {
 	entry, upstream  string
 	service, key     string
+	stage            string
 	pairs, clients   int
 	throughputLength time.Duration
 	client           *http.Client
@@ -36,16 +37,14 @@
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			o.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: o.clients}}
-			if err := o.pairsOf(cmd.Context()); err != nil {
-				return err
-			}
-			return o.throughput(cmd.Context())
+			return o.run(cmd.Context())
 		},
 	}
 	f := cmd.Flags()
 	f.StringVar(&o.entry, "entry", "", "callers' address of a daemon")
 	f.StringVar(&o.upstream, "upstream", "", "address of an upstream")
 	f.StringVar(&o.service, "service", "lookup", "service to call")
+	f.StringVar(&o.stage, "stage", "pairs", "what to measure: pairs, requests or lookups")
 	f.StringVar(&o.key, "key", "", "a customer's key")
 	f.IntVar(&o.pairs, "pairs", 3000, "pairs of calls")
 	f.IntVar(&o.clients, "clients", 16, "callers at once for the throughput")
@@ -53,6 +52,20 @@
 	return cmd
 }
 
+var errBadStage = errors.New("balsamlab: --stage: want pairs, requests or lookups")
+
+func (o *overhead) run(ctx context.Context) error {
+	switch o.stage {
+	case "pairs":
+		return o.pairsOf(ctx)
+	case "requests":
+		return o.throughput(ctx, o.through())
+	case "lookups":
+		return o.throughput(ctx, "http://"+o.entry+"/v1/entries")
+	}
+	return errBadStage
+}
+
 func (o *overhead) direct() string  { return "http://" + o.upstream + "/animal/7" }
 func (o *overhead) through() string { return "http://" + o.entry + "/svc/" + o.service + "/animal/7" }
 
@@ -115,14 +128,14 @@
 }
 
 // throughput sends as fast as the callers get answers, for a bounded time.
-func (o *overhead) throughput(ctx context.Context) error {
+func (o *overhead) throughput(ctx context.Context, url string) error {
 	var tasks sync.WaitGroup
 	var ran, failed atomic.Int64
 	end := time.Now().Add(o.throughputLength)
 	for range o.clients {
 		tasks.Go(func() {
 			for time.Now().Before(end) {
-				if o.call(ctx, o.through()) != nil {
+				if o.call(ctx, url) != nil {
 					failed.Add(1)
 					continue
 				}
@@ -131,7 +144,7 @@
 		})
 	}
 	tasks.Wait()
-	_, err := fmt.Printf("throughput         %.0f requests/s, %d ran, %d did not\n",
+	_, err := fmt.Printf("%-18s %.0f per second, %d answered, %d not\n", o.stage,
 		float64(ran.Load())/o.throughputLength.Seconds(), ran.Load(), failed.Load())
 	return err
 }
--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -18,7 +18,9 @@
 cpu() { "$bin/balsamlab" metric --operators "$1" process_cpu_seconds_total; }
 
 upstream="$(grep -o '"lookup-01":{"address":"[^"]*' "$work/addresses.json" | cut -d'"' -f6)"
-before="$(cpu "$operators")"
-"$bin/balsamlab" overhead --entry "$callers" --upstream "$upstream" --key demo-addison-farms "$@"
-after="$(cpu "$operators")"
-echo "processor time of the entry daemon, pairs and throughput together: $before s before, $after s after"
+for stage in pairs requests lookups; do
+  before="$(cpu "$operators")"
+  "$bin/balsamlab" overhead --stage "$stage" --entry "$callers" --upstream "$upstream" --key demo-addison-farms
+  after="$(cpu "$operators")"
+  echo "                   processor time of the entry daemon: $(awk "BEGIN { print $after - $before }") s"
+done
