--- a/internal/daemon/postings.go
+++ b/internal/daemon/postings.go
@@ -19,6 +19,12 @@
 	partBytes = 512 << 10
 	// partTimeout bounds the passing on of one part.
 	partTimeout = 2 * time.Second
+	// handOverBound bounds the passing on of all tables; 80 parts of a full one
+	// take a second within a zone.
+	handOverBound = 10 * time.Second
+	// maxSuccessors bounds the peers that are tried: a host that is cut off
+	// must not spend its stop on asking everybody.
+	maxSuccessors = 4
 	// postingOverhead is added to the variable bytes of a posting.
 	postingOverhead = 128
 	// assemblyFor is how long the parts of an unfinished table are kept: more
@@ -39,13 +45,16 @@
 // request: a posting that still runs goes as unknown. Where no peer of the
 // zone takes it, another zone's may.
 func (d *Daemon) handOverPostings(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverBound)
+	defer cancel()
 	for _, table := range d.postings.Seal(time.Now()) {
 		d.handOver(ctx, table)
 	}
 }
 
 func (d *Daemon) handOver(ctx context.Context, table posting.Handover) {
-	for _, to := range d.successors() {
+	peers := d.successors()
+	for _, to := range peers[:min(len(peers), maxSuccessors)] {
 		err := d.passTable(ctx, to, table)
 		if err == nil {
 			d.log.Info("postings_handed_over", "instance", table.Instance, "to", to.Instance, "postings", len(table.Postings))
