--- a/internal/daemon/slots.go
+++ b/internal/daemon/slots.go
@@ -42,13 +42,19 @@
 
 func newSlotState() slotState { return slotState{levels: map[int]pendingLevels{}} }
 
-// guardSlots comes before everything else that the control thread does.
-func (c *control) guardSlots(now time.Time) {
+// custody is made at the first use: the daemon's own address is known only
+// once it listens.
+func (c *control) custody() *membership.Custody {
 	if c.slots.custody == nil {
 		self := membership.Holder{Instance: c.d.identity.Instance, Peers: c.d.identity.Peers}
-		c.slots.custody = membership.NewCustody(self, now)
+		c.slots.custody = membership.NewCustody(self, time.Now())
 	}
-	if c.slots.custody.Run(now) {
+	return c.slots.custody
+}
+
+// guardSlots comes before everything else that the control thread does.
+func (c *control) guardSlots(now time.Time) {
+	if c.custody().Run(now) {
 		c.d.log.Warn("paused", "slots", "suspended")
 		c.slots.next = now
 	}
@@ -56,7 +62,7 @@
 
 func (c *control) tickSlots(now time.Time) {
 	mates := c.mates()
-	if c.slots.custody.Hearing(c.members.table.LastHeard(), staying(mates), now) {
+	if c.custody().Hearing(c.members.table.LastHeard(), staying(mates), now) {
 		c.d.log.Warn("isolated", "slots", "suspended")
 	}
 	c.adoptLevels(now)
@@ -73,7 +79,7 @@
 
 // yieldSlots gives way to a mate that spends from the same slots.
 func (c *control) yieldSlots(m membership.Member, now time.Time) {
-	if dropped := c.slots.custody.Heard(m, now); len(dropped) > 0 {
+	if dropped := c.custody().Heard(m, now); len(dropped) > 0 {
 		c.d.log.Error("slots_yielded", "to", m.Instance, "slots", dropped)
 		c.slots.next = now
 	}
@@ -172,14 +178,14 @@
 	now := time.Now()
 	c.slots.lease = m.lease
 	if !m.renewed.IsZero() {
-		c.slots.custody.LeaseRenewed(m.renewed)
+		c.custody().LeaseRenewed(m.renewed)
 	}
 	if m.reading == nil {
 		c.endSlotRound(now, false)
 		return
 	}
 	c.slots.holders = m.reading.Holders()
-	if dropped := c.slots.custody.Observe(m.reading); len(dropped) > 0 {
+	if dropped := c.custody().Observe(m.reading); len(dropped) > 0 {
 		c.d.log.Error("slots_dropped", "slots", dropped)
 	}
 	steps := c.planSlots(m.reading, now)
@@ -199,7 +205,7 @@
 		return nil
 	}
 	slots := c.active().Config.Zones[c.d.identity.Zone].Slots
-	return c.slots.custody.Plan(membership.Round{Reading: r, Slots: slots, Mates: c.mates(), Leaving: leaving}, now)
+	return c.custody().Plan(membership.Round{Reading: r, Slots: slots, Mates: c.mates(), Leaving: leaving}, now)
 }
 
 // gift is a step with the bucket levels that go along.
@@ -287,12 +293,12 @@
 	now := time.Now()
 	started, moved := 0, false
 	for _, r := range m.results {
-		if c.slots.custody.Done(r.step, r.revision, now) {
+		if c.custody().Done(r.step, r.revision, now) {
 			started++
 		}
 		moved = moved || r.revision != 0
 	}
-	c.d.log.Info("slots_changed", "started", started, "held", len(c.slots.custody.Usable(now)))
+	c.d.log.Info("slots_changed", "started", started, "held", len(c.custody().Usable(now)))
 	c.endSlotRound(now, !moved)
 }
 
--- a/internal/daemon/slots_test.go
+++ b/internal/daemon/slots_test.go
@@ -65,6 +65,7 @@
 // A daemon dies without a word. Its part of every customer's rate must be
 // spent again by the daemon that is left.
 func TestSlotsOfADeadDaemonAreTaken(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	f := newFleet(t)
 	f.start("vt-1", "vt-a")
@@ -79,6 +80,7 @@
 // must not notice: no request is refused, and when the store is back the same
 // daemons still hold their slots.
 func TestStoreOutageRefusesNobody(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	f := newFleet(t)
 	f.start("vt-1", "vt-a")
@@ -108,6 +110,7 @@
 // the slot is its own: otherwise it would lie idle for as long as the daemon
 // lives, and a customer would miss a part of its rate.
 func TestLostAnswersStrandNoSlot(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	f := newFleet(t)
 	f.start("vt-1", "vt-a")
--- /dev/null
+++ b/internal/quota/fence_test.go
@@ -0,0 +1,27 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"balsambarrow/internal/quota"
+)
+
+// A daemon is frozen for so long that a mate takes its slots, and woken. A
+// request that runs before the control thread does must not be admitted.
+func TestFenceStopsSpendingAfterAPause(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1e9, 0)
+	l := quota.NewLedger()
+	l.SetShares(map[string]quota.Share{"q": {Rate: 10, Burst: 10}}, now)
+	l.Fence.Extend(now.Add(3 * time.Second))
+	ok, _ := l.Take("q", 1, now.Add(2*time.Second))
+	g.Expect(ok).To(BeTrue())
+	ok, _ = l.Take("q", 1, now.Add(20*time.Second))
+	g.Expect(ok).To(BeFalse())
+	l.Fence.Extend(now.Add(23 * time.Second))
+	ok, _ = l.Take("q", 1, now.Add(20*time.Second))
+	g.Expect(ok).To(BeTrue())
+}
