Serve by fair shares, refuse what cannot be done in time, eject the sick

Cause: the handler's queue served customers in turn by number of requests, let 1024 wait whatever their budgets, judged no upstream by its results, and used configured slots as the limit.

Change: start-time fair queuing by service time over customers and their keys; refusal on arrival by the work that is to be served before; a standing queue kept to 100 ms; a ledger of promised times to come back; long work apart by learned cost; a limit per upstream that follows sheds; ejection by own results with trials; one prober for each upstream; a retry budget; drains and their time; running requests of upstreams that were taken away still count.

The trust is kept for hints and for the headroom that others are told.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -129,6 +129,7 @@
 	}
 	d.spawn(func(ctx context.Context) { _ = drpcserver.New(mux).Serve(ctx, peers) })
 	d.spawn(d.control.run)
+	d.spawn((&upstream.Prober{Handler: d.handler, Client: d.client}).Run)
 	d.spawn(d.followConfig)
 	d.log.Info("listening", "instance", d.identity.Instance, "callers", d.identity.Callers,
 		"operators", d.OperatorsAddress(), "peers", d.identity.Peers, "relay", d.identity.Relay)
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -8,5 +8,5 @@
 // publishHandler gives the handler the upstreams that rendezvous hashing over
 // the ready daemons assigns to this one.
 func (c *control) publishHandler(snap *view.Snapshot) {
-	c.d.handler.Assign(upstream.Assigned(snap.Config.Config, snap.Self.Instance, snap.Ready))
+	c.d.handler.Assign(snap.Config.Config, upstream.Assigned(snap.Config.Config, snap.Self.Instance, snap.Ready))
 }
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -88,6 +88,10 @@
 		writeJSON(w, u.Stats())
 		return
 	}
+	if r.URL.Path == "/healthz" {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	wait, ok := u.begin(r)
 	if !ok {
--- a/internal/upstream/handler.go
+++ b/internal/upstream/handler.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
-	"maps"
+	"math"
+	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,193 +15,231 @@
 	"balsambarrow/internal/wire"
 )
 
-// Request asks for room at one upstream of a service.
-type Request struct {
-	Service  string
-	Customer string
-	Deadline time.Time
-}
-
-// Result is how a dispatched request ended, as the handler saw it.
-type Result struct {
-	// Failed: no whole answer, or a server error.
-	Failed bool
-	// Shed: the upstream refused the work.
-	Shed bool
-	// Took is the time from dispatch to the end of the answer.
-	Took time.Duration
-}
-
-// Ticket is the right to run one request on one upstream. Done must be called
-// once.
-type Ticket struct {
-	Upstream string
-	Address  string
-	handler  *Handler
-	service  string
-}
-
-// Handler gives out the room of the upstreams assigned to this daemon. It is
-// safe for concurrent use.
+// Handler gives out the room of the upstreams assigned to this daemon: a
+// mutex around the pools, which hold the decisions. It is safe for concurrent
+// use.
 type Handler struct {
-	mu        sync.Mutex
-	upstreams map[string]*worker
-	queues    map[string]*fairqueue.Queue
-}
-
-type worker struct {
-	config.Upstream
-	running int
-}
-
-type waiter struct {
-	granted chan *Ticket
+	mu     sync.Mutex
+	pools  map[string]*pool
+	config *config.Config
+	rng    *rand.Rand
 }
 
 // NewHandler returns a handler without upstreams.
 func NewHandler() *Handler {
-	return &Handler{upstreams: map[string]*worker{}, queues: map[string]*fairqueue.Queue{}}
+	return &Handler{
+		pools: map[string]*pool{}, config: &config.Config{},
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
 }
 
 // Assign replaces the upstreams that this daemon handles. Requests that run
-// on one that was taken away finish.
-func (h *Handler) Assign(mine map[string]config.Upstream) {
+// on one that was taken away finish, and count again should it come back.
+func (h *Handler) Assign(c *config.Config, mine map[string]config.Upstream) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for name := range h.upstreams {
-		if _, kept := mine[name]; !kept {
-			delete(h.upstreams, name)
-		}
-	}
-	services := map[string]bool{}
+	h.assign(c, mine, time.Now())
+}
+
+func (h *Handler) assign(c *config.Config, mine map[string]config.Upstream, now time.Time) {
+	h.config = c
 	for name, u := range mine {
-		services[u.Service] = true
-		if w := h.upstreams[name]; w != nil {
-			w.Upstream = u
+		h.pool(u.Service).adopt(name, u, planOf(c, name), now)
+	}
+	for service, p := range h.pools {
+		p.release(service, mine)
+		if len(p.workers) == 0 && p.idle() {
+			delete(h.pools, service)
 			continue
 		}
-		h.upstreams[name] = &worker{Upstream: u}
+		h.serve(p, now)
+	}
+}
+
+func (h *Handler) pool(service string) *pool {
+	p := h.pools[service]
+	if p == nil {
+		p = newPool(h.config.Services[service], h.rng)
+		h.pools[service] = p
 	}
-	for service := range services {
-		h.serveWaiting(service)
+	return p
+}
+
+// adopt adds an upstream or takes its changed settings over.
+func (p *pool) adopt(name string, u config.Upstream, plan drain, now time.Time) {
+	i := slices.IndexFunc(p.workers, func(w *worker) bool { return w.name == name })
+	if i < 0 {
+		i = len(p.workers)
+		p.workers = append(p.workers, newWorker(name, u))
 	}
+	w := p.workers[i]
+	w.Upstream, w.released = u, false
+	w.limit.SetSlots(u.Slots)
+	w.drain.set(plan, w.running, now)
+}
+
+// release takes upstreams out that are no longer this daemon's, each once
+// nothing runs on it: until then its requests count if it is assigned again.
+func (p *pool) release(service string, mine map[string]config.Upstream) {
+	p.workers = slices.DeleteFunc(p.workers, func(w *worker) bool {
+		u, kept := mine[w.name]
+		w.released = !kept || u.Service != service
+		return w.released && w.running == 0
+	})
 }
 
 // Acquire waits for room and returns a ticket, or the refusal.
 func (h *Handler) Acquire(ctx context.Context, r Request) (*Ticket, *wire.Problem) {
+	t, problem := h.enter(r, time.Now())
+	if problem != nil || t.ready == nil {
+		return t, problem
+	}
+	select {
+	case <-t.ready:
+	case <-ctx.Done():
+	}
+	return h.leave(t, time.Now())
+}
+
+// enter queues a request and starts it if it can start now.
+func (h *Handler) enter(r Request, now time.Time) (*Ticket, *wire.Problem) {
 	h.mu.Lock()
-	if !h.handles(r.Service) {
-		h.mu.Unlock()
+	defer h.mu.Unlock()
+	p := h.pools[r.Service]
+	if p == nil || !slices.ContainsFunc(p.workers, func(w *worker) bool { return w.takesWork(now) }) {
 		return nil, wire.Refuse(wire.TypeNoRoom, "no upstream of this service is handled here", 0)
 	}
-	if t := h.free(r.Service); t != nil {
-		h.mu.Unlock()
-		return t, nil
+	t := newTicket(h, p, r, h.config.Customers[r.Customer].Weight)
+	if refusal := p.offer(t, now); refusal != nil {
+		return nil, refused(refusal)
 	}
-	wait := &waiter{granted: make(chan *Ticket, 1)}
-	item := &fairqueue.Item{Customer: r.Customer, Deadline: r.Deadline, Value: wait}
-	err := h.queue(r.Service).Push(item)
-	h.mu.Unlock()
-	if err != nil {
-		return nil, wire.Refuse(wire.TypeNoRoom, err.Error(), time.Second)
+	h.serve(p, now)
+	if t.late {
+		return nil, lateProblem(p, t, now)
 	}
-	select {
-	case t := <-wait.granted:
-		return t, nil
-	case <-ctx.Done():
-		return nil, h.giveUp(r.Service, item, wait)
+	if t.worker == nil {
+		t.ready = make(chan struct{})
 	}
+	return t, nil
 }
 
-func (h *Handler) giveUp(service string, item *fairqueue.Item, wait *waiter) *wire.Problem {
+// leave ends the wait of a request: it starts, was dropped, or gave up.
+func (h *Handler) leave(t *Ticket, now time.Time) (*Ticket, *wire.Problem) {
 	h.mu.Lock()
-	removed := h.queue(service).Remove(item)
-	h.mu.Unlock()
-	if !removed {
-		(<-wait.granted).Done(Result{})
+	defer h.mu.Unlock()
+	switch {
+	case t.worker != nil:
+		return t, nil
+	case !t.late:
+		t.pool.queue.Remove(&t.item, now)
+	}
+	return nil, lateProblem(t.pool, t, now)
+}
+
+func refused(r *fairqueue.Refusal) *wire.Problem {
+	if r.Reason == fairqueue.ReasonDeadline {
+		return wire.Refuse(wire.TypeDeadline, r.Reason.String(), 0)
+	}
+	return wire.Refuse(wire.TypeNoRoom, r.Reason.String(), r.RetryAfter)
+}
+
+func lateProblem(p *pool, t *Ticket, now time.Time) *wire.Problem {
+	return wire.Refuse(wire.TypeDeadline, "no upstream had room before the deadline", p.queue.RetryAfter(&t.item, now))
+}
+
+// serve starts what can start. The caller holds the mutex.
+func (h *Handler) serve(p *pool, now time.Time) {
+	p.serve(now, func(t *Ticket) { t.wake() }, func(t *Ticket) {
+		t.late = true
+		t.wake()
+	})
+}
+
+func (t *Ticket) wake() {
+	if t.ready != nil {
+		close(t.ready)
 	}
-	return wire.Refuse(wire.TypeDeadline, "no upstream had room before the deadline", time.Second)
 }
 
-// Done gives the room back.
-func (t *Ticket) Done(Result) {
-	h := t.handler
+func (h *Handler) done(t *Ticket, r Result, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if w := h.upstreams[t.Upstream]; w != nil {
-		w.running--
-	}
-	h.serveWaiting(t.service)
+	t.pool.done(t, r, now)
+	h.serve(t.pool, now)
 }
 
-// Headroom returns the free room of each service handled here.
+// Headroom returns the room of each service handled here: Limit counts the
+// adapted limits of the upstreams in use, Free what of it is not running and
+// not waited for.
 func (h *Handler) Headroom() map[string]membership.Headroom {
+	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	out := map[string]membership.Headroom{}
-	for _, w := range h.upstreams {
-		if w.Leaving {
-			continue
-		}
-		room := out[w.Service]
-		room.Limit += w.Slots
-		room.Free += max(w.Slots-w.running, 0)
-		out[w.Service] = room
-	}
-	for service, q := range h.queues {
-		if room, ok := out[service]; ok {
-			room.Queued = q.Len()
+	for service, p := range h.pools {
+		if room, ok := p.headroom(now); ok {
 			out[service] = room
 		}
 	}
 	return out
 }
 
-func (h *Handler) handles(service string) bool {
-	for _, w := range h.upstreams {
-		if w.Service == service && !w.Leaving {
-			return true
+func (p *pool) headroom(now time.Time) (membership.Headroom, bool) {
+	room := membership.Headroom{Queued: p.queue.Len()}
+	serves := false
+	for _, w := range p.workers {
+		serves = serves || w.takesWork(now)
+		if w.free(now) == 0 && w.health.condition != healthy {
+			continue
+		}
+		if w.takesWork(now) {
+			room.Limit += w.advertised(now, w.limit.Value())
+			room.Free += w.advertised(now, w.free(now))
 		}
 	}
-	return false
+	room.Free = max(room.Free-room.Queued, 0)
+	return room, serves
 }
 
-func (h *Handler) queue(service string) *fairqueue.Queue {
-	q := h.queues[service]
-	if q == nil {
-		q = fairqueue.New()
-		h.queues[service] = q
+// advertised is what others are told of n slots: less while the upstream
+// warms up or drains, so that a move does not fill it with cold caches, but
+// never nothing, or it would stay cold.
+func (w *worker) advertised(now time.Time, n int) int {
+	if n == 0 {
+		return 0
 	}
-	return q
+	return int(math.Ceil(float64(n) * w.health.Trust(now) * w.drain.remaining(now)))
 }
 
-// free takes room at the least loaded upstream of a service.
-func (h *Handler) free(service string) *Ticket {
-	var best *worker
-	bestName := ""
-	for _, name := range slices.Sorted(maps.Keys(h.upstreams)) {
-		w := h.upstreams[name]
-		if w.Service != service || w.Leaving || w.running >= w.Slots {
-			continue
-		}
-		if best == nil || w.running < best.running {
-			best, bestName = w, name
+// Draining is the state of one upstream that gets no new work.
+type Draining struct {
+	Upstream string `json:"upstream"`
+	Running  int    `json:"running"`
+	// EmptyAfterMs is the time from when this handler learned of the drain
+	// until the last request ended; -1 while some run.
+	EmptyAfterMs int64 `json:"empty_after_ms"`
+}
+
+// Drains lists the upstreams handled here that are being emptied, by name.
+func (h *Handler) Drains() []Draining {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []Draining
+	for _, p := range h.pools {
+		for _, w := range p.workers {
+			if w.drain.active {
+				out = append(out, w.draining())
+			}
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	best.running++
-	return &Ticket{Upstream: bestName, Address: best.Address, handler: h, service: service}
+	slices.SortFunc(out, func(a, b Draining) int { return strings.Compare(a.Upstream, b.Upstream) })
+	return out
 }
 
-func (h *Handler) serveWaiting(service string) {
-	q := h.queue(service)
-	for q.Len() > 0 {
-		t := h.free(service)
-		if t == nil {
-			return
-		}
-		q.Pop().Value.(*waiter).granted <- t
+func (w *worker) draining() Draining {
+	d := Draining{Upstream: w.name, Running: w.running, EmptyAfterMs: -1}
+	if !w.drain.emptied.IsZero() {
+		d.EmptyAfterMs = w.drain.emptied.Sub(w.drain.began).Milliseconds()
 	}
+	return d
 }
--- /dev/null
+++ b/internal/upstream/patterns_test.go
@@ -0,0 +1,139 @@
+package upstream
+
+import "time"
+
+// region cuts a deployment down to the two zones of one region, which keeps the
+// tests quick; zones hardly act on each other here.
+func (d deployment) region() deployment {
+	d.zones, d.machines = 2, (d.machines+2)/3
+	return d
+}
+
+// deployment is one organisation's service of short work.
+type deployment struct {
+	name     string
+	zones    int
+	machines int
+	mean     time.Duration
+	timeout  time.Duration
+	rates    []float64
+}
+
+var (
+	lookups  = deployment{"cooperative lookup", 6, 20, 5 * time.Millisecond, 2 * time.Second, []float64{120, 80, 60, 60, 40, 40, 40, 30}}
+	postings = deployment{"cooperative posting", 6, 12, 10 * time.Millisecond, 5 * time.Second, lookups.rates}
+	balances = deployment{"association balance", 6, 14, 5 * time.Millisecond, 2 * time.Second, []float64{120, 80, 60, 60, 40, 40, 40, 30}}
+	reports  = deployment{"reports", 6, 12, 200 * time.Millisecond, time.Minute, lookups.rates}
+)
+
+const (
+	reportTimeout = 60 * time.Second
+	reportTime    = 2 * time.Second
+)
+
+// scenario is a steady load of the deployment's service.
+func (d deployment) scenario(name string, load float64, end time.Duration) scenario {
+	return scenario{
+		name: name, zones: d.zones, machines: d.machines, rates: d.rates, end: end, measure: time.Second, keys: 4,
+		slots:  func(i int) int { return 3 + (i/d.zones)%2 },
+		kinds:  []kindOfWork{{mean: d.mean, timeout: d.timeout, load: load}},
+		factor: func(int, time.Duration) float64 { return 1 },
+	}
+}
+
+func (d deployment) burst(end time.Duration) scenario {
+	sc := d.scenario("burst of 10x for 2 s", 0.5, end)
+	sc.factor = func(_ int, t time.Duration) float64 {
+		if t >= 2*time.Second && t < 4*time.Second {
+			return 10
+		}
+		return 1
+	}
+	return sc
+}
+
+func (d deployment) hotCustomer(end time.Duration) scenario {
+	sc := d.scenario("customer at 5x its rate", 0.7, end)
+	sc.factor = func(customer int, _ time.Duration) float64 {
+		if customer == 0 {
+			return 5
+		}
+		return 1
+	}
+	return sc
+}
+
+func (d deployment) hotKey(end time.Duration) scenario {
+	sc := d.hotCustomer(end)
+	sc.name, sc.hotKey, sc.keys = "one key sends 5/6 of that", true, 20
+	return sc
+}
+
+func (d deployment) slow(end time.Duration) scenario {
+	return d.faulty("upstream 10x slower", end, func(m *machine) { m.factor = 10 })
+}
+
+func (d deployment) failsFast(end time.Duration) scenario {
+	return d.faulty("upstream fails at once", end, func(m *machine) { m.fails = true })
+}
+
+// faulty breaks machine 0 after 2 s and measures from 3 s later on.
+func (d deployment) faulty(name string, end time.Duration, fault func(*machine)) scenario {
+	sc := d.scenario(name, 0.6, end)
+	sc.measure, sc.badMachine, sc.targets = 5*time.Second, true, 3
+	sc.fault = func(m *machine, t time.Duration) {
+		if m.index == 0 && t >= 2*time.Second {
+			fault(m)
+		}
+	}
+	return sc
+}
+
+func (d deployment) shedding(end time.Duration) scenario {
+	sc := d.scenario("a quarter of the upstreams have one slot", 0.6, end)
+	sc.fault = func(m *machine, t time.Duration) {
+		if m.index%4 == 0 && t >= 2*time.Second {
+			m.slots = 1
+		}
+	}
+	sc.measure, sc.targets = 5*time.Second, 3
+	return sc
+}
+
+func (d deployment) withReports(end time.Duration, with bool) scenario {
+	sc := d.scenario("2 s reports among them", 0.35, end)
+	sc.measure = 5 * time.Second
+	if with {
+		sc.kinds = append(sc.kinds, kindOfWork{mean: reportTime, timeout: reportTimeout, load: 0.35})
+	}
+	return sc
+}
+
+func (d deployment) overload(times float64, end time.Duration) scenario {
+	sc := d.scenario("overload", times, end)
+	sc.loadEnds = end
+	sc.end = end
+	return sc
+}
+
+func (d deployment) overloadThenCalm(times float64, end time.Duration) scenario {
+	sc := d.scenario("overload, then half load", times, end+20*time.Second)
+	sc.loadEnds, sc.comeBack = end, 0.05
+	sc.factor = func(_ int, t time.Duration) float64 {
+		if t >= end {
+			return 0.5 / times
+		}
+		return 1
+	}
+	return sc
+}
+
+func (d deployment) cold(end time.Duration) scenario {
+	sc := d.scenario("half of the caches cold", 0.6, end)
+	sc.fault = func(m *machine, t time.Duration) {
+		if (m.index/d.zones)%2 == 1 && t == time.Second {
+			m.cold = 200
+		}
+	}
+	return sc
+}
--- a/internal/upstream/run.go
+++ b/internal/upstream/run.go
@@ -84,7 +84,7 @@
 func (r *Runner) acquire(ctx context.Context, call *wire.Call) (*Ticket, *wire.Problem) {
 	_, span := r.Tracer.Start(ctx, "queue")
 	defer span.End()
-	return r.Handler.Acquire(ctx, Request{Service: call.Service, Customer: call.Customer, Deadline: call.Deadline})
+	return r.Handler.Acquire(ctx, requestOf(call))
 }
 
 func (r *Runner) keyValid(call *wire.Call) bool {
--- /dev/null
+++ b/internal/upstream/worker.go
@@ -0,0 +1,102 @@
+package upstream
+
+import (
+	"time"
+
+	"balsambarrow/internal/config"
+)
+
+// worker is one upstream as its handler sees it.
+type worker struct {
+	config.Upstream
+	name    string
+	limit   *Limit
+	health  *Health
+	running int
+	drain   drain
+	// released: another daemon handles it now; what runs here finishes.
+	released bool
+	probe    probe
+}
+
+func newWorker(name string, u config.Upstream) *worker {
+	return &worker{Upstream: u, name: name, limit: NewLimit(u.Slots), health: NewHealth()}
+}
+
+// takesWork tells whether the upstream may get new work at all.
+func (w *worker) takesWork(now time.Time) bool {
+	return !w.released && !w.drain.over(now)
+}
+
+// free is how many more requests it may start, trials left aside.
+func (w *worker) free(now time.Time) int {
+	if !w.takesWork(now) || w.health.condition != healthy {
+		return 0
+	}
+	return max(w.limit.Value()-w.running, 0)
+}
+
+// load is what the next request would find: lower is better.
+func (w *worker) load(now time.Time) float64 {
+	trust := w.health.Trust(now) * w.drain.remaining(now)
+	return float64(w.running+1) * w.health.Slowness() / (float64(w.limit.Value()) * trust)
+}
+
+// drain is a planned stop of new work at one upstream.
+type drain struct {
+	active bool
+	start  time.Time
+	ramp   time.Duration
+	// began is when this handler learned of it.
+	began time.Time
+	// emptied is when the last request had ended; zero while some run.
+	emptied time.Time
+}
+
+// over tells whether nothing new may start.
+func (d *drain) over(now time.Time) bool {
+	return d.active && !now.Before(d.start.Add(d.ramp))
+}
+
+// remaining is the part of its traffic that a draining upstream still gets.
+func (d *drain) remaining(now time.Time) float64 {
+	if !d.active || now.Before(d.start) || d.ramp <= 0 {
+		return 1
+	}
+	left := 1 - float64(now.Sub(d.start))/float64(d.ramp)
+	return min(max(left, 0.01), 1)
+}
+
+// set takes a plan over; it keeps what was measured of the same drain.
+func (d *drain) set(plan drain, running int, now time.Time) {
+	if !plan.active {
+		*d = drain{}
+		return
+	}
+	if !d.active {
+		d.began = now
+	}
+	d.active, d.start, d.ramp = true, plan.start, plan.ramp
+	d.note(running, now)
+}
+
+// note records the end of the last request.
+func (d *drain) note(running int, now time.Time) {
+	if d.over(now) && running == 0 && d.emptied.IsZero() {
+		d.emptied = now
+	}
+}
+
+// planOf returns the drain that the configuration plans for an upstream.
+func planOf(c *config.Config, name string) drain {
+	if c.Upstreams[name].Leaving {
+		return drain{active: true}
+	}
+	for _, d := range c.Drains {
+		if d.Kind == config.DrainUpstream && d.Target == name {
+			ramp := time.Duration(d.RampSeconds * float64(time.Second))
+			return drain{active: true, start: time.UnixMilli(d.StartUnixMs), ramp: ramp}
+		}
+	}
+	return drain{}
+}
