--- a/internal/entry/steer.go
+++ b/internal/entry/steer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"balsambarrow/internal/steer"
@@ -16,31 +17,56 @@
 func (s *Server) steer(ctx context.Context, call *wire.Call) (*wire.Answer, *wire.Problem) {
 	snap := s.View.Load()
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	targets := steer.Choose(snap.Config, snap.Ready, call.Customer, call.Service, snap.Self.Zone, rng)
-	problem := wire.Refuse(wire.TypeNoRoom, "no zone that may serve this has a ready handler", time.Second)
-	for _, target := range targets[:min(len(targets), maxTargets)] {
+	targets := snap.Steer.Choose(steerRequest(call), time.Now(), rng)
+	var problem *wire.Problem
+	for i := range targets {
+		target := &targets[i]
 		if ctx.Err() != nil {
 			break
 		}
-		var answer *wire.Answer
-		answer, problem = s.ask(ctx, target, call)
-		if problem == nil {
+		if !s.takeCaps(target, time.Now()) {
+			continue
+		}
+		answer, latest := s.ask(ctx, target, call)
+		if latest == nil {
+			target.Ended(queued(answer), false)
 			return answer, nil
 		}
-		if !another(call, problem) {
+		target.Ended(0, latest.Type == wire.TypeNoRoom)
+		if latest.Outcome == wire.OutcomeNotRun {
+			s.refundCaps(target, time.Now())
+		}
+		problem = latest.After(problem)
+		if !another(call, latest) {
 			break
 		}
 	}
-	return nil, problem
+	return nil, lastProblem(ctx, problem)
+}
+
+// lastProblem is the final answer where no handler ran the call.
+func lastProblem(ctx context.Context, problem *wire.Problem) *wire.Problem {
+	switch {
+	case problem != nil:
+		return problem
+	case ctx.Err() != nil:
+		return wire.Refuse(wire.TypeDeadline, "the budget was spent before a handler was asked", time.Second)
+	}
+	return wire.Refuse(wire.TypeNoRoom, "no zone that may serve this has a ready handler", time.Second)
 }
 
-func (s *Server) ask(ctx context.Context, target steer.Target, call *wire.Call) (*wire.Answer, *wire.Problem) {
-	if target.Member.Instance == s.View.Load().Self.Instance {
+func (s *Server) ask(ctx context.Context, target *steer.Target, call *wire.Call) (*wire.Answer, *wire.Problem) {
+	if problem := s.recheckKey(call); problem != nil {
+		return nil, problem
+	}
+	target.Sent()
+	member := target.Handler.Member
+	if member.Instance == s.View.Load().Self.Instance {
 		return s.Local.Run(ctx, call)
 	}
 	ctx, span := s.Tracer.Start(ctx, "relay")
 	defer span.End()
-	return s.Relay.Send(ctx, target.Member.Relay, wire.RoleHandle, call)
+	return s.Relay.Send(ctx, member.Relay, wire.RoleHandle, call)
 }
 
 // another tells whether another handler may be asked after a problem.
@@ -51,7 +77,7 @@
 	switch p.Type {
 	case wire.TypeNoRoom:
 		return p.Outcome == wire.OutcomeNotRun
-	case wire.TypeUpstreamFailed:
+	case wire.TypeUpstreamFailed, wire.TypeUpstreamShed:
 		return p.Outcome == wire.OutcomeNotRun || call.Safe()
 	}
 	return false
@@ -82,3 +108,13 @@
 }
 
 func jsonEncode(w io.Writer, v any) error { return json.NewEncoder(w).Encode(v) }
+
+// queued takes out of an answer how long it waited at its handler.
+func queued(a *wire.Answer) time.Duration {
+	ms, err := strconv.ParseInt(a.Header.Get(wire.HeaderQueuedMs), 10, 64)
+	a.Header.Del(wire.HeaderQueuedMs)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
--- a/internal/fairqueue/queue.go
+++ b/internal/fairqueue/queue.go
@@ -59,6 +59,10 @@
 	}
 	p := q.parts[it.Class]
 	c := p.customerOf(it, now)
+	if !q.contended() && now.Before(it.Deadline) {
+		p.push(it, c, now)
+		return nil
+	}
 	budget := it.Deadline.Sub(now) - it.Cost
 	if budget < 0 {
 		return &Refusal{Reason: ReasonDeadline}
@@ -78,6 +82,14 @@
 	return nil
 }
 
+// contended tells whether a request would take room that another one wants.
+// Where it would not, it runs whatever its budget: an estimate is an estimate,
+// and one that a slow spell has raised above all budgets could never be
+// corrected if nothing were served by it.
+func (q *Queue) contended() bool {
+	return q.Len() > 0 || q.running[Short]+q.running[Long] >= q.room
+}
+
 // allowedWait is the longest wait that the request is admitted to.
 func allowedWait(it *Item, c *customer, budget time.Duration, now time.Time) time.Duration {
 	allowed := time.Duration(waitPart * float64(budget))
@@ -115,7 +127,7 @@
 		}
 		p := q.parts[class]
 		it := p.first()
-		if now.Add(it.Cost).After(it.Deadline) {
+		if q.tooLate(it, now) {
 			p.take(it, false, now)
 			late(it)
 			continue
@@ -126,6 +138,15 @@
 	}
 }
 
+// tooLate tells whether serving a request would waste room: its deadline has
+// passed, or will while it runs and another one waits.
+func (q *Queue) tooLate(it *Item, now time.Time) bool {
+	if q.Len() > 1 {
+		return now.Add(it.Cost).After(it.Deadline)
+	}
+	return !now.Before(it.Deadline)
+}
+
 // Done settles a popped request after it took some time; 0 if it did not run.
 func (q *Queue) Done(it *Item, took time.Duration, now time.Time) {
 	q.running[it.Class]--
--- a/internal/upstream/kind.go
+++ b/internal/upstream/kind.go
@@ -10,13 +10,13 @@
 
 // requestOf asks for room for a call. What tells kinds of work apart is method
 // and first path segment: enough to know reports from lookups, few enough
-// that each is seen often.
-func requestOf(call *wire.Call) Request {
+// that each is seen often. avoid names the upstream to try last.
+func requestOf(call *wire.Call, avoid string) Request {
 	segment, _, _ := strings.Cut(strings.TrimPrefix(call.Path, "/"), "/")
 	return Request{
 		Service: call.Service, Customer: call.Customer, Deadline: call.Deadline,
 		Key:  xxhash.Sum64String(call.KeyDigest),
 		Kind: xxhash.Sum64String(call.Method + " " + segment),
-		Safe: call.Safe(),
+		Safe: call.Safe(), Avoid: avoid,
 	}
 }
