--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,6 +62,7 @@
 	hostList platform.HostList
 	platform *platform.Client
 	security security
+	peers    *peer.Listener
 	conns    *peer.Conns
 	// client talks to upstreams, relayClient to other daemons.
 	client      *upstream.Client
@@ -73,15 +74,11 @@
 	postings *posting.Table
 	gauge    *entry.Gauge
 	control  *control
-	// lease is the store's lease that slots are held under; it is written by
-	// the control thread only.
-	lease string
-
-	ctx     context.Context
-	cancel  context.CancelFunc
-	tasks   sync.WaitGroup
-	servers []*http.Server
-	errs    chan error
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+	servers  []*http.Server
+	errs     chan error
 }
 
 // New makes a daemon and opens its listeners. Start lets it serve.
@@ -143,7 +140,7 @@
 	if err := errors.WithStack(peer.DRPCRegisterConfiguration(mux, d)); err != nil {
 		return err
 	}
-	if err := errors.WithStack(peer.DRPCRegisterHandover(mux, newHandover(d))); err != nil {
+	if err := errors.WithStack(peer.DRPCRegisterHandover(mux, newHandoverServer(d))); err != nil {
 		return err
 	}
 	d.spawn(func(ctx context.Context) { _ = peer.Serve(ctx, mux, peers) })
@@ -183,7 +180,7 @@
 	}, asIs); err != nil {
 		return nil, err
 	}
-	if d.identity.Relay, err = d.serveHTTP(d.settings.Listen.Relay, &http.Server{Handler: relays}, d.security.listener); err != nil {
+	if d.identity.Relay, err = d.serveHTTP(d.settings.Listen.Relay, &http.Server{Handler: d.security.guarded(relays)}, d.security.listener); err != nil {
 		return nil, err
 	}
 	peers, err := net.Listen("tcp", d.settings.Listen.Peers)
@@ -191,7 +188,8 @@
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	d.identity.Peers = peers.Addr().String()
-	return d.security.listener(peer.Bounded(peers)), nil
+	d.peers = peer.Bounded(peers)
+	return d.security.listener(d.peers), nil
 }
 
 // asIs serves plain TCP.
--- a/internal/daemon/steering.go
+++ b/internal/daemon/steering.go
@@ -5,6 +5,7 @@
 
 	"balsambarrow/internal/lookup"
 	"balsambarrow/internal/steer"
+	"balsambarrow/internal/upstream"
 	"balsambarrow/internal/view"
 )
 
@@ -20,11 +21,11 @@
 
 // publishSteering adds to a snapshot what traffic threads steer and answer
 // lookups by.
-func (c *control) publishSteering(snap *view.Snapshot, now time.Time) {
+func (c *control) publishSteering(snap *view.Snapshot, assigned *upstream.Assignment, now time.Time) {
 	if c.steer.index == nil || c.steer.indexVersion != snap.Config.Version {
 		c.steer.index = lookup.NewIndex(snap.Config.Config)
 		c.steer.indexVersion = snap.Config.Version
 	}
 	snap.Lookup = lookup.NewDirectory(snap.Config, c.steer.index, snap.Ready)
-	snap.Steer = c.steer.builder.Build(snap.Config, snap.Ready, now)
+	snap.Steer = c.steer.builder.Build(snap.Config, snap.Ready, assigned, now)
 }
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -43,6 +43,11 @@
 	}
 }
 
+// nobody is an assignment without handlers: only advertised headroom counts.
+type nobody struct{}
+
+func (nobody) Slots(string, string) int { return 0 }
+
 var roomy = membership.Headroom{Free: 10, Limit: 10}
 
 func everyZone(c *config.Config, room membership.Headroom) []membership.Member {
@@ -56,7 +61,7 @@
 func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
 
 func choose(c *config.Config, ms []membership.Member, r steer.Request, now time.Time) []steer.Target {
-	return steer.NewBuilder("vt-a").Build(config.NewActive(1, c), ms, now).Choose(r, now, rng())
+	return steer.NewBuilder("vt-a").Build(config.NewActive(1, c), ms, nobody{}, now).Choose(r, now, rng())
 }
 
 func zones(ts []steer.Target) []string {
@@ -151,7 +156,7 @@
 	c.Moves = map[string]config.Move{"m": {
 		Service: "lookup", From: "vt", To: "me", Share: 0.5, CapPerSecond: 10, RampSeconds: 100, StartUnixMs: start.UnixMilli(),
 	}}
-	table := steer.NewBuilder("vt-a").Build(config.NewActive(1, c), everyZone(c, roomy), start)
+	table := steer.NewBuilder("vt-a").Build(config.NewActive(1, c), everyZone(c, roomy), nobody{}, start)
 	const keys = 2000
 	movedBefore := map[string]bool{}
 	for _, step := range []struct {
@@ -179,7 +184,7 @@
 	c := threeRegions()
 	two := []membership.Member{member("vt-a", membership.Headroom{Free: 6, Limit: 10}), member("vt-a", membership.Headroom{Free: 4, Limit: 10})}
 	two[1].Instance = "other"
-	table := steer.NewBuilder("vt-a").Build(config.NewActive(1, c), two, start)
+	table := steer.NewBuilder("vt-a").Build(config.NewActive(1, c), two, nobody{}, start)
 	random, sent := rng(), map[string]int{}
 	for range 10 {
 		target := table.Choose(steer.Request{Service: "lookup", Customer: "farm"}, start, random)[0]
@@ -191,7 +196,7 @@
 
 func BenchmarkChoose(b *testing.B) {
 	c := threeRegions()
-	table := steer.NewBuilder("vt-a").Build(config.NewActive(1, c), everyZone(c, roomy), start)
+	table := steer.NewBuilder("vt-a").Build(config.NewActive(1, c), everyZone(c, roomy), nobody{}, start)
 	random := rng()
 	b.ReportAllocs()
 	for b.Loop() {
@@ -205,6 +210,22 @@
 	builder := steer.NewBuilder("vt-a")
 	b.ReportAllocs()
 	for b.Loop() {
-		builder.Build(a, ms, start)
+		builder.Build(a, ms, nobody{}, start)
 	}
 }
+
+// A daemon starts, and an upstream's handler moves to it. Before its next
+// heartbeat nobody has heard of its headroom, and the old handler refuses. The
+// request must go to the new handler, not be refused.
+func TestNewHandlerIsAskedBeforeItsHeadroomIsHeard(t *testing.T) {
+	g := NewWithT(t)
+	c := threeRegions()
+	fresh := member("vt-a", membership.Headroom{})
+	fresh.Headroom = nil
+	table := steer.NewBuilder("vt-a").Build(config.NewActive(1, c), []membership.Member{fresh}, fourEach{}, start)
+	g.Expect(zones(table.Choose(steer.Request{Service: "lookup", Customer: "farm"}, start, rng()))).To(Equal([]string{"vt-a"}))
+}
+
+type fourEach struct{}
+
+func (fourEach) Slots(string, string) int { return 4 }
