--- a/internal/upstream/run.go
+++ b/internal/upstream/run.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"balsambarrow/internal/config"
+	"balsambarrow/internal/retry"
 	"balsambarrow/internal/telemetry"
 	"balsambarrow/internal/wire"
 )
@@ -27,6 +28,8 @@
 	// after the queue: a key withdrawn while a request waits must not run.
 	KeyValid func(digest config.Digest, customer string) bool
 	Tracer   trace.Tracer
+	// Retries bounds the second attempts; nil: all are made.
+	Retries *retry.Budgets
 }
 
 // Run waits for room, sends the call, and returns the answer as it begins.
@@ -34,15 +37,19 @@
 	ctx, span := r.Tracer.Start(ctx, "handler", trace.WithAttributes(
 		attribute.String("service", call.Service), attribute.String("customer", call.Customer)))
 	defer span.End()
+	r.Retries.First(call.Service)
 	var problem *wire.Problem
+	avoid := ""
 	for range maxAttempts {
-		answer, latest := r.attempt(ctx, call)
+		var answer *wire.Answer
+		var latest *wire.Problem
+		answer, avoid, latest = r.attempt(ctx, call, avoid)
 		if latest == nil {
 			return answer, nil
 		}
 		span.AddEvent(latest.Type)
 		problem = latest.After(problem)
-		if !repeatable(call, latest) {
+		if !repeatable(call, latest) || !r.affordable(call, latest) {
 			break
 		}
 	}
@@ -58,15 +65,23 @@
 	return call.Body.Sendable() && (p.Outcome == wire.OutcomeNotRun || call.Safe())
 }
 
-func (r *Runner) attempt(ctx context.Context, call *wire.Call) (*wire.Answer, *wire.Problem) {
+// affordable tells whether the retry budget allows another attempt. One after
+// nothing was sent adds no load and costs nothing.
+func (r *Runner) affordable(call *wire.Call, p *wire.Problem) bool {
+	return p.Outcome == wire.OutcomeNotRun && p.Type != wire.TypeUpstreamShed || r.Retries.Again(call.Service)
+}
+
+// attempt sends the call to one upstream and names it; avoid is the one that
+// the attempt before met.
+func (r *Runner) attempt(ctx context.Context, call *wire.Call, avoid string) (*wire.Answer, string, *wire.Problem) {
 	asked := time.Now()
-	ticket, problem := r.acquire(ctx, call)
+	ticket, problem := r.acquire(ctx, call, avoid)
 	if problem != nil {
-		return nil, problem
+		return nil, avoid, problem
 	}
 	if !r.keyValid(call) {
 		ticket.Done(Result{})
-		return nil, wire.Refuse(wire.TypeUnknownKey, "the key was withdrawn", 0)
+		return nil, ticket.Upstream, wire.Refuse(wire.TypeUnknownKey, "the key was withdrawn", 0)
 	}
 	ctx, span := r.Tracer.Start(ctx, "upstream attempt", trace.WithAttributes(attribute.String("upstream", ticket.Upstream)))
 	defer span.End()
@@ -74,30 +89,30 @@
 	req, err := r.request(ctx, call, ticket.Address)
 	if err != nil {
 		ticket.Done(Result{})
-		return nil, wire.Refuse(wire.TypeBadRequest, err.Error(), 0)
+		return nil, ticket.Upstream, wire.Refuse(wire.TypeBadRequest, err.Error(), 0)
 	}
 	resp, sent, err := r.Client.Send(req) //nolint:bodyclose // the answer's reader closes it
 	if err != nil {
-		ticket.Done(Result{Failed: true, Took: time.Since(start)})
-		return nil, failed(ctx, sent, err)
+		ticket.Done(Result{Failed: true, Abandoned: ctx.Err() != nil, Took: time.Since(start)})
+		return nil, ticket.Upstream, failed(ctx, sent, err)
 	}
-	body := &trackedBody{ReadCloser: resp.Body, ticket: ticket, start: start}
+	body := &trackedBody{ReadCloser: resp.Body, ctx: ctx, ticket: ticket, start: start, firstByte: time.Since(start)}
 	body.shed = resp.StatusCode == http.StatusServiceUnavailable
 	body.failed = resp.StatusCode >= http.StatusInternalServerError
 	if problem := unusable(resp); problem != nil {
 		body.failed = true
 		_ = body.Close()
-		return nil, problem
+		return nil, ticket.Upstream, problem
 	}
 	wire.StripOwn(resp.Header)
 	resp.Header.Set(wire.HeaderQueuedMs, strconv.FormatInt(start.Sub(asked).Milliseconds(), 10))
-	return &wire.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return &wire.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, ticket.Upstream, nil
 }
 
-func (r *Runner) acquire(ctx context.Context, call *wire.Call) (*Ticket, *wire.Problem) {
+func (r *Runner) acquire(ctx context.Context, call *wire.Call, avoid string) (*Ticket, *wire.Problem) {
 	_, span := r.Tracer.Start(ctx, "queue")
 	defer span.End()
-	return r.Handler.Acquire(ctx, Request{Service: call.Service, Customer: call.Customer, Deadline: call.Deadline})
+	return r.Handler.Acquire(ctx, requestOf(call, avoid))
 }
 
 func (r *Runner) keyValid(call *wire.Call) bool {
@@ -125,11 +140,14 @@
 // trackedBody gives the room back when the answer has ended.
 type trackedBody struct {
 	io.ReadCloser
-	ticket *Ticket
-	start  time.Time
-	shed   bool
-	failed bool
-	once   sync.Once
+	// ctx tells a caller that gave up from an upstream that broke off.
+	ctx       context.Context
+	ticket    *Ticket
+	start     time.Time
+	firstByte time.Duration
+	shed      bool
+	failed    bool
+	once      sync.Once
 }
 
 func (b *trackedBody) Read(p []byte) (int, error) {
@@ -143,7 +161,10 @@
 func (b *trackedBody) Close() error {
 	err := b.ReadCloser.Close()
 	b.once.Do(func() {
-		b.ticket.Done(Result{Failed: b.failed, Shed: b.shed, Took: time.Since(b.start)})
+		b.ticket.Done(Result{
+			Failed: b.failed, Shed: b.shed, Abandoned: b.failed && b.ctx.Err() != nil,
+			Took: time.Since(b.start), FirstByte: b.firstByte,
+		})
 	})
 	return err
 }
