--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -6,6 +6,7 @@
 
 	"balsambarrow/internal/config"
 	"balsambarrow/internal/membership"
+	"balsambarrow/internal/upstream"
 	"balsambarrow/internal/view"
 )
 
@@ -112,9 +113,10 @@
 		}
 	}
 	if snap.Config != nil {
-		c.publishHandler(snap, now)
+		assigned := upstream.Assign(snap.Config.Config, snap.Ready)
+		c.publishHandler(snap, assigned, now)
 		c.publishShares(snap, now)
-		c.publishSteering(snap, now)
+		c.publishSteering(snap, assigned, now)
 	}
 	c.d.ledger.Fence.Extend(c.custody().SpendUntil())
 	c.d.view.Store(snap)
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -10,23 +10,27 @@
 	"balsambarrow/internal/view"
 )
 
-// publishHandler gives the handler the upstreams that rendezvous hashing over
-// the ready daemons assigns to this one. A daemon that has begun to leave goes
-// on with those that it would have if it stayed. Others learn of a change by a
-// heartbeat at once: until they do, nobody asks the new handler.
-func (c *control) publishHandler(snap *view.Snapshot, now time.Time) {
-	ready := snap.Ready
-	// It goes on for longer than others ask it: they count from their hearing.
+// publishHandler gives the handler the upstreams that are assigned to this
+// daemon, and shows its headroom as it is from then on. A daemon that has begun
+// to leave goes on with those that it would have if it stayed, for longer than
+// others ask it: they count from their hearing. Others learn of a change by a
+// heartbeat at once.
+func (c *control) publishHandler(snap *view.Snapshot, assigned *upstream.Assignment, now time.Time) {
 	if snap.Self.State == membership.StateLeaving && now.Sub(snap.Self.LeavingSince) < leaveMargin {
-		ready = append(slices.Clone(ready), snap.Self)
+		assigned = upstream.Assign(snap.Config.Config, append(slices.Clone(snap.Ready), snap.Self))
 	}
-	mine := upstream.Assigned(snap.Config.Config, snap.Self.Instance, ready)
+	mine := assigned.Of(snap.Self.Instance)
 	c.d.handler.Assign(mine)
-	names := slices.Sorted(maps.Keys(mine))
-	if !slices.Equal(names, c.members.handled) {
+	if names := slices.Sorted(maps.Keys(mine)); !slices.Equal(names, c.members.handled) {
 		c.members.handled = names
 		c.members.nextBeat = time.Time{}
 	}
+	snap.Self.Headroom = c.d.handler.Headroom()
+	for i := range snap.Ready {
+		if snap.Ready[i].Instance == snap.Self.Instance {
+			snap.Ready[i].Headroom = snap.Self.Headroom
+		}
+	}
 }
 
 // handling are the daemons whose upstreams may be asked: the ready ones, and
--- a/internal/steer/choose.go
+++ b/internal/steer/choose.go
@@ -94,6 +94,9 @@
 		c.addHome()
 	}
 	c.elsewhere(first)
+	if c.homeAllowed() && len(c.targets) < MaxTargets {
+		c.addFormer()
+	}
 }
 
 // planned returns the region that a move or a drain of the home region sends
@@ -215,6 +218,14 @@
 	}
 }
 
+// addFormer appends a former handler of the home region, for when the handler
+// that the assignment names does not know of it yet.
+func (c *chooser) addFormer() {
+	if former := c.s.home.former; len(former) > 0 {
+		c.targets = append(c.targets, Target{Handler: pick(former, c.rng), feedback: c.s.feedback})
+	}
+}
+
 // addOther appends a handler of another region, of any zone of it: seen from
 // far its zones are equally near, and one of them alone would fill first.
 func (c *chooser) addOther(r *regionTable, drain string) {
