--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -140,7 +140,7 @@
 	if err := errors.WithStack(peer.DRPCRegisterConfiguration(mux, d)); err != nil {
 		return err
 	}
-	if err := errors.WithStack(peer.DRPCRegisterHandover(mux, newHandover(d))); err != nil {
+	if err := errors.WithStack(peer.DRPCRegisterHandover(mux, newHandoverServer(d))); err != nil {
 		return err
 	}
 	d.spawn(func(ctx context.Context) { _ = peer.Serve(ctx, mux, peers) })
