--- a/internal/daemon/adoption_test.go
+++ b/internal/daemon/adoption_test.go
@@ -125,6 +125,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	d.control.guardSlots(time.Now())
 	return d.control
 }
 
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -62,9 +62,11 @@
 		case <-ctx.Done():
 			return
 		case m := <-c.inbox:
+			c.guardSlots(time.Now())
 			m.apply(c)
 			c.drain()
 		case <-ticker.C:
+			c.guardSlots(time.Now())
 			c.tick(time.Now())
 		}
 		c.publish(time.Now())
@@ -110,10 +112,11 @@
 		}
 	}
 	if snap.Config != nil {
-		c.publishHandler(snap)
+		c.publishHandler(snap, now)
 		c.publishShares(snap, now)
 		c.publishSteering(snap, now)
 	}
+	c.d.ledger.Fence.Extend(c.custody().SpendUntil())
 	c.d.view.Store(snap)
 }
 
@@ -121,12 +124,16 @@
 func (c *control) self(now time.Time) membership.Member {
 	m := c.d.identity
 	m.State = c.state
+	m.LeavingSince = c.members.leavingSince
 	m.Sequence = c.members.sequence
 	m.ConfigVersion = c.config.version()
 	m.ConfigRejected = c.config.rejected
 	m.ConfirmedAt = c.config.confirmed
 	m.Watches = c.watches(now)
-	m.Slots = c.slots.slots.Usable(now)
+	m.Held = c.custody().Usable(now)
+	for _, h := range m.Held {
+		m.Slots = append(m.Slots, h.Slot)
+	}
 	m.Headroom = c.d.handler.Headroom()
 	m.Load = c.d.gauge.Load()
 	m.PostingEpoch = c.d.postings.Epoch(now)
@@ -142,6 +149,7 @@
 
 func (m leave) apply(c *control) {
 	c.state = membership.StateLeaving
+	c.members.leavingSince = time.Now()
 	c.members.nextBeat = time.Time{}
 	close(m.done)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,6 +61,7 @@
 	hostList platform.HostList
 	platform *platform.Client
 	security security
+	peers    *peer.Listener
 	conns    *peer.Conns
 	// client talks to upstreams, relayClient to other daemons.
 	client      *upstream.Client
@@ -72,15 +73,11 @@
 	postings *posting.Table
 	gauge    *entry.Gauge
 	control  *control
-	// lease is the store's lease that slots are held under; it is written by
-	// the control thread only.
-	lease string
-
-	ctx     context.Context
-	cancel  context.CancelFunc
-	tasks   sync.WaitGroup
-	servers []*http.Server
-	errs    chan error
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+	servers  []*http.Server
+	errs     chan error
 }
 
 // New makes a daemon and opens its listeners. Start lets it serve.
@@ -179,7 +176,7 @@
 	}, asIs); err != nil {
 		return nil, err
 	}
-	if d.identity.Relay, err = d.serveHTTP(d.settings.Listen.Relay, &http.Server{Handler: relays}, d.security.listener); err != nil {
+	if d.identity.Relay, err = d.serveHTTP(d.settings.Listen.Relay, &http.Server{Handler: d.security.guarded(relays)}, d.security.listener); err != nil {
 		return nil, err
 	}
 	peers, err := net.Listen("tcp", d.settings.Listen.Peers)
@@ -187,7 +184,8 @@
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	d.identity.Peers = peers.Addr().String()
-	return d.security.listener(peer.Bounded(peers)), nil
+	d.peers = peer.Bounded(peers)
+	return d.security.listener(d.peers), nil
 }
 
 // asIs serves plain TCP.
@@ -198,6 +196,7 @@
 	if err != nil {
 		return "", errors.Wrap(err, "listen")
 	}
+	server.Handler = d.closing(server.Handler)
 	server.Addr = l.Addr().String()
 	server.ReadHeaderTimeout, server.IdleTimeout = headerTimeout, idleTimeout
 	server.MaxHeaderBytes = d.settings.Limits.MaxHeaderBytes
--- a/internal/daemon/steering.go
+++ b/internal/daemon/steering.go
@@ -5,6 +5,7 @@
 
 	"balsambarrow/internal/lookup"
 	"balsambarrow/internal/steer"
+	"balsambarrow/internal/upstream"
 	"balsambarrow/internal/view"
 )
 
@@ -26,5 +27,6 @@
 		c.steer.indexVersion = snap.Config.Version
 	}
 	snap.Lookup = lookup.NewDirectory(snap.Config, c.steer.index, snap.Ready)
-	snap.Steer = c.steer.builder.Build(snap.Config, snap.Ready, now)
+	handling := c.handling(snap, now)
+	snap.Steer = c.steer.builder.Build(snap.Config, handling, upstream.Assign(snap.Config.Config, handling), now)
 }
--- a/internal/entry/read_test.go
+++ b/internal/entry/read_test.go
@@ -22,6 +22,7 @@
 	"balsambarrow/internal/posting"
 	"balsambarrow/internal/quota"
 	"balsambarrow/internal/steer"
+	"balsambarrow/internal/upstream"
 	"balsambarrow/internal/view"
 	"balsambarrow/internal/wire"
 )
@@ -67,10 +68,11 @@
 		Headroom: map[string]membership.Headroom{"posting": {Free: 4, Limit: 4}},
 	}
 	snap := &view.Snapshot{Self: self, Config: config.NewActive(1, c), ConfirmedAt: time.Now(), PublishedAt: time.Now(), CaughtUp: true, Ready: []membership.Member{self}}
-	snap.Steer = steer.NewBuilder("vt-a").Build(snap.Config, snap.Ready, time.Now())
+	snap.Steer = steer.NewBuilder("vt-a").Build(snap.Config, snap.Ready, upstream.Assign(snap.Config.Config, snap.Ready), time.Now())
 	published := &view.Published{}
 	published.Store(snap)
 	ledger := quota.NewLedger()
+	ledger.Fence.Extend(time.Now().Add(time.Hour))
 	ledger.SetShares(quota.Shares(snap.Config, "vt-a", 1), time.Now().Add(-time.Minute))
 	w = &worker{}
 	server := httptest.NewServer(entry.New(entry.Deps{
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -25,6 +25,16 @@
 	GoneAfter = 4 * BeatEvery
 )
 
+// HandlesFor is how long a leaving daemon goes on handling its upstreams: until
+// the next handlers have heard of it and their own heartbeats have shown their
+// room. Without it nobody has room for those upstreams in between.
+const HandlesFor = 2 * BeatEvery
+
+// Handles tells whether requests may be sent to a member's upstreams at now.
+func (m *Member) Handles(now time.Time) bool {
+	return m.State == StateReady || m.State == StateLeaving && now.Sub(m.LeavingSince) < HandlesFor
+}
+
 // Headroom is how many more requests of a service a daemon can start now.
 type Headroom struct {
 	Free, Limit, Queued int
@@ -41,10 +51,13 @@
 	// ConfigRejected is a version that the daemon has met and cannot read.
 	ConfigRejected uint64
 	PostingEpoch   uint64
-	Slots          []int
-	Headroom       map[string]Headroom
-	Demand         map[string]float64
-	Watches        bool
+	// Slots are the slots that it spends from, by index in its zone.
+	Slots []int
+	// Held are the same with their times. Only a daemon's own account has it.
+	Held     []Holding
+	Headroom map[string]Headroom
+	Demand   map[string]float64
+	Watches  bool
 	// Load is the part of the host's own room that is in use, 0 to 1.
 	Load float64
 	// AnswersFor lists the stopped instances whose postings it remembers.
@@ -53,11 +66,16 @@
 	// the clock of the daemon that holds this value; zero: not known.
 	ConfirmedAt time.Time
 	HeardAt     time.Time
+	// LeavingSince is when it was first heard to leave; zero if it does not.
+	LeavingSince time.Time
+	// Known are peers addresses of some daemons that it hears.
+	Known []string
 }
 
 // Table holds the members that this daemon hears of, without itself.
 type Table struct {
-	members map[string]Member
+	members   map[string]Member
+	lastHeard time.Time
 }
 
 // NewTable returns an empty table.
@@ -65,13 +83,46 @@
 
 // Hear notes a member's own account of itself. An account that arrives after
 // a newer one of the same instance is dropped; a new instance on the same
-// host replaces the old one.
-func (t *Table) Hear(m Member, now time.Time) {
+// host replaces the old one. It reports whether the account is the newest.
+func (t *Table) Hear(m Member, now time.Time) bool {
 	if old, ok := t.members[m.Instance]; ok && old.Sequence >= m.Sequence {
-		return
+		return false
+	}
+	if _, known := t.members[m.Instance]; !known {
+		t.replace(m, now)
+		if len(t.members) >= maxContacts {
+			return false
+		}
 	}
 	m.HeardAt = now
+	m.LeavingSince = t.members[m.Instance].LeavingSince
+	if m.State == StateLeaving && m.LeavingSince.IsZero() {
+		m.LeavingSince = now
+	}
 	t.members[m.Instance] = m
+	t.lastHeard = now
+	return true
+}
+
+// replace drops the earlier instances of a host: one that had the same address
+// is certainly dead, one that is silent is taken for dead.
+func (t *Table) replace(by Member, now time.Time) {
+	maps.DeleteFunc(t.members, func(instance string, m Member) bool {
+		return m.Host == by.Host && instance != by.Instance &&
+			(m.Peers == by.Peers || now.Sub(m.HeardAt) > GoneAfter)
+	})
+}
+
+// LastHeard is when any member was heard last; zero if none ever was.
+func (t *Table) LastHeard() time.Time { return t.lastHeard }
+
+// All returns every member that is remembered, by instance.
+func (t *Table) All() []Member {
+	var all []Member
+	for _, instance := range slices.Sorted(maps.Keys(t.members)) {
+		all = append(all, t.members[instance])
+	}
+	return all
 }
 
 // Forget drops members that have been silent for longer than after.
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -96,7 +96,7 @@
 		}
 	}
 	rng := rand.New(rand.NewPCG(0, 0))
-	table := steer.NewBuilder(e.From).Build(snap.Config, snap.Ready, now)
+	table := steer.NewBuilder(e.From).Build(snap.Config, snap.Ready, upstream.Assign(c, snap.Ready), now)
 	for _, t := range table.Choose(steer.Request{Service: e.Service, Customer: e.Customer}, now, rng) {
 		m := t.Handler.Member
 		room := m.Headroom[e.Service]
--- a/internal/steer/sim_test.go
+++ b/internal/steer/sim_test.go
@@ -178,7 +178,7 @@
 func (s *sim) build() {
 	active := config.NewActive(1, s.c)
 	for z, b := range s.builders {
-		s.tables[z] = b.Build(active, s.ready, s.clock())
+		s.tables[z] = b.Build(active, s.ready, nobody{}, s.clock())
 	}
 }
 
