--- a/internal/daemon/config_measure_test.go
+++ b/internal/daemon/config_measure_test.go
@@ -132,9 +132,9 @@
 	return time.Since(start)
 }
 
-// TestMeasureStoreCalls counts the platform's calls by kind, idle and with
+// TestMeasureConfigStoreCalls counts the platform's calls by kind, idle and with
 // changes, over fleets of three sizes in six zones.
-func TestMeasureStoreCalls(t *testing.T) {
+func TestMeasureConfigStoreCalls(t *testing.T) {
 	measured(t)
 	const window = 10 * time.Second
 	for _, size := range []int{10, 25, 50} {
