--- a/internal/operator/ctl/ctl_test.go
+++ b/internal/operator/ctl/ctl_test.go
@@ -333,6 +333,8 @@
 
 	b.ok("move", "lookup", "--from", "vermont", "--to", "maine", "--cap", "9", "--share", "0.5", "--yes")
 	b.g.Expect(b.published.Load().Config.Config.Moves["lookup-vermont-maine"].Share).To(Equal(0.5))
+	b.g.Expect(b.ok("drain", "host", "vt-1", "--ramp", "20ms", "--yes", "--wait")).To(And(
+		ContainSubstring("in force everywhere"), HaveSuffix("ramp 90%\nramp 100%\n")))
 	b.g.Expect(b.ok("move", "list")).To(ContainSubstring("lookup-vermont-maine"))
 	b.ok("move", "undo", "lookup-vermont-maine", "--yes")
 	b.g.Expect(b.published.Load().Config.Config.Moves).To(BeEmpty())
--- a/internal/operator/ctl/shift.go
+++ b/internal/operator/ctl/shift.go
@@ -15,6 +15,9 @@
 	"balsambarrow/internal/operator"
 )
 
+// rampParts is how often --wait tells how far a ramp is.
+const rampParts = 10
+
 // shiftFlags are those of every drain and move.
 type shiftFlags struct {
 	name   string
@@ -36,6 +39,7 @@
 	cmd.Flags().BoolVar(&f.yes, "yes", false, "submit the plan")
 	cmd.Flags().BoolVar(&f.dryRun, "dry-run", false, "show the plan only")
 	f.change.wait.add(cmd)
+	cmd.Flags().Lookup("wait").Usage = "wait until the version is in force everywhere, then show the ramp until its end"
 }
 
 // plan is what a drain, a move or its undoing would change.
@@ -79,10 +83,33 @@
 		}
 		p.Result = &result
 	}
-	if shown := e.show(p, p.text); shown != nil {
-		return shown
+	if shown := e.show(p, p.text); shown != nil || err != nil {
+		return firstError(err, shown)
+	}
+	if !f.yes || !f.change.wait.wait || e.output != outputText {
+		return nil
+	}
+	return e.followRamp(f.ramp)
+}
+
+// firstError prefers the command's error to that of printing.
+func firstError(err, shown error) error {
+	if err != nil {
+		return err
+	}
+	return shown
+}
+
+// followRamp prints how far a ramp that begins now is, until it ends.
+func (e *env) followRamp(ramp time.Duration) error {
+	start := time.Now()
+	for part := 1; part <= rampParts; part++ {
+		time.Sleep(time.Until(start.Add(ramp * time.Duration(part) / rampParts)))
+		if _, err := fmt.Fprintf(e.out, "ramp %d%%\n", part*100/rampParts); err != nil {
+			return errors.Wrap(err, "print")
+		}
 	}
-	return err
+	return nil
 }
 
 func newPlan(current operator.ConfigAnswer, s shifts) (*plan, error) {
