Let the room of an upstream that moved here grow from one slot

Cause: on a change of membership the earlier handler still runs up to all slots of an upstream, and the new one started as many again at once; Takeover was there but nothing called it. With the call taken out the new test panics on the missing takeover.

--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -21,7 +21,7 @@
 		ready = append(slices.Clone(ready), snap.Self)
 	}
 	mine := upstream.Assign(snap.Config.Config, ready).Of(snap.Self.Instance)
-	c.d.handler.Assign(snap.Config.Config, mine)
+	c.d.handler.Assign(snap.Config.Config, mine, len(snap.Members) > 0)
 	c.showHeadroom(snap)
 	names := slices.Sorted(maps.Keys(mine))
 	if !slices.Equal(names, c.members.handled) {
--- a/internal/upstream/handler.go
+++ b/internal/upstream/handler.go
@@ -35,16 +35,24 @@
 
 // Assign replaces the upstreams that this daemon handles. Requests that run
 // on one that was taken away finish, and count again should it come back.
-func (h *Handler) Assign(c *config.Config, mine map[string]config.Upstream) {
+// shared tells that other daemons are about: one of them may have handled what
+// is new here, and still run requests there.
+func (h *Handler) Assign(c *config.Config, mine map[string]config.Upstream, shared bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.assign(c, mine, time.Now())
-}
-
-func (h *Handler) assign(c *config.Config, mine map[string]config.Upstream, now time.Time) {
+	now := time.Now()
 	h.config = c
 	for name, u := range mine {
-		h.pool(u.Service).adopt(name, u, planOf(c, name), now)
+		p := h.pool(u.Service)
+		w := p.find(name)
+		if w == nil {
+			w = newWorker(name, u)
+			p.workers = append(p.workers, w)
+			if shared {
+				w.takeover = NewTakeover(now)
+			}
+		}
+		w.adopt(u, planOf(c, name), now)
 	}
 	for service, p := range h.pools {
 		p.release(service, mine)
@@ -65,14 +73,16 @@
 	return p
 }
 
-// adopt adds an upstream or takes its changed settings over.
-func (p *pool) adopt(name string, u config.Upstream, plan drain, now time.Time) {
+func (p *pool) find(name string) *worker {
 	i := slices.IndexFunc(p.workers, func(w *worker) bool { return w.name == name })
 	if i < 0 {
-		i = len(p.workers)
-		p.workers = append(p.workers, newWorker(name, u))
+		return nil
 	}
-	w := p.workers[i]
+	return p.workers[i]
+}
+
+// adopt takes an upstream's settings over.
+func (w *worker) adopt(u config.Upstream, plan drain, now time.Time) {
 	w.Upstream, w.released = u, false
 	w.limit.SetSlots(u.Slots)
 	w.drain.set(plan, w.running, now)
@@ -193,7 +203,7 @@
 			continue
 		}
 		if w.takesWork(now) {
-			room.Limit += w.advertised(now, w.limit.Value())
+			room.Limit += w.advertised(now, w.room(now))
 			room.Free += w.advertised(now, w.free(now))
 		}
 	}
--- a/internal/upstream/handler_test.go
+++ b/internal/upstream/handler_test.go
@@ -43,29 +43,43 @@
 	g := NewWithT(t)
 	h := NewHandler()
 	c := lookupConfig(nil)
-	h.Assign(c, workers("u1"))
+	h.Assign(c, workers("u1"), false)
 	one, two := acquire(g, h), acquire(g, h)
-	h.Assign(c, nil)
+	h.Assign(c, nil, false)
 	g.Expect(h.Headroom()).To(BeEmpty())
-	h.Assign(c, workers("u1"))
+	h.Assign(c, workers("u1"), false)
 	g.Expect(h.Headroom()["lookup"].Free).To(BeZero())
 	one.Done(Result{Took: time.Millisecond})
 	two.Done(Result{Took: time.Millisecond})
 	g.Expect(h.pools["lookup"].workers[0].running).To(BeZero())
 }
 
+// A daemon joins under full load and gets an upstream on which the earlier
+// handler still runs all slots. Together they must not run twice the slots: the
+// room here grows from one.
+func TestTakenOverUpstreamStartsWithOneSlot(t *testing.T) {
+	g := NewWithT(t)
+	h := NewHandler()
+	h.Assign(lookupConfig(nil), workers("u1"), true)
+	w := h.pools["lookup"].workers[0]
+	g.Expect(w.room(w.takeover.began)).To(Equal(1))
+	g.Expect(w.room(w.takeover.began.Add(TakeoverBound))).To(Equal(2))
+	h.Assign(lookupConfig(nil), workers("u1"), true)
+	g.Expect(h.pools["lookup"].workers[0]).To(BeIdenticalTo(w), "it does not begin again")
+}
+
 // An operator drains an upstream. It must get nothing new from then on, what
 // runs finishes, and the time until it was empty is told.
 func TestDrainedUpstreamGetsNothingNew(t *testing.T) {
 	g := NewWithT(t)
 	h := NewHandler()
-	h.Assign(lookupConfig(nil), workers("u1", "u2"))
+	h.Assign(lookupConfig(nil), workers("u1", "u2"), false)
 	var running []*Ticket
 	for range 4 {
 		running = append(running, acquire(g, h))
 	}
 	drains := map[string]config.Drain{"d": {Kind: config.DrainUpstream, Target: "u1"}}
-	h.Assign(lookupConfig(drains), workers("u1", "u2"))
+	h.Assign(lookupConfig(drains), workers("u1", "u2"), false)
 	g.Expect(h.Drains()).To(ConsistOf(Draining{Upstream: "u1", Running: 2, EmptyAfterMs: -1}))
 	for _, t := range running {
 		t.Done(Result{Took: time.Millisecond})
@@ -81,7 +95,7 @@
 func TestAbandonedWaitLosesNoRoom(t *testing.T) {
 	g := NewWithT(t)
 	h := NewHandler()
-	h.Assign(lookupConfig(nil), workers("u1"))
+	h.Assign(lookupConfig(nil), workers("u1"), false)
 	one, two := acquire(g, h), acquire(g, h)
 	ctx, cancel := context.WithCancel(context.Background())
 	refusals := make(chan *wire.Problem)
@@ -104,7 +118,7 @@
 func TestWaitingRequestStarts(t *testing.T) {
 	g := NewWithT(t)
 	h := NewHandler()
-	h.Assign(lookupConfig(nil), workers("u1"))
+	h.Assign(lookupConfig(nil), workers("u1"), false)
 	one := acquire(g, h)
 	acquire(g, h)
 	started := make(chan *Ticket)
@@ -122,7 +136,7 @@
 func TestNeverAllAreEjected(t *testing.T) {
 	g := NewWithT(t)
 	h := NewHandler()
-	h.Assign(lookupConfig(nil), workers("u1", "u2", "u3", "u4"))
+	h.Assign(lookupConfig(nil), workers("u1", "u2", "u3", "u4"), false)
 	for range 100 {
 		acquire(g, h).Done(Result{Failed: true, Took: time.Millisecond})
 	}
@@ -170,7 +184,7 @@
 	h := NewHandler()
 	c := lookupConfig(nil)
 	c.Customers = map[string]config.Customer{"a": {Weight: 1}}
-	h.Assign(c, workers("u1", "u2", "u3", "u4"))
+	h.Assign(c, workers("u1", "u2", "u3", "u4"), false)
 	ctx := context.Background()
 	r := lookup("a")
 	b.ReportAllocs()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -86,7 +86,7 @@
 		if w.free(now) == 0 {
 			continue
 		}
-		load := w.load()
+		load := w.load(now)
 		if part := w.part(now); part < 1 && p.rng.Float64() >= part {
 			load += lastResort
 		}
@@ -225,7 +225,7 @@
 	sum := 0
 	for _, w := range p.workers {
 		if w.takesWork(now) && w.health.condition == healthy {
-			sum += w.limit.Value()
+			sum += w.room(now)
 		}
 	}
 	return sum
--- a/internal/upstream/probe_test.go
+++ b/internal/upstream/probe_test.go
@@ -17,7 +17,7 @@
 func TestProbesCostLessThanOnePercent(t *testing.T) {
 	g := NewWithT(t)
 	h := NewHandler()
-	h.Assign(lookupConfig(nil), workers("u1"))
+	h.Assign(lookupConfig(nil), workers("u1"), false)
 	start := time.Now()
 	const span = 10 * time.Minute
 	for d := time.Duration(0); d < span; d += probeTick {
@@ -33,7 +33,7 @@
 func TestBusyUpstreamIsNotProbed(t *testing.T) {
 	g := NewWithT(t)
 	h := NewHandler()
-	h.Assign(lookupConfig(nil), workers("u1"))
+	h.Assign(lookupConfig(nil), workers("u1"), false)
 	acquire(g, h).Done(Result{Took: time.Millisecond})
 	g.Expect(h.DueProbes(time.Now())).To(BeEmpty())
 	g.Expect(h.DueProbes(time.Now().Add(quietAfter + time.Second))).To(HaveLen(1))
--- a/internal/upstream/sim_test.go
+++ b/internal/upstream/sim_test.go
@@ -320,7 +320,7 @@
 	}
 	for _, m := range ms {
 		f.byName[name(m)] = m
-		f.pool.adopt(name(m), config.Upstream{Slots: m.slots}, drain{}, s.now())
+		f.pool.workers = append(f.pool.workers, newWorker(name(m), config.Upstream{Slots: m.slots}))
 	}
 	return f
 }
--- a/internal/upstream/worker.go
+++ b/internal/upstream/worker.go
@@ -17,6 +17,9 @@
 	// released: another daemon handles it now; what runs here finishes.
 	released bool
 	probe    probe
+	// takeover bounds the room while an earlier handler may still use some;
+	// nil where there can be none.
+	takeover *Takeover
 }
 
 func newWorker(name string, u config.Upstream) *worker {
@@ -33,12 +36,20 @@
 	if !w.takesWork(now) || w.health.condition != healthy {
 		return 0
 	}
-	return max(w.limit.Value()-w.running, 0)
+	return max(w.room(now)-w.running, 0)
+}
+
+// room is how many requests it may run at once.
+func (w *worker) room(now time.Time) int {
+	if w.takeover == nil {
+		return w.limit.Value()
+	}
+	return w.takeover.Room(w.limit.Value(), now)
 }
 
 // load is what the next request would find: lower is better.
-func (w *worker) load() float64 {
-	return float64(w.running+1) * w.health.Slowness() / float64(w.limit.Value())
+func (w *worker) load(now time.Time) float64 {
+	return float64(w.running+1) * w.health.Slowness() / float64(w.room(now))
 }
 
 // part is the part of an equal share that it should get, 0 to 1.
