Halve the heartbeats, and publish a heartbeat's news with the next tick

Ruled out: the encoding (beatTo 5%) and the store's calls. Change: a daemon that was heard within 400 ms gets no heartbeat without news, since an exchange carries both accounts; a heartbeat that changes only headroom is published by the next tick, at most 100 ms later. A member's new state, a yielded slot and every other message are published at once as before.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -21,9 +21,11 @@
 // control is the state that the control thread owns. Nothing else reads or
 // writes its fields. Each duty keeps its part in a file of its own.
 type control struct {
-	d       *Daemon
-	inbox   chan message
-	state   membership.State
+	d     *Daemon
+	inbox chan message
+	state membership.State
+	// news: something changed that traffic threads must see at once.
+	news    bool
 	members memberState
 	slots   slotState
 	config  configState
@@ -63,14 +65,28 @@
 			return
 		case m := <-c.inbox:
 			c.guardSlots(time.Now())
-			m.apply(c)
+			c.handle(m)
 			c.drain()
 		case <-ticker.C:
 			c.guardSlots(time.Now())
 			c.tick(time.Now())
+			c.news = true
 		}
-		c.publish(time.Now())
+		if c.news {
+			c.news = false
+			c.publish(time.Now())
+		}
+	}
+}
+
+// handle applies a message. A snapshot costs more than all else that control
+// does, and heartbeats are most messages: one that changes only headroom
+// waits for the next tick, which is as old as the headroom is anyway.
+func (c *control) handle(m message) {
+	if _, heartbeat := m.(heardFrom); !heartbeat {
+		c.news = true
 	}
+	m.apply(c)
 }
 
 // drain applies the messages that wait already, so that a burst of them costs
@@ -79,7 +95,7 @@
 	for range inboxSize {
 		select {
 		case m := <-c.inbox:
-			m.apply(c)
+			c.handle(m)
 		default:
 			return
 		}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -57,8 +57,9 @@
 		c.d.spawn(c.d.listHosts)
 	}
 	if !now.Before(c.members.nextBeat) {
+		news := c.members.nextBeat.IsZero()
 		c.members.nextBeat = now.Add(membership.BeatEvery)
-		c.beat(now)
+		c.beat(news, now)
 	}
 }
 
@@ -67,7 +68,11 @@
 
 func (m heardFrom) apply(c *control) {
 	now := time.Now()
+	before, known := c.members.table.Find(m.member.Instance)
 	newest := c.members.table.Hear(m.member, now)
+	if !known || before.State != m.member.State {
+		c.news = true
+	}
 	c.contact(m.member, now)
 	if newest && m.member.Zone == c.d.identity.Zone {
 		c.yieldSlots(m.member, now)
@@ -99,13 +104,17 @@
 	contacts.Heard(m.Peers, now)
 }
 
-// beat sends a heartbeat to every address that may be a daemon's.
-func (c *control) beat(now time.Time) {
+// beat sends a heartbeat to every address that may be a daemon's. Without news
+// it leaves those out that have exchanged one with this daemon just now.
+func (c *control) beat(news bool, now time.Time) {
 	c.members.sequence++
 	self := c.self(now)
 	self.Known = c.knownContacts().Gossip(now)
 	message := toWire(self)
 	for _, address := range c.beatAddresses(now) {
+		if !news && c.knownContacts().Fresh(address, now) {
+			continue
+		}
 		c.d.spawn(func(ctx context.Context) { c.d.beatTo(ctx, address, message) })
 	}
 }
--- a/internal/daemon/slots.go
+++ b/internal/daemon/slots.go
@@ -82,6 +82,7 @@
 	if dropped := c.custody().Heard(m, now); len(dropped) > 0 {
 		c.d.log.Error("slots_yielded", "to", m.Instance, "slots", dropped)
 		c.slots.next = now
+		c.news = true
 	}
 }
 
--- a/internal/membership/contacts.go
+++ b/internal/membership/contacts.go
@@ -98,6 +98,18 @@
 	return slices.Sorted(maps.Keys(due))
 }
 
+// freshFor is how long a daemon that was heard needs no heartbeat: a little
+// less than BeatEvery, so that a beat is never left out twice in a row.
+const freshFor = BeatEvery * 4 / 5
+
+// Fresh tells whether the daemon at address was heard so lately that it has
+// this daemon's account too: a heartbeat and its answer carry both. Without
+// this each pair of daemons would exchange both accounts twice every BeatEvery.
+func (c *Contacts) Fresh(address string, now time.Time) bool {
+	heard, ok := c.heard[address]
+	return ok && now.Sub(heard) < freshFor
+}
+
 // All returns every address kept.
 func (c *Contacts) All() map[string]bool {
 	all := maps.Clone(c.listed)
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"balsambarrow/internal/wire"
 )
 
 // Headers and query names that the stand-in upstream understands.
@@ -112,6 +114,7 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	wait, ok := u.begin(r)
 	if !ok {
+		w.Header().Set(wire.HeaderShed, string(wire.OutcomeNotRun))
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
