Keep a part of a stop's bound for passing state on

Cause: a request that hangs to the end of the bound left no time to pass the posting table on; its ids were then in doubt for good. Change: up to 10 s, half of what is left at most, are kept back.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -35,7 +35,7 @@
 	d.control.send(leave{left})
 	<-left
 	sleep(ctx, leaveMargin+d.options.LookupTTL)
-	first := d.shutDown(ctx)
+	first := d.finish(ctx)
 	d.handOverPostings(ctx)
 	d.giveUpSlots(ctx)
 	d.Kill()
@@ -44,6 +44,23 @@
 	return first
 }
 
+// handOverReserve is kept of a stop's bound for passing postings and slots on:
+// a request that hangs must not use it up, or every posting that this daemon
+// remembers would be in doubt for good.
+const handOverReserve = 10 * time.Second
+
+// finish lets what runs end, for as long as the reserve stays.
+func (d *Daemon) finish(ctx context.Context) error {
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return d.shutDown(ctx)
+	}
+	reserve := min(handOverReserve, time.Until(deadline)/2)
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-reserve))
+	defer cancel()
+	return d.shutDown(ctx)
+}
+
 // shutDown waits for the requests of all listeners, the callers' first: a
 // caller's request may need this daemon's relay listener to the end.
 func (d *Daemon) shutDown(ctx context.Context) error {
