--- a/internal/daemon/slots.go
+++ b/internal/daemon/slots.go
@@ -291,15 +291,15 @@
 
 func (m slotsWritten) apply(c *control) {
 	now := time.Now()
-	started, moved := 0, false
+	started := 0
 	for _, r := range m.results {
 		if c.custody().Done(r.step, r.revision, now) {
 			started++
 		}
-		moved = moved || r.revision != 0
 	}
 	c.d.log.Info("slots_changed", "started", started, "held", len(c.custody().Usable(now)))
-	c.endSlotRound(now, !moved)
+	// The next reading shows what became of the writes.
+	c.endSlotRound(now, false)
 }
 
 // endSlotRound closes a round; a settled zone is looked at again when the
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"balsambarrow/internal/config"
 	"balsambarrow/internal/daemon"
 	"balsambarrow/internal/lookup"
 	"balsambarrow/internal/membership"
@@ -197,3 +198,40 @@
 	defer cancel()
 	return d.Stop(ctx)
 }
+
+// A customer has saved up its burst when one of two daemons is stopped. The
+// saved tokens of the stopped daemon's slots must be there at its mate: after a
+// restart of hosts, one by one, a customer would otherwise find none left.
+func TestPlannedStopPassesBucketLevels(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	f := newFleet(t)
+	f.start("vt-1", "vt-a")
+	f.start("vt-2", "vt-a")
+	c := oneZone()
+	c.Upstreams["lookup-1"] = f.upstream("lookup-1", "lookup", "vt-a", quick)
+	c.Customers["farm"] = withRate(c.Customers["farm"], 40)
+	f.awaitReady(f.apply("vt-1", c))
+	f.awaitHandlers("vt-2", "lookup")
+	g.Eventually(f.slotsOf, settle).Should(Equal(allFour))
+	time.Sleep(2 * time.Second) // the buckets fill: 40 tokens at 40 a second
+	c.Customers["farm"] = withRate(c.Customers["farm"], 0.01)
+	f.awaitReady(f.apply("vt-1", c))
+	f.stop("vt-1")
+
+	spent := func() int {
+		n := 0
+		for f.call("vt-2", http.MethodGet, "lookup/x", "secret", nil).Outcome == wire.OutcomeRan {
+			n++
+		}
+		return n
+	}
+	total := 0
+	g.Eventually(func() int { total += spent(); return total }, settle, 100*time.Millisecond).Should(BeNumerically(">=", 35))
+	g.Expect(total).To(BeNumerically("<=", 41))
+}
+
+func withRate(c config.Customer, rate float64) config.Customer {
+	c.Rate, c.Burst = rate, 40
+	return c
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -89,7 +89,7 @@
 		return false
 	}
 	if _, known := t.members[m.Instance]; !known {
-		t.replace(m, now)
+		t.replace(m)
 		if len(t.members) >= maxContacts {
 			return false
 		}
@@ -104,12 +104,12 @@
 	return true
 }
 
-// replace drops the earlier instances of a host: one that had the same address
-// is certainly dead, one that is silent is taken for dead.
-func (t *Table) replace(by Member, now time.Time) {
+// replace drops the instances that had a member's address before: they are
+// certainly dead. One that is merely silent is remembered until Forget, since
+// it may be paused.
+func (t *Table) replace(by Member) {
 	maps.DeleteFunc(t.members, func(instance string, m Member) bool {
-		return m.Host == by.Host && instance != by.Instance &&
-			(m.Peers == by.Peers || now.Sub(m.HeardAt) > GoneAfter)
+		return m.Host == by.Host && m.Peers == by.Peers && instance != by.Instance
 	})
 }
 
