--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -6,7 +6,6 @@
 
 	"balsambarrow/internal/config"
 	"balsambarrow/internal/membership"
-	"balsambarrow/internal/upstream"
 	"balsambarrow/internal/view"
 )
 
@@ -113,10 +112,9 @@
 		}
 	}
 	if snap.Config != nil {
-		assigned := upstream.Assign(snap.Config.Config, snap.Ready)
-		c.publishHandler(snap, assigned, now)
+		c.publishHandler(snap, now)
 		c.publishShares(snap, now)
-		c.publishSteering(snap, assigned, now)
+		c.publishSteering(snap, now)
 	}
 	c.d.ledger.Fence.Extend(c.custody().SpendUntil())
 	c.d.view.Store(snap)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"balsambarrow/internal/posting"
 	"balsambarrow/internal/quota"
 	"balsambarrow/internal/relay"
+	"balsambarrow/internal/retry"
 	"balsambarrow/internal/settings"
 	"balsambarrow/internal/telemetry"
 	"balsambarrow/internal/upstream"
@@ -139,7 +140,7 @@
 	if err := errors.WithStack(peer.DRPCRegisterConfiguration(mux, d)); err != nil {
 		return err
 	}
-	if err := errors.WithStack(peer.DRPCRegisterHandover(mux, newHandoverServer(d))); err != nil {
+	if err := errors.WithStack(peer.DRPCRegisterHandover(mux, newHandover(d))); err != nil {
 		return err
 	}
 	d.spawn(func(ctx context.Context) { _ = peer.Serve(ctx, mux, peers) })
@@ -147,13 +148,16 @@
 		d.spawn(d.followTLSFiles)
 	}
 	d.spawn(d.control.run)
+	d.spawn((&upstream.Prober{Handler: d.handler, Client: d.client}).Run)
 	d.log.Info("listening", "instance", d.identity.Instance, "callers", d.identity.Callers,
 		"operators", d.OperatorsAddress(), "peers", d.identity.Peers, "relay", d.identity.Relay)
 	return nil
 }
 
 func (d *Daemon) listenAll() (net.Listener, error) {
-	runner := &upstream.Runner{Handler: d.handler, Client: d.client, KeyValid: d.keyValid, Tracer: d.tracing.Tracer}
+	runner := &upstream.Runner{
+		Handler: d.handler, Client: d.client, KeyValid: d.keyValid, Tracer: d.tracing.Tracer, Retries: retry.NewBudgets(),
+	}
 	handle := &regionGate{next: runner, view: &d.view, ledger: d.ledger}
 	front := entry.New(entry.Deps{
 		View: &d.view, Ledger: d.ledger, Postings: d.postings, Local: handle,
