--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -74,12 +74,14 @@
 
 // Table holds the members that this daemon hears of, without itself.
 type Table struct {
-	members   map[string]Member
+	members map[string]Member
+	// byAddress names the instance last heard at each peers address.
+	byAddress map[string]string
 	lastHeard time.Time
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{members: map[string]Member{}} }
+func NewTable() *Table { return &Table{members: map[string]Member{}, byAddress: map[string]string{}} }
 
 // Hear notes a member's own account of itself. An account that arrives after
 // a newer one of the same instance is dropped; a new instance on the same
@@ -89,7 +91,7 @@
 		return false
 	}
 	if _, known := t.members[m.Instance]; !known {
-		t.replace(m, now)
+		t.replace(m)
 		if len(t.members) >= maxContacts {
 			return false
 		}
@@ -100,17 +102,19 @@
 		m.LeavingSince = now
 	}
 	t.members[m.Instance] = m
+	t.byAddress[m.Peers] = m.Instance
 	t.lastHeard = now
 	return true
 }
 
-// replace drops the earlier instances of a host: one that had the same address
-// is certainly dead, one that is silent is taken for dead.
-func (t *Table) replace(by Member, now time.Time) {
-	maps.DeleteFunc(t.members, func(instance string, m Member) bool {
-		return m.Host == by.Host && instance != by.Instance &&
-			(m.Peers == by.Peers || now.Sub(m.HeardAt) > GoneAfter)
-	})
+// replace drops the instance that had a member's address before: it is
+// certainly dead. One that is merely silent is remembered until Forget, since
+// it may be paused.
+func (t *Table) replace(by Member) {
+	old, ok := t.byAddress[by.Peers]
+	if ok && by.Peers != "" && t.members[old].Host == by.Host {
+		delete(t.members, old)
+	}
 }
 
 // LastHeard is when any member was heard last; zero if none ever was.
@@ -130,6 +134,10 @@
 	maps.DeleteFunc(t.members, func(_ string, m Member) bool {
 		return now.Sub(m.HeardAt) > after
 	})
+	maps.DeleteFunc(t.byAddress, func(_, instance string) bool {
+		_, known := t.members[instance]
+		return !known
+	})
 }
 
 // Live returns the members heard within GoneAfter, by instance.
