Lend shares to a hub, so that a quota follows its callers

Cause: a daemon refused whatever came above its own slots' part, though the others' parts lay idle.

Change: parts of shares move as loans with terms; the daemon with the highest demand gathers them and lends tokens to the others. Changed cuts raise shares only when every holder has them.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -102,8 +102,9 @@
 	m.ConfigVersion = c.config.version()
 	m.ConfirmedAt = c.config.confirmed
 	m.Watches = c.watches(now)
-	m.Slots = c.slots.slots.Usable(now)
+	m.Slots = c.quota.settled(c.slots.slots.Usable(now), now)
 	m.Headroom = c.d.handler.Headroom()
+	m.Demand = c.quota.scores
 	m.PostingEpoch = c.d.postings.Epoch(now)
 	return m
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -127,8 +127,12 @@
 	if err := errors.WithStack(peer.DRPCRegisterConfiguration(mux, d)); err != nil {
 		return err
 	}
+	if err := errors.WithStack(peer.DRPCRegisterQuota(mux, d)); err != nil {
+		return err
+	}
 	d.spawn(func(ctx context.Context) { _ = drpcserver.New(mux).Serve(ctx, peers) })
 	d.spawn(d.control.run)
+	d.spawn(d.borrow)
 	d.spawn(d.followConfig)
 	d.log.Info("listening", "instance", d.identity.Instance, "callers", d.identity.Callers,
 		"operators", d.OperatorsAddress(), "peers", d.identity.Peers, "relay", d.identity.Relay)
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -118,6 +118,9 @@
 			Service: service, Free: uint32(room.Free), Limit: uint32(room.Limit), Queued: uint32(room.Queued),
 		})
 	}
+	for name, score := range m.Demand {
+		out.Demand = append(out.Demand, &peer.Demand{Quota: name, PerSecond: score})
+	}
 	return out
 }
 
@@ -128,6 +131,7 @@
 		ConfigVersion: in.ConfigVersion, PostingEpoch: in.PostingEpoch, Watches: in.Watches,
 		ConfirmedAt: time.UnixMilli(in.ConfirmedUnixMs),
 		Headroom:    map[string]membership.Headroom{},
+		Demand:      map[string]float64{},
 	}
 	for _, slot := range in.Slots {
 		m.Slots = append(m.Slots, int(slot))
@@ -137,5 +141,8 @@
 			Free: int(room.Free), Limit: int(room.Limit), Queued: int(room.Queued),
 		}
 	}
+	for _, demand := range in.Demand {
+		m.Demand[demand.Quota] = demand.PerSecond
+	}
 	return m
 }
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -8,29 +8,36 @@
 	"balsambarrow/internal/wire"
 )
 
-// maxQuotaWait bounds the wait for a token: a few round trips between the
-// farthest regions.
-const maxQuotaWait = 250 * time.Millisecond
+// unknownRetry is told where no time is known at which the quota has room:
+// after it the daemon's shares have settled.
+const unknownRetry = time.Second
 
+// takeQuota spends one request of the customer's quota. A request that finds
+// no token waits in the order of coming for at most quota.MaxWait and never
+// past its deadline; one for which no token can be there in time is refused
+// at once.
 func (s *Server) takeQuota(ctx context.Context, call *wire.Call) *wire.Problem {
 	name := quota.CustomerQuota(call.Customer)
-	limit := min(maxQuotaWait, time.Until(call.Deadline))
-	start := time.Now()
-	for {
-		ok, wait := s.Ledger.Take(name, 1, time.Now())
-		if ok {
-			return nil
-		}
-		if wait < 0 {
-			wait = time.Second
-		}
-		if time.Since(start)+wait > limit {
-			return wire.Refuse(wire.TypeOverRate, "the customer's rate is used up", wait)
-		}
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
-			return wire.Refuse(wire.TypeDeadline, "given up while waiting for the customer's rate", wait)
-		}
+	if ok, _ := s.Ledger.Take(name, 1, time.Now()); ok {
+		return nil
 	}
+	ticket, wait := s.Ledger.Join(name, 1, time.Until(call.Deadline), time.Now())
+	if ticket == nil {
+		return overRate(wait)
+	}
+	if s.Ledger.Await(ctx, name, ticket) {
+		return nil
+	}
+	if ctx.Err() != nil {
+		return wire.Refuse(wire.TypeDeadline, "given up while waiting for the customer's rate", wait)
+	}
+	_, wait = s.Ledger.Expected(name, 1, time.Now())
+	return overRate(wait)
+}
+
+func overRate(wait time.Duration) *wire.Problem {
+	if wait < 0 {
+		wait = unknownRetry
+	}
+	return wire.Refuse(wire.TypeOverRate, "the customer's rate is used up", max(wait, time.Millisecond))
 }
--- /dev/null
+++ b/internal/quota/cuts_test.go
@@ -0,0 +1,104 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"balsambarrow/internal/config"
+	"balsambarrow/internal/membership"
+)
+
+func twoZones(rate, burst float64) *config.Config {
+	return &config.Config{
+		Regions: map[string]config.Region{"vermont": {}, "maine": {}},
+		Zones: map[string]config.Zone{
+			"vt-a": {Region: "vermont", Slots: 4, Weight: 1}, "me-a": {Region: "maine", Slots: 4, Weight: 1},
+		},
+		Customers: map[string]config.Customer{"farm": {Rate: rate, Burst: burst}},
+	}
+}
+
+func ledgerOf(tb testing.TB, c *config.Config) *Ledger {
+	tb.Helper()
+	l := NewLedger()
+	shape := &Shape{Zone: "vt-a", Slots: []int{0, 1, 2, 3}, Versions: []*config.Active{config.NewActive(1, c)}}
+	l.SetShape(shape, time.Now().Add(-time.Hour))
+	return l
+}
+
+func memberOf(zone string, version uint64, slots ...int) membership.Member {
+	return membership.Member{Instance: zone, Zone: zone, ConfigVersion: version, Slots: slots}
+}
+
+// An operator moves a customer's weight from Maine to Vermont. Maine is cut
+// off and serves on with the old version. Vermont, which has the new one at
+// once, must not spend Maine's part as well: the customer would get half
+// again its rate for as long as the cut lasts.
+func TestRaisedShareWaitsForTheZoneThatLosesIt(t *testing.T) {
+	g := NewWithT(t)
+	heavier := twoZones(100, 40)
+	heavier.Zones["vt-a"] = config.Zone{Region: "vermont", Slots: 4, Weight: 3}
+	v1, v2 := config.NewActive(1, twoZones(100, 40)), config.NewActive(2, heavier)
+	all := []int{0, 1, 2, 3}
+	var vt, me Cuts
+	vt.Observe(v1, nil, start)
+	me.Observe(v1, nil, start)
+	share := func(c *Cuts, v *config.Active, zone string, at time.Duration, members ...membership.Member) float64 {
+		s := Shape{Zone: zone, Slots: all, Versions: c.Observe(v, members, start.Add(at))}
+		own, _, _ := s.Share(CustomerQuota("farm"))
+		return own.Rate
+	}
+	lagging := []membership.Member{memberOf("vt-a", 2, all...), memberOf("me-a", 1, all...)}
+	g.Expect(share(&vt, v2, "vt-a", time.Hour, lagging...)).To(Equal(50.0))
+	g.Expect(share(&me, v1, "me-a", time.Hour)).To(Equal(50.0))
+
+	g.Expect(share(&me, v2, "me-a", time.Hour)).To(Equal(25.0), "a lowered share counts at once")
+	agreed := []membership.Member{memberOf("vt-a", 2, all...), memberOf("me-a", 2, all...)}
+	g.Expect(share(&vt, v2, "vt-a", time.Hour, agreed...)).To(Equal(50.0), "Maine's loans still run")
+	g.Expect(share(&vt, v2, "vt-a", time.Hour+Quarantine, agreed...)).To(Equal(75.0))
+}
+
+// Every quota is cut into fractions that sum to 1, over 64 slots at most, and
+// links and shifts over the sending region only.
+func TestCutsSumToOne(t *testing.T) {
+	g := NewWithT(t)
+	c := twoZones(100, 40)
+	for i := range 145 {
+		c.Zones[fmt.Sprint("z", i)] = config.Zone{Region: "maine", Slots: 16, Weight: 1 + float64(i%3)}
+	}
+	for _, name := range []string{CustomerQuota("farm"), LinkQuota("vermont", "maine"), ShiftQuota("lookup", "vermont", "maine")} {
+		cut := CutOf(c, name)
+		sum := 0.0
+		for _, f := range cut {
+			sum += f
+		}
+		g.Expect(sum).To(BeNumerically("~", 1, 1e-9))
+		g.Expect(len(cut)).To(BeNumerically("<=", MaxQuotaSlots))
+	}
+	g.Expect(CutOf(c, LinkQuota("vermont", "maine"))).To(HaveLen(4))
+}
+
+// A daemon keeps no account of a customer that does not call it. When one
+// calls after a while it finds what would have been there all along; and an
+// account that was spent from is not made anew with more.
+func TestAccountsAreMadeWhenNeededAndDroppedWhenFull(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLedger()
+	shape := &Shape{Zone: "vt-a", Slots: []int{0, 1}, Versions: []*config.Active{config.NewActive(1, twoZones(100, 40))}}
+	l.SetShape(shape, start)
+	farm := CustomerQuota("farm")
+	ok, _ := l.Take(farm, 5, start.Add(100*time.Millisecond))
+	g.Expect(ok).To(BeFalse(), "25/s for 0.1 s is 2.5")
+	ok, _ = l.Take(farm, 5, start.Add(200*time.Millisecond))
+	g.Expect(ok).To(BeTrue())
+	l.DropIdle(start.Add(300 * time.Millisecond))
+	g.Expect(l.Names()).To(HaveLen(1))
+	l.DropIdle(start.Add(2 * idleAfter))
+	g.Expect(l.Names()).To(BeEmpty())
+	g.Expect(l.Plan(CustomerQuota("nobody"), start)).To(BeEmpty())
+	ok, _ = l.Take(CustomerQuota("nobody"), 1, start)
+	g.Expect(ok).To(BeFalse())
+}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -1,64 +1,301 @@
 package quota
 
 import (
+	"context"
 	"sync"
 	"time"
 )
 
-// Share is this daemon's part of one quota.
-type Share struct {
-	// Rate in tokens per second.
-	Rate float64
-	// Burst in tokens.
-	Burst float64
-}
+// Bounds of what a ledger keeps.
+const (
+	// maxEpochs is how many earlier shapes are kept to tell what an account
+	// that is made later holds. Older ones count as empty.
+	maxEpochs = 8
+	// idleAfter is when an account that is full, unused and without loans is
+	// dropped. It is made again with the same level when it is needed.
+	idleAfter = time.Minute
+	// wakeSize bounds the quotas noted for the planner; what does not fit is
+	// found at its next tick.
+	wakeSize = 256
+)
 
-// Ledger holds this daemon's bucket of each quota. Traffic threads take from
-// it; the control thread sets the shares. It is safe for concurrent use.
+// Ledger holds this daemon's account of each quota that is in use here.
+// Traffic threads take from it; the control thread sets shape and situation.
+// It is safe for concurrent use: each account has a lock of its own.
 type Ledger struct {
+	accounts sync.Map // name -> *entry
+	wake     chan string
+
+	mu     sync.Mutex // guards epochs and the making and dropping of accounts
+	epochs []epoch
+}
+
+type entry struct {
 	mu      sync.Mutex
-	buckets map[string]*Bucket
+	account *Account
+	// dropped: a taker that found this entry just before must look again, or
+	// it would spend from it and others from the account made anew.
+	dropped bool
 }
 
-// NewLedger returns a ledger without buckets: it admits nothing.
-func NewLedger() *Ledger { return &Ledger{buckets: map[string]*Bucket{}} }
+type epoch struct {
+	from  time.Time
+	shape *Shape
+}
+
+// NewLedger returns a ledger without a shape: it admits nothing.
+func NewLedger() *Ledger { return &Ledger{wake: make(chan string, wakeSize)} }
 
-// SetShares replaces all shares. A quota that is new to the ledger starts
-// with an empty bucket: whoever held the share before may have spent it.
-func (l *Ledger) SetShares(shares map[string]Share, now time.Time) {
+// SetShape sets what this daemon holds from now on.
+func (l *Ledger) SetShape(s *Shape, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for name := range l.buckets {
-		if _, kept := shares[name]; !kept {
-			delete(l.buckets, name)
-		}
+	l.epochs = append(l.epochs, epoch{now, s})
+	if len(l.epochs) > maxEpochs {
+		l.epochs = l.epochs[1:]
 	}
-	for name, s := range shares {
-		if b := l.buckets[name]; b != nil {
-			b.Reshape(s.Rate, s.Burst, now)
-			continue
+	l.each(func(name string, a *Account) {
+		own, whole, _ := s.Share(name)
+		a.Reshape(own, whole, now)
+	})
+}
+
+func (l *Ledger) each(f func(name string, a *Account)) {
+	l.accounts.Range(func(name, e any) bool {
+		en := e.(*entry)
+		en.mu.Lock()
+		defer en.mu.Unlock()
+		f(name.(string), en.account)
+		return true
+	})
+}
+
+// with runs f on a quota's account, made if there is none yet; false if the
+// quota is not known.
+func (l *Ledger) with(name string, now time.Time, f func(*Account)) bool {
+	for {
+		e, ok := l.accounts.Load(name)
+		if !ok {
+			if e, ok = l.make(name, now); !ok {
+				return false
+			}
+		}
+		en := e.(*entry)
+		if en.run(f) {
+			return true
 		}
-		l.buckets[name] = NewBucket(s.Rate, s.Burst, 0, now)
 	}
 }
 
+func (e *entry) run(f func(*Account)) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dropped {
+		return false
+	}
+	f(e.account)
+	return true
+}
+
+// make creates the account with the level that it would have had it been kept
+// since the oldest epoch: nobody has taken from it or borrowed of it.
+func (l *Ledger) make(name string, now time.Time) (any, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e, ok := l.accounts.Load(name); ok {
+		return e, true
+	}
+	if len(l.epochs) == 0 {
+		return nil, false
+	}
+	if _, _, known := l.epochs[len(l.epochs)-1].shape.Share(name); !known {
+		return nil, false
+	}
+	a := NewAccount(name, Share{}, Share{}, 0, l.epochs[0].from)
+	for _, e := range l.epochs {
+		own, whole, _ := e.shape.Share(name)
+		a.Reshape(own, whole, e.from)
+	}
+	a.advance(now)
+	a.usedAt, a.demandAt = now, now
+	e := &entry{account: a}
+	l.accounts.Store(name, e)
+	return e, true
+}
+
 // Take spends cost of a quota. If it cannot, it returns how long until it
 // could; a negative time means that it is not known.
 func (l *Ledger) Take(name string, cost float64, now time.Time) (bool, time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	b := l.buckets[name]
-	if b == nil {
-		return false, -1
+	ok, wait, wants := false, never, false
+	l.with(name, now, func(a *Account) {
+		ok, wait = a.Take(cost, now)
+		wants = a.wants()
+	})
+	if wants {
+		l.nudge(name)
+	}
+	return ok, wait
+}
+
+// Expected is how long until a taker that comes now would be served; false if
+// the quota is not known.
+func (l *Ledger) Expected(name string, cost float64, now time.Time) (known bool, wait time.Duration) {
+	wait = never
+	known = l.with(name, now, func(a *Account) {
+		a.advance(now)
+		wait = a.expected(cost)
+	})
+	return known, wait
+}
+
+// Join queues for cost; see Account.Join.
+func (l *Ledger) Join(name string, cost float64, patience time.Duration, now time.Time) (*Ticket, time.Duration) {
+	var t *Ticket
+	wait := never
+	l.with(name, now, func(a *Account) { t, wait = a.Join(cost, patience, now) })
+	if t != nil {
+		l.nudge(name)
+	}
+	return t, wait
+}
+
+func (l *Ledger) nudge(name string) {
+	select {
+	case l.wake <- name:
+	default:
+	}
+}
+
+// Wanted delivers the names of quotas that want a Plan before the next tick.
+func (l *Ledger) Wanted() <-chan string { return l.wake }
+
+// Await waits until a ticket was served (true) or refused, or ctx has ended;
+// then the place is given up.
+func (l *Ledger) Await(ctx context.Context, name string, t *Ticket) bool {
+	for {
+		wait := never
+		l.with(name, time.Now(), func(a *Account) { wait = a.NextServe(t) })
+		select {
+		case <-t.done:
+			return t.state == ticketServed
+		case <-ctx.Done():
+			served := false
+			l.with(name, time.Now(), func(a *Account) { served = a.Cancel(t, time.Now()) })
+			return served
+		case <-time.After(max(wait, 0)):
+			now := time.Now()
+			l.with(name, now, func(a *Account) { a.Serve(now) })
+		}
 	}
-	return b.Take(cost, now)
 }
 
 // Refund gives back what was taken for a request that certainly did not run.
 func (l *Ledger) Refund(name string, cost float64, now time.Time) {
+	l.with(name, now, func(a *Account) { a.Refund(cost, now) })
+}
+
+// Plan returns what to ask peers for one quota.
+func (l *Ledger) Plan(name string, now time.Time) []Outgoing {
+	var out []Outgoing
+	if e, ok := l.accounts.Load(name); ok {
+		e.(*entry).run(func(a *Account) { out = a.Plan(now) })
+	}
+	return out
+}
+
+// Lend answers a peer's ask; see Account.Lend.
+func (l *Ledger) Lend(ask Ask, now time.Time) (g Grant, t *Ticket) {
+	l.with(ask.Quota, now, func(a *Account) { g, t = a.Lend(ask, now) })
+	return g, t
+}
+
+// Granted is the answer that a ticket of Lend came to.
+func (l *Ledger) Granted(name string, t *Ticket, now time.Time) (g Grant) {
+	l.with(name, now, func(a *Account) { g = a.Granted(t) })
+	return g
+}
+
+// Answered notes a peer's answer to an ask; see Account.Answered.
+func (l *Ledger) Answered(o Outgoing, g Grant, now time.Time) {
+	l.with(o.Ask.Quota, now, func(a *Account) { a.Answered(o.Ask.Loan, g, o.Sent, now) })
+}
+
+// Failed notes that an ask came to nothing.
+func (l *Ledger) Failed(o Outgoing, now time.Time) {
+	l.with(o.Ask.Quota, now, func(a *Account) { a.Failed(o.Ask.Loan, o.Sent) })
+}
+
+// Names are the quotas in use here.
+func (l *Ledger) Names() []string {
+	var names []string
+	l.accounts.Range(func(name, _ any) bool {
+		names = append(names, name.(string))
+		return true
+	})
+	return names
+}
+
+// Situate sets the situation of one quota.
+func (l *Ledger) Situate(name string, s Situation) {
+	if e, ok := l.accounts.Load(name); ok {
+		e.(*entry).run(func(a *Account) { a.Situate(s) })
+	}
+}
+
+// Score is what to tell peers of a quota's demand here.
+func (l *Ledger) Score(name string, now time.Time) (score float64) {
+	if e, ok := l.accounts.Load(name); ok {
+		e.(*entry).run(func(a *Account) { score = a.Score(now) })
+	}
+	return score
+}
+
+// DropIdle forgets accounts that would be made again as they are now.
+func (l *Ledger) DropIdle(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b := l.buckets[name]; b != nil {
-		b.Refund(cost, now)
+	l.accounts.Range(func(name, e any) bool {
+		e.(*entry).run(func(a *Account) {
+			if a.idle(now) {
+				e.(*entry).dropped = true
+				l.accounts.Delete(name)
+			}
+		})
+		return true
+	})
+}
+
+// Level is the tokens of one quota, for a hand-over.
+type Level struct {
+	Quota  string
+	Tokens float64
+}
+
+// Surrender empties the ledger before its slots pass to a zone peer, and
+// returns the levels to pass with them. If clean is false, parts of the
+// shares are still lent out: then the slots must not be used by the peer
+// before Quarantine has passed, and the levels are lost.
+func (l *Ledger) Surrender(now time.Time) (levels []Level, clean bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clean = true
+	l.epochs = []epoch{{now, &Shape{}}}
+	l.each(func(name string, a *Account) {
+		a.advance(now)
+		clean = clean && len(a.lender.loans) == 0
+		if a.level > 0 {
+			levels = append(levels, Level{name, a.level})
+		}
+		a.level = 0
+		a.Reshape(Share{}, a.whole, now)
+	})
+	return levels, clean
+}
+
+// Adopt adds levels that came with slots from a zone peer, as far as the
+// capacity, which must be set before, holds them.
+func (l *Ledger) Adopt(levels []Level, now time.Time) {
+	for _, x := range levels {
+		l.with(x.Quota, now, func(a *Account) { a.Refund(x.Tokens, now) })
 	}
 }
--- /dev/null
+++ b/internal/quota/lend.go
@@ -0,0 +1,130 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// minTokenTerm is the shortest term worth lending tokens for: a round trip
+// between the farthest regions and the time to spend them.
+const minTokenTerm = 250 * time.Millisecond
+
+// Lend answers a peer's Ask, or returns a ticket whose end brings the answer
+// (see Granted).
+func (a *Account) Lend(ask Ask, now time.Time) (Grant, *Ticket) {
+	a.advance(now)
+	for _, c := range ask.Closed {
+		a.level += a.lender.close(loanKey{ask.Borrower, c.Loan}, c.Tokens, a.at)
+	}
+	a.cut()
+	a.serve()
+	key := loanKey{ask.Borrower, ask.Loan}
+	switch {
+	case ask.Standing:
+		return a.lendShare(key), nil
+	case ask.Tokens > 0:
+		return a.lendSoon(key, ask)
+	}
+	return Grant{}, nil
+}
+
+// lendShare lends all that is free of the own share, with the tokens in it,
+// to the daemon that this one takes for the hub, and extends what it has.
+func (a *Account) lendShare(key loanKey) Grant {
+	if key.borrower != a.situation.Hub {
+		return Grant{}
+	}
+	free := a.free()
+	tokens := max(0, math.Min(a.level, free.Burst))
+	a.level -= tokens
+	total := a.lender.lend(key, free, tokens, StandingTerm, a.at)
+	return Grant{Share: total, Tokens: tokens, Term: StandingTerm}
+}
+
+// lendSoon lends tokens now, or queues the peer behind those that came before.
+func (a *Account) lendSoon(key loanKey, ask Ask) (Grant, *Ticket) {
+	if len(a.queue) == 0 && a.level >= ask.Tokens {
+		return a.lendTokens(key, ask.Tokens), nil
+	}
+	wait := a.expected(ask.Tokens)
+	if a.situation.Over || wait < 0 || wait > min(ask.Patience, MaxWait) {
+		if whole := math.Floor(a.level); len(a.queue) == 0 && whole >= 1 {
+			return a.lendTokens(key, whole), nil
+		}
+		return Grant{RetryAfter: max(wait, time.Millisecond)}, nil
+	}
+	return Grant{}, a.enqueue(&Ticket{cost: ask.Tokens, until: a.at.Add(ask.Patience), loan: &key})
+}
+
+// lendTokens lends tokens with as much capacity, for a term in which that
+// capacity is certainly this account's: its own, or borrowed for longer.
+// Without this bound the capacity would be spent by the peer and, after the
+// loan under it has ended, also by the first lender.
+func (a *Account) lendTokens(key loanKey, tokens float64) Grant {
+	for term := TokenTerm; term >= minTokenTerm; term -= 50 * time.Millisecond {
+		backing := a.own.minus(a.lender.Lent()).plus(a.borrower.Held(a.at.Add(term + Margin)))
+		if backing.Burst < tokens {
+			continue
+		}
+		a.level -= tokens
+		share := a.lender.lend(key, Share{Burst: tokens}, tokens, term, a.at)
+		return Grant{Share: share, Tokens: tokens, Term: term}
+	}
+	return Grant{RetryAfter: minTokenTerm}
+}
+
+// Granted is the answer that a ticket of Lend came to.
+func (a *Account) Granted(t *Ticket) Grant {
+	if t.state == ticketServed {
+		return t.grant
+	}
+	return Grant{RetryAfter: max(a.expected(t.cost), time.Millisecond)}
+}
+
+// Answered notes a peer's answer to the ask sent at sent.
+func (a *Account) Answered(id uint64, g Grant, sent, now time.Time) {
+	a.advance(now)
+	p, waiting := a.borrower.pending[id]
+	a.level += a.borrower.granted(id, g, sent, a.at)
+	a.cut()
+	if waiting && !p.standing {
+		a.noteAnswer(g, sent)
+	}
+	a.serve()
+}
+
+func (a *Account) noteAnswer(g Grant, sent time.Time) {
+	if g.RetryAfter > 0 {
+		a.blockedUntil = a.at.Add(g.RetryAfter)
+		if a.situation.Over {
+			a.refuseAll()
+		}
+		return
+	}
+	a.blockedUntil = time.Time{}
+	took := a.at.Sub(sent)
+	if took < a.roundTrip {
+		a.roundTrip = took
+		return
+	}
+	a.roundTrip += (took - a.roundTrip) / 8
+}
+
+// refuseAll ends the local waiters at once: the customer is over its whole
+// rate, and the hub has said that it has nothing for them.
+func (a *Account) refuseAll() {
+	for len(a.queue) > 0 {
+		t := a.queue[0]
+		a.leave(0)
+		t.end(ticketRefused)
+	}
+}
+
+// Failed notes that an ask came to nothing. The peer may have lent and the
+// answer been lost: then the tokens are lost, and its capacity is back there
+// when the term has ended.
+func (a *Account) Failed(id uint64, sent time.Time) {
+	if p, ok := a.borrower.pending[id]; ok && p.sent.Equal(sent) {
+		delete(a.borrower.pending, id)
+	}
+}
--- /dev/null
+++ b/internal/quota/plan.go
@@ -0,0 +1,245 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// Grounds of the plan.
+const (
+	// firstRoundTrip is assumed until one was measured.
+	firstRoundTrip = 80 * time.Millisecond
+	// maxPulls bounds the asks for tokens under way at once for one quota:
+	// enough that a taker need not wait for an earlier ask's answer.
+	maxPulls = 8
+	// aheadPart bounds the tokens fetched ahead of demand, of the whole
+	// burst over all daemons: what lies elsewhere is missing at the hub.
+	aheadPart = 0.35
+	// lead is how far ahead another daemon must be to become hub, in parts of
+	// the fleet's demand. Less, and chance moves the hub among even daemons;
+	// more, and a hub stays whose callers have left.
+	lead = 0.25
+	// minDemand is the demand, in tokens per second, from which a daemon is
+	// worth a hub: one request in 20 s.
+	minDemand = 0.05
+	// overFactor is how far above the rate the demand of the fleet must be for
+	// the customer to count as over its whole rate.
+	overFactor = 1.25
+)
+
+// Situation is what the control thread knows of the fleet for one quota.
+type Situation struct {
+	// Self and Hub are instances; no hub is "".
+	Self, Hub string
+	// Lenders hold slots of the quota, without this daemon.
+	Lenders []string
+	// Demand of the fleet in tokens per second.
+	Demand float64
+	// Over: the fleet's demand is above the whole rate.
+	Over bool
+}
+
+// Score is one daemon's account of its demand for a quota, with the hub's
+// lead; 0 for none.
+type Score struct {
+	Instance string
+	Value    float64
+}
+
+// Elect returns the hub, the daemon with the highest score ("" if there is
+// none), and the fleet's demand in tokens per second, the hub's lead taken out.
+func Elect(scores []Score) (hub string, demand float64) {
+	best := Score{}
+	for _, s := range scores {
+		demand += s.Value
+		if s.Value > best.Value || (s.Value == best.Value && s.Value > 0 && s.Instance < best.Instance) {
+			best = s
+		}
+	}
+	return best.Instance, demand / (1 + lead)
+}
+
+// Score is what a daemon tells others of its demand. The hub adds its lead,
+// so that another must be clearly ahead, and so that two daemons which both
+// take themselves for the hub come to agree: each compares the same numbers.
+func (a *Account) Score(now time.Time) float64 {
+	d := a.Demand(now)
+	if d < minDemand {
+		return 0
+	}
+	if a.situation.Hub != "" && a.isHub() {
+		return d + lead*a.situation.Demand
+	}
+	return d
+}
+
+// Situate sets the situation. A hub that is one no longer gives its standing
+// loans back at the next Plan.
+func (a *Account) Situate(s Situation) {
+	s.Over = s.Demand > overFactor*a.whole.Rate
+	a.situation = s
+}
+
+// Outgoing is an Ask to send.
+type Outgoing struct {
+	To   string
+	Ask  Ask
+	Sent time.Time
+}
+
+// Plan returns what to send now. The load pattern answered: one customer's
+// requests enter by few daemons, or by all in small numbers, or move from one
+// to another. Without it every daemon refuses what is above its own part
+// though others' parts lie idle. The hub gathers the shares (standing loans);
+// the others take tokens from it, as many as wait and a round trip's demand
+// ahead.
+func (a *Account) Plan(now time.Time) []Outgoing {
+	a.advance(now)
+	a.serve()
+	switch {
+	case a.situation.Hub == "":
+		return nil
+	case a.isHub():
+		return a.planHub()
+	default:
+		return a.planOther()
+	}
+}
+
+func (a *Account) planHub() []Outgoing {
+	var out []Outgoing
+	for _, lender := range a.situation.Lenders {
+		id, due := a.standingWith(lender)
+		if due {
+			out = append(out, a.ask(lender, Ask{Loan: id, Standing: true}))
+		}
+	}
+	return append(out, a.closings(func(l borrowedLoan) bool { return !l.standing })...)
+}
+
+// standingWith finds the loan to renew or a new id, and whether to ask now.
+func (a *Account) standingWith(lender string) (uint64, bool) {
+	for _, p := range a.borrower.pending {
+		if p.standing && p.lender == lender && a.at.Sub(p.sent) < StandingRenew {
+			return 0, false
+		}
+	}
+	for _, l := range a.borrower.loans {
+		if l.standing && l.lender == lender {
+			return l.id, a.at.Sub(l.sent) >= StandingRenew
+		}
+	}
+	a.borrower.lastID++
+	return a.borrower.lastID, true
+}
+
+func (a *Account) planOther() []Outgoing {
+	out := a.closings(func(l borrowedLoan) bool { return l.standing || l.lender != a.situation.Hub })
+	spent := a.spentLoans()
+	for pulls := a.pulls(); pulls < maxPulls; pulls++ {
+		n := a.need()
+		if n < 1 || a.blockedUntil.After(a.at) {
+			break
+		}
+		a.borrower.lastID++
+		out = append(out, a.ask(a.situation.Hub, Ask{
+			Loan: a.borrower.lastID, Tokens: n, Patience: MaxWait, Closed: spent,
+		}))
+		spent = nil
+	}
+	if len(spent) > 0 {
+		out = append(out, a.ask(a.situation.Hub, Ask{Closed: spent}))
+	}
+	return out
+}
+
+func (a *Account) ask(to string, ask Ask) Outgoing {
+	ask.Quota, ask.Borrower = a.name, a.situation.Self
+	if ask.Standing || ask.Tokens > 0 {
+		a.borrower.asked(ask.Loan, pendingAsk{lender: to, standing: ask.Standing, tokens: ask.Tokens, sent: a.at})
+	}
+	return Outgoing{To: to, Ask: ask, Sent: a.at}
+}
+
+func (a *Account) pulls() int {
+	n := 0
+	for _, p := range a.borrower.pending {
+		if !p.standing {
+			n++
+		}
+	}
+	return n
+}
+
+// need is how many whole tokens to ask for: those waited for and those ahead,
+// less what is here and under way, in pieces that do not drain the hub.
+func (a *Account) need() float64 {
+	need := a.queued + a.ahead() - a.level
+	for _, p := range a.borrower.pending {
+		need -= p.tokens
+	}
+	if a.queued == 0 {
+		need = math.Floor(need)
+	}
+	return math.Min(math.Ceil(need), max(1, math.Floor(a.whole.Burst/8)))
+}
+
+// ahead is the demand of a round trip in whole tokens, bounded by this
+// daemon's part of what may lie outside the hub.
+func (a *Account) ahead() float64 {
+	if a.situation.Over || a.situation.Demand <= 0 {
+		return 0
+	}
+	d := a.Demand(a.at)
+	part := aheadPart * a.whole.Burst * d / a.situation.Demand
+	return math.Floor(math.Min(d*a.roundTrip.Seconds()*1.5, part))
+}
+
+// spentLoans closes the loans of tokens whose capacity is empty, so that the
+// hub has it again, and those about to end, with what is left in them.
+func (a *Account) spentLoans() []Closing {
+	var out []Closing
+	for i := 0; i < len(a.borrower.loans); {
+		l := a.borrower.loans[i]
+		over := max(0, a.level-(a.shape().Burst-l.share.Burst))
+		ending := l.until.Sub(a.at) < 2*a.roundTrip
+		if l.standing || l.lender != a.situation.Hub || (over > 0 && !ending) || !a.spare(l) {
+			i++
+			continue
+		}
+		out = append(out, a.closeLoan(l, over))
+	}
+	return out
+}
+
+// spare tells whether this account holds enough without a loan for what it
+// has lent on. If a hub gave back the shares that its peers' tokens stand on,
+// their lenders would spend the same capacity again before those tokens end.
+func (a *Account) spare(l borrowedLoan) bool {
+	rest := a.own.minus(a.lender.Lent()).plus(a.borrower.Held(a.at)).minus(l.share)
+	return rest.Burst >= 0
+}
+
+func (a *Account) closeLoan(l borrowedLoan, tokens float64) Closing {
+	a.level -= tokens
+	a.borrower.drop(l.id)
+	a.cut()
+	return Closing{Loan: l.id, Tokens: tokens}
+}
+
+// closings ends the loans that no longer fit the situation, with the tokens
+// that sit in them.
+func (a *Account) closings(which func(borrowedLoan) bool) []Outgoing {
+	var out []Outgoing
+	for i := 0; i < len(a.borrower.loans); {
+		l := a.borrower.loans[i]
+		if !which(l) || !a.spare(l) {
+			i++
+			continue
+		}
+		part := l.share.Burst / max(a.shape().Burst, l.share.Burst)
+		tokens := max(0, min(a.level*part, l.share.Burst))
+		out = append(out, a.ask(l.lender, Ask{Closed: []Closing{a.closeLoan(l, tokens)}}))
+	}
+	return out
+}
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -1,39 +1,225 @@
 package quota
 
-import "balsambarrow/internal/config"
+import (
+	"math"
+	"slices"
+	"strings"
 
-// CustomerQuota names a customer's quota.
-func CustomerQuota(customer string) string { return "customer/" + customer }
+	"github.com/cespare/xxhash/v2"
 
-// Shares cuts every customer's quota for a daemon that holds held slots of
-// zone: by the customer's zone weights (the zones' own by default), evenly
-// over a zone's slots.
-func Shares(a *config.Active, zone string, held int) map[string]Share {
-	shares := map[string]Share{}
-	z, ok := a.Config.Zones[zone]
-	if !ok || held == 0 {
-		return shares
+	"balsambarrow/internal/config"
+)
+
+// MaxQuotaSlots bounds the slots that one quota is cut over, and with them the
+// lenders that a hub asks.
+const MaxQuotaSlots = 64
+
+// Parts of a cap per second: in any second rate + burst tokens can be spent,
+// so the two together are the cap.
+const capBurstPart = 0.1
+
+// Share is a part of one quota.
+type Share struct {
+	// Rate in tokens per second.
+	Rate float64
+	// Burst in tokens.
+	Burst float64
+}
+
+func (s Share) plus(o Share) Share  { return Share{s.Rate + o.Rate, s.Burst + o.Burst} }
+func (s Share) minus(o Share) Share { return Share{s.Rate - o.Rate, s.Burst - o.Burst} }
+func (s Share) times(f float64) Share {
+	return Share{s.Rate * f, s.Burst * f}
+}
+
+// Prefixes of the names of quotas.
+const (
+	customerPrefix = "customer/"
+	linkPrefix     = "link/"
+	shiftPrefix    = "shift/"
+)
+
+// CustomerQuota names a customer's quota, in requests.
+func CustomerQuota(customer string) string { return customerPrefix + customer }
+
+// LinkQuota names the quota of the link between two regions, in bits.
+func LinkQuota(from, to string) string { return linkPrefix + from + "/" + to }
+
+// ShiftQuota names the quota of shifts of a service between two regions, in
+// requests.
+func ShiftQuota(service, from, to string) string {
+	return shiftPrefix + service + "/" + from + "/" + to
+}
+
+// Whole is a quota as a version of the configuration gives it; false if the
+// version does not name it.
+func Whole(c *config.Config, name string) (Share, bool) {
+	if customer, ok := strings.CutPrefix(name, customerPrefix); ok {
+		cu, known := c.Customers[customer]
+		return Share{Rate: cu.Rate, Burst: cu.Burst}, known
+	}
+	if pair, ok := strings.CutPrefix(name, linkPrefix); ok {
+		from, to, _ := strings.Cut(pair, "/")
+		for _, l := range c.Links {
+			if l.From == from && l.To == to {
+				return perSecond(l.BitsPerSecond), true
+			}
+		}
+		return Share{}, false
+	}
+	return shiftCap(c, name)
+}
+
+// shiftCap is the lowest cap of the moves that shift the same traffic.
+func shiftCap(c *config.Config, name string) (Share, bool) {
+	least, found := math.Inf(1), false
+	for _, m := range c.Moves {
+		if ShiftQuota(m.Service, m.From, m.To) == name {
+			least, found = min(least, m.CapPerSecond), true
+		}
+	}
+	if !found {
+		return Share{}, false
+	}
+	return perSecond(least), true
+}
+
+// perSecond splits a cap into rate and burst, such that no second sees more
+// than the cap. A cap under 2 cannot hold both; it becomes a burst of 1.
+func perSecond(limit float64) Share {
+	burst := max(1, limit*capBurstPart)
+	return Share{Rate: max(limit-burst, limit/2), Burst: burst}
+}
+
+// weight is a zone's part in a quota, relative to other zones: a customer's
+// zone weights, else the zone's own; only the sending region's zones take
+// part in links and shifts.
+func weight(c *config.Config, name, zone string) float64 {
+	z := c.Zones[zone]
+	if customer, ok := strings.CutPrefix(name, customerPrefix); ok {
+		if own := c.Customers[customer].ZoneWeights; len(own) > 0 {
+			return own[zone]
+		}
+		return z.Weight
+	}
+	from := strings.TrimPrefix(name, linkPrefix)
+	if shift, ok := strings.CutPrefix(name, shiftPrefix); ok {
+		_, from, _ = strings.Cut(shift, "/")
 	}
-	ofZone := float64(held) / float64(z.Slots)
-	for name, c := range a.Config.Customers {
-		part := ofZone * zonePart(a.Config, c, zone)
-		if part > 0 {
-			shares[CustomerQuota(name)] = Share{Rate: c.Rate * part, Burst: c.Burst * part}
+	from, _, _ = strings.Cut(from, "/")
+	if z.Region != from {
+		return 0
+	}
+	return z.Weight
+}
+
+// slotKey names a slot over the fleet.
+type slotKey struct {
+	zone string
+	slot int
+}
+
+// Cut is each slot's fraction of a quota; slots without one have no part.
+type Cut map[slotKey]float64
+
+// Holds tells whether slots of a zone have a part.
+func (c Cut) Holds(zone string, slots []int) bool {
+	for _, slot := range slots {
+		if c[slotKey{zone, slot}] > 0 {
+			return true
 		}
 	}
-	return shares
+	return false
 }
 
-func zonePart(c *config.Config, cu config.Customer, zone string) float64 {
+// CutOf cuts a quota over the slots. The fractions sum to 1. Over
+// more than MaxQuotaSlots slots, that many are chosen by weighted rendezvous
+// hashing, so that all daemons choose the same ones and a changed zone moves
+// only its own.
+func CutOf(c *config.Config, name string) Cut {
+	cut := Cut{}
+	for zone, z := range c.Zones {
+		w := weight(c, name, zone) / float64(z.Slots)
+		for slot := 0; w > 0 && slot < z.Slots; slot++ {
+			cut[slotKey{zone, slot}] = w
+		}
+	}
+	if len(cut) > MaxQuotaSlots {
+		choose(cut, name)
+	}
 	sum := 0.0
-	weight := func(z string) float64 {
-		if len(cu.ZoneWeights) > 0 {
-			return cu.ZoneWeights[z]
+	for _, w := range cut {
+		sum += w
+	}
+	for k := range cut {
+		cut[k] /= sum
+	}
+	return cut
+}
+
+func choose(cut Cut, name string) {
+	type scored struct {
+		key   slotKey
+		score float64
+	}
+	all := make([]scored, 0, len(cut))
+	for k, w := range cut {
+		h := xxhash.Sum64String(name + "\x00" + k.zone + "\x00" + string(rune(k.slot)))
+		u := (float64(h>>11) + 0.5) / (1 << 53)
+		all = append(all, scored{k, -math.Log(u) / w})
+	}
+	slices.SortFunc(all, func(x, y scored) int {
+		switch {
+		case x.score < y.score:
+			return -1
+		case x.score > y.score:
+			return 1
 		}
-		return c.Zones[z].Weight
+		return strings.Compare(x.key.zone, y.key.zone)
+	})
+	for _, x := range all[MaxQuotaSlots:] {
+		delete(cut, x.key)
+	}
+}
+
+// Shape is what this daemon holds: usable slots of its zone, under versions of
+// the configuration. It is never modified.
+type Shape struct {
+	Zone  string
+	Slots []int
+	// Versions that may be in force somewhere, the newest last.
+	Versions []*config.Active
+}
+
+// Share is this daemon's own share of a quota, and the whole quota by the
+// newest version. A slot's fraction is the least of all versions': where the
+// cut changes, a daemon with the old version still spends the old fraction of
+// its slots, and a raised one elsewhere would exceed the quota together with
+// it.
+func (s *Shape) Share(name string) (own, whole Share, known bool) {
+	if len(s.Versions) == 0 {
+		return Share{}, Share{}, false
 	}
-	for z := range c.Zones {
-		sum += weight(z)
+	whole, known = Whole(s.Versions[len(s.Versions)-1].Config, name)
+	if !known {
+		return Share{}, Share{}, false
+	}
+	least := map[int]float64{}
+	for _, slot := range s.Slots {
+		least[slot] = 1
+	}
+	for _, v := range s.Versions {
+		if _, named := Whole(v.Config, name); !named {
+			continue
+		}
+		cut := CutOf(v.Config, name)
+		for slot := range least {
+			least[slot] = min(least[slot], cut[slotKey{s.Zone, slot}])
+		}
+	}
+	sum := 0.0
+	for _, f := range least {
+		sum += f
 	}
-	return weight(zone) / sum
+	return whole.times(sum), whole, true
 }
