--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -14,6 +14,11 @@
 // MaxSlots bounds the slots of all zones together; see docs/CAPACITY.md.
 const MaxSlots = 4096
 
+// MinStalenessMs is the smallest bound a customer may set on the age of the
+// configuration. A version is confirmed about every 2 s, and every 5 s while
+// a zone's watcher is replaced; below that, refusals would be ordinary.
+const MinStalenessMs = 5000
+
 var (
 	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
@@ -127,6 +132,7 @@
 		v.require(s.TimeoutMs > 0, path("services", name, "timeout_ms"), "want a positive number of milliseconds")
 		v.require(s.ExpectedMs > 0, path("services", name, "expected_ms"), "want a positive number of milliseconds")
 		v.require(s.ExpectedBytes > 0, path("services", name, "expected_bytes"), "want a positive number of bytes")
+		v.require(s.ShiftCapPerSecond > 0, path("services", name, "shift_cap_per_second"), "want a positive number of requests per second")
 		v.regions(s.Regions, "services", name)
 	}
 }
@@ -161,7 +167,8 @@
 		v.require(c.Rate > 0, path("customers", name, "rate"), "want a positive number of requests per second")
 		v.require(c.Burst >= 1, path("customers", name, "burst"), "want at least 1 request")
 		v.require(c.Weight > 0, path("customers", name, "weight"), "want a positive number")
-		v.require(c.MaxStalenessMs >= 0, path("customers", name, "max_staleness_ms"), "want 0 or more")
+		v.require(c.MaxStalenessMs == 0 || c.MaxStalenessMs >= MinStalenessMs,
+			path("customers", name, "max_staleness_ms"), "want 0 or at least %d milliseconds", MinStalenessMs)
 		v.regions(c.Regions, "customers", name)
 		for i, s := range c.Services {
 			v.known(has(v.config.Services, s), "service", s, "customers", name, "services", strconv.Itoa(i))
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -28,6 +28,8 @@
 	slots   slotState
 	config  configState
 	quota   quotaState
+	steer   steerState
+	fleet   fleetState
 }
 
 func newControl(d *Daemon) *control {
@@ -39,6 +41,8 @@
 		slots:   newSlotState(),
 		config:  newConfigState(),
 		quota:   newQuotaState(),
+		steer:   newSteerState(d.identity.Zone),
+		fleet:   newFleetState(),
 	}
 }
 
@@ -58,27 +62,47 @@
 		case <-ctx.Done():
 			return
 		case m := <-c.inbox:
+			c.guardSlots(time.Now())
 			m.apply(c)
+			c.drain()
 		case <-ticker.C:
+			c.guardSlots(time.Now())
 			c.tick(time.Now())
 		}
 		c.publish(time.Now())
 	}
 }
 
+// drain applies the messages that wait already, so that a burst of them costs
+// one snapshot.
+func (c *control) drain() {
+	for range inboxSize {
+		select {
+		case m := <-c.inbox:
+			m.apply(c)
+		default:
+			return
+		}
+	}
+}
+
 func (c *control) tick(now time.Time) {
 	c.tickMembers(now)
 	c.tickConfig(now)
 	c.tickSlots(now)
 	c.tickQuota(now)
+	c.tickFleet(now)
 }
 
 // publish makes the snapshot that traffic threads read from now on.
 func (c *control) publish(now time.Time) {
+	c.noticePause(now)
 	live := c.members.table.Live(now)
 	snap := &view.Snapshot{
 		Self: c.self(now), Config: c.config.active, ConfirmedAt: c.config.confirmed, Members: live,
+		PublishedAt: now, CaughtUp: c.config.caughtUp,
 	}
+	c.publishFleet(snap)
 	if snap.Self.State == membership.StateReady {
 		snap.Ready = append(snap.Ready, snap.Self)
 	}
@@ -88,9 +112,11 @@
 		}
 	}
 	if snap.Config != nil {
-		c.publishHandler(snap)
+		c.publishHandler(snap, now)
 		c.publishShares(snap, now)
+		c.publishSteering(snap, now)
 	}
+	c.d.ledger.Fence.Extend(c.custody().SpendUntil())
 	c.d.view.Store(snap)
 }
 
@@ -98,14 +124,21 @@
 func (c *control) self(now time.Time) membership.Member {
 	m := c.d.identity
 	m.State = c.state
+	m.LeavingSince = c.members.leavingSince
 	m.Sequence = c.members.sequence
 	m.ConfigVersion = c.config.version()
+	m.ConfigRejected = c.config.rejected
 	m.ConfirmedAt = c.config.confirmed
 	m.Watches = c.watches(now)
-	m.Slots = c.quota.settled(c.slots.slots.Usable(now), now)
-	m.Headroom = c.d.handler.Headroom()
 	m.Demand = c.quota.scores
+	m.Held = c.custody().Usable(now)
+	for _, h := range m.Held {
+		m.Slots = append(m.Slots, h.Slot)
+	}
+	m.Headroom = c.d.handler.Headroom()
+	m.Load = c.d.gauge.Load()
 	m.PostingEpoch = c.d.postings.Epoch(now)
+	m.AnswersFor = c.d.postings.AnswersFor(now)
 	return m
 }
 
@@ -117,6 +150,7 @@
 
 func (m leave) apply(c *control) {
 	c.state = membership.StateLeaving
+	c.members.leavingSince = time.Now()
 	c.members.nextBeat = time.Time{}
 	close(m.done)
 }
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,8 +20,10 @@
 
 	"balsambarrow/internal/config"
 	"balsambarrow/internal/daemon"
+	"balsambarrow/internal/membership"
 	"balsambarrow/internal/operator/ctl"
 	"balsambarrow/internal/platform"
+	"balsambarrow/internal/quota"
 	"balsambarrow/internal/settings"
 	"balsambarrow/internal/standin"
 	"balsambarrow/internal/telemetry"
@@ -33,7 +36,7 @@
 // fleet is a platform, upstreams and daemons in one process, over real
 // sockets on loopback.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	g         *WithT
 	platform  *standin.Platform
 	url       string
@@ -41,6 +44,10 @@
 	daemons   map[string]*daemon.Daemon
 	network   *network
 	client    *http.Client
+	// traces is a folder that each daemon writes its spans to; "" is none.
+	traces string
+	// logs receives the daemons' logs; nil is the test's output.
+	logs io.Writer
 }
 
 // network decides which dials succeed. Sides are host names and "platform".
@@ -49,6 +56,14 @@
 	sides map[string]string // address -> side
 	cuts  map[[2]string]bool
 	conns map[[2]string][]net.Conn
+	// delay gives the one-way delay from side to side; nil: none.
+	delay func(from, to string) time.Duration
+	// bytes counts what crossed connections to peers listeners, both ways.
+	bytes atomic.Int64
+	// count turns the counting on.
+	count bool
+	// wrap, where set, stands between a dialled connection and its user.
+	wrap func(link [2]string, conn net.Conn) net.Conn
 }
 
 var errCut = errors.New("test network: cut")
@@ -63,8 +78,19 @@
 			return nil, &net.OpError{Op: "dial", Err: errCut}
 		}
 		conn, err := (&net.Dialer{}).DialContext(ctx, proto, address)
+		if err == nil && n.count && link[1] != "" && link[1] != "platform" {
+			conn = &countedConn{Conn: conn, bytes: &n.bytes}
+		}
+		if err == nil && n.delay != nil {
+			if d := n.delay(from, link[1]); d > 0 {
+				conn = newDelayedConn(conn, d)
+			}
+		}
 		if err == nil {
 			n.mu.Lock()
+			if n.wrap != nil {
+				conn = n.wrap(link, conn)
+			}
 			n.conns[link] = append(n.conns[link], conn)
 			n.mu.Unlock()
 		}
@@ -93,7 +119,7 @@
 	delete(n.cuts, [2]string{b, a})
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	f := &fleet{
 		t: t, g: NewWithT(t), platform: standin.NewPlatform(nil),
 		upstreams: map[string]*standin.Upstream{}, daemons: map[string]*daemon.Daemon{},
@@ -125,10 +151,22 @@
 
 // start runs a daemon on a host and enters it in the host list.
 func (f *fleet) start(host, zone string) *daemon.Daemon {
-	text := fmt.Sprintf(`{"host":%q,"zone":%q,"platform":{"url":%q,"timeout_ms":1000},"tls":{"plain":true}}`, host, zone, f.url)
+	more := `"tls":{"plain":true}`
+	if f.traces != "" {
+		more += fmt.Sprintf(`,"trace_file":%q`, f.traces+"/"+host)
+	}
+	return f.startWith(host, zone, more)
+}
+
+// startWith is start with further settings.
+func (f *fleet) startWith(host, zone, more string) *daemon.Daemon {
+	text := fmt.Sprintf(`{"host":%q,"zone":%q,"platform":{"url":%q,"timeout_ms":1000},%s}`, host, zone, f.url, more)
 	s, err := settings.Parse("test", []byte(text))
 	f.g.Expect(err).NotTo(HaveOccurred())
-	log := telemetry.NewLogger(f.t.Output(), "info")
+	if f.logs == nil {
+		f.logs = f.t.Output()
+	}
+	log := telemetry.NewLogger(f.logs, "debug")
 	d, err := daemon.New(s, log, daemon.Options{Dial: f.network.dialer(host), LookupTTL: 300 * time.Millisecond})
 	f.g.Expect(err).NotTo(HaveOccurred())
 	f.g.Expect(d.Start()).To(Succeed())
@@ -160,13 +198,13 @@
 }
 
 // awaitReady waits until every daemon has the version, sees all the others
-// and holds slots.
+// and holds slots that it may spend from.
 func (f *fleet) awaitReady(version uint64) {
 	f.t.Helper()
 	f.g.Eventually(func() bool {
 		for _, d := range f.daemons {
 			snap := d.View()
-			if snap.Self.ConfigVersion < version || len(snap.Ready) != len(f.daemons) || len(snap.Self.Slots) == 0 {
+			if snap.Self.ConfigVersion < version || len(snap.Ready) != len(f.daemons) || !settled(snap.Self.Held) {
 				return false
 			}
 		}
@@ -174,6 +212,15 @@
 	}, settle, 20*time.Millisecond).Should(BeTrue())
 }
 
+func settled(held []membership.Holding) bool {
+	for _, h := range held {
+		if time.Since(h.Since) < quota.Quarantine {
+			return false
+		}
+	}
+	return len(held) > 0
+}
+
 // awaitHandlers waits until a daemon knows of room for a service.
 func (f *fleet) awaitHandlers(host, service string) {
 	f.t.Helper()
@@ -198,7 +245,12 @@
 
 // call sends one request to a host as the holder of a key.
 func (f *fleet) call(host, method, path, key string, header map[string]string) reply {
-	url := "http://" + f.daemons[host].Identity().Callers + "/svc/" + path
+	return f.callAt(f.daemons[host].Identity().Callers, method, path, key, header)
+}
+
+// callAt is call by address, which may be that of a host that is gone.
+func (f *fleet) callAt(address, method, path, key string, header map[string]string) reply {
+	url := "http://" + address + "/svc/" + path
 	req, err := http.NewRequest(method, url, bytes.NewReader(nil))
 	f.g.Expect(err).NotTo(HaveOccurred())
 	req.Header.Set("Authorization", "Bearer "+key)
@@ -224,7 +276,7 @@
 	return &config.Config{
 		Regions:  map[string]config.Region{"vermont": {}, "maine": {}},
 		Zones:    map[string]config.Zone{"vt-a": {Region: "vermont"}, "me-a": {Region: "maine"}},
-		Services: map[string]config.Service{"lookup": {}, "posting": {}},
+		Services: map[string]config.Service{"lookup": {ShiftCapPerSecond: 1e5}, "posting": {ShiftCapPerSecond: 1e5}},
 		Customers: map[string]config.Customer{"farm": {
 			Rate: 1000, Burst: 1000,
 			Keys: map[string]config.Key{"k1": {SHA256: config.DigestOf("secret").String()}},
--- a/internal/daemon/quota.go
+++ b/internal/daemon/quota.go
@@ -31,10 +31,11 @@
 // quotaState is the control thread's part for quotas.
 type quotaState struct {
 	cuts quota.Cuts
-	// usableFrom is when each held slot may be spent from.
-	usableFrom map[int]time.Time
-	shape      *quota.Shape
-	scores     map[string]float64
+	// adopted are the slots that came with their tokens, by the time since
+	// which they are held.
+	adopted map[int]time.Time
+	shape   *quota.Shape
+	scores  map[string]float64
 	// cutOf keeps the cuts of cutVersion.
 	cutOf      map[string]quota.Cut
 	cutVersion uint64
@@ -42,14 +43,14 @@
 	nextDrop   time.Time
 }
 
-func newQuotaState() quotaState { return quotaState{usableFrom: map[int]time.Time{}} }
+func newQuotaState() quotaState { return quotaState{adopted: map[int]time.Time{}} }
 
 // publishShares sets the ledger to the usable slots and the versions in force.
 func (c *control) publishShares(snap *view.Snapshot, now time.Time) {
 	members := append([]membership.Member{snap.Self}, snap.Members...)
 	shape := &quota.Shape{
 		Zone:     snap.Self.Zone,
-		Slots:    snap.Self.Slots,
+		Slots:    c.settled(snap.Self.Held, now),
 		Versions: c.quota.cuts.Observe(snap.Config, members, now),
 	}
 	if old := c.quota.shape; old != nil && slices.Equal(old.Slots, shape.Slots) && slices.Equal(old.Versions, shape.Versions) {
@@ -59,37 +60,24 @@
 	c.d.ledger.SetShape(shape, now)
 }
 
-// settled returns the slots whose quarantine has passed. A slot comes with the
+// settled returns the slots that may be spent from. A slot comes with the
 // loans that its earlier holder made of it; while they run, the borrowers and
-// this daemon together would exceed the quota.
-func (s *quotaState) settled(usable []int, now time.Time) []int {
-	for slot := range s.usableFrom {
-		if !slices.Contains(usable, slot) {
-			delete(s.usableFrom, slot)
-		}
-	}
+// this daemon together would exceed the quota. A slot that came with tokens is
+// free of loans: see quota.Ledger.Surrender.
+func (c *control) settled(held []membership.Holding, now time.Time) []int {
 	var out []int
-	for _, slot := range usable {
-		from, known := s.usableFrom[slot]
-		if !known {
-			from = now.Add(quota.Quarantine)
-			s.usableFrom[slot] = from
+	for _, h := range held {
+		if len(c.slots.levels[h.Slot].levels) > 0 {
+			c.quota.adopted[h.Slot] = h.Since
 		}
-		if !now.Before(from) {
-			out = append(out, slot)
+		adopted := c.quota.adopted[h.Slot].Equal(h.Since)
+		if adopted || now.Sub(h.Since) >= quota.Quarantine {
+			out = append(out, h.Slot)
 		}
 	}
 	return out
 }
 
-// Adopt lets slots that a zone peer handed over, with nothing lent of
-// them, be spent from at once. It is called before they first are usable.
-func (s *quotaState) Adopt(slots []int, now time.Time) {
-	for _, slot := range slots {
-		s.usableFrom[slot] = now
-	}
-}
-
 func (c *control) tickQuota(now time.Time) {
 	if c.active() == nil {
 		return
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -75,6 +75,8 @@
 	demand   float64
 	demandAt time.Time
 	usedAt   time.Time
+	// fenced: nothing may be spent or lent now; see Fence.
+	fenced bool
 	// blockedUntil: the hub has said that it has nothing before then.
 	blockedUntil time.Time
 	situation    Situation
@@ -140,7 +142,7 @@
 	a.advance(now)
 	a.note(cost, now)
 	a.serve()
-	if len(a.queue) == 0 && a.level >= cost {
+	if len(a.queue) == 0 && a.covers(cost) {
 		a.level -= cost
 		return true, 0
 	}
@@ -217,7 +219,7 @@
 
 // covers is false also for a level that is not a number, so that an error in
 // the sums refuses and never admits.
-func (a *Account) covers(cost float64) bool { return a.level >= cost }
+func (a *Account) covers(cost float64) bool { return !a.fenced && a.level >= cost }
 
 func (a *Account) serveLoan(t *Ticket) {
 	t.grant = a.lendTokens(*t.loan, t.cost)
--- a/internal/quota/cuts_test.go
+++ b/internal/quota/cuts_test.go
@@ -66,10 +66,12 @@
 func TestCutsSumToOne(t *testing.T) {
 	g := NewWithT(t)
 	c := twoZones(100, 40)
+	c.Links = map[string]config.Link{"vt-me": {From: "vermont", To: "maine", BitsPerSecond: 1e6}}
+	c.Services = map[string]config.Service{"lookup": {ShiftCapPerSecond: 10}}
 	for i := range 145 {
 		c.Zones[fmt.Sprint("z", i)] = config.Zone{Region: "maine", Slots: 16, Weight: 1 + float64(i%3)}
 	}
-	for _, name := range []string{CustomerQuota("farm"), LinkQuota("vermont", "maine"), ShiftQuota("lookup", "vermont", "maine")} {
+	for _, name := range []string{CustomerQuota("farm"), config.LinkQuota("vermont", "maine"), config.ShiftQuota("lookup", "vermont", "maine")} {
 		cut := CutOf(c, name)
 		sum := 0.0
 		for _, f := range cut {
@@ -78,7 +80,7 @@
 		g.Expect(sum).To(BeNumerically("~", 1, 1e-9))
 		g.Expect(len(cut)).To(BeNumerically("<=", MaxQuotaSlots))
 	}
-	g.Expect(CutOf(c, LinkQuota("vermont", "maine"))).To(HaveLen(4))
+	g.Expect(CutOf(c, config.LinkQuota("vermont", "maine"))).To(HaveLen(4))
 }
 
 // A daemon keeps no account of a customer that does not call it. When one
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -23,6 +23,9 @@
 // Traffic threads take from it; the control thread sets shape and situation.
 // It is safe for concurrent use: each account has a lock of its own.
 type Ledger struct {
+	// Fence stops spending and lending after a pause.
+	Fence Fence
+
 	accounts sync.Map // name -> *entry
 	wake     chan string
 
@@ -80,19 +83,20 @@
 				return false
 			}
 		}
-		en := e.(*entry)
-		if en.run(f) {
+		if l.run(e, now, f) {
 			return true
 		}
 	}
 }
 
-func (e *entry) run(f func(*Account)) bool {
+func (l *Ledger) run(found any, now time.Time, f func(*Account)) bool {
+	e := found.(*entry)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.dropped {
 		return false
 	}
+	e.account.fenced = !l.Fence.Open(now)
 	f(e.account)
 	return true
 }
@@ -198,7 +202,7 @@
 func (l *Ledger) Plan(name string, now time.Time) []Outgoing {
 	var out []Outgoing
 	if e, ok := l.accounts.Load(name); ok {
-		e.(*entry).run(func(a *Account) { out = a.Plan(now) })
+		l.run(e, now, func(a *Account) { out = a.Plan(now) })
 	}
 	return out
 }
@@ -238,14 +242,14 @@
 // Situate sets the situation of one quota.
 func (l *Ledger) Situate(name string, s Situation) {
 	if e, ok := l.accounts.Load(name); ok {
-		e.(*entry).run(func(a *Account) { a.Situate(s) })
+		l.run(e, time.Now(), func(a *Account) { a.Situate(s) })
 	}
 }
 
 // Score is what to tell peers of a quota's demand here.
 func (l *Ledger) Score(name string, now time.Time) (score float64) {
 	if e, ok := l.accounts.Load(name); ok {
-		e.(*entry).run(func(a *Account) { score = a.Score(now) })
+		l.run(e, now, func(a *Account) { score = a.Score(now) })
 	}
 	return score
 }
@@ -255,7 +259,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.accounts.Range(func(name, e any) bool {
-		e.(*entry).run(func(a *Account) {
+		l.run(e, now, func(a *Account) {
 			if a.idle(now) {
 				e.(*entry).dropped = true
 				l.accounts.Delete(name)
@@ -264,38 +268,3 @@
 		return true
 	})
 }
-
-// Level is the tokens of one quota, for a hand-over.
-type Level struct {
-	Quota  string
-	Tokens float64
-}
-
-// Surrender empties the ledger before its slots pass to a zone peer, and
-// returns the levels to pass with them. If clean is false, parts of the
-// shares are still lent out: then the slots must not be used by the peer
-// before Quarantine has passed, and the levels are lost.
-func (l *Ledger) Surrender(now time.Time) (levels []Level, clean bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	clean = true
-	l.epochs = []epoch{{now, &Shape{}}}
-	l.each(func(name string, a *Account) {
-		a.advance(now)
-		clean = clean && len(a.lender.loans) == 0
-		if a.level > 0 {
-			levels = append(levels, Level{name, a.level})
-		}
-		a.level = 0
-		a.Reshape(Share{}, a.whole, now)
-	})
-	return levels, clean
-}
-
-// Adopt adds levels that came with slots from a zone peer, as far as the
-// capacity, which must be set before, holds them.
-func (l *Ledger) Adopt(levels []Level, now time.Time) {
-	for _, x := range levels {
-		l.with(x.Quota, now, func(a *Account) { a.Refund(x.Tokens, now) })
-	}
-}
--- a/internal/quota/lend.go
+++ b/internal/quota/lend.go
@@ -23,6 +23,8 @@
 	a.serve()
 	key := loanKey{ask.Borrower, ask.Loan}
 	switch {
+	case a.fenced:
+		return Grant{}, nil
 	case ask.Standing:
 		return a.lendShare(key), nil
 	case ask.Tokens > 0:
@@ -54,7 +56,7 @@
 
 // lendSoon lends tokens now, or queues the peer behind those that came before.
 func (a *Account) lendSoon(key loanKey, ask Ask) (Grant, *Ticket) {
-	if len(a.queue) == 0 && a.level >= ask.Tokens {
+	if len(a.queue) == 0 && a.covers(ask.Tokens) {
 		return a.lendTokens(key, ask.Tokens), nil
 	}
 	wait := a.expected(ask.Tokens)
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -14,10 +15,6 @@
 // lenders that a hub asks.
 const MaxQuotaSlots = 64
 
-// Parts of a cap per second: in any second rate + burst tokens can be spent,
-// so the two together are the cap.
-const capBurstPart = 0.1
-
 // Share is a part of one quota.
 type Share struct {
 	// Rate in tokens per second.
@@ -32,25 +29,11 @@
 	return Share{s.Rate * f, s.Burst * f}
 }
 
-// Prefixes of the names of quotas.
-const (
-	customerPrefix = "customer/"
-	linkPrefix     = "link/"
-	shiftPrefix    = "shift/"
-)
+const customerPrefix = "customer/"
 
 // CustomerQuota names a customer's quota, in requests.
 func CustomerQuota(customer string) string { return customerPrefix + customer }
 
-// LinkQuota names the quota of the link between two regions, in bits.
-func LinkQuota(from, to string) string { return linkPrefix + from + "/" + to }
-
-// ShiftQuota names the quota of shifts of a service between two regions, in
-// requests.
-func ShiftQuota(service, from, to string) string {
-	return shiftPrefix + service + "/" + from + "/" + to
-}
-
 // Whole is a quota as a version of the configuration gives it; false if the
 // version does not name it.
 func Whole(c *config.Config, name string) (Share, bool) {
@@ -58,59 +41,37 @@
 		cu, known := c.Customers[customer]
 		return Share{Rate: cu.Rate, Burst: cu.Burst}, known
 	}
-	if pair, ok := strings.CutPrefix(name, linkPrefix); ok {
-		from, to, _ := strings.Cut(pair, "/")
-		for _, l := range c.Links {
-			if l.From == from && l.To == to {
-				return perSecond(l.BitsPerSecond), true
-			}
-		}
-		return Share{}, false
-	}
-	return shiftCap(c, name)
+	q, known := find(c, name)
+	return Share{Rate: q.Rate, Burst: q.Burst}, known
 }
 
-// shiftCap is the lowest cap of the moves that shift the same traffic.
-func shiftCap(c *config.Config, name string) (Share, bool) {
-	least, found := math.Inf(1), false
-	for _, m := range c.Moves {
-		if ShiftQuota(m.Service, m.From, m.To) == name {
-			least, found = min(least, m.CapPerSecond), true
+func find(c *config.Config, name string) (config.Quota, bool) {
+	for _, q := range c.Quotas() {
+		if q.Name == name {
+			return q, true
 		}
 	}
-	if !found {
-		return Share{}, false
-	}
-	return perSecond(least), true
-}
-
-// perSecond splits a cap into rate and burst, such that no second sees more
-// than the cap. A cap under 2 cannot hold both; it becomes a burst of 1.
-func perSecond(limit float64) Share {
-	burst := max(1, limit*capBurstPart)
-	return Share{Rate: max(limit-burst, limit/2), Burst: burst}
+	return config.Quota{}, false
 }
 
-// weight is a zone's part in a quota, relative to other zones: a customer's
-// zone weights, else the zone's own; only the sending region's zones take
-// part in links and shifts.
-func weight(c *config.Config, name, zone string) float64 {
-	z := c.Zones[zone]
+// weights are the zones' parts in a quota, relative to each other: a
+// customer's zone weights, else the zones' own; only the zones that a quota
+// names, where it names any.
+func weights(c *config.Config, name string) map[string]float64 {
+	out := map[string]float64{}
+	for zone, z := range c.Zones {
+		out[zone] = z.Weight
+	}
 	if customer, ok := strings.CutPrefix(name, customerPrefix); ok {
 		if own := c.Customers[customer].ZoneWeights; len(own) > 0 {
-			return own[zone]
+			return own
 		}
-		return z.Weight
-	}
-	from := strings.TrimPrefix(name, linkPrefix)
-	if shift, ok := strings.CutPrefix(name, shiftPrefix); ok {
-		_, from, _ = strings.Cut(shift, "/")
+		return out
 	}
-	from, _, _ = strings.Cut(from, "/")
-	if z.Region != from {
-		return 0
+	if q, ok := find(c, name); ok && len(q.Zones) > 0 {
+		maps.DeleteFunc(out, func(zone string, _ float64) bool { return !slices.Contains(q.Zones, zone) })
 	}
-	return z.Weight
+	return out
 }
 
 // slotKey names a slot over the fleet.
@@ -138,8 +99,9 @@
 // only its own.
 func CutOf(c *config.Config, name string) Cut {
 	cut := Cut{}
+	parts := weights(c, name)
 	for zone, z := range c.Zones {
-		w := weight(c, name, zone) / float64(z.Slots)
+		w := parts[zone] / float64(z.Slots)
 		for slot := 0; w > 0 && slot < z.Slots; slot++ {
 			cut[slotKey{zone, slot}] = w
 		}
