Give a leaving hub's loans back at once

Change: a leaving daemon closes its loans, stops telling demand at once, and is not elected by others. A daemon without any share lets a first request wait for help instead of refusing it.

--- a/internal/daemon/quota.go
+++ b/internal/daemon/quota.go
@@ -86,7 +86,7 @@
 		c.quota.nextDrop = now.Add(dropEvery)
 		c.d.ledger.DropIdle(now)
 	}
-	if !now.Before(c.quota.nextScore) {
+	if !now.Before(c.quota.nextScore) || c.state == membership.StateLeaving {
 		c.quota.nextScore = now.Add(membership.BeatEvery)
 		c.scoreQuotas(now)
 	}
@@ -122,7 +122,11 @@
 		if cut.Holds(m.Zone, m.Slots) {
 			s.Lenders = append(s.Lenders, m.Instance)
 		}
-		scores = append(scores, quota.Score{Instance: m.Instance, Value: m.Demand[name]})
+		// A leaving daemon gives its loans back: whoever went on asking it
+		// for tokens would wait in vain.
+		if m.State == membership.StateReady {
+			scores = append(scores, quota.Score{Instance: m.Instance, Value: m.Demand[name]})
+		}
 	}
 	s.Hub, s.Demand = quota.Elect(scores)
 	return s
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -149,13 +149,16 @@
 	return false, a.expected(cost)
 }
 
-// expected is how long until a taker that comes now would be served.
+// expected is how long until a taker that comes now would be served. Where
+// most of the quota is elsewhere and comes from a hub, or will as soon as this
+// daemon's first demand is known, the whole rate counts.
 func (a *Account) expected(cost float64) time.Duration {
 	if wait := a.blockedUntil.Sub(a.at); wait > 0 {
 		return wait
 	}
 	s := a.shape()
-	if s.Rate < a.whole.Rate/2 && a.situation.Hub != "" {
+	helped := s.Rate <= 0 || a.situation.Hub != ""
+	if s.Rate < a.whole.Rate/2 && helped {
 		s = a.whole
 	}
 	if s.Rate <= 0 {
--- a/internal/quota/plan.go
+++ b/internal/quota/plan.go
@@ -98,7 +98,8 @@
 	a.serve()
 	switch {
 	case a.situation.Hub == "":
-		return nil
+		// Nobody asks, or this daemon leaves: its lenders need their shares.
+		return a.closings(func(borrowedLoan) bool { return true })
 	case a.isHub():
 		return a.planHub()
 	default:
