--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"balsambarrow/internal/posting"
 	"balsambarrow/internal/quota"
 	"balsambarrow/internal/relay"
+	"balsambarrow/internal/retry"
 	"balsambarrow/internal/settings"
 	"balsambarrow/internal/telemetry"
 	"balsambarrow/internal/upstream"
@@ -142,7 +143,7 @@
 	if err := errors.WithStack(peer.DRPCRegisterQuota(mux, d)); err != nil {
 		return err
 	}
-	if err := errors.WithStack(peer.DRPCRegisterHandover(mux, newHandover(d))); err != nil {
+	if err := errors.WithStack(peer.DRPCRegisterHandover(mux, newHandoverServer(d))); err != nil {
 		return err
 	}
 	d.spawn(func(ctx context.Context) { _ = peer.Serve(ctx, mux, peers) })
@@ -151,18 +152,21 @@
 	}
 	d.spawn(d.control.run)
 	d.spawn(d.borrow)
+	d.spawn((&upstream.Prober{Handler: d.handler, Client: d.client}).Run)
 	d.log.Info("listening", "instance", d.identity.Instance, "callers", d.identity.Callers,
 		"operators", d.OperatorsAddress(), "peers", d.identity.Peers, "relay", d.identity.Relay)
 	return nil
 }
 
 func (d *Daemon) listenAll() (net.Listener, error) {
-	runner := &upstream.Runner{Handler: d.handler, Client: d.client, KeyValid: d.keyValid, Tracer: d.tracing.Tracer}
+	runner := &upstream.Runner{
+		Handler: d.handler, Client: d.client, KeyValid: d.keyValid, Tracer: d.tracing.Tracer, Retries: retry.NewBudgets(),
+	}
 	handle := &regionGate{next: runner, view: &d.view, ledger: d.ledger}
 	front := entry.New(entry.Deps{
 		View: &d.view, Ledger: d.ledger, Postings: d.postings, Local: handle,
 		Relay:        relay.NewClient(d.relayClient, d.security.scheme(), d.identity.Instance),
-		MaxBodyBytes: d.settings.Limits.MaxBodyBytes, Tracer: d.tracing.Tracer, Log: d.log,
+		MaxBodyBytes: d.settings.Limits.MaxBodyBytes, Tracer: d.tracing.Tracer, Log: d.log, Retries: retry.NewBudgets(),
 	})
 	operators := operator.New(operator.Deps{
 		View: &d.view, Repository: config.NewRepository(d.store, time.Now), Metrics: d.metrics.Set,
--- a/internal/daemon/levels.go
+++ b/internal/daemon/levels.go
@@ -11,15 +11,21 @@
 // levelsWait is how long tokens wait for the store to confirm their slot.
 const levelsWait = 5 * time.Second
 
+// slotTaker implements peer.DRPCHandoverServer for slots.
+type slotTaker struct {
+	peer.DRPCHandoverUnimplementedServer
+	d *Daemon
+}
+
 // TakeSlots receives the levels of slots that a peer of the zone gave to this
 // daemon.
-func (h *handover) TakeSlots(_ context.Context, in *peer.SlotHandover) (*peer.HandoverReply, error) {
+func (t *slotTaker) TakeSlots(_ context.Context, in *peer.SlotHandover) (*peer.HandoverReply, error) {
 	var levels []quota.Level
 	for _, l := range in.Levels {
 		levels = append(levels, quota.Level{Quota: l.Quota, Tokens: l.Tokens})
 	}
 	for _, slot := range in.Slots {
-		h.d.control.send(slotGiven{slot: int(slot), levels: levels})
+		t.d.control.send(slotGiven{slot: int(slot), levels: levels})
 	}
 	return &peer.HandoverReply{Taken: true}, nil
 }
