--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -146,6 +146,7 @@
 	m.ConfigRejected = c.config.rejected
 	m.ConfirmedAt = c.config.confirmed
 	m.Watches = c.watches(now)
+	m.Demand = c.quota.scores
 	m.Held = c.custody().Usable(now)
 	for _, h := range m.Held {
 		m.Slots = append(m.Slots, h.Slot)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -140,6 +140,9 @@
 	if err := errors.WithStack(peer.DRPCRegisterConfiguration(mux, d)); err != nil {
 		return err
 	}
+	if err := errors.WithStack(peer.DRPCRegisterQuota(mux, d)); err != nil {
+		return err
+	}
 	if err := errors.WithStack(peer.DRPCRegisterHandover(mux, newHandoverServer(d))); err != nil {
 		return err
 	}
@@ -148,6 +151,7 @@
 		d.spawn(d.followTLSFiles)
 	}
 	d.spawn(d.control.run)
+	d.spawn(d.borrow)
 	d.spawn((&upstream.Prober{Handler: d.handler, Client: d.client}).Run)
 	d.log.Info("listening", "instance", d.identity.Instance, "callers", d.identity.Callers,
 		"operators", d.OperatorsAddress(), "peers", d.identity.Peers, "relay", d.identity.Relay)
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -20,8 +20,10 @@
 
 	"balsambarrow/internal/config"
 	"balsambarrow/internal/daemon"
+	"balsambarrow/internal/membership"
 	"balsambarrow/internal/operator/ctl"
 	"balsambarrow/internal/platform"
+	"balsambarrow/internal/quota"
 	"balsambarrow/internal/settings"
 	"balsambarrow/internal/standin"
 	"balsambarrow/internal/telemetry"
@@ -196,13 +198,13 @@
 }
 
 // awaitReady waits until every daemon has the version, sees all the others
-// and holds slots.
+// and holds slots that it may spend from.
 func (f *fleet) awaitReady(version uint64) {
 	f.t.Helper()
 	f.g.Eventually(func() bool {
 		for _, d := range f.daemons {
 			snap := d.View()
-			if snap.Self.ConfigVersion < version || len(snap.Ready) != len(f.daemons) || len(snap.Self.Slots) == 0 {
+			if snap.Self.ConfigVersion < version || len(snap.Ready) != len(f.daemons) || !settled(snap.Self.Held) {
 				return false
 			}
 		}
@@ -210,6 +212,16 @@
 	}, settle, 20*time.Millisecond).Should(BeTrue())
 }
 
+// settled allows for two runs of the control thread after the quarantine.
+func settled(held []membership.Holding) bool {
+	for _, h := range held {
+		if time.Since(h.Since) < quota.Quarantine+200*time.Millisecond {
+			return false
+		}
+	}
+	return len(held) > 0
+}
+
 // awaitHandlers waits until a daemon knows of room for a service.
 func (f *fleet) awaitHandlers(host, service string) {
 	f.t.Helper()
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -181,6 +181,9 @@
 			Service: service, Free: uint32(room.Free), Limit: uint32(room.Limit), Queued: uint32(room.Queued),
 		})
 	}
+	for name, score := range m.Demand {
+		out.Demand = append(out.Demand, &peer.Demand{Quota: name, PerSecond: score})
+	}
 	return out
 }
 
@@ -194,6 +197,7 @@
 		ConfigRejected: in.ConfigRejected,
 		Headroom:       map[string]membership.Headroom{},
 		Known:          in.Known,
+		Demand:         map[string]float64{},
 	}
 	for _, slot := range in.Slots {
 		m.Slots = append(m.Slots, int(slot))
@@ -203,5 +207,8 @@
 			Free: int(room.Free), Limit: int(room.Limit), Queued: int(room.Queued),
 		}
 	}
+	for _, demand := range in.Demand {
+		m.Demand[demand.Quota] = demand.PerSecond
+	}
 	return m
 }
--- a/internal/quota/level.go
+++ b/internal/quota/level.go
@@ -9,24 +9,30 @@
 }
 
 // Surrender empties the ledger before its slots pass to a zone peer, and
-// returns the levels to pass with them. clean tells that no part of them is
-// elsewhere; otherwise they must not be passed on.
+// returns the levels to pass with them. If clean is false, parts of the
+// shares are still lent out: then the slots must not be used by the peer
+// before Quarantine has passed, and the levels are lost.
 func (l *Ledger) Surrender(now time.Time) (levels []Level, clean bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for name, b := range l.buckets {
-		if level := b.Level(now); level > 0 {
-			levels = append(levels, Level{Quota: name, Tokens: level})
+	clean = true
+	l.epochs = []epoch{{now, &Shape{}}}
+	l.each(func(name string, a *Account) {
+		a.advance(now)
+		clean = clean && len(a.lender.loans) == 0
+		if a.level > 0 {
+			levels = append(levels, Level{name, a.level})
 		}
-	}
-	clear(l.buckets)
-	return levels, true
+		a.level = 0
+		a.Reshape(Share{}, a.whole, now)
+	})
+	return levels, clean
 }
 
 // Adopt adds levels that came with slots from a zone peer, as far as the
 // capacity, which must be set before, holds them.
 func (l *Ledger) Adopt(levels []Level, now time.Time) {
 	for _, x := range levels {
-		l.Refund(x.Quota, x.Tokens, now)
+		l.with(x.Quota, now, func(a *Account) { a.Refund(x.Tokens, now) })
 	}
 }
