Serve callers through a change of the hub; pass on what unused accounts saved

Cause (1): TestStoreOutageRefusesNobody and TestPlannedStopsCutNoRequest met a few over-rate refusals at a small load. When the hub changes, the new hub's own share is still lent to the earlier one, which lends it no share until it has heard of the change (a heartbeat and a renewal, up to a second); the new hub asked nobody for tokens, and its callers waited 450 ms for nothing. Cause (2): TestPlannedStopPassesBucketLevels gave 20 tokens of 40 after loans came in: accounts are made when first used, and a stop passed on only those. Change: a daemon that takes itself for the hub goes on taking tokens from whoever has its share; a stop makes every account before it surrenders them.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -300,7 +300,8 @@
 
 // wants tells whether a Plan now would ask for tokens.
 func (a *Account) wants() bool {
-	return a.situation.Hub != "" && !a.isHub() && a.need() >= 1 && a.pulls() < maxPulls
+	source := a.source()
+	return source != "" && a.need(source) >= 1 && a.pulls() < maxPulls
 }
 
 // idle: nothing is lent, borrowed, asked or waited for, and the level is full.
--- /dev/null
+++ b/internal/quota/hub_test.go
@@ -0,0 +1,41 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// A customer's callers move to another entry host, which takes itself for the
+// hub. Its own share is still lent to the earlier hub, which has not heard of
+// the change and refuses it a share. Callers inside their rate must be served
+// all the same, with tokens of the earlier hub.
+func TestNewHubTakesTokensFromTheEarlierOne(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_000_000, 0)
+	half, whole := Share{Rate: 50, Burst: 20}, Share{Rate: 100, Burst: 40}
+	earlier := NewAccount("customer/farm", half, whole, 20, now)
+	newer := NewAccount("customer/farm", half, whole, 20, now)
+	earlier.Situate(Situation{Self: "earlier", Hub: "earlier", Lenders: []string{"newer"}, Demand: 40})
+	newer.Situate(Situation{Self: "newer", Hub: "earlier", Lenders: []string{"earlier"}, Demand: 40})
+	exchange(earlier, newer, now)
+	ok, _ := newer.Take(1, now)
+	g.Expect(ok).To(BeFalse(), "the share is lent")
+
+	newer.Situate(Situation{Self: "newer", Hub: "newer", Lenders: []string{"earlier"}, Demand: 40})
+	ticket, _ := newer.Join(1, time.Second, now)
+	g.Expect(ticket).NotTo(BeNil())
+	exchange(newer, earlier, now)
+	g.Expect(ticket.Done()).To(BeClosed())
+	g.Expect(ticket.state).To(Equal(ticketServed))
+}
+
+// exchange sends what an account plans, all of it to a peer, and brings the
+// answers back at once.
+func exchange(from, to *Account, now time.Time) {
+	for _, out := range from.Plan(now) {
+		grant, _ := to.Lend(out.Ask, now)
+		from.Answered(out.Ask.Loan, grant, out.Sent, now)
+	}
+}
--- a/internal/quota/level.go
+++ b/internal/quota/level.go
@@ -12,7 +12,14 @@
 // returns the levels to pass with them. If clean is false, parts of the
 // shares are still lent out: then the slots must not be used by the peer
 // before Quarantine has passed, and the levels are lost.
+//
+// Accounts are made when they are first used. One that never was has saved
+// tokens all the same, so all are made first: otherwise a customer that did
+// not call here would lose its burst with every stop.
 func (l *Ledger) Surrender(now time.Time) (levels []Level, clean bool) {
+	for _, name := range l.declared() {
+		l.with(name, now, func(*Account) {})
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	clean = true
@@ -29,6 +36,28 @@
 	return levels, clean
 }
 
+// declared lists every quota of the newest version in use.
+func (l *Ledger) declared() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.epochs) == 0 {
+		return nil
+	}
+	versions := l.epochs[len(l.epochs)-1].shape.Versions
+	if len(versions) == 0 {
+		return nil
+	}
+	c := versions[len(versions)-1].Config
+	var names []string
+	for customer := range c.Customers {
+		names = append(names, CustomerQuota(customer))
+	}
+	for _, q := range c.Quotas() {
+		names = append(names, q.Name)
+	}
+	return names
+}
+
 // Adopt adds levels that came with slots from a zone peer, as far as the
 // capacity, which must be set before, holds them.
 func (l *Ledger) Adopt(levels []Level, now time.Time) {
--- a/internal/quota/plan.go
+++ b/internal/quota/plan.go
@@ -115,7 +115,30 @@
 			out = append(out, a.ask(lender, Ask{Loan: id, Standing: true}))
 		}
 	}
-	return append(out, a.closings(func(l borrowedLoan) bool { return !l.standing })...)
+	source := a.source()
+	out = append(out, a.closings(func(l borrowedLoan) bool { return !l.standing && l.lender != source })...)
+	return append(out, a.pullFrom(source)...)
+}
+
+// source is the daemon to take tokens from; "" if there is none: the hub, or,
+// for a daemon that has just become the hub, the one that still has its share.
+//
+// The failure it guards against: the hub changes, the new hub's own share is
+// still lent to the earlier one, which has not heard of the change and lends
+// it no share before a heartbeat and a renewal have passed (up to a second).
+// Callers inside their rate are refused at the new hub, though the earlier one
+// has tokens: it goes on giving them to whoever asks.
+func (a *Account) source() string {
+	if !a.isHub() {
+		return a.situation.Hub
+	}
+	var most lentLoan
+	for _, l := range a.lender.loans {
+		if l.share.Rate > most.share.Rate {
+			most = l
+		}
+	}
+	return most.key.borrower
 }
 
 // standingWith finds the loan to renew or a new id, and whether to ask now.
@@ -136,20 +159,30 @@
 
 func (a *Account) planOther() []Outgoing {
 	out := a.closings(func(l borrowedLoan) bool { return l.standing || l.lender != a.situation.Hub })
-	spent := a.spentLoans()
+	return append(out, a.pullFrom(a.situation.Hub)...)
+}
+
+// pullFrom asks a daemon for the tokens needed, and closes what was spent of
+// those it gave before.
+func (a *Account) pullFrom(source string) []Outgoing {
+	if source == "" {
+		return nil
+	}
+	var out []Outgoing
+	spent := a.spentLoans(source)
 	for pulls := a.pulls(); pulls < maxPulls; pulls++ {
-		n := a.need()
+		n := a.need(source)
 		if n < 1 || a.blockedUntil.After(a.at) {
 			break
 		}
 		a.borrower.lastID++
-		out = append(out, a.ask(a.situation.Hub, Ask{
+		out = append(out, a.ask(source, Ask{
 			Loan: a.borrower.lastID, Tokens: n, Patience: MaxWait, Closed: spent,
 		}))
 		spent = nil
 	}
 	if len(spent) > 0 {
-		out = append(out, a.ask(a.situation.Hub, Ask{Closed: spent}))
+		out = append(out, a.ask(source, Ask{Closed: spent}))
 	}
 	return out
 }
@@ -174,11 +207,11 @@
 
 // need is how many whole tokens to ask for: those waited for and those ahead,
 // less what is here and under way, in pieces that do not drain the hub.
-func (a *Account) need() float64 {
+func (a *Account) need(source string) float64 {
 	need := a.queued + a.ahead() - a.level
 	for _, p := range a.borrower.pending {
 		// What waits at an earlier hub may never come: it gave its loans back.
-		if p.lender == a.situation.Hub {
+		if p.lender == source {
 			need -= p.tokens
 		}
 	}
@@ -201,13 +234,13 @@
 
 // spentLoans closes the loans of tokens whose capacity is empty, so that the
 // hub has it again, and those about to end, with what is left in them.
-func (a *Account) spentLoans() []Closing {
+func (a *Account) spentLoans(source string) []Closing {
 	var out []Closing
 	for i := 0; i < len(a.borrower.loans); {
 		l := a.borrower.loans[i]
 		over := max(0, a.level-(a.shape().Burst-l.share.Burst))
 		ending := l.until.Sub(a.at) < 2*a.roundTrip
-		if l.standing || l.lender != a.situation.Hub || (over > 0 && !ending) || !a.spare(l) {
+		if l.standing || l.lender != source || (over > 0 && !ending) || !a.spare(l) {
 			i++
 			continue
 		}
