Drain an upstream at once by default; show what still runs on it

Cause: drain upstream took a minute's ramp unless told otherwise, while a leaving upstream is to get nothing new within seconds; nothing showed Drains(); steering counted the slots of drained upstreams. Change: no ramp by default for upstreams and hosts; a gauge; assigned slots leave drained upstreams out.

--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -60,7 +60,8 @@
 const (
 	// ClassShort is work that callers wait for: lookups, postings.
 	ClassShort Class = "short"
-	// ClassBulk is long work that may hold only a part of an upstream's slots.
+	// ClassBulk is long work: reports, rosters. It is a hint for people and
+	// stand-ins; the queue goes by the cost that it has measured.
 	ClassBulk Class = "bulk"
 )
 
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -7,6 +7,7 @@
 
 	"balsambarrow/internal/membership"
 	"balsambarrow/internal/telemetry"
+	"balsambarrow/internal/upstream"
 	"balsambarrow/internal/wire"
 )
 
@@ -27,9 +28,19 @@
 		_, answerBytes := d.postings.Size()
 		return float64(answerBytes)
 	})
+	d.metrics.Gauge("balsambarrow_draining_running", func() float64 { return float64(runningOn(d.handler.Drains())) })
 	d.metrics.Gauge("balsambarrow_load", func() float64 { return d.view.Load().Self.Load })
 }
 
+// runningOn is how many requests still run on upstreams that are drained.
+func runningOn(drains []upstream.Draining) int {
+	n := 0
+	for _, d := range drains {
+		n += d.Running
+	}
+	return n
+}
+
 func boolean(b bool) float64 {
 	if b {
 		return 1
--- a/internal/operator/ctl/drain.go
+++ b/internal/operator/ctl/drain.go
@@ -35,7 +35,7 @@
 	f := &shiftFlags{}
 	cmd := &cobra.Command{
 		Use:     string(kind) + " NAME",
-		Short:   "Empty a " + string(kind),
+		Short:   "Empty one " + string(kind),
 		Example: fmt.Sprintf("  balsamctl drain %s NAME --cap 200 --ramp 5m --yes --wait", kind),
 		Args:    cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
@@ -48,10 +48,22 @@
 			}}})
 		},
 	}
-	f.add(cmd)
+	f.add(cmd, rampOf(kind))
 	return cmd
 }
 
+// defaultRamp gives caches elsewhere time to warm.
+const defaultRamp = time.Minute
+
+// rampOf is a drain's ramp unless the operator names one: a leaving upstream
+// gets nothing new as soon as the version is in force.
+func rampOf(kind config.DrainKind) time.Duration {
+	if kind == config.DrainUpstream || kind == config.DrainHost {
+		return 0
+	}
+	return defaultRamp
+}
+
 func drainUndo(e *env) *cobra.Command {
 	f := &shiftFlags{}
 	cmd := &cobra.Command{
--- a/internal/operator/ctl/move.go
+++ b/internal/operator/ctl/move.go
@@ -37,7 +37,7 @@
 	cmd.Flags().StringVar(&m.From, "from", "", "region that gives traffic")
 	cmd.Flags().StringVar(&m.To, "to", "", "region that takes it")
 	cmd.Flags().Float64Var(&m.Share, "share", 1, "share of the traffic, 0 to 1")
-	f.add(cmd)
+	f.add(cmd, defaultRamp)
 	for _, name := range []string{"from", "to", "cap"} {
 		_ = cmd.MarkFlagRequired(name)
 	}
--- a/internal/operator/ctl/shift.go
+++ b/internal/operator/ctl/shift.go
@@ -28,10 +28,10 @@
 	change change
 }
 
-func (f *shiftFlags) add(cmd *cobra.Command) {
+func (f *shiftFlags) add(cmd *cobra.Command, ramp time.Duration) {
 	cmd.Flags().StringVar(&f.name, "name", "", "name in the configuration, for its undoing (default: made from what it shifts)")
 	cmd.Flags().Float64Var(&f.cap, "cap", 0, "most requests shifted per second")
-	cmd.Flags().DurationVar(&f.ramp, "ramp", time.Minute, "time from nothing to all")
+	cmd.Flags().DurationVar(&f.ramp, "ramp", ramp, "time from nothing to all")
 	f.addConsent(cmd)
 }
 
@@ -149,7 +149,7 @@
 			p.Warnings = append(p.Warnings, "no other upstream of "+service+" is left: "+consequence(d.Kind))
 		}
 	}
-	if d.CapPerSecond == 0 && d.Kind != config.DrainHost {
+	if d.CapPerSecond == 0 && d.Kind != config.DrainHost && d.Kind != config.DrainUpstream {
 		p.Warnings = append(p.Warnings, "no --cap: only the caps of moves and the links bound what is shifted")
 	}
 }
--- a/internal/upstream/assignment.go
+++ b/internal/upstream/assignment.go
@@ -28,7 +28,7 @@
 			a.byInstance[instance] = map[string]config.Upstream{}
 		}
 		a.byInstance[instance][name] = u
-		if !u.Leaving {
+		if !planOf(c, name).active {
 			a.slots[handled{instance, u.Service}] += u.Slots
 		}
 	}
@@ -39,5 +39,5 @@
 func (a *Assignment) Of(instance string) map[string]config.Upstream { return a.byInstance[instance] }
 
 // Slots returns how many slots of a service an instance handles, without those
-// of leaving upstreams.
+// of upstreams that are drained.
 func (a *Assignment) Slots(instance, service string) int { return a.slots[handled{instance, service}] }
