Do not spoil a relay connection by a bodiless call's deadline

Cause: the relay server bounded the reading of each call's body by the call's deadline, also where there was no body. For those net/http already reads ahead on the connection, takes the bound's end for a peer that hung up, and ends the connection's context, but keeps the connection. Each later call on it was refused at once, not-run ("no upstream had room before the deadline" or "no connection before the deadline"), though there was room. The answer was truthful, the refusal was not needed: a fault of the code, not of TestOutcomesOfDeadlines, which is left as it is. It failed where the handler's refusal of a call that had waited until its deadline reached the entry host before that one's own deadline, so that the connection was kept.

Ruled out: a late accept of the upstream, the prober, slow start, the limit, a deadline too short for the machine (dispatch took 1 ms in all traces).

Change: only a call with a body bounds its reading. net/http lifts the bound at the body's end and closes a connection whose body came too late. The entry listener already lifts its bound.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -106,3 +106,52 @@
 	g.Expect(resp.Header.Get(wire.HeaderOutcome)).To(Equal(string(wire.OutcomeNotRun)))
 	g.Expect(r.call).To(BeNil())
 }
+
+// untilDeadline waits until a call's context ends, unless its path is /live:
+// then it answers how the context is.
+type untilDeadline struct{}
+
+func (untilDeadline) Run(ctx context.Context, call *wire.Call) (*wire.Answer, *wire.Problem) {
+	if call.Path != "/live" {
+		<-ctx.Done()
+		return nil, wire.Refuse(wire.TypeDeadline, "no room", 0)
+	}
+	if ctx.Err() != nil {
+		return nil, wire.Refuse(wire.TypeDeadline, ctx.Err().Error(), 0)
+	}
+	return &wire.Answer{Status: http.StatusOK, Header: http.Header{}, Body: http.NoBody}, nil
+}
+
+// A call waits at its handler until its deadline and is refused; the next one
+// comes on the same connection. A farmer was told at once that there was no
+// room before the deadline, again and again, though there was room: the first
+// call's bound on reading had ended the connection's context.
+func TestDeadlineDoesNotSpoilTheConnection(t *testing.T) {
+	for name, body := range map[string]string{"no body": "", "body": "whole"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			address := serve(t, &relay.Server{Handle: untilDeadline{}, MaxBodyBytes: 1 << 20})
+			conn, err := net.Dial("tcp", address)
+			g.Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = conn.Close() }()
+			_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+			reader := bufio.NewReader(conn)
+			ask := func(path string, budgetMs int) *http.Response {
+				_, err := fmt.Fprintf(conn, "POST /relay/posting/%s HTTP/1.1\r\nHost: x\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+					path, wire.HeaderBudgetMs, budgetMs, len(body), body)
+				g.Expect(err).NotTo(HaveOccurred())
+				resp, err := http.ReadResponse(reader, nil)
+				g.Expect(err).NotTo(HaveOccurred())
+				_, err = io.Copy(io.Discard, resp.Body)
+				g.Expect(err).NotTo(HaveOccurred())
+				return resp
+			}
+			for range 20 {
+				late := ask("late", 5)
+				g.Expect(late.StatusCode).To(Equal(http.StatusGatewayTimeout))
+				g.Expect(late.Close).To(BeFalse(), "the connection is to be used again")
+				g.Expect(ask("live", 20_000).StatusCode).To(Equal(http.StatusOK))
+			}
+		})
+	}
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -57,6 +57,26 @@
 	answer.Write(w)
 }
 
+// boundBody gives a request's body until deadline to arrive.
+//
+// A peer that is paused in the middle of a body would hold this goroutine for
+// as long as its connection stands; it shows as a growing number of them. Past
+// the deadline nobody waits for the call any more.
+//
+// A request without a body gets no bound: net/http already reads ahead on its
+// connection, to notice that the peer hangs up, and would take the bound's end
+// for that. It shows as calls that are refused at once, not-run, because they
+// came on a connection on which an earlier one had met its deadline: net/http
+// keeps such a connection, with a context that has ended. Where there is a
+// body, it lifts the bound at the body's end, before it reads ahead, and closes
+// a connection whose body did not come in time.
+func boundBody(w http.ResponseWriter, r *http.Request, deadline time.Time) {
+	if r.Body == http.NoBody {
+		return
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+}
+
 func (s *Server) readCall(w http.ResponseWriter, r *http.Request) (*wire.Call, *wire.Problem) {
 	service, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/relay/"), "/")
 	budget, err := strconv.ParseInt(r.Header.Get(wire.HeaderBudgetMs), 10, 64)
@@ -67,10 +87,7 @@
 		return nil, wire.Refuse(wire.TypeDeadline, "budget spent before the handler", 0)
 	}
 	deadline := time.Now().Add(time.Duration(min(budget, maxBudget.Milliseconds())) * time.Millisecond)
-	// A peer that is paused in the middle of a body would hold this goroutine
-	// for as long as its connection stands; it shows as a growing number of
-	// them. Past the deadline nobody waits for the call any more.
-	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+	boundBody(w, r, deadline)
 	body, err := wire.ReadBody(http.MaxBytesReader(w, r.Body, s.MaxBodyBytes), r.ContentLength)
 	if err != nil {
 		return nil, wire.Refuse(wire.TypeBadRequest, "relay: body broke off or is too large", 0)
