Keep one of each: requests of a call, undoing a shift, assignment

Cause: relay and handler built the same request, drain and move the same undo; Assigned, Bucket.Reshape and Bucket.Refund were called by nobody. Behaviour is unchanged; the tests of the touched packages pass.

--- a/internal/operator/ctl/drain.go
+++ b/internal/operator/ctl/drain.go
@@ -8,7 +8,6 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"balsambarrow/internal/config"
@@ -27,7 +26,10 @@
 	for _, kind := range []config.DrainKind{config.DrainUpstream, config.DrainZone, config.DrainRegion, config.DrainHost} {
 		cmd.AddCommand(drainKind(e, kind))
 	}
-	cmd.AddCommand(drainUndo(e), drainList(e))
+	cmd.AddCommand(undo(e, "drain", "zone-vt-a", func(c *config.Config, name string) (shifts, bool) {
+		_, ok := c.Drains[name]
+		return shifts{Drains: map[string]*config.Drain{name: nil}}, ok
+	}), drainList(e))
 	return cmd
 }
 
@@ -64,28 +66,6 @@
 	return defaultRamp
 }
 
-func drainUndo(e *env) *cobra.Command {
-	f := &shiftFlags{}
-	cmd := &cobra.Command{
-		Use:     "undo NAME",
-		Short:   "Take a drain back",
-		Example: "  balsamctl drain undo zone-vt-a --yes",
-		Args:    cobra.ExactArgs(1),
-		RunE: func(_ *cobra.Command, args []string) error {
-			c, err := e.current()
-			if err != nil {
-				return err
-			}
-			if _, ok := c.Drains[args[0]]; !ok {
-				return errors.Wrapf(ErrBadUsage, "there is no drain %s", args[0])
-			}
-			return e.carryOut(f, shifts{Drains: map[string]*config.Drain{args[0]: nil}})
-		},
-	}
-	f.addConsent(cmd)
-	return cmd
-}
-
 func drainList(e *env) *cobra.Command {
 	return &cobra.Command{
 		Use:     "list",
--- a/internal/operator/ctl/move.go
+++ b/internal/operator/ctl/move.go
@@ -8,7 +8,6 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"balsambarrow/internal/config"
@@ -41,29 +40,10 @@
 	for _, name := range []string{"from", "to", "cap"} {
 		_ = cmd.MarkFlagRequired(name)
 	}
-	cmd.AddCommand(moveUndo(e), moveList(e))
-	return cmd
-}
-
-func moveUndo(e *env) *cobra.Command {
-	f := &shiftFlags{}
-	cmd := &cobra.Command{
-		Use:     "undo NAME",
-		Short:   "Take a move back",
-		Example: "  balsamctl move undo lookup-vermont-maine --yes",
-		Args:    cobra.ExactArgs(1),
-		RunE: func(_ *cobra.Command, args []string) error {
-			c, err := e.current()
-			if err != nil {
-				return err
-			}
-			if _, ok := c.Moves[args[0]]; !ok {
-				return errors.Wrapf(ErrBadUsage, "there is no move %s", args[0])
-			}
-			return e.carryOut(f, shifts{Moves: map[string]*config.Move{args[0]: nil}})
-		},
-	}
-	f.addConsent(cmd)
+	cmd.AddCommand(undo(e, "move", "lookup-vermont-maine", func(c *config.Config, name string) (shifts, bool) {
+		_, ok := c.Moves[name]
+		return shifts{Moves: map[string]*config.Move{name: nil}}, ok
+	}), moveList(e))
 	return cmd
 }
 
--- a/internal/operator/ctl/shift.go
+++ b/internal/operator/ctl/shift.go
@@ -208,3 +208,28 @@
 	}
 	return config.Parse("current", a.Document)
 }
+
+// undo takes a drain or a move back. removal makes the patch that removes the
+// entry of a name; false if there is none.
+func undo(e *env, kind, example string, removal func(*config.Config, string) (shifts, bool)) *cobra.Command {
+	f := &shiftFlags{}
+	cmd := &cobra.Command{
+		Use:     "undo NAME",
+		Short:   "Take a " + kind + " back",
+		Example: "  balsamctl " + kind + " undo " + example + " --yes",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			c, err := e.current()
+			if err != nil {
+				return err
+			}
+			s, ok := removal(c, args[0])
+			if !ok {
+				return errors.Wrapf(ErrBadUsage, "there is no %s %s", kind, args[0])
+			}
+			return e.carryOut(f, s)
+		},
+	}
+	f.addConsent(cmd)
+	return cmd
+}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -27,13 +27,6 @@
 	}
 }
 
-// Reshape changes rate and burst. The level never rises by it.
-func (b *Bucket) Reshape(rate, burst float64, now time.Time) {
-	b.fill(now)
-	b.rate, b.burst = rate, burst
-	b.level = math.Min(b.level, burst)
-}
-
 // Take spends cost if the bucket holds it. If not, it returns how long until
 // it will; a negative time means never.
 func (b *Bucket) Take(cost float64, now time.Time) (bool, time.Duration) {
@@ -48,12 +41,6 @@
 	return false, time.Duration((cost - b.level) / b.rate * float64(time.Second))
 }
 
-// Refund gives back what was taken and certainly not used.
-func (b *Bucket) Refund(cost float64, now time.Time) {
-	b.fill(now)
-	b.level = math.Min(b.burst, b.level+cost)
-}
-
 // Level returns the tokens in the bucket.
 func (b *Bucket) Level(now time.Time) float64 {
 	b.fill(now)
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -56,17 +56,10 @@
 }
 
 func (c *Client) request(ctx context.Context, address, role string, call *wire.Call) (*http.Request, error) {
-	url := c.scheme + "://" + address + "/relay/" + call.Service + call.Path
-	if call.RawQuery != "" {
-		url += "?" + call.RawQuery
-	}
-	body, length := call.Body.Reader()
-	req, err := http.NewRequestWithContext(ctx, call.Method, url, body)
+	req, err := call.Request(ctx, c.scheme+"://"+address+"/relay/"+call.Service)
 	if err != nil {
 		return nil, err
 	}
-	req.ContentLength = length
-	req.Header = call.Header.Clone()
 	req.Header.Set(wire.HeaderRole, role)
 	req.Header.Set(wire.HeaderFrom, c.self)
 	req.Header.Set(wire.HeaderCustomer, call.Customer)
--- a/internal/upstream/assign.go
+++ b/internal/upstream/assign.go
@@ -34,13 +34,39 @@
 	return best
 }
 
-// Assigned returns the names of the upstreams that instance handles.
-func Assigned(c *config.Config, instance string, ready []membership.Member) map[string]config.Upstream {
-	mine := map[string]config.Upstream{}
+// Assignment says which daemon handles which upstreams, as one daemon sees it.
+type Assignment struct {
+	// byInstance holds each handler's upstreams by name.
+	byInstance map[string]map[string]config.Upstream
+	// slots holds each handler's slots of each service.
+	slots map[handled]int
+}
+
+type handled struct{ instance, service string }
+
+// Assign gives every upstream its handler by rendezvous hashing over the ready
+// daemons. Daemons that know the same ready ones agree without a message.
+func Assign(c *config.Config, ready []membership.Member) *Assignment {
+	a := &Assignment{byInstance: map[string]map[string]config.Upstream{}, slots: map[handled]int{}}
 	for name, u := range c.Upstreams {
-		if HandlerOf(c, name, ready) == instance {
-			mine[name] = u
+		instance := HandlerOf(c, name, ready)
+		if instance == "" {
+			continue
+		}
+		if a.byInstance[instance] == nil {
+			a.byInstance[instance] = map[string]config.Upstream{}
+		}
+		a.byInstance[instance][name] = u
+		if !planOf(c, name).active {
+			a.slots[handled{instance, u.Service}] += u.Slots
 		}
 	}
-	return mine
+	return a
 }
+
+// Of returns the upstreams that an instance handles.
+func (a *Assignment) Of(instance string) map[string]config.Upstream { return a.byInstance[instance] }
+
+// Slots returns how many slots of a service an instance handles, without those
+// of upstreams that are drained.
+func (a *Assignment) Slots(instance, service string) int { return a.slots[handled{instance, service}] }
--- a/internal/upstream/run.go
+++ b/internal/upstream/run.go
@@ -115,17 +115,10 @@
 }
 
 func (r *Runner) request(ctx context.Context, call *wire.Call, address string) (*http.Request, error) {
-	url := "http://" + address + call.Path
-	if call.RawQuery != "" {
-		url += "?" + call.RawQuery
-	}
-	body, length := call.Body.Reader()
-	req, err := http.NewRequestWithContext(ctx, call.Method, url, body)
+	req, err := call.Request(ctx, "http://"+address)
 	if err != nil {
 		return nil, err
 	}
-	req.ContentLength = length
-	req.Header = call.Header.Clone()
 	req.Header.Set(wire.HeaderCustomer, call.Customer)
 	telemetry.Inject(ctx, req.Header)
 	return req, nil
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -151,3 +151,20 @@
 func (c *Call) WithDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithDeadline(ctx, c.Deadline)
 }
+
+// Request makes the call's request to base, a URL without the call's path. The
+// caller of it adds what the next hop needs.
+func (c *Call) Request(ctx context.Context, base string) (*http.Request, error) {
+	url := base + c.Path
+	if c.RawQuery != "" {
+		url += "?" + c.RawQuery
+	}
+	body, length := c.Body.Reader()
+	req, err := http.NewRequestWithContext(ctx, c.Method, url, body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = length
+	req.Header = c.Header.Clone()
+	return req, nil
+}
