Report misspelt names and missing values of a file together

Cause: a settings file with one unknown field showed only that one; what it lacked came to light at the next start. Change: a document whose known values have the right types is filled and checked further; only a value of the wrong type ends the reading.

--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -32,11 +32,12 @@
 		return nil, err
 	}
 	c := &Config{}
-	if err := doc.Decode(c); err != nil {
-		return nil, err
+	faults, filled := doc.Fill(c)
+	if !filled {
+		return nil, faults
 	}
 	c.applyDefaults()
-	v := &validator{config: c, doc: doc}
+	v := &validator{config: c, doc: doc, faults: faults}
 	v.run()
 	if len(v.faults) > 0 {
 		return nil, v.faults
--- a/internal/jsonc/document.go
+++ b/internal/jsonc/document.go
@@ -152,20 +152,39 @@
 // names and values of the wrong type. The error is a Faults value with every
 // fault found; dst is then not to be used.
 func (d *Document) Decode(dst any) error {
+	if faults, _ := d.Fill(dst); len(faults) > 0 {
+		return faults
+	}
+	return nil
+}
+
+// Fill is Decode for a reader that goes on to look for faults of its own, so
+// that all are reported at once. filled says that every value of a known name
+// has the right type; dst then holds them, without the unknown and duplicate
+// names among the faults.
+func (d *Document) Fill(dst any) (faults Faults, filled bool) {
 	w := walker{doc: d}
 	w.check(d.root, reflect.TypeOf(dst).Elem(), "")
-	if len(w.faults) > 0 {
-		return w.faults
+	if w.mistyped {
+		return w.faults, false
 	}
 	if err := json.Unmarshal(d.Standard(), dst); err != nil {
-		return Faults{d.Locate("", err.Error())}
+		return append(w.faults, d.Locate("", err.Error())), false
 	}
-	return nil
+	return w.faults, true
 }
 
 type walker struct {
 	doc    *Document
 	faults Faults
+	// mistyped: some value has the wrong type.
+	mistyped bool
+}
+
+// wrongType is a fault that leaves a value unread.
+func (w *walker) wrongType(v hujson.Value, path, format string, args ...any) {
+	w.mistyped = true
+	w.fault(v, path, format, args...)
 }
 
 func (w *walker) fault(v hujson.Value, path, format string, args ...any) {
@@ -226,7 +245,7 @@
 func (w *walker) eachMember(v hujson.Value, path string, visit func(string, hujson.ObjectMember, string)) {
 	obj, ok := v.Value.(*hujson.Object)
 	if !ok {
-		w.fault(v, path, "want an object, got %s", kind(v))
+		w.wrongType(v, path, "want an object, got %s", kind(v))
 		return
 	}
 	seen := map[string]bool{}
@@ -245,7 +264,7 @@
 func (w *walker) checkSlice(v hujson.Value, t reflect.Type, path string) {
 	arr, ok := v.Value.(*hujson.Array)
 	if !ok {
-		w.fault(v, path, "want a list, got %s", kind(v))
+		w.wrongType(v, path, "want a list, got %s", kind(v))
 		return
 	}
 	for i, e := range arr.Elements {
@@ -255,7 +274,7 @@
 
 func (w *walker) checkLeaf(v hujson.Value, t reflect.Type, path string) {
 	if kind(v) == "null" {
-		w.fault(v, path, "want %s, got null", t.Kind())
+		w.wrongType(v, path, "want %s, got null", t.Kind())
 		return
 	}
 	plain, ok := v.Value.(hujson.Literal)
@@ -268,7 +287,7 @@
 		return
 	}
 	if err := json.Unmarshal(plain, reflect.New(t).Interface()); err != nil {
-		w.fault(v, path, "want %s, got %s", t.Kind(), plain)
+		w.wrongType(v, path, "want %s, got %s", t.Kind(), plain)
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -125,11 +125,12 @@
 		return nil, err
 	}
 	s := &Settings{}
-	if err := doc.Decode(s); err != nil {
-		return nil, err
+	faults, filled := doc.Fill(s)
+	if !filled {
+		return nil, faults
 	}
 	s.applyDefaults()
-	if faults := s.faults(doc); len(faults) > 0 {
+	if faults = append(faults, s.faults(doc)...); len(faults) > 0 {
 		return nil, faults
 	}
 	return s, nil
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -49,3 +49,17 @@
 		})
 	}
 }
+
+// An operator misspells one field and forgets two others. All three are
+// reported at once, not one for each start.
+func TestFaultsOfNamesAndValuesComeTogether(t *testing.T) {
+	g := NewWithT(t)
+	_, err := settings.Parse("s.jsonc", []byte("{ \"host\": \"a\", \"zoen\": \"z\",\n\"platform\": {}, \"tls\": {\"plain\": true} }"))
+	var faults jsonc.Faults
+	g.Expect(errors.As(err, &faults)).To(BeTrue())
+	var paths []string
+	for _, fault := range faults {
+		paths = append(paths, fault.Path)
+	}
+	g.Expect(paths).To(ConsistOf("/zoen", "/zone", "/platform/url"))
+}
