Refuse wildcard addresses of listeners

Cause: a daemon tells callers and peers the address that it listens on; with a wildcard nobody could reach it, and nothing said so. Change: a fault in the settings, with a test.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -164,10 +164,15 @@
 	}
 	require(s.Host != "", "/host", "required")
 	require(s.Zone != "", "/zone", "required")
-	require(isAddress(s.Listen.Callers), "/listen/callers", "want an IP address and a port")
-	require(isAddress(s.Listen.Operators), "/listen/operators", "want an IP address and a port")
-	require(isAddress(s.Listen.Peers), "/listen/peers", "want an IP address and a port")
-	require(isAddress(s.Listen.Relay), "/listen/relay", "want an IP address and a port")
+	for _, l := range []struct{ path, address string }{
+		{"/listen/callers", s.Listen.Callers},
+		{"/listen/operators", s.Listen.Operators},
+		{"/listen/peers", s.Listen.Peers},
+		{"/listen/relay", s.Listen.Relay},
+	} {
+		require(isAddress(l.address), l.path, "want an IP address and a port")
+		require(!isWildcard(l.address), l.path, "want the address that others reach, not a wildcard")
+	}
 	require(isPlatformURL(s.Platform.URL), "/platform/url", "want http://IP:PORT or https://IP:PORT")
 	require(within(s.Platform.TimeoutMs, maxDurationMs), "/platform/timeout_ms", "want a positive number of milliseconds, a day at most")
 	require(within(s.ShutdownBoundMs, maxDurationMs), "/shutdown_bound_ms", "want a positive number of milliseconds, a day at most")
@@ -190,6 +195,13 @@
 	return err == nil
 }
 
+// isWildcard tells an address that listens everywhere. The daemon tells callers
+// and peers its addresses: nobody could reach it by this one.
+func isWildcard(s string) bool {
+	ap, err := netip.ParseAddrPort(s)
+	return err == nil && ap.Addr().IsUnspecified()
+}
+
 func isPlatformURL(s string) bool {
 	u, err := url.Parse(s)
 	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -38,6 +38,7 @@
 		"malformed comment":  {"{\n/* never ends", `s.jsonc:2: : parsing comment`},
 		"missing zone":       {`{"host":"a","platform":{"url":"http://127.0.0.1:1"},"tls":{"plain":true}}`, `s.jsonc:1: /zone: required`},
 		"host name, not IP":  {`{"host":"a","zone":"z","platform":{"url":"http://store:1"},"tls":{"plain":true}}`, `/platform/url: want http://IP:PORT`},
+		"wildcard address":   {`{"host":"a","zone":"z","listen":{"peers":"0.0.0.0:1"},"platform":{"url":"http://127.0.0.1:1"},"tls":{"plain":true}}`, `s.jsonc:1: /listen/peers: want the address that others reach`},
 		"neither TLS nor it": {`{"host":"a","zone":"z","platform":{"url":"http://127.0.0.1:1"}}`, `/tls/cert_file: required unless`},
 	} {
 		t.Run(name, func(t *testing.T) {
