--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,7 +1,8 @@
 # Starts and stops a fleet of stand-ins and daemons; sourced by demo.sh and
 # the measuring scripts. After start_fleet CONFIG [MERGE...], where each MERGE
 # is a merge patch to lay over the configuration, and with the flags of
-# `balsamlab upstreams` in upstream_flags:
+# `balsamlab upstreams` in upstream_flags; tracing=1 writes each daemon's spans
+# to $work/ZONE.spans:
 #   $work       folder with logs, removed by stop_fleet
 #   $platform   URL of the platform
 #   $zones      zones, one daemon in each
@@ -34,12 +35,14 @@
 field() { grep -m1 'msg=listening' "$2" | tr ' ' '\n' | sed -n "s/^$1=//p"; }
 
 start_daemon() {
-  local zone="$1"
+  local zone="$1" trace_file=""
+  [ -z "${tracing:-}" ] || trace_file="$work/$zone.spans"
   cat >"$work/$zone.jsonc" <<S
 {
   "host": "entry-$zone",
   "zone": "$zone",
   "platform": { "url": "$platform" },
+  "trace_file": "$trace_file",
   "tls": { "plain": true } // loopback only
 }
 S
