--- a/internal/operator/ctl/shift.go
+++ b/internal/operator/ctl/shift.go
@@ -86,7 +86,7 @@
 	if shown := e.show(p, p.text); shown != nil || err != nil {
 		return firstError(err, shown)
 	}
-	if !f.yes || !f.change.wait.wait || e.output != outputText {
+	if !f.yes || !f.change.wait.wait || f.ramp <= 0 || e.output != outputText {
 		return nil
 	}
 	return e.followRamp(f.ramp)
