--- a/internal/daemon/postings.go
+++ b/internal/daemon/postings.go
@@ -62,6 +62,9 @@
 		}
 		d.log.Warn("postings_not_taken", "instance", table.Instance, "by", to.Instance, "err", err)
 	}
+	if len(table.Postings) == 0 {
+		return
+	}
 	d.log.Warn("postings_lost", "instance", table.Instance, "postings", len(table.Postings))
 }
 
