--- a/internal/operator/ctl/drain.go
+++ b/internal/operator/ctl/drain.go
@@ -2,10 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"maps"
-	"slices"
-	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -67,25 +63,9 @@
 }
 
 func drainList(e *env) *cobra.Command {
-	return &cobra.Command{
-		Use:     "list",
-		Short:   "Show the drains and how far their ramps are",
-		Example: "  balsamctl drain list",
-		Args:    cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			c, err := e.current()
-			if err != nil {
-				return err
-			}
-			return e.show(c.Drains, func(out io.Writer) error {
-				w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
-				_, _ = fmt.Fprintln(w, "NAME\tKIND\tTARGET\tCAP/S\tRAMP")
-				for _, name := range slices.Sorted(maps.Keys(c.Drains)) {
-					d := c.Drains[name]
-					_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%g\t%s\n", name, d.Kind, d.Target, d.CapPerSecond, progress(d.StartUnixMs, d.RampSeconds, time.Now()))
-				}
-				return w.Flush()
-			})
-		},
-	}
+	return list(e, "drain", "NAME\tKIND\tTARGET\tCAP/S\tRAMP",
+		func(c *config.Config) map[string]config.Drain { return c.Drains },
+		func(d config.Drain) string {
+			return fmt.Sprintf("%s\t%s\t%g\t%s", d.Kind, d.Target, d.CapPerSecond, progress(d.StartUnixMs, d.RampSeconds, time.Now()))
+		})
 }
--- a/internal/operator/ctl/move.go
+++ b/internal/operator/ctl/move.go
@@ -2,10 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"maps"
-	"slices"
-	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -48,26 +44,10 @@
 }
 
 func moveList(e *env) *cobra.Command {
-	return &cobra.Command{
-		Use:     "list",
-		Short:   "Show the moves and how far their ramps are",
-		Example: "  balsamctl move list",
-		Args:    cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			c, err := e.current()
-			if err != nil {
-				return err
-			}
-			return e.show(c.Moves, func(out io.Writer) error {
-				w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
-				_, _ = fmt.Fprintln(w, "NAME\tSERVICE\tFROM\tTO\tSHARE\tCAP/S\tRAMP")
-				for _, name := range slices.Sorted(maps.Keys(c.Moves)) {
-					m := c.Moves[name]
-					_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%g\t%g\t%s\n", name, m.Service, m.From, m.To, m.Share, m.CapPerSecond,
-						progress(m.StartUnixMs, m.RampSeconds, time.Now()))
-				}
-				return w.Flush()
-			})
-		},
-	}
+	return list(e, "move", "NAME\tSERVICE\tFROM\tTO\tSHARE\tCAP/S\tRAMP",
+		func(c *config.Config) map[string]config.Move { return c.Moves },
+		func(m config.Move) string {
+			return fmt.Sprintf("%s\t%s\t%s\t%g\t%g\t%s", m.Service, m.From, m.To, m.Share, m.CapPerSecond,
+				progress(m.StartUnixMs, m.RampSeconds, time.Now()))
+		})
 }
--- a/internal/operator/ctl/shift.go
+++ b/internal/operator/ctl/shift.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"slices"
+	"text/tabwriter"
 	"time"
 
 	"github.com/pkg/errors"
@@ -233,3 +234,29 @@
 	f.addConsent(cmd)
 	return cmd
 }
+
+// list shows the drains or the moves: header names the columns, and row gives
+// those after the name.
+func list[V any](e *env, kind, header string, entries func(*config.Config) map[string]V, row func(V) string) *cobra.Command {
+	return &cobra.Command{
+		Use:     "list",
+		Short:   "Show the " + kind + "s and how far their ramps are",
+		Example: "  balsamctl " + kind + " list",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			c, err := e.current()
+			if err != nil {
+				return err
+			}
+			all := entries(c)
+			return e.show(all, func(out io.Writer) error {
+				w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+				_, _ = fmt.Fprintln(w, header)
+				for _, name := range slices.Sorted(maps.Keys(all)) {
+					_, _ = fmt.Fprintf(w, "%s\t%s\n", name, row(all[name]))
+				}
+				return w.Flush()
+			})
+		},
+	}
+}
