--- a/cmd/balsambarrowd/main.go
+++ b/cmd/balsambarrowd/main.go
@@ -50,6 +50,7 @@
 			return serve(s)
 		},
 	}
+	cmd.AddCommand(entryCommand())
 	cmd.Flags().BoolVar(&check, "check", false, "check the settings file and exit")
 	return cmd
 }
--- /dev/null
+++ b/internal/catalog/index.go
@@ -0,0 +1,136 @@
+package catalog
+
+import (
+	"fmt"
+	"net"
+	"sort"
+	"strings"
+)
+
+// InvalidError says that a declaration cannot be used, and where.
+type InvalidError struct {
+	// Place names the entry, such as "route r-1".
+	Place string
+	// Problem says what is wrong with it.
+	Problem string
+}
+
+func (e *InvalidError) Error() string { return fmt.Sprintf("catalog: %s: %s", e.Place, e.Problem) }
+
+// New checks and indexes a declaration. The error is an *InvalidError.
+func New(d Declaration) (*Catalog, error) {
+	c := &Catalog{
+		Version: d.Version, Limits: d.Limits, Keyed: d.Keyed,
+		services: map[string]*Service{}, byHost: map[string][]*Route{}, byKey: map[string]*Customer{},
+	}
+	for i := range d.Services {
+		s := d.Services[i]
+		c.services[s.Name] = &s
+	}
+	for i := range d.Routes {
+		if err := c.addRoute(d.Routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	for i := range d.Customers {
+		if err := c.addCustomer(d.Customers[i]); err != nil {
+			return nil, err
+		}
+	}
+	for _, routes := range c.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	return c, nil
+}
+
+func (c *Catalog) addRoute(r Route) error {
+	place := "route " + r.Name
+	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") {
+		return &InvalidError{place, "needs a host and a prefix that begins with a slash"}
+	}
+	if len(r.Parts) == 0 {
+		return &InvalidError{place, "names no service"}
+	}
+	for _, p := range r.Parts {
+		if c.services[p.Service] == nil {
+			return &InvalidError{place, "unknown service " + p.Service}
+		}
+	}
+	if r.MaxAttempts < 1 {
+		r.MaxAttempts = 1
+	}
+	host := strings.ToLower(r.Host)
+	c.byHost[host] = append(c.byHost[host], &r)
+	return nil
+}
+
+func (c *Catalog) addCustomer(u Customer) error {
+	c.customers = append(c.customers, &u)
+	for _, key := range u.Keys {
+		if other := c.byKey[key]; other != nil {
+			return &InvalidError{"customer " + u.Name, "shares a key with " + other.Name}
+		}
+		c.byKey[key] = &u
+	}
+	return nil
+}
+
+// Route returns the route with the longest prefix that begins the path; nil if
+// there is none. host may bear a port.
+func (c *Catalog) Route(host, path string) *Route {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns what is declared of a service; nil if nothing is.
+func (c *Catalog) Service(name string) *Service { return c.services[name] }
+
+// Customer returns whose key it is; nil if nobody's.
+func (c *Catalog) Customer(key string) *Customer { return c.byKey[key] }
+
+// Customers returns all customers.
+func (c *Catalog) Customers() []*Customer { return c.customers }
+
+// Services returns the names of all services, sorted.
+func (c *Catalog) Services() []string {
+	names := make([]string, 0, len(c.services))
+	for name := range c.services {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Homes returns the regions that may serve a request: those that both route and
+// customer allow. bound is false where neither limits them.
+func Homes(r *Route, u *Customer) (regions []string, bound bool) {
+	if u == nil || len(u.Regions) == 0 {
+		return r.Regions, len(r.Regions) > 0
+	}
+	if len(r.Regions) == 0 {
+		return u.Regions, true
+	}
+	for _, x := range r.Regions {
+		for _, y := range u.Regions {
+			if x == y {
+				regions = append(regions, x)
+			}
+		}
+	}
+	return regions, true
+}
+
+// Priority is the rank of a request: the customer's goes before the route's.
+func Priority(r *Route, u *Customer) int {
+	if u != nil && u.HasPriority {
+		return u.Priority
+	}
+	return r.Priority
+}
--- /dev/null
+++ b/internal/entryhost/daemon.go
@@ -0,0 +1,196 @@
+package entryhost
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"balsambarrow/internal/clock"
+	"balsambarrow/internal/fleet"
+	"balsambarrow/internal/follow"
+	"balsambarrow/internal/front"
+	"balsambarrow/internal/h1"
+	"balsambarrow/internal/kv"
+	"balsambarrow/internal/place"
+	"balsambarrow/internal/retry"
+	"balsambarrow/internal/share"
+	"balsambarrow/internal/telemetry"
+	"balsambarrow/platform"
+)
+
+const (
+	// upstreamDialBound bounds a connection to an upstream: three ways to the
+	// farthest region and back, and one lost packet.
+	upstreamDialBound = 600 * time.Millisecond
+	// storeDialBound bounds a connection to the store.
+	storeDialBound = time.Second
+	// declaredWait is how long a watch of the declarations waits. The
+	// configuration's age is at most this and an answer's time.
+	declaredWait = 1500 * time.Millisecond
+	// upstreamsWait is how long a watch of the upstreams waits, and
+	// upstreamsEvery the least time between two: heartbeats of upstreams come
+	// all the time, and each would end a watch.
+	upstreamsWait  = 5 * time.Second
+	upstreamsEvery = 700 * time.Millisecond
+	// headerBound and idleBound bound slow and idle callers; they are above
+	// what operators allow callers.
+	headerBound = 10 * time.Second
+	idleBound   = 60 * time.Second
+	// directionsFor is how long callers keep an answer of the directory.
+	directionsFor = 2 * time.Second
+)
+
+// Daemon is one running entry host.
+type Daemon struct {
+	settings atomic.Pointer[Settings]
+	self     Self
+	events   *telemetry.Events
+	metrics  *telemetry.Metrics
+	store    kv.Store
+	wire     *fleet.Wire
+	pool     *h1.Pool
+	table    *place.Table
+	shares   *share.Shares
+	retries  *retry.Window
+	control  *control
+
+	state     atomic.Pointer[front.State]
+	directory atomic.Pointer[directory]
+	ready     atomic.Bool
+
+	servers []*http.Server
+	errs    chan error
+	ctx     context.Context
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
+}
+
+// New opens the listeners of a daemon; Start lets it serve.
+func New(s *Settings, events *telemetry.Events, metrics *telemetry.Metrics) (*Daemon, error) {
+	wire, err := fleet.Listen(s.Listen.Peers)
+	if err != nil {
+		return nil, err
+	}
+	region := s.Zones[s.Zone]
+	d := &Daemon{
+		self: Self{
+			Host: place.Host{Instance: s.Host + "-" + uuid.NewString()[:8], Zone: s.Zone, Region: region},
+			Name: s.Host, Callers: s.Listen.Callers, Peers: wire.Address(),
+		},
+		events: events, metrics: metrics, wire: wire,
+		store:   platform.NewStore(s.Store, h1.Dialer(storeDialBound), metrics.StoreCall),
+		pool:    h1.NewPool(h1.Dialer(upstreamDialBound), clock.Now),
+		shares:  share.New(),
+		retries: retry.NewWindow(s.Bounds.RetryWindow.Value(), s.Bounds.RetryRatio),
+		errs:    make(chan error, 4),
+	}
+	d.table = place.NewTable(d.self.Host, s.Zones)
+	d.settings.Store(s)
+	d.state.Store(&front.State{})
+	d.directory.Store(&directory{self: d.self})
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.control = newControl(d)
+	return d, nil
+}
+
+func (d *Daemon) now() time.Time { return clock.Now() }
+
+// Start serves callers and follows the store.
+func (d *Daemon) Start() error {
+	s := d.settings.Load()
+	callers := front.New(front.Deps{
+		State: d.state.Load, Codec: platform.Headers{}, Pool: d.pool, Table: d.table, Shares: d.shares,
+		Retries: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, Now: d.now,
+	})
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{s.Listen.Callers, callers},
+		{s.Listen.Readiness, platform.ReadinessHandler(d.ready.Load)},
+		{s.Listen.Directory, platform.DirectoryHandler(d.resolve)},
+		{s.Listen.Metrics, d.metricsHandler()},
+	} {
+		if l.address == "" {
+			continue
+		}
+		if err := d.serve(l.address, l.handler); err != nil {
+			return err
+		}
+	}
+	d.spawn(d.control.run)
+	d.spawn(func(ctx context.Context) {
+		d.wire.Receive(ctx, func(b *fleet.Heartbeat) { d.control.send(func(c *control) { c.heard(b) }) },
+			func(err error) { d.events.Debug("heartbeat not readable", "error", err) })
+	})
+	d.spawn((&follow.Follower{
+		Store: d.store, Prefix: platform.DeclaredPrefix, Wait: declaredWait, Now: d.now, Sink: declaredSink{d.control},
+	}).Run)
+	d.spawn((&follow.Follower{
+		Store: d.store, Prefix: platform.UpstreamPrefix, Wait: upstreamsWait, Every: upstreamsEvery, Now: d.now,
+		Sink: upstreamSink{d.control},
+	}).Run)
+	r := &registrar{d: d}
+	d.spawn(r.run)
+	d.spawn(r.follow)
+	d.spawn(d.pool.Run)
+	d.events.Info("started", "instance", d.self.Instance, "zone", d.self.Zone, "region", d.self.Region,
+		"callers", d.self.Callers, "peers", d.self.Peers, "store", s.Store)
+	return nil
+}
+
+func (d *Daemon) serve(address string, handler http.Handler) error {
+	l, err := h1.Listener().Listen(d.ctx, "tcp4", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerBound, IdleTimeout: idleBound,
+		DisableGeneralOptionsHandler: true, ErrorLog: d.events.Standard(),
+		BaseContext: func(net.Listener) context.Context { return context.Background() },
+	}
+	d.servers = append(d.servers, server)
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			d.errs <- errors.Wrap(err, address)
+		}
+	}()
+	return nil
+}
+
+// bounds are the front's, from the settings in force.
+func (d *Daemon) bounds() front.Bounds {
+	b := d.settings.Load().Bounds
+	if !b.StrictRevocation || b.Revoke.Value() == 0 {
+		return front.Bounds{}
+	}
+	return front.Bounds{KeysFor: max(b.Revoke.Value()-deafFor-keyMargin, tickEvery)}
+}
+
+func (d *Daemon) resolve(region, _ string) platform.Directions {
+	return platform.Directions{Addresses: d.directory.Load().resolve(region), For: directionsFor}
+}
+
+func (d *Daemon) spawn(task func(context.Context)) {
+	d.tasks.Add(1)
+	go func() {
+		defer d.tasks.Done()
+		task(d.ctx)
+	}()
+}
+
+// Failed reports a listener that broke.
+func (d *Daemon) Failed() <-chan error { return d.errs }
+
+// Reload takes new settings over. What is bound to open listeners stays.
+func (d *Daemon) Reload(s *Settings) {
+	d.settings.Store(s)
+	d.events.SetLevel(s.LogLevel)
+	d.events.Info("settings reloaded", "log_level", s.LogLevel, "grace", s.Bounds.Grace, "revoke", s.Bounds.Revoke)
+}
--- /dev/null
+++ b/internal/entryhost/register.go
@@ -0,0 +1,143 @@
+package entryhost
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"balsambarrow/internal/fleet"
+	"balsambarrow/internal/kv"
+	"balsambarrow/platform"
+)
+
+const (
+	// leaseTime is how long a host that has died is counted by the others: what
+	// its customers' shares wait for. Renewals cost a tenth of a call each.
+	leaseTime = 5 * time.Second
+	// leaseMargin is how much earlier the host itself stops to spend: its last
+	// renewal may have arrived as late as a slow store's answer.
+	leaseMargin = time.Second
+	// renewEvery leaves room for two lost renewals.
+	renewEvery = 1500 * time.Millisecond
+	// hostsEvery is how often the registrations are read. A host that died is
+	// missed sooner by its heartbeats; only its shares wait for this.
+	hostsEvery = 2 * time.Second
+	// callBound bounds one call to the store.
+	callBound = 1200 * time.Millisecond
+	retryCall = 250 * time.Millisecond
+)
+
+// registrar keeps this host's registration and reads those of the others.
+type registrar struct {
+	d     *Daemon
+	lease uint64
+}
+
+func (r *registrar) run(ctx context.Context) {
+	r.try(ctx, r.list)
+	for ctx.Err() == nil {
+		began := r.d.now()
+		err := r.try(ctx, r.keep)
+		if err == nil {
+			r.d.control.send(func(c *control) { c.registeredAt = began })
+		}
+		pause := renewEvery
+		if err != nil {
+			pause = retryCall
+		}
+		sleep(ctx, pause)
+	}
+	r.end()
+}
+
+// follow reads the registrations until ctx ends.
+func (r *registrar) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		if r.try(ctx, r.list) != nil {
+			sleep(ctx, retryCall)
+			continue
+		}
+		sleep(ctx, hostsEvery)
+	}
+}
+
+func (r *registrar) try(ctx context.Context, call func(context.Context) error) error {
+	bounded, cancel := context.WithTimeout(ctx, callBound)
+	defer cancel()
+	err := call(bounded)
+	if err != nil && ctx.Err() == nil {
+		r.d.events.Debug("registration", "error", err)
+	}
+	return err
+}
+
+// keep renews the lease, or makes one and writes the entry under it.
+func (r *registrar) keep(ctx context.Context) error {
+	if r.lease != 0 {
+		err := r.d.store.Renew(ctx, r.lease)
+		if !errors.Is(err, kv.ErrNotFound) {
+			return err
+		}
+		r.d.events.Warn("registration lapsed", "lease", r.lease)
+		r.lease = 0
+	}
+	lease, err := r.d.store.Grant(ctx, leaseTime)
+	if err != nil {
+		return err
+	}
+	s := r.d.self
+	value, err := json.Marshal(fleet.Registration{Instance: s.Instance, Host: s.Name, Zone: s.Zone, Region: s.Region, Peers: s.Peers})
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if err := r.d.store.Put(ctx, platform.HostPrefix+s.Instance, value, lease); err != nil {
+		return err
+	}
+	r.lease = lease
+	r.d.events.Info("registered", "lease", lease)
+	return nil
+}
+
+// list reads who is registered. An answer that is some seconds old only delays
+// that a host is forgotten; a new one is heard by its heartbeats.
+func (r *registrar) list(ctx context.Context) error {
+	l, err := r.d.store.List(ctx, platform.HostPrefix, true)
+	if err != nil {
+		return err
+	}
+	var list []fleet.Registration
+	for _, item := range l.Items {
+		var one fleet.Registration
+		if err := json.Unmarshal(item.Value, &one); err != nil || one.Instance == "" {
+			r.d.events.Warn("registration of a host not readable", "key", item.Key, "error", err)
+			continue
+		}
+		list = append(list, one)
+	}
+	r.d.control.send(func(c *control) { c.hosts(list) })
+	return nil
+}
+
+// end gives the registration up, so that the others need not wait for it to
+// lapse.
+func (r *registrar) end() {
+	if r.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), retryCall)
+	defer cancel()
+	if err := r.d.store.End(ctx, r.lease); err != nil {
+		r.d.events.Debug("registration not ended", "error", err)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/entryhost/settings.go
@@ -0,0 +1,170 @@
+package entryhost
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"balsambarrow/internal/jsonc"
+)
+
+// Settings is the daemon's settings file, JSON with comments.
+type Settings struct {
+	// Host names the entry host. Required.
+	Host string `json:"host"`
+	// Zone is the availability zone that it stands in. Required; a name of Zones.
+	Zone string `json:"zone"`
+	// Zones gives the region of each availability zone. Required.
+	Zones map[string]string `json:"zones"`
+	// Listen holds the addresses of the listeners, IP:port.
+	Listen Listen `json:"listen"`
+	// Store is the address of the platform's store, IP:port. Required.
+	Store string `json:"store"`
+	// Bounds are the times and amounts that were promised to users.
+	Bounds Bounds `json:"bounds"`
+	// LogLevel is debug, info, warn or error. Default info.
+	LogLevel string `json:"log_level"`
+}
+
+// Listen holds one address per listener.
+type Listen struct {
+	// Callers serves requests over HTTP. Required.
+	Callers string `json:"callers"`
+	// Readiness answers whether the daemon is ready. Required.
+	Readiness string `json:"readiness"`
+	// Directory tells callers where to connect. Required.
+	Directory string `json:"directory"`
+	// Peers receives heartbeats, as datagrams. Required.
+	Peers string `json:"peers"`
+	// Metrics serves counters and histograms. Default "": not served.
+	Metrics string `json:"metrics"`
+}
+
+// Bounds are what was promised to users. Times are strings with a unit.
+type Bounds struct {
+	// Grace is the time from SIGTERM to SIGKILL. Default 6s.
+	Grace Duration `json:"grace"`
+	// Revoke is the time after which a key that was withdrawn must not work
+	// anywhere. Default 0: a host that is cut off goes on accepting keys.
+	Revoke Duration `json:"revoke"`
+	// StrictRevocation says that Revoke binds also hosts that are cut off from
+	// the store. Default false.
+	StrictRevocation bool `json:"strict_revocation"`
+	// RetryRatio, RetrySlack and RetryWindow bound the tries again of a service
+	// over the fleet: in any window, the ratio of its requests and the slack.
+	// Defaults 0.1, 0 and 10s.
+	RetryRatio  float64  `json:"retry_ratio"`
+	RetrySlack  float64  `json:"retry_slack"`
+	RetryWindow Duration `json:"retry_window"`
+}
+
+// Duration is spelled "1500ms" or "2.5s".
+type Duration string
+
+// Value returns the duration; 0 for "". A checked settings file has no other
+// spelling.
+func (d Duration) Value() time.Duration {
+	v, err := time.ParseDuration(string(d))
+	if err != nil {
+		return 0
+	}
+	return v
+}
+
+// Defaults of the optional fields.
+const (
+	defaultGrace       = "6s"
+	defaultRetryRatio  = 0.1
+	defaultRetryWindow = "10s"
+)
+
+// LoadSettings reads and checks a settings file. A file that cannot be used
+// gives a jsonc.Faults error.
+func LoadSettings(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return ParseSettings(path, text)
+}
+
+// ParseSettings checks the text of a settings file; name appears in its faults.
+func ParseSettings(name string, text []byte) (*Settings, error) {
+	doc, err := jsonc.Parse(name, text)
+	if err != nil {
+		return nil, err
+	}
+	s := &Settings{}
+	faults, filled := doc.Fill(s)
+	if !filled {
+		return nil, faults
+	}
+	s.applyDefaults()
+	if faults = append(faults, s.faults(doc)...); len(faults) > 0 {
+		return nil, faults
+	}
+	return s, nil
+}
+
+func (s *Settings) applyDefaults() {
+	if s.LogLevel == "" {
+		s.LogLevel = "info"
+	}
+	if s.Bounds.Grace == "" {
+		s.Bounds.Grace = defaultGrace
+	}
+	if s.Bounds.RetryRatio == 0 {
+		s.Bounds.RetryRatio = defaultRetryRatio
+	}
+	if s.Bounds.RetryWindow == "" {
+		s.Bounds.RetryWindow = defaultRetryWindow
+	}
+}
+
+func (s *Settings) faults(doc *jsonc.Document) jsonc.Faults {
+	var faults jsonc.Faults
+	require := func(ok bool, path, problem string) {
+		if !ok {
+			faults = append(faults, doc.Locate(path, problem))
+		}
+	}
+	require(s.Host != "", "/host", "required")
+	require(s.Zones[s.Zone] != "", "/zone", "want a name of /zones")
+	for _, a := range []struct{ path, address string }{
+		{"/listen/callers", s.Listen.Callers},
+		{"/listen/readiness", s.Listen.Readiness},
+		{"/listen/directory", s.Listen.Directory},
+		{"/listen/peers", s.Listen.Peers},
+		{"/store", s.Store},
+	} {
+		require(isAddress(a.address), a.path, "want an IP address and a port")
+	}
+	require(s.Listen.Metrics == "" || isAddress(s.Listen.Metrics), "/listen/metrics", "want an IP address and a port, or nothing")
+	for _, d := range []struct {
+		path string
+		text Duration
+	}{
+		{"/bounds/grace", s.Bounds.Grace},
+		{"/bounds/revoke", s.Bounds.Revoke},
+		{"/bounds/retry_window", s.Bounds.RetryWindow},
+	} {
+		_, err := time.ParseDuration(string(d.text))
+		require(d.text == "" || err == nil, d.path, `want a time such as "2.5s"`)
+	}
+	require(s.Bounds.RetryWindow.Value() > 0, "/bounds/retry_window", "want more than nothing")
+	require(s.Bounds.RetryRatio >= 0, "/bounds/retry_ratio", "want zero or more")
+	require(s.Bounds.RetrySlack >= 0, "/bounds/retry_slack", "want zero or more")
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		require(false, "/log_level", "want debug, info, warn or error")
+	}
+	return faults
+}
+
+func isAddress(s string) bool {
+	_, err := netip.ParseAddrPort(s)
+	return err == nil
+}
--- /dev/null
+++ b/internal/entryhost/stop.go
@@ -0,0 +1,48 @@
+package entryhost
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// acceptPart of the grace is for callers to go elsewhere: they keep an
+	// answer of the directory for two seconds, some for longer. The rest is for
+	// requests that still run.
+	acceptPart = 0.55
+	// endMargin is left of the grace when the daemon gives up waiting.
+	endMargin = 150 * time.Millisecond
+)
+
+// Stop ends the daemon within the grace and cuts no request off: it stops being
+// named, closes connections with the answers that they carry, then takes no new
+// requests and waits for those that run.
+func (d *Daemon) Stop() {
+	began := d.now()
+	grace := d.settings.Load().Bounds.Grace.Value()
+	d.events.Info("stopping", "grace", grace)
+	d.control.send(func(c *control) {
+		c.leaving = true
+		c.beatDue = time.Time{}
+	})
+	time.Sleep(time.Duration(float64(grace) * acceptPart))
+	left := grace - endMargin - d.now().Sub(began)
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, server := range d.servers {
+		all.Add(1)
+		go func(server *http.Server) {
+			defer all.Done()
+			if err := server.Shutdown(ctx); err != nil {
+				d.events.Warn("requests still run at the end of the grace", "error", err)
+			}
+		}(server)
+	}
+	all.Wait()
+	d.events.Info("stopped", "took", d.now().Sub(began))
+	d.cancel()
+	d.tasks.Wait()
+}
--- /dev/null
+++ b/internal/fleet/beat.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// shortInterval is the time between heartbeats of a small fleet: what a
+	// customer's demand moves between hosts in that time fits into the part of
+	// its burst that is not given out.
+	shortInterval = 250 * time.Millisecond
+	// perHost stretches the interval of a large fleet, where each heartbeat
+	// goes to every host: a host then handles at most sixty a second.
+	perHost = 16 * time.Millisecond
+	// maxDatagram is the largest heartbeat that is read.
+	maxDatagram = 64 << 10
+)
+
+// Interval between the heartbeats of a fleet of n hosts.
+func Interval(n int) time.Duration { return max(shortInterval, time.Duration(n)*perHost) }
+
+// Wire sends and receives heartbeats as datagrams.
+type Wire struct{ conn *net.UDPConn }
+
+// Listen opens the socket at address, IP:port.
+func Listen(address string) (*Wire, error) {
+	a, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	conn, err := net.ListenUDP("udp4", a)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for heartbeats")
+	}
+	return &Wire{conn}, nil
+}
+
+// Address that heartbeats arrive at.
+func (w *Wire) Address() string { return w.conn.LocalAddr().String() }
+
+// Send sends a heartbeat to each peer. A heartbeat that cannot be sent is like
+// one that is lost on the way, so only the first error is returned, for the log.
+func (w *Wire) Send(b *Heartbeat, peers []string) error {
+	data, err := proto.Marshal(b)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	var first error
+	for _, peer := range peers {
+		a, err := net.ResolveUDPAddr("udp4", peer)
+		if err == nil {
+			_, err = w.conn.WriteToUDP(data, a)
+		}
+		if err != nil && first == nil {
+			first = errors.Wrap(err, "send heartbeat")
+		}
+	}
+	return first
+}
+
+// Receive passes heartbeats on until ctx ends. Datagrams that cannot be read
+// are passed to spoiled.
+func (w *Wire) Receive(ctx context.Context, heard func(*Heartbeat), spoiled func(error)) {
+	stop := context.AfterFunc(ctx, func() { _ = w.conn.Close() })
+	defer stop()
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, _, err := w.conn.ReadFromUDP(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				spoiled(errors.WithStack(err))
+			}
+			continue
+		}
+		b := &Heartbeat{}
+		if err := proto.Unmarshal(buffer[:n], b); err != nil {
+			spoiled(errors.WithStack(err))
+			continue
+		}
+		heard(b)
+	}
+}
--- /dev/null
+++ b/internal/follow/roster.go
@@ -0,0 +1,98 @@
+package follow
+
+import (
+	"time"
+
+	"balsambarrow/internal/catalog"
+)
+
+// returnGrace is how long after an outage of the store entries may be missing
+// whose upstreams live: the platform says two seconds, and a heartbeat's way.
+const returnGrace = 2300 * time.Millisecond
+
+// Roster knows which upstreams are registered. An entry that goes missing in
+// an outage of the store, or right after one, may only have lapsed: its upstream
+// is kept until the grace has passed. It is not safe for concurrent use.
+type Roster struct {
+	entries map[string]catalog.Upstream
+	missing map[string]time.Time
+	// outage says that the last call failed; back is when one succeeded again.
+	outage bool
+	back   time.Time
+}
+
+// NewRoster returns an empty roster.
+func NewRoster() *Roster {
+	return &Roster{entries: map[string]catalog.Upstream{}, missing: map[string]time.Time{}}
+}
+
+// Failed notes that the store could not be reached.
+func (r *Roster) Failed() { r.outage = true }
+
+// Reached notes that it was reached, before the changes that it brought.
+func (r *Roster) Reached(now time.Time) {
+	if r.outage {
+		r.outage, r.back = false, now
+	}
+}
+
+// Put takes an entry in; false if it is older than what is known.
+func (r *Roster) Put(u catalog.Upstream) bool {
+	if known, ok := r.entries[u.ID]; ok && !u.Newer(known) {
+		return false
+	}
+	r.entries[u.ID] = u
+	delete(r.missing, u.ID)
+	return true
+}
+
+// Gone notes that an entry is missing, and tells whether the upstream is to be
+// left at once.
+func (r *Roster) Gone(now time.Time, id string) bool {
+	if _, ok := r.entries[id]; !ok {
+		return false
+	}
+	if until := r.back.Add(returnGrace); !r.back.IsZero() && now.Before(until) {
+		if _, already := r.missing[id]; !already {
+			r.missing[id] = until
+		}
+		return false
+	}
+	r.drop(id)
+	return true
+}
+
+// Void notes that an entry was overwritten by one that names no upstream.
+func (r *Roster) Void(id string) bool {
+	_, known := r.entries[id]
+	r.drop(id)
+	return known
+}
+
+func (r *Roster) drop(id string) {
+	delete(r.entries, id)
+	delete(r.missing, id)
+}
+
+// Expired returns the upstreams whose grace has passed; they are to be left.
+func (r *Roster) Expired(now time.Time) []string {
+	var out []string
+	for id, until := range r.missing {
+		if !now.Before(until) {
+			out = append(out, id)
+			r.drop(id)
+		}
+	}
+	return out
+}
+
+// Unlisted returns the known upstreams that a listing does not have.
+func (r *Roster) Unlisted(listed map[string]bool) []string {
+	var out []string
+	for id := range r.entries {
+		if !listed[id] {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/front/answer.go
@@ -0,0 +1,166 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"balsambarrow/internal/h1"
+	"balsambarrow/internal/place"
+	"balsambarrow/internal/traffic"
+)
+
+// keptAnswer is the largest answer that is read to its end before the caller
+// gets any of it. If it breaks off, an idempotent request can still be served
+// by another upstream. Today's reports are half of it at most.
+const keptAnswer = 1 << 20
+
+// answer is an upstream's answer that was read to its end.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// receive reads an upstream's answer and gives it to the caller, if it is one.
+func (h *Handler) receive(ctx context.Context, w http.ResponseWriter, q *request, c place.Choice, began time.Time, reply *h1.Reply) (outcome, *answer) {
+	said := h.Codec.Answer(reply.Response)
+	report := place.Report{Took: h.Now().Sub(began), Load: said.Load, Told: said.Told, ColdFor: said.ColdFor}
+	if problem := spoiled(reply.Response, said); problem != "" {
+		reply.Close(said.KeepFor)
+		return h.lose(ctx, q, c, &h1.SpoiledError{Problem: problem}), nil
+	}
+	kept, err := io.ReadAll(io.LimitReader(reply, keptAnswer+1))
+	if err != nil {
+		reply.Close(said.KeepFor)
+		return h.lose(ctx, q, c, err), nil
+	}
+	report.Bytes = len(kept)
+	a := &answer{status: reply.StatusCode, header: reply.Header, body: kept}
+	if len(kept) > keptAnswer {
+		err := h.stream(w, a, reply)
+		reply.Close(said.KeepFor)
+		return h.streamed(ctx, q, c, report, err), nil
+	}
+	reply.Close(said.KeepFor)
+	return h.conclude(w, q, c, said, report, a)
+}
+
+// conclude decides what an answer that is here whole means.
+func (h *Handler) conclude(w http.ResponseWriter, q *request, c place.Choice, said traffic.Answer, report place.Report, a *answer) (outcome, *answer) {
+	end := done
+	switch {
+	case said.Misdirected:
+		report.Result, end = place.Misdirected, shed
+	case said.NotRun:
+		report.Result, end = place.Shed, shed
+	case a.status >= http.StatusInternalServerError:
+		report.Result, end = place.Failed, failed
+	}
+	h.Table.Done(h.Now(), c, report)
+	switch end {
+	case done:
+		h.give(w, q, a)
+	case shed:
+		h.Log.Info("upstream refused", "id", q.ID, "upstream", c.ID, "status", a.status, "running", said.Load.Running,
+			"waiting", said.Load.Waiting, "slots", said.Load.Slots, "expected_wait", c.Wait)
+	case failed:
+		h.Log.Info("upstream failed", "id", q.ID, "upstream", c.ID, "status", a.status)
+	}
+	return end, a
+}
+
+// spoiled says what is wrong with an answer that cannot be the upstream's own.
+func spoiled(r *http.Response, said traffic.Answer) string {
+	switch {
+	case said.Encoded:
+		return "encoded body"
+	case r.StatusCode/100 == 2 && !said.Signed:
+		return "success without signature"
+	case r.StatusCode/100 == 3:
+		return "redirection"
+	}
+	return ""
+}
+
+// give writes a whole answer to the caller.
+func (h *Handler) give(w http.ResponseWriter, q *request, a *answer) {
+	copyHeader(w.Header(), a.header)
+	if q.http.Method != http.MethodHead {
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
+	w.WriteHeader(a.status)
+	// A failed write means that the caller has left.
+	_, _ = w.Write(a.body)
+	took := h.Now().Sub(q.arrived)
+	h.Observe(Observation{Route: q.route.Name, Status: a.status, Took: took, Sends: q.tally.sends})
+	if q.tally.sends > 1 || a.status >= http.StatusInternalServerError {
+		h.Log.Info("answered", "id", q.ID, "route", q.route.Name, "status", a.status, "took", took,
+			"sends", q.tally.sends, "tried", q.tally.tried)
+	}
+}
+
+// stream passes a long answer on as it comes. If it breaks off, the caller's
+// connection is broken off too: an answer that ends early must not look whole.
+func (h *Handler) stream(w http.ResponseWriter, a *answer, rest io.Reader) error {
+	copyHeader(w.Header(), a.header)
+	w.WriteHeader(a.status)
+	if _, err := w.Write(a.body); err != nil {
+		return &callerError{err}
+	}
+	_, err := io.Copy(callerWriter{w}, rest)
+	return err
+}
+
+// streamed ends a request whose answer was passed on as it came.
+func (h *Handler) streamed(ctx context.Context, q *request, c place.Choice, report place.Report, err error) outcome {
+	var caller *callerError
+	switch {
+	case err == nil:
+		h.Table.Done(h.Now(), c, report)
+		return done
+	case errors.As(err, &caller) || ctx.Err() != nil:
+		h.Table.Done(h.Now(), c, place.Report{Result: place.Left})
+	default:
+		h.Table.Done(h.Now(), c, place.Report{Result: place.Lost})
+	}
+	h.Log.Info("answer broken off", "id", q.ID, "upstream", c.ID, "error", err)
+	panic(http.ErrAbortHandler)
+}
+
+// callerError says that the caller did not take what was written.
+type callerError struct{ cause error }
+
+func (e *callerError) Error() string { return "front: caller: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *callerError) Unwrap() error { return e.cause }
+
+type callerWriter struct{ w io.Writer }
+
+// Write implements io.Writer.
+func (c callerWriter) Write(b []byte) (int, error) {
+	n, err := c.w.Write(b)
+	if err != nil {
+		return n, &callerError{err}
+	}
+	return n, nil
+}
+
+// connectionHeaders concern the connection to the upstream only. That it closes
+// says nothing about the connection to the caller.
+var connectionHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Transfer-Encoding": true,
+	"Upgrade": true, "Trailer": true, "Te": true,
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !connectionHeaders[name] {
+			to[name] = values
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/handler.go
@@ -0,0 +1,219 @@
+package front
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"balsambarrow/internal/catalog"
+	"balsambarrow/internal/h1"
+	"balsambarrow/internal/place"
+	"balsambarrow/internal/retry"
+	"balsambarrow/internal/share"
+	"balsambarrow/internal/traffic"
+)
+
+// Log is where decisions are told.
+type Log interface {
+	Debug(kind string, pairs ...any)
+	Info(kind string, pairs ...any)
+	Warn(kind string, pairs ...any)
+}
+
+// Deps are what the front works with.
+type Deps struct {
+	State   func() *State
+	Codec   traffic.Codec
+	Pool    *h1.Pool
+	Table   *place.Table
+	Shares  *share.Shares
+	Retries *retry.Window
+	Bounds  func() Bounds
+	Log     Log
+	// Observe is told of each answered request.
+	Observe func(Observation)
+	Now     func() time.Time
+}
+
+// Observation is how a request ended, for metrics.
+type Observation struct {
+	Route  string
+	Status int
+	// Cause is "" where an upstream's answer was given.
+	Cause Cause
+	Took  time.Duration
+	// Sends is the number of upstreams that were asked.
+	Sends int
+}
+
+// Handler serves callers.
+type Handler struct {
+	Deps
+	split *splitter
+}
+
+// New returns a handler.
+func New(d Deps) *Handler { return &Handler{Deps: d, split: newSplitter()} }
+
+// request is one caller's request on its way.
+type request struct {
+	traffic.Request
+	http     *http.Request
+	arrived  time.Time
+	until    time.Time
+	route    *catalog.Route
+	customer *catalog.Customer
+	service  string
+	body     *body
+	tally    tally
+}
+
+// tally is what happened at upstreams.
+type tally struct {
+	sends int
+	tried []string
+	// lost says that an upstream may have run the request.
+	lost bool
+	shed bool
+	// wait is the longest queue that was met.
+	wait time.Duration
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := &request{Request: h.Codec.Request(r), http: r, arrived: h.Now()}
+	if h.State().Leaving {
+		// The caller finds another host for its next request.
+		w.Header().Set("Connection", "close")
+	}
+	refused := h.admit(w, q)
+	if refused == nil {
+		refused = h.serve(w, q)
+	}
+	if refused != nil {
+		h.refuse(w, q, refused)
+	}
+}
+
+// admit decides whether the request may be sent to an upstream at all.
+func (h *Handler) admit(w http.ResponseWriter, q *request) *refusal {
+	state := h.State()
+	if state.Catalog == nil || !state.Listed {
+		return unavailable(CauseNoCatalog, backSoon)
+	}
+	if refused := h.authorize(state, q); refused != nil {
+		return refused
+	}
+	q.until = q.arrived.Add(patience(q))
+	body, refused := readBody(w, q.http, state.Catalog.Limits.MaxBodyBytes)
+	if refused != nil {
+		return refused
+	}
+	q.body = body
+	if q.customer != nil {
+		v := h.Shares.Admit(h.Now(), q.customer)
+		if !v.Admitted {
+			h.Log.Info("over rate", "id", q.ID, "customer", q.customer.Name, "rate", q.customer.Rate,
+				"part", v.Part, "demand", v.Demand, "version", state.Catalog.Version)
+			return &refusal{http.StatusTooManyRequests, CauseOverRate, v.ComeBack}
+		}
+	}
+	q.service = h.split.service(q.route)
+	return nil
+}
+
+// authorize finds the route and the customer.
+func (h *Handler) authorize(state *State, q *request) *refusal {
+	age := state.age(q.arrived)
+	deny := func(status int, cause Cause) *refusal {
+		if age > deniesFor {
+			return unavailable(CauseBehind, backSoon)
+		}
+		return denied(status, cause)
+	}
+	q.route = state.Catalog.Route(q.http.Host, path(q.http))
+	if q.route == nil {
+		return deny(http.StatusNotFound, CauseNoRoute)
+	}
+	if !state.Catalog.Keyed || q.route.Public {
+		return nil
+	}
+	if bound := h.Bounds().KeysFor; bound > 0 && age > bound {
+		return unavailable(CauseKeysStale, backSoon)
+	}
+	if q.Key == "" {
+		return deny(http.StatusUnauthorized, CauseNoKey)
+	}
+	if q.customer = state.Catalog.Customer(q.Key); q.customer == nil {
+		return deny(http.StatusUnauthorized, CauseUnknownKey)
+	}
+	return nil
+}
+
+// stillValid repeats the check of the key right before a send: the wait for a
+// body or for another upstream may have been long, and the process may have
+// been suspended.
+func (h *Handler) stillValid(q *request) *refusal {
+	if q.customer == nil {
+		return nil
+	}
+	state := h.State()
+	if bound := h.Bounds().KeysFor; bound > 0 && state.age(h.Now()) > bound {
+		return unavailable(CauseKeysStale, backSoon)
+	}
+	if owner := state.Catalog.Customer(q.Key); owner == nil || owner.Name != q.customer.Name {
+		return denied(http.StatusUnauthorized, CauseUnknownKey)
+	}
+	return nil
+}
+
+func patience(q *request) time.Duration {
+	d := q.Patience
+	if t := q.route.Timeout; t > 0 && (d == 0 || t < d) {
+		d = t
+	}
+	if d == 0 {
+		return defaultPatience
+	}
+	return d
+}
+
+// target is the path and query exactly as the caller sent them.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	// The absolute form, which proxies get.
+	if u, err := url.Parse(r.RequestURI); err == nil && u.Host != "" {
+		return u.RequestURI()
+	}
+	return r.RequestURI
+}
+
+func path(r *http.Request) string {
+	p, _, _ := strings.Cut(target(r), "?")
+	return p
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, q *request, f *refusal) {
+	route := ""
+	if q.route != nil {
+		route = q.route.Name
+	}
+	took := h.Now().Sub(q.arrived)
+	h.Observe(Observation{Route: route, Status: f.status, Cause: f.cause, Took: took, Sends: q.tally.sends})
+	h.Log.Info("refused", "id", q.ID, "route", route, "service", q.service, "status", f.status, "cause", f.cause,
+		"back", f.comeBack, "took", took, "sends", q.tally.sends, "tried", q.tally.tried,
+		"age", h.State().age(h.Now()))
+	if f.cause == CauseLeft {
+		panic(http.ErrAbortHandler)
+	}
+	if f.comeBack > 0 {
+		h.Codec.Refusal(w.Header(), f.comeBack)
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(f.status)
+	// A failed write means that the caller has left.
+	_, _ = w.Write([]byte(string(f.cause) + "\n"))
+}
--- /dev/null
+++ b/internal/front/refusal.go
@@ -0,0 +1,53 @@
+package front
+
+import (
+	"net/http"
+	"time"
+)
+
+// Cause says why a request was not answered by an upstream. It stands in logs,
+// metrics and the body of the answer.
+type Cause string
+
+// Causes.
+const (
+	CauseNoCatalog   Cause = "no-configuration"
+	CauseBehind      Cause = "configuration-behind"
+	CauseNoRoute     Cause = "no-route"
+	CauseNoKey       Cause = "no-key"
+	CauseUnknownKey  Cause = "unknown-key"
+	CauseKeysStale   Cause = "keys-not-confirmed"
+	CauseTooLarge    Cause = "body-too-large"
+	CauseBadBody     Cause = "body-broken"
+	CauseOverRate    Cause = "over-rate"
+	CauseNoUpstream  Cause = "no-upstream"
+	CauseOverloaded  Cause = "overloaded"
+	CauseShed        Cause = "upstreams-shed"
+	CauseUnreachable Cause = "upstreams-unreachable"
+	CauseLost        Cause = "answer-lost"
+	CauseTimeout     Cause = "timeout"
+	CauseLeft        Cause = "caller-left"
+)
+
+// refusal is an answer of the entry host's own.
+type refusal struct {
+	status int
+	cause  Cause
+	// comeBack is set where the caller is asked to return.
+	comeBack time.Duration
+}
+
+// How long callers are told to stay away, where no better figure is known.
+const (
+	// backSoon: the condition ends within a heartbeat or two, or another host
+	// serves the request at once.
+	backSoon = 150 * time.Millisecond
+	// backCold: cold or crashed upstreams take seconds.
+	backCold = 400 * time.Millisecond
+)
+
+func unavailable(cause Cause, comeBack time.Duration) *refusal {
+	return &refusal{http.StatusServiceUnavailable, cause, comeBack}
+}
+
+func denied(status int, cause Cause) *refusal { return &refusal{status: status, cause: cause} }
--- /dev/null
+++ b/internal/front/send.go
@@ -0,0 +1,230 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"balsambarrow/internal/catalog"
+	"balsambarrow/internal/h1"
+	"balsambarrow/internal/place"
+	"balsambarrow/internal/traffic"
+)
+
+const (
+	// unsafeFreshFor bounds how long a kept connection may have been idle that
+	// carries a request which must not run twice: a close by the upstream that
+	// crosses it would leave its outcome unknown.
+	unsafeFreshFor = 2 * time.Second
+	// maxUnsent bounds how many upstreams that cannot be reached are tried
+	// beyond the attempts of the route. They have seen nothing.
+	maxUnsent = 2
+)
+
+// outcome is how one send ended.
+type outcome int
+
+const (
+	// done: the caller has its answer.
+	done outcome = iota
+	// unsent: nothing reached the upstream.
+	unsent
+	// shed: the upstream refused, and has not run the request.
+	shed
+	// failed: the upstream answered that it failed; the answer is kept.
+	failed
+	// lost: the upstream may have run the request, and no usable answer came.
+	lost
+	// late: the time is up, or the caller has left.
+	late
+)
+
+// serve sends the request to upstreams until one answers.
+func (h *Handler) serve(w http.ResponseWriter, q *request) *refusal {
+	// The caller's leaving ends the context, and with it the upstream's work.
+	ctx, cancel := context.WithTimeout(q.http.Context(), q.until.Sub(h.Now()))
+	defer cancel()
+	h.Retries.First(h.Now(), q.service)
+	var kept *answer
+	for unreached := 0; ; {
+		if refused := h.stillValid(q); refused != nil {
+			return h.giveUp(w, q, kept, refused)
+		}
+		choice, err := h.Table.Choose(h.Now(), h.query(q))
+		if err != nil {
+			return h.giveUp(w, q, kept, h.noChoice(q, err))
+		}
+		if refused := h.hopeless(q, choice); refused != nil {
+			h.Table.Done(h.Now(), choice, place.Report{Result: place.Left})
+			return h.giveUp(w, q, kept, refused)
+		}
+		end, a := h.send(ctx, w, q, choice)
+		switch end {
+		case done:
+			return nil
+		case late:
+			return h.ended(q)
+		case unsent:
+			unreached++
+		case failed:
+			kept = a
+		case lost:
+			q.tally.lost = true
+		case shed:
+			q.tally.shed = true
+		}
+		if refused := h.mayRepeat(q, end, unreached); refused != nil {
+			return h.giveUp(w, q, kept, refused)
+		}
+	}
+}
+
+func (h *Handler) query(q *request) place.Query {
+	homes, bound := catalog.Homes(q.route, q.customer)
+	return place.Query{
+		Service: q.service, Route: q.route.Name, Object: q.Object, Homes: homes, Bound: bound,
+		Tried: q.tally.tried, BodyBytes: len(q.body.kept),
+	}
+}
+
+// hopeless refuses a request that would still be waiting when its time is up.
+func (h *Handler) hopeless(q *request, c place.Choice) *refusal {
+	if c.Wait == 0 || c.Expected <= q.until.Sub(h.Now()) {
+		return nil
+	}
+	return unavailable(CauseOverloaded, c.Wait/2+backSoon)
+}
+
+// mayRepeat tells whether the request may go to another upstream after a send
+// that ended without an answer; nil: it may.
+func (h *Handler) mayRepeat(q *request, end outcome, unreached int) *refusal {
+	why := q.why()
+	if end == unsent {
+		if unreached > maxUnsent || !q.body.repeatable() {
+			return why
+		}
+		return nil
+	}
+	if end != shed && !q.route.Kind.Idempotent() || !q.body.repeatable() {
+		return why
+	}
+	if q.tally.sends >= q.route.MaxAttempts || !h.Retries.Again(h.Now(), q.service) {
+		return why
+	}
+	return nil
+}
+
+// why is the refusal that is true of what has happened so far.
+func (q *request) why() *refusal {
+	switch {
+	case q.tally.lost:
+		return &refusal{status: http.StatusBadGateway, cause: CauseLost}
+	case q.tally.shed:
+		return unavailable(CauseShed, q.tally.wait/2+backSoon)
+	}
+	return unavailable(CauseUnreachable, backCold)
+}
+
+func (h *Handler) noChoice(q *request, err error) *refusal {
+	if q.tally.sends > 0 || len(q.tally.tried) > 0 {
+		return q.why()
+	}
+	var none *place.NoneError
+	if errors.As(err, &none) && none.Reason != place.NoneKnown {
+		return unavailable(CauseNoUpstream, backCold)
+	}
+	return unavailable(CauseNoUpstream, 2*backCold)
+}
+
+// giveUp ends a request that no further upstream is asked for. An upstream's
+// own failure goes before a refusal, and a doubt before a promise.
+func (h *Handler) giveUp(w http.ResponseWriter, q *request, kept *answer, refused *refusal) *refusal {
+	if kept != nil {
+		h.give(w, q, kept)
+		return nil
+	}
+	if q.tally.lost && promises(refused.status) {
+		refused = &refusal{status: http.StatusBadGateway, cause: refused.cause}
+	}
+	if q.customer != nil && promises(refused.status) {
+		h.Shares.Undo(q.customer.Name)
+	}
+	return refused
+}
+
+// promises tells whether a status says that the request has not run.
+func promises(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable ||
+		status == http.StatusUnauthorized
+}
+
+// ended is the answer to a request whose time is up.
+func (h *Handler) ended(q *request) *refusal {
+	if q.http.Context().Err() != nil {
+		return &refusal{cause: CauseLeft}
+	}
+	if q.tally.sends > 0 {
+		return &refusal{status: http.StatusGatewayTimeout, cause: CauseTimeout}
+	}
+	return unavailable(CauseTimeout, backSoon)
+}
+
+// send sends the request to one upstream.
+func (h *Handler) send(ctx context.Context, w http.ResponseWriter, q *request, c place.Choice) (outcome, *answer) {
+	began := h.Now()
+	q.tally.tried = append(q.tally.tried, c.ID)
+	q.tally.wait = max(q.tally.wait, c.Wait)
+	reply, err := h.Pool.Send(ctx, c.Address, h.outgoing(q, c, began))
+	var unsentError *h1.UnsentError
+	switch {
+	case err == nil:
+		q.tally.sends++
+		return h.receive(ctx, w, q, c, began, reply)
+	case errors.As(err, &unsentError):
+		return h.notSent(ctx, q, c, unsentError)
+	}
+	q.tally.sends++
+	return h.lose(ctx, q, c, err), nil
+}
+
+func (h *Handler) outgoing(q *request, c place.Choice, now time.Time) *h1.Request {
+	f := traffic.Forward{Remaining: q.until.Sub(now), Instance: c.ID, DropKey: h.State().Catalog.Keyed}
+	if q.customer != nil {
+		f.Customer = q.customer.Name
+	}
+	out := &h1.Request{
+		Method: q.http.Method, Target: target(q.http), Host: q.http.Host,
+		Header: h.Codec.Forward(q.http.Header, f), Body: q.body.reader(), Length: q.body.length,
+		Matches: func(r *http.Response) bool { return h.Codec.Answer(r).ID == q.ID },
+	}
+	if !q.route.Kind.Idempotent() {
+		out.FreshFor = unsafeFreshFor
+	}
+	return out
+}
+
+func (h *Handler) notSent(ctx context.Context, q *request, c place.Choice, err *h1.UnsentError) (outcome, *answer) {
+	report := place.Report{Result: place.Unreachable}
+	if ctx.Err() != nil || !err.Dial {
+		report.Result = place.Left
+	}
+	h.Table.Done(h.Now(), c, report)
+	if ctx.Err() != nil {
+		return late, nil
+	}
+	h.Pool.Drop(c.Address)
+	h.Log.Info("upstream unreachable", "id", q.ID, "upstream", c.ID, "zone", c.Zone, "error", err)
+	return unsent, nil
+}
+
+// lose notes that the answer of an upstream is lost.
+func (h *Handler) lose(ctx context.Context, q *request, c place.Choice, err error) outcome {
+	if ctx.Err() != nil {
+		h.Table.Done(h.Now(), c, place.Report{Result: place.Left})
+		return late
+	}
+	h.Table.Done(h.Now(), c, place.Report{Result: place.Lost})
+	h.Log.Info("answer lost", "id", q.ID, "upstream", c.ID, "zone", c.Zone, "took", h.Now().Sub(q.arrived), "error", err)
+	return lost
+}
--- /dev/null
+++ b/internal/h1/chunk.go
@@ -0,0 +1,33 @@
+package h1
+
+import (
+	"fmt"
+	"io"
+)
+
+// chunkWriter frames a body whose length is not known.
+type chunkWriter struct{ w io.Writer }
+
+func newChunkWriter(w io.Writer) *chunkWriter { return &chunkWriter{w} }
+
+// Write implements io.Writer.
+func (c *chunkWriter) Write(b []byte) (int, error) {
+	if len(b) == 0 {
+		return 0, nil
+	}
+	if _, err := fmt.Fprintf(c.w, "%x\r\n", len(b)); err != nil {
+		return 0, err
+	}
+	n, err := c.w.Write(b)
+	if err != nil {
+		return n, err
+	}
+	_, err = io.WriteString(c.w, "\r\n")
+	return n, err
+}
+
+// Close writes the end of the body.
+func (c *chunkWriter) Close() error {
+	_, err := io.WriteString(c.w, "0\r\n\r\n")
+	return err
+}
--- /dev/null
+++ b/internal/h1/pool.go
@@ -0,0 +1,143 @@
+package h1
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// defaultKeep is how long an idle connection is kept where the upstream
+	// does not say: many servers close after five seconds or more.
+	defaultKeep = 4 * time.Second
+	// keepMargin is subtracted from what the upstream says: a request must
+	// arrive before its close leaves, over 55 ms one way and a busy processor.
+	keepMargin = 700 * time.Millisecond
+	// maxIdle bounds the idle connections to one upstream. An entry host has
+	// seldom more requests at one upstream than the upstream has slots.
+	maxIdle = 6
+	// sweepEvery is a small part of the shortest keep time.
+	sweepEvery = time.Second
+)
+
+// Pool keeps connections to upstreams. It is safe for concurrent use.
+type Pool struct {
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	now  func() time.Time
+	// Dialed is told of each new connection and how long it took. Default nil.
+	Dialed func(address string, took time.Duration)
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+// NewPool returns an empty pool.
+func NewPool(dial func(ctx context.Context, network, address string) (net.Conn, error), now func() time.Time) *Pool {
+	return &Pool{dial: dial, now: now, idle: map[string][]*conn{}}
+}
+
+// take returns a connection: the one used last, since it is the least likely
+// to be closed by the upstream, or a new one. youngerThan bounds how long a
+// kept one may have been idle; 0: as long as the upstream keeps it.
+func (p *Pool) take(ctx context.Context, address string, youngerThan time.Duration) (*conn, error) {
+	for c := p.pop(address); c != nil; c = p.pop(address) {
+		age := p.now().Sub(c.idleSince)
+		if age < c.keepFor && (youngerThan == 0 || age < youngerThan) && c.silent() {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	began := p.now()
+	raw, err := p.dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, &UnsentError{Address: address, Dial: true, Cause: err}
+	}
+	if p.Dialed != nil {
+		p.Dialed(address, p.now().Sub(began))
+	}
+	return newConn(raw, address), nil
+}
+
+func (p *Pool) pop(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) put(c *conn, keepFor time.Duration) {
+	c.kept = true
+	c.idleSince = p.now()
+	c.keepFor = defaultKeep
+	if keepFor > 0 {
+		c.keepFor = max(keepFor-keepMargin, 0)
+	}
+	// A deadline left over from the last request would break the next one.
+	if err := c.SetDeadline(time.Time{}); err != nil {
+		_ = c.Close()
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.address]) >= maxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// Drop closes the idle connections to an address, because its upstream has
+// gone or failed.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close()
+	}
+}
+
+// Run closes connections that have been idle for too long, until ctx ends.
+func (p *Pool) Run(ctx context.Context) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			p.sweep()
+		}
+	}
+}
+
+func (p *Pool) sweep() {
+	now := p.now()
+	var expired []*conn
+	p.mu.Lock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Sub(c.idleSince) < c.keepFor {
+				kept = append(kept, c)
+			} else {
+				expired = append(expired, c)
+			}
+		}
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range expired {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/internal/place/choose.go
@@ -0,0 +1,221 @@
+package place
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+)
+
+// rankStep is added to the expected finish for each rank, so that all hosts
+// prefer the same upstream as an object's next one; it is small beside the
+// difference between warm and cold.
+const (
+	rankStep = 15 * time.Millisecond
+	rankMost = 8
+)
+
+// Query is a request to be placed.
+type Query struct {
+	Service string
+	// Route whose work and size of answer are looked up.
+	Route string
+	// Object is the affinity key; "" if there is none.
+	Object string
+	// Homes are the regions that may run it, if Bound.
+	Homes []string
+	Bound bool
+	// Tried are the upstreams that are not to be asked again.
+	Tried []string
+	// BodyBytes of the request.
+	BodyBytes int
+}
+
+// Choice is where a request goes. Table.Done ends it.
+type Choice struct {
+	ID      string
+	Address string
+	Zone    string
+	Region  string
+	// Expected is the time until the answer, and Wait the part of it that is
+	// spent in the upstream's queue.
+	Expected time.Duration
+	Wait     time.Duration
+
+	worker     *worker
+	object     uint64
+	route      string
+	warm, cold bool
+}
+
+// Reason says why there is no choice.
+type Reason string
+
+// Reasons.
+const (
+	// NoneKnown: no upstream of the service is registered where it may run.
+	NoneKnown Reason = "no-upstream"
+	// NoneOpen: those that are registered are evacuated or draining.
+	NoneOpen Reason = "all-closed"
+	// NoneReachable: those that are open have failed lately.
+	NoneReachable Reason = "all-ejected"
+	// NoneWarm: those that are left are cold and have had their share.
+	NoneWarm Reason = "all-cold"
+)
+
+// NoneError says that a request cannot be placed now.
+type NoneError struct {
+	Service string
+	Reason  Reason
+}
+
+func (e *NoneError) Error() string { return "place: " + e.Service + ": " + string(e.Reason) }
+
+type candidate struct {
+	*worker
+	weight uint64
+	cold   bool
+	warm   bool
+	finish time.Duration
+	cost   time.Duration
+	wait   time.Duration
+}
+
+// Choose places a request. The error is a *NoneError.
+func (t *Table) Choose(now time.Time, q Query) (Choice, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	open, reason := t.open(now, q)
+	if len(open) == 0 {
+		return Choice{}, &NoneError{q.Service, reason}
+	}
+	object := hash(q.Object)
+	if q.Object == "" {
+		object = 0
+	}
+	t.estimate(now, q, object, open)
+	sort.Slice(open, func(i, j int) bool { return open[i].cost < open[j].cost })
+	for _, c := range open {
+		if c.cold && !c.pace.take(now, t.coldRate(c.Service)) {
+			continue
+		}
+		c.load.inflight++
+		return Choice{
+			ID: c.ID, Address: c.Address, Zone: c.Zone, Region: c.region, Expected: c.finish, Wait: c.wait,
+			worker: c.worker, object: object, route: q.Route, warm: c.warm, cold: c.cold,
+		}, nil
+	}
+	return Choice{}, &NoneError{q.Service, NoneWarm}
+}
+
+func (t *Table) coldRate(service string) float64 {
+	if s := t.service(service); s != nil {
+		return s.ColdRate
+	}
+	return 0
+}
+
+// open lists the upstreams that may be asked, and says why there is none.
+func (t *Table) open(now time.Time, q Query) ([]candidate, Reason) {
+	reason := NoneKnown
+	var out, ejected []candidate
+	for _, w := range t.services[q.Service] {
+		if q.Bound && !slices.Contains(q.Homes, w.region) || slices.Contains(q.Tried, w.ID) {
+			continue
+		}
+		if t.evacuate[w.Zone] || w.State != "ready" {
+			reason = NoneOpen
+			continue
+		}
+		c := candidate{worker: w, cold: w.isCold(now)}
+		if c.cold && !t.warms(w) {
+			if reason != NoneReachable {
+				reason = NoneWarm
+			}
+			continue
+		}
+		if !w.health.usable(now) {
+			ejected = append(ejected, c)
+			reason = NoneReachable
+			continue
+		}
+		out = append(out, c)
+	}
+	if len(out) == 0 {
+		// Where all have failed, the one that failed longest ago may be back.
+		return soonest(ejected), reason
+	}
+	return out, ""
+}
+
+// soonest returns the candidate whose ejection ends first, if it is a doubt
+// about lost answers only: an upstream that could not be reached stays out.
+func soonest(ejected []candidate) []candidate {
+	var best []candidate
+	for _, c := range ejected {
+		if c.cold {
+			continue
+		}
+		if len(best) == 0 || c.health.ejected.Before(best[0].health.ejected) {
+			best = []candidate{c}
+		}
+	}
+	return best
+}
+
+// estimate fills in the expected finish of each candidate.
+func (t *Table) estimate(now time.Time, q Query, object uint64, list []candidate) {
+	for i := range list {
+		list[i].weight = weight(object, list[i].id)
+	}
+	if object != 0 {
+		sort.Slice(list, func(i, j int) bool { return list[i].weight > list[j].weight })
+	}
+	route, usual := t.of(t.work, q.Route), t.of(t.usual, q.Service)
+	for i := range list {
+		c := &list[i]
+		c.warm = object == 0 || i == 0 || c.isWarm(now, object)
+		c.wait = waiting(c.load.expect(now), c.Slots, time.Duration(float64(usual.estimate(true))*c.health.slowness))
+		c.finish = time.Duration(float64(route.estimate(c.warm))*c.health.slowness) + c.wait + t.way.to(c.region, c.Zone)
+		c.cost = c.finish + t.way.cost(q.Route, c.region, c.Zone, q.BodyBytes) +
+			time.Duration(c.health.failures*float64(failureCost))
+		if object != 0 {
+			c.cost += time.Duration(min(i, rankMost)) * rankStep
+		}
+	}
+}
+
+// waiting is how long a new request waits for one of the slots.
+func waiting(load float64, slots int, each time.Duration) time.Duration {
+	ahead := load + 1 - float64(slots)
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(math.Ceil(ahead) / float64(slots) * float64(each))
+}
+
+// warms tells whether this host is the one that sends to a cold upstream. One
+// alone does, by rendezvous among the ready hosts of the upstream's zone, else
+// of its region, else all: each host then knows the whole rate.
+func (t *Table) warms(w *worker) bool {
+	near := func(test func(Host) bool) (Host, bool) {
+		var best Host
+		var most uint64
+		for _, h := range t.hosts {
+			if x := weight(w.id, hash(h.Instance)); test(h) && (best.Instance == "" || x > most) {
+				best, most = h, x
+			}
+		}
+		return best, best.Instance != ""
+	}
+	for _, test := range []func(Host) bool{
+		func(h Host) bool { return h.Zone == w.Zone },
+		func(h Host) bool { return h.Region == w.region },
+		func(Host) bool { return true },
+	} {
+		if h, ok := near(test); ok {
+			return h.Instance == t.self.Instance
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/place/table.go
@@ -0,0 +1,244 @@
+package place
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"balsambarrow/internal/catalog"
+	"balsambarrow/internal/traffic"
+)
+
+// Host is an entry host that may send to cold upstreams.
+type Host struct {
+	Instance string
+	Zone     string
+	Region   string
+}
+
+// Table knows the upstreams and what this host has met at them. It is safe for
+// concurrent use.
+type Table struct {
+	self  Host
+	zones map[string]string
+
+	mu       sync.Mutex
+	byID     map[string]*worker
+	services map[string][]*worker
+	declared *catalog.Catalog
+	evacuate map[string]bool
+	hosts    []Host
+	work     map[string]*work
+	// usual is the mean work of a service, for what waits at its upstreams.
+	usual map[string]*work
+	way   ways
+}
+
+// NewTable returns an empty table of the entry host self. zones gives the
+// region of each zone.
+func NewTable(self Host, zones map[string]string) *Table {
+	return &Table{
+		self: self, zones: zones, byID: map[string]*worker{}, services: map[string][]*worker{},
+		evacuate: map[string]bool{}, work: map[string]*work{}, usual: map[string]*work{},
+		way: newWays(self),
+	}
+}
+
+// SetCatalog takes a version of the operators' declaration over.
+func (t *Table) SetCatalog(c *catalog.Catalog) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.declared = c
+}
+
+// SetHosts says which hosts are ready, this one included if it is.
+func (t *Table) SetHosts(hosts []Host) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hosts = slices.Clone(hosts)
+}
+
+// Evacuate says which zones get nothing new. The upstreams of a zone that comes
+// back count as cold until they say otherwise: nobody has asked them for a
+// while, and their last account is older than that.
+func (t *Table) Evacuate(now time.Time, zones map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, w := range t.byID {
+		if t.evacuate[w.Zone] && !zones[w.Zone] {
+			w.coldUntil = now.Add(t.coldFor(w.Service))
+		}
+	}
+	t.evacuate = zones
+}
+
+func (t *Table) coldFor(service string) time.Duration {
+	if s := t.service(service); s != nil {
+		return s.ColdFor
+	}
+	return 0
+}
+
+func (t *Table) service(name string) *catalog.Service {
+	if t.declared == nil {
+		return nil
+	}
+	return t.declared.Service(name)
+}
+
+// Put takes an upstream's account of itself in, just written. It tells whether
+// the account says anything new beside that the upstream lives.
+func (t *Table) Put(now time.Time, u catalog.Upstream) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.byID[u.ID]
+	news := w == nil || w.Born != u.Born || w.State != u.State || w.Address != u.Address || w.Service != u.Service
+	if w == nil {
+		w = newWorker(u, t.zones[u.Zone])
+		t.byID[u.ID] = w
+		t.services[u.Service] = append(t.services[u.Service], w)
+	} else {
+		t.replace(w, u)
+	}
+	w.coldUntil = now.Add(u.ColdFor)
+	// It is alive, and says itself whether it is cold.
+	w.health.doubt = time.Time{}
+	return news
+}
+
+func (t *Table) replace(w *worker, u catalog.Upstream) {
+	if w.Born != u.Born || w.Address != u.Address {
+		w.restarted()
+	}
+	if w.Service != u.Service {
+		t.unlist(w)
+		t.services[u.Service] = append(t.services[u.Service], w)
+	}
+	w.Upstream, w.region = u, t.zones[u.Zone]
+}
+
+// Remove forgets an upstream that is gone.
+func (t *Table) Remove(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.byID[id]
+	if w == nil {
+		return
+	}
+	delete(t.byID, id)
+	t.unlist(w)
+}
+
+func (t *Table) unlist(w *worker) {
+	list := t.services[w.Service]
+	if i := slices.Index(list, w); i >= 0 {
+		t.services[w.Service] = slices.Delete(list, i, i+1)
+	}
+}
+
+// Size is the number of upstreams.
+func (t *Table) Size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.byID)
+}
+
+// Connected notes how long a new connection to an upstream's region took.
+func (t *Table) Connected(id string, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if w := t.byID[id]; w != nil {
+		t.way.note(w.region, took)
+	}
+}
+
+// Result is how a request at an upstream ended.
+type Result int
+
+// Results.
+const (
+	// Answered: an answer of its own came whole.
+	Answered Result = iota
+	// Failed: it answered that it failed.
+	Failed
+	// Shed: it refused without running the request.
+	Shed
+	// Lost: no usable answer came.
+	Lost
+	// Unreachable: no connection could be made.
+	Unreachable
+	// Left: the caller has left, or the time was up. It says nothing.
+	Left
+	// Misdirected: another upstream has the address now.
+	Misdirected
+)
+
+// Report is what a request has shown of its upstream.
+type Report struct {
+	Result Result
+	// Took is the time to the answer's header.
+	Took time.Duration
+	Load traffic.Load
+	Told bool
+	// ColdFor, if the upstream says it.
+	ColdFor time.Duration
+	// Bytes of the answer.
+	Bytes int
+}
+
+// Done ends a placement.
+func (t *Table) Done(now time.Time, c Choice, r Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := c.worker
+	if r.Told {
+		w.load.note(now, r.Load)
+	}
+	w.load.inflight--
+	if r.ColdFor > 0 {
+		w.coldUntil = now.Add(r.ColdFor)
+	}
+	switch r.Result {
+	case Answered:
+		w.health.good()
+		t.learn(now, c, r)
+	case Failed:
+		w.health.bad()
+	case Lost:
+		w.health.noAnswer(now)
+	case Unreachable:
+		w.health.unreachable(now)
+	case Misdirected:
+		// Its own entry will go; until then nobody is sent there.
+		w.health.eject(now)
+	case Shed, Left:
+	}
+}
+
+func (t *Table) learn(now time.Time, c Choice, r Report) {
+	w := c.worker
+	if c.object != 0 {
+		w.remember(now, c.object)
+	}
+	t.way.noteBytes(c.route, r.Bytes)
+	// Only work that did not wait says how long work takes.
+	queued := r.Told && r.Load.Running+r.Load.Waiting >= r.Load.Slots
+	if queued || c.cold {
+		return
+	}
+	took := max(r.Took-t.way.to(w.region, w.Zone), time.Millisecond)
+	if c.warm {
+		w.health.learnSpeed(took, t.of(t.work, c.route).estimate(true))
+		t.of(t.work, c.route).learn(took)
+		t.of(t.usual, w.Service).learn(took)
+	}
+}
+
+func (t *Table) of(m map[string]*work, name string) *work {
+	w := m[name]
+	if w == nil {
+		w = &work{}
+		m[name] = w
+	}
+	return w
+}
--- /dev/null
+++ b/internal/place/way.go
@@ -0,0 +1,84 @@
+package place
+
+import "time"
+
+const (
+	// firstFar is assumed of the way to another region and back, before a
+	// connection has shown it. Today's users have 70 ms and 110 ms.
+	firstFar = 80 * time.Millisecond
+	// nearZone is the way to another zone of the region and back.
+	nearZone = 1 * time.Millisecond
+	// farPerKB and zonePerKB weigh what a transfer takes of links that are
+	// shared and paid for, in time per kilobyte that leaves the region or the
+	// zone. A report of 90 kB then stays in its region unless waiting there
+	// costs 0.6 s, and an answer of 1.5 kB may go anywhere.
+	farPerKB  = 6700 * time.Microsecond
+	zonePerKB = 400 * time.Microsecond
+	// firstBytes is assumed of an answer before any has come.
+	firstBytes = 4000
+	wayGain    = 0.2
+	bytesGain  = 0.1
+)
+
+// ways is what it takes to reach other zones and regions.
+type ways struct {
+	self  Host
+	far   map[string]time.Duration
+	bytes map[string]float64
+}
+
+func newWays(self Host) ways {
+	return ways{self: self, far: map[string]time.Duration{}, bytes: map[string]float64{}}
+}
+
+// note takes the time of a new connection, which is one way there and back.
+func (w *ways) note(region string, took time.Duration) {
+	if region == w.self.Region {
+		return
+	}
+	known, ok := w.far[region]
+	if !ok {
+		w.far[region] = took
+		return
+	}
+	w.far[region] = known + time.Duration(wayGain*float64(took-known))
+}
+
+func (w *ways) noteBytes(route string, n int) {
+	known, ok := w.bytes[route]
+	if !ok {
+		known = float64(n)
+	}
+	w.bytes[route] = known + bytesGain*(float64(n)-known)
+}
+
+// to is the time to a zone and back.
+func (w *ways) to(region, zone string) time.Duration {
+	switch {
+	case zone == w.self.Zone:
+		return 0
+	case region == w.self.Region:
+		return nearZone
+	}
+	if d, ok := w.far[region]; ok {
+		return d
+	}
+	return firstFar
+}
+
+// cost is what a transfer of a route's answer, and of up bytes of its body,
+// takes of links.
+func (w *ways) cost(route, region, zone string, up int) time.Duration {
+	if zone == w.self.Zone {
+		return 0
+	}
+	size, ok := w.bytes[route]
+	if !ok {
+		size = firstBytes
+	}
+	kb := (size + float64(up)) / 1000
+	if region == w.self.Region {
+		return time.Duration(kb * float64(zonePerKB))
+	}
+	return time.Duration(kb * float64(farPerKB))
+}
--- /dev/null
+++ b/internal/share/shares.go
@@ -0,0 +1,172 @@
+package share
+
+import (
+	"sync"
+	"time"
+
+	"balsambarrow/internal/catalog"
+)
+
+const (
+	// evenPart of each rate is split evenly, so that a host at which a customer
+	// appears for the first time has something to give before its peers have
+	// heard of the demand there.
+	evenPart = 0.15
+	// depthPart of the burst is in the buckets. The rest covers what demand
+	// moves between hosts before they hear of it.
+	depthPart = 0.6
+	// startPart of its depth is in a bucket when a host starts: it may have
+	// spent the rest before it started again.
+	startPart = 0.3
+	// leastDepth lets one request in where a customer's part of the burst is
+	// less than one.
+	leastDepth = 1.0
+	// shortest and longest time that a refused caller is told to stay away.
+	shortestPause = 100 * time.Millisecond
+	longestPause  = 2 * time.Second
+)
+
+// Shares admits customers' requests. It is safe for concurrent use.
+type Shares struct {
+	mu       sync.Mutex
+	accounts map[string]*account
+	// others is the demand of the other hosts by customer.
+	others map[string]float64
+	hosts  int
+	// held says that this host may spend its shares.
+	held bool
+}
+
+type account struct {
+	demand demand
+	tokens float64
+	at     time.Time
+	// lastBack is the latest time at which a refused caller was told to return.
+	lastBack time.Time
+}
+
+// New returns shares that admit nothing until Hold is called.
+func New() *Shares {
+	return &Shares{accounts: map[string]*account{}, others: map[string]float64{}, hosts: 1}
+}
+
+// SetOthers takes over what the other hosts want, by customer, and how many
+// hosts there are, this one included.
+func (s *Shares) SetOthers(perSecond map[string]float64, hosts int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.others, s.hosts = perSecond, max(hosts, 1)
+}
+
+// Hold says whether this host may spend: its registration stands, so the others
+// count it.
+func (s *Shares) Hold(held bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = held
+}
+
+// Verdict on one request.
+type Verdict struct {
+	Admitted bool
+	// ComeBack is when there is likely to be room; set if it is not admitted.
+	ComeBack time.Duration
+	// Part is this host's part of the rate, and Demand the rate that it is
+	// asked for, for the log.
+	Part   float64
+	Demand float64
+}
+
+// Admit takes one request of a customer.
+func (s *Shares) Admit(now time.Time, c *catalog.Customer) Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.account(c.Name)
+	a.demand.add(now)
+	if c.Rate <= 0 {
+		return Verdict{Admitted: true, Part: 1}
+	}
+	part := s.part(now, c.Name, a)
+	v := Verdict{Part: part, Demand: a.demand.perSecond}
+	rate, depth := part*c.Rate, max(part*c.Burst*depthPart, leastDepth)
+	a.refill(now, rate, depth)
+	if s.held && a.tokens >= 1 {
+		a.tokens--
+		v.Admitted = true
+		return v
+	}
+	v.ComeBack = a.comeBack(now, rate)
+	return v
+}
+
+// Undo gives the token of a request back that certainly did not run.
+func (s *Shares) Undo(customer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a := s.accounts[customer]; a != nil {
+		a.tokens++
+	}
+}
+
+func (a *account) refill(now time.Time, rate, depth float64) {
+	if a.at.IsZero() {
+		a.tokens = max(depth*startPart, 1)
+	} else {
+		a.tokens += now.Sub(a.at).Seconds() * rate
+	}
+	a.at = now
+	a.tokens = min(a.tokens, depth)
+}
+
+// comeBack spreads those that are refused over the tokens that will come: each
+// is told a later time than the one before, or they would all return together.
+func (a *account) comeBack(now time.Time, rate float64) time.Duration {
+	next := now.Add(shortestPause)
+	if a.lastBack.After(now) {
+		next = a.lastBack
+	}
+	if rate > 0 {
+		next = next.Add(time.Duration(float64(time.Second) / rate))
+	}
+	if next.Sub(now) > longestPause {
+		next = now.Add(longestPause)
+	}
+	a.lastBack = next
+	return next.Sub(now)
+}
+
+// part is this host's part of a customer's rate.
+func (s *Shares) part(now time.Time, customer string, a *account) float64 {
+	even := 1 / float64(s.hosts)
+	own, others := a.demand.rate(now), s.others[customer]
+	if own+others <= 0 {
+		return even
+	}
+	return evenPart*even + (1-evenPart)*own/(own+others)
+}
+
+func (s *Shares) account(name string) *account {
+	a := s.accounts[name]
+	if a == nil {
+		a = &account{}
+		s.accounts[name] = a
+	}
+	return a
+}
+
+// Demand is what each customer asks for at this host, in requests per second.
+// Customers that ask for next to nothing are left out.
+func (s *Shares) Demand(now time.Time) map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]float64{}
+	for name, a := range s.accounts {
+		if rate := a.demand.rate(now); rate > leastDemand {
+			out[name] = rate
+		}
+	}
+	return out
+}
+
+// leastDemand is what is left of one request after four seconds.
+const leastDemand = 0.03
