--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -36,7 +36,6 @@
 }
 
 func (r *registrar) run(ctx context.Context) {
-	r.try(ctx, r.list)
 	for ctx.Err() == nil {
 		began := r.d.now()
 		err := r.try(ctx, r.keep)
@@ -63,6 +62,7 @@
 	}
 }
 
+// try makes one bounded call and logs why it failed.
 func (r *registrar) try(ctx context.Context, call func(context.Context) error) error {
 	bounded, cancel := context.WithTimeout(ctx, callBound)
 	defer cancel()
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -93,7 +93,7 @@
 	if r.Body != nil {
 		reply.written = writeBody(c, r)
 	}
-	resp, err := readAnswer(c, r)
+	resp, err := readAnswer(c, r) //nolint:bodyclose // Reply.Close ends the connection instead
 	if err != nil {
 		return nil, &LostError{c.address, c.kept, err}
 	}
--- a/internal/place/pace.go
+++ b/internal/place/pace.go
@@ -35,5 +35,3 @@
 	p.tokens--
 	return true
 }
-
-func (p *pace) undo() { p.tokens = min(p.tokens+1, coldDepth) }
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -63,7 +63,7 @@
 	return len(line), nil
 }
 
-// Debug, Info and Warn write an event of a kind with key=value pairs.
+// Debug writes an event that only developers look for. Pairs are keys and values.
 func (e *Events) Debug(kind string, pairs ...any) { e.write(log.DebugLevel, kind, pairs) }
 
 // Info writes an event that is part of usual work.
