Place objects by homes: asking region first, a second one elsewhere, heavy answers by zone

Ruled out: a longer memory of warm pairs (work by the gap since the last request is the same for under 1 s and over 8 s).

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -61,6 +61,9 @@
 		report.Result, end = place.Failed, failed
 	}
 	h.Table.Done(h.Now(), c, report)
+	h.Log.Debug("upstream answered", "id", q.ID, "route", q.route.Name, "object", q.Object, "upstream", c.ID, "zone", c.Zone,
+		"status", a.status, "took", report.Took, "expected", c.Expected, "expected_wait", c.Wait, "warm", c.Warm,
+		"running", said.Load.Running, "waiting", said.Load.Waiting, "bytes", report.Bytes)
 	switch end {
 	case done:
 		h.give(w, q, a)
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -42,10 +42,14 @@
 	Expected time.Duration
 	Wait     time.Duration
 
-	worker     *worker
-	object     uint64
-	route      string
-	warm, cold bool
+	// Warm says that the upstream is believed to have handled the object lately.
+	Warm bool
+
+	worker *worker
+	object uint64
+	route  string
+	// cold: the upstream itself has just started.
+	cold bool
 }
 
 // Reason says why there is no choice.
@@ -102,7 +106,7 @@
 		c.load.inflight++
 		return Choice{
 			ID: c.ID, Address: c.Address, Zone: c.Zone, Region: c.region, Expected: c.finish, Wait: c.wait,
-			worker: c.worker, object: object, route: q.Route, warm: c.warm, cold: c.cold,
+			worker: c.worker, object: object, route: q.Route, Warm: c.warm, cold: c.cold,
 		}, nil
 	}
 	return Choice{}, &NoneError{q.Service, NoneWarm}
@@ -165,16 +169,10 @@
 
 // estimate fills in the expected finish of each candidate.
 func (t *Table) estimate(now time.Time, q Query, object uint64, list []candidate) {
-	for i := range list {
-		list[i].weight = weight(object, list[i].id)
-	}
-	if object != 0 {
-		sort.Slice(list, func(i, j int) bool { return list[i].weight > list[j].weight })
-	}
+	t.markWarm(now, q, object, list)
 	route, usual := t.of(t.work, q.Route), t.of(t.usual, q.Service)
 	for i := range list {
 		c := &list[i]
-		c.warm = object == 0 || i == 0 || c.isWarm(now, object)
 		c.wait = waiting(c.load.expect(now), c.Slots, time.Duration(float64(usual.estimate(true))*c.health.slowness))
 		c.finish = time.Duration(float64(route.estimate(c.warm))*c.health.slowness) + c.wait + t.way.to(c.region, c.Zone)
 		c.cost = c.finish + t.way.cost(q.Route, c.region, c.Zone, q.BodyBytes) +
@@ -185,6 +183,40 @@
 	}
 }
 
+// markWarm ranks the candidates of an object and tells which of them are
+// believed to be warm: those that this host has had an answer of lately, and the
+// first of each place that an object has a home in.
+//
+// Callers ask mostly for objects of their own region, so an object's first home
+// is in this region: every host there agrees on it, and neither the way nor the
+// bytes to another region are paid. Its second home is elsewhere, for a region
+// with few upstreams. Where an answer is so large that it should not even leave
+// its zone, the zone has a home too; for others that would only make twice as
+// many upstreams warm up.
+func (t *Table) markWarm(now time.Time, q Query, object uint64, list []candidate) {
+	for i := range list {
+		list[i].weight = weight(object, list[i].id)
+		list[i].warm = object == 0 || list[i].isWarm(now, object)
+	}
+	if object == 0 {
+		return
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].weight > list[j].weight })
+	heavy := t.way.heavy(q.Route)
+	var zone, region, elsewhere bool
+	for i := range list {
+		c := &list[i]
+		switch {
+		case heavy && !zone && c.Zone == t.self.Zone:
+			zone, c.warm = true, true
+		case !region && c.region == t.self.Region && !(heavy && c.Zone == t.self.Zone):
+			region, c.warm = true, true
+		case !elsewhere && c.region != t.self.Region:
+			elsewhere, c.warm = true, true
+		}
+	}
+}
+
 // waiting is how long a new request waits for one of the slots.
 func waiting(load float64, slots int, each time.Duration) time.Duration {
 	ahead := load + 1 - float64(slots)
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -227,7 +227,7 @@
 		return
 	}
 	took := max(r.Took-t.way.to(w.region, w.Zone), time.Millisecond)
-	if c.warm {
+	if c.Warm {
 		w.health.learnSpeed(took, t.of(t.work, c.route).estimate(true))
 		t.of(t.work, c.route).learn(took)
 		t.of(t.usual, w.Service).learn(took)
--- a/internal/place/way.go
+++ b/internal/place/way.go
@@ -11,9 +11,13 @@
 	// farPerKB and zonePerKB weigh what a transfer takes of links that are
 	// shared and paid for, in time per kilobyte that leaves the region or the
 	// zone. A report of 90 kB then stays in its region unless waiting there
-	// costs 0.6 s, and an answer of 1.5 kB may go anywhere.
+	// costs 0.6 s and in its zone unless it costs 0.2 s, and an answer of
+	// 1.5 kB may go anywhere.
 	farPerKB  = 6700 * time.Microsecond
-	zonePerKB = 400 * time.Microsecond
+	zonePerKB = 2500 * time.Microsecond
+	// heavyBytes is the size of answer from which a route has a home in each
+	// zone: its transfer to another zone weighs as much as warm work.
+	heavyBytes = 30_000
 	// firstBytes is assumed of an answer before any has come.
 	firstBytes = 4000
 	wayGain    = 0.2
@@ -52,6 +56,9 @@
 	w.bytes[route] = known + bytesGain*(float64(n)-known)
 }
 
+// heavy tells whether a route's answers should not leave their zone.
+func (w *ways) heavy(route string) bool { return w.bytes[route] >= heavyBytes }
+
 // to is the time to a zone and back.
 func (w *ways) to(region, zone string) time.Duration {
 	switch {
