--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -161,6 +161,9 @@
 	for customer, rate := range c.d.shares.Demand(now) {
 		b.Demand = append(b.Demand, &fleet.Demand{Customer: customer, PerSecond: float32(rate)})
 	}
+	for _, n := range c.d.table.News(now) {
+		b.Warm = append(b.Warm, uint64(n))
+	}
 	if err := c.d.wire.Send(b, c.members.Peers()); err != nil {
 		c.d.events.Debug("heartbeat not sent", "error", err)
 	}
@@ -174,7 +177,9 @@
 }
 
 func (c *control) heard(b *fleet.Heartbeat) {
-	c.log(c.members.Hear(c.d.now(), b))
+	now := c.d.now()
+	c.log(c.members.Hear(now, b))
+	c.d.table.Hear(now, b.Warm)
 }
 
 // leave stops sending to an upstream.
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -46,7 +46,7 @@
 	Warm bool
 
 	worker *worker
-	object uint64
+	object Object
 	route  string
 	// cold: the upstream itself has just started.
 	cold bool
@@ -93,10 +93,7 @@
 	if len(open) == 0 {
 		return Choice{}, &NoneError{q.Service, reason}
 	}
-	object := hash(q.Object)
-	if q.Object == "" {
-		object = 0
-	}
+	object := objectOf(q.Object)
 	t.estimate(now, q, object, open)
 	sort.Slice(open, func(i, j int) bool { return open[i].cost < open[j].cost })
 	for _, c := range open {
@@ -168,7 +165,7 @@
 }
 
 // estimate fills in the expected finish of each candidate.
-func (t *Table) estimate(now time.Time, q Query, object uint64, list []candidate) {
+func (t *Table) estimate(now time.Time, q Query, object Object, list []candidate) {
 	t.markWarm(now, q, object, list)
 	route, usual := t.of(t.work, q.Route), t.of(t.usual, q.Service)
 	for i := range list {
@@ -183,36 +180,30 @@
 	}
 }
 
-// markWarm ranks the candidates of an object and tells which of them are
-// believed to be warm: those that this host has had an answer of lately, and the
-// first of each place that an object has a home in.
+// markWarm ranks the candidates of an object and tells which of them are warm:
+// those that any host has had an answer of lately.
 //
-// Callers ask mostly for objects of their own region, so an object's first home
-// is in this region: every host there agrees on it, and neither the way nor the
-// bytes to another region are paid. Its second home is elsewhere, for a region
-// with few upstreams. Where an answer is so large that it should not even leave
-// its zone, the zone has a home too; for others that would only make twice as
-// many upstreams warm up.
-func (t *Table) markWarm(now time.Time, q Query, object uint64, list []candidate) {
+// An object that is warm nowhere goes to the first in rank of this region, by
+// the way to the others: callers ask mostly for objects of their own region, and
+// every host there agrees on it. Where an answer is so large that it should not
+// leave its zone, the first in rank of the zone counts as warm: it costs one
+// cold request, and then no transfer any more.
+func (t *Table) markWarm(now time.Time, q Query, object Object, list []candidate) {
 	for i := range list {
-		list[i].weight = weight(object, list[i].id)
+		list[i].weight = weight(uint64(object), list[i].id)
 		list[i].warm = object == 0 || list[i].isWarm(now, object)
 	}
 	if object == 0 {
 		return
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].weight > list[j].weight })
-	heavy := t.way.heavy(q.Route)
-	var zone, region, elsewhere bool
+	if !t.way.heavy(q.Route) {
+		return
+	}
 	for i := range list {
-		c := &list[i]
-		switch {
-		case heavy && !zone && c.Zone == t.self.Zone:
-			zone, c.warm = true, true
-		case !region && c.region == t.self.Region && !(heavy && c.Zone == t.self.Zone):
-			region, c.warm = true, true
-		case !elsewhere && c.region != t.self.Region:
-			elsewhere, c.warm = true, true
+		if list[i].Zone == t.self.Zone {
+			list[i].warm = true
+			return
 		}
 	}
 }
--- a/internal/place/rank.go
+++ b/internal/place/rank.go
@@ -5,7 +5,7 @@
 // weight is the rendezvous weight of an object at an upstream. The one with the
 // highest weight has the object; when it leaves, only its objects move.
 func weight(object, upstream uint64) uint64 {
-	x := object ^ upstream
+	x := object*0x9e3779b97f4a7c15 ^ upstream
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
@@ -13,4 +13,12 @@
 	return x ^ x>>33
 }
 
+// objectOf hashes an affinity key; 0 stands for none.
+func objectOf(key string) Object {
+	if key == "" {
+		return 0
+	}
+	return Object(hash(key)) | 1
+}
+
 func hash(s string) uint64 { return xxhash.Sum64String(s) }
--- a/internal/place/worker.go
+++ b/internal/place/worker.go
@@ -25,40 +25,53 @@
 	// coldUntil is when it stops being cold, by its own account or because
 	// its zone comes back from an evacuation.
 	coldUntil time.Time
-	// warm says when this host last had an answer about an object.
-	warm map[uint64]time.Time
+	// warm holds the objects that it is known to have handled lately.
+	warm map[Object]warmth
+}
+
+// Object is the hash of an affinity key.
+type Object uint32
+
+// warmth is when an upstream last answered about an object, as far as this host
+// knows, and when the hosts last told each other so.
+type warmth struct {
+	at     time.Time
+	shared time.Time
 }
 
 func newWorker(u catalog.Upstream, region string) *worker {
-	return &worker{Upstream: u, id: hash(u.ID), region: region, health: newHealth(), warm: map[uint64]time.Time{}}
+	return &worker{Upstream: u, id: hash(u.ID), region: region, health: newHealth(), warm: map[Object]warmth{}}
 }
 
 // restarted forgets what was known of an earlier run under the same id.
 func (w *worker) restarted() {
 	inflight := w.load.inflight
-	w.health, w.load, w.warm = newHealth(), load{inflight: inflight}, map[uint64]time.Time{}
+	w.health, w.load, w.warm = newHealth(), load{inflight: inflight}, map[Object]warmth{}
 }
 
 func (w *worker) isCold(now time.Time) bool { return now.Before(w.coldUntil) || w.health.doubtful(now) }
 
-func (w *worker) isWarm(now time.Time, object uint64) bool {
-	at, ok := w.warm[object]
-	return ok && now.Sub(at) < warmFor
+func (w *worker) isWarm(now time.Time, object Object) bool {
+	known, ok := w.warm[object]
+	return ok && now.Sub(known.at) < warmFor
 }
 
-func (w *worker) remember(now time.Time, object uint64) {
-	if len(w.warm) >= warmMost {
+// remember notes that the upstream handles an object now.
+func (w *worker) remember(now time.Time, object Object) {
+	known, ok := w.warm[object]
+	if !ok && len(w.warm) >= warmMost {
 		w.forgetOldest()
 	}
-	w.warm[object] = now
+	known.at = now
+	w.warm[object] = known
 }
 
 func (w *worker) forgetOldest() {
-	var oldest uint64
+	var oldest Object
 	var at time.Time
-	for object, t := range w.warm {
-		if at.IsZero() || t.Before(at) {
-			oldest, at = object, t
+	for object, known := range w.warm {
+		if at.IsZero() || known.at.Before(at) {
+			oldest, at = object, known.at
 		}
 	}
 	delete(w.warm, oldest)
