A watch without an event confirms its whole wait; store calls by fleet size

Cause: the configuration counted as confirmed when a watch left, so its age came to twice the wait (3 s) and hosts were not ready in turns.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -18,8 +18,8 @@
 	// changes: a tenth of the shortest bound that it keeps.
 	tickEvery = 100 * time.Millisecond
 	// freshFor is the age of the configuration up to which the host counts as
-	// ready: two watches and a slow answer.
-	freshFor = 3 * time.Second
+	// ready: a watch and a slow answer, and less than keys are accepted for.
+	freshFor = 3300 * time.Millisecond
 	// deafFor is how long a watch may have been deaf before it says nothing.
 	deafFor = time.Second
 	// keyMargin covers the way from the caller and what the process needs
@@ -113,6 +113,7 @@
 func (c *control) publish(now time.Time) {
 	heard := c.members.Heard(now)
 	c.setReady(now)
+	c.d.hosts.Store(int32(c.members.Count()))
 	c.d.state.Store(&front.State{Catalog: c.catalog, ConfirmedAt: c.at, Listed: c.listed, Leaving: c.leaving})
 	c.d.directory.Store(&directory{self: c.d.self, ready: c.ready, leaving: c.leaving, others: heard})
 	hosts := make([]place.Host, 0, len(heard)+1)
@@ -201,7 +202,7 @@
 type declaredSink struct{ c *control }
 
 // Listed implements follow.Sink.
-func (s declaredSink) Listed(l kv.Listing, asked time.Time) {
+func (s declaredSink) Listed(l kv.Listing, asOf time.Time) {
 	s.c.send(func(c *control) {
 		zones := map[string]bool{}
 		for _, item := range l.Items {
@@ -211,17 +212,17 @@
 			c.declare(item)
 		}
 		c.evacuate(zones)
-		c.confirm(asked)
+		c.confirm(asOf)
 	})
 }
 
 // Changed implements follow.Sink.
-func (s declaredSink) Changed(changes kv.Changes, asked time.Time) {
+func (s declaredSink) Changed(changes kv.Changes, asOf time.Time) {
 	s.c.send(func(c *control) {
 		for _, e := range changes.Events {
 			c.declaredEvent(e)
 		}
-		c.confirm(asked)
+		c.confirm(asOf)
 	})
 }
 
@@ -283,10 +284,10 @@
 	c.d.table.Evacuate(c.d.now(), zones)
 }
 
-// confirm notes that the configuration is the store's as of when the call left.
-func (c *control) confirm(asked time.Time) {
-	if asked.After(c.at) {
-		c.at = asked
+// confirm notes that the configuration was the store's at a time.
+func (c *control) confirm(asOf time.Time) {
+	if asOf.After(c.at) {
+		c.at = asOf
 	}
 	if c.storeOut {
 		c.storeOut = false
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -30,14 +30,6 @@
 	upstreamDialBound = 600 * time.Millisecond
 	// storeDialBound bounds a connection to the store.
 	storeDialBound = time.Second
-	// declaredWait is how long a watch of the declarations waits. The
-	// configuration's age is at most this and an answer's time.
-	declaredWait = 1500 * time.Millisecond
-	// upstreamsWait is how long a watch of the upstreams waits, and
-	// upstreamsEvery the least time between two: heartbeats of upstreams come
-	// all the time, and each would end a watch.
-	upstreamsWait  = 5 * time.Second
-	upstreamsEvery = 700 * time.Millisecond
 	// headerBound and idleBound bound slow and idle callers; they are above
 	// what operators allow callers.
 	headerBound = 10 * time.Second
@@ -63,6 +55,8 @@
 	state     atomic.Pointer[front.State]
 	directory atomic.Pointer[directory]
 	ready     atomic.Bool
+	// hosts is the number of hosts that the control thread counts.
+	hosts atomic.Int32
 
 	servers []*http.Server
 	errs    chan error
@@ -130,10 +124,10 @@
 			func(err error) { d.events.Debug("heartbeat not readable", "error", err) })
 	})
 	d.spawn((&follow.Follower{
-		Store: d.store, Prefix: platform.DeclaredPrefix, Wait: declaredWait, Now: d.now, Sink: declaredSink{d.control},
+		Store: d.store, Prefix: platform.DeclaredPrefix, Pace: d.declaredPace, Now: d.now, Sink: declaredSink{d.control},
 	}).Run)
 	d.spawn((&follow.Follower{
-		Store: d.store, Prefix: platform.UpstreamPrefix, Wait: upstreamsWait, Every: upstreamsEvery, Now: d.now,
+		Store: d.store, Prefix: platform.UpstreamPrefix, Pace: d.upstreamsPace, Now: d.now,
 		Sink: upstreamSink{d.control},
 	}).Run)
 	r := &registrar{d: d}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -22,10 +22,11 @@
 
 // Sink is told what the store holds.
 type Sink interface {
-	// Listed replaces all that was known. asked is when the call left.
-	Listed(l kv.Listing, asked time.Time)
-	// Changed adds events, perhaps none.
-	Changed(c kv.Changes, asked time.Time)
+	// Listed replaces all that was known. It is what the store held at some
+	// time after asOf.
+	Listed(l kv.Listing, asOf time.Time)
+	// Changed adds events, perhaps none, up to some time after asOf.
+	Changed(c kv.Changes, asOf time.Time)
 	// Failed says that a call failed; calls go on until one succeeds.
 	Failed(err error)
 }
@@ -34,38 +35,44 @@
 type Follower struct {
 	Store  kv.Store
 	Prefix string
+	// Pace of the calls; asked before each.
+	Pace func() Pace
+	Now  func() time.Time
+	Sink Sink
+}
+
+// Pace says how often the store is called.
+type Pace struct {
 	// Wait is how long one watch waits for a change.
 	Wait time.Duration
 	// Every is the least time between two watches: changes that come close
 	// together are then fetched by one call. Default 0.
 	Every time.Duration
-	Now   func() time.Time
-	Sink  Sink
 }
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	pause := firstPause
+	rest := firstPause
 	revision, listed := uint64(0), false
 	for ctx.Err() == nil {
-		asked := f.Now()
-		next, err := f.step(ctx, revision, listed, asked)
+		asked, pace := f.Now(), f.Pace()
+		next, err := f.step(ctx, revision, listed, asked, pace.Wait)
 		switch {
 		case err == nil:
-			revision, listed, pause = next, true, firstPause
-			f.sleep(ctx, f.Every-f.Now().Sub(asked))
+			revision, listed, rest = next, true, firstPause
+			f.sleep(ctx, pace.Every-f.Now().Sub(asked))
 		case errors.Is(err, kv.ErrCompacted):
 			listed = false
 		case ctx.Err() == nil:
 			f.Sink.Failed(err)
-			f.sleep(ctx, time.Duration(float64(pause)*(0.5+rand.Float64())))
-			pause = min(2*pause, longestPause)
+			f.sleep(ctx, time.Duration(float64(rest)*(0.5+rand.Float64())))
+			rest = min(2*rest, longestPause)
 		}
 	}
 }
 
 // step makes one call and returns the revision to go on from.
-func (f *Follower) step(ctx context.Context, revision uint64, listed bool, asked time.Time) (uint64, error) {
+func (f *Follower) step(ctx context.Context, revision uint64, listed bool, asked time.Time, wait time.Duration) (uint64, error) {
 	if !listed {
 		call, cancel := context.WithTimeout(ctx, 2*answerBound)
 		defer cancel()
@@ -76,16 +83,27 @@
 		f.Sink.Listed(l, asked)
 		return l.Revision, nil
 	}
-	call, cancel := context.WithTimeout(ctx, f.Wait+answerBound)
+	call, cancel := context.WithTimeout(ctx, wait+answerBound)
 	defer cancel()
-	c, err := f.Store.Watch(call, f.Prefix, revision, f.Wait)
+	c, err := f.Store.Watch(call, f.Prefix, revision, wait)
 	if err != nil {
 		return 0, err
 	}
-	f.Sink.Changed(c, asked)
+	f.Sink.Changed(c, f.asOf(c, asked, wait))
 	return max(c.Revision, revision), nil
 }
 
+// asOf is the latest time for which the answer to a watch certainly speaks. One
+// without an event was given when the watch had waited in full, which began
+// after the call left; unless it was cut before.
+func (f *Follower) asOf(c kv.Changes, asked time.Time, wait time.Duration) time.Time {
+	waited := asked.Add(wait)
+	if len(c.Events) > 0 || f.Now().Before(waited) {
+		return asked
+	}
+	return waited
+}
+
 func (f *Follower) sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -30,7 +30,7 @@
 	// deniesFor is how long after ConfirmedAt a request may be denied because
 	// its route or key is unknown. A host that has fallen behind would deny
 	// what was added meanwhile, for good, where "come back" is true.
-	deniesFor = 2500 * time.Millisecond
+	deniesFor = 3200 * time.Millisecond
 	// defaultPatience bounds a request of which neither the caller nor its
 	// route says how long it may take.
 	defaultPatience = 30 * time.Second
