--- a/cmd/balsambarrowd/entry.go
+++ b/cmd/balsambarrowd/entry.go
@@ -66,9 +66,7 @@
 	if err != nil {
 		return err
 	}
-	if err := d.Start(); err != nil {
-		return err
-	}
+	d.Start()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	file := newSettingsFile(path, d, events)
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -58,26 +58,35 @@
 	// hosts is the number of hosts that the control thread counts.
 	hosts atomic.Int32
 
-	servers []*http.Server
-	errs    chan error
-	ctx     context.Context
-	cancel  context.CancelFunc
-	tasks   sync.WaitGroup
+	// addresses are those that the listeners have; port 0 of the settings is
+	// replaced by the one that the system gave.
+	addresses Listen
+	listeners map[string]net.Listener
+	servers   []*http.Server
+	errs      chan error
+	ctx       context.Context
+	cancel    context.CancelFunc
+	tasks     sync.WaitGroup
 }
 
 // New opens the listeners of a daemon; Start lets it serve.
 func New(s *Settings, events *telemetry.Events, metrics *telemetry.Metrics) (*Daemon, error) {
+	addresses, listeners, err := listen(s.Listen)
+	if err != nil {
+		return nil, err
+	}
 	wire, err := fleet.Listen(s.Listen.Peers)
 	if err != nil {
 		return nil, err
 	}
+	addresses.Peers = wire.Address()
 	region := s.Zones[s.Zone]
 	d := &Daemon{
 		self: Self{
 			Host: place.Host{Instance: s.Host + "-" + uuid.NewString()[:8], Zone: s.Zone, Region: region},
-			Name: s.Host, Callers: s.Listen.Callers, Peers: wire.Address(),
+			Name: s.Host, Callers: addresses.Callers, Peers: addresses.Peers,
 		},
-		events: events, metrics: metrics, wire: wire,
+		events: events, metrics: metrics, wire: wire, addresses: addresses, listeners: listeners,
 		store:   platform.NewStore(s.Store, h1.Dialer(storeDialBound), metrics.StoreCall),
 		pool:    h1.NewPool(h1.Dialer(upstreamDialBound), clock.Now),
 		shares:  share.New(),
@@ -96,26 +105,19 @@
 func (d *Daemon) now() time.Time { return clock.Now() }
 
 // Start serves callers and follows the store.
-func (d *Daemon) Start() error {
-	s := d.settings.Load()
+func (d *Daemon) Start() {
 	callers := front.New(front.Deps{
 		State: d.state.Load, Codec: platform.Headers{}, Pool: d.pool, Table: d.table, Shares: d.shares,
 		Retries: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, Now: d.now,
 	})
-	for _, l := range []struct {
-		address string
-		handler http.Handler
-	}{
-		{s.Listen.Callers, callers},
-		{s.Listen.Readiness, platform.ReadinessHandler(d.ready.Load)},
-		{s.Listen.Directory, platform.DirectoryHandler(d.resolve)},
-		{s.Listen.Metrics, d.metricsHandler()},
+	for address, handler := range map[string]http.Handler{
+		d.addresses.Callers:   callers,
+		d.addresses.Readiness: platform.ReadinessHandler(d.ready.Load),
+		d.addresses.Directory: platform.DirectoryHandler(d.resolve),
+		d.addresses.Metrics:   d.metricsHandler(),
 	} {
-		if l.address == "" {
-			continue
-		}
-		if err := d.serve(l.address, l.handler); err != nil {
-			return err
+		if l := d.listeners[address]; l != nil {
+			d.serve(l, handler)
 		}
 	}
 	d.spawn(d.control.run)
@@ -135,29 +137,42 @@
 	d.spawn(r.follow)
 	d.spawn(d.pool.Run)
 	d.events.Info("started", "instance", d.self.Instance, "zone", d.self.Zone, "region", d.self.Region,
-		"callers", d.self.Callers, "peers", d.self.Peers, "store", s.Store)
-	return nil
+		"callers", d.self.Callers, "peers", d.self.Peers, "store", d.settings.Load().Store)
 }
 
-func (d *Daemon) serve(address string, handler http.Handler) error {
-	l, err := h1.Listener().Listen(d.ctx, "tcp4", address)
-	if err != nil {
-		return errors.Wrap(err, "listen")
+// listen opens the listeners and returns the addresses that they have.
+func listen(l Listen) (Listen, map[string]net.Listener, error) {
+	listeners := map[string]net.Listener{}
+	for _, address := range []*string{&l.Callers, &l.Readiness, &l.Directory, &l.Metrics} {
+		if *address == "" {
+			continue
+		}
+		opened, err := h1.Listener().Listen(context.Background(), "tcp4", *address)
+		if err != nil {
+			return l, nil, errors.Wrap(err, "listen")
+		}
+		*address = opened.Addr().String()
+		listeners[*address] = opened
 	}
+	return l, listeners, nil
+}
+
+func (d *Daemon) serve(l net.Listener, handler http.Handler) {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerBound, IdleTimeout: idleBound,
 		DisableGeneralOptionsHandler: true, ErrorLog: d.events.Standard(),
-		BaseContext: func(net.Listener) context.Context { return context.Background() },
 	}
 	d.servers = append(d.servers, server)
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			d.errs <- errors.Wrap(err, address)
+			d.errs <- errors.Wrap(err, l.Addr().String())
 		}
 	}()
-	return nil
 }
 
+// Addresses are those that the listeners have.
+func (d *Daemon) Addresses() Listen { return d.addresses }
+
 // bounds are the front's, from the settings in force.
 func (d *Daemon) bounds() front.Bounds {
 	b := d.settings.Load().Bounds
--- /dev/null
+++ b/internal/entryhost/entryhost_test.go
@@ -0,0 +1,338 @@
+package entryhost_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"balsambarrow/internal/entryhost"
+	"balsambarrow/internal/jsonc"
+	"balsambarrow/internal/standin"
+)
+
+func TestServesThroughTheWholePath(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	k := s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1")
+	one, two := s.host("h1", "a1"), s.host("h2", "a2")
+	g.Expect(s.read(one).status).To(Equal(http.StatusServiceUnavailable), "nothing is known yet")
+	s.awaitServing()
+	a := s.post(two)
+	g.Expect(a.status).To(Equal(http.StatusOK))
+	g.Expect(a.header.Get("X-Response-Signature")).To(Equal("signed-by-i-1"))
+	runs := k.Runs()
+	last := runs[len(runs)-1]
+	g.Expect(last.Customer).To(Equal("t1"))
+	g.Expect(last.Key).To(BeEmpty())
+	g.Expect(last.Body).To(Equal("weight=200"))
+	g.Expect(s.call(one, "GET", "/read/1", "", "").status).To(Equal(http.StatusUnauthorized))
+	g.Expect(s.call(one, "GET", "/read/1", "none", "").status).To(Equal(http.StatusUnauthorized))
+	g.Expect(s.call(one, "GET", "/none/", "k1", "").status).To(Equal(http.StatusNotFound))
+	g.Expect(s.call(one, "GET", "/open/1?a=%2F", "", "").status).To(Equal(http.StatusOK))
+	g.Expect(s.call(one, "POST", "/post/1", "k1", strings.Repeat("x", 1001)).status).To(Equal(http.StatusRequestEntityTooLarge))
+	runs = k.Runs()
+	g.Expect(runs[len(runs)-1].Target).To(Equal("/open/1?a=%2F"))
+	g.Eventually(func() []string { return directory(t, one, "a") }, "5s", "50ms").Should(
+		ConsistOf(one.listen.Callers, two.listen.Callers))
+	g.Expect(directory(t, one, "b")).To(HaveLen(2), "no host there: those of other regions")
+	g.Expect(one.ready()).To(BeTrue())
+	g.Expect(status(one.listen.Metrics, "/metrics")).To(Equal(http.StatusOK))
+}
+
+func directory(t *testing.T, h *host, region string) []string {
+	resp, err := http.Get("http://" + h.listen.Directory + "/-/resolve?name=x.example&region=" + region + "&zone=" + region + "1")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var d struct {
+		Addresses []string `json:"addresses"`
+		TTL       string   `json:"ttl"`
+	}
+	text, err := io.ReadAll(resp.Body)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	NewWithT(t).Expect(json.Unmarshal(text, &d)).To(Succeed())
+	NewWithT(t).Expect(time.ParseDuration(d.TTL)).To(BeNumerically(">", 0))
+	return d.Addresses
+}
+
+// An operator withdraws a key. It must stop working everywhere, other keys must
+// go on, and a later write of an older version must not bring it back.
+func TestConfigurationOnlyGoesForward(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1", "k2")
+	h := s.host("h1", "a1")
+	s.awaitServing()
+	withdrawn := func() int { return s.call(h, "GET", "/read/1", "k2", "").status }
+	g.Expect(withdrawn()).To(Equal(http.StatusOK))
+	s.declare(9, "k1")
+	g.Eventually(withdrawn, "5s", "20ms").Should(Equal(http.StatusUnauthorized))
+	s.declare(8, "k1", "k2")
+	s.store.Put("op/config", []byte(`{"version":"r10","routes":`))
+	g.Consistently(withdrawn, "500ms", "50ms").Should(Equal(http.StatusUnauthorized))
+	g.Expect(s.read(h).status).To(Equal(http.StatusOK))
+	s.store.Forget()
+	s.declare(12, "k1", "k2")
+	g.Eventually(withdrawn, "5s", "20ms").Should(Equal(http.StatusOK), "after a compaction too")
+}
+
+// A host is cut off from the store in each way that there is. A key that is
+// withdrawn meanwhile must not work there longer than promised, so the host
+// refuses all keys in time, says that nothing has run, and is not named any
+// more. When the store is back it serves again.
+func TestHostThatLostTheStoreRefusesKeys(t *testing.T) {
+	for name, fault := range map[string]standin.StoreFault{
+		"silent": standin.StoreSilent, "busy": standin.StoreBusy, "many": standin.StoreMany, "reset": standin.StoreReset,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			s := newSite(t)
+			s.worker("i-1", "s", "a1", 0)
+			s.declare(4, "k1")
+			h := s.host("h1", "a1")
+			s.awaitServing()
+			s.store.SetFault(func(string) standin.StoreFault { return fault })
+			var a answer
+			g.Eventually(func() int {
+				a = s.read(h)
+				return a.status
+			}, "10s", "50ms").Should(Equal(http.StatusServiceUnavailable))
+			g.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+			g.Eventually(h.ready, "10s", "50ms").Should(BeFalse())
+			g.Expect(s.call(h, "GET", "/open/1", "", "").status).To(Equal(http.StatusOK), "needs no key")
+			g.Expect(s.call(h, "GET", "/none/", "k1", "").status).To(Equal(http.StatusServiceUnavailable), "may be new")
+			s.store.SetFault(nil)
+			g.Eventually(func() int { return s.read(h).status }, "10s", "50ms").Should(Equal(http.StatusOK))
+			g.Eventually(h.ready, "10s", "50ms").Should(BeTrue())
+		})
+	}
+}
+
+// Upstreams leave in each way that there is; each must get nothing new, while the
+// other one serves.
+func TestLeavingUpstreamsGetNothingNew(t *testing.T) {
+	for name, leave := range map[string]func(*site, *standin.Worker){
+		"draining": func(s *site, k *standin.Worker) { s.register(k, "s", "127.0.0.1:1", "a1", "draining", 2) },
+		"removed":  func(s *site, k *standin.Worker) { s.store.Delete("servers/" + k.ID) },
+		"void":     func(s *site, k *standin.Worker) { s.store.Put("servers/"+k.ID, []byte(`{"service":7}`)) },
+		"evacuated": func(s *site, _ *standin.Worker) {
+			s.store.Put("op/evacuate/a1", []byte(`{}`))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			s := newSite(t)
+			leaving, staying := s.worker("i-1", "s", "a1", 0), s.worker("i-2", "s", "b1", 0)
+			s.declare(4, "k1")
+			h := s.host("h1", "a1")
+			s.awaitServing()
+			leave(s, leaving)
+			seen := func() int { return len(leaving.Runs()) }
+			quiet := func() bool {
+				before := seen()
+				for range 10 {
+					if s.read(h).status != http.StatusOK {
+						return false
+					}
+				}
+				return seen() == before
+			}
+			g.Eventually(quiet, "6s", "100ms").Should(BeTrue())
+			g.Expect(quiet()).To(BeTrue())
+			g.Expect(staying.Runs()).NotTo(BeEmpty())
+		})
+	}
+}
+
+// What callers are told of each way in which a send fails, and how often the
+// request has run. A posting must never run twice, and "not run" must be true.
+func TestOutcomes(t *testing.T) {
+	cut := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	shed := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	unsigned := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "from nobody") }
+	encoded := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Response-Signature", "s")
+		w.Header().Set("Content-Encoding", "gzip")
+		_, _ = io.WriteString(w, "x")
+	}
+	short := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Response-Signature", "s")
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "half")
+	}
+	fails := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Response-Signature", "failure-of-first")
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	cases := []struct {
+		name   string
+		answer func(http.ResponseWriter, *http.Request)
+		post   bool
+		status int
+		// arrivals at both upstreams together.
+		arrivals int
+	}{
+		{"read, cut", cut, false, http.StatusBadGateway, 2},
+		{"post, cut", cut, true, http.StatusBadGateway, 1},
+		{"read, shed", shed, false, http.StatusServiceUnavailable, 2},
+		{"post, shed", shed, true, http.StatusServiceUnavailable, 2},
+		{"read, unsigned", unsigned, false, http.StatusBadGateway, 2},
+		{"post, unsigned", unsigned, true, http.StatusBadGateway, 1},
+		{"read, encoded", encoded, false, http.StatusBadGateway, 2},
+		{"read, cut short", short, false, http.StatusBadGateway, 2},
+		{"post, cut short", short, true, http.StatusBadGateway, 1},
+		{"read, failed", fails, false, http.StatusInternalServerError, 2},
+		{"post, failed", fails, true, http.StatusInternalServerError, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			s := newSite(t)
+			one, two := s.worker("i-1", "s", "a1", 0), s.worker("i-2", "s", "a1", 0)
+			s.declare(4, "k1")
+			h := s.host("h1", "a1")
+			s.awaitServing()
+			before := len(one.Runs()) + len(two.Runs())
+			one.SetAnswer(c.answer)
+			two.SetAnswer(c.answer)
+			a := s.read
+			if c.post {
+				a = s.post
+			}
+			got := a(h)
+			g.Expect(got.err).NotTo(HaveOccurred())
+			g.Expect(got.status).To(Equal(c.status), got.body)
+			g.Expect(len(one.Runs()) + len(two.Runs()) - before).To(Equal(c.arrivals))
+			if c.status == http.StatusServiceUnavailable {
+				g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+			}
+			if c.status != http.StatusInternalServerError {
+				g.Expect(got.header.Get("X-Response-Signature")).To(BeEmpty())
+			}
+		})
+	}
+}
+
+// One upstream spoils its answers. A read is served by the other one, and the
+// caller sees nothing of it.
+func TestReadIsServedByAnotherUpstream(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	one, two := s.worker("i-1", "s", "a1", 0), s.worker("i-2", "s", "a1", 0)
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	s.awaitServing()
+	sick := one
+	if len(two.Runs()) > 0 {
+		sick = two
+	}
+	sick.SetAnswer(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	for range 20 {
+		g.Expect(s.read(h).status).To(Equal(http.StatusOK))
+	}
+}
+
+// An upstream's address is given to another one while its entry is still read.
+// The other one refuses, and the request says truly that it has not run.
+func TestAddressGivenToAnotherUpstream(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	k := s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	s.awaitServing()
+	before := len(k.Runs())
+	k.Rename("i-other")
+	g.Expect(s.post(h).status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(k.Runs()).To(HaveLen(before))
+}
+
+// A host is stopped while it answers requests and more come in on it. Each must
+// get its whole answer, and the host must not be named any more.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.worker("i-1", "s", "a1", 300*time.Millisecond)
+	s.worker("i-2", "s", "a2", 300*time.Millisecond)
+	s.declare(4, "k1")
+	stopping, other := s.host("h1", "a1"), s.host("h2", "a2")
+	s.awaitServing()
+	g.Eventually(func() []string { return directory(t, other, "a") }, "5s", "50ms").Should(HaveLen(2))
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	bad := []string{}
+	for i := range 8 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			time.Sleep(time.Duration(i) * 150 * time.Millisecond)
+			if a := s.post(stopping); a.err != nil || a.status != http.StatusOK {
+				mu.Lock()
+				defer mu.Unlock()
+				bad = append(bad, fmt.Sprint(a.status, a.err, a.body))
+			}
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	stopping.stopped.Store(true)
+	stopping.daemon.Stop()
+	wait.Wait()
+	g.Expect(bad).To(BeEmpty())
+	g.Expect(directory(t, other, "a")).To(ConsistOf(other.listen.Callers))
+	g.Expect(s.store.Keys("balsambarrow/hosts/")).To(HaveLen(1), "its registration is given up")
+}
+
+// The caller leaves. Its request must not go on at the upstream.
+func TestCallerLeaves(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	k := s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	s.awaitServing()
+	gone := make(chan struct{})
+	k.SetAnswer(func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(gone)
+	})
+	client := &http.Client{Timeout: 200 * time.Millisecond}
+	r, err := http.NewRequest("GET", "http://"+h.listen.Callers+"/read/1", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	r.Host = "x.example"
+	r.Header = http.Header{"X-Request-Id": {"leaves"}, "Authorization": {"Bearer k1"}}
+	_, err = client.Do(r)
+	g.Expect(err).To(HaveOccurred())
+	g.Eventually(gone, "2s").Should(BeClosed())
+}
+
+func TestSettingsFaults(t *testing.T) {
+	g := NewWithT(t)
+	_, err := entryhost.ParseSettings("boot", []byte(`{
+		"host": "", "zone": "x", "zones": {"a": "r"},
+		"listen": {"callers": "host:1"},
+		"bounds": {"grace": "6", "max_shift": 2},
+		"unknown": 1,
+		"log_level": "loud"
+	}`))
+	var faults jsonc.Faults
+	g.Expect(err).To(BeAssignableToTypeOf(faults))
+	for _, place := range []string{"/host", "/zone", "/listen/callers", "/store", "/bounds/grace", "/bounds/max_shift", "/unknown", "/log_level"} {
+		g.Expect(err.Error()).To(ContainSubstring(place))
+	}
+}
--- /dev/null
+++ b/internal/entryhost/helper_test.go
@@ -0,0 +1,165 @@
+package entryhost_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"balsambarrow/internal/entryhost"
+	"balsambarrow/internal/standin"
+	"balsambarrow/internal/telemetry"
+)
+
+// site is a stand-in of the users' platform with entry hosts on it.
+type site struct {
+	t      *testing.T
+	store  *standin.KVStore
+	server *httptest.Server
+	hosts  []*host
+	serial atomic.Int64
+}
+
+type host struct {
+	daemon  *entryhost.Daemon
+	listen  entryhost.Listen
+	stopped atomic.Bool
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, store: standin.NewKVStore()}
+	s.server = httptest.NewServer(s.store)
+	t.Cleanup(func() {
+		s.store.SetFault(nil)
+		for _, h := range s.hosts {
+			if !h.stopped.Load() {
+				h.daemon.Kill()
+			}
+		}
+		s.server.CloseClientConnections()
+		s.server.Close()
+	})
+	return s
+}
+
+// host starts an entry host in a zone.
+func (s *site) host(name, zone string) *host {
+	g := NewWithT(s.t)
+	settings, err := entryhost.ParseSettings("test", []byte(fmt.Sprintf(`{
+		// a region of two zones and one of one
+		"host": %q, "zone": %q, "zones": {"a1": "a", "a2": "a", "b1": "b"},
+		"listen": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "directory": "127.0.0.1:0", "peers": "127.0.0.1:0", "metrics": "127.0.0.1:0"},
+		"store": %q,
+		"bounds": {"grace": "4s", "revoke": "4s", "strict_revocation": true, "retry_ratio": 0.2, "retry_slack": 60, "retry_window": "10s", "max_shift": 0.15},
+	}`, name, zone, s.server.Listener.Addr())))
+	g.Expect(err).NotTo(HaveOccurred())
+	events := telemetry.NewEvents(io.Discard, "info")
+	stop := make(chan struct{})
+	go events.Run(stop)
+	s.t.Cleanup(func() { close(stop) })
+	d, err := entryhost.New(settings, events, telemetry.NewMetrics())
+	g.Expect(err).NotTo(HaveOccurred())
+	d.Start()
+	h := &host{daemon: d, listen: d.Addresses()}
+	s.hosts = append(s.hosts, h)
+	return h
+}
+
+// worker starts an upstream and registers it.
+func (s *site) worker(id, service, zone string, work time.Duration) *standin.Worker {
+	k := &standin.Worker{ID: id, Work: work}
+	server := httptest.NewServer(k)
+	s.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	s.register(k, service, server.Listener.Addr().String(), zone, "ready", 1)
+	return k
+}
+
+func (s *site) register(k *standin.Worker, service, address, zone, state string, sequence int) {
+	s.store.Put("servers/"+k.ID, k.Entry(service, address, zone, state, sequence))
+}
+
+// declare writes a configuration with one customer that has the keys.
+func (s *site) declare(version int, keys ...string) {
+	if keys == nil {
+		keys = []string{}
+	}
+	table := func(columns []string, rows ...[]any) map[string]any {
+		return map[string]any{"columns": columns, "rows": rows}
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": fmt.Sprintf("r%d", version),
+		"routes": table([]string{"name", "host", "prefix", "kind", "timeout", "target-latency", "max-attempts", "public", "session-affinity", "service"},
+			[]any{"read", "x.example", "/read/", "safe", "3000ms", "500ms", 2, false, true, "s"},
+			[]any{"post", "x.example", "/post/", "unsafe", "3000ms", "500ms", 2, false, true, "s"},
+			[]any{"open", "x.example", "/open/", "safe", "3000ms", "500ms", 2, true, true, "s"}),
+		"services": table([]string{"name", "health-check-path", "cold-start", "cold-per-s"}, []any{"s", "/health", "3s", 6}),
+		"limits":   map[string]any{"max-body-bytes": 1000},
+		"tenants":  table([]string{"name", "api-keys", "priority", "rate-per-s", "burst"}, []any{"t1", keys, 1, 1000, 1000}),
+	})
+	NewWithT(s.t).Expect(err).NotTo(HaveOccurred())
+	s.store.Put("op/config", value)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// call sends a request to a host on a connection of its own.
+func (s *site) call(h *host, method, path, key, body string) answer {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 8 * time.Second}
+	r, err := http.NewRequest(method, "http://"+h.listen.Callers+path, strings.NewReader(body))
+	NewWithT(s.t).Expect(err).NotTo(HaveOccurred())
+	r.Host = "x.example"
+	r.Header.Set("X-Request-Id", fmt.Sprint("id-", s.serial.Add(1)))
+	r.Header.Set("X-Affinity-Key", "17")
+	r.Header.Set("X-Deadline-Ms", "3000")
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(text), err}
+}
+
+func (s *site) read(h *host) answer { return s.call(h, "GET", "/read/1", "k1", "") }
+
+func (s *site) post(h *host) answer { return s.call(h, "POST", "/post/1", "k1", "weight=200") }
+
+func status(address, path string) int {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	resp, err := client.Get("http://" + address + path)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (h *host) ready() bool {
+	return status(h.listen.Readiness, "/-/readiness") == http.StatusOK
+}
+
+// awaitServing waits until every host serves a read.
+func (s *site) awaitServing() {
+	for _, h := range s.hosts {
+		NewWithT(s.t).Eventually(func() int { return s.read(h).status }, "15s", "50ms").Should(Equal(http.StatusOK))
+	}
+}
--- a/internal/entryhost/stop.go
+++ b/internal/entryhost/stop.go
@@ -46,3 +46,14 @@
 	d.cancel()
 	d.tasks.Wait()
 }
+
+// Kill ends the daemon at once, as a crash does.
+func (d *Daemon) Kill() {
+	d.cancel()
+	for _, server := range d.servers {
+		if err := server.Close(); err != nil {
+			d.events.Debug("listener not closed", "error", err)
+		}
+	}
+	d.tasks.Wait()
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,120 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// WorkerRun is one request that a Worker has run.
+type WorkerRun struct {
+	ID       string
+	Method   string
+	Target   string
+	Customer string
+	Key      string
+	Body     string
+	At       time.Time
+}
+
+// Worker stands in for an upstream of the users' platform: it echoes the
+// request's id, signs its answer, tells its load and refuses what is meant for
+// another instance. It is safe for concurrent use.
+type Worker struct {
+	// ID of the instance at its start, and how long a request takes.
+	ID   string
+	Work time.Duration
+
+	mu      sync.Mutex
+	renamed string
+	answer  func(w http.ResponseWriter, r *http.Request)
+	running int
+	runs    []WorkerRun
+}
+
+// workerSlots is how many requests a Worker says that it runs at once.
+const workerSlots = 4
+
+// Runs returns what it has run.
+func (k *Worker) Runs() []WorkerRun {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return append([]WorkerRun(nil), k.runs...)
+}
+
+// SetAnswer replaces the usual answer; nil brings it back. It is asked after the
+// request was noted.
+func (k *Worker) SetAnswer(answer func(w http.ResponseWriter, r *http.Request)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.answer = answer
+}
+
+// Rename makes another instance of it, at the same address.
+func (k *Worker) Rename(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.renamed = id
+}
+
+func (k *Worker) name() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.renamed != "" {
+		return k.renamed
+	}
+	return k.ID
+}
+
+// Entry is what the worker registers under its id.
+func (k *Worker) Entry(service, address, zone, state string, sequence int) []byte {
+	entry, err := json.Marshal(map[string]any{
+		"service": service, "address": address, "zone": zone, "version": "v1", "slots": workerSlots,
+		"state": state, "cold-remaining": "0ms", "sequence": sequence, "born": 1_700_000_000_000,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return entry
+}
+
+// ServeHTTP implements http.Handler.
+func (k *Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != k.name() {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	k.mu.Lock()
+	k.running++
+	k.runs = append(k.runs, WorkerRun{
+		ID: r.Header.Get("X-Request-Id"), Method: r.Method, Target: r.RequestURI, Body: string(body), At: time.Now(),
+		Customer: r.Header.Get("X-Tenant-Id"), Key: r.Header.Get("Authorization"),
+	})
+	answer := k.answer
+	k.mu.Unlock()
+	defer func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.running--
+	}()
+	if answer != nil {
+		answer(w, r)
+		return
+	}
+	time.Sleep(k.Work)
+	k.mu.Lock()
+	running := k.running
+	k.mu.Unlock()
+	w.Header().Set("X-Response-Signature", "signed-by-"+k.ID)
+	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", running, workerSlots))
+	// A failed write means that the caller has left.
+	_, _ = fmt.Fprintf(w, "%s ran %s", k.ID, r.Header.Get("X-Request-Id"))
+}
