--- a/cmd/balsambarrowd/entry.go
+++ b/cmd/balsambarrowd/entry.go
@@ -51,7 +51,9 @@
 	// taken before anything else.
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	events := telemetry.NewEvents(os.Stdout, s.LogLevel)
+	metrics := telemetry.NewMetrics()
+	events := telemetry.NewEvents(os.Stdout, s.LogLevel, s.Host)
+	events.Dropped = metrics.LinesDropped
 	stop := make(chan struct{})
 	written := make(chan struct{})
 	go func() {
@@ -62,7 +64,7 @@
 		close(stop)
 		<-written
 	}()
-	d, err := entryhost.New(s, events, telemetry.NewMetrics())
+	d, err := entryhost.New(s, events, metrics)
 	if err != nil {
 		return err
 	}
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -336,3 +336,55 @@
 		g.Expect(err.Error()).To(ContainSubstring(place))
 	}
 }
+
+// Nobody who reads logs or metrics may learn a customer's key, on a day with
+// refusals, failures and unknown keys either.
+func TestKeysStayOutOfLogsAndMetrics(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	var logs syncBuffer
+	s.logs = &logs
+	k := s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1", "secret-granted")
+	h := s.host("h1", "a1")
+	s.awaitServing()
+	s.store.Put("op/config", []byte(`{"version":"r9","tenants":{"columns":["api-keys"],"rows":[["secret-broken"]]}}`))
+	use := func() {
+		s.call(h, "GET", "/read/1", "secret-granted", "")
+		s.call(h, "POST", "/post/1", "secret-granted", "x")
+		s.call(h, "GET", "/read/1", "secret-unknown", "")
+		s.call(h, "GET", "/open/1", "secret-needless", "")
+	}
+	use()
+	k.SetAnswer(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	use()
+	s.store.Delete("servers/i-1")
+	g.Eventually(func() int { return s.read(h).status }, "5s", "50ms").Should(Equal(http.StatusServiceUnavailable))
+	use()
+	resp, err := http.Get("http://" + h.listen.Metrics + "/metrics")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	metrics, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(metrics)).To(ContainSubstring("balsambarrow_answers_total"))
+	g.Eventually(logs.String, "5s").Should(ContainSubstring("no-upstream"))
+	g.Expect(logs.String()).To(ContainSubstring("configuration refused"))
+	g.Expect(logs.String() + string(metrics)).NotTo(ContainSubstring("secret"))
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (s *syncBuffer) Write(b []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(b)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
--- a/internal/entryhost/helper_test.go
+++ b/internal/entryhost/helper_test.go
@@ -25,6 +25,8 @@
 	server *httptest.Server
 	hosts  []*host
 	serial atomic.Int64
+	// logs receives what the hosts write.
+	logs io.Writer
 }
 
 type host struct {
@@ -34,7 +36,7 @@
 }
 
 func newSite(t *testing.T) *site {
-	s := &site{t: t, store: standin.NewKVStore()}
+	s := &site{t: t, store: standin.NewKVStore(), logs: io.Discard}
 	s.server = httptest.NewServer(s.store)
 	t.Cleanup(func() {
 		s.store.SetFault(nil)
@@ -60,7 +62,7 @@
 		"bounds": {"grace": "4s", "revoke": "4s", "strict_revocation": true, "retry_ratio": 0.2, "retry_slack": 60, "retry_window": "10s", "max_shift": 0.15},
 	}`, name, zone, s.server.Listener.Addr())))
 	g.Expect(err).NotTo(HaveOccurred())
-	events := telemetry.NewEvents(io.Discard, "info")
+	events := telemetry.NewEvents(s.logs, "info", name)
 	stop := make(chan struct{})
 	go events.Run(stop)
 	s.t.Cleanup(func() { close(stop) })
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -18,6 +18,10 @@
 // by another upstream. Today's reports are half of it at most.
 const keptAnswer = 1 << 20
 
+// plainSample is how many plain answers go on one log line, so that a log shows
+// what is usual at the time of a failure.
+const plainSample = 64
+
 // answer is an upstream's answer that was read to its end.
 type answer struct {
 	status int
@@ -100,9 +104,10 @@
 	_, _ = w.Write(a.body)
 	took := h.Now().Sub(q.arrived)
 	h.Observe(Observation{Route: q.route.Name, Status: a.status, Took: took, Sends: q.tally.sends})
-	if q.tally.sends > 1 || a.status >= http.StatusInternalServerError {
+	late := q.route.Target > 0 && took > q.route.Target
+	if q.tally.sends > 1 || late || a.status >= http.StatusInternalServerError || h.given.Add(1)%plainSample == 0 {
 		h.Log.Info("answered", "id", q.ID, "route", q.route.Name, "status", a.status, "took", took,
-			"sends", q.tally.sends, "tried", q.tally.tried)
+			"target", q.route.Target, "sends", q.tally.sends, "tried", q.tally.tried, "wait", q.tally.wait)
 	}
 }
 
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"balsambarrow/internal/catalog"
@@ -51,6 +52,8 @@
 type Handler struct {
 	Deps
 	split *splitter
+	// given counts answers, for the sample of plain ones that is logged.
+	given atomic.Uint64
 }
 
 // New returns a handler.
@@ -196,6 +199,13 @@
 	return p
 }
 
+func (h *Handler) version() uint64 {
+	if c := h.State().Catalog; c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 func (h *Handler) refuse(w http.ResponseWriter, q *request, f *refusal) {
 	route := ""
 	if q.route != nil {
@@ -205,7 +215,7 @@
 	h.Observe(Observation{Route: route, Status: f.status, Cause: f.cause, Took: took, Sends: q.tally.sends})
 	h.Log.Info("refused", "id", q.ID, "route", route, "service", q.service, "status", f.status, "cause", f.cause,
 		"back", f.comeBack, "took", took, "sends", q.tally.sends, "tried", q.tally.tried,
-		"age", h.State().age(h.Now()))
+		"age", h.State().age(h.Now()), "version", h.version())
 	if f.cause == CauseLeft {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/operator/ctl/ctl.go
+++ b/internal/operator/ctl/ctl.go
@@ -125,7 +125,7 @@
 	flags := root.PersistentFlags()
 	flags.StringSliceVar(&e.addresses, "operators", []string{"127.0.0.1:7101"}, "operators' addresses of daemons, tried in turn")
 	flags.StringVarP(&e.output, "output", "o", outputText, "text or json")
-	root.AddCommand(configCommand(e), keyCommand(e), drainCommand(e), moveCommand(e), fleetCommand(e), explainCommand(e), traceCommand(e))
+	root.AddCommand(configCommand(e), keyCommand(e), drainCommand(e), moveCommand(e), fleetCommand(e), explainCommand(e), traceCommand(e), whyCommand(e))
 	return root
 }
 
--- /dev/null
+++ b/internal/operator/ctl/why_test.go
@@ -0,0 +1,37 @@
+package ctl
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+const log1 = `time=2026-01-02T10:00:00.000Z level=info host=h1 msg="configuration in force" version=4
+time=2026-01-02T10:00:01.000Z level=warn host=h1 msg="store lost" error="no answer: x" age=900ms
+panic: not a line of ours
+time=2026-01-02T10:00:04.000Z level=info host=h1 msg=refused id=abc status=503 cause=keys-not-confirmed
+time=2026-01-02T10:00:05.000Z level=info host=h1 msg="store regained" version=4
+time=2026-01-02T10:00:06.000Z level=info host=h1 msg=refused id=other status=429 cause=over-rate
+`
+
+const log2 = `time=2026-01-02T10:00:04.500Z level=info host=h2 msg="upstream failed" id=abc upstream=i-1 status=500
+`
+
+// A caller's request was refused at one host and then failed at another. The
+// two logs together show both, with what the first host believed.
+func TestWhyJoinsTheLogsOfHosts(t *testing.T) {
+	g := NewWithT(t)
+	events, err := readEvents(strings.NewReader(log2 + log1))
+	g.Expect(err).NotTo(HaveOccurred())
+	found := about(events, "abc")
+	g.Expect(found).To(HaveLen(2))
+	var out bytes.Buffer
+	g.Expect(printWhy(&out, found)).To(Succeed())
+	g.Expect(out.String()).To(Equal(`10:00:04.000  h1  refused  status=503 cause=keys-not-confirmed
+    4s before: configuration in force  version=4
+    3s before: store lost  error=no answer: x age=900ms
+10:00:04.500  h2  upstream failed  upstream=i-1 status=500
+`))
+}
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -35,10 +35,10 @@
 	lost   map[string]int
 }
 
-// NewEvents writes to w. Run has to be running.
-func NewEvents(w io.Writer, level string) *Events {
+// NewEvents writes the events of an entry host to w. Run has to be running.
+func NewEvents(w io.Writer, level, host string) *Events {
 	e := &Events{queue: make(chan []byte, queuedLines), out: w, lines: map[string]int{}, lost: map[string]int{}}
-	e.logger = NewLogger(queueWriter{e}, level)
+	e.logger = NewLogger(queueWriter{e}, level).With("host", host)
 	return e
 }
 
--- /dev/null
+++ b/internal/telemetry/events_test.go
@@ -0,0 +1,74 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"balsambarrow/internal/telemetry"
+)
+
+// stalled is an output that takes nothing until it is let go.
+type stalled struct {
+	release chan struct{}
+	mu      sync.Mutex
+	got     bytes.Buffer
+}
+
+func (s *stalled) Write(b []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.Write(b)
+}
+
+// Whoever reads the daemon's output has stopped reading. Requests must go on
+// without waiting for it, and what was left out must be told in the end.
+func TestStalledOutputHoldsNobodyUp(t *testing.T) {
+	g := NewWithT(t)
+	out := &stalled{release: make(chan struct{})}
+	e := telemetry.NewEvents(out, "info", "h1")
+	dropped := make(chan string, 64)
+	e.Dropped = func(kind string, _ int) {
+		select {
+		case dropped <- kind:
+		default:
+		}
+	}
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		e.Run(stop)
+	}()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		for i := range 20_000 {
+			e.Info("kind "+string(rune('a'+i%26)), "id", i)
+		}
+	}()
+	g.Eventually(written, "20s").Should(BeClosed())
+	close(out.release)
+	g.Eventually(dropped, "10s").Should(Receive())
+	close(stop)
+	g.Eventually(ended, "10s").Should(BeClosed())
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	g.Expect(out.got.String()).To(ContainSubstring("lines dropped"))
+	g.Expect(strings.Count(out.got.String(), "\n")).To(BeNumerically("<", 10_000))
+}
+
+func BenchmarkEvent(b *testing.B) {
+	e := telemetry.NewEvents(&bytes.Buffer{}, "info", "h1")
+	stop := make(chan struct{})
+	defer close(stop)
+	go e.Run(stop)
+	b.ReportAllocs()
+	for b.Loop() {
+		e.Info("refused", "id", "9c41d07be2a35f68", "route", "r-1", "status", 503, "took", 12*time.Millisecond)
+	}
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -36,6 +36,11 @@
 	m.Set.GetOrCreateCounter(fmt.Sprintf(`balsambarrow_store_calls_total{call=%q,result=%q}`, call, result(err))).Inc()
 }
 
+// LinesDropped counts log lines of a kind that were left out.
+func (m *Metrics) LinesDropped(kind string, n int) {
+	m.Set.GetOrCreateCounter(fmt.Sprintf(`balsambarrow_log_lines_dropped_total{kind=%q}`, kind)).Add(n)
+}
+
 // Gauge registers a value that is read at each scrape.
 func (m *Metrics) Gauge(name string, read func() float64) { m.Set.NewGauge(name, read) }
 
