One bucket of a customer's rate for each region, asked by datagram

Ruled out: deeper buckets (sixty of them exceed the rule at a hot customer's onset). Change: a host of each region, by rendezvous, holds a customer's bucket; the others ask it and fall back on a quarter of an even part where it is silent. A soak on real processes begins.

--- a/internal/catalog/index.go
+++ b/internal/catalog/index.go
@@ -98,6 +98,16 @@
 // Customers returns all customers.
 func (c *Catalog) Customers() []*Customer { return c.customers }
 
+// Named returns a customer by its name; nil if there is none.
+func (c *Catalog) Named(name string) *Customer {
+	for _, u := range c.customers {
+		if u.Name == name {
+			return u
+		}
+	}
+	return nil
+}
+
 // Services returns the names of all services, sorted.
 func (c *Catalog) Services() []string {
 	names := make([]string, 0, len(c.services))
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -48,6 +48,8 @@
 	sequence     uint64
 	beatDue      time.Time
 	ready        bool
+	// regions is the most regions with hosts that were heard at once.
+	regions int
 }
 
 func newControl(d *Daemon) *control {
@@ -105,9 +107,9 @@
 	}
 }
 
-// registered tells whether the other hosts still count this one.
+// registered tells whether this host knows the others, and they count it.
 func (c *control) registered(now time.Time) bool {
-	return now.Sub(c.registeredAt) < leaseTime-leaseMargin
+	return !c.hostsListed.IsZero() && now.Sub(c.registeredAt) < leaseTime-leaseMargin
 }
 
 func (c *control) publish(now time.Time) {
@@ -126,7 +128,11 @@
 		hosts = append(hosts, place.Host{Instance: c.d.self.Instance, Zone: c.d.self.Zone, Region: c.d.self.Region})
 	}
 	c.d.table.SetHosts(hosts)
-	c.d.shares.SetOthers(c.members.Demand(), c.members.Count())
+	buckets, regions := newPool(c.d.self, c.ready, heard, c.members.Count())
+	c.d.pool.Store(buckets)
+	// A region that is not heard still has its part: it may only be cut off.
+	c.regions = max(c.regions, regions)
+	c.d.shares.SetOthers(c.members.Demand(), c.regions, c.members.Complete())
 	bounds := c.d.settings.Load().Bounds
 	c.d.retries.SetSlack(bounds.RetrySlack, c.members.Count())
 	c.d.table.SetMaxShift(bounds.MaxShift)
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -46,14 +46,16 @@
 	metrics  *telemetry.Metrics
 	store    kv.Store
 	wire     *fleet.Wire
-	pool     *h1.Pool
+	conns    *h1.Pool
 	table    *place.Table
 	shares   *share.Shares
+	tokens   *tokens
 	retries  *retry.Window
 	control  *control
 
 	state     atomic.Pointer[front.State]
 	directory atomic.Pointer[directory]
+	pool      atomic.Pointer[pool]
 	ready     atomic.Bool
 	// hosts is the number of hosts that the control thread counts.
 	hosts atomic.Int32
@@ -88,7 +90,7 @@
 		},
 		events: events, metrics: metrics, wire: wire, addresses: addresses, listeners: listeners,
 		store:   platform.NewStore(s.Store, h1.Dialer(storeDialBound), metrics.StoreCall),
-		pool:    h1.NewPool(h1.Dialer(upstreamDialBound), clock.Now),
+		conns:   h1.NewPool(h1.Dialer(upstreamDialBound), clock.Now),
 		shares:  share.New(),
 		retries: retry.NewWindow(s.Bounds.RetryWindow.Value(), s.Bounds.RetryRatio),
 		errs:    make(chan error, 4),
@@ -99,6 +101,8 @@
 	d.directory.Store(&directory{self: d.self})
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.control = newControl(d)
+	d.tokens = newTokens(d)
+	d.pool.Store(&pool{})
 	return d, nil
 }
 
@@ -107,7 +111,7 @@
 // Start serves callers and follows the store.
 func (d *Daemon) Start() {
 	callers := front.New(front.Deps{
-		State: d.state.Load, Codec: platform.Headers{}, Pool: d.pool, Table: d.table, Shares: d.shares,
+		State: d.state.Load, Codec: platform.Headers{}, Pool: d.conns, Table: d.table, Shares: d.tokens,
 		Retries: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, Now: d.now,
 	})
 	for address, handler := range map[string]http.Handler{
@@ -122,8 +126,7 @@
 	}
 	d.spawn(d.control.run)
 	d.spawn(func(ctx context.Context) {
-		d.wire.Receive(ctx, func(b *fleet.Heartbeat) { d.control.send(func(c *control) { c.heard(b) }) },
-			func(err error) { d.events.Debug("heartbeat not readable", "error", err) })
+		d.wire.Receive(ctx, d.received, func(err error) { d.events.Debug("packet not readable", "error", err) })
 	})
 	d.spawn((&follow.Follower{
 		Store: d.store, Prefix: platform.DeclaredPrefix, Pace: d.declaredPace, Now: d.now, Sink: declaredSink{d.control},
@@ -135,11 +138,20 @@
 	r := &registrar{d: d}
 	d.spawn(r.run)
 	d.spawn(r.follow)
-	d.spawn(d.pool.Run)
+	d.spawn(d.conns.Run)
 	d.events.Info("started", "instance", d.self.Instance, "zone", d.self.Zone, "region", d.self.Region,
 		"callers", d.self.Callers, "peers", d.self.Peers, "store", d.settings.Load().Store)
 }
 
+// received takes a packet of a peer in.
+func (d *Daemon) received(p *fleet.Packet, from string) {
+	if b := p.GetHeartbeat(); b != nil {
+		d.control.send(func(c *control) { c.heard(b) })
+		return
+	}
+	d.tokens.receive(p, from)
+}
+
 // listen opens the listeners and returns the addresses that they have.
 func listen(l Listen) (Listen, map[string]net.Listener, error) {
 	listeners := map[string]net.Listener{}
--- /dev/null
+++ b/internal/entryhost/tokens.go
@@ -0,0 +1,158 @@
+package entryhost
+
+import (
+	"sync"
+	"time"
+
+	"balsambarrow/internal/catalog"
+	"balsambarrow/internal/fleet"
+	"balsambarrow/internal/share"
+)
+
+// answerFor is how long the owner of a bucket may take to answer: a millisecond
+// on the way, and turns of two processors that have a sixth of a core each.
+const answerFor = 40 * time.Millisecond
+
+// pool is the hosts of this region that hold customers' buckets, by instance. It
+// is never modified.
+type pool struct {
+	instances []string
+	// peers is the address of each but this host.
+	peers map[string]string
+	// hosts is the number of all hosts.
+	hosts int
+}
+
+// tokens admits customers' requests by the bucket of this region, wherever it
+// is held.
+type tokens struct {
+	d     *Daemon
+	spare *share.Spare
+
+	mu      sync.Mutex
+	last    uint64
+	waiting map[uint64]chan *fleet.TokenAnswer
+}
+
+func newTokens(d *Daemon) *tokens {
+	return &tokens{d: d, spare: share.NewSpare(), waiting: map[uint64]chan *fleet.TokenAnswer{}}
+}
+
+// Admit takes one request of a customer.
+func (t *tokens) Admit(now time.Time, c *catalog.Customer) share.Verdict {
+	if c.Rate <= 0 {
+		return share.Verdict{Admitted: true, Part: 1}
+	}
+	p := t.d.pool.Load()
+	owner := share.Owner(c.Name, p.instances)
+	peer := p.peers[owner]
+	if peer == "" {
+		return t.d.shares.Admit(now, c)
+	}
+	a := t.ask(peer, c.Name)
+	if a == nil {
+		t.d.events.Info("owner of a bucket silent", "customer", c.Name, "owner", owner)
+		return t.spare.Admit(now, c, p.hosts)
+	}
+	return share.Verdict{
+		Admitted: a.Granted, ComeBack: time.Duration(a.BackMs) * time.Millisecond,
+		Part: float64(a.Part), Demand: float64(a.Demand),
+	}
+}
+
+// ask asks the owner for one token; nil if it does not answer in time. An answer
+// that comes later is dropped: the token is lost, which refuses too much rather
+// than too little.
+func (t *tokens) ask(peer, customer string) *fleet.TokenAnswer {
+	answer := make(chan *fleet.TokenAnswer, 1)
+	t.mu.Lock()
+	t.last++
+	id := t.last
+	t.waiting[id] = answer
+	t.mu.Unlock()
+	defer func() {
+		t.mu.Lock()
+		delete(t.waiting, id)
+		t.mu.Unlock()
+	}()
+	request := &fleet.Packet{Content: &fleet.Packet_TokenRequest{TokenRequest: &fleet.TokenRequest{Id: id, Customer: customer}}}
+	if err := t.d.wire.SendPacket(request, peer); err != nil {
+		return nil
+	}
+	timeout := time.NewTimer(answerFor)
+	defer timeout.Stop()
+	select {
+	case a := <-answer:
+		return a
+	case <-timeout.C:
+		return nil
+	}
+}
+
+// receive takes a packet about tokens in.
+func (t *tokens) receive(p *fleet.Packet, from string) {
+	if q := p.GetTokenRequest(); q != nil {
+		t.grant(q, from)
+		return
+	}
+	a := p.GetTokenAnswer()
+	if a == nil {
+		return
+	}
+	t.mu.Lock()
+	answer := t.waiting[a.Id]
+	t.mu.Unlock()
+	if answer == nil {
+		return
+	}
+	select {
+	case answer <- a:
+	default:
+	}
+}
+
+// grant answers a peer from the bucket that this host holds.
+func (t *tokens) grant(q *fleet.TokenRequest, from string) {
+	state := t.d.state.Load()
+	if state.Catalog == nil {
+		return
+	}
+	c := state.Catalog.Named(q.Customer)
+	if c == nil {
+		return
+	}
+	v := t.d.shares.Admit(t.d.now(), c)
+	answer := &fleet.TokenAnswer{
+		Id: q.Id, Granted: v.Admitted, BackMs: uint32(v.ComeBack.Milliseconds()), Part: float32(v.Part), Demand: float32(v.Demand),
+	}
+	if err := t.d.wire.SendPacket(&fleet.Packet{Content: &fleet.Packet_TokenAnswer{TokenAnswer: answer}}, from); err != nil {
+		t.d.events.Debug("token not sent", "error", err)
+	}
+}
+
+// Undo gives the token of a request back that certainly did not run. Only the
+// host that holds the bucket does; a lost token refuses too much.
+func (t *tokens) Undo(customer string) {
+	p := t.d.pool.Load()
+	if p.peers[share.Owner(customer, p.instances)] == "" {
+		t.d.shares.Undo(customer)
+	}
+}
+
+// newPool lists the hosts of this region that are ready, and how many regions
+// have hosts at all.
+func newPool(self Self, ready bool, heard []fleet.Member, hosts int) (*pool, int) {
+	p := &pool{peers: map[string]string{}, hosts: hosts}
+	regions := map[string]bool{self.Region: true}
+	if ready {
+		p.instances = append(p.instances, self.Instance)
+	}
+	for _, m := range heard {
+		regions[m.Region] = true
+		if m.Region == self.Region && m.Ready && !m.Leaving {
+			p.instances = append(p.instances, m.Instance)
+			p.peers[m.Instance] = m.Peers
+		}
+	}
+	return p, len(regions)
+}
--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,42 +47,56 @@
 // Send sends a heartbeat to each peer. A heartbeat that cannot be sent is like
 // one that is lost on the way, so only the first error is returned, for the log.
 func (w *Wire) Send(b *Heartbeat, peers []string) error {
-	data, err := proto.Marshal(b)
+	data, err := proto.Marshal(&Packet{Content: &Packet_Heartbeat{b}})
 	if err != nil {
 		return errors.WithStack(err)
 	}
 	var first error
 	for _, peer := range peers {
-		a, err := net.ResolveUDPAddr("udp4", peer)
-		if err == nil {
-			_, err = w.conn.WriteToUDP(data, a)
-		}
-		if err != nil && first == nil {
-			first = errors.Wrap(err, "send heartbeat")
+		if err := w.write(data, peer); err != nil && first == nil {
+			first = err
 		}
 	}
 	return first
 }
 
-// Receive passes heartbeats on until ctx ends. Datagrams that cannot be read
-// are passed to spoiled.
-func (w *Wire) Receive(ctx context.Context, heard func(*Heartbeat), spoiled func(error)) {
+// SendPacket sends one packet to one peer.
+func (w *Wire) SendPacket(p *Packet, peer string) error {
+	data, err := proto.Marshal(p)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return w.write(data, peer)
+}
+
+func (w *Wire) write(data []byte, peer string) error {
+	a, err := netip.ParseAddrPort(peer)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	_, err = w.conn.WriteToUDPAddrPort(data, a)
+	return errors.Wrap(err, "send to peer")
+}
+
+// Receive passes packets on, with the address of their sender, until ctx ends.
+// Datagrams that cannot be read are passed to spoiled.
+func (w *Wire) Receive(ctx context.Context, heard func(p *Packet, from string), spoiled func(error)) {
 	stop := context.AfterFunc(ctx, func() { _ = w.conn.Close() })
 	defer stop()
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
-		n, _, err := w.conn.ReadFromUDP(buffer)
+		n, from, err := w.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if ctx.Err() == nil {
 				spoiled(errors.WithStack(err))
 			}
 			continue
 		}
-		b := &Heartbeat{}
-		if err := proto.Unmarshal(buffer[:n], b); err != nil {
+		p := &Packet{}
+		if err := proto.Unmarshal(buffer[:n], p); err != nil {
 			spoiled(errors.WithStack(err))
 			continue
 		}
-		heard(b)
+		heard(p, from.String())
 	}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -79,11 +79,11 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	heard, spoiled := make(chan *fleet.Heartbeat, 8), make(chan error, 8)
-	go b.Receive(ctx, func(h *fleet.Heartbeat) { heard <- h }, func(err error) { spoiled <- err })
+	heard, spoiled := make(chan *fleet.Packet, 8), make(chan error, 8)
+	go b.Receive(ctx, func(p *fleet.Packet, _ string) { heard <- p }, func(err error) { spoiled <- err })
 	g.Expect(a.Send(beat("a", "host-a", 3), []string{b.Address()})).To(Succeed())
-	var got *fleet.Heartbeat
+	var got *fleet.Packet
 	g.Eventually(heard, "5s").Should(Receive(&got))
-	g.Expect(got.Sequence).To(Equal(uint64(3)))
+	g.Expect(got.GetHeartbeat().Sequence).To(Equal(uint64(3)))
 	g.Expect(a.Send(beat("a", "host-a", 3), []string{"not an address"})).NotTo(Succeed())
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -183,6 +183,17 @@
 	return out
 }
 
+// Complete tells whether every host that may be spending has told what is asked
+// for there.
+func (m *Members) Complete() bool {
+	for _, k := range m.by {
+		if k.sequence == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Peers lists where heartbeats go.
 func (m *Members) Peers() []string {
 	out := make([]string, 0, len(m.by))
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -22,13 +22,20 @@
 	Warn(kind string, pairs ...any)
 }
 
+// Shares admits customers' requests within their rates.
+type Shares interface {
+	Admit(now time.Time, c *catalog.Customer) share.Verdict
+	// Undo gives the token of a request back that certainly did not run.
+	Undo(customer string)
+}
+
 // Deps are what the front works with.
 type Deps struct {
 	State   func() *State
 	Codec   traffic.Codec
 	Pool    *h1.Pool
 	Table   *place.Table
-	Shares  *share.Shares
+	Shares  Shares
 	Retries *retry.Window
 	Bounds  func() Bounds
 	Log     Log
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -54,7 +54,7 @@
 				others[customer] += rate
 			}
 		}
-		s.SetOthers(others, len(f.hosts))
+		s.SetOthers(others, len(f.hosts), true)
 	}
 }
 
@@ -161,6 +161,27 @@
 	g.Expect(refused).To(BeNumerically("<", 0.02))
 }
 
+// A host starts again while its customer sends too much. It has not heard of the
+// others' demand yet, so it must not take all of the rate for its own.
+func TestRestartedHostKeepsToItsEvenPart(t *testing.T) {
+	g := NewWithT(t)
+	s := share.New()
+	s.Hold(true)
+	s.SetOthers(nil, 3, false)
+	c := &catalog.Customer{Name: "hot", Rate: 30, Burst: 30}
+	now, admitted := time.Unix(1000, 0), 0
+	for range 2000 {
+		now = now.Add(time.Millisecond)
+		if now.UnixMilli()%250 == 0 {
+			s.Tell(now)
+		}
+		if s.Admit(now, c).Admitted {
+			admitted++
+		}
+	}
+	g.Expect(admitted).To(BeNumerically("<=", 2*30/3+5))
+}
+
 // A host whose registration has lapsed is not counted by the others any more, so
 // it must not spend.
 func TestNothingIsSpentWithoutRegistration(t *testing.T) {
@@ -194,3 +215,53 @@
 		last = v.ComeBack
 	}
 }
+
+// Sixty hosts serve a customer that is within its rate, half a request a second
+// at each. With a bucket at each host a quarter is refused; with one for each of
+// three regions next to nothing is, and no more is given out.
+func TestRegionsShareABucket(t *testing.T) {
+	refused := func(buckets int) float64 {
+		f := newFleet(buckets)
+		c := &catalog.Customer{Name: "thin", Rate: 45, Burst: 45}
+		f.play(c, 28, 5*time.Second, even(buckets))
+		admitted, asked := f.play(c, 28, 20*time.Second, even(buckets))
+		return 1 - float64(len(admitted))/float64(asked)
+	}
+	g := NewWithT(t)
+	apart, pooled := refused(60), refused(3)
+	t.Logf("refused: %.1f%% with 60 buckets, %.2f%% with 3", 100*apart, 100*pooled)
+	g.Expect(pooled).To(BeNumerically("<", 0.01))
+	g.Expect(apart).To(BeNumerically(">", 5*pooled))
+}
+
+func TestOwnersAgreeAndStay(t *testing.T) {
+	g := NewWithT(t)
+	pool := []string{"a", "b", "c", "d"}
+	g.Expect(share.Owner("x", nil)).To(BeEmpty())
+	for i := range 50 {
+		customer := fmt.Sprint("c", i)
+		owner := share.Owner(customer, pool)
+		g.Expect(share.Owner(customer, []string{"d", "c", "b", "a"})).To(Equal(owner))
+		if owner != "d" {
+			g.Expect(share.Owner(customer, pool[:3])).To(Equal(owner), "only the customers of the host that left move")
+		}
+	}
+}
+
+// The owner of a bucket has died and is still heard. All hosts fall back on the
+// spare: together they give out a part of the rate only.
+func TestSpareIsAPartOfTheRate(t *testing.T) {
+	g := NewWithT(t)
+	c := &catalog.Customer{Name: "hot", Rate: 100, Burst: 100}
+	now, admitted := time.Unix(1000, 0), 0
+	spares := []*share.Spare{share.NewSpare(), share.NewSpare(), share.NewSpare(), share.NewSpare()}
+	for range 5000 {
+		now = now.Add(time.Millisecond)
+		for _, s := range spares {
+			if s.Admit(now, c, len(spares)).Admitted {
+				admitted++
+			}
+		}
+	}
+	g.Expect(admitted).To(BeNumerically("<=", 5*25+len(spares)))
+}
--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -17,7 +17,7 @@
 	depthPart = 0.8
 	// startPart of its depth is in a bucket when a host starts: it may have
 	// spent the rest before it started again.
-	startPart = 0.5
+	startPart = 0.25
 	// leastDepth lets one request in where a customer's part of the burst is
 	// less than one, and spareTokens more over all hosts together: a customer
 	// that enters at one host has a few requests at each of the others, and two
@@ -39,7 +39,9 @@
 	accounts map[string]*account
 	// others is the demand of the other hosts by customer.
 	others map[string]float64
-	hosts  int
+	owners int
+	// complete says that the demand of all other hosts is known.
+	complete bool
 	// held says that this host may spend its shares.
 	held bool
 }
@@ -58,15 +60,18 @@
 
 // New returns shares that admit nothing until Hold is called.
 func New() *Shares {
-	return &Shares{accounts: map[string]*account{}, others: map[string]float64{}, hosts: 1}
+	return &Shares{accounts: map[string]*account{}, others: map[string]float64{}, owners: 1}
 }
 
 // SetOthers takes over what the other hosts want, by customer, and how many
-// hosts there are, this one included.
-func (s *Shares) SetOthers(perSecond map[string]float64, hosts int) {
+// owners a customer's rate is split among, one for each region, this one
+// included. complete says that all hosts have told what they want: until then a
+// host that has just started keeps to its even part, since it would take the
+// demand that it does not know for none.
+func (s *Shares) SetOthers(perSecond map[string]float64, owners int, complete bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.others, s.hosts = perSecond, max(hosts, 1)
+	s.others, s.owners, s.complete = perSecond, max(owners, 1), complete
 }
 
 // Hold says whether this host may spend: its registration stands, so the others
@@ -99,7 +104,7 @@
 	}
 	part := s.part(now, c.Name, a)
 	v := Verdict{Part: part, Demand: a.demand.perSecond}
-	rate, depth := part*c.Rate, max(part*c.Burst*depthPart, leastDepth+spareTokens/float64(s.hosts))
+	rate, depth := part*c.Rate, max(part*c.Burst*depthPart, leastDepth+spareTokens/float64(s.owners))
 	a.refill(now, rate, depth)
 	if s.held && a.tokens >= 1 {
 		a.tokens--
@@ -152,9 +157,9 @@
 // length of a heartbeat that all of the rate is its own. Six hosts then gave out
 // 1.4 times what they may in five seconds.
 func (s *Shares) part(now time.Time, customer string, a *account) float64 {
-	even := 1 / float64(s.hosts)
+	even := 1 / float64(s.owners)
 	own, others := a.known(now), s.others[customer]
-	if own+others <= 0 {
+	if own+others <= 0 || !s.complete {
 		return even
 	}
 	return evenPart*even + (1-evenPart)*own/(own+others)
--- /dev/null
+++ b/internal/soak/proxy_test.go
@@ -0,0 +1,129 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// mode is what a proxy does to what passes.
+type mode int
+
+const (
+	pass mode = iota
+	// delay holds every piece back for a while.
+	delay
+	// silent takes connections and bytes and passes nothing on.
+	silent
+	// oneWay passes requests on and no answers.
+	oneWay
+	// reset closes connections, old and new.
+	reset
+	modes
+)
+
+// proxy stands between a daemon and the store, on loopback.
+type proxy struct {
+	target   string
+	listener net.Listener
+
+	mu    sync.Mutex
+	mode  mode
+	conns map[net.Conn]bool
+}
+
+func newProxy(target string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{target: target, listener: l, conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	if m != reset {
+		return
+	}
+	for c := range p.conns {
+		_ = c.Close()
+	}
+}
+
+func (p *proxy) current() mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.set(reset)
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.current() == reset {
+			_ = c.Close()
+			continue
+		}
+		up, err := net.Dial("tcp", p.target)
+		if err != nil {
+			_ = c.Close()
+			continue
+		}
+		p.mu.Lock()
+		p.conns[c], p.conns[up] = true, true
+		p.mu.Unlock()
+		go p.pipe(up, c, true)
+		go p.pipe(c, up, false)
+	}
+}
+
+func (p *proxy) pipe(to, from net.Conn, request bool) {
+	defer func() {
+		_ = to.Close()
+		_ = from.Close()
+		p.mu.Lock()
+		delete(p.conns, to)
+		delete(p.conns, from)
+		p.mu.Unlock()
+	}()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !p.forward(to, buffer[:n], request) {
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// forward passes one piece on as the mode says; false ends the connection. A
+// piece that was held back in silence is lost: its connection never recovers.
+func (p *proxy) forward(to io.Writer, piece []byte, request bool) bool {
+	switch m := p.current(); {
+	case m == delay:
+		time.Sleep(150 * time.Millisecond)
+	case m == silent, m == oneWay && !request:
+		for p.current() == m {
+			time.Sleep(20 * time.Millisecond)
+		}
+		return false
+	}
+	_, err := to.Write(piece)
+	return err == nil
+}
--- /dev/null
+++ b/internal/soak/site_test.go
@@ -0,0 +1,235 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"balsambarrow/internal/standin"
+)
+
+const (
+	// revoke is how long a withdrawn key may work.
+	revoke = 4 * time.Second
+	// hotRate and hotBurst are of the customer that asks for too much.
+	hotRate, hotBurst = 30, 30
+	// freshKeys rotate: one is withdrawn while the next is in use.
+	freshKeys = 3
+)
+
+// process is one daemon.
+type process struct {
+	name     string
+	zone     string
+	settings string
+	callers  string
+	proxy    *proxy
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// done is closed when the present process has ended.
+	done chan struct{}
+	// faults and stops are when it was last killed, paused or cut off, and when
+	// it was asked to stop.
+	faulted time.Time
+	stopped time.Time
+}
+
+// back end of a service, with its address.
+type upstream struct {
+	worker   *standin.Worker
+	server   *httptest.Server
+	zone     string
+	sequence int
+	faulted  time.Time
+}
+
+type site struct {
+	t      *testing.T
+	binary string
+	dir    string
+	store  *standin.KVStore
+	server *httptest.Server
+
+	mu        sync.Mutex
+	processes []*process
+	upstreams []*upstream
+	version   int
+	// withdrawn is when each key was withdrawn; granted ones are not in it.
+	withdrawn map[string]time.Time
+	evacuated map[string]time.Time
+	// history is what was injected, told when a check fails.
+	history []string
+}
+
+// note adds a line to the history.
+func (s *site) note(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = append(s.history, time.Now().Format("05.000 ")+fmt.Sprintf(format, args...))
+}
+
+var zones = []string{"a1", "a2", "b1"}
+
+func newSite(t *testing.T, binary string) *site {
+	s := &site{
+		t: t, binary: binary, dir: t.TempDir(), store: standin.NewKVStore(), version: 1,
+		withdrawn: map[string]time.Time{}, evacuated: map[string]time.Time{},
+	}
+	s.server = httptest.NewServer(s.store)
+	s.declare()
+	for i, zone := range []string{"a1", "a2", "b1", "b1", "a1"} {
+		s.addUpstream(fmt.Sprint("i-", i), zone)
+	}
+	for i, zone := range zones {
+		s.addProcess(fmt.Sprint("h", i), zone)
+	}
+	return s
+}
+
+// declare writes the configuration with the keys that are granted.
+func (s *site) declare() {
+	s.version++
+	keys := []string{"steady"}
+	for i := range freshKeys {
+		if key := fmt.Sprint("fresh-", i); s.withdrawn[key].IsZero() {
+			keys = append(keys, key)
+		}
+	}
+	table := func(columns []string, rows ...[]any) map[string]any {
+		return map[string]any{"columns": columns, "rows": rows}
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": fmt.Sprintf("r%d", s.version),
+		"routes": table([]string{"name", "host", "prefix", "kind", "timeout", "target-latency", "max-attempts", "session-affinity", "service"},
+			[]any{"read", "x.example", "/read/", "safe", "2000ms", "300ms", 2, true, "s"},
+			[]any{"post", "x.example", "/post/", "unsafe", "2000ms", "300ms", 2, true, "s"}),
+		"services": table([]string{"name", "health-check-path", "cold-start", "cold-per-s"}, []any{"s", "/health", "1s", 50}),
+		"limits":   map[string]any{},
+		"tenants": table([]string{"name", "api-keys", "rate-per-s", "burst"},
+			[]any{"calm", keys, 0, 0}, []any{"hot", []string{"hot"}, hotRate, hotBurst}),
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.store.Put("op/config", value)
+}
+
+func (s *site) addUpstream(id, zone string) {
+	u := &upstream{worker: &standin.Worker{ID: id, Work: 15 * time.Millisecond}, zone: zone}
+	u.server = httptest.NewServer(u.worker)
+	s.upstreams = append(s.upstreams, u)
+	s.beat(u)
+}
+
+func (s *site) beat(u *upstream) {
+	u.sequence++
+	s.store.Put("servers/"+u.worker.ID, u.worker.Entry("s", u.server.Listener.Addr().String(), u.zone, "ready", u.sequence))
+}
+
+func (s *site) addProcess(name, zone string) {
+	p, err := newProxy(s.server.Listener.Addr().String())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	h := &process{name: name, zone: zone, proxy: p, settings: filepath.Join(s.dir, name+".jsonc"), callers: freeAddress(s.t)}
+	text := fmt.Sprintf(`{"host": %q, "zone": %q, "zones": {"a1": "a", "a2": "a", "b1": "b"},
+		"listen": {"callers": %q, "readiness": "127.0.0.1:0", "directory": "127.0.0.1:0", "peers": "127.0.0.1:0"},
+		"store": %q,
+		"bounds": {"grace": "5s", "revoke": %q, "strict_revocation": true, "retry_ratio": 0.2, "retry_slack": 60, "retry_window": "10s"}}`,
+		name, zone, h.callers, p.address(), revoke)
+	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	s.processes = append(s.processes, h)
+	s.start(h)
+}
+
+// freeAddress is one that the system has just given out: a daemon keeps its
+// address over restarts, so the system cannot pick it at the start.
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// start starts the daemon, and again whenever it ends, until done is set to nil
+// by closing.
+func (s *site) start(h *process) {
+	out, err := os.OpenFile(filepath.Join(s.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	cmd := exec.Command(s.binary, "entry", h.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	done := make(chan struct{})
+	h.mu.Lock()
+	h.cmd, h.done = cmd, done
+	h.mu.Unlock()
+	go func() {
+		_ = cmd.Wait()
+		_ = out.Close()
+		close(done)
+	}()
+}
+
+// signal sends a signal to the present process, which the soak has started.
+func (h *process) signal(sig syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	select {
+	case <-h.done:
+	default:
+		_ = h.cmd.Process.Signal(sig)
+	}
+}
+
+// await waits until the present process has ended.
+func (h *process) await() {
+	h.mu.Lock()
+	done := h.done
+	h.mu.Unlock()
+	<-done
+}
+
+func (h *process) fault(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.faulted = now
+}
+
+func (s *site) close() {
+	for _, h := range s.processes {
+		h.signal(syscall.SIGCONT)
+		h.signal(syscall.SIGKILL)
+		h.await()
+		h.proxy.close()
+	}
+	for _, u := range s.upstreams {
+		u.server.CloseClientConnections()
+		u.server.Close()
+	}
+	s.server.CloseClientConnections()
+	s.server.Close()
+}
+
+// cut ends every connection of an upstream, and its answers with them.
+func (u *upstream) cut() { u.server.CloseClientConnections() }
+
+// failing makes an upstream cut each answer after it has run the request.
+func failing(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
