Hosts that start together know each other before they spend

Ruled out: the regions' parts (fixed on the way: a region that is registered and not heard keeps its part), restarts of the hosts. Change: a host reads the registrations, not stale, after it has written its own, before it counts as registered. The test fails without the reading.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # make demo   runs the whole path on stand-ins, for both deployments
 # make check  runs everything that CI runs
-.PHONY: demo check format vet lint build test model bench fuzz measure
+.PHONY: demo check format vet lint build test model bench fuzz measure soak
 
 BIN := .bin
 
@@ -17,7 +17,7 @@
 vet:
 	go vet ./...
 
-lint:
+lint: $(BIN)/golangci-lint
 	$(BIN)/golangci-lint run ./...
 
 build:
@@ -37,3 +37,13 @@
 
 measure:
 	BALSAM_MEASURE=1 go test -count=1 -p 1 -v -timeout 60m -run 'Measure' ./...
+
+# make soak SEEDS=50 FIRST=100 SPAN=8s
+SEEDS ?= 50
+FIRST ?= 1
+SPAN ?= 8s
+soak:
+	go test -count=1 -v -timeout 60m ./internal/soak -soak.seeds=$(SEEDS) -soak.first=$(FIRST) -soak.span=$(SPAN)
+
+$(BIN)/golangci-lint:
+	GOBIN="$(CURDIR)/$(BIN)" go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"balsambarrow/internal/catalog"
@@ -48,8 +49,6 @@
 	sequence     uint64
 	beatDue      time.Time
 	ready        bool
-	// regions is the most regions with hosts that were heard at once.
-	regions int
 }
 
 func newControl(d *Daemon) *control {
@@ -128,16 +127,24 @@
 		hosts = append(hosts, place.Host{Instance: c.d.self.Instance, Zone: c.d.self.Zone, Region: c.d.self.Region})
 	}
 	c.d.table.SetHosts(hosts)
-	buckets, regions := newPool(c.d.self, c.ready, heard, c.members.Count())
-	c.d.pool.Store(buckets)
-	// A region that is not heard still has its part: it may only be cut off.
-	c.regions = max(c.regions, regions)
-	c.d.shares.SetOthers(c.members.Demand(), c.regions, c.members.Complete())
+	c.d.pool.Store(newPool(c.d.self, c.ready, heard, c.members.Count()))
+	c.d.shares.SetOthers(c.members.Demand(), c.buckets(), c.members.Complete())
 	bounds := c.d.settings.Load().Bounds
 	c.d.retries.SetSlack(bounds.RetrySlack, c.members.Count())
 	c.d.table.SetMaxShift(bounds.MaxShift)
 }
 
+// buckets is how many buckets a customer's rate is split among: one for each
+// region with hosts, heard or only registered. A region that is not heard may
+// only be cut off.
+func (c *control) buckets() int {
+	regions := c.members.Regions()
+	if slices.Contains(regions, c.d.self.Region) {
+		return len(regions)
+	}
+	return len(regions) + 1
+}
+
 // setReady decides whether callers may be sent here.
 func (c *control) setReady(now time.Time) {
 	ready := c.catalog != nil && c.listed && !c.leaving && now.Sub(c.at) < freshFor && !c.hostsListed.IsZero()
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -321,6 +321,23 @@
 	g.Eventually(gone, "2s").Should(BeClosed())
 }
 
+// Hosts start together, and readings of the store that may be stale do not show
+// their registrations yet. They must know each other all the same before they
+// serve: each would else give out the whole rate of every customer.
+func TestHostsThatStartTogetherFindEachOther(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.store.SetBehind(true)
+	s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1")
+	one, two := s.host("h1", "a1"), s.host("h2", "a2")
+	s.awaitServing()
+	for _, h := range []*host{one, two} {
+		g.Eventually(func() []string { return directory(t, h, "a") }, "5s", "50ms").Should(
+			ConsistOf(one.listen.Callers, two.listen.Callers))
+	}
+}
+
 func TestSettingsFaults(t *testing.T) {
 	g := NewWithT(t)
 	_, err := entryhost.ParseSettings("boot", []byte(`{
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -95,6 +95,13 @@
 	if err := r.d.store.Put(ctx, platform.HostPrefix+s.Instance, value, lease); err != nil {
 		return err
 	}
+	// Of two hosts that start together, the one that registers later finds the
+	// other here, and its heartbeat makes itself known. Without this reading
+	// both may go on for seconds as the only host, and each gives out the whole
+	// rate of every customer: three hosts gave out 277 in five seconds for 218.
+	if err := r.read(ctx, false); err != nil {
+		return err
+	}
 	r.lease = lease
 	r.d.events.Info("registered", "lease", lease)
 	return nil
@@ -102,8 +109,10 @@
 
 // list reads who is registered. An answer that is some seconds old only delays
 // that a host is forgotten; a new one is heard by its heartbeats.
-func (r *registrar) list(ctx context.Context) error {
-	l, err := r.d.store.List(ctx, platform.HostPrefix, true)
+func (r *registrar) list(ctx context.Context) error { return r.read(ctx, true) }
+
+func (r *registrar) read(ctx context.Context, stale bool) error {
+	l, err := r.d.store.List(ctx, platform.HostPrefix, stale)
 	if err != nil {
 		return err
 	}
--- a/internal/entryhost/tokens.go
+++ b/internal/entryhost/tokens.go
@@ -139,20 +139,17 @@
 	}
 }
 
-// newPool lists the hosts of this region that are ready, and how many regions
-// have hosts at all.
-func newPool(self Self, ready bool, heard []fleet.Member, hosts int) (*pool, int) {
+// newPool lists the hosts of this region that are ready.
+func newPool(self Self, ready bool, heard []fleet.Member, hosts int) *pool {
 	p := &pool{peers: map[string]string{}, hosts: hosts}
-	regions := map[string]bool{self.Region: true}
 	if ready {
 		p.instances = append(p.instances, self.Instance)
 	}
 	for _, m := range heard {
-		regions[m.Region] = true
 		if m.Region == self.Region && m.Ready && !m.Leaving {
 			p.instances = append(p.instances, m.Instance)
 			p.peers[m.Instance] = m.Peers
 		}
 	}
-	return p, len(regions)
+	return p
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -183,6 +184,17 @@
 	return out
 }
 
+// Regions lists the regions of the hosts that may be spending.
+func (m *Members) Regions() []string {
+	var out []string
+	for _, k := range m.by {
+		if !slices.Contains(out, k.Region) {
+			out = append(out, k.Region)
+		}
+	}
+	return out
+}
+
 // Complete tells whether every host that may be spending has told what is asked
 // for there.
 func (m *Members) Complete() bool {
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -46,6 +46,13 @@
 	}
 	s.checkRate(hot)
 	if s.t.Failed() {
+		perSecond := map[string]int{}
+		for _, r := range requests {
+			if r.key == "hot" && r.status == http.StatusOK {
+				perSecond[r.at.Format("05")+" "+r.host.name]++
+			}
+		}
+		s.t.Logf("answers to the hot customer by second and host: %v", perSecond)
 		s.t.Logf("injected:\n%s", strings.Join(s.history, "\n"))
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,13 +17,15 @@
 )
 
 var (
-	seeds = flag.Int("soak.seeds", 2, "number of seeds to run")
+	seeds = flag.Int("soak.seeds", 1, "number of seeds to run")
 	first = flag.Uint64("soak.first", 1, "first seed")
 	span  = flag.Duration("soak.span", 8*time.Second, "how long callers ask, per seed")
 )
 
 // regressions are seeds that failed once, each with its cause.
-var regressions = []uint64{}
+var regressions = []uint64{
+	2, // hosts that started together did not know each other, and each gave out the whole rate
+}
 
 // settle is how long before a request nothing may have happened to a host or an
 // upstream for the request to be held against it.
--- a/internal/standin/kvstore.go
+++ b/internal/standin/kvstore.go
@@ -37,7 +37,9 @@
 	PageItems int
 	fault     func(path string) StoreFault
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// behind makes listings that may be stale show nothing.
+	behind   bool
 	revision uint64
 	items    map[string]storeItem
 	// events holds the history after forgotten.
@@ -78,6 +80,13 @@
 	s.fault = fault
 }
 
+// SetBehind makes answers that may be stale as old as the empty store.
+func (s *KVStore) SetBehind(behind bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behind = behind
+}
+
 // Put writes a key as an operator or an upstream does.
 func (s *KVStore) Put(key string, value []byte) uint64 {
 	s.mu.Lock()
@@ -236,8 +245,9 @@
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	s.mu.Lock()
 	var page []storeItem
+	old := s.behind && r.URL.Query().Get("allow-stale") == "1"
 	for _, i := range s.items {
-		if strings.HasPrefix(i.Key, prefix) && i.Key > after {
+		if !old && strings.HasPrefix(i.Key, prefix) && i.Key > after {
 			page = append(page, i)
 		}
 	}
