--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -33,16 +35,18 @@
 
 // control owns what the daemon believes. Only its goroutine touches it.
 type control struct {
-	d        *Daemon
-	inbox    chan message
-	members  *fleet.Members
-	roster   *follow.Roster
-	catalog  *catalog.Catalog
-	zones    map[string]bool
-	at       time.Time
-	listed   bool
-	leaving  bool
-	storeOut bool
+	d       *Daemon
+	inbox   chan message
+	members *fleet.Members
+	// registrations of entry hosts in the store, by key.
+	registrations map[string]fleet.Registration
+	roster        *follow.Roster
+	catalog       *catalog.Catalog
+	zones         map[string]bool
+	at            time.Time
+	listed        bool
+	leaving       bool
+	storeOut      bool
 	// registeredAt is when the last call left that kept the registration.
 	registeredAt time.Time
 	hostsListed  time.Time
@@ -54,7 +58,8 @@
 func newControl(d *Daemon) *control {
 	return &control{
 		d: d, inbox: make(chan message, 256), zones: map[string]bool{},
-		members: fleet.NewMembers(d.self.Instance, d.settings.Load().Host), roster: follow.NewRoster(),
+		registrations: map[string]fleet.Registration{},
+		members:       fleet.NewMembers(d.self.Instance, d.settings.Load().Host), roster: follow.NewRoster(),
 	}
 }
 
@@ -204,71 +209,118 @@
 	c.d.events.Info("upstream gone", "upstream", id, "why", why)
 }
 
-// hosts takes the registrations of hosts over.
-func (c *control) hosts(list []fleet.Registration) {
-	now := c.d.now()
-	c.hostsListed = now
-	c.members.List(now, list)
-}
-
-// declaredSink follows what operators declare.
-type declaredSink struct{ c *control }
+// storeSink follows all that the store holds. One watch of everything costs half
+// of what a watch of the declarations and one of the upstreams cost, and what it
+// brings confirms the declarations too.
+type storeSink struct{ c *control }
 
 // Listed implements follow.Sink.
-func (s declaredSink) Listed(l kv.Listing, asOf time.Time) {
+func (s storeSink) Listed(l kv.Listing, asOf time.Time) {
 	s.c.send(func(c *control) {
-		zones := map[string]bool{}
+		now := c.d.now()
+		c.roster.Reached(now)
+		upstreams, zones := map[string]bool{}, map[string]bool{}
+		clear(c.registrations)
 		for _, item := range l.Items {
 			if zone, ok := platform.EvacuatedZone(item.Key); ok {
 				zones[zone] = true
 			}
-			c.declare(item)
+			if id, ok := platform.UpstreamID(item.Key); ok {
+				upstreams[id] = true
+			}
+			c.wrote(now, item)
+		}
+		for _, id := range c.roster.Unlisted(upstreams) {
+			c.unregister(now, id)
 		}
 		c.evacuate(zones)
+		c.listHosts(now)
+		c.listed = true
 		c.confirm(asOf)
 	})
 }
 
 // Changed implements follow.Sink.
-func (s declaredSink) Changed(changes kv.Changes, asOf time.Time) {
+func (s storeSink) Changed(changes kv.Changes, asOf time.Time) {
 	s.c.send(func(c *control) {
+		now := c.d.now()
+		c.roster.Reached(now)
 		for _, e := range changes.Events {
-			c.declaredEvent(e)
+			if e.Deleted {
+				c.removed(now, e.Key)
+				continue
+			}
+			if zone, ok := platform.EvacuatedZone(e.Key); ok {
+				c.evacuateOne(zone, true)
+			}
+			c.wrote(now, e.Item)
 		}
+		c.listHosts(now)
 		c.confirm(asOf)
 	})
 }
 
 // Failed implements follow.Sink.
-func (s declaredSink) Failed(err error) {
-	s.c.send(func(c *control) { c.lostStore(err) })
+func (s storeSink) Failed(err error) {
+	s.c.send(func(c *control) {
+		c.roster.Failed()
+		c.lostStore(err)
+	})
 }
 
-func (c *control) declaredEvent(e kv.Event) {
-	zone, ok := platform.EvacuatedZone(e.Key)
-	if !ok {
-		if !e.Deleted {
-			c.declare(e.Item)
-		}
+// wrote takes a key over that was written.
+func (c *control) wrote(now time.Time, item kv.Item) {
+	if platform.IsConfiguration(item.Key) {
+		c.declare(item)
 		return
 	}
-	zones := map[string]bool{}
-	for z := range c.zones {
-		zones[z] = true
+	if _, ok := platform.UpstreamID(item.Key); ok {
+		c.register(now, item)
+		return
 	}
-	if e.Deleted {
-		delete(zones, zone)
-	} else {
+	if _, ok := platform.HostInstance(item.Key); ok {
+		c.hostRegistered(item)
+	}
+}
+
+// removed takes over that a key is gone.
+func (c *control) removed(now time.Time, key string) {
+	if id, ok := platform.UpstreamID(key); ok {
+		c.unregister(now, id)
+	}
+	if zone, ok := platform.EvacuatedZone(key); ok {
+		c.evacuateOne(zone, false)
+	}
+	delete(c.registrations, key)
+}
+
+// hostRegistered notes an entry host's registration.
+func (c *control) hostRegistered(item kv.Item) {
+	var r fleet.Registration
+	if err := json.Unmarshal(item.Value, &r); err != nil || r.Instance == "" {
+		c.d.events.Warn("registration of a host not readable", "key", item.Key, "error", err)
+		return
+	}
+	c.registrations[item.Key] = r
+}
+
+func (c *control) listHosts(now time.Time) {
+	c.hostsListed = now
+	c.members.List(now, slices.Collect(maps.Values(c.registrations)))
+}
+
+func (c *control) evacuateOne(zone string, empty bool) {
+	zones := maps.Clone(c.zones)
+	if empty {
 		zones[zone] = true
+	} else {
+		delete(zones, zone)
 	}
 	c.evacuate(zones)
 }
 
 // declare takes a configuration over if it is newer.
 func (c *control) declare(item kv.Item) {
-	if !platform.IsConfiguration(item.Key) {
-		return
-	}
 	next, err := platform.DecodeConfiguration(item.Value)
 	if err != nil {
 		c.d.events.Warn("configuration refused", "revision", item.Revision, "in_force", c.version(), "error", err)
@@ -315,54 +367,6 @@
 	}
 }
 
-// upstreamSink follows the registrations of upstreams.
-type upstreamSink struct{ c *control }
-
-// Listed implements follow.Sink.
-func (s upstreamSink) Listed(l kv.Listing, _ time.Time) {
-	s.c.send(func(c *control) {
-		now := c.d.now()
-		c.roster.Reached(now)
-		listed := map[string]bool{}
-		for _, item := range l.Items {
-			if id, ok := platform.UpstreamID(item.Key); ok {
-				listed[id] = true
-				c.register(now, item)
-			}
-		}
-		for _, id := range c.roster.Unlisted(listed) {
-			c.unregister(now, id)
-		}
-		c.listed = true
-	})
-}
-
-// Changed implements follow.Sink.
-func (s upstreamSink) Changed(changes kv.Changes, _ time.Time) {
-	s.c.send(func(c *control) {
-		now := c.d.now()
-		c.roster.Reached(now)
-		for _, e := range changes.Events {
-			id, ok := platform.UpstreamID(e.Key)
-			switch {
-			case !ok:
-			case e.Deleted:
-				c.unregister(now, id)
-			default:
-				c.register(now, e.Item)
-			}
-		}
-	})
-}
-
-// Failed implements follow.Sink.
-func (s upstreamSink) Failed(err error) {
-	s.c.send(func(c *control) {
-		c.roster.Failed()
-		c.lostStore(err)
-	})
-}
-
 // register takes an upstream's account of itself in.
 func (c *control) register(now time.Time, item kv.Item) {
 	u, err := platform.DecodeUpstream(item)
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -128,16 +128,8 @@
 	d.spawn(func(ctx context.Context) {
 		d.wire.Receive(ctx, d.received, func(err error) { d.events.Debug("packet not readable", "error", err) })
 	})
-	d.spawn((&follow.Follower{
-		Store: d.store, Prefix: platform.DeclaredPrefix, Pace: d.declaredPace, Now: d.now, Sink: declaredSink{d.control},
-	}).Run)
-	d.spawn((&follow.Follower{
-		Store: d.store, Prefix: platform.UpstreamPrefix, Pace: d.upstreamsPace, Now: d.now,
-		Sink: upstreamSink{d.control},
-	}).Run)
-	r := &registrar{d: d}
-	d.spawn(r.run)
-	d.spawn(r.follow)
+	d.spawn((&follow.Follower{Store: d.store, Prefix: platform.AllKeys, Pace: d.storePace, Now: d.now, Sink: storeSink{d.control}}).Run)
+	d.spawn((&registrar{d: d}).run)
 	d.spawn(d.conns.Run)
 	d.events.Info("started", "instance", d.self.Instance, "zone", d.self.Zone, "region", d.self.Region,
 		"callers", d.self.Callers, "peers", d.self.Peers, "store", d.settings.Load().Store)
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -21,15 +21,12 @@
 	leaseMargin = time.Second
 	// renewEvery leaves room for two lost renewals.
 	renewEvery = 1500 * time.Millisecond
-	// hostsEvery is how often the registrations are read. A host that died is
-	// missed sooner by its heartbeats; only its shares wait for this.
-	hostsEvery = 2 * time.Second
 	// callBound bounds one call to the store.
 	callBound = 1200 * time.Millisecond
 	retryCall = 250 * time.Millisecond
 )
 
-// registrar keeps this host's registration and reads those of the others.
+// registrar keeps this host's registration.
 type registrar struct {
 	d     *Daemon
 	lease uint64
@@ -51,17 +48,6 @@
 	r.end()
 }
 
-// follow reads the registrations until ctx ends.
-func (r *registrar) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		if r.try(ctx, r.list) != nil {
-			sleep(ctx, retryCall)
-			continue
-		}
-		sleep(ctx, hostsEvery)
-	}
-}
-
 // try makes one bounded call and logs why it failed.
 func (r *registrar) try(ctx context.Context, call func(context.Context) error) error {
 	bounded, cancel := context.WithTimeout(ctx, callBound)
@@ -99,33 +85,18 @@
 	// other here, and its heartbeat makes itself known. Without this reading
 	// both may go on for seconds as the only host, and each gives out the whole
 	// rate of every customer: three hosts gave out 277 in five seconds for 218.
-	if err := r.read(ctx, false); err != nil {
-		return err
-	}
-	r.lease = lease
-	r.d.events.Info("registered", "lease", lease)
-	return nil
-}
-
-// list reads who is registered. An answer that is some seconds old only delays
-// that a host is forgotten; a new one is heard by its heartbeats.
-func (r *registrar) list(ctx context.Context) error { return r.read(ctx, true) }
-
-func (r *registrar) read(ctx context.Context, stale bool) error {
-	l, err := r.d.store.List(ctx, platform.HostPrefix, stale)
+	l, err := r.d.store.List(ctx, platform.HostPrefix, false)
 	if err != nil {
 		return err
 	}
-	var list []fleet.Registration
-	for _, item := range l.Items {
-		var one fleet.Registration
-		if err := json.Unmarshal(item.Value, &one); err != nil || one.Instance == "" {
-			r.d.events.Warn("registration of a host not readable", "key", item.Key, "error", err)
-			continue
+	r.lease = lease
+	r.d.control.send(func(c *control) {
+		for _, item := range l.Items {
+			c.hostRegistered(item)
 		}
-		list = append(list, one)
-	}
-	r.d.control.send(func(c *control) { c.hosts(list) })
+		c.listHosts(c.d.now())
+	})
+	r.d.events.Info("registered", "lease", lease)
 	return nil
 }
 
