Know sooner after a cut who has left; cold work costs what it displaces

Change 1: connections to the store are given up after 0.6 s, pauses 0.25 s at most, the grace is 2.1 s: 3.3 s in all, of 4 s. Cause 2: in overload requests left full warm upstreams for cold ones, which took the room of three each, and queues did not recover for twenty seconds. Change 2: cold work costs what it displaces at the upstream.

--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -28,8 +28,9 @@
 	// upstreamDialBound bounds a connection to an upstream: three ways to the
 	// farthest region and back, and one lost packet.
 	upstreamDialBound = 600 * time.Millisecond
-	// storeDialBound bounds a connection to the store.
-	storeDialBound = time.Second
+	// storeDialBound bounds a connection to the store. One that was tried while
+	// the host was cut off hangs for as long after the cut has healed.
+	storeDialBound = 600 * time.Millisecond
 	// headerBound and idleBound bound slow and idle callers; they are above
 	// what operators allow callers.
 	headerBound = 10 * time.Second
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -15,9 +15,11 @@
 	// store takes a third of a second; a silent connection shows only by this.
 	answerBound = 1200 * time.Millisecond
 	// firstPause and longestPause lie between calls that fail: each failing
-	// call is paid for, and after an outage all hosts come at once.
+	// call is paid for, and after an outage all hosts come at once. But what
+	// has left meanwhile must be known well before the host counts as reached
+	// again, four seconds after the end of the outage.
 	firstPause   = 80 * time.Millisecond
-	longestPause = 500 * time.Millisecond
+	longestPause = 250 * time.Millisecond
 )
 
 // Sink is told what the store holds.
--- a/internal/follow/roster.go
+++ b/internal/follow/roster.go
@@ -7,8 +7,11 @@
 )
 
 // returnGrace is how long after an outage of the store entries may be missing
-// whose upstreams live: the platform says two seconds, and a heartbeat's way.
-const returnGrace = 2300 * time.Millisecond
+// whose upstreams live: the platform says two seconds, and a heartbeat's way. It
+// cannot be told from a cut of this host alone, in which those upstreams have
+// left: with 2.3 s, and calls that hung for 1.5 s after the cut, a request was
+// sent to one that had left twelve seconds before.
+const returnGrace = 2100 * time.Millisecond
 
 // Roster knows which upstreams are registered. An entry that goes missing in
 // an outage of the store, or right after one, may only have lapsed: its upstream
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -204,10 +204,14 @@
 	here := t.way.heavy(q.Route) || t.livesHere(object, list)
 	for i := range list {
 		c := &list[i]
-		c.wait = waiting(c.load.expect(now), c.Slots, time.Duration(float64(usual.estimate(true))*c.health.slowness))
+		load := c.load.expect(now)
+		c.wait = waiting(load, c.Slots, time.Duration(float64(usual.estimate(true))*c.health.slowness))
 		c.finish = time.Duration(float64(route.estimate(c.warm))*c.health.slowness) + c.wait + t.way.to(c.region, c.Zone)
 		c.cost = c.finish + t.way.cost(q.Route, c.region, c.Zone, q.BodyBytes) +
 			time.Duration(c.health.failures*float64(failureCost))
+		if !c.warm {
+			c.cost += displaced(load, c.Slots, route)
+		}
 		if object != 0 {
 			c.cost += time.Duration(min(i, rankMost)) * rankStep
 			if !c.warm && (c.region == t.self.Region) != here {
@@ -243,6 +247,21 @@
 	}
 }
 
+// mostDisplaced bounds what cold work is reckoned to take from others, in full
+// upstreams.
+const mostDisplaced = 2.0
+
+// displaced is what cold work at an upstream takes from the requests that it
+// would do warm in the same time, as far as it has any. Without it, requests that
+// would wait long where they are warm go where they are cold as soon as that is
+// a little sooner for themselves; each then takes the room of three, all queues
+// grow, and more go cold: a burst of two seconds was followed by twenty of
+// answers that were nearly all late.
+func displaced(load float64, slots int, w *work) time.Duration {
+	busy := min(load/float64(slots), mostDisplaced)
+	return time.Duration(busy * float64(w.estimate(false)-w.estimate(true)))
+}
+
 // waiting is how long a new request waits for one of the slots.
 func waiting(load float64, slots int, each time.Duration) time.Duration {
 	ahead := load + 1 - float64(slots)
