--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -45,6 +45,7 @@
 	self     Self
 	events   *telemetry.Events
 	metrics  *telemetry.Metrics
+	tracing  *telemetry.Tracing
 	store    kv.Store
 	wire     *fleet.Wire
 	conns    *h1.Pool
@@ -74,6 +75,10 @@
 
 // New opens the listeners of a daemon; Start lets it serve.
 func New(s *Settings, events *telemetry.Events, metrics *telemetry.Metrics) (*Daemon, error) {
+	tracing, err := telemetry.NewTracing(s.TraceFile)
+	if err != nil {
+		return nil, err
+	}
 	addresses, listeners, err := listen(s.Listen)
 	if err != nil {
 		return nil, err
@@ -89,7 +94,7 @@
 			Host: place.Host{Instance: s.Host + "-" + uuid.NewString()[:8], Zone: s.Zone, Region: region},
 			Name: s.Host, Callers: addresses.Callers, Peers: addresses.Peers,
 		},
-		events: events, metrics: metrics, wire: wire, addresses: addresses, listeners: listeners,
+		events: events, metrics: metrics, tracing: tracing, wire: wire, addresses: addresses, listeners: listeners,
 		store:   platform.NewStore(s.Store, h1.Dialer(storeDialBound), metrics.StoreCall),
 		conns:   h1.NewPool(h1.Dialer(upstreamDialBound), clock.Now),
 		shares:  share.New(),
@@ -111,10 +116,14 @@
 
 // Start serves callers and follows the store.
 func (d *Daemon) Start() {
-	callers := front.New(front.Deps{
+	deps := front.Deps{
 		State: d.state.Load, Codec: platform.Headers{}, Pool: d.conns, Table: d.table, Shares: d.tokens,
 		Retries: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, Now: d.now,
-	})
+	}
+	if d.settings.Load().TraceFile != "" {
+		deps.Tracer = d.tracing.Tracer
+	}
+	callers := front.New(deps)
 	for address, handler := range map[string]http.Handler{
 		d.addresses.Callers:   callers,
 		d.addresses.Readiness: platform.ReadinessHandler(d.ready.Load),
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -392,6 +394,42 @@
 	g.Expect(logs.String() + string(metrics)).NotTo(ContainSubstring("secret"))
 }
 
+// A request that is tried at two upstreams leaves a span for the host and one for
+// each upstream, all of the caller's trace.
+func TestSpansOfARequest(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.traces = filepath.Join(t.TempDir(), "spans")
+	one, two := s.worker("i-1", "s", "a1", 0), s.worker("i-2", "s", "a1", 0)
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	s.awaitServing()
+	cut := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	one.SetAnswer(cut)
+	two.SetAnswer(cut)
+	r, err := http.NewRequest("GET", "http://"+h.listen.Callers+"/read/1", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	r.Host = "x.example"
+	const trace = "0af7651916cd43dd8448eb211c80319c"
+	r.Header = http.Header{"X-Request-Id": {"traced"}, "Authorization": {"Bearer k1"}, "Traceparent": {"00-" + trace + "-b7ad6b7169203331-01"}}
+	resp, err := http.DefaultClient.Do(r)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.Body.Close()).To(Succeed())
+	h.stopped.Store(true)
+	h.daemon.Stop()
+	text, err := os.ReadFile(s.traces)
+	g.Expect(err).NotTo(HaveOccurred())
+	names := map[string]int{}
+	for _, line := range strings.Split(string(text), "\n") {
+		if strings.Contains(line, trace) {
+			for _, name := range []string{`"Name":"entry"`, `"Name":"upstream"`} {
+				names[name] += strings.Count(line, name)
+			}
+		}
+	}
+	g.Expect(names).To(Equal(map[string]int{`"Name":"entry"`: 1, `"Name":"upstream"`: 2}))
+}
+
 type syncBuffer struct {
 	mu sync.Mutex
 	b  strings.Builder
--- a/internal/entryhost/helper_test.go
+++ b/internal/entryhost/helper_test.go
@@ -27,6 +27,8 @@
 	serial atomic.Int64
 	// logs receives what the hosts write.
 	logs io.Writer
+	// traces is the file for spans; "" writes none.
+	traces string
 }
 
 type host struct {
@@ -58,9 +60,9 @@
 		// a region of two zones and one of one
 		"host": %q, "zone": %q, "zones": {"a1": "a", "a2": "a", "b1": "b"},
 		"listen": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "directory": "127.0.0.1:0", "peers": "127.0.0.1:0", "metrics": "127.0.0.1:0"},
-		"store": %q,
+		"store": %q, "trace_file": %q,
 		"bounds": {"grace": "4s", "revoke": "4s", "strict_revocation": true, "retry_ratio": 0.2, "retry_slack": 60, "retry_window": "10s", "max_shift": 0.15},
-	}`, name, zone, s.server.Listener.Addr())))
+	}`, name, zone, s.server.Listener.Addr(), s.traces)))
 	g.Expect(err).NotTo(HaveOccurred())
 	events := telemetry.NewEvents(s.logs, "info", name)
 	stop := make(chan struct{})
--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -1,13 +1,13 @@
 package entryhost
 
 import (
-	"net/netip"
 	"os"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"balsambarrow/internal/jsonc"
+	"balsambarrow/internal/settings"
 )
 
 // Settings is the daemon's settings file, JSON with comments.
@@ -24,6 +24,9 @@
 	Store string `json:"store"`
 	// Bounds are the times and amounts that were promised to users.
 	Bounds Bounds `json:"bounds"`
+	// TraceFile receives one JSON span a line; "-" is standard output. Default
+	// "": no spans are written.
+	TraceFile string `json:"trace_file"`
 	// LogLevel is debug, info, warn or error. Default info.
 	LogLevel string `json:"log_level"`
 }
@@ -96,20 +99,7 @@
 
 // ParseSettings checks the text of a settings file; name appears in its faults.
 func ParseSettings(name string, text []byte) (*Settings, error) {
-	doc, err := jsonc.Parse(name, text)
-	if err != nil {
-		return nil, err
-	}
-	s := &Settings{}
-	faults, filled := doc.Fill(s)
-	if !filled {
-		return nil, faults
-	}
-	s.applyDefaults()
-	if faults = append(faults, s.faults(doc)...); len(faults) > 0 {
-		return nil, faults
-	}
-	return s, nil
+	return jsonc.Read(name, text, (*Settings).applyDefaults, (*Settings).faults)
 }
 
 func (s *Settings) applyDefaults() {
@@ -143,9 +133,9 @@
 		{"/listen/peers", s.Listen.Peers},
 		{"/store", s.Store},
 	} {
-		require(isAddress(a.address), a.path, "want an IP address and a port")
+		require(settings.IsAddress(a.address), a.path, "want an IP address and a port")
 	}
-	require(s.Listen.Metrics == "" || isAddress(s.Listen.Metrics), "/listen/metrics", "want an IP address and a port, or nothing")
+	require(s.Listen.Metrics == "" || settings.IsAddress(s.Listen.Metrics), "/listen/metrics", "want an IP address and a port, or nothing")
 	for _, d := range []struct {
 		path string
 		text Duration
@@ -161,15 +151,6 @@
 	require(s.Bounds.RetryRatio >= 0, "/bounds/retry_ratio", "want zero or more")
 	require(s.Bounds.MaxShift >= 0 && s.Bounds.MaxShift <= 1, "/bounds/max_shift", "want a part, 0 to 1")
 	require(s.Bounds.RetrySlack >= 0, "/bounds/retry_slack", "want zero or more")
-	switch s.LogLevel {
-	case "debug", "info", "warn", "error":
-	default:
-		require(false, "/log_level", "want debug, info, warn or error")
-	}
+	require(settings.IsLevel(s.LogLevel), "/log_level", "want debug, info, warn or error")
 	return faults
 }
-
-func isAddress(s string) bool {
-	_, err := netip.ParseAddrPort(s)
-	return err == nil
-}
--- a/internal/entryhost/stop.go
+++ b/internal/entryhost/stop.go
@@ -45,6 +45,9 @@
 	d.events.Info("stopped", "took", d.now().Sub(began))
 	d.cancel()
 	d.tasks.Wait()
+	if err := d.tracing.Close(ctx); err != nil {
+		d.events.Warn("spans not written", "error", err)
+	}
 }
 
 // Kill ends the daemon at once, as a crash does.
--- /dev/null
+++ b/internal/entryhost/store.go
@@ -0,0 +1,197 @@
+package entryhost
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"balsambarrow/internal/fleet"
+	"balsambarrow/internal/kv"
+	"balsambarrow/platform"
+)
+
+// storeSink follows all that the store holds. One watch of everything costs half
+// of what a watch of the declarations and one of the upstreams cost, and what it
+// brings confirms the declarations too.
+type storeSink struct{ c *control }
+
+// Listed implements follow.Sink.
+func (s storeSink) Listed(l kv.Listing, asOf time.Time) {
+	s.c.send(func(c *control) {
+		now := c.d.now()
+		c.roster.Reached(now)
+		upstreams, zones := map[string]bool{}, map[string]bool{}
+		clear(c.registrations)
+		for _, item := range l.Items {
+			if zone, ok := platform.EvacuatedZone(item.Key); ok {
+				zones[zone] = true
+			}
+			if id, ok := platform.UpstreamID(item.Key); ok {
+				upstreams[id] = true
+			}
+			c.wrote(now, item)
+		}
+		for _, id := range c.roster.Unlisted(upstreams) {
+			c.unregister(now, id)
+		}
+		c.evacuate(zones)
+		c.listHosts(now)
+		c.listed = true
+		c.confirm(asOf)
+	})
+}
+
+// Changed implements follow.Sink.
+func (s storeSink) Changed(changes kv.Changes, asOf time.Time) {
+	s.c.send(func(c *control) {
+		now := c.d.now()
+		c.roster.Reached(now)
+		for _, e := range changes.Events {
+			if e.Deleted {
+				c.removed(now, e.Key)
+				continue
+			}
+			if zone, ok := platform.EvacuatedZone(e.Key); ok {
+				c.evacuateOne(zone, true)
+			}
+			c.wrote(now, e.Item)
+		}
+		c.listHosts(now)
+		c.confirm(asOf)
+	})
+}
+
+// Failed implements follow.Sink.
+func (s storeSink) Failed(err error) {
+	s.c.send(func(c *control) {
+		c.roster.Failed()
+		c.lostStore(err)
+	})
+}
+
+// wrote takes a key over that was written.
+func (c *control) wrote(now time.Time, item kv.Item) {
+	if platform.IsConfiguration(item.Key) {
+		c.declare(item)
+		return
+	}
+	if _, ok := platform.UpstreamID(item.Key); ok {
+		c.register(now, item)
+		return
+	}
+	if _, ok := platform.HostInstance(item.Key); ok {
+		c.hostRegistered(item)
+	}
+}
+
+// removed takes over that a key is gone.
+func (c *control) removed(now time.Time, key string) {
+	if id, ok := platform.UpstreamID(key); ok {
+		c.unregister(now, id)
+	}
+	if zone, ok := platform.EvacuatedZone(key); ok {
+		c.evacuateOne(zone, false)
+	}
+	delete(c.registrations, key)
+}
+
+// hostRegistered notes an entry host's registration.
+func (c *control) hostRegistered(item kv.Item) {
+	var r fleet.Registration
+	if err := json.Unmarshal(item.Value, &r); err != nil || r.Instance == "" {
+		c.d.events.Warn("registration of a host not readable", "key", item.Key, "error", err)
+		return
+	}
+	c.registrations[item.Key] = r
+}
+
+func (c *control) listHosts(now time.Time) {
+	c.hostsListed = now
+	c.members.List(now, slices.Collect(maps.Values(c.registrations)))
+}
+
+func (c *control) evacuateOne(zone string, empty bool) {
+	zones := maps.Clone(c.zones)
+	if empty {
+		zones[zone] = true
+	} else {
+		delete(zones, zone)
+	}
+	c.evacuate(zones)
+}
+
+// declare takes a configuration over if it is newer.
+func (c *control) declare(item kv.Item) {
+	next, err := platform.DecodeConfiguration(item.Value)
+	if err != nil {
+		c.d.events.Warn("configuration refused", "revision", item.Revision, "in_force", c.version(), "error", err)
+		return
+	}
+	if c.catalog != nil && next.Version <= c.catalog.Version {
+		return
+	}
+	c.d.events.Info("configuration in force", "version", next.Version, "before", c.version(), "revision", item.Revision)
+	c.catalog = next
+	c.d.table.SetCatalog(next)
+}
+
+func (c *control) evacuate(zones map[string]bool) {
+	for zone := range zones {
+		if !c.zones[zone] {
+			c.d.events.Info("zone evacuated", "zone", zone)
+		}
+	}
+	for zone := range c.zones {
+		if !zones[zone] {
+			c.d.events.Info("zone taken back", "zone", zone)
+		}
+	}
+	c.zones = zones
+	c.d.table.Evacuate(c.d.now(), zones)
+}
+
+// confirm notes that the configuration was the store's at a time.
+func (c *control) confirm(asOf time.Time) {
+	if asOf.After(c.at) {
+		c.at = asOf
+	}
+	if c.storeOut {
+		c.storeOut = false
+		c.d.events.Info("store regained", "version", c.version())
+	}
+}
+
+func (c *control) lostStore(err error) {
+	if !c.storeOut {
+		c.storeOut = true
+		c.d.events.Warn("store lost", "error", err, "age", c.d.now().Sub(c.at))
+	}
+}
+
+// register takes an upstream's account of itself in.
+func (c *control) register(now time.Time, item kv.Item) {
+	u, err := platform.DecodeUpstream(item)
+	if err != nil {
+		id, _ := platform.UpstreamID(item.Key)
+		c.d.events.Info("upstream entry void", "upstream", id, "revision", item.Revision, "error", err)
+		if c.roster.Void(id) {
+			c.leave(id, "entry void")
+		}
+		return
+	}
+	if !c.roster.Put(u) {
+		c.d.events.Debug("upstream entry old", "upstream", u.ID, "born", u.Born, "sequence", u.Sequence)
+		return
+	}
+	if c.d.table.Put(now, u) {
+		c.d.events.Info("upstream", "upstream", u.ID, "service", u.Service, "zone", u.Zone, "address", u.Address,
+			"state", u.State, "cold", u.ColdFor, "born", u.Born, "revision", u.Revision)
+	}
+}
+
+func (c *control) unregister(now time.Time, id string) {
+	if c.roster.Gone(now, id) {
+		c.leave(id, "entry removed")
+	}
+}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"balsambarrow/internal/catalog"
 	"balsambarrow/internal/h1"
 	"balsambarrow/internal/place"
@@ -42,6 +44,8 @@
 	// Observe is told of each answered request.
 	Observe func(Observation)
 	Now     func() time.Time
+	// Tracer writes a span for each hop. Default nil: none.
+	Tracer trace.Tracer
 }
 
 // Observation is how a request ended, for metrics.
@@ -92,7 +96,10 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{Request: h.Codec.Request(r), http: r, arrived: h.Now()}
+	q := &request{Request: h.Codec.Request(r), arrived: h.Now()}
+	var end func()
+	q.http, end = spans{h.Tracer}.entry(r, q.ID)
+	defer end()
 	if h.State().Leaving {
 		// The caller finds another host for its next request.
 		w.Header().Set("Connection", "close")
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -111,7 +111,7 @@
 	case q.tally.lost:
 		return &refusal{status: http.StatusBadGateway, cause: CauseLost}
 	case q.tally.shed:
-		return unavailable(CauseShed, q.tally.wait/2+backSoon) // refused by upstreams that were believed to have room
+		return unavailable(CauseShed, q.tally.wait/2+backSoon)
 	}
 	return unavailable(CauseUnreachable, backCold)
 }
@@ -173,11 +173,14 @@
 }
 
 // send sends the request to one upstream.
-func (h *Handler) send(ctx context.Context, w http.ResponseWriter, q *request, c place.Choice) (outcome, *answer) {
+func (h *Handler) send(ctx context.Context, w http.ResponseWriter, q *request, c place.Choice) (end outcome, kept *answer) {
 	began := h.Now()
 	q.tally.tried = append(q.tally.tried, c.ID)
 	q.tally.wait = max(q.tally.wait, c.Wait)
-	reply, err := h.Pool.Send(ctx, c.Address, h.outgoing(q, c, began))
+	out := h.outgoing(q, c, began)
+	ended := spans{h.Tracer}.upstream(ctx, out.Header, c)
+	defer func() { ended(end) }()
+	reply, err := h.Pool.Send(ctx, c.Address, out)
 	var unsentError *h1.UnsentError
 	switch {
 	case err == nil:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,20 +120,7 @@
 
 // Parse checks the text of a settings file; name appears in its faults.
 func Parse(name string, text []byte) (*Settings, error) {
-	doc, err := jsonc.Parse(name, text)
-	if err != nil {
-		return nil, err
-	}
-	s := &Settings{}
-	faults, filled := doc.Fill(s)
-	if !filled {
-		return nil, faults
-	}
-	s.applyDefaults()
-	if faults = append(faults, s.faults(doc)...); len(faults) > 0 {
-		return nil, faults
-	}
-	return s, nil
+	return jsonc.Read(name, text, (*Settings).applyDefaults, (*Settings).faults)
 }
 
 func (s *Settings) applyDefaults() {
@@ -170,7 +157,7 @@
 		{"/listen/peers", s.Listen.Peers},
 		{"/listen/relay", s.Listen.Relay},
 	} {
-		require(isAddress(l.address), l.path, "want an IP address and a port")
+		require(IsAddress(l.address), l.path, "want an IP address and a port")
 		require(!isWildcard(l.address), l.path, "want the address that others reach, not a wildcard")
 	}
 	require(isPlatformURL(s.Platform.URL), "/platform/url", "want http://IP:PORT or https://IP:PORT")
@@ -179,7 +166,7 @@
 	require(within(int64(s.Limits.MaxHeaderBytes), maxHeaderBytes), "/limits/max_header_bytes", "want a positive number of bytes, a megabyte at most")
 	require(within(s.Limits.MaxBodyBytes, maxBodyBytes), "/limits/max_body_bytes", "want a positive number of bytes, a gigabyte at most")
 	require(within(int64(s.Limits.MaxRunning), maxRunning), "/limits/max_running", "want a positive number of requests, a million at most")
-	require(isLevel(s.LogLevel), "/log_level", "want debug, info, warn or error")
+	require(IsLevel(s.LogLevel), "/log_level", "want debug, info, warn or error")
 	if !s.TLS.Plain {
 		require(s.TLS.CertFile != "", "/tls/cert_file", "required unless /tls/plain is true")
 		require(s.TLS.KeyFile != "", "/tls/key_file", "required unless /tls/plain is true")
@@ -190,7 +177,8 @@
 
 func within(value, most int64) bool { return value > 0 && value <= most }
 
-func isAddress(s string) bool {
+// IsAddress tells whether s is an IP address and a port.
+func IsAddress(s string) bool {
 	_, err := netip.ParseAddrPort(s)
 	return err == nil
 }
@@ -207,10 +195,11 @@
 	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
 		return false
 	}
-	return isAddress(u.Host)
+	return IsAddress(u.Host)
 }
 
-func isLevel(s string) bool {
+// IsLevel tells whether s is a level of the log.
+func IsLevel(s string) bool {
 	switch s {
 	case "debug", "info", "warn", "error":
 		return true
