--- a/internal/share/doc.go
+++ b/internal/share/doc.go
@@ -7,12 +7,14 @@
 // split refuses most of a customer that enters through one zone; without any
 // split, the customer gets its rate once per host.
 //
-// Each host tells its peers the rate at which each customer asks there, and
-// takes the part of the rate that its own demand has in the demand of all. Two
-// hosts that know the same demands give out exactly the rate. They know them
-// with a delay of about a heartbeat, so the bucket is kept smaller than the
-// burst: what demand moves meanwhile fits into the rest. A host that is silent
-// but has not given up its registration keeps its part.
+// In each region one host, the owner, holds a customer's bucket, and the others
+// ask it (Owner, Spare). The owner tells the other hosts the rate at which the
+// customer asks there, and takes the part of the rate that this demand has in the
+// demand of all. Two owners that know the same demands give out exactly the rate.
+// They know them with a delay of about a heartbeat, so a host goes by what it has
+// told, and the bucket is kept smaller than the burst: what demand moves meanwhile
+// fits into the rest. A host that is silent but has not given up its registration
+// keeps its part.
 //
 // The package does no I/O, starts no goroutine and takes time as an argument.
 package share
--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// evenPart of each rate is split evenly, so that a host at which a customer
-	// appears for the first time has something to give before its peers have
-	// heard of the demand there.
+	// evenPart of each rate is split evenly among the owners, so that a region in
+	// which a customer appears for the first time has something to give before
+	// the others have heard of the demand there.
 	evenPart = 0.3
 	// depthPart of the burst is in the buckets. The rest covers what demand
 	// moves between hosts before they hear of it.
@@ -19,9 +19,9 @@
 	// spent the rest before it started again.
 	startPart = 0.25
 	// leastDepth lets one request in where a customer's part of the burst is
-	// less than one, and spareTokens more over all hosts together: a customer
-	// that enters at one host has a few requests at each of the others, and two
-	// that come together would be one too many. It is half of the slack that
+	// less than one, and spareTokens more over all owners together: a customer
+	// that enters in one region has a few requests in each of the others, and
+	// two that come together would be one too many. It is half of the slack that
 	// users are promised to be counted with.
 	leastDepth  = 1.0
 	spareTokens = 10.0
