Serve callers of a leaving daemon; ask peers while unconfirmed

Ruled out: load (the refused daemon's account held 0 of its 500 tokens, the hub's 861, nothing was asked; dumped at the refusal). Change: a leaving daemon goes on taking tokens from the hub and lends no share; an unconfirmed daemon asks all peers. Each has a test of its own that fails without the change; the safety test of quotas plays leaving daemons too.

--- a/internal/daemon/confirm_test.go
+++ b/internal/daemon/confirm_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"balsambarrow/internal/config"
+	"balsambarrow/internal/membership"
 	"balsambarrow/internal/view"
 )
 
@@ -71,6 +73,29 @@
 	g.Expect(c.d.view.Load().Current(resumed)).To(BeTrue(), "every reachable peer was asked")
 }
 
+// A zone is cut off from the store and reaches one peer, whose heartbeats come
+// just before each of its own. A customer with a bound on staleness stayed
+// refused there for as long as that order held: the daemon had always just
+// heard the peer, never asked it, and only an answer confirms.
+func TestUnconfirmedDaemonAsksPeersThatItHears(t *testing.T) {
+	g := NewWithT(t)
+	c := idleControl(t)
+	t.Cleanup(c.d.Kill)
+	const peer = "127.0.0.1:2"
+	now := time.Now()
+	c.config.confirmed = now
+	asked := map[time.Duration]bool{}
+	for since := time.Duration(0); since < 10*time.Second; since += membership.BeatEvery {
+		beat := now.Add(since)
+		c.knownContacts().Heard(peer, beat.Add(-100*time.Millisecond))
+		asked[since] = slices.Contains(c.beatTargets(false, beat), peer)
+	}
+	g.Expect(asked[membership.BeatEvery]).To(BeFalse(), "both have each other's account and a fresh confirmation")
+	for since, asks := range asked {
+		g.Expect(asks).To(Equal(since > confirmWithin), since.String())
+	}
+}
+
 func TestBusyControlThreadIsNoPause(t *testing.T) {
 	g := NewWithT(t)
 	c := idleControl(t)
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -20,6 +20,10 @@
 	// host list: the fleet together makes 50 calls a second at most. What the
 	// list shows late is known by gossip before.
 	hostsShare = 20 * time.Millisecond
+	// confirmWithin is the age of the configuration's confirmation from which
+	// all peers are asked: a watcher's confirmation is up to watchWait old, and
+	// a peer that asks it in turn half a heartbeat more.
+	confirmWithin = watchWait + membership.BeatEvery
 	// forgetAfter keeps a silent peer's last account for status and posting
 	// ids; it no longer counts as live long before.
 	forgetAfter = time.Minute
@@ -104,21 +108,34 @@
 	contacts.Heard(m.Peers, now)
 }
 
-// beat sends a heartbeat to every address that may be a daemon's. Without news
-// it leaves those out that have exchanged one with this daemon just now.
+// beat sends a heartbeat to every address that may be a daemon's.
 func (c *control) beat(news bool, now time.Time) {
 	c.members.sequence++
 	self := c.self(now)
 	self.Known = c.knownContacts().Gossip(now)
 	message := toWire(self)
-	for _, address := range c.beatAddresses(now) {
-		if !news && c.knownContacts().Fresh(address, now) {
-			continue
-		}
+	for _, address := range c.beatTargets(news, now) {
 		c.d.spawn(func(ctx context.Context) { c.d.beatTo(ctx, address, message) })
 	}
 }
 
+// beatTargets are the addresses to send a heartbeat to. Without news it leaves
+// those out that have exchanged one with this daemon just now.
+//
+// Only the answer to a heartbeat of its own confirms a daemon's configuration
+// (see confirmedAt). Two daemons keep the order in which they began: one whose
+// peers always beat first would leave all of them out for good, and where it is
+// cut off from the store it would refuse customers with a bound on staleness
+// although peers know the version to be the newest. So it asks all of them
+// while its configuration is unconfirmed for longer than confirmWithin.
+func (c *control) beatTargets(news bool, now time.Time) []string {
+	due := c.beatAddresses(now)
+	if news || now.Sub(c.config.confirmed) > confirmWithin {
+		return due
+	}
+	return slices.DeleteFunc(due, func(address string) bool { return c.knownContacts().Fresh(address, now) })
+}
+
 // beatAddresses adds to the contacts the holders that the store names: they
 // are asked before their slots are taken.
 func (c *control) beatAddresses(now time.Time) []string {
--- a/internal/daemon/quota.go
+++ b/internal/daemon/quota.go
@@ -110,12 +110,15 @@
 	c.quota.scores = scores
 }
 
-// situation finds the hub, the lenders and the fleet's demand of a quota.
+// situation finds the hub, the lenders and the fleet's demand of a quota. A
+// leaving daemon tells no demand (see scoreQuotas), so it is not elected.
+//
+// The failure it guards against: the share of a leaving daemon is lent to the
+// hub until the loan's term has passed, and callers that keep a connection go on
+// asking the leaving daemon. Without a hub to take tokens from, it refused them
+// after MaxWait although they were inside their rate.
 func (c *control) situation(name string, members []membership.Member) quota.Situation {
-	s := quota.Situation{Self: c.d.identity.Instance}
-	if c.state == membership.StateLeaving {
-		return s
-	}
+	s := quota.Situation{Self: c.d.identity.Instance, Leaving: c.state == membership.StateLeaving}
 	cut := c.quota.cut(c.active(), name)
 	scores := []quota.Score{{Instance: s.Self, Value: c.quota.scores[name]}}
 	for _, m := range members {
--- a/internal/quota/hub_test.go
+++ b/internal/quota/hub_test.go
@@ -31,6 +31,36 @@
 	g.Expect(ticket.state).To(Equal(ticketServed))
 }
 
+// A daemon whose share is lent to the hub begins its planned stop. Callers that
+// keep their connection go on asking it and are inside their rate. They must be
+// served with the hub's tokens, while the hub's loan of the share is let run out.
+func TestLeavingDaemonServesWithTokensOfTheHub(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_000_000, 0)
+	half, whole := Share{Rate: 50, Burst: 20}, Share{Rate: 100, Burst: 40}
+	hub := NewAccount("customer/farm", half, whole, 20, now)
+	leaving := NewAccount("customer/farm", half, whole, 20, now)
+	hub.Situate(Situation{Self: "hub", Hub: "hub", Lenders: []string{"leaving"}, Demand: 40})
+	leaving.Situate(Situation{Self: "leaving", Hub: "hub", Lenders: []string{"hub"}, Demand: 40})
+	exchange(hub, leaving, now)
+	g.Expect(leaving.Level(now)).To(BeZero(), "the share is lent")
+
+	leaving.Situate(Situation{Self: "leaving", Hub: "hub", Leaving: true, Demand: 40})
+	for passed := time.Duration(0); passed < StandingTerm; passed += 100 * time.Millisecond {
+		at := now.Add(passed)
+		exchange(hub, leaving, at)
+		served, _ := leaving.Take(1, at)
+		if !served {
+			ticket, _ := leaving.Join(1, MaxWait, at)
+			g.Expect(ticket).NotTo(BeNil(), passed.String())
+			exchange(leaving, hub, at)
+			g.Expect(ticket.state).To(Equal(ticketServed), passed.String())
+		}
+	}
+	leaving.Serve(now.Add(StandingTerm + 2*Margin))
+	g.Expect(leaving.lender.loans).To(BeEmpty(), "the hub's loan was not extended")
+}
+
 // exchange sends what an account plans, all of it to a peer, and brings the
 // answers back at once.
 func exchange(from, to *Account, now time.Time) {
--- a/internal/quota/lend.go
+++ b/internal/quota/lend.go
@@ -38,8 +38,12 @@
 //
 // A loan is not extended once the own share has shrunk below what is lent: a
 // slot may be gone to another daemon, which uses it after Quarantine and
-// counts on every loan of it to have ended by then.
+// counts on every loan of it to have ended by then. Nor does a leaving daemon
+// extend one: its tokens can be handed over once all loans of them have ended.
 func (a *Account) lendShare(key loanKey) Grant {
+	if a.situation.Leaving {
+		return Grant{}
+	}
 	covered := a.own.minus(a.lender.Lent())
 	if key.borrower != a.situation.Hub || covered.Rate < -roundingSlack || covered.Burst < -roundingSlack {
 		return Grant{}
--- a/internal/quota/plan.go
+++ b/internal/quota/plan.go
@@ -37,6 +37,10 @@
 	Demand float64
 	// Over: the fleet's demand is above the whole rate.
 	Over bool
+	// Leaving: this daemon is at its planned stop. It is no hub, and lends and
+	// keeps no share; callers that have not looked elsewhere yet are served with
+	// tokens of the hub.
+	Leaving bool
 }
 
 // Score is one daemon's account of its demand for a quota, with the hub's
--- a/internal/quota/safety_test.go
+++ b/internal/quota/safety_test.go
@@ -116,7 +116,8 @@
 	if over {
 		demand = m.whole.Rate * 5
 	}
-	n.account.Situate(Situation{Self: n.name, Hub: hub, Lenders: lenders, Demand: demand})
+	leaving := hub != n.name && rapid.Bool().Draw(t, "leaving")
+	n.account.Situate(Situation{Self: n.name, Hub: hub, Lenders: lenders, Demand: demand, Leaving: leaving})
 	for _, out := range n.account.Plan(m.now) {
 		m.asks = append(m.asks, modelAsk{out, n})
 	}
