--- a/internal/standby/active.go
+++ b/internal/standby/active.go
@@ -68,12 +68,21 @@
 			continue
 		}
 		out[h.Instance], zones[h.Zone] = true, true
-		need.Requests -= h.Cores * requestsPerCore
-		need.AnswerMbps -= h.LinkMbps * linkPart
+		need.Requests = left(need.Requests, h.Cores*requestsPerCore)
+		need.AnswerMbps = left(need.AnswerMbps, h.LinkMbps*linkPart)
 	}
 	return out
 }
 
+// left is what is left of a load after a host has taken its part. One that does
+// not say what it has is taken to be able to carry all.
+func left(load, part float64) float64 {
+	if part <= 0 {
+		return 0
+	}
+	return load - part
+}
+
 func inRegion(hosts []Host, region string) []Host {
 	var out []Host
 	for _, h := range hosts {
--- a/internal/standby/active_test.go
+++ b/internal/standby/active_test.go
@@ -49,6 +49,8 @@
 		{"in each zone", join(hosts("s", 4, "a", strong, quiet), hosts("w", 8, "b", weak, quiet)), 5},
 		{"more for many requests", join(hosts("s", 4, "a", strong, busy), hosts("w", 8, "a", weak, standby.Load{})), 6},
 		{"more for many bytes", join(hosts("s", 4, "a", strong, reports), hosts("w", 40, "a", weak, standby.Load{})), 31},
+		{"the strong ones do, whatever is not said of their processors", join(
+			hosts("s", 3, "a", standby.Capacity{LinkMbps: 200}, quiet), hosts("w", 2, "a", standby.Capacity{LinkMbps: 10}, quiet)), 3},
 		{"all where even they are too few", join(hosts("s", 4, "a", strong, busy), hosts("w", 1, "a", weak, busy)), 5},
 	} {
 		t.Run(c.name, func(t *testing.T) {
