One host of each region watches the store; the others confirm by its digest

Ruled out: lists and renewals (180 and 171 of the price in calls). Change: the watcher of a region answers, by datagram, with a digest of what the store holds and its age; the same digest confirms what a host knows as of its question less that age, another makes it look. A host that the store turns away stays in service as long as nothing changes; it holds no customer's bucket.

--- /dev/null
+++ b/internal/entryhost/confirm.go
@@ -0,0 +1,131 @@
+package entryhost
+
+import (
+	"time"
+
+	"balsambarrow/internal/fleet"
+	"balsambarrow/internal/share"
+)
+
+// How hosts confirm to each other that what they know is what the store holds.
+//
+// Load pattern: each host needs to know every second that no key was withdrawn
+// and no upstream has left, and each call to the store is paid for. With sixty
+// hosts that look for themselves, calls were the largest price of a calm day:
+// 1,962 in 30 s, 0.06 of its worth. So one host of each region watches the store;
+// the others ask it, by datagram, for the digest of what it knows and its age.
+// The same digest confirms what they know as of the question less that age; only
+// a different one makes them look at the store. A host that the store turns away
+// stays confirmed as long as nothing changes.
+const (
+	// askEvery is the time between two questions.
+	askEvery = 500 * time.Millisecond
+	// alone is the age from which a host looks for itself: two questions have had
+	// no answer that confirms.
+	alone = 2100 * time.Millisecond
+	// confirmsKept bounds the questions without an answer that are remembered.
+	confirmsKept = 8
+)
+
+// knowledge is what the store held at a time. It is never modified.
+type knowledge struct {
+	digest uint64
+	at     time.Time
+}
+
+// confirms are the questions that this host has asked.
+type confirms struct {
+	last   uint64
+	askDue time.Time
+	asked  map[uint64]time.Time
+}
+
+// watcher is the host that watches the store for this region: one of those that
+// take callers and reach the store, by rendezvous. "" if this host knows none.
+func (c *control) watcher() string {
+	return share.Owner("store", c.d.directory.Load().seers(c.d.self.Region))
+}
+
+func (c *control) toldDigest() uint64 {
+	if !c.d.watches.Load() {
+		return 0
+	}
+	return c.digest.Sum()
+}
+
+// seekConfirmation has what is known confirmed, by the watcher or by a look at
+// the store.
+func (c *control) seekConfirmation(now time.Time) {
+	watcher := c.watcher()
+	watches := watcher == "" || watcher == c.d.self.Instance
+	if c.d.watches.Swap(watches) != watches {
+		c.d.events.Info("store watch", "watches", watches, "watcher", watcher)
+		c.d.lookNow()
+	}
+	before := c.d.known.Load()
+	if before == nil || before.digest != c.digest.Sum() || before.at != c.at {
+		c.d.known.Store(&knowledge{c.digest.Sum(), c.at})
+		if watches && before != nil && before.digest != c.digest.Sum() {
+			// The others should look at once.
+			c.beatDue = now
+		}
+	}
+	if watches {
+		return
+	}
+	if now.Sub(c.at) > alone {
+		c.d.lookNow()
+	}
+	if !now.Before(c.confirms.askDue) {
+		c.confirms.askDue = now.Add(askEvery)
+		c.askWatcher(now, watcher)
+	}
+}
+
+func (c *control) askWatcher(now time.Time, watcher string) {
+	q := &c.confirms
+	if len(q.asked) >= confirmsKept || q.asked == nil {
+		q.asked = map[uint64]time.Time{}
+	}
+	q.last++
+	q.asked[q.last] = now
+	p := &fleet.Packet{Content: &fleet.Packet_ConfirmRequest{ConfirmRequest: &fleet.ConfirmRequest{Id: q.last}}}
+	if err := c.d.wire.SendPacket(p, c.members.Address(watcher)); err != nil {
+		c.d.events.Debug("watcher not asked", "watcher", watcher, "error", err)
+	}
+}
+
+// tellDigest answers a host that asks what this one knows.
+func (d *Daemon) tellDigest(q *fleet.ConfirmRequest, from string) {
+	k := d.known.Load()
+	if k == nil || k.digest == 0 {
+		return
+	}
+	a := &fleet.ConfirmAnswer{Id: q.Id, Digest: k.digest, AgeUs: uint64(d.now().Sub(k.at).Microseconds()) + 1}
+	if err := d.wire.SendPacket(&fleet.Packet{Content: &fleet.Packet_ConfirmAnswer{ConfirmAnswer: a}}, from); err != nil {
+		d.events.Debug("digest not told", "error", err)
+	}
+}
+
+// heardConfirmation takes an answer in. It was made after the question left, so
+// what it says held at the question less the age, however long it was on its way
+// and whatever stood still meanwhile.
+func (c *control) heardConfirmation(a *fleet.ConfirmAnswer) {
+	asked, ok := c.confirms.asked[a.Id]
+	if !ok {
+		return
+	}
+	delete(c.confirms.asked, a.Id)
+	if a.Digest != c.digest.Sum() {
+		c.d.lookNow()
+		return
+	}
+	c.confirmed(asked.Add(-time.Duration(a.AgeUs) * time.Microsecond))
+}
+
+// heardDigest looks at the store where the watcher knows something else.
+func (c *control) heardDigest(from string, digest uint64) {
+	if digest != 0 && digest != c.digest.Sum() && from == c.watcher() {
+		c.d.lookNow()
+	}
+}
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -47,6 +47,8 @@
 	beatDue      time.Time
 	ready        bool
 	duty         duty
+	digest       follow.Digest
+	confirms     confirms
 }
 
 func newControl(d *Daemon) *control {
@@ -100,6 +102,7 @@
 	c.log(c.members.Tick(now))
 	c.d.shares.Hold(c.registered(now))
 	c.publish(now)
+	c.seekConfirmation(now)
 	if !now.Before(c.beatDue) {
 		c.beat(now)
 	}
@@ -116,7 +119,7 @@
 	c.d.hosts.Store(int32(c.members.Count()))
 	c.d.state.Store(&front.State{Catalog: c.catalog, ConfirmedAt: c.at, Listed: c.listed, Leaving: c.leaving, Standby: c.duty.standby})
 	c.d.fresh.fire()
-	c.d.directory.Store(&directory{self: c.d.self, ready: c.ready, leaving: c.leaving, others: heard})
+	c.d.directory.Store(&directory{self: c.d.self, ready: c.ready, leaving: c.leaving, seesStore: !c.storeOut, others: heard})
 	hosts := make([]place.Host, 0, len(heard)+1)
 	for _, m := range heard {
 		if m.Ready {
@@ -127,7 +130,7 @@
 		hosts = append(hosts, place.Host{Instance: c.d.self.Instance, Zone: c.d.self.Zone, Region: c.d.self.Region})
 	}
 	c.d.table.SetHosts(hosts)
-	c.d.pool.Store(newPool(c.d.self, c.ready, heard, c.members.Count()))
+	c.d.pool.Store(newPool(c.d.self, c.ready && c.registered(now), heard, c.members.Count()))
 	c.d.shares.SetOthers(c.members.Demand(), c.buckets(), c.members.Complete())
 	bounds := c.d.settings.Load().Bounds
 	c.d.retries.SetSlack(bounds.RetrySlack, c.members.Count())
@@ -160,7 +163,7 @@
 	b := &fleet.Heartbeat{
 		Instance: s.Instance, Host: s.Name, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Peers: s.Peers,
 		Sequence: c.sequence, Ready: c.ready, Leaving: c.leaving, Version: c.version(),
-		Able: c.able(now), Cores: float32(capacity.Cores), LinkMbps: float32(capacity.LinkMbps),
+		Able: c.able(now), Registered: c.registered(now), SeesStore: !c.storeOut, Digest: c.toldDigest(), Cores: float32(capacity.Cores), LinkMbps: float32(capacity.LinkMbps),
 		RequestsPerSecond: float32(load.Requests), AnswerMbps: float32(load.AnswerMbps),
 	}
 	for customer, rate := range c.d.shares.Tell(now) {
@@ -185,6 +188,7 @@
 	now := c.d.now()
 	c.log(c.members.Hear(now, b))
 	c.d.table.Hear(now, b.Warm)
+	c.heardDigest(b.Instance, b.Digest)
 }
 
 // leave stops sending to an upstream.
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -59,8 +59,10 @@
 	directory atomic.Pointer[directory]
 	pool      atomic.Pointer[pool]
 	ready     atomic.Bool
-	// standby says that the store need not be looked at often.
-	standby atomic.Bool
+	// watches says that this host watches the store for its region.
+	watches atomic.Bool
+	// known is what the store held and when, for hosts that ask.
+	known atomic.Pointer[knowledge]
 	// hurry ends the pause before the next look at the store.
 	hurry chan struct{}
 	// fresh tells of each new state.
@@ -163,6 +165,14 @@
 		d.control.send(func(c *control) { c.heard(b) })
 		return
 	}
+	if q := p.GetConfirmRequest(); q != nil {
+		d.tellDigest(q, from)
+		return
+	}
+	if a := p.GetConfirmAnswer(); a != nil {
+		d.control.send(func(c *control) { c.heardConfirmation(a) })
+		return
+	}
 	d.tokens.receive(p, from)
 }
 
--- a/internal/entryhost/directory.go
+++ b/internal/entryhost/directory.go
@@ -19,7 +19,9 @@
 	self    Self
 	ready   bool
 	leaving bool
-	others  []fleet.Member
+	// seesStore says that this host's last call to the store succeeded.
+	seesStore bool
+	others    []fleet.Member
 }
 
 // mostNamed is the number of addresses that callers take from one answer.
@@ -43,6 +45,20 @@
 	return nil
 }
 
+// seers lists the instances of a region that take callers and reach the store.
+func (d *directory) seers(region string) []string {
+	var out []string
+	if d.ready && d.seesStore && d.self.Region == region {
+		out = append(out, d.self.Instance)
+	}
+	for _, m := range d.others {
+		if m.Ready && m.SeesStore && !m.Leaving && m.Region == region {
+			out = append(out, m.Instance)
+		}
+	}
+	return out
+}
+
 func (d *directory) named(wanted func(region string, ready bool) bool) []string {
 	var out []string
 	if !d.leaving && wanted(d.self.Region, d.ready) {
--- a/internal/entryhost/duty.go
+++ b/internal/entryhost/duty.go
@@ -11,17 +11,10 @@
 	// freshFor is the age of the configuration up to which the host counts as
 	// ready: a watch and a slow answer, and less than keys are accepted for.
 	freshFor = 3300 * time.Millisecond
-	// ableFor is the age up to which a host that stands by counts as able to take
-	// over: the space between its looks at the store, and one that is late.
-	ableFor = storeStandby + 3*time.Second
 	// yieldAfter is how long others must have been enough before a host stops to
 	// take callers: at a start and after a cut, heartbeats of all hosts come
 	// within a second or two.
 	yieldAfter = 4 * time.Second
-	// lingerFor is how long a host that took callers goes on looking at the store
-	// as often as before: some callers keep an answer of the directory for three
-	// times its time.
-	lingerFor = 3*directionsFor + 2*time.Second
 )
 
 // duty is whether this host takes callers.
@@ -29,37 +22,25 @@
 	// wanted says that this host is one of those that should.
 	wanted   bool
 	wantedAt time.Time
-	readyAt  time.Time
 	// decidedAt is when that was decided last; each heartbeat brings a turn of
 	// the control thread, and the decision looks at all hosts.
 	decidedAt time.Time
 	standby   bool
 }
 
-// able tells whether the host could take callers at once. One that should take
-// them must know the newest configuration; one that stands by looks at the store
-// seldom, and is able while the store answers it.
+// able tells whether the host could take callers at once.
 func (c *control) able(now time.Time) bool {
-	if c.catalog == nil || !c.listed || c.leaving || c.hostsListed.IsZero() {
-		return false
-	}
-	age := now.Sub(c.at)
-	if c.duty.standby {
-		return age < ableFor && !c.storeOut
-	}
-	return age < freshFor
+	known := c.catalog != nil && c.listed && !c.hostsListed.IsZero()
+	return known && !c.leaving && now.Sub(c.at) < freshFor
 }
 
 // setReady decides whether callers may be sent here.
 func (c *control) setReady(now time.Time, heard []fleet.Member) {
 	c.decideDuty(now, heard)
 	able := c.able(now)
-	// A host that stands by serves whoever comes, after a look at the store.
+	// A host that stands by serves whoever comes.
 	c.d.ready.Store(able)
-	ready := c.duty.wanted && able && now.Sub(c.at) < freshFor
-	if ready {
-		c.duty.readyAt = now
-	}
+	ready := c.duty.wanted && able
 	if ready == c.ready {
 		return
 	}
@@ -70,8 +51,7 @@
 		"leaving", c.leaving, "upstreams", c.d.table.Size(), "hosts", c.members.Count())
 }
 
-// decideDuty decides whether this host should take callers, and how often it has
-// to look at the store.
+// decideDuty decides whether this host should take callers.
 func (c *control) decideDuty(now time.Time, heard []fleet.Member) {
 	d := &c.duty
 	if now.Sub(d.decidedAt) < tickEvery {
@@ -82,16 +62,11 @@
 		d.wantedAt = now
 	}
 	wanted := now.Sub(d.wantedAt) < yieldAfter
-	if wanted && !d.wanted {
-		// What a host knows that stood by is too old to serve with.
-		c.d.lookNow()
-	}
 	if wanted != d.wanted {
 		c.d.events.Info("duty", "takes_callers", wanted, "hosts", c.members.Count())
 	}
 	d.wanted = wanted
-	d.standby = !wanted && now.Sub(d.readyAt) > lingerFor
-	c.d.standby.Store(d.standby)
+	d.standby = !wanted
 }
 
 // needed tells whether this host is one of those that take callers, by what is
--- a/internal/entryhost/pace.go
+++ b/internal/entryhost/pace.go
@@ -6,31 +6,42 @@
 	"balsambarrow/internal/follow"
 )
 
-// How often a host calls the store. Each call is paid for, and the store's rates
-// grow more slowly than the fleet, so the hosts of a larger fleet call less
-// often, between two bounds.
-//
-// Heartbeats of upstreams come all the time and each would end a watch, so
-// watches are spaced. A watch also confirms the configuration, whose age is then
-// at most the space and an answer's time; what is left of the bound on withdrawn
-// keys is how long keyed requests go on when the store is lost. A draining
-// upstream must be left within 2.5 s; until then it still serves.
+// How often a host looks at the store. A change ends a watch at once; changes come
+// in crowds, so watches are spaced. One that ends without a change confirms what
+// is known: its age is at most the wait, the space and an answer's time, and what
+// is left of the bound on withdrawn keys is how long keyed requests go on when the
+// store is lost. A draining upstream must be left within 2.5 s.
 const (
-	storeWait    = 1500 * time.Millisecond
-	storeShort   = 700 * time.Millisecond
-	storeLong    = 1500 * time.Millisecond
-	storePerHost = 25 * time.Millisecond
-	// storeStandby is the space between looks of a host that takes no callers:
-	// well below the 20 s that the store keeps history for.
-	storeStandby = 8 * time.Second
+	// storeWait is how long a watch waits for a change. With twice as long, the
+	// other hosts' knowledge grew older than they bear (see alone) between two
+	// confirmations, and all looked for themselves.
+	storeWait = 700 * time.Millisecond
+	// storeWatch is the space between looks of the host that watches for its
+	// region.
+	storeWatch = 700 * time.Millisecond
+	// storeTurnedAway is the longest pause between calls of a host that the store
+	// turns away, while a peer confirms what it knows: each is paid for, and the
+	// registration, which lapses meanwhile, is made by calls of its own.
+	storeTurnedAway = 2 * time.Second
+	// storeOwn is the least space between looks of the others. What has changed
+	// is then known after two seconds at most: a look of the watcher, its word,
+	// and this.
+	storeOwn = 1200 * time.Millisecond
+	// storeSeldom is the space of the others, whose knowledge the watcher confirms:
+	// well below the 20 s that the store keeps history for. What the digest leaves
+	// out, the registrations of hosts, is read then.
+	storeSeldom = 8 * time.Second
 )
 
 func (d *Daemon) storePace() follow.Pace {
-	if d.standby.Load() {
-		return follow.Pace{Wait: storeWait, Every: storeStandby}
+	if d.watches.Load() {
+		return follow.Pace{Wait: storeWait, Every: storeWatch, Least: storeWatch}
 	}
-	every := min(max(time.Duration(d.hosts.Load())*storePerHost, storeShort), storeLong)
-	return follow.Pace{Wait: storeWait, Every: every}
+	pace := follow.Pace{Wait: storeWait, Every: storeSeldom, Least: storeOwn}
+	if d.now().Sub(d.state.Load().ConfirmedAt) < alone {
+		pace.Failing = storeTurnedAway
+	}
+	return pace
 }
 
 // refresh has the store looked at now, and returns a channel that is closed when
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -133,17 +133,20 @@
 	}
 	c.d.events.Info("configuration in force", "version", next.Version, "before", c.version(), "revision", item.Revision)
 	c.catalog = next
+	c.digest.SetVersion(next.Version)
 	c.d.table.SetCatalog(next)
 }
 
 func (c *control) evacuate(zones map[string]bool) {
 	for zone := range zones {
 		if !c.zones[zone] {
+			c.digest.SetZone(zone, true)
 			c.d.events.Info("zone evacuated", "zone", zone)
 		}
 	}
 	for zone := range c.zones {
 		if !zones[zone] {
+			c.digest.SetZone(zone, false)
 			c.d.events.Info("zone taken back", "zone", zone)
 		}
 	}
@@ -151,20 +154,26 @@
 	c.d.table.Evacuate(c.d.now(), zones)
 }
 
-// confirm notes that the configuration was the store's at a time.
-func (c *control) confirm(asOf time.Time) {
+// confirmed notes that what is known was what the store held at a time.
+func (c *control) confirmed(asOf time.Time) {
 	if asOf.After(c.at) {
 		c.at = asOf
 	}
+}
+
+// confirm is confirmed by the store itself.
+func (c *control) confirm(asOf time.Time) {
+	c.confirmed(asOf)
 	if c.storeOut {
-		c.storeOut = false
+		c.storeOut, c.beatDue = false, time.Time{}
 		c.d.events.Info("store regained", "version", c.version())
 	}
 }
 
 func (c *control) lostStore(err error) {
 	if !c.storeOut {
-		c.storeOut = true
+		// The others may have to go by another watcher from now on.
+		c.storeOut, c.beatDue = true, time.Time{}
 		c.d.events.Warn("store lost", "error", err, "age", c.d.now().Sub(c.at))
 	}
 }
@@ -175,6 +184,7 @@
 	if err != nil {
 		id, _ := platform.UpstreamID(item.Key)
 		c.d.events.Info("upstream entry void", "upstream", id, "revision", item.Revision, "error", err)
+		c.digest.RemoveUpstream(id)
 		if c.roster.Void(id) {
 			c.leave(id, "entry void")
 		}
@@ -184,6 +194,7 @@
 		c.d.events.Debug("upstream entry old", "upstream", u.ID, "born", u.Born, "sequence", u.Sequence)
 		return
 	}
+	c.digest.SetUpstream(u)
 	if c.d.table.Put(now, u) {
 		c.d.events.Info("upstream", "upstream", u.ID, "service", u.Service, "zone", u.Zone, "address", u.Address,
 			"state", u.State, "cold", u.ColdFor, "born", u.Born, "revision", u.Revision)
@@ -191,6 +202,7 @@
 }
 
 func (c *control) unregister(now time.Time, id string) {
+	c.digest.RemoveUpstream(id)
 	if c.roster.Gone(now, id) {
 		c.leave(id, "entry removed")
 	}
--- a/internal/entryhost/tokens.go
+++ b/internal/entryhost/tokens.go
@@ -139,14 +139,15 @@
 	}
 }
 
-// newPool lists the hosts of this region that are ready.
+// newPool lists the hosts of this region that are ready and whose registration
+// stands: one whose registration has lapsed may not spend.
 func newPool(self Self, ready bool, heard []fleet.Member, hosts int) *pool {
 	p := &pool{peers: map[string]string{}, hosts: hosts}
 	if ready {
 		p.instances = append(p.instances, self.Instance)
 	}
 	for _, m := range heard {
-		if m.Region == self.Region && m.Ready && !m.Leaving {
+		if m.Region == self.Region && m.Ready && m.Registered && !m.Leaving {
 			p.instances = append(p.instances, m.Instance)
 			p.peers[m.Instance] = m.Peers
 		}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -29,6 +29,10 @@
 	Ready   bool
 	Leaving bool
 	Version uint64
+	// Registered says that its registration stood when it told so.
+	Registered bool
+	// SeesStore says that its last call to the store had succeeded.
+	SeesStore bool
 	// Able says that it could take callers at once; Ready that it does.
 	Able     bool
 	Capacity standby.Capacity
@@ -98,7 +102,7 @@
 	known.Host, known.Zone, known.Region = b.Host, b.Zone, b.Region
 	known.Callers, known.Peers = b.Callers, b.Peers
 	known.Ready, known.Leaving, known.Version = b.Ready, b.Leaving, b.Version
-	known.Able = b.Able
+	known.Able, known.Registered, known.SeesStore = b.Able, b.Registered, b.SeesStore
 	known.Capacity = standby.Capacity{Cores: float64(b.Cores), LinkMbps: float64(b.LinkMbps)}
 	known.Load = standby.Load{Requests: float64(b.RequestsPerSecond), AnswerMbps: float64(b.AnswerMbps)}
 	known.sequence, known.heard = b.Sequence, now
@@ -246,3 +250,11 @@
 	}
 	return out
 }
+
+// Address of a member for packets; "" if it is not known.
+func (m *Members) Address(instance string) string {
+	if k := m.by[instance]; k != nil {
+		return k.Peers
+	}
+	return ""
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -41,7 +41,8 @@
 	Pace func() Pace
 	Now  func() time.Time
 	Sink Sink
-	// Hurry ends the pause before the next call. Default nil: never.
+	// Hurry ends the pause before the next look, but not one after a call that
+	// failed. Default nil: never.
 	Hurry <-chan struct{}
 }
 
@@ -49,9 +50,13 @@
 type Pace struct {
 	// Wait is how long one watch waits for a change.
 	Wait time.Duration
-	// Every is the least time between two watches: changes that come close
-	// together are then fetched by one call. Default 0.
-	Every time.Duration
+	// Every is the usual time between two watches, and Least the least, if Hurry
+	// asks for one: changes that come close together are then fetched by one
+	// call. Default 0.
+	Every, Least time.Duration
+	// Failing is the longest pause between calls that fail. Default and least:
+	// 250 ms.
+	Failing time.Duration
 }
 
 // Run follows until ctx ends.
@@ -64,13 +69,14 @@
 		switch {
 		case err == nil:
 			revision, listed, rest = next, true, firstPause
-			f.sleep(ctx, pace.Every-f.Now().Sub(asked))
+			f.rest(ctx, pace.Least-f.Now().Sub(asked), nil)
+			f.rest(ctx, pace.Every-f.Now().Sub(asked), f.Hurry)
 		case errors.Is(err, kv.ErrCompacted):
 			listed = false
 		case ctx.Err() == nil:
 			f.Sink.Failed(err)
-			f.sleep(ctx, time.Duration(float64(rest)*(0.5+rand.Float64())))
-			rest = min(2*rest, longestPause)
+			f.rest(ctx, time.Duration(float64(rest)*(0.5+rand.Float64())), nil)
+			rest = min(2*rest, max(longestPause, pace.Failing))
 		}
 	}
 }
@@ -108,7 +114,8 @@
 	return waited
 }
 
-func (f *Follower) sleep(ctx context.Context, d time.Duration) {
+// rest waits between two calls, or until hurry receives.
+func (f *Follower) rest(ctx context.Context, d time.Duration, hurry <-chan struct{}) {
 	if d <= 0 {
 		return
 	}
@@ -116,7 +123,7 @@
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
-	case <-f.Hurry:
+	case <-hurry:
 	case <-t.C:
 	}
 }
