Close callers' connections that are of no use; send nothing for callers that left

Each refused request of a hot customer comes back on a new connection and leaves the old one idle. The host then accepts late, and sent 11 requests on whose callers had left. Ruled out: connections to upstreams (119 idle at most); a leak of sockets (opened less closed agrees). Change: a refusal that asks to come back closes its connection; idle ones are closed after the operators' idle timeout; where callers use half of the descriptors each answer closes. Before each send the caller's connection is looked at. Tests first, each failed without its change. First try read the connection under its read lock and hung behind the server's own reader.

--- /dev/null
+++ b/internal/entryhost/conns_test.go
@@ -0,0 +1,62 @@
+package entryhost
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"balsambarrow/internal/clock"
+)
+
+// A customer sends far too much for ten seconds, each time on a new connection.
+// The connections of its refused requests stay open and idle until the host has
+// no descriptor left: it accepts nobody, and reaches no upstream, to the end of
+// the day. Those that are idle for longer than operators allow must go.
+func TestIdleConnectionsOfCallersAreClosed(t *testing.T) {
+	g := NewWithT(t)
+	c := newCallerConns()
+	idle, idleThere := net.Pipe()
+	busy, busyThere := net.Pipe()
+	for _, conn := range []net.Conn{idle, busy} {
+		c.track(conn, http.StateNew)
+		c.track(conn, http.StateActive)
+	}
+	c.track(idle, http.StateIdle)
+	g.Expect(c.count()).To(Equal(2))
+	c.sweep(clock.Now().Add(time.Second), 2*time.Second)
+	g.Expect(closed(idleThere)).To(BeFalse(), "within what operators allow")
+	c.sweep(clock.Now().Add(3*time.Second), 2*time.Second)
+	g.Expect(closed(idleThere)).To(BeTrue())
+	g.Expect(closed(busyThere)).To(BeFalse(), "a request runs on it")
+	c.track(idle, http.StateClosed)
+	g.Expect(c.count()).To(Equal(1))
+}
+
+func closed(c net.Conn) bool {
+	if err := c.SetReadDeadline(time.Now().Add(10 * time.Millisecond)); err != nil {
+		return true
+	}
+	_, err := c.Read(make([]byte, 1))
+	timeout, ok := err.(net.Error)
+	return !ok || !timeout.Timeout()
+}
+
+func TestManyConnectionsCrowdAHost(t *testing.T) {
+	g := NewWithT(t)
+	d := &Daemon{callerConns: newCallerConns()}
+	d.settings.Store(&Settings{Capacity: Capacity{Descriptors: 4}})
+	open := func() {
+		c, _ := net.Pipe()
+		d.callerConns.track(c, http.StateNew)
+	}
+	open()
+	open()
+	g.Expect(d.crowded()).To(BeFalse())
+	open()
+	g.Expect(d.crowded()).To(BeTrue())
+	d.settings.Store(&Settings{})
+	g.Expect(d.crowded()).To(BeFalse(), "not known how many it may have")
+}
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -68,6 +68,8 @@
 	// fresh tells of each new state.
 	fresh signal
 	meter meter
+
+	callerConns *callerConns
 	// hosts is the number of hosts that the control thread counts.
 	hosts atomic.Int32
 
@@ -110,6 +112,8 @@
 		retries: retry.NewWindow(s.Bounds.RetryWindow.Value(), s.Bounds.RetryRatio),
 		errs:    make(chan error, 4),
 		hurry:   make(chan struct{}, 1),
+
+		callerConns: newCallerConns(),
 	}
 	d.table = place.NewTable(d.self.Host, s.Zones)
 	d.settings.Store(s)
@@ -129,7 +133,7 @@
 	deps := front.Deps{
 		State: d.state.Load, Codec: platform.Headers{}, Pool: d.conns, Table: d.table, Shares: d.tokens,
 		Retries: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, Now: d.now,
-		Refresh: d.refresh,
+		Refresh: d.refresh, Crowded: d.crowded,
 	}
 	if d.settings.Load().TraceFile != "" {
 		deps.Tracer = d.tracing.Tracer
@@ -155,6 +159,7 @@
 	d.spawn(follower.Run)
 	d.spawn((&registrar{d: d}).run)
 	d.spawn(d.conns.Run)
+	d.spawn(d.sweepCallers)
 	d.events.Info("started", "instance", d.self.Instance, "zone", d.self.Zone, "region", d.self.Region,
 		"callers", d.self.Callers, "peers", d.self.Peers, "store", d.settings.Load().Store)
 }
@@ -198,6 +203,10 @@
 		Handler: handler, ReadHeaderTimeout: headerBound, IdleTimeout: idleBound,
 		DisableGeneralOptionsHandler: true, ErrorLog: d.events.Standard(),
 	}
+	if l == d.listeners[d.addresses.Callers] {
+		server.ConnState = d.callerConns.track
+		server.ConnContext = front.WithCaller
+	}
 	d.servers = append(d.servers, server)
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -13,6 +14,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"balsambarrow/internal/entryhost"
 	"balsambarrow/internal/jsonc"
@@ -343,6 +345,64 @@
 	}
 }
 
+// Callers keep their connections. One that is served keeps it; one that is refused
+// comes back on a new one, so the answer must close the old one, or a customer
+// that sends too much uses up all descriptors of a host.
+func TestRefusalClosesTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	client := &http.Client{Transport: &http.Transport{}}
+	ask := func() (status int, closes bool) {
+		r, err := http.NewRequest("GET", "http://"+h.listen.Callers+"/open/1", nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		r.Host = "x.example"
+		r.Header.Set("X-Request-Id", fmt.Sprint("id-", s.serial.Add(1)))
+		resp, err := client.Do(r)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, resp.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		_ = resp.Body.Close()
+		return resp.StatusCode, resp.Close
+	}
+	status, closes := ask()
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable), "no upstream")
+	g.Expect(closes).To(BeTrue())
+	s.worker("i-1", "s", "a1", 0)
+	g.Eventually(func() int { status, closes = ask(); return status }, "10s", "50ms").Should(Equal(http.StatusOK))
+	g.Expect(closes).To(BeFalse())
+}
+
+// A host is behind with its work. A caller asks, gives up and closes its
+// connection before the host has read the request. The host must not send it to
+// an upstream any more. The connection is held back here until it is closed.
+func TestRequestOfACallerThatHasLeftIsNotSent(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	k := s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	s.awaitServing()
+	before := len(k.Runs())
+	for range 50 {
+		c, err := net.Dial("tcp", h.listen.Callers)
+		g.Expect(err).NotTo(HaveOccurred())
+		// The close is there together with the request.
+		raw, err := c.(*net.TCPConn).SyscallConn()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(raw.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_CORK, 1)
+		})).To(Succeed())
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(c, "GET /open/1 HTTP/1.1\r\nHost: x.example\r\nX-Request-Id: left\r\n\r\n")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(c.Close()).To(Succeed())
+	}
+	g.Expect(s.read(h).status).To(Equal(http.StatusOK))
+	g.Expect(len(k.Runs())-before).To(Equal(1), "only the one that waits for its answer")
+}
+
 // A fleet has three hosts with a fast link and one with a slow one. Callers that
 // are sent to the slow one wait behind each other's reports. So the directory of
 // every host names the fast ones only. The slow one is ready, and serves a caller
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -47,6 +47,8 @@
 	// Refresh has the store looked at now. The channel is closed when something
 	// newer is known; State then returns it.
 	Refresh func() <-chan struct{}
+	// Crowded tells whether callers should not keep their connections.
+	Crowded func() bool
 	// Tracer writes a span for each hop. Default nil: none.
 	Tracer trace.Tracer
 }
@@ -105,8 +107,9 @@
 	var end func()
 	q.http, end = spans{h.Tracer}.entry(r, q.ID)
 	defer end()
-	if h.State().Leaving {
-		// The caller finds another host for its next request.
+	if h.State().Leaving || h.Crowded() {
+		// The caller finds another host, or makes a new connection, for its next
+		// request.
 		w.Header().Set("Connection", "close")
 	}
 	refused := h.admit(w, q)
@@ -264,6 +267,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	if f.comeBack > 0 {
+		// It comes back on a new connection; this one would stay open for nothing.
+		w.Header().Set("Connection", "close")
 		h.Codec.Refusal(w.Header(), f.comeBack)
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -49,6 +49,9 @@
 	h.Retries.First(h.Now(), q.service)
 	var kept *answer
 	for unreached := 0; ; {
+		if left(q.http) {
+			return h.giveUp(w, q, kept, &refusal{cause: CauseLeft})
+		}
 		if refused := h.stillValid(q); refused != nil {
 			return h.giveUp(w, q, kept, refused)
 		}
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -32,24 +32,47 @@
 // upstream's close nor bytes that belong to no request. A request sent on a
 // closed connection would be lost, and the stray bytes would be taken for its
 // answer.
-func (c *conn) silent() bool {
-	if c.br.Buffered() > 0 {
-		return false
-	}
-	raw, ok := c.Conn.(syscall.Conn)
+func (c *conn) silent() bool { return c.br.Buffered() == 0 && peek(c.Conn) == nothingCame }
+
+// Closed tells whether the other side has closed a connection, as far as that has
+// arrived and nobody has read it yet.
+func Closed(c net.Conn) bool { return peek(c) == closeCame }
+
+// arrival is what has arrived on a connection and is not read yet.
+type arrival int
+
+const (
+	nothingCame arrival = iota
+	bytesCame
+	closeCame
+)
+
+// peek looks at a connection without reading from it. One that cannot be looked
+// at counts as quiet, and one that is broken as closed.
+func peek(c net.Conn) arrival {
+	raw, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return nothingCame
 	}
 	rc, err := raw.SyscallConn()
 	if err != nil {
-		return false
+		return closeCame
 	}
-	quiet := false
-	err = rc.Read(func(fd uintptr) bool {
+	came := closeCame
+	// Control and not Read, which waits for whoever is reading: a server reads from
+	// a caller's connection all the while that its request is handled.
+	err = rc.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = err == unix.EAGAIN
-		return true
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case err == unix.EAGAIN:
+			came = nothingCame
+		case err == nil && n > 0:
+			came = bytesCame
+		}
 	})
-	return err == nil && quiet
+	if err != nil {
+		return closeCame
+	}
+	return came
 }
