The watcher's answer brings the changes that a host lacks

Change: the watcher keeps the latest changes with the digests before and after each; a host whose digest is one of those before gets the changes since in the answer. Older changes that come later, from a watch that was on its way, come to nothing (follow.Seen). A host that the store turns away learns of changes too.

--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"balsambarrow/internal/fleet"
+	"balsambarrow/internal/kv"
 	"balsambarrow/internal/share"
 )
 
@@ -14,9 +15,9 @@
 // hosts that look for themselves, calls were the largest price of a calm day:
 // 1,962 in 30 s, 0.06 of its worth. So one host of each region watches the store;
 // the others ask it, by datagram, for the digest of what it knows and its age.
-// The same digest confirms what they know as of the question less that age; only
-// a different one makes them look at the store. A host that the store turns away
-// stays confirmed as long as nothing changes.
+// The same digest confirms what they know as of the question less that age. Where
+// they differ the answer brings the changes that lack, and only where that cannot
+// be they look at the store. A host that the store turns away stays confirmed.
 const (
 	// askEvery is the time between two questions.
 	askEvery = 500 * time.Millisecond
@@ -25,6 +26,8 @@
 	alone = 2100 * time.Millisecond
 	// confirmsKept bounds the questions without an answer that are remembered.
 	confirmsKept = 8
+	// mostChangeBytes fits one datagram, of 64 kB at most, with keys and frames.
+	mostChangeBytes = 24 << 10
 )
 
 // knowledge is what the store held at a time. It is never modified.
@@ -89,7 +92,7 @@
 	}
 	q.last++
 	q.asked[q.last] = now
-	p := &fleet.Packet{Content: &fleet.Packet_ConfirmRequest{ConfirmRequest: &fleet.ConfirmRequest{Id: q.last}}}
+	p := &fleet.Packet{Content: &fleet.Packet_ConfirmRequest{ConfirmRequest: &fleet.ConfirmRequest{Id: q.last, Digest: c.digest.Sum()}}}
 	if err := c.d.wire.SendPacket(p, c.members.Address(watcher)); err != nil {
 		c.d.events.Debug("watcher not asked", "watcher", watcher, "error", err)
 	}
@@ -101,7 +104,27 @@
 	if k == nil || k.digest == 0 {
 		return
 	}
-	a := &fleet.ConfirmAnswer{Id: q.Id, Digest: k.digest, AgeUs: uint64(d.now().Sub(k.at).Microseconds()) + 1}
+	if q.Digest != k.digest {
+		d.control.send(func(c *control) { c.tellChanges(q, from) })
+		return
+	}
+	d.answerConfirm(&fleet.ConfirmAnswer{Id: q.Id, Digest: k.digest}, k.at, from)
+}
+
+// tellChanges answers a host that knows something else than this one, with the
+// changes that it lacks, if they are known and fit.
+func (c *control) tellChanges(q *fleet.ConfirmRequest, from string) {
+	a := &fleet.ConfirmAnswer{Id: q.Id, Digest: c.digest.Sum()}
+	events, _ := c.journal.Since(q.Digest, mostChangeBytes)
+	for _, e := range events {
+		a.Changes = append(a.Changes, &fleet.Change{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+	}
+	c.d.answerConfirm(a, c.at, from)
+}
+
+// answerConfirm sends an answer that speaks for the time at.
+func (d *Daemon) answerConfirm(a *fleet.ConfirmAnswer, at time.Time, from string) {
+	a.AgeUs = uint64(d.now().Sub(at).Microseconds()) + 1
 	if err := d.wire.SendPacket(&fleet.Packet{Content: &fleet.Packet_ConfirmAnswer{ConfirmAnswer: a}}, from); err != nil {
 		d.events.Debug("digest not told", "error", err)
 	}
@@ -116,6 +139,11 @@
 		return
 	}
 	delete(c.confirms.asked, a.Id)
+	var lacking []kv.Event
+	for _, e := range a.Changes {
+		lacking = append(lacking, kv.Event{Item: kv.Item{Key: e.Key, Value: e.Value, Revision: e.Revision}, Deleted: e.Deleted})
+	}
+	c.change(c.d.now(), lacking)
 	if a.Digest != c.digest.Sum() {
 		c.d.lookNow()
 		return
@@ -123,9 +151,9 @@
 	c.confirmed(asked.Add(-time.Duration(a.AgeUs) * time.Microsecond))
 }
 
-// heardDigest looks at the store where the watcher knows something else.
+// heardDigest asks the watcher at once where it knows something else.
 func (c *control) heardDigest(from string, digest uint64) {
 	if digest != 0 && digest != c.digest.Sum() && from == c.watcher() {
-		c.d.lookNow()
+		c.confirms.askDue = time.Time{}
 	}
 }
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -48,6 +48,8 @@
 	ready        bool
 	duty         duty
 	digest       follow.Digest
+	journal      follow.Journal
+	seen         follow.Seen
 	confirms     confirms
 }
 
@@ -177,7 +179,7 @@
 	}
 }
 
-func (c *control) log(changes []fleet.Change) {
+func (c *control) log(changes []fleet.Arrival) {
 	for _, change := range changes {
 		c.d.events.Info("peer "+change.What, "peer", change.Member.Host, "instance", change.Member.Instance,
 			"zone", change.Member.Zone)
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -21,6 +21,8 @@
 	s.c.send(func(c *control) {
 		now := c.d.now()
 		c.roster.Reached(now)
+		c.seen.Listed(l.Items)
+		c.journal.Reset()
 		upstreams, zones := map[string]bool{}, map[string]bool{}
 		clear(c.registrations)
 		for _, item := range l.Items {
@@ -47,16 +49,7 @@
 	s.c.send(func(c *control) {
 		now := c.d.now()
 		c.roster.Reached(now)
-		for _, e := range changes.Events {
-			if e.Deleted {
-				c.removed(now, e.Key)
-				continue
-			}
-			if zone, ok := platform.EvacuatedZone(e.Key); ok {
-				c.evacuateOne(zone, true)
-			}
-			c.wrote(now, e.Item)
-		}
+		c.change(now, changes.Events)
 		c.listHosts(now)
 		c.confirm(asOf)
 	})
@@ -70,6 +63,19 @@
 	})
 }
 
+// change takes changes over, from the store or from a peer.
+func (c *control) change(now time.Time, events []kv.Event) {
+	for _, e := range c.seen.Latest(events) {
+		before := c.digest.Sum()
+		if e.Deleted {
+			c.removed(now, e.Key)
+		} else {
+			c.wrote(now, e.Item)
+		}
+		c.journal.Add(before, c.digest.Sum(), e)
+	}
+}
+
 // wrote takes a key over that was written.
 func (c *control) wrote(now time.Time, item kv.Item) {
 	if platform.IsConfiguration(item.Key) {
@@ -83,6 +89,9 @@
 	if _, ok := platform.HostInstance(item.Key); ok {
 		c.hostRegistered(item)
 	}
+	if zone, ok := platform.EvacuatedZone(item.Key); ok {
+		c.evacuateOne(zone, true)
+	}
 }
 
 // removed takes over that a key is gone.
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -71,19 +71,19 @@
 	return &Members{self: self, host: host, by: map[string]*Member{}, gap: Interval(1), readyGap: Interval(1)}
 }
 
-// Change says that a host appeared or disappeared, for the log.
-type Change struct {
+// Arrival says that a host appeared or disappeared, for the log.
+type Arrival struct {
 	Member Member
 	// What happened: heard, silent, left, replaced.
 	What string
 }
 
 // Hear takes a heartbeat in.
-func (m *Members) Hear(now time.Time, b *Heartbeat) []Change {
+func (m *Members) Hear(now time.Time, b *Heartbeat) []Arrival {
 	if b.Instance == m.self || b.Instance == "" {
 		return nil
 	}
-	var changes []Change
+	var changes []Arrival
 	known := m.by[b.Instance]
 	if known == nil {
 		changes = m.replaceHost(b)
@@ -94,10 +94,10 @@
 		return changes
 	}
 	if !known.alive(now, m.gapOf(known)) {
-		changes = append(changes, Change{Member{Instance: b.Instance, Host: b.Host, Zone: b.Zone}, "heard"})
+		changes = append(changes, Arrival{Member{Instance: b.Instance, Host: b.Host, Zone: b.Zone}, "heard"})
 	}
 	if b.Leaving && !known.Leaving {
-		changes = append(changes, Change{Member{Instance: b.Instance, Host: b.Host, Zone: b.Zone}, "leaving"})
+		changes = append(changes, Arrival{Member{Instance: b.Instance, Host: b.Host, Zone: b.Zone}, "leaving"})
 	}
 	known.Host, known.Zone, known.Region = b.Host, b.Zone, b.Region
 	known.Callers, known.Peers = b.Callers, b.Peers
@@ -115,12 +115,12 @@
 
 // replaceHost forgets earlier instances of a host that has started again: they
 // cannot be running.
-func (m *Members) replaceHost(b *Heartbeat) []Change {
-	var changes []Change
+func (m *Members) replaceHost(b *Heartbeat) []Arrival {
+	var changes []Arrival
 	for id, old := range m.by {
 		if old.Host == b.Host && old.sequence > 0 {
 			delete(m.by, id)
-			changes = append(changes, Change{*old, "replaced"})
+			changes = append(changes, Arrival{*old, "replaced"})
 		}
 	}
 	return changes
@@ -155,12 +155,12 @@
 
 // Tick forgets hosts that are neither registered nor heard, and returns those
 // that have just gone silent or were forgotten.
-func (m *Members) Tick(now time.Time) []Change {
-	var changes []Change
+func (m *Members) Tick(now time.Time) []Arrival {
+	var changes []Arrival
 	for id, k := range m.by {
 		if !k.registered && now.Sub(k.heard) >= rememberFor {
 			delete(m.by, id)
-			changes = append(changes, Change{*k, "forgotten"})
+			changes = append(changes, Arrival{*k, "forgotten"})
 		}
 	}
 	m.gap, m.readyGap = Interval(len(m.by)+1), Interval(m.readyCount()+1)
--- /dev/null
+++ b/internal/follow/journal_test.go
@@ -0,0 +1,82 @@
+package follow_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"balsambarrow/internal/follow"
+	"balsambarrow/internal/kv"
+)
+
+func event(key string, revision uint64) kv.Event {
+	return kv.Event{Item: kv.Item{Key: key, Value: []byte("value of " + key), Revision: revision}}
+}
+
+func keys(events []kv.Event) []string {
+	var out []string
+	for _, e := range events {
+		out = append(out, e.Key)
+	}
+	return out
+}
+
+func TestJournalTellsWhatIsLacking(t *testing.T) {
+	g := NewWithT(t)
+	var j follow.Journal
+	j.Add(1, 2, event("a", 10))
+	j.Add(2, 2, event("a mark of life", 11))
+	j.Add(2, 3, event("b", 12))
+	j.Add(3, 2, event("b gone", 13))
+	j.Add(2, 4, event("c", 14))
+	for _, c := range []struct {
+		name   string
+		digest uint64
+		want   []string
+		known  bool
+	}{
+		{"all of it", 1, []string{"a", "b", "b gone", "c"}, true},
+		{"of a digest that came twice, the later", 2, []string{"c"}, true},
+		{"some", 3, []string{"b gone", "c"}, true},
+		{"never seen", 9, nil, false},
+		{"nothing lacks", 4, nil, false},
+	} {
+		events, known := j.Since(c.digest, 1000)
+		g.Expect(known).To(Equal(c.known), c.name)
+		g.Expect(keys(events)).To(Equal(c.want), c.name)
+	}
+	_, known := j.Since(1, 20)
+	g.Expect(known).To(BeFalse(), "too much for one packet")
+	j.Add(7, 8, event("d", 20))
+	_, known = j.Since(3, 1000)
+	g.Expect(known).To(BeFalse(), "something was learned in between in another way")
+}
+
+func TestJournalIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	var j follow.Journal
+	for i := range uint64(2000) {
+		j.Add(i, i+1, event("k", i))
+	}
+	_, known := j.Since(100, 1<<20)
+	g.Expect(known).To(BeFalse())
+	events, known := j.Since(1990, 1<<20)
+	g.Expect(known).To(BeTrue())
+	g.Expect(events).To(HaveLen(10))
+}
+
+// A peer tells a host that an upstream has left. Then the answer of a watch
+// arrives that was made before, in which the upstream still joins. It must not
+// come back.
+func TestOlderChangesComeToNothing(t *testing.T) {
+	g := NewWithT(t)
+	var s follow.Seen
+	s.Listed([]kv.Item{{Key: "x", Revision: 5}})
+	gone := kv.Event{Item: kv.Item{Key: "x", Revision: 12}, Deleted: true}
+	g.Expect(keys(s.Latest([]kv.Event{gone}))).To(Equal([]string{"x"}))
+	g.Expect(s.Latest([]kv.Event{event("x", 10)})).To(BeEmpty())
+	g.Expect(s.Latest([]kv.Event{event("x", 10), gone})).To(BeEmpty(), "nor again")
+	latest := s.Latest([]kv.Event{event("y", 13), event("y", 14), event("x", 15)})
+	g.Expect(keys(latest)).To(Equal([]string{"y", "x"}), "the last of each key")
+	g.Expect(latest[0].Revision).To(Equal(uint64(14)))
+}
