--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -78,9 +78,30 @@
 	s.history = append(s.history, time.Now().Format("05.000 ")+fmt.Sprintf(format, args...))
 }
 
-var zones = []string{"a1", "a2", "b1"}
+// hostKind is where a host stands and how fast its link is; 0: it does not say.
+type hostKind struct {
+	zone string
+	mbps int
+}
+
+// mixedFrom is the seed from which the fleet is mixedFleet.
+const mixedFrom = 1000
+
+// equalFleet has three hosts that all take callers; in mixedFleet the last one
+// stands by, and most hosts of a region go by what its watcher tells them.
+var (
+	equalFleet = []hostKind{{"a1", 0}, {"a2", 0}, {"b1", 0}}
+	mixedFleet = []hostKind{{"a1", 200}, {"a2", 200}, {"b1", 200}, {"a1", 200}, {"a2", 10}}
+)
+
+func fleetOf(seed uint64) []hostKind {
+	if seed < mixedFrom {
+		return equalFleet
+	}
+	return mixedFleet
+}
 
-func newSite(t *testing.T, binary string) *site {
+func newSite(t *testing.T, binary string, fleet []hostKind) *site {
 	s := &site{
 		t: t, binary: binary, dir: t.TempDir(), store: standin.NewKVStore(), version: 1,
 		withdrawn: map[string]time.Time{}, evacuated: map[string]time.Time{},
@@ -90,8 +111,8 @@
 	for i, zone := range []string{"a1", "a2", "b1", "b1", "a1"} {
 		s.addUpstream(fmt.Sprint("i-", i), zone)
 	}
-	for i, zone := range zones {
-		s.addProcess(fmt.Sprint("h", i), zone)
+	for i, kind := range fleet {
+		s.addProcess(fmt.Sprint("h", i), kind)
 	}
 	return s
 }
@@ -136,17 +157,17 @@
 	s.store.Put("servers/"+u.worker.ID, u.worker.Entry("s", u.server.Listener.Addr().String(), u.zone, "ready", u.sequence))
 }
 
-func (s *site) addProcess(name, zone string) {
+func (s *site) addProcess(name string, kind hostKind) {
 	p, err := newProxy(s.server.Listener.Addr().String())
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	h := &process{name: name, zone: zone, proxy: p, settings: filepath.Join(s.dir, name+".jsonc"), callers: freeAddress(s.t)}
+	h := &process{name: name, zone: kind.zone, proxy: p, settings: filepath.Join(s.dir, name+".jsonc"), callers: freeAddress(s.t, len(s.processes))}
 	text := fmt.Sprintf(`{"host": %q, "zone": %q, "zones": {"a1": "a", "a2": "a", "b1": "b"},
 		"listen": {"callers": %q, "readiness": "127.0.0.1:0", "directory": "127.0.0.1:0", "peers": "127.0.0.1:0"},
-		"store": %q,
+		"store": %q, "capacity": {"link_mbps": %d},
 		"bounds": {"grace": "5s", "revoke": %q, "strict_revocation": true, "retry_ratio": 0.2, "retry_slack": 60, "retry_window": "10s"}}`,
-		name, zone, h.callers, p.address(), revoke)
+		name, kind.zone, h.callers, p.address(), kind.mbps, revoke)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -155,9 +176,12 @@
 }
 
 // freeAddress is one that the system has just given out: a daemon keeps its
-// address over restarts, so the system cannot pick it at the start.
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// address over restarts, so the system cannot pick it at the start. It is on a
+// loopback IP of the host's own. On 127.0.0.1 another daemon's listener was given
+// the same port before this daemon had started; it then answered with 404 in its
+// place, for good.
+func freeAddress(t *testing.T, host int) string {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.0.1.%d:0", host+1))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -53,7 +53,7 @@
 	if out, err := exec.Command("go", "build", "-o", binary, "balsambarrow/cmd/balsambarrowd").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	all := append([]uint64(nil), regressions...)
+	all := append([]uint64{mixedFrom}, regressions...)
 	for i := range uint64(*seeds) {
 		all = append(all, *first+i)
 	}
@@ -64,7 +64,7 @@
 
 func soak(t *testing.T, binary string, seed uint64) {
 	t.Logf("seed %d, callers for %v", seed, *span)
-	s := newSite(t, binary)
+	s := newSite(t, binary, fleetOf(seed))
 	defer s.close()
 	s.awaitServing()
 	stop := make(chan struct{})
