--- a/internal/catalog/index.go
+++ b/internal/catalog/index.go
@@ -108,16 +108,6 @@
 	return nil
 }
 
-// Services returns the names of all services, sorted.
-func (c *Catalog) Services() []string {
-	names := make([]string, 0, len(c.services))
-	for name := range c.services {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
 // Homes returns the regions that may serve a request: those that both route and
 // customer allow. bound is false where neither limits them.
 func Homes(r *Route, u *Customer) (regions []string, bound bool) {
--- a/internal/entryhost/conns_test.go
+++ b/internal/entryhost/conns_test.go
@@ -1,8 +1,10 @@
 package entryhost
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -40,8 +42,7 @@
 		return true
 	}
 	_, err := c.Read(make([]byte, 1))
-	timeout, ok := err.(net.Error)
-	return !ok || !timeout.Timeout()
+	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 func TestManyConnectionsCrowdAHost(t *testing.T) {
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -158,17 +159,10 @@
 	return n, nil
 }
 
-// connectionHeaders concern the connection to the upstream only. That it closes
-// says nothing about the connection to the caller.
-var connectionHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Transfer-Encoding": true,
-	"Upgrade": true, "Trailer": true, "Te": true,
-}
-
+// copyHeader copies an upstream's headers but those of the connection to it: that
+// it closes says nothing about the connection to the caller.
 func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		if !connectionHeaders[name] {
-			to[name] = values
-		}
-	}
+	kept := from.Clone()
+	h1.StripHops(kept)
+	maps.Copy(to, kept)
 }
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -6,10 +6,11 @@
 	"crypto/sha256"
 	"io"
 	"net/http"
-	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
+
+	"balsambarrow/internal/h1"
 )
 
 // Call is one admitted request on its way to an upstream.
@@ -83,12 +84,6 @@
 	return bytes.NewReader(b.held), int64(len(b.held))
 }
 
-// hopByHop headers concern one connection only (RFC 9110, section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // StripRequest removes from a caller's headers what must not reach an
 // upstream: its key, hop-by-hop headers, this system's own, and Expect, which
 // the listener has answered already.
@@ -98,7 +93,7 @@
 func StripRequest(h http.Header) {
 	h.Del("Authorization")
 	h.Del("Expect")
-	StripHops(h)
+	h1.StripHops(h)
 	StripOwn(h)
 }
 
@@ -107,19 +102,7 @@
 	for name, values := range from {
 		to[name] = append([]string(nil), values...)
 	}
-	StripHops(to)
-}
-
-// StripHops removes hop-by-hop headers.
-func StripHops(h http.Header) {
-	for _, list := range h.Values("Connection") {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
+	h1.StripHops(to)
 }
 
 // ownPrefix begins the names of this system's headers, in any case.
