--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -20,18 +20,24 @@
 		return d.now().Sub(d.state.Load().ConfirmedAt).Seconds()
 	})
 	d.metrics.Gauge("balsambarrow_upstreams", func() float64 { return float64(d.table.Size()) })
-	d.metrics.Gauge("balsambarrow_ready", func() float64 {
-		if d.ready.Load() {
-			return 1
-		}
-		return 0
-	})
+	d.metrics.Gauge("balsambarrow_ready", func() float64 { return flag(d.ready.Load()) })
+	d.metrics.Gauge("balsambarrow_takes_callers", func() float64 { return flag(!d.state.Load().Standby) })
+	d.metrics.Gauge("balsambarrow_watches_store", func() float64 { return flag(d.watches.Load()) })
+	d.metrics.Gauge("balsambarrow_caller_connections", func() float64 { return float64(d.callerConns.count()) })
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		d.metrics.Set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
 }
 
+// flag is how a metric tells yes and no.
+func flag(yes bool) float64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
 // observe counts one answer to a caller.
 func (d *Daemon) observe(o front.Observation) {
 	cause := string(o.Cause)
