Ask a host of another region where the region's watcher is turned away too

Change: a host whose knowledge is 1.2 s old asks a second host, of another region if there is one, the watcher too. Where no host of a region has a registration that stands, those of other regions hold its customers' buckets; it would have refused all of them as over their rate. The stand-in's gate is silent now, which is harder than a 503, with the users' own bound on withdrawn keys.

--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -1,6 +1,7 @@
 package entryhost
 
 import (
+	"slices"
 	"time"
 
 	"balsambarrow/internal/fleet"
@@ -21,6 +22,12 @@
 const (
 	// askEvery is the time between two questions.
 	askEvery = 500 * time.Millisecond
+	// secondAfter is the age from which another host than the watcher is asked too,
+	// of another region if there is one. The store may turn a whole region away; each of its hosts takes a second or
+	// two to find that out and to leave the watch to the next. In a day that
+	// operators recorded, three hosts of a region refused keys for six seconds
+	// while the other regions knew all that was needed.
+	secondAfter = 1200 * time.Millisecond
 	// alone is the age from which a host looks for itself: two questions have had
 	// no answer that confirms.
 	alone = 2100 * time.Millisecond
@@ -49,6 +56,20 @@
 	return share.Owner("store", c.d.directory.Load().seers(c.d.self.Region))
 }
 
+// second is another host than the watcher that takes callers and reaches the store,
+// as far as this one knows: one of another region, which the same failure is less
+// likely to have met; "" if there is none.
+func (c *control) second(watcher string) string {
+	d := c.d.directory.Load()
+	if far := share.Owner("store", d.seersBeyond(c.d.self.Region)); far != "" {
+		return far
+	}
+	near := slices.DeleteFunc(d.seers(c.d.self.Region), func(instance string) bool {
+		return instance == watcher || instance == c.d.self.Instance
+	})
+	return share.Owner("store", near)
+}
+
 func (c *control) toldDigest() uint64 {
 	if !c.d.watches.Load() {
 		return 0
@@ -73,19 +94,26 @@
 			c.beatDue = now
 		}
 	}
-	if watches {
+	if !watches && now.Sub(c.at) > alone {
+		c.d.lookNow()
+	}
+	if now.Before(c.confirms.askDue) {
 		return
 	}
-	if now.Sub(c.at) > alone {
-		c.d.lookNow()
+	c.confirms.askDue = now.Add(askEvery)
+	if !watches {
+		c.ask(now, watcher)
 	}
-	if !now.Before(c.confirms.askDue) {
-		c.confirms.askDue = now.Add(askEvery)
-		c.askWatcher(now, watcher)
+	if now.Sub(c.at) > secondAfter {
+		c.ask(now, c.second(watcher))
 	}
 }
 
-func (c *control) askWatcher(now time.Time, watcher string) {
+// ask sends a question to a host.
+func (c *control) ask(now time.Time, host string) {
+	if host == "" {
+		return
+	}
 	q := &c.confirms
 	if len(q.asked) >= confirmsKept || q.asked == nil {
 		q.asked = map[uint64]time.Time{}
@@ -93,8 +121,8 @@
 	q.last++
 	q.asked[q.last] = now
 	p := &fleet.Packet{Content: &fleet.Packet_ConfirmRequest{ConfirmRequest: &fleet.ConfirmRequest{Id: q.last, Digest: c.digest.Sum()}}}
-	if err := c.d.wire.SendPacket(p, c.members.Address(watcher)); err != nil {
-		c.d.events.Debug("watcher not asked", "watcher", watcher, "error", err)
+	if err := c.d.wire.SendPacket(p, c.members.Address(host)); err != nil {
+		c.d.events.Debug("peer not asked", "peer", host, "error", err)
 	}
 }
 
--- a/internal/entryhost/directory.go
+++ b/internal/entryhost/directory.go
@@ -47,12 +47,22 @@
 
 // seers lists the instances of a region that take callers and reach the store.
 func (d *directory) seers(region string) []string {
-	var out []string
+	out := d.othersThatSee(func(r string) bool { return r == region })
 	if d.ready && d.seesStore && d.self.Region == region {
 		out = append(out, d.self.Instance)
 	}
+	return out
+}
+
+// seersBeyond lists those of all other regions.
+func (d *directory) seersBeyond(region string) []string {
+	return d.othersThatSee(func(r string) bool { return r != region })
+}
+
+func (d *directory) othersThatSee(in func(region string) bool) []string {
+	var out []string
 	for _, m := range d.others {
-		if m.Ready && m.SeesStore && !m.Leaving && m.Region == region {
+		if m.Ready && m.SeesStore && !m.Leaving && in(m.Region) {
 			out = append(out, m.Instance)
 		}
 	}
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -471,6 +471,41 @@
 	}
 }
 
+// The store turns all hosts of a region away at once, without an answer, and serves
+// the other region. One host after the other finds out and leaves the watch to the
+// next, which is as deaf. Their callers must be served on, by what the other region
+// knows.
+func TestRegionTurnedAwayByTheStoreIsConfirmedByAnother(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1")
+	var gates []*gate
+	var shut []*host
+	for _, zone := range []string{"a1", "a2"} {
+		gate, address := s.gate()
+		gates = append(gates, gate)
+		shut = append(shut, s.hostWith("h-"+zone, zone, hostOptions{store: address}))
+	}
+	s.host("h-b1", "b1")
+	s.awaitServing()
+	for _, gate := range gates {
+		gate.shut.Store(true)
+	}
+	for range 60 {
+		for _, h := range shut {
+			g.Expect(s.read(h).status).To(Equal(http.StatusOK))
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.declare(5, "k2")
+	for _, h := range shut {
+		g.Eventually(func() int { return s.call(h, "GET", "/read/1", "k2", "").status }, "4s", "50ms").Should(Equal(http.StatusOK),
+			"learns of changes too")
+		g.Expect(s.read(h).status).To(Equal(http.StatusUnauthorized))
+	}
+}
+
 func TestSettingsFaults(t *testing.T) {
 	g := NewWithT(t)
 	_, err := entryhost.ParseSettings("boot", []byte(`{
--- a/internal/entryhost/helper_test.go
+++ b/internal/entryhost/helper_test.go
@@ -74,7 +74,7 @@
 		"host": %q, "zone": %q, "zones": {"a1": "a", "a2": "a", "b1": "b"},
 		"listen": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "directory": "127.0.0.1:0", "peers": "127.0.0.1:0", "metrics": "127.0.0.1:0"},
 		"store": %q, "trace_file": %q, "capacity": {"link_mbps": %g},
-		"bounds": {"grace": "4s", "revoke": "4s", "strict_revocation": true, "retry_ratio": 0.2, "retry_slack": 60, "retry_window": "10s", "max_shift": 0.15},
+		"bounds": {"grace": "4s", "revoke": "5s", "strict_revocation": true, "retry_ratio": 0.2, "retry_slack": 60, "retry_window": "10s", "max_shift": 0.15},
 	}`, name, zone, o.store, s.traces, o.mbps)))
 	g.Expect(err).NotTo(HaveOccurred())
 	events := telemetry.NewEvents(s.logs, "info", name)
@@ -89,7 +89,7 @@
 	return h
 }
 
-// gate stands before the store for one host, and turns it away while it is shut.
+// gate stands before the store for one host. While it is shut it gives no answer.
 type gate struct {
 	store http.Handler
 	shut  atomic.Bool
@@ -98,7 +98,7 @@
 // ServeHTTP implements http.Handler.
 func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if g.shut.Load() {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		<-r.Context().Done()
 		return
 	}
 	g.store.ServeHTTP(w, r)
--- a/internal/entryhost/tokens.go
+++ b/internal/entryhost/tokens.go
@@ -13,10 +13,16 @@
 // on the way, and turns of two processors that have a sixth of a core each.
 const answerFor = 40 * time.Millisecond
 
-// pool is the hosts of this region that hold customers' buckets, by instance. It
-// is never modified.
+// answerFarFor is the same for an owner in another region: the way there and back
+// is up to 110 ms.
+const answerFarFor = 200 * time.Millisecond
+
+// pool is the hosts that hold customers' buckets for this one, by instance. It is
+// never modified.
 type pool struct {
 	instances []string
+	// answerFor is how long one of them may take to answer.
+	answerFor time.Duration
 	// peers is the address of each but this host.
 	peers map[string]string
 	// hosts is the number of all hosts.
@@ -49,7 +55,7 @@
 	if peer == "" {
 		return t.d.shares.Admit(now, c)
 	}
-	a := t.ask(peer, c.Name)
+	a := t.ask(peer, c.Name, p.answerFor)
 	if a == nil {
 		t.d.events.Info("owner of a bucket silent", "customer", c.Name, "owner", owner)
 		return t.spare.Admit(now, c, p.hosts)
@@ -63,7 +69,7 @@
 // ask asks the owner for one token; nil if it does not answer in time. An answer
 // that comes later is dropped: the token is lost, which refuses too much rather
 // than too little.
-func (t *tokens) ask(peer, customer string) *fleet.TokenAnswer {
+func (t *tokens) ask(peer, customer string, patience time.Duration) *fleet.TokenAnswer {
 	answer := make(chan *fleet.TokenAnswer, 1)
 	t.mu.Lock()
 	t.last++
@@ -79,7 +85,7 @@
 	if err := t.d.wire.SendPacket(request, peer); err != nil {
 		return nil
 	}
-	timeout := time.NewTimer(answerFor)
+	timeout := time.NewTimer(patience)
 	defer timeout.Stop()
 	select {
 	case a := <-answer:
@@ -140,17 +146,28 @@
 }
 
 // newPool lists the hosts of this region that are ready and whose registration
-// stands: one whose registration has lapsed may not spend.
+// stands: one whose registration has lapsed may not spend. Where the region has
+// none, those of the others hold its buckets: the store may turn a whole region
+// away, and its callers would all be refused as over their rate.
 func newPool(self Self, ready bool, heard []fleet.Member, hosts int) *pool {
-	p := &pool{peers: map[string]string{}, hosts: hosts}
+	p := &pool{peers: map[string]string{}, hosts: hosts, answerFor: answerFor}
 	if ready {
 		p.instances = append(p.instances, self.Instance)
 	}
+	p.add(heard, func(region string) bool { return region == self.Region })
+	if len(p.instances) == 0 {
+		p.answerFor = answerFarFor
+		p.add(heard, func(string) bool { return true })
+	}
+	return p
+}
+
+// add lists the hosts of some regions.
+func (p *pool) add(heard []fleet.Member, in func(region string) bool) {
 	for _, m := range heard {
-		if m.Region == self.Region && m.Ready && m.Registered && !m.Leaving {
+		if m.Ready && m.Registered && !m.Leaving && in(m.Region) {
 			p.instances = append(p.instances, m.Instance)
 			p.peers[m.Instance] = m.Peers
 		}
 	}
-	return p
 }
