--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -43,14 +43,16 @@
 	// registeredAt is when the last call left that kept the registration.
 	registeredAt time.Time
 	hostsListed  time.Time
-	sequence     uint64
-	beatDue      time.Time
-	ready        bool
-	duty         duty
-	digest       follow.Digest
-	journal      follow.Journal
-	seen         follow.Seen
-	confirms     confirms
+	// held says that the registration stands.
+	held     bool
+	sequence uint64
+	beatDue  time.Time
+	ready    bool
+	duty     duty
+	digest   follow.Digest
+	journal  follow.Journal
+	seen     follow.Seen
+	confirms confirms
 }
 
 func newControl(d *Daemon) *control {
@@ -102,7 +104,11 @@
 		c.leave(id, "missing since the store is back")
 	}
 	c.log(c.members.Tick(now))
-	c.d.shares.Hold(c.registered(now))
+	if held := c.registered(now); held != c.held {
+		// Others should ask another host for customers' tokens, or this one again.
+		c.held, c.beatDue = held, now
+		c.d.shares.Hold(held)
+	}
 	c.publish(now)
 	c.seekConfirmation(now)
 	if !now.Before(c.beatDue) {
--- a/internal/entryhost/tokens.go
+++ b/internal/entryhost/tokens.go
@@ -53,7 +53,10 @@
 	owner := share.Owner(c.Name, p.instances)
 	peer := p.peers[owner]
 	if peer == "" {
-		return t.d.shares.Admit(now, c)
+		if v := t.d.shares.Admit(now, c); !v.Unheld {
+			return v
+		}
+		return t.spare.Admit(now, c, p.hosts)
 	}
 	a := t.ask(peer, c.Name, p.answerFor)
 	if a == nil {
@@ -128,6 +131,10 @@
 		return
 	}
 	v := t.d.shares.Admit(t.d.now(), c)
+	if v.Unheld {
+		// Its registration has lapsed since it told so; the asker goes by its spare.
+		return
+	}
 	answer := &fleet.TokenAnswer{
 		Id: q.Id, Granted: v.Admitted, BackMs: uint32(v.ComeBack.Milliseconds()), Part: float32(v.Part), Demand: float32(v.Demand),
 	}
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -192,6 +192,7 @@
 	v := s.Admit(now, c)
 	g.Expect(v.Admitted).To(BeFalse())
 	g.Expect(v.ComeBack).To(BeNumerically(">", 0))
+	g.Expect(v.Unheld).To(BeTrue(), "it says nothing about the customer")
 	s.Hold(true)
 	g.Expect(s.Admit(now.Add(time.Second), c).Admitted).To(BeTrue())
 	g.Expect(s.Admit(now, &catalog.Customer{Name: "free"}).Admitted).To(BeTrue())
--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -87,6 +87,8 @@
 	Admitted bool
 	// ComeBack is when there is likely to be room; set if it is not admitted.
 	ComeBack time.Duration
+	// Unheld says that this host may not spend at all: its registration has lapsed.
+	Unheld bool
 	// Part is this host's part of the rate, and Demand the rate that it is
 	// asked for, for the log.
 	Part   float64
@@ -111,7 +113,7 @@
 		v.Admitted = true
 		return v
 	}
-	v.ComeBack = a.comeBack(now, rate)
+	v.ComeBack, v.Unheld = a.comeBack(now, rate), !s.held
 	return v
 }
 
