Say in the log what a refusal for want of room went by

The walk of a refused request on the present version ended at cause=overloaded, without the wait that was expected and the one that was allowed.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -146,7 +146,7 @@
 		if !v.Admitted {
 			h.Log.Info("over rate", "id", q.ID, "customer", q.customer.Name, "rate", q.customer.Rate,
 				"part", v.Part, "demand", v.Demand, "version", state.Catalog.Version)
-			return &refusal{http.StatusTooManyRequests, CauseOverRate, v.ComeBack}
+			return &refusal{status: http.StatusTooManyRequests, cause: CauseOverRate, comeBack: v.ComeBack}
 		}
 	}
 	q.service = h.split.service(q.route)
@@ -261,7 +261,7 @@
 	took := h.Now().Sub(q.arrived)
 	h.Observe(Observation{Route: route, Status: f.status, Cause: f.cause, Took: took, Sends: q.tally.sends})
 	h.Log.Info("refused", "id", q.ID, "route", route, "service", q.service, "status", f.status, "cause", f.cause,
-		"back", f.comeBack, "took", took, "sends", q.tally.sends, "tried", q.tally.tried,
+		"why", f.why, "back", f.comeBack, "took", took, "sends", q.tally.sends, "tried", q.tally.tried,
 		"age", h.State().age(h.Now()), "version", h.version())
 	if f.cause == CauseLeft {
 		panic(http.ErrAbortHandler)
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -36,6 +36,8 @@
 	cause  Cause
 	// comeBack is set where the caller is asked to return.
 	comeBack time.Duration
+	// why is what the choice of an upstream went by; nil where the cause says all.
+	why error
 }
 
 // How long callers are told to stay away, where no better figure is known.
@@ -48,7 +50,13 @@
 )
 
 func unavailable(cause Cause, comeBack time.Duration) *refusal {
-	return &refusal{http.StatusServiceUnavailable, cause, comeBack}
+	return &refusal{status: http.StatusServiceUnavailable, cause: cause, comeBack: comeBack}
 }
 
 func denied(status int, cause Cause) *refusal { return &refusal{status: status, cause: cause} }
+
+// because adds what the decision went by, for the log.
+func (f *refusal) because(why error) *refusal {
+	f.why = why
+	return f
+}
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -125,13 +125,13 @@
 	}
 	var full *place.FullError
 	if errors.As(err, &full) {
-		return unavailable(CauseOverloaded, h.later(full.Wait))
+		return unavailable(CauseOverloaded, h.later(full.Wait)).because(err)
 	}
 	var none *place.NoneError
 	if errors.As(err, &none) && none.Reason != place.NoneKnown {
-		return unavailable(CauseNoUpstream, backCold)
+		return unavailable(CauseNoUpstream, backCold).because(err)
 	}
-	return unavailable(CauseNoUpstream, 2*backCold)
+	return unavailable(CauseNoUpstream, 2*backCold).because(err)
 }
 
 // later is when a request that found no room is told to come back: when half of
