--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -23,10 +23,11 @@
 	// askEvery is the time between two questions.
 	askEvery = 500 * time.Millisecond
 	// secondAfter is the age from which another host than the watcher is asked too,
-	// of another region if there is one. The store may turn a whole region away; each of its hosts takes a second or
-	// two to find that out and to leave the watch to the next. In a day that
-	// operators recorded, three hosts of a region refused keys for six seconds
-	// while the other regions knew all that was needed.
+	// of another region if there is one. The store may turn a whole region away;
+	// each of its hosts takes a second or two to find that out and to leave the
+	// watch to the next. In a day that operators recorded, three hosts of a region
+	// refused keys for six seconds while the other regions knew all that was
+	// needed.
 	secondAfter = 1200 * time.Millisecond
 	// alone is the age from which a host looks for itself: two questions have had
 	// no answer that confirms.
