--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -107,6 +107,7 @@
 	if held := c.registered(now); held != c.held {
 		// Others should ask another host for customers' tokens, or this one again.
 		c.held, c.beatDue = held, now
+		c.d.registeredOnce.Store(true)
 		c.d.shares.Hold(held)
 	}
 	c.publish(now)
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -59,6 +59,8 @@
 	directory atomic.Pointer[directory]
 	pool      atomic.Pointer[pool]
 	ready     atomic.Bool
+	// registeredOnce says that this host's registration has stood before.
+	registeredOnce atomic.Bool
 	// watches says that this host watches the store for its region.
 	watches atomic.Bool
 	// known is what the store held and when, for hosts that ask.
--- a/internal/entryhost/tokens.go
+++ b/internal/entryhost/tokens.go
@@ -53,10 +53,13 @@
 	owner := share.Owner(c.Name, p.instances)
 	peer := p.peers[owner]
 	if peer == "" {
-		if v := t.d.shares.Admit(now, c); !v.Unheld {
-			return v
+		v := t.d.shares.Admit(now, c)
+		if v.Unheld && t.d.registeredOnce.Load() {
+			return t.spare.Admit(now, c, p.hosts)
 		}
-		return t.spare.Admit(now, c, p.hosts)
+		// A host that has just started waits for its registration, a call or two: the
+		// spare would serve the first caller of each customer and refuse the next.
+		return v
 	}
 	a := t.ask(peer, c.Name, p.answerFor)
 	if a == nil {
