--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -6,7 +6,7 @@
 
 	"balsambarrow/internal/fleet"
 	"balsambarrow/internal/kv"
-	"balsambarrow/internal/share"
+	"balsambarrow/internal/rendezvous"
 )
 
 // How hosts confirm to each other that what they know is what the store holds.
@@ -36,6 +36,8 @@
 	confirmsKept = 8
 	// mostChangeBytes fits one datagram, of 64 kB at most, with keys and frames.
 	mostChangeBytes = 24 << 10
+	// storeKey is what the watcher is picked by.
+	storeKey = "store"
 )
 
 // knowledge is what the store held at a time. It is never modified.
@@ -54,7 +56,7 @@
 // watcher is the host that watches the store for this region: one of those that
 // take callers and reach the store, by rendezvous. "" if this host knows none.
 func (c *control) watcher() string {
-	return share.Owner("store", c.d.directory.Load().seers(c.d.self.Region))
+	return rendezvous.Pick(storeKey, c.d.directory.Load().seers(c.d.self.Region))
 }
 
 // second is another host than the watcher that takes callers and reaches the store,
@@ -62,13 +64,13 @@
 // likely to have met; "" if there is none.
 func (c *control) second(watcher string) string {
 	d := c.d.directory.Load()
-	if far := share.Owner("store", d.seersBeyond(c.d.self.Region)); far != "" {
+	if far := rendezvous.Pick(storeKey, d.seersBeyond(c.d.self.Region)); far != "" {
 		return far
 	}
 	near := slices.DeleteFunc(d.seers(c.d.self.Region), func(instance string) bool {
 		return instance == watcher || instance == c.d.self.Instance
 	})
-	return share.Owner("store", near)
+	return rendezvous.Pick(storeKey, near)
 }
 
 func (c *control) toldDigest() uint64 {
@@ -177,7 +179,7 @@
 		c.d.lookNow()
 		return
 	}
-	c.confirmed(asked.Add(-time.Duration(a.AgeUs) * time.Microsecond))
+	c.confirmedAsOf(asked.Add(-time.Duration(a.AgeUs) * time.Microsecond))
 }
 
 // heardDigest asks the watcher at once where it knows something else.
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -125,8 +125,9 @@
 func (c *control) publish(now time.Time) {
 	heard := c.members.Heard(now)
 	c.setReady(now, heard)
-	c.d.hosts.Store(int32(c.members.Count()))
-	c.d.state.Store(&front.State{Catalog: c.catalog, ConfirmedAt: c.at, Listed: c.listed, Leaving: c.leaving, Standby: c.duty.standby})
+	c.d.state.Store(&front.State{
+		Catalog: c.catalog, ConfirmedAt: c.at, Listed: c.listed, Leaving: c.leaving, Standby: !c.duty.wanted,
+	})
 	c.d.fresh.fire()
 	c.d.directory.Store(&directory{self: c.d.self, ready: c.ready, leaving: c.leaving, seesStore: !c.storeOut, others: heard})
 	hosts := make([]place.Host, 0, len(heard)+1)
@@ -139,7 +140,7 @@
 		hosts = append(hosts, place.Host{Instance: c.d.self.Instance, Zone: c.d.self.Zone, Region: c.d.self.Region})
 	}
 	c.d.table.SetHosts(hosts)
-	c.d.pool.Store(newPool(c.d.self, c.ready && c.registered(now), heard, c.members.Count()))
+	c.d.pool.Store(newPool(c.d.self, c.ready && c.held, heard, c.members.Count()))
 	c.d.shares.SetOthers(c.members.Demand(), c.buckets(), c.members.Complete())
 	bounds := c.d.settings.Load().Bounds
 	c.d.retries.SetSlack(bounds.RetrySlack, c.members.Count())
@@ -172,7 +173,8 @@
 	b := &fleet.Heartbeat{
 		Instance: s.Instance, Host: s.Name, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Peers: s.Peers,
 		Sequence: c.sequence, Ready: c.ready, Leaving: c.leaving, Version: c.version(),
-		Able: c.able(now), Registered: c.registered(now), SeesStore: !c.storeOut, Digest: c.toldDigest(), Cores: float32(capacity.Cores), LinkMbps: float32(capacity.LinkMbps),
+		Able: c.able(now), Registered: c.held, SeesStore: !c.storeOut, Digest: c.toldDigest(),
+		Cores: float32(capacity.Cores), LinkMbps: float32(capacity.LinkMbps),
 		RequestsPerSecond: float32(load.Requests), AnswerMbps: float32(load.AnswerMbps),
 	}
 	for customer, rate := range c.d.shares.Tell(now) {
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -72,8 +72,6 @@
 	meter meter
 
 	callerConns *callerConns
-	// hosts is the number of hosts that the control thread counts.
-	hosts atomic.Int32
 
 	// addresses are those that the listeners have; port 0 of the settings is
 	// replaced by the one that the system gave.
--- a/internal/entryhost/duty.go
+++ b/internal/entryhost/duty.go
@@ -25,7 +25,6 @@
 	// decidedAt is when that was decided last; each heartbeat brings a turn of
 	// the control thread, and the decision looks at all hosts.
 	decidedAt time.Time
-	standby   bool
 }
 
 // able tells whether the host could take callers at once.
@@ -66,7 +65,6 @@
 		c.d.events.Info("duty", "takes_callers", wanted, "hosts", c.members.Count())
 	}
 	d.wanted = wanted
-	d.standby = !wanted
 }
 
 // needed tells whether this host is one of those that take callers, by what is
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -37,10 +37,14 @@
 		for _, id := range c.roster.Unlisted(upstreams) {
 			c.unregister(now, id)
 		}
-		c.evacuate(zones)
+		for zone := range c.zones {
+			if !zones[zone] {
+				c.evacuate(zone, false)
+			}
+		}
 		c.listHosts(now)
 		c.listed = true
-		c.confirm(asOf)
+		c.confirmedByStore(asOf)
 	})
 }
 
@@ -51,7 +55,7 @@
 		c.roster.Reached(now)
 		c.change(now, changes.Events)
 		c.listHosts(now)
-		c.confirm(asOf)
+		c.confirmedByStore(asOf)
 	})
 }
 
@@ -90,7 +94,7 @@
 		c.hostRegistered(item)
 	}
 	if zone, ok := platform.EvacuatedZone(item.Key); ok {
-		c.evacuateOne(zone, true)
+		c.evacuate(zone, true)
 	}
 }
 
@@ -100,7 +104,7 @@
 		c.unregister(now, id)
 	}
 	if zone, ok := platform.EvacuatedZone(key); ok {
-		c.evacuateOne(zone, false)
+		c.evacuate(zone, false)
 	}
 	delete(c.registrations, key)
 }
@@ -120,16 +124,6 @@
 	c.members.List(now, slices.Collect(maps.Values(c.registrations)))
 }
 
-func (c *control) evacuateOne(zone string, empty bool) {
-	zones := maps.Clone(c.zones)
-	if empty {
-		zones[zone] = true
-	} else {
-		delete(zones, zone)
-	}
-	c.evacuate(zones)
-}
-
 // declare takes a configuration over if it is newer.
 func (c *control) declare(item kv.Item) {
 	next, err := platform.DecodeConfiguration(item.Value)
@@ -146,33 +140,34 @@
 	c.d.table.SetCatalog(next)
 }
 
-func (c *control) evacuate(zones map[string]bool) {
-	for zone := range zones {
-		if !c.zones[zone] {
-			c.digest.SetZone(zone, true)
-			c.d.events.Info("zone evacuated", "zone", zone)
-		}
+// evacuate takes over that a zone is to be emptied, or is taken back.
+func (c *control) evacuate(zone string, empty bool) {
+	if c.zones[zone] == empty {
+		return
 	}
-	for zone := range c.zones {
-		if !zones[zone] {
-			c.digest.SetZone(zone, false)
-			c.d.events.Info("zone taken back", "zone", zone)
-		}
+	// Others hold the present map.
+	c.zones = maps.Clone(c.zones)
+	if empty {
+		c.zones[zone] = true
+		c.d.events.Info("zone evacuated", "zone", zone)
+	} else {
+		delete(c.zones, zone)
+		c.d.events.Info("zone taken back", "zone", zone)
 	}
-	c.zones = zones
-	c.d.table.Evacuate(c.d.now(), zones)
+	c.digest.SetZone(zone, empty)
+	c.d.table.Evacuate(c.d.now(), c.zones)
 }
 
-// confirmed notes that what is known was what the store held at a time.
-func (c *control) confirmed(asOf time.Time) {
+// confirmedAsOf notes that what is known was what the store held at a time.
+func (c *control) confirmedAsOf(asOf time.Time) {
 	if asOf.After(c.at) {
 		c.at = asOf
 	}
 }
 
-// confirm is confirmed by the store itself.
-func (c *control) confirm(asOf time.Time) {
-	c.confirmed(asOf)
+// confirmedByStore is the same, by an answer of the store itself.
+func (c *control) confirmedByStore(asOf time.Time) {
+	c.confirmedAsOf(asOf)
 	if c.storeOut {
 		c.storeOut, c.beatDue = false, time.Time{}
 		c.d.events.Info("store regained", "version", c.version())
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -61,22 +61,22 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	rest := firstPause
+	pause := firstPause
 	revision, listed := uint64(0), false
 	for ctx.Err() == nil {
 		asked, pace := f.Now(), f.Pace()
 		next, err := f.step(ctx, revision, listed, asked, pace.Wait)
 		switch {
 		case err == nil:
-			revision, listed, rest = next, true, firstPause
+			revision, listed, pause = next, true, firstPause
 			f.rest(ctx, pace.Least-f.Now().Sub(asked), nil)
 			f.rest(ctx, pace.Every-f.Now().Sub(asked), f.Hurry)
 		case errors.Is(err, kv.ErrCompacted):
 			listed = false
 		case ctx.Err() == nil:
 			f.Sink.Failed(err)
-			f.rest(ctx, time.Duration(float64(rest)*(0.5+rand.Float64())), nil)
-			rest = min(2*rest, max(longestPause, pace.Failing))
+			f.rest(ctx, time.Duration(float64(pause)*(0.5+rand.Float64())), nil)
+			pause = min(2*pause, max(longestPause, pace.Failing))
 		}
 	}
 }
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -4,9 +4,8 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"balsambarrow/internal/catalog"
+	"balsambarrow/internal/rendezvous"
 )
 
 // Why the hosts of one region share a bucket.
@@ -21,15 +20,7 @@
 // Owner picks the host of a region that holds a customer's bucket, by rendezvous:
 // hosts that know the same pool agree, and when one leaves only its customers
 // move. "" if the pool is empty.
-func Owner(customer string, pool []string) string {
-	best, most := "", uint64(0)
-	for _, host := range pool {
-		if x := xxhash.Sum64String(customer + "/" + host); best == "" || x > most {
-			best, most = host, x
-		}
-	}
-	return best
-}
+func Owner(customer string, pool []string) string { return rendezvous.Pick(customer, pool) }
 
 const (
 	// sparePart of a rate is split evenly over all hosts for those whose owner
