An object is warm for one route only; keys on routes without affinity bind nothing

Cause: what is warm was remembered by affinity key. Callers ask for an animal's history and its summary with the same key, and an upstream warms each apart, so one summary in eight was sent to where only the history was warm and took the cold time. Found by comparing answers' times with what had been answered before at each upstream (91 of 600 summaries cold by key, 20 by route and key). Ruled out: eviction at the upstreams (misses do not follow the number of objects between two uses), age (they do not follow the gap).

Keys on routes without affinity are now ignored: they were pinned for nothing.

--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -82,8 +82,12 @@
 
 func (h *Handler) query(q *request) place.Query {
 	homes, bound := catalog.Homes(q.route, q.customer)
+	object := q.Object
+	if !q.route.Affinity {
+		object = ""
+	}
 	return place.Query{
-		Service: q.service, Route: q.route.Name, Object: q.Object, Homes: homes, Bound: bound,
+		Service: q.service, Route: q.route.Name, Object: object, Homes: homes, Bound: bound,
 		Tried: q.tally.tried, BodyBytes: len(q.body.kept), Priority: catalog.Priority(q.route, q.customer),
 		Target: q.route.Target, Remaining: q.until.Sub(h.Now()),
 	}
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -20,7 +20,7 @@
 	Service string
 	// Route whose work and size of answer are looked up.
 	Route string
-	// Object is the affinity key; "" if there is none.
+	// Object is the affinity key; "" if the route has none.
 	Object string
 	// Homes are the regions that may run it, if Bound.
 	Homes []string
@@ -99,7 +99,7 @@
 	if len(open) == 0 {
 		return Choice{}, &NoneError{q.Service, reason}
 	}
-	object := objectOf(q.Object)
+	object := objectOf(q.Route, q.Object)
 	t.estimate(now, q, object, open)
 	t.holdBack(now, q.Service, open)
 	sort.Slice(open, func(i, j int) bool { return open[i].cost < open[j].cost })
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -326,3 +326,18 @@
 		table.Done(now, c, place.Report{Result: place.Answered, Took: 100 * time.Millisecond, Bytes: 1000})
 	}
 }
+
+// An animal's history and its summary are asked for with the same key, on two
+// routes. Callers saw one summary in eight take three times as long as usual: it
+// was sent to the upstream that had the history warm, and that has its own work
+// for each of the two. What one route has warmed says nothing about the other.
+func TestRoutesWarmApart(t *testing.T) {
+	g := NewWithT(t)
+	table := full(t, "a1")
+	history, summary := query("7"), query("7")
+	summary.Route = "other"
+	g.Expect(ask(t, table, start, history).Warm).To(BeFalse())
+	g.Expect(ask(t, table, start, history).Warm).To(BeTrue())
+	g.Expect(ask(t, table, start, summary).Warm).To(BeFalse())
+	g.Expect(ask(t, table, start, summary).Warm).To(BeTrue())
+}
--- a/internal/place/rank.go
+++ b/internal/place/rank.go
@@ -13,12 +13,18 @@
 	return x ^ x>>33
 }
 
-// objectOf hashes an affinity key; 0 stands for none.
-func objectOf(key string) Object {
+// objectOf hashes an affinity key and the route on which it came; 0 stands for
+// none.
+//
+// What one route has warmed at an upstream does not help another. With the key
+// alone, 91 of 600 summaries of a calm day at the cooperative were sent to where
+// only the history was warm; with the route, 20. The mean worth of its six days
+// was .5515 before and .5624 after, in trials without processor time.
+func objectOf(route, key string) Object {
 	if key == "" {
 		return 0
 	}
-	return Object(hash(key)) | 1
+	return Object(hash(route+"\x00"+key)) | 1
 }
 
 func hash(s string) uint64 { return xxhash.Sum64String(s) }
--- a/internal/place/worker.go
+++ b/internal/place/worker.go
@@ -29,7 +29,7 @@
 	warm map[Object]warmth
 }
 
-// Object is the hash of an affinity key.
+// Object is the hash of an affinity key and its route.
 type Object uint32
 
 // warmth is when an upstream last answered about an object, as far as this host
