Postings use kept connections for as long as upstreams keep them

Where upstreams forget connections after 0.3 s the bound was too long besides.

The bound is now what the upstream says, times 0.6, and a quarter of the rest time of a connection that turned out forgotten, for half a minute. A reset counts only if it came sooner than work could have been done.

--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -14,10 +14,6 @@
 )
 
 const (
-	// unsafeFreshFor bounds how long a kept connection may have been idle that
-	// carries a request which must not run twice: a close by the upstream that
-	// crosses it would leave its outcome unknown.
-	unsafeFreshFor = 2 * time.Second
 	// maxUnsent bounds how many upstreams that cannot be reached are tried
 	// beyond the attempts of the route. They have seen nothing.
 	maxUnsent = 2
@@ -205,15 +201,11 @@
 	if q.customer != nil {
 		f.Customer = q.customer.Name
 	}
-	out := &h1.Request{
+	return &h1.Request{
 		Method: q.http.Method, Target: target(q.http), Host: q.http.Host,
-		Header: h.Codec.Forward(q.http.Header, f), Body: q.body.reader(), Length: q.body.length,
+		Header: h.Codec.Forward(q.http.Header, f), Body: q.body.reader(), Length: q.body.length, Once: !q.route.Kind.Idempotent(),
 		Matches: func(r *http.Response) bool { return h.Codec.Answer(r).ID == q.ID },
 	}
-	if !q.route.Kind.Idempotent() {
-		out.FreshFor = unsafeFreshFor
-	}
-	return out
 }
 
 func (h *Handler) notSent(ctx context.Context, q *request, c place.Choice, err *h1.UnsentError) (outcome, *answer) {
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -24,6 +24,10 @@
 	keepFor   time.Duration
 	// connect is how long it took to be made; 0 once it has carried a request.
 	connect time.Duration
+	// roundTrip is how long it took to be made: the way there and back.
+	roundTrip time.Duration
+	// rested is how long it was idle before the request that it carries.
+	rested time.Duration
 }
 
 func newConn(c net.Conn, address string) *conn {
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -22,9 +23,9 @@
 	Length int64
 	// Matches tells whether an answer is that of this request.
 	Matches func(*http.Response) bool
-	// FreshFor bounds how long a kept connection may have been idle; 0: as
-	// long as the upstream keeps it.
-	FreshFor time.Duration
+	// Once says that the request must not run twice: it goes on a connection that
+	// the upstream has certainly not forgotten, as far as that can be known.
+	Once bool
 }
 
 const (
@@ -60,7 +61,7 @@
 // error is an *UnsentError or a *LostError. ctx bounds the whole exchange: when
 // it ends, the connection is closed, so that the upstream stops its work.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Reply, error) {
-	c, err := p.take(ctx, address, r.FreshFor)
+	c, err := p.take(ctx, address, r.Once)
 	if err != nil {
 		return nil, err
 	}
@@ -96,6 +97,11 @@
 	if r.Body != nil {
 		reply.written = writeBody(c, r)
 	}
+	sent := p.now()
+	if _, err := c.br.Peek(1); err != nil {
+		p.noteUnanswered(c, sent, err)
+		return nil, &LostError{c.address, c.kept, err}
+	}
 	resp, err := readAnswer(c, r) //nolint:bodyclose // Reply.Close ends the connection instead
 	if err != nil {
 		return nil, &LostError{c.address, c.kept, err}
@@ -104,6 +110,18 @@
 	return reply, nil
 }
 
+// noteUnanswered learns from a kept connection that was closed without a byte of
+// an answer, sooner than any work could have been done.
+func (p *Pool) noteUnanswered(c *conn, sent time.Time, err error) {
+	var failure net.Error
+	if !c.kept || errors.As(err, &failure) && failure.Timeout() {
+		return
+	}
+	if now := p.now(); now.Sub(sent) < c.roundTrip+bounceMargin {
+		p.rests.forgotten(now, c.rested)
+	}
+}
+
 func writeHead(b *bytes.Buffer, r *Request) {
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	// A bytes.Buffer takes every write.
--- a/internal/h1/h1_test.go
+++ b/internal/h1/h1_test.go
@@ -315,3 +315,96 @@
 		reply.Close(10 * time.Second)
 	}
 }
+
+// moved is a clock that a test moves by hand.
+type moved struct{ at atomic.Int64 }
+
+func (m *moved) now() time.Time            { return time.Unix(1000, m.at.Load()) }
+func (m *moved) advance(d time.Duration)   { m.at.Add(int64(d)) }
+func (m *moved) pool() *h1.Pool            { return h1.NewPool((&net.Dialer{}).DialContext, m.now) }
+func once(id string) *h1.Request           { r := request(id); r.Once = true; return r }
+func fails(_ string, err error) bool       { return err != nil }
+func succeeds(body string, err error) bool { return err == nil && body == "ok" }
+
+// forgetful answers the first request of each connection and resets it at the
+// second, after the work that before does.
+func forgetful(t *testing.T, conns *atomic.Int32, before func()) string {
+	return upstream(t, func(n int, c net.Conn, r *bufio.Reader) {
+		conns.Store(int32(n) + 1)
+		if q := readRequest(r); q != nil {
+			_, _ = io.WriteString(c, answerTo(q.Header.Get("Id"), "ok"))
+		}
+		if readRequest(r) != nil {
+			before()
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+	})
+}
+
+func faithful(t *testing.T, conns *atomic.Int32) string {
+	return upstream(t, func(n int, c net.Conn, r *bufio.Reader) {
+		conns.Store(int32(n) + 1)
+		for q := readRequest(r); q != nil; q = readRequest(r) {
+			_, _ = io.WriteString(c, answerTo(q.Header.Get("Id"), "ok"))
+		}
+	})
+}
+
+// Parents top up at an upstream of another region every few seconds. Each time a
+// new connection was made, which took as long as the way there and back, and the
+// answer was late by that; the upstream keeps connections for ten seconds and says
+// so.
+func TestPostingsUseKeptConnections(t *testing.T) {
+	g := NewWithT(t)
+	var conns atomic.Int32
+	address, clock := faithful(t, &conns), &moved{}
+	p := clock.pool()
+	for _, id := range []string{"1", "2", "3"} {
+		g.Expect(succeeds(send(t, p, address, once(id)))).To(BeTrue())
+		clock.advance(4 * time.Second)
+	}
+	g.Expect(conns.Load()).To(Equal(int32(1)))
+	clock.advance(4 * time.Second)
+	g.Expect(succeeds(send(t, p, address, once("4")))).To(BeTrue())
+	g.Expect(conns.Load()).To(Equal(int32(2)), "eight seconds are too close to its close")
+}
+
+// Upstreams forget connections that rested for a second. A lookup is reset and
+// asked again; the postings after it must not meet forgotten connections, at any
+// upstream, until a while has passed.
+func TestPostingsAvoidForgottenConnections(t *testing.T) {
+	g := NewWithT(t)
+	var forgetfulConns, conns atomic.Int32
+	bad, good, clock := forgetful(t, &forgetfulConns, func() {}), faithful(t, &conns), &moved{}
+	p := clock.pool()
+	g.Expect(succeeds(send(t, p, bad, request("1")))).To(BeTrue())
+	g.Expect(succeeds(send(t, p, good, once("2")))).To(BeTrue())
+	clock.advance(time.Second)
+	g.Expect(fails(send(t, p, bad, request("3")))).To(BeTrue())
+	g.Expect(succeeds(send(t, p, good, once("4")))).To(BeTrue())
+	g.Expect(conns.Load()).To(Equal(int32(2)), "the connection that rested is not used")
+	clock.advance(200 * time.Millisecond)
+	g.Expect(succeeds(send(t, p, good, once("5")))).To(BeTrue())
+	g.Expect(conns.Load()).To(Equal(int32(2)), "one that rested for a fifth of it is")
+	clock.advance(time.Minute)
+	g.Expect(succeeds(send(t, p, good, once("6")))).To(BeTrue())
+	clock.advance(time.Second)
+	g.Expect(succeeds(send(t, p, good, once("7")))).To(BeTrue())
+	g.Expect(conns.Load()).To(Equal(int32(3)), "after a minute it is forgotten itself")
+}
+
+// An upstream runs a lookup and its answer is lost by a reset. That says nothing
+// about connections that rest.
+func TestResetAfterWorkIsNoForgottenConnection(t *testing.T) {
+	g := NewWithT(t)
+	var badConns, conns atomic.Int32
+	clock := &moved{}
+	bad, good := forgetful(t, &badConns, func() { clock.advance(50 * time.Millisecond) }), faithful(t, &conns)
+	p := clock.pool()
+	g.Expect(succeeds(send(t, p, bad, request("1")))).To(BeTrue())
+	g.Expect(succeeds(send(t, p, good, once("2")))).To(BeTrue())
+	clock.advance(time.Second)
+	g.Expect(fails(send(t, p, bad, request("3")))).To(BeTrue())
+	g.Expect(succeeds(send(t, p, good, once("4")))).To(BeTrue())
+	g.Expect(conns.Load()).To(Equal(int32(1)))
+}
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -26,6 +26,8 @@
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	now  func() time.Time
 
+	rests rests
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
@@ -36,12 +38,16 @@
 }
 
 // take returns a connection: the one used last, since it is the least likely
-// to be closed by the upstream, or a new one. youngerThan bounds how long a
-// kept one may have been idle; 0: as long as the upstream keeps it.
-func (p *Pool) take(ctx context.Context, address string, youngerThan time.Duration) (*conn, error) {
+// to be closed by the upstream, or a new one. once is that of a Request.
+func (p *Pool) take(ctx context.Context, address string, once bool) (*conn, error) {
 	for c := p.pop(address); c != nil; c = p.pop(address) {
-		age := p.now().Sub(c.idleSince)
-		if age < c.keepFor && (youngerThan == 0 || age < youngerThan) && c.silent() {
+		now := p.now()
+		c.rested = now.Sub(c.idleSince)
+		allowed := c.keepFor
+		if once {
+			allowed = p.rests.allowed(now, c.keepFor)
+		}
+		if c.rested < allowed && c.silent() {
 			return c, nil
 		}
 		_ = c.Close()
@@ -53,6 +59,7 @@
 	}
 	c := newConn(raw, address)
 	c.connect = p.now().Sub(began)
+	c.roundTrip = c.connect
 	return c, nil
 }
 
