A reset shows a forgotten connection only if no busy one is reset too

Cause: upstreams that lose answers reset connections at once, before any work could have been done, so the timing does not tell them from upstreams that forget idle connections.

Each upstream now speaks for itself, all for each other once two have shown it, and none while connections that had hardly rested are reset too.

--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -118,7 +118,7 @@
 		return
 	}
 	if now := p.now(); now.Sub(sent) < c.roundTrip+bounceMargin {
-		p.rests.forgotten(now, c.rested)
+		p.rests.reset(now, c.address, c.rested)
 	}
 }
 
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -45,7 +45,7 @@
 		c.rested = now.Sub(c.idleSince)
 		allowed := c.keepFor
 		if once {
-			allowed = p.rests.allowed(now, c.keepFor)
+			allowed = p.rests.allowed(now, address, c.keepFor)
 		}
 		if c.rested < allowed && c.silent() {
 			return c, nil
