One store, one client, one stand-in

Cause: balsambarrowd SETTINGS spoke to a stand-in with calls of its own and a host list beside the store; the users' platform has neither. Two clients, two sets of errors and two stand-ins said nearly the same.

kv.Store is the port for both daemons, platform.Store its only client and standin.KVStore its only stand-in. The host list lies in the store, read as a listing that may be stale; it is answered where a store without leader answers nothing else. Configuration is followed by watches from the store's revision, listed again after a compaction, and a watch that brought nothing confirms a second less, since it may have been deaf.

--- a/cmd/balsambarrowd/stop_test.go
+++ b/cmd/balsambarrowd/stop_test.go
@@ -65,7 +65,7 @@
 // process must end with exit code 0.
 func TestSecondSIGTERMCutsNoRequest(t *testing.T) {
 	g := NewWithT(t)
-	platform := httptest.NewServer(standin.NewPlatform(nil))
+	platform := httptest.NewServer(standin.NewKVStore())
 	defer platform.Close()
 	worker := httptest.NewServer(standin.NewUpstream(standin.UpstreamOptions{Slots: 4, ServiceTime: 16 * time.Second}))
 	defer worker.Close()
--- a/cmd/balsamlab/serve.go
+++ b/cmd/balsamlab/serve.go
@@ -17,11 +17,16 @@
 	"github.com/spf13/cobra"
 
 	"balsambarrow/internal/config"
-	"balsambarrow/internal/platform"
+	"balsambarrow/internal/membership"
 	"balsambarrow/internal/standin"
+	"balsambarrow/platform"
 )
 
-const readHeaderTimeout = 10 * time.Second
+const (
+	readHeaderTimeout = 10 * time.Second
+	// storeBound bounds one call to the stand-in of the store.
+	storeBound = 5 * time.Second
+)
 
 func untilSignal() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -55,12 +60,12 @@
 	var listen, file string
 	cmd := &cobra.Command{
 		Use:   "platform",
-		Short: "Serve the platform's store and host list",
+		Short: "Serve the platform's store",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			ctx, stop := untilSignal()
 			defer stop()
-			address, err := serve(listen, standin.NewPlatform(nil))
+			address, err := serve(listen, standin.NewKVStore())
 			if err != nil {
 				return err
 			}
@@ -78,13 +83,16 @@
 
 func hostCommand() *cobra.Command {
 	var url string
-	host := platform.Host{State: platform.HostLive}
+	host := membership.Host{State: membership.HostLive}
 	cmd := &cobra.Command{
 		Use:   "host",
-		Short: "Write one line of the platform's host list",
+		Short: "Write one line of the host list into the platform's store",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return platform.NewClient(url, 5*time.Second, nil).SetHost(cmd.Context(), host)
+			ctx, cancel := context.WithTimeout(cmd.Context(), storeBound)
+			defer cancel()
+			store := platform.NewStore(url, (&net.Dialer{}).DialContext, func(string, error) {})
+			return store.Put(ctx, membership.HostKey(host.Name), host.Value(), 0)
 		},
 	}
 	cmd.Flags().StringVar(&url, "platform", "", "the platform's URL")
--- a/internal/config/fuzz_test.go
+++ b/internal/config/fuzz_test.go
@@ -10,20 +10,20 @@
 
 	"balsambarrow/internal/config"
 	"balsambarrow/internal/jsonc"
-	"balsambarrow/internal/platform"
+	"balsambarrow/internal/kv"
 )
 
 // held is a store of one value.
 type held struct {
-	platform.Store
+	kv.Store
 	value []byte
 }
 
-func (h *held) Get(context.Context, string) (platform.Entry, error) {
-	return platform.Entry{Revision: 1, Value: h.value}, nil
+func (h *held) Get(context.Context, string) (kv.Item, error) {
+	return kv.Item{Revision: 1, Value: h.value}, nil
 }
 
-func (h *held) Swap(_ context.Context, _ string, _ uint64, value []byte, _ string) (uint64, error) {
+func (h *held) Swap(_ context.Context, _ string, _ uint64, value []byte, _ uint64) (uint64, error) {
 	h.value = value
 	return 2, nil
 }
--- a/internal/config/repository.go
+++ b/internal/config/repository.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"balsambarrow/internal/platform"
+	"balsambarrow/internal/kv"
 )
 
 // StoreKey is the store's key of the one value that holds the configuration.
@@ -44,12 +44,12 @@
 
 // Repository reads and writes the configuration in the platform's store.
 type Repository struct {
-	store platform.Store
+	store kv.Store
 	now   func() time.Time
 }
 
 // NewRepository returns a repository over store.
-func NewRepository(store platform.Store, now func() time.Time) *Repository {
+func NewRepository(store kv.Store, now func() time.Time) *Repository {
 	return &Repository{store: store, now: now}
 }
 
@@ -57,7 +57,7 @@
 // that none was ever written.
 func (r *Repository) Load(ctx context.Context) (*Record, uint64, error) {
 	e, err := r.store.Get(ctx, StoreKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kv.ErrNotFound) {
 		return nil, 0, nil
 	}
 	if err != nil {
@@ -95,22 +95,22 @@
 // try names the same revision, so at most one of them takes effect, and a try
 // that comes late finds another revision.
 func (r *Repository) write(ctx context.Context, next *Record, revision uint64, p Patch) (Applied, error) {
-	if len(next.raw) > platform.MaxValueBytes {
-		return Applied{}, &TooLargeError{Bytes: len(next.raw), Limit: platform.MaxValueBytes}
+	if len(next.raw) > kv.MaxValueBytes {
+		return Applied{}, &TooLargeError{Bytes: len(next.raw), Limit: kv.MaxValueBytes}
 	}
 	doubt := false
 	for try := range writeTries {
 		if try > 0 {
 			pause(ctx, writePause)
 		}
-		_, err := r.store.Swap(ctx, StoreKey, revision, next.raw, "")
-		var conflict *platform.ConflictError
+		_, err := r.store.Swap(ctx, StoreKey, revision, next.raw, 0)
+		var conflict *kv.ConflictError
 		switch {
 		case err == nil:
 			return Applied{Record: next, Version: next.Version}, nil
 		case errors.As(err, &conflict):
 			return r.afterConflict(ctx, p, doubt)
-		case errors.Is(err, platform.ErrOutcomeUnknown):
+		case errors.Is(err, kv.ErrUnknown):
 			doubt = true
 		case !doubt:
 			return Applied{}, errors.Wrap(ErrNotApplied, err.Error())
--- a/internal/config/repository_test.go
+++ b/internal/config/repository_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -15,8 +16,9 @@
 
 	"balsambarrow/internal/config"
 	"balsambarrow/internal/jsonc"
-	"balsambarrow/internal/platform"
+	"balsambarrow/internal/kv"
 	"balsambarrow/internal/standin"
+	"balsambarrow/platform"
 )
 
 func TestRepository(t *testing.T) {
@@ -34,7 +36,7 @@
 
 // bench is a repository over a stand-in that holds version 1.
 type bench struct {
-	store *standin.Platform
+	store *standin.KVStore
 	repo  *config.Repository
 }
 
@@ -55,18 +57,22 @@
 	return rec
 }
 
+func newClient(url string) *platform.Store {
+	return platform.NewStore(url, (&net.Dialer{}).DialContext, func(string, error) {})
+}
+
 var _ = Describe("a change", func() {
 	var b *bench
 
 	BeforeEach(func() {
-		b = &bench{store: standin.NewPlatform(nil)}
+		b = &bench{store: standin.NewKVStore()}
 		server := httptest.NewServer(b.store)
-		client := platform.NewClient(server.URL, time.Second, nil)
+		client := newClient(server.URL)
 		DeferCleanup(func() {
 			client.Close()
 			server.Close()
 		})
-		b.repo = config.NewRepository(client, time.Now)
+		b.repo = config.NewRepository(kv.Bounded(client, time.Second), time.Now)
 		b.mustApply("first", 0, fmt.Sprintf(base, 1, 2))
 	})
 
@@ -204,7 +210,7 @@
 	)
 
 	It("is refused with its size where the store cannot hold it", func() {
-		_, err := b.apply("a", 1, manyCustomers(platform.MaxValueBytes))
+		_, err := b.apply("a", 1, manyCustomers(kv.MaxValueBytes))
 		var tooLarge *config.TooLargeError
 		Expect(errors.As(err, &tooLarge)).To(BeTrue(), "got %v", err)
 		Expect(tooLarge.Bytes).To(BeNumerically(">", tooLarge.Limit))
@@ -213,7 +219,7 @@
 
 	It("is of unknown outcome, and no other, where no answer comes", func() {
 		b.store.SetFaults(standin.Faults{LoseAnswers: 1})
-		slow := config.NewRepository(&deaf{Store: platform.NewClient("http://127.0.0.1:1", time.Second, nil), rec: b.record()}, time.Now)
+		slow := config.NewRepository(&deaf{Store: kv.Bounded(newClient("http://127.0.0.1:1"), time.Second), rec: b.record()}, time.Now)
 		_, err := slow.Apply(context.Background(), config.Patch{ChangeID: "a", Base: 1, Merge: json.RawMessage(rate20)})
 		Expect(errors.Is(err, config.ErrOutcomeUnknown)).To(BeTrue(), "got %v", err)
 	})
@@ -222,21 +228,21 @@
 // deaf is a store that can be read and answers no write: the first may have
 // taken effect, the later ones find it unreachable.
 type deaf struct {
-	platform.Store
+	kv.Store
 	rec    *config.Record
 	writes int
 }
 
-func (d *deaf) Get(context.Context, string) (platform.Entry, error) {
+func (d *deaf) Get(context.Context, string) (kv.Item, error) {
 	value, err := d.rec.Encode()
-	return platform.Entry{Revision: 1, Value: value}, err
+	return kv.Item{Revision: 1, Value: value}, err
 }
 
-func (d *deaf) Swap(context.Context, string, uint64, []byte, string) (uint64, error) {
+func (d *deaf) Swap(context.Context, string, uint64, []byte, uint64) (uint64, error) {
 	if d.writes++; d.writes == 1 {
-		return 0, platform.ErrOutcomeUnknown
+		return 0, kv.ErrUnknown
 	}
-	return 0, platform.ErrUnavailable
+	return 0, kv.ErrUnavailable
 }
 
 // manyCustomers is a valid patch of at least so many bytes.
--- a/internal/config/size_test.go
+++ b/internal/config/size_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"balsambarrow/internal/config"
-	"balsambarrow/internal/platform"
+	"balsambarrow/internal/kv"
 )
 
 // sizes of documents, in customers with one key each.
@@ -99,7 +99,7 @@
 				}
 			}
 			b.ReportMetric(float64(len(raw)), "record-bytes")
-			b.ReportMetric(100*float64(len(raw))/platform.MaxValueBytes, "%-of-store-limit")
+			b.ReportMetric(100*float64(len(raw))/kv.MaxValueBytes, "%-of-store-limit")
 		})
 	}
 }
--- a/internal/daemon/adoption_test.go
+++ b/internal/daemon/adoption_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"balsambarrow/internal/config"
-	"balsambarrow/internal/platform"
+	"balsambarrow/internal/kv"
 	"balsambarrow/internal/settings"
 	"balsambarrow/internal/telemetry"
 )
@@ -32,44 +32,44 @@
 
 // faultyStore is a store of one value whose writes meet a given fate.
 type faultyStore struct {
-	platform.Store
-	entry  platform.Entry
+	kv.Store
+	entry  kv.Item
 	fates  []fate
 	late   []func()
 	onSwap func(value []byte)
 }
 
-func (s *faultyStore) Get(context.Context, string) (platform.Entry, error) {
+func (s *faultyStore) Get(context.Context, string) (kv.Item, error) {
 	if s.entry.Revision == 0 {
-		return platform.Entry{}, platform.ErrNotFound
+		return kv.Item{}, kv.ErrNotFound
 	}
 	return s.entry, nil
 }
 
-func (s *faultyStore) Swap(_ context.Context, _ string, revision uint64, value []byte, _ string) (uint64, error) {
+func (s *faultyStore) Swap(_ context.Context, _ string, revision uint64, value []byte, _ uint64) (uint64, error) {
 	f := fateDone
 	if len(s.fates) > 0 {
 		f, s.fates = s.fates[0], s.fates[1:]
 	}
 	write := func() error {
 		if s.entry.Revision != revision {
-			return &platform.ConflictError{Current: s.entry.Revision}
+			return &kv.ConflictError{Current: s.entry.Revision}
 		}
-		s.entry = platform.Entry{Revision: revision + 1, Value: value}
+		s.entry = kv.Item{Revision: revision + 1, Value: value}
 		s.onSwap(value)
 		return nil
 	}
 	switch f {
 	case fateAnswerLost:
 		_ = write()
-		return 0, platform.ErrOutcomeUnknown
+		return 0, kv.ErrUnknown
 	case fateLost:
-		return 0, platform.ErrOutcomeUnknown
+		return 0, kv.ErrUnknown
 	case fateLate:
 		s.late = append(s.late, func() { _ = write() })
-		return 0, platform.ErrOutcomeUnknown
+		return 0, kv.ErrUnknown
 	case fateDown:
-		return 0, platform.ErrUnavailable
+		return 0, kv.ErrUnavailable
 	default:
 		return s.entry.Revision, write()
 	}
--- a/internal/daemon/capacity_test.go
+++ b/internal/daemon/capacity_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"runtime"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -65,8 +67,8 @@
 			t.Logf("per daemon: %.0f B/s with peers, %.3f%% of a core, %.0f KB; store calls per second in all:",
 				per(float64(f.network.bytes.Load()-bytes))/float64(n),
 				100*per((processorTime()-cpu).Seconds())/float64(n), float64(heapInUse()-before)/1024/float64(n))
-			for _, kind := range []string{"get", "list", "watch", "renew", "hosts", "swap", "grant"} {
-				t.Logf("    %-6s %.1f", kind, per(float64(after[kind]-calls[kind])))
+			for _, kind := range slices.Sorted(maps.Keys(after)) {
+				t.Logf("    %-12s %.1f", kind, per(float64(after[kind]-calls[kind])))
 			}
 		})
 	}
--- a/internal/daemon/config_measure_test.go
+++ b/internal/daemon/config_measure_test.go
@@ -60,11 +60,11 @@
 	}{
 		{"healthy", "vt-a-1", func(*fleet) {}},
 		{"healthy, submitted far from the store", "ma-b-1", func(*fleet) {}},
-		{"store slow by 500 ms", "vt-a-1", func(f *fleet) { f.platform.SetFaults(standin.Faults{DelayMs: 500}) }},
+		{"store slow by 500 ms", "vt-a-1", func(f *fleet) { f.platform.SetFaults(standin.Faults{Delay: 500 * time.Millisecond}) }},
 		{"one zone reached only through peers", "vt-a-1", func(f *fleet) { f.network.cut("ma-b-1", "platform") }},
 		{"both", "vt-a-1", func(f *fleet) {
 			f.network.cut("ma-b-1", "platform")
-			f.platform.SetFaults(standin.Faults{DelayMs: 500})
+			f.platform.SetFaults(standin.Faults{Delay: 500 * time.Millisecond})
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -207,7 +207,7 @@
 		cut    bool
 	}{
 		{"healthy", standin.Faults{}, false},
-		{"store slow by 500 ms", standin.Faults{DelayMs: 500}, false},
+		{"store slow by 500 ms", standin.Faults{Delay: 500 * time.Millisecond}, false},
 		{"one zone reached only through peers", standin.Faults{}, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/daemon/config_peers.go
+++ b/internal/daemon/config_peers.go
@@ -206,10 +206,7 @@
 // that they know in turn, and returns what the reachable ones answered.
 func (d *Daemon) surveyPeers(ctx context.Context, known map[string]bool, have uint64) []pulled {
 	if len(known) == 0 || have == 0 {
-		hosts, err := d.hostList.Hosts(ctx)
-		if err != nil {
-			d.log.Debug("hosts_not_listed", "err", err)
-		}
+		hosts, _ := d.readHosts(ctx)
 		for _, h := range hosts {
 			known[h.Peers] = true
 		}
--- a/internal/daemon/config_store.go
+++ b/internal/daemon/config_store.go
@@ -7,8 +7,8 @@
 	"github.com/pkg/errors"
 
 	"balsambarrow/internal/config"
+	"balsambarrow/internal/kv"
 	"balsambarrow/internal/membership"
-	"balsambarrow/internal/platform"
 )
 
 // Timing of the calls for the configuration. Each call counts against the
@@ -25,7 +25,10 @@
 	// takeOverAfter is how long a zone may be without a watcher that reaches
 	// the store before the others try: two heartbeats.
 	takeOverAfter = 2 * membership.BeatEvery
-	// checkWait is the wait of a watch that only asks for the revision.
+	// watchDeaf is how long a watch may hear nothing of changes that are made, by the
+	// platform's account of its store.
+	watchDeaf = time.Second
+	// checkWait is the wait of a watch that only asks whether there is a change.
 	checkWait = time.Millisecond
 	// checkEvery spreads the calls of a zone without a watcher: one in as long,
 	// however many daemons the zone has.
@@ -40,9 +43,10 @@
 	// said that it reaches the store.
 	failing bool
 	watched time.Time
-	// revision was read last and held version.
-	revision uint64
-	version  uint64
+	// after is the store's revision to watch on from; 0: read the value. version is
+	// the one that was read last.
+	after   uint64
+	version uint64
 }
 
 // readStore starts the next call if one is due: always at the zone's watcher
@@ -65,8 +69,8 @@
 		return
 	}
 	s.busy = true
-	revision := s.revision
-	c.d.spawn(func(ctx context.Context) { c.send(c.d.readConfig(ctx, revision, wait)) })
+	after := s.after
+	c.d.spawn(func(ctx context.Context) { c.send(c.d.readConfig(ctx, after, wait)) })
 }
 
 // zoneWatch is this daemon's part in its zone's watch on the store.
@@ -106,31 +110,55 @@
 
 // storeRead: a call to the store for the configuration ended.
 type storeRead struct {
-	revision uint64
-	// found is empty where the revision is the one known already.
+	// after is the store's revision to watch on from; 0: read the value again.
+	after uint64
+	// found is empty where the value has not changed.
 	found candidate
-	// at is a time at which the store held this revision.
+	// at is a time at which the store held this value.
 	at  time.Time
 	err error
 }
 
-func (d *Daemon) readConfig(ctx context.Context, revision uint64, wait time.Duration) storeRead {
+// readConfig reads the value, or waits for a change of it after a revision.
+func (d *Daemon) readConfig(ctx context.Context, after uint64, wait time.Duration) storeRead {
 	asked := time.Now()
-	if revision == 0 {
-		entry, err := d.store.Get(ctx, config.StoreKey)
-		return newStoreRead(entry, asked, err)
+	if after == 0 {
+		l, err := d.store.List(ctx, config.StoreKey, false)
+		return newStoreRead(configIn(l.Items), l.Revision, asked, err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
 	defer cancel()
-	entry, err := d.store.Watch(ctx, config.StoreKey, revision, wait)
-	if err == nil && entry.Revision == revision {
-		return storeRead{revision: revision, at: unchangedUntil(asked, time.Now(), wait)}
+	changes, err := d.store.Watch(ctx, config.StoreKey, after, wait)
+	if errors.Is(err, kv.ErrCompacted) {
+		return d.readConfig(ctx, 0, wait)
 	}
-	return newStoreRead(entry, asked, err)
+	if err != nil {
+		return storeRead{after: after, err: err}
+	}
+	var items []kv.Item
+	for _, e := range changes.Events {
+		if e.Key == config.StoreKey {
+			items = []kv.Item{e.Item}
+		}
+	}
+	if len(items) == 0 {
+		return storeRead{after: changes.Revision, at: unchangedUntil(asked, time.Now(), wait).Add(-watchDeaf)}
+	}
+	return newStoreRead(&items[0], changes.Revision, asked, nil)
 }
 
-// unchangedUntil is when the store still held the revision: it answers so only
-// after the wait, which began no earlier than the call.
+// configIn finds the value among what a listing brought; nil: there is none.
+func configIn(items []kv.Item) *kv.Item {
+	for i := range items {
+		if items[i].Key == config.StoreKey {
+			return &items[i]
+		}
+	}
+	return nil
+}
+
+// unchangedUntil is when a watch that brought nothing ended: it answers only after
+// the wait, which began no earlier than the call.
 func unchangedUntil(asked, answered time.Time, wait time.Duration) time.Time {
 	if answered.Sub(asked) < wait {
 		return asked
@@ -138,12 +166,16 @@
 	return asked.Add(wait)
 }
 
-func newStoreRead(entry platform.Entry, asked time.Time, err error) storeRead {
-	r := storeRead{revision: entry.Revision, at: asked, err: err}
+func newStoreRead(item *kv.Item, after uint64, asked time.Time, err error) storeRead {
+	r := storeRead{after: after, at: asked, err: err}
 	if err != nil {
 		return r
 	}
-	record, err := config.ParseRecord(entry.Value)
+	if item == nil || len(item.Value) == 0 {
+		r.err = errors.Wrap(kv.ErrNotFound, config.StoreKey)
+		return r
+	}
+	record, err := config.ParseRecord(item.Value)
 	if err != nil {
 		r.err = err
 		return r
@@ -155,13 +187,14 @@
 func (m storeRead) apply(c *control) {
 	s := &c.config.store
 	s.busy = false
-	s.failing = errors.Is(m.err, platform.ErrUnavailable)
+	s.failing = errors.Is(m.err, kv.ErrUnavailable)
+	s.after = m.after
 	if m.err != nil {
 		m.failed(c)
 		return
 	}
 	if m.found.record != nil {
-		s.revision, s.version = m.revision, m.found.record.Version
+		s.version = m.found.record.Version
 		c.adopt(m.found)
 	}
 	if s.version < c.config.version() && m.found.record != nil {
@@ -179,9 +212,8 @@
 	s := &c.config.store
 	s.next = later(s.next, now.Add(watchPause))
 	switch {
-	case errors.Is(m.err, platform.ErrNotFound):
+	case errors.Is(m.err, kv.ErrNotFound):
 		// The store answers, and holds no configuration.
-		s.revision = 0
 		c.caughtUp(m.at)
 	case errors.Is(m.err, config.ErrBadRecord):
 		c.d.log.Error("config_unreadable", "err", m.err)
--- a/internal/daemon/config_test.go
+++ b/internal/daemon/config_test.go
@@ -18,17 +18,17 @@
 	"balsambarrow/internal/membership"
 	"balsambarrow/internal/operator"
 	"balsambarrow/internal/operator/ctl"
-	"balsambarrow/internal/platform"
 	"balsambarrow/internal/settings"
 	"balsambarrow/internal/standin"
 	"balsambarrow/internal/telemetry"
 	"balsambarrow/internal/wire"
+	"balsambarrow/platform"
 )
 
 // storeClient reaches the platform as nobody's daemon: what it writes is known
 // to the fleet through the store alone.
-func (f *fleet) storeClient() *platform.Client {
-	client := platform.NewClient(f.url, time.Second, nil)
+func (f *fleet) storeClient() *platform.Store {
+	client := platform.NewStore(f.url, (&net.Dialer{}).DialContext, func(string, error) {})
 	f.t.Cleanup(client.Close)
 	return client
 }
@@ -133,7 +133,7 @@
 func TestColdStartTakesTheHighestVersionOfItsPeers(t *testing.T) {
 	t.Parallel()
 	for name, faults := range map[string]standin.Faults{
-		"store out":               {StoreDown: true},
+		"store out":               {StaleOnly: true},
 		"store and host list out": {Down: true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -142,7 +142,7 @@
 			old := f.start("vt-1", "vt-a")
 			newer := f.start("vt-2", "vt-a")
 			peers := freeAddress(f.g)
-			f.platform.SetHost(platform.Host{Name: "me-1", Zone: "me-a", State: platform.HostLive, Peers: peers})
+			f.list(membership.Host{Name: "me-1", Zone: "me-a", Peers: peers})
 			first := f.apply("vt-1", twoRegions())
 			f.awaitReady(first)
 			f.g.Eventually(func() int { return len(old.View().Fleet.Hosts) }, settle).Should(Equal(2))
@@ -218,7 +218,7 @@
 	g.Eventually(f.version("vt-1"), settle).Should(Equal(version))
 	now, err := store.Get(context.Background(), config.StoreKey)
 	g.Expect(err).NotTo(HaveOccurred())
-	_, err = store.Swap(context.Background(), config.StoreKey, now.Revision, before.Value, "")
+	_, err = store.Swap(context.Background(), config.StoreKey, now.Revision, before.Value, 0)
 	g.Expect(err).NotTo(HaveOccurred())
 
 	g.Consistently(f.version("vt-1")).Should(Equal(version))
@@ -245,7 +245,7 @@
 	now, err := store.Get(context.Background(), config.StoreKey)
 	g.Expect(err).NotTo(HaveOccurred())
 	record := fmt.Sprintf(`{"version":%d,"document":{"new_section":{}},"changes":[]}`, version+1)
-	_, err = store.Swap(context.Background(), config.StoreKey, now.Revision, []byte(record), "")
+	_, err = store.Swap(context.Background(), config.StoreKey, now.Revision, []byte(record), 0)
 	g.Expect(err).NotTo(HaveOccurred())
 
 	status := func() operator.DaemonStatus {
@@ -281,7 +281,7 @@
 	f := newFleet(t)
 	f.start("vt-1", "vt-a")
 	f.start("me-1", "me-a")
-	f.platform.SetHost(platform.Host{Name: "me-2", Zone: "me-a", State: platform.HostLive, Peers: "127.0.0.1:1"})
+	f.list(membership.Host{Name: "me-2", Zone: "me-a", Peers: "127.0.0.1:1"})
 	f.awaitReady(f.apply("vt-1", twoRegions()))
 	g.Eventually(func() int64 { return f.status("vt-1", "me-1").ConfirmedMs }, settle).Should(BeNumerically(">=", 0))
 	f.kill("me-1")
--- a/internal/daemon/confirm_test.go
+++ b/internal/daemon/confirm_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"balsambarrow/internal/config"
+	"balsambarrow/internal/kv"
 	"balsambarrow/internal/membership"
 	"balsambarrow/internal/view"
 )
@@ -48,6 +50,27 @@
 	g.Expect(unchangedUntil(asked, asked.Add(time.Second), 2*time.Second)).To(Equal(asked))
 }
 
+// deafStore is a store whose watches bring nothing, although the key has changed.
+type deafStore struct{ kv.Store }
+
+func (deafStore) Watch(_ context.Context, _ string, after uint64, _ time.Duration) (kv.Changes, error) {
+	return kv.Changes{Revision: after}, nil
+}
+
+// The store drops its history, and its watches hear nothing of changes for a second
+// before. A key was withdrawn in that second. A watch that brought nothing must not
+// confirm the version for the time in which it may have been deaf.
+func TestWatchConfirmsNothingOfItsLastSecond(t *testing.T) {
+	g := NewWithT(t)
+	c := idleControl(t)
+	t.Cleanup(c.d.Kill)
+	c.d.store = deafStore{}
+	read := c.d.readConfig(context.Background(), 7, 0)
+	g.Expect(read.err).NotTo(HaveOccurred())
+	g.Expect(read.after).To(Equal(uint64(7)))
+	g.Expect(read.at).To(BeTemporally("<=", time.Now().Add(-watchDeaf)))
+}
+
 // A host is frozen for ten seconds and goes on. A key may have been withdrawn
 // meanwhile, so it must admit nobody until it has compared its version; a
 // comparison that began before the freeze does not count.
@@ -65,7 +88,7 @@
 	g.Expect(c.d.view.Load().Current(resumed)).To(BeFalse(), "before the control thread has turned")
 	c.publish(resumed)
 	g.Expect(c.d.view.Load().Current(resumed)).To(BeFalse(), "after it has turned")
-	storeRead{revision: 1, found: examine(record), at: start}.apply(c)
+	storeRead{after: 1, found: examine(record), at: start}.apply(c)
 	c.publish(resumed)
 	g.Expect(c.d.view.Load().Current(resumed)).To(BeFalse(), "an answer from before the pause")
 	surveyDone{started: resumed}.apply(c)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,11 +14,11 @@
 
 	"balsambarrow/internal/config"
 	"balsambarrow/internal/entry"
+	"balsambarrow/internal/kv"
 	"balsambarrow/internal/lookup"
 	"balsambarrow/internal/membership"
 	"balsambarrow/internal/operator"
 	"balsambarrow/internal/peer"
-	"balsambarrow/internal/platform"
 	"balsambarrow/internal/posting"
 	"balsambarrow/internal/quota"
 	"balsambarrow/internal/relay"
@@ -27,6 +27,7 @@
 	"balsambarrow/internal/telemetry"
 	"balsambarrow/internal/upstream"
 	"balsambarrow/internal/view"
+	"balsambarrow/platform"
 )
 
 // Bounds of slow callers, on every HTTP listener. Bodies are bounded where
@@ -58,9 +59,8 @@
 	metrics  *telemetry.Metrics
 	identity membership.Member
 
-	store    platform.Store
-	hostList platform.HostList
-	platform *platform.Client
+	store    kv.Store
+	platform *platform.Store
 	security security
 	peers    *peer.Listener
 	conns    *peer.Conns
@@ -87,6 +87,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if opts.Dial == nil {
+		opts.Dial = (&net.Dialer{}).DialContext
+	}
 	if opts.LookupTTL == 0 {
 		opts.LookupTTL = lookup.TTL
 	}
@@ -98,7 +101,6 @@
 	d := &Daemon{
 		settings: s, options: opts, tracing: tracing, metrics: telemetry.NewMetrics(),
 		log:      logger.With("host", s.Host, "zone", s.Zone),
-		platform: platform.NewClient(s.Platform.URL, s.PlatformTimeout(), opts.Dial),
 		security: secured,
 		conns:    peer.NewConns(opts.Dial, secured.client()),
 		client:   upstream.NewClient(opts.Dial),
@@ -110,7 +112,8 @@
 		errs:        make(chan error, 4),
 		gauge:       entry.NewGauge(s.Limits.MaxRunning),
 	}
-	d.store, d.hostList = platform.Counted(d.platform, d.metrics.StoreCall), d.platform
+	d.platform = platform.NewStore(s.Platform.URL, opts.Dial, d.metrics.StoreCall)
+	d.store = kv.Bounded(d.platform, s.PlatformTimeout())
 	d.registerGauges()
 	d.identity = membership.Member{Instance: instance, Host: s.Host, Zone: s.Zone}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"balsambarrow/internal/membership"
-	"balsambarrow/internal/platform"
 	"balsambarrow/internal/view"
 )
 
@@ -38,7 +37,7 @@
 }
 
 // listedHosts notes the platform's host list.
-func (c *control) listedHosts(list []platform.Host, now time.Time) {
+func (c *control) listedHosts(list []membership.Host, now time.Time) {
 	c.fleet.listedAt = now
 	for name, h := range c.fleet.hosts {
 		h.Listed = false
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -22,7 +22,6 @@
 	"balsambarrow/internal/daemon"
 	"balsambarrow/internal/membership"
 	"balsambarrow/internal/operator/ctl"
-	"balsambarrow/internal/platform"
 	"balsambarrow/internal/quota"
 	"balsambarrow/internal/settings"
 	"balsambarrow/internal/standin"
@@ -38,7 +37,7 @@
 type fleet struct {
 	t         testing.TB
 	g         *WithT
-	platform  *standin.Platform
+	platform  *standin.KVStore
 	url       string
 	upstreams map[string]*standin.Upstream
 	daemons   map[string]*daemon.Daemon
@@ -121,7 +120,7 @@
 
 func newFleet(t testing.TB) *fleet {
 	f := &fleet{
-		t: t, g: NewWithT(t), platform: standin.NewPlatform(nil),
+		t: t, g: NewWithT(t), platform: standin.NewKVStore(),
 		upstreams: map[string]*standin.Upstream{}, daemons: map[string]*daemon.Daemon{},
 		network: &network{sides: map[string]string{}, cuts: map[[2]string]bool{}, conns: map[[2]string][]net.Conn{}},
 		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
@@ -174,11 +173,17 @@
 	f.network.mu.Lock()
 	f.network.sides[id.Peers], f.network.sides[id.Relay] = host, host
 	f.network.mu.Unlock()
-	f.platform.SetHost(platform.Host{Name: host, Zone: zone, State: platform.HostLive, Peers: id.Peers})
+	f.list(membership.Host{Name: host, Zone: zone, Peers: id.Peers})
 	f.daemons[host] = d
 	return d
 }
 
+// list enters a host in the host list.
+func (f *fleet) list(h membership.Host) {
+	h.State = membership.HostLive
+	f.platform.Put(membership.HostKey(h.Name), h.Value())
+}
+
 // kill ends a daemon as a crash would.
 func (f *fleet) kill(host string) {
 	f.daemons[host].Kill()
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -7,7 +7,6 @@
 
 	"balsambarrow/internal/membership"
 	"balsambarrow/internal/peer"
-	"balsambarrow/internal/platform"
 )
 
 // callTimeout bounds one control call to a peer.
@@ -21,9 +20,9 @@
 	// list shows late is known by gossip before.
 	hostsShare = 20 * time.Millisecond
 	// confirmWithin is the age of the configuration's confirmation from which
-	// all peers are asked: a watcher's confirmation is up to watchWait old, and
-	// a peer that asks it in turn half a heartbeat more.
-	confirmWithin = watchWait + membership.BeatEvery
+	// all peers are asked: a watcher's confirmation is up to watchWait and watchDeaf
+	// old, and a peer that asks it in turn half a heartbeat more.
+	confirmWithin = watchWait + watchDeaf + membership.BeatEvery
 	// forgetAfter keeps a silent peer's last account for status and posting
 	// ids; it no longer counts as live long before.
 	forgetAfter = time.Minute
@@ -86,7 +85,7 @@
 }
 
 // hostsListed: the platform's host list was read.
-type hostsListed struct{ hosts []platform.Host }
+type hostsListed struct{ hosts []membership.Host }
 
 func (m hostsListed) apply(c *control) {
 	addresses := make([]string, 0, len(m.hosts))
@@ -172,12 +171,22 @@
 }
 
 func (d *Daemon) listHosts(ctx context.Context) {
-	hosts, err := d.hostList.Hosts(ctx)
+	if hosts, ok := d.readHosts(ctx); ok {
+		d.control.send(hostsListed{hosts})
+	}
+}
+
+// readHosts reads the host list; false if the store does not answer.
+func (d *Daemon) readHosts(ctx context.Context) ([]membership.Host, bool) {
+	hosts, unreadable, err := membership.ListHosts(ctx, d.store)
 	if err != nil {
 		d.log.Debug("hosts_not_listed", "err", err)
-		return
+		return nil, false
+	}
+	for _, key := range unreadable {
+		d.log.Warn("host_unreadable", "key", key)
 	}
-	d.control.send(hostsListed{hosts})
+	return hosts, true
 }
 
 func toWire(m membership.Member) *peer.Heartbeat {
--- a/internal/daemon/slots.go
+++ b/internal/daemon/slots.go
@@ -6,9 +6,9 @@
 
 	"github.com/pkg/errors"
 
+	"balsambarrow/internal/kv"
 	"balsambarrow/internal/membership"
 	"balsambarrow/internal/peer"
-	"balsambarrow/internal/platform"
 	"balsambarrow/internal/quota"
 )
 
@@ -19,7 +19,7 @@
 // slotState is the control thread's part for slots.
 type slotState struct {
 	custody *membership.Custody
-	lease   string
+	lease   uint64
 	next    time.Time
 	busy    bool
 	// holders are the addresses of the daemons that the store names; a
@@ -127,7 +127,7 @@
 
 // slotsRead: the lease was renewed and the zone's entries were read.
 type slotsRead struct {
-	lease string
+	lease uint64
 	// renewed is when the call was sent that renewed the lease; zero if none
 	// succeeded.
 	renewed time.Time
@@ -136,7 +136,7 @@
 }
 
 // readSlots is the first half of a round.
-func (d *Daemon) readSlots(ctx context.Context, lease string) slotsRead {
+func (d *Daemon) readSlots(ctx context.Context, lease uint64) slotsRead {
 	out := slotsRead{lease: lease}
 	sent := time.Now()
 	lease, err := d.holdLease(ctx, lease)
@@ -145,32 +145,32 @@
 		return out
 	}
 	out.lease, out.renewed = lease, sent
-	entries, err := d.store.List(ctx, membership.SlotPrefix(d.identity.Zone))
+	l, err := d.store.List(ctx, membership.SlotPrefix(d.identity.Zone), false)
 	if err != nil {
 		d.log.Warn("slots_not_listed", "err", err)
 		return out
 	}
-	out.reading = membership.ReadSlots(d.identity.Zone, entries)
+	out.reading = membership.ReadSlots(d.identity.Zone, l.Items)
 	return out
 }
 
 // holdLease renews the lease or gets a new one, with the entry that shows it.
 // A grant whose answer is lost leaves a lease without entry, which lapses.
-func (d *Daemon) holdLease(ctx context.Context, lease string) (string, error) {
-	if lease != "" {
+func (d *Daemon) holdLease(ctx context.Context, lease uint64) (uint64, error) {
+	if lease != 0 {
 		err := d.store.Renew(ctx, lease)
-		if !errors.Is(err, platform.ErrLeaseLapsed) && !errors.Is(err, platform.ErrNotFound) {
+		if !errors.Is(err, kv.ErrLeaseLapsed) {
 			return lease, err
 		}
 		d.log.Warn("lease_lapsed")
 	}
 	lease, err := d.store.Grant(ctx, membership.LeaseTTL)
 	if err != nil {
-		return "", err
+		return 0, err
 	}
 	self := membership.Holder{Instance: d.identity.Instance, Peers: d.identity.Peers}
 	if _, err := d.store.Swap(ctx, membership.AliveKey(d.identity.Zone, lease), 0, self.Value(), lease); err != nil {
-		return "", err
+		return 0, err
 	}
 	return lease, nil
 }
@@ -272,7 +272,7 @@
 	if g.To.Instance == "" {
 		return 0, d.store.Delete(ctx, key, g.At)
 	}
-	return d.store.Swap(ctx, key, g.At, g.To.Value(), "")
+	return d.store.Swap(ctx, key, g.At, g.To.Value(), 0)
 }
 
 // passLevels tells the new holder that a slot is its own, with the levels. It
--- a/internal/daemon/slots_test.go
+++ b/internal/daemon/slots_test.go
@@ -151,12 +151,12 @@
 func TestUnlistedDaemonsFindEachOther(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
-	f.platform.SetFaults(standin.Faults{HostLagMs: time.Hour.Milliseconds()})
+	f.platform.SetFaults(standin.Faults{Lag: time.Hour})
 	f.start("vt-1", "vt-a")
 	c := twoRegions()
 	c.Zones["me-b"] = config.Zone{Region: "maine"}
 	version := f.apply("vt-1", c)
-	f.g.Eventually(func() int { return f.platform.Calls()["hosts"] }, settle).Should(BeNumerically(">", 0))
+	f.g.Eventually(func() int { return f.platform.Calls()["/-/kv-range stale"] }, settle).Should(BeNumerically(">", 0))
 	f.start("me-1", "me-a")
 	f.start("me-2", "me-b")
 	f.awaitReady(version)
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -115,7 +115,7 @@
 	ctx, cancel := context.WithTimeout(ctx, giveUpBound)
 	defer cancel()
 	given := make(chan struct{})
-	lease := make(chan string, 1)
+	lease := make(chan uint64, 1)
 	d.control.send(giveUp{given: given, lease: lease})
 	select {
 	case <-given:
@@ -123,8 +123,8 @@
 		d.log.Warn("slots_not_given_up")
 		return
 	}
-	if id := <-lease; id != "" {
-		if err := d.store.Revoke(ctx, id); err != nil {
+	if id := <-lease; id != 0 {
+		if err := d.store.End(ctx, id); err != nil {
 			d.log.Debug("lease_not_revoked", "err", err)
 		}
 	}
@@ -133,7 +133,7 @@
 // giveUp: no request runs any more; all slots are to go to mates.
 type giveUp struct {
 	given chan struct{}
-	lease chan string
+	lease chan uint64
 }
 
 func (m giveUp) apply(c *control) {
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -106,7 +106,7 @@
 			Name: s.Host, Callers: addresses.Callers, Peers: addresses.Peers,
 		},
 		events: events, metrics: metrics, tracing: tracing, wire: wire, addresses: addresses, listeners: listeners,
-		store:   platform.NewStore(s.Store, h1.Dialer(storeDialBound), metrics.StoreCall),
+		store:   platform.NewStore("http://"+s.Store, h1.Dialer(storeDialBound), metrics.StoreCall),
 		conns:   h1.NewPool(h1.Dialer(upstreamDialBound), clock.Now),
 		shares:  share.New(),
 		retries: retry.NewWindow(s.Bounds.RetryWindow.Value(), s.Bounds.RetryRatio),
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -63,7 +63,7 @@
 func (r *registrar) keep(ctx context.Context) error {
 	if r.lease != 0 {
 		err := r.d.store.Renew(ctx, r.lease)
-		if !errors.Is(err, kv.ErrNotFound) {
+		if !errors.Is(err, kv.ErrLeaseLapsed) {
 			return err
 		}
 		r.d.events.Warn("registration lapsed", "lease", r.lease)
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -11,13 +11,20 @@
 	"github.com/pkg/errors"
 )
 
+// MaxValueBytes is the largest value that the store holds.
+const MaxValueBytes = 1 << 20
+
 // Errors of the store. Calls wrap them; test with errors.Is.
 var (
-	// ErrNotFound says that there is no such key or lease.
-	ErrNotFound = errors.New("kv: not found")
+	// ErrNotFound says that there is no such key.
+	ErrNotFound = errors.New("kv: key not found")
+	// ErrLeaseLapsed says that there is no such lease any more.
+	ErrLeaseLapsed = errors.New("kv: lease lapsed")
 	// ErrCompacted says that the history after the revision is gone: read
 	// the keys again.
 	ErrCompacted = errors.New("kv: history compacted")
+	// ErrTooLarge says that a value exceeds MaxValueBytes; the store was not called.
+	ErrTooLarge = errors.New("kv: value too large")
 	// ErrUnavailable says that the call certainly had no effect.
 	ErrUnavailable = errors.New("kv: store unavailable")
 	// ErrUnknown says that there was no answer: a write may have taken
@@ -26,9 +33,15 @@
 )
 
 // ConflictError refuses a write whose condition does not hold.
-type ConflictError struct{ Key string }
+type ConflictError struct {
+	Key string
+	// Current is the key's revision now; 0 says that it does not exist.
+	Current uint64
+}
 
-func (e *ConflictError) Error() string { return fmt.Sprintf("kv: %s has changed", e.Key) }
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("kv: %s is at revision %d", e.Key, e.Current)
+}
 
 // MalformedError says that the store's answer could not be read.
 type MalformedError struct {
@@ -76,13 +89,18 @@
 	// Watch waits up to wait for a change after the revision. No event means
 	// only that none was seen: a watch may be deaf for a second.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error)
-	// Put writes a key under a lease, whatever it holds.
+	// Get reads one key.
+	Get(ctx context.Context, key string) (Item, error)
+	// Put writes a key, whatever it holds. lease 0 is none.
 	Put(ctx context.Context, key string, value []byte, lease uint64) error
-	// Remove deletes a key.
-	Remove(ctx context.Context, key string) error
+	// Swap writes a key if it is at revision, 0: does not exist, and returns the new
+	// revision. Otherwise the error is a *ConflictError.
+	Swap(ctx context.Context, key string, revision uint64, value []byte, lease uint64) (uint64, error)
+	// Delete removes a key if it is at revision.
+	Delete(ctx context.Context, key string, revision uint64) error
 	// Grant makes a lease; its keys are removed ttl after the last renewal.
 	Grant(ctx context.Context, ttl time.Duration) (lease uint64, err error)
-	// Renew keeps a lease; ErrNotFound says that it has lapsed.
+	// Renew keeps a lease, or returns ErrLeaseLapsed.
 	Renew(ctx context.Context, lease uint64) error
 	// End ends a lease and removes its keys.
 	End(ctx context.Context, lease uint64) error
--- a/internal/membership/reading.go
+++ b/internal/membership/reading.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"balsambarrow/internal/platform"
+	"balsambarrow/internal/kv"
 )
 
 // aliveDir holds the entries that live as long as their daemons' leases.
@@ -19,7 +19,9 @@
 func SlotKey(zone string, slot int) string { return fmt.Sprintf("%s%04d", SlotPrefix(zone), slot) }
 
 // AliveKey is the store's key that lives as long as a daemon's lease.
-func AliveKey(zone, lease string) string { return SlotPrefix(zone) + aliveDir + lease }
+func AliveKey(zone string, lease uint64) string {
+	return SlotPrefix(zone) + aliveDir + strconv.FormatUint(lease, 10)
+}
 
 // Holder is a daemon as a slot's entry names it.
 type Holder struct {
@@ -53,7 +55,7 @@
 
 // ReadSlots sorts the entries under a zone's prefix. An entry that cannot be
 // read is held by nobody known: it is taken like a silent daemon's.
-func ReadSlots(zone string, entries []platform.Entry) *Reading {
+func ReadSlots(zone string, entries []kv.Item) *Reading {
 	r := &Reading{Slots: map[int]SlotEntry{}, Leased: map[string]bool{}}
 	for _, e := range entries {
 		name := strings.TrimPrefix(e.Key, SlotPrefix(zone))
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -14,7 +14,7 @@
 
 	"balsambarrow/internal/config"
 	"balsambarrow/internal/jsonc"
-	"balsambarrow/internal/platform"
+	"balsambarrow/internal/kv"
 )
 
 // ConfigAnswer is the body of GET and PATCH /v1/config.
@@ -82,7 +82,7 @@
 	if err != nil {
 		return config.Patch{}, &Failure{Type: FailBadRequest, Detail: HeaderChangeID + ": want a UUID"}
 	}
-	merge, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	merge, err := io.ReadAll(http.MaxBytesReader(w, r.Body, kv.MaxValueBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/operator/ctl/ctl_test.go
+++ b/internal/operator/ctl/ctl_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -16,12 +17,13 @@
 	. "github.com/onsi/gomega"
 
 	"balsambarrow/internal/config"
+	"balsambarrow/internal/kv"
 	"balsambarrow/internal/membership"
 	"balsambarrow/internal/operator"
 	"balsambarrow/internal/operator/ctl"
-	"balsambarrow/internal/platform"
 	"balsambarrow/internal/standin"
 	"balsambarrow/internal/view"
+	"balsambarrow/platform"
 )
 
 const initial = `{
@@ -37,20 +39,20 @@
 // lossyStore loses writes: answers none, and lets them take effect only when
 // arrive is called.
 type lossyStore struct {
-	platform.Store
+	kv.Store
 	mu    sync.Mutex
 	lossy bool
 	late  func()
 }
 
-func (s *lossyStore) Swap(ctx context.Context, key string, revision uint64, value []byte, lease string) (uint64, error) {
+func (s *lossyStore) Swap(ctx context.Context, key string, revision uint64, value []byte, lease uint64) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.lossy {
 		return s.Store.Swap(ctx, key, revision, value, lease)
 	}
 	s.late = func() { _, _ = s.Store.Swap(context.Background(), key, revision, value, lease) }
-	return 0, platform.ErrOutcomeUnknown
+	return 0, kv.ErrUnknown
 }
 
 func (s *lossyStore) arrive() {
@@ -67,7 +69,7 @@
 	g         *WithT
 	t         *testing.T
 	store     *lossyStore
-	platform  *standin.Platform
+	platform  *standin.KVStore
 	published view.Published
 	address   string
 
@@ -76,11 +78,11 @@
 }
 
 func newBench(t *testing.T) *bench {
-	b := &bench{g: NewWithT(t), t: t, platform: standin.NewPlatform(nil)}
+	b := &bench{g: NewWithT(t), t: t, platform: standin.NewKVStore()}
 	b.fleet.ListedAt = time.Now()
 	storeServer := httptest.NewServer(b.platform)
-	client := platform.NewClient(storeServer.URL, time.Second, nil)
-	b.store = &lossyStore{Store: client}
+	client := platform.NewStore(storeServer.URL, (&net.Dialer{}).DialContext, func(string, error) {})
+	b.store = &lossyStore{Store: kv.Bounded(client, time.Second)}
 	server := httptest.NewServer(operator.New(operator.Deps{
 		View: &b.published, Repository: config.NewRepository(b.store, time.Now), Metrics: metrics.NewSet(), Adopt: b.adopt,
 	}))
@@ -175,7 +177,7 @@
 		},
 		"too large": {
 			args: func(b *bench) []string {
-				big := `{"customers":{"x":{"rate":1,"burst":1,"services":["` + strings.Repeat("a", platform.MaxValueBytes) + `"]}}}`
+				big := `{"customers":{"x":{"rate":1,"burst":1,"services":["` + strings.Repeat("a", kv.MaxValueBytes) + `"]}}}`
 				return []string{"config", "patch", b.file(big), "--base", "9"}
 			},
 			code: ctl.ExitRefused, says: []string{operator.FailTooLarge},
@@ -240,7 +242,7 @@
 	b.store.lossy = true
 	done := make(chan result)
 	go func() { done <- b.run("config", "patch", b.file(rate(20)), "--base", "1") }()
-	b.g.Eventually(func() int { return b.platform.Calls()["get"] }, 10*time.Second).Should(BeNumerically(">=", 5))
+	b.g.Eventually(func() int { return b.platform.Calls()["/-/kv-key"] }, 10*time.Second).Should(BeNumerically(">=", 5))
 	b.store.arrive()
 	b.g.Eventually(done, 10*time.Second).Should(Receive(Equal(result{Out: "version 2 accepted\n"})))
 }
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -104,7 +104,7 @@
 // ServeHTTP implements http.Handler.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/_stats" {
-		writeJSON(w, u.Stats())
+		respond(w, u.Stats())
 		return
 	}
 	if r.URL.Path == "/healthz" {
