--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # make demo   runs the whole path on stand-ins, for both deployments
+# make calm   plays a calm day of the users' platform on stand-ins
 # make check  runs everything that CI runs
-.PHONY: demo check format vet lint build test model bench fuzz measure soak
+.PHONY: calm demo check format vet lint build test model bench fuzz measure soak
 
 BIN := .bin
 
@@ -8,6 +9,9 @@
 	scripts/demo.sh examples/granite-hollow.jsonc
 	scripts/demo.sh examples/school-lunch.jsonc
 
+calm: build
+	$(BIN)/balsamlab calm
+
 check: format vet build lint test model
 
 format:
--- /dev/null
+++ b/cmd/balsamlab/calm.go
@@ -0,0 +1,314 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"balsambarrow/internal/standin"
+)
+
+const (
+	// calmHosts and calmUpstreams stand in the zones of standin.Zones, in turn.
+	calmHosts     = 4
+	calmUpstreams = 6
+	// calmWork is how long an upstream takes.
+	calmWork = 15 * time.Millisecond
+	// calmGrace bounds a planned stop, and calmStart the wait for all hosts.
+	calmGrace = 3 * time.Second
+	calmStart = 20 * time.Second
+	calmKey   = "calm"
+	// calmRefused is the part of the requests that may be refused or fail.
+	calmRefused = 0.01
+)
+
+// calmDay is entry hosts as processes on a stand-in of the users' platform.
+type calmDay struct {
+	daemon string
+	dir    string
+	store  *standin.KVStore
+	// address is the store's.
+	address   string
+	workers   []*standin.Worker
+	beats     []func(sequence int)
+	processes []*exec.Cmd
+	callers   []string
+
+	mu     sync.Mutex
+	counts map[string]int
+	wrong  int
+}
+
+var errCalmDay = errors.New("balsamlab: the calm day was not as it should be")
+
+func calmCommand() *cobra.Command {
+	day := &calmDay{store: standin.NewKVStore(), counts: map[string]int{}}
+	var length time.Duration
+	var perSecond int
+	cmd := &cobra.Command{
+		Use:   "calm",
+		Short: "Play a calm day: entry hosts as processes on a stand-in of the users' platform",
+		Long: "Plays a calm day: starts a store, upstreams and entry hosts, which are processes, on\n" +
+			"loopback, sends reads and postings for a while, stops the hosts, and says what callers\n" +
+			"and upstreams saw. Exits non-zero if an answer was wrong, a posting ran twice, a key\n" +
+			"reached an upstream, over one request in a hundred was refused, or a stop was not clean.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var err error
+			if day.dir, err = os.MkdirTemp("", "calm"); err != nil {
+				return errors.Wrap(err, "calm day")
+			}
+			defer func() { _ = os.RemoveAll(day.dir) }()
+			return day.play(cmd.Context(), length, perSecond)
+		},
+	}
+	cmd.Flags().StringVar(&day.daemon, "daemon", ".bin/balsambarrowd", "the daemon's program")
+	cmd.Flags().DurationVar(&length, "duration", 5*time.Second, "how long to send")
+	cmd.Flags().IntVar(&perSecond, "rate", 100, "requests per second")
+	return cmd
+}
+
+func (d *calmDay) play(ctx context.Context, length time.Duration, perSecond int) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer d.kill()
+	if err := d.open(); err != nil {
+		return err
+	}
+	go d.heartbeats(ctx)
+	if err := d.awaitReady(); err != nil {
+		return err
+	}
+	d.send(length, perSecond)
+	clean := d.stop()
+	return d.report(clean)
+}
+
+// open starts the store, the upstreams and the hosts.
+func (d *calmDay) open() error {
+	var err error
+	if d.address, err = serve("127.0.0.1:0", d.store); err != nil {
+		return err
+	}
+	d.store.Put("op/config", standin.Declaration{Version: 1, Keys: []string{calmKey}}.Value())
+	zones := []string{"a1", "a2", "b1"}
+	for i := range calmUpstreams {
+		w := &standin.Worker{ID: fmt.Sprint("i-", i), Work: calmWork}
+		address, err := serve("127.0.0.1:0", w)
+		if err != nil {
+			return err
+		}
+		zone := zones[i%len(zones)]
+		d.workers = append(d.workers, w)
+		d.beats = append(d.beats, func(sequence int) {
+			d.store.Put("servers/"+w.ID, w.Entry(standin.Service, address, zone, "ready", sequence))
+		})
+	}
+	d.beat(1)
+	for i := range calmHosts {
+		if err := d.start(fmt.Sprint("host-", i), zones[i%len(zones)]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *calmDay) beat(sequence int) {
+	for _, beat := range d.beats {
+		beat(sequence)
+	}
+}
+
+func (d *calmDay) heartbeats(ctx context.Context) {
+	for sequence := 2; ctx.Err() == nil; sequence++ {
+		d.beat(sequence)
+		sleepUntil(ctx, time.Second)
+	}
+}
+
+func sleepUntil(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
+
+// listening finds the callers' address in a host's log.
+var listening = regexp.MustCompile(`msg=started .*callers=(\S+)`)
+
+// start starts one host and waits until it listens.
+func (d *calmDay) start(name, zone string) error {
+	file := filepath.Join(d.dir, name+".jsonc")
+	settings := standin.EntryHost{
+		Name: name, Zone: zone, Callers: "127.0.0.1:0", Directory: "127.0.0.1:0", Store: d.address, Grace: calmGrace, Revoke: 5 * time.Second,
+	}.Settings()
+	if err := os.WriteFile(file, settings, 0o600); err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	cmd := exec.Command(d.daemon, "entry", file)
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return errors.Wrap(err, name)
+	}
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, name)
+	}
+	d.processes = append(d.processes, cmd)
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		found := listening.FindStringSubmatch(lines.Text())
+		if found == nil {
+			continue
+		}
+		d.callers = append(d.callers, found[1])
+		// The rest of the log is of no use, but somebody has to read it.
+		go func() { _, _ = io.Copy(io.Discard, out) }()
+		return nil
+	}
+	return errors.Errorf("%s ended before it listened", name)
+}
+
+func (d *calmDay) awaitReady() error {
+	end := time.Now().Add(calmStart)
+	for _, host := range d.callers {
+		for d.ask(host, "ready-"+host, false) != http.StatusOK {
+			if time.Now().After(end) {
+				return errors.Errorf("%s does not serve", host)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// send sends requests at their times, whether or not earlier ones were answered.
+func (d *calmDay) send(length time.Duration, perSecond int) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	var running sync.WaitGroup
+	n := int(length.Seconds() * float64(perSecond))
+	for i := range n {
+		host := d.callers[rng.IntN(len(d.callers))]
+		running.Go(func() {
+			status := d.ask(host, fmt.Sprint("c-", i), i%4 == 0)
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.counts[fmt.Sprint(status)]++
+		})
+		time.Sleep(length / time.Duration(n))
+	}
+	running.Wait()
+}
+
+// ask sends one request and returns the status of its answer, 0: there was none.
+func (d *calmDay) ask(host, id string, post bool) int {
+	method, path := http.MethodGet, standin.ReadPath
+	if post {
+		method, path = http.MethodPost, standin.PostPath
+	}
+	target := url.URL{Scheme: "http", Host: host, Path: path + id}
+	r, err := http.NewRequest(method, target.String(), strings.NewReader(""))
+	if err != nil {
+		return 0
+	}
+	r.Host = standin.CallerHost
+	r.Header = http.Header{
+		"X-Request-Id": {id}, "X-Deadline-Ms": {"2000"}, "Authorization": {"Bearer " + calmKey}, "X-Affinity-Key": {id[len(id)-1:]},
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0
+	}
+	if resp.StatusCode == http.StatusOK && !strings.HasSuffix(string(body), " ran "+id) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.wrong++
+	}
+	return resp.StatusCode
+}
+
+// stop ends all hosts by a planned stop and tells whether all ended well.
+func (d *calmDay) stop() bool {
+	for _, p := range d.processes {
+		_ = p.Process.Signal(syscall.SIGTERM)
+	}
+	clean := true
+	for _, p := range d.processes {
+		clean = p.Wait() == nil && clean
+	}
+	d.processes = nil
+	return clean
+}
+
+// kill ends what is left after a failure.
+func (d *calmDay) kill() {
+	for _, p := range d.processes {
+		_ = p.Process.Kill()
+		_ = p.Wait()
+	}
+}
+
+// calmReport is what a calm day came to.
+type calmReport struct {
+	// Statuses counts answers; "0" stands for none.
+	Statuses    map[string]int `json:"statuses"`
+	Wrong       int            `json:"wrong"`
+	Doubled     int            `json:"doubled"`
+	KeysSeen    int            `json:"keys_seen"`
+	CleanStops  bool           `json:"clean_stops"`
+	StoreCalls  map[string]int `json:"store_calls"`
+	EntryHosts  int            `json:"entry_hosts"`
+	TotalServed int            `json:"served"`
+}
+
+func (d *calmDay) report(clean bool) error {
+	r := calmReport{
+		Statuses: d.counts, Wrong: d.wrong, CleanStops: clean, StoreCalls: d.store.Calls(), EntryHosts: calmHosts,
+		TotalServed: d.counts["200"],
+	}
+	ran := map[string]int{}
+	for _, w := range d.workers {
+		for _, run := range w.Runs() {
+			if run.Key != "" {
+				r.KeysSeen++
+			}
+			if ran[run.ID]++; run.Method == http.MethodPost && ran[run.ID] == 2 {
+				r.Doubled++
+			}
+		}
+	}
+	text, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "report")
+	}
+	fmt.Println(string(text))
+	all := 0
+	for _, n := range d.counts {
+		all += n
+	}
+	missed := float64(all-r.TotalServed) > calmRefused*float64(all)
+	if r.Wrong+r.Doubled+r.KeysSeen > 0 || missed || !clean {
+		return errCalmDay
+	}
+	return nil
+}
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -106,7 +106,7 @@
 func (s *site) checkRate(runs []time.Time) {
 	sort.Slice(runs, func(i, j int) bool { return runs[i].Before(runs[j]) })
 	const window = 5 * time.Second
-	allowed := (hotRate*window.Seconds()+hotBurst)*1.1 + 20
+	allowed := (standin.HotRate*window.Seconds()+standin.HotBurst)*1.1 + 20
 	most, from, end := 0, 0, time.Time{}
 	for i := range runs {
 		for runs[i].Sub(runs[from]) > window {
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -20,8 +19,6 @@
 const (
 	// revoke is how long a withdrawn key may work.
 	revoke = 4 * time.Second
-	// hotRate and hotBurst are of the customer that asks for too much.
-	hotRate, hotBurst = 30, 30
 	// freshKeys rotate: one is withdrawn while the next is in use.
 	freshKeys = 3
 )
@@ -126,23 +123,7 @@
 			keys = append(keys, key)
 		}
 	}
-	table := func(columns []string, rows ...[]any) map[string]any {
-		return map[string]any{"columns": columns, "rows": rows}
-	}
-	value, err := json.Marshal(map[string]any{
-		"version": fmt.Sprintf("r%d", s.version),
-		"routes": table([]string{"name", "host", "prefix", "kind", "timeout", "target-latency", "max-attempts", "session-affinity", "service"},
-			[]any{"read", "x.example", "/read/", "safe", "2000ms", "300ms", 2, true, "s"},
-			[]any{"post", "x.example", "/post/", "unsafe", "2000ms", "300ms", 2, true, "s"}),
-		"services": table([]string{"name", "health-check-path", "cold-start", "cold-per-s"}, []any{"s", "/health", "1s", 50}),
-		"limits":   map[string]any{},
-		"tenants": table([]string{"name", "api-keys", "rate-per-s", "burst"},
-			[]any{"calm", keys, 0, 0}, []any{"hot", []string{"hot"}, hotRate, hotBurst}),
-	})
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.store.Put("op/config", value)
+	s.store.Put("op/config", standin.Declaration{Version: s.version, Keys: keys}.Value())
 }
 
 func (s *site) addUpstream(id, zone string) {
@@ -154,7 +135,7 @@
 
 func (s *site) beat(u *upstream) {
 	u.sequence++
-	s.store.Put("servers/"+u.worker.ID, u.worker.Entry("s", u.server.Listener.Addr().String(), u.zone, "ready", u.sequence))
+	s.store.Put("servers/"+u.worker.ID, u.worker.Entry(standin.Service, u.server.Listener.Addr().String(), u.zone, "ready", u.sequence))
 }
 
 func (s *site) addProcess(name string, kind hostKind) {
@@ -163,12 +144,11 @@
 		s.t.Fatal(err)
 	}
 	h := &process{name: name, zone: kind.zone, proxy: p, settings: filepath.Join(s.dir, name+".jsonc"), callers: freeAddress(s.t, len(s.processes))}
-	text := fmt.Sprintf(`{"host": %q, "zone": %q, "zones": {"a1": "a", "a2": "a", "b1": "b"},
-		"listen": {"callers": %q, "readiness": "127.0.0.1:0", "directory": "127.0.0.1:0", "peers": "127.0.0.1:0"},
-		"store": %q, "capacity": {"link_mbps": %d},
-		"bounds": {"grace": "5s", "revoke": %q, "strict_revocation": true, "retry_ratio": 0.2, "retry_slack": 60, "retry_window": "10s"}}`,
-		name, kind.zone, h.callers, p.address(), kind.mbps, revoke)
-	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
+	text := standin.EntryHost{
+		Name: name, Zone: kind.zone, Callers: h.callers, Directory: "127.0.0.1:0", Store: p.address(), LinkMbps: kind.mbps,
+		Grace: 5 * time.Second, Revoke: revoke,
+	}.Settings()
+	if err := os.WriteFile(h.settings, text, 0o600); err != nil {
 		s.t.Fatal(err)
 	}
 	s.processes = append(s.processes, h)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"balsambarrow/internal/standin"
 )
 
 var (
@@ -142,7 +144,7 @@
 		}
 		switch {
 		case number < 4:
-			r.key = "hot"
+			r.key = standin.HotKey
 		case number < 7:
 			r.key = fmt.Sprint("fresh-", rng.IntN(freshKeys))
 		}
@@ -153,16 +155,16 @@
 }
 
 func (s *site) ask(client *http.Client, r sent) sent {
-	method, path, body := "GET", "/read/1", ""
+	method, path, body := "GET", standin.ReadPath+"1", ""
 	if r.post {
-		method, path, body = "POST", "/post/1", "weight"
+		method, path, body = "POST", standin.PostPath+"1", "weight"
 	}
 	q, err := http.NewRequest(method, "http://"+r.host.callers+path, strings.NewReader(body))
 	if err != nil {
 		s.t.Error(err)
 		return r
 	}
-	q.Host = "x.example"
+	q.Host = standin.CallerHost
 	q.Header = http.Header{"X-Request-Id": {r.id}, "X-Deadline-Ms": {"3000"}, "Authorization": {"Bearer " + r.key}, "X-Affinity-Key": {r.id[:2]}}
 	r.at = time.Now()
 	resp, err := client.Do(q)
--- /dev/null
+++ b/internal/standin/deployment.go
@@ -0,0 +1,96 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// The customers and the service of a Declaration.
+const (
+	// CallerHost is the host name of both routes.
+	CallerHost = "x.example"
+	// ReadPath may be asked for again, PostPath may not.
+	ReadPath = "/read/"
+	PostPath = "/post/"
+	// Service has all upstreams.
+	Service = "s"
+	// HotKey is the key of the customer with a rate and a burst.
+	HotKey   = "hot"
+	HotRate  = 30
+	HotBurst = 30
+)
+
+// Declaration is what operators of the users' platform declare: a route for reads
+// and one for postings, a customer without a rate and one with HotRate.
+type Declaration struct {
+	Version int
+	// Keys of the customer without a rate.
+	Keys []string
+}
+
+// columns is a table as the platform spells it.
+type columns struct {
+	Columns []string `json:"columns"`
+	Rows    [][]any  `json:"rows"`
+}
+
+// Value is the declaration's value in the store.
+func (d Declaration) Value() []byte {
+	value, err := json.Marshal(map[string]any{
+		"version": fmt.Sprintf("r%d", d.Version),
+		"routes": columns{
+			[]string{"name", "host", "prefix", "kind", "timeout", "target-latency", "max-attempts", "session-affinity", "service"},
+			[][]any{
+				{"read", CallerHost, ReadPath, "safe", "2000ms", "300ms", 2, true, Service},
+				{"post", CallerHost, PostPath, "unsafe", "2000ms", "300ms", 2, true, Service},
+			},
+		},
+		"services": columns{[]string{"name", "health-check-path", "cold-start", "cold-per-s"}, [][]any{{Service, "/health", "1s", 50}}},
+		"limits":   map[string]any{},
+		"tenants": columns{[]string{"name", "api-keys", "rate-per-s", "burst"}, [][]any{
+			{"calm", d.Keys, 0, 0}, {"hot", []string{HotKey}, HotRate, HotBurst},
+		}},
+	})
+	if err != nil {
+		panic(err) // strings and numbers always encode
+	}
+	return value
+}
+
+// Zones gives the region of each zone of a stand-in deployment.
+var Zones = map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+
+// EntryHost is the settings of one entry host of a stand-in deployment.
+type EntryHost struct {
+	Name string
+	Zone string
+	// Callers and Directory are its listeners; port 0 lets the system pick.
+	Callers   string
+	Directory string
+	// Store is the address of the store.
+	Store string
+	// LinkMbps is the speed of its link; 0: it does not say.
+	LinkMbps int
+	Grace    time.Duration
+	Revoke   time.Duration
+}
+
+// Settings is the text of its settings file.
+func (h EntryHost) Settings() []byte {
+	text, err := json.MarshalIndent(map[string]any{
+		"host": h.Name, "zone": h.Zone, "zones": Zones,
+		"listen": map[string]string{
+			"callers": h.Callers, "readiness": "127.0.0.1:0", "directory": h.Directory, "peers": "127.0.0.1:0",
+		},
+		"store": h.Store, "capacity": map[string]int{"link_mbps": h.LinkMbps},
+		"bounds": map[string]any{
+			"grace": h.Grace.String(), "revoke": h.Revoke.String(), "strict_revocation": true,
+			"retry_ratio": 0.2, "retry_slack": 60, "retry_window": "10s",
+		},
+	}, "", "  ")
+	if err != nil {
+		panic(err) // strings and numbers always encode
+	}
+	return text
+}
