--- a/internal/entryhost/stop.go
+++ b/internal/entryhost/stop.go
@@ -12,8 +12,10 @@
 	// answer of the directory for two seconds, some for longer. The rest is for
 	// requests that still run.
 	acceptPart = 0.55
-	// endMargin is left of the grace when the daemon gives up waiting.
-	endMargin = 150 * time.Millisecond
+	// endMargin is left of the grace when the daemon gives up waiting: the call that
+	// gives the registration up, and the end of the process. With less, a host whose
+	// requests hung and whose store was silent was killed at the end of its grace.
+	endMargin = retryCall + 150*time.Millisecond
 )
 
 // Stop ends the daemon within the grace and cuts no request off: it stops being
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -15,6 +15,13 @@
 	upstream *upstream
 }
 
+// report is where checks tell what they found; a *testing.T is one.
+type report interface {
+	Errorf(format string, args ...any)
+	Logf(format string, args ...any)
+	Failed() bool
+}
+
 // check holds what callers were told against what the upstreams have run.
 func (s *site) check(requests []sent) {
 	runs := map[string][]ran{}
@@ -26,7 +33,7 @@
 				hot = append(hot, r.At)
 			}
 			if r.Key != "" {
-				s.t.Errorf("%s: an upstream saw the key", r.ID)
+				s.report.Errorf("%s: an upstream saw the key", r.ID)
 			}
 		}
 	}
@@ -40,20 +47,20 @@
 		}
 		s.checkRequest(r, runs[r.id])
 	}
-	s.t.Logf("%d requests; with the steady key %d, answered %d", len(requests), steady, answered)
+	s.report.Logf("%d requests; with the steady key %d, answered %d", len(requests), steady, answered)
 	if answered < steady/10 {
-		s.t.Errorf("only %d of %d requests with the steady key were answered", answered, steady)
+		s.report.Errorf("only %d of %d requests with the steady key were answered", answered, steady)
 	}
 	s.checkRate(hot)
-	if s.t.Failed() {
+	if s.report.Failed() {
 		perSecond := map[string]int{}
 		for _, r := range requests {
 			if r.key == "hot" && r.status == http.StatusOK {
 				perSecond[r.at.Format("05")+" "+r.host.name]++
 			}
 		}
-		s.t.Logf("answers to the hot customer by second and host: %v", perSecond)
-		s.t.Logf("injected:\n%s", strings.Join(s.history, "\n"))
+		s.report.Logf("answers to the hot customer by second and host: %v", perSecond)
+		s.report.Logf("injected:\n%s", strings.Join(s.history, "\n"))
 	}
 }
 
@@ -64,25 +71,41 @@
 	}
 	for _, x := range runs {
 		if x.Customer != customer {
-			s.t.Errorf("%s: ran for %q", r.id, x.Customer)
+			s.report.Errorf("%s: ran for %q", r.id, x.Customer)
 		}
 	}
 	if r.post && len(runs) > 1 {
-		s.t.Errorf("%s: a posting ran %d times", r.id, len(runs))
+		s.report.Errorf("%s: a posting ran %d times", r.id, len(runs))
 	}
 	switch {
 	case r.err == nil && (r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests) && len(runs) > 0:
-		s.t.Errorf("%s: refused with %d (%s) at %s and ran", r.id, r.status, strings.TrimSpace(r.body), r.host.name)
+		s.report.Errorf("%s: refused with %d (%s) at %s and ran", r.id, r.status, strings.TrimSpace(r.body), r.host.name)
 	case r.err == nil && r.status == http.StatusOK && !strings.HasSuffix(r.body, " ran "+r.id):
-		s.t.Errorf("%s: got %q", r.id, r.body)
+		s.report.Errorf("%s: got %q", r.id, r.body)
 	case r.err == nil && r.status == http.StatusUnauthorized && (r.key == "steady" || r.key == "hot"):
-		s.t.Errorf("%s: key %s denied", r.id, r.key)
+		s.report.Errorf("%s: key %s denied", r.id, r.key)
 	case r.err != nil && len(runs) > 0 && s.calm(r, runs):
-		s.t.Errorf("%s: cut off at %s after it had run, by a planned stop or by nothing: %v", r.id, r.host.name, r.err)
+		s.report.Errorf("%s: cut off at %s after it had run, by a planned stop or by nothing: %v", r.id, r.host.name, r.err)
+	}
+	for _, x := range runs {
+		if e := s.emptiedAt(x); e != nil && s.calm(r, runs) {
+			s.report.Errorf("%s: ran in %s %v after its evacuation", r.id, e.zone, x.At.Sub(e.from))
+		}
 	}
 	if at := s.withdrawn[r.key]; !at.IsZero() && r.at.Sub(at) > revoke && len(runs) > 0 {
-		s.t.Errorf("%s: ran %v after key %s was withdrawn", r.id, r.at.Sub(at), r.key)
+		s.report.Errorf("%s: ran %v after key %s was withdrawn", r.id, r.at.Sub(at), r.key)
+	}
+}
+
+// emptiedAt is the evacuation during which a request ran although its zone should
+// have got nothing any more; nil: there is none.
+func (s *site) emptiedAt(x ran) *evacuation {
+	for i, e := range s.emptied {
+		if e.zone == x.upstream.zone && x.At.After(e.from.Add(evacuate)) && x.At.Before(e.to) {
+			return &s.emptied[i]
+		}
 	}
+	return nil
 }
 
 // calm tells whether nothing but planned work has happened to the host and the
@@ -116,8 +139,8 @@
 			most, end = n, runs[i]
 		}
 	}
-	s.t.Logf("most of the hot customer in the %v up to %s: %d, allowed %.0f", window, end.Format("05.000"), most, allowed)
+	s.report.Logf("most of the hot customer in the %v up to %s: %d, allowed %.0f", window, end.Format("05.000"), most, allowed)
 	if float64(most) > allowed {
-		s.t.Errorf("the hot customer got %d in %v, allowed %.0f", most, window, allowed)
+		s.report.Errorf("the hot customer got %d in %v, allowed %.0f", most, window, allowed)
 	}
 }
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -19,6 +19,8 @@
 const (
 	// revoke is how long a withdrawn key may work.
 	revoke = 4 * time.Second
+	// evacuate is how long after its evacuation a zone may still get requests.
+	evacuate = 5 * time.Second
 	// freshKeys rotate: one is withdrawn while the next is in use.
 	freshKeys = 3
 )
@@ -50,8 +52,15 @@
 	faulted  time.Time
 }
 
+// evacuation is a time in which a zone was to get nothing.
+type evacuation struct {
+	zone     string
+	from, to time.Time
+}
+
 type site struct {
 	t      *testing.T
+	report report
 	binary string
 	dir    string
 	store  *standin.KVStore
@@ -64,6 +73,8 @@
 	// withdrawn is when each key was withdrawn; granted ones are not in it.
 	withdrawn map[string]time.Time
 	evacuated map[string]time.Time
+	// emptied are the evacuations that have ended.
+	emptied []evacuation
 	// history is what was injected, told when a check fails.
 	history []string
 }
@@ -100,7 +111,7 @@
 
 func newSite(t *testing.T, binary string, fleet []hostKind) *site {
 	s := &site{
-		t: t, binary: binary, dir: t.TempDir(), store: standin.NewKVStore(), version: 1,
+		t: t, report: t, binary: binary, dir: t.TempDir(), store: standin.NewKVStore(), version: 1,
 		withdrawn: map[string]time.Time{}, evacuated: map[string]time.Time{},
 	}
 	s.server = httptest.NewServer(s.store)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -285,6 +285,7 @@
 	s.mu.Unlock()
 	time.Sleep(length)
 	s.mu.Lock()
+	s.emptied = append(s.emptied, evacuation{zone, s.evacuated[zone], time.Now()})
 	s.store.Delete("op/evacuate/" + zone)
 	delete(s.evacuated, zone)
 	s.mu.Unlock()
