A connection that rested too long for a posting is kept for reads

Cause: a posting that met only connections which had rested for longer than it may use closed them all, so the next reads made new ones. They are left where they are now.

--- a/internal/daemon/config_store.go
+++ b/internal/daemon/config_store.go
@@ -135,16 +135,16 @@
 	if err != nil {
 		return storeRead{after: after, err: err}
 	}
-	var items []kv.Item
-	for _, e := range changes.Events {
-		if e.Key == config.StoreKey {
-			items = []kv.Item{e.Item}
+	var latest *kv.Item
+	for i := range changes.Events {
+		if e := &changes.Events[i]; e.Key == config.StoreKey {
+			latest = &e.Item
 		}
 	}
-	if len(items) == 0 {
+	if latest == nil {
 		return storeRead{after: changes.Revision, at: unchangedUntil(asked, time.Now(), wait).Add(-watchDeaf)}
 	}
-	return newStoreRead(&items[0], changes.Revision, asked, nil)
+	return newStoreRead(latest, changes.Revision, asked, nil)
 }
 
 // configIn finds the value among what a listing brought; nil: there is none.
--- a/internal/entryhost/stop.go
+++ b/internal/entryhost/stop.go
@@ -13,8 +13,8 @@
 	// requests that still run.
 	acceptPart = 0.55
 	// endMargin is left of the grace when the daemon gives up waiting: the call that
-	// gives the registration up, and the end of the process. With less, a host whose
-	// requests hung and whose store was silent was killed at the end of its grace.
+	// gives the registration up, which a silent store lets run to its bound, and the
+	// end of the process. The platform kills what is left at the end of the grace.
 	endMargin = retryCall + 150*time.Millisecond
 )
 
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -22,8 +22,6 @@
 	// idleSince and keepFor say until when the upstream keeps it.
 	idleSince time.Time
 	keepFor   time.Duration
-	// connect is how long it took to be made; 0 once it has carried a request.
-	connect time.Duration
 	// roundTrip is how long it took to be made: the way there and back.
 	roundTrip time.Duration
 	// rested is how long it was idle before the request that it carries.
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -93,7 +93,10 @@
 		}
 		return nil, &LostError{c.address, c.kept, err}
 	}
-	reply := &Reply{Connect: c.connect, pool: p, conn: c}
+	reply := &Reply{pool: p, conn: c}
+	if !c.kept {
+		reply.Connect = c.roundTrip
+	}
 	if r.Body != nil {
 		reply.written = writeBody(c, r)
 	}
--- a/internal/h1/h1_test.go
+++ b/internal/h1/h1_test.go
@@ -367,6 +367,13 @@
 	clock.advance(4 * time.Second)
 	g.Expect(succeeds(send(t, p, address, once("4")))).To(BeTrue())
 	g.Expect(conns.Load()).To(Equal(int32(2)), "eight seconds are too close to its close")
+	var running [2]*h1.Reply
+	for i := range running {
+		var err error
+		running[i], err = p.Send(bounded(t), address, request("5"))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(conns.Load()).To(Equal(int32(2)), "reads use both")
 }
 
 // Upstreams forget connections that rested for a second. Two lookups are reset and
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -43,14 +43,17 @@
 	for c := p.pop(address); c != nil; c = p.pop(address) {
 		now := p.now()
 		c.rested = now.Sub(c.idleSince)
-		allowed := c.keepFor
-		if once {
-			allowed = p.rests.allowed(now, address, c.keepFor)
+		if c.rested >= c.keepFor || !c.silent() {
+			_ = c.Close()
+			continue
 		}
-		if c.rested < allowed && c.silent() {
-			return c, nil
+		if once && c.rested >= p.rests.allowed(now, address, c.keepFor) {
+			// A request that may run twice can still use it, and the others have
+			// rested for longer.
+			p.push(c)
+			break
 		}
-		_ = c.Close()
+		return c, nil
 	}
 	began := p.now()
 	raw, err := p.dial(ctx, "tcp", address)
@@ -58,8 +61,7 @@
 		return nil, &UnsentError{Address: address, Dial: true, Cause: err}
 	}
 	c := newConn(raw, address)
-	c.connect = p.now().Sub(began)
-	c.roundTrip = c.connect
+	c.roundTrip = p.now().Sub(began)
 	return c, nil
 }
 
@@ -76,7 +78,7 @@
 }
 
 func (p *Pool) put(c *conn, keepFor time.Duration) {
-	c.kept, c.connect = true, 0
+	c.kept = true
 	c.idleSince = p.now()
 	c.keepFor = defaultKeep
 	if keepFor > 0 {
@@ -87,6 +89,11 @@
 		_ = c.Close()
 		return
 	}
+	p.push(c)
+}
+
+// push keeps an idle connection, unless there are enough.
+func (p *Pool) push(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.address]) >= maxIdle {
