--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -1,6 +1,7 @@
 package entryhost
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -46,13 +47,27 @@
 	at     time.Time
 }
 
-// confirms are the questions that this host has asked.
+// confirms are the questions that this process has asked.
 type confirms struct {
 	last   uint64
 	askDue time.Time
 	asked  map[uint64]time.Time
 }
 
+// newConfirms begins with an id of its own (see firstID).
+func newConfirms() confirms { return confirms{last: firstID(), asked: map[uint64]time.Time{}} }
+
+// next is the id of the next question.
+func (q *confirms) next() uint64 {
+	q.last++
+	return q.last
+}
+
+// firstID is where a process begins to number its questions: at random. One that
+// began at zero would take the answer to a question of the process before it, which
+// had the same address, for the answer to its own; spec/confirm.pml finds that.
+func firstID() uint64 { return rand.Uint64() }
+
 // watcher is the host that watches the store for this region: one of those that
 // take callers and reach the store, by rendezvous. "" if this host knows none.
 func (c *control) watcher() string {
@@ -118,12 +133,12 @@
 		return
 	}
 	q := &c.confirms
-	if len(q.asked) >= confirmsKept || q.asked == nil {
-		q.asked = map[uint64]time.Time{}
+	if len(q.asked) >= confirmsKept {
+		clear(q.asked)
 	}
-	q.last++
-	q.asked[q.last] = now
-	p := &fleet.Packet{Content: &fleet.Packet_ConfirmRequest{ConfirmRequest: &fleet.ConfirmRequest{Id: q.last, Digest: c.digest.Sum()}}}
+	id := q.next()
+	q.asked[id] = now
+	p := &fleet.Packet{Content: &fleet.Packet_ConfirmRequest{ConfirmRequest: &fleet.ConfirmRequest{Id: id, Digest: c.digest.Sum()}}}
 	if err := c.d.wire.SendPacket(p, c.members.Address(host)); err != nil {
 		c.d.events.Debug("peer not asked", "peer", host, "error", err)
 	}
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -58,8 +58,8 @@
 func newControl(d *Daemon) *control {
 	return &control{
 		d: d, inbox: make(chan message, 256), zones: map[string]bool{},
-		registrations: map[string]fleet.Registration{},
-		members:       fleet.NewMembers(d.self.Instance, d.settings.Load().Host), roster: follow.NewRoster(),
+		registrations: map[string]fleet.Registration{}, confirms: newConfirms(),
+		members: fleet.NewMembers(d.self.Instance, d.settings.Load().Host), roster: follow.NewRoster(),
 	}
 }
 
--- a/internal/entryhost/tokens.go
+++ b/internal/entryhost/tokens.go
@@ -41,7 +41,17 @@
 }
 
 func newTokens(d *Daemon) *tokens {
-	return &tokens{d: d, spare: share.NewSpare(), waiting: map[uint64]chan *fleet.TokenAnswer{}}
+	return &tokens{d: d, spare: share.NewSpare(), last: firstID(), waiting: map[uint64]chan *fleet.TokenAnswer{}}
+}
+
+// expect makes room for the answer to a question and returns the question's id.
+func (t *tokens) expect() (id uint64, answer chan *fleet.TokenAnswer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.last++
+	answer = make(chan *fleet.TokenAnswer, 1)
+	t.waiting[t.last] = answer
+	return t.last, answer
 }
 
 // Admit takes one request of a customer.
@@ -76,12 +86,7 @@
 // that comes later is dropped: the token is lost, which refuses too much rather
 // than too little.
 func (t *tokens) ask(peer, customer string, patience time.Duration) *fleet.TokenAnswer {
-	answer := make(chan *fleet.TokenAnswer, 1)
-	t.mu.Lock()
-	t.last++
-	id := t.last
-	t.waiting[id] = answer
-	t.mu.Unlock()
+	id, answer := t.expect()
 	defer func() {
 		t.mu.Lock()
 		delete(t.waiting, id)
