--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -12,8 +12,8 @@
 
 const (
 	// shortInterval is the time between heartbeats of a small fleet: what a
-	// customer's demand moves between hosts in that time fits into the part of
-	// its burst that is not given out.
+	// customer's demand moves between hosts in that time stays within the tolerance
+	// that operators were promised.
 	shortInterval = 250 * time.Millisecond
 	// perHost stretches the interval of a large fleet, where each heartbeat
 	// goes to every host: a host then handles at most sixty a second.
--- a/internal/share/doc.go
+++ b/internal/share/doc.go
@@ -12,8 +12,8 @@
 // customer asks there, and takes the part of the rate that this demand has in the
 // demand of all. Two owners that know the same demands give out exactly the rate.
 // They know them with a delay of about a heartbeat, so a host goes by what it has
-// told, and the bucket is kept smaller than the burst: what demand moves meanwhile
-// fits into the rest. A host that is silent but has not given up its registration
+// told; what demand moves meanwhile stays within the tolerance that operators were
+// promised (see the tests). A host that is silent but has not given up its registration
 // keeps its part.
 //
 // The package does no I/O, starts no goroutine and takes time as an argument.
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -7,7 +7,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 time="${1:-20s}"
-grep -rn --include='*_test.go' -oE '^func Fuzz[A-Za-z0-9]+' internal | while IFS=: read -r file _ func; do
+grep -rn --include='*_test.go' -oE '^func Fuzz[A-Za-z0-9]+' internal platform | while IFS=: read -r file _ func; do
   name="${func#func }"
   echo "== $name"
   go test -run '^$' -fuzz "^$name\$" -fuzztime "$time" "./$(dirname "$file")"
