--- a/cmd/balsamlab/calm.go
+++ b/cmd/balsamlab/calm.go
@@ -136,16 +136,15 @@
 }
 
 func (d *calmDay) heartbeats(ctx context.Context) {
-	for sequence := 2; ctx.Err() == nil; sequence++ {
-		d.beat(sequence)
-		sleepUntil(ctx, time.Second)
-	}
-}
-
-func sleepUntil(ctx context.Context, pause time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause):
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for sequence := 2; ; sequence++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			d.beat(sequence)
+		}
 	}
 }
 
@@ -271,21 +270,16 @@
 // calmReport is what a calm day came to.
 type calmReport struct {
 	// Statuses counts answers; "0" stands for none.
-	Statuses    map[string]int `json:"statuses"`
-	Wrong       int            `json:"wrong"`
-	Doubled     int            `json:"doubled"`
-	KeysSeen    int            `json:"keys_seen"`
-	CleanStops  bool           `json:"clean_stops"`
-	StoreCalls  map[string]int `json:"store_calls"`
-	EntryHosts  int            `json:"entry_hosts"`
-	TotalServed int            `json:"served"`
+	Statuses   map[string]int `json:"statuses"`
+	Wrong      int            `json:"wrong"`
+	Doubled    int            `json:"doubled"`
+	KeysSeen   int            `json:"keys_seen"`
+	CleanStops bool           `json:"clean_stops"`
+	StoreCalls map[string]int `json:"store_calls"`
 }
 
 func (d *calmDay) report(clean bool) error {
-	r := calmReport{
-		Statuses: d.counts, Wrong: d.wrong, CleanStops: clean, StoreCalls: d.store.Calls(), EntryHosts: calmHosts,
-		TotalServed: d.counts["200"],
-	}
+	r := calmReport{Statuses: d.counts, Wrong: d.wrong, CleanStops: clean, StoreCalls: d.store.Calls()}
 	ran := map[string]int{}
 	for _, w := range d.workers {
 		for _, run := range w.Runs() {
@@ -306,7 +300,7 @@
 	for _, n := range d.counts {
 		all += n
 	}
-	missed := float64(all-r.TotalServed) > calmRefused*float64(all)
+	missed := float64(all-d.counts["200"]) > calmRefused*float64(all)
 	if r.Wrong+r.Doubled+r.KeysSeen > 0 || missed || !clean {
 		return errCalmDay
 	}
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -29,7 +29,7 @@
 	for _, u := range s.upstreams {
 		for _, r := range u.worker.Runs() {
 			runs[r.ID] = append(runs[r.ID], ran{r, u})
-			if r.Customer == "hot" {
+			if r.Customer == standin.HotCustomer {
 				hot = append(hot, r.At)
 			}
 			if r.Key != "" {
@@ -55,7 +55,7 @@
 	if s.report.Failed() {
 		perSecond := map[string]int{}
 		for _, r := range requests {
-			if r.key == "hot" && r.status == http.StatusOK {
+			if r.key == standin.HotKey && r.status == http.StatusOK {
 				perSecond[r.at.Format("05")+" "+r.host.name]++
 			}
 		}
@@ -65,9 +65,9 @@
 }
 
 func (s *site) checkRequest(r sent, runs []ran) {
-	customer := "calm"
-	if r.key == "hot" {
-		customer = "hot"
+	customer := standin.CalmCustomer
+	if r.key == standin.HotKey {
+		customer = standin.HotCustomer
 	}
 	for _, x := range runs {
 		if x.Customer != customer {
@@ -82,7 +82,7 @@
 		s.report.Errorf("%s: refused with %d (%s) at %s and ran", r.id, r.status, strings.TrimSpace(r.body), r.host.name)
 	case r.err == nil && r.status == http.StatusOK && !strings.HasSuffix(r.body, " ran "+r.id):
 		s.report.Errorf("%s: got %q", r.id, r.body)
-	case r.err == nil && r.status == http.StatusUnauthorized && (r.key == "steady" || r.key == "hot"):
+	case r.err == nil && r.status == http.StatusUnauthorized && (r.key == "steady" || r.key == standin.HotKey):
 		s.report.Errorf("%s: key %s denied", r.id, r.key)
 	case r.err != nil && len(runs) > 0 && s.calm(r, runs):
 		s.report.Errorf("%s: cut off at %s after it had run, by a planned stop or by nothing: %v", r.id, r.host.name, r.err)
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -15,10 +15,12 @@
 	PostPath = "/post/"
 	// Service has all upstreams.
 	Service = "s"
-	// HotKey is the key of the customer with a rate and a burst.
-	HotKey   = "hot"
-	HotRate  = 30
-	HotBurst = 30
+	// CalmCustomer has no rate, HotCustomer has one and a burst; HotKey is its key.
+	CalmCustomer = "calm"
+	HotCustomer  = "hot"
+	HotKey       = "hot"
+	HotRate      = 30
+	HotBurst     = 30
 )
 
 // Declaration is what operators of the users' platform declare: a route for reads
@@ -49,7 +51,7 @@
 		"services": columns{[]string{"name", "health-check-path", "cold-start", "cold-per-s"}, [][]any{{Service, "/health", "1s", 50}}},
 		"limits":   map[string]any{},
 		"tenants": columns{[]string{"name", "api-keys", "rate-per-s", "burst"}, [][]any{
-			{"calm", d.Keys, 0, 0}, {"hot", []string{HotKey}, HotRate, HotBurst},
+			{CalmCustomer, d.Keys, 0, 0}, {HotCustomer, []string{HotKey}, HotRate, HotBurst},
 		}},
 	})
 	if err != nil {
--- a/spec/confirm.pml
+++ b/spec/confirm.pml
@@ -114,10 +114,8 @@
        hostAt = 0;
 #ifdef ID_FROM_ONE
        last = 0;
-       question = 0
-#else
-       question = 0
 #endif
+       question = 0
      }
   od
 }
