Peers that beat first are asked every five seconds

Cause: only the answer to a heartbeat of its own tells a daemon when a peer's configuration was confirmed, and beatTargets left out every peer that had been heard within 0.4 s. Two daemons keep the order in which they began, so one whose peers always beat first asked none of them, and their confirmation stayed unknown in its status.

Change: Contacts notes when an address last answered; one that has not for ten heartbeats is asked although it was heard just now. One more exchange of accounts in ten.

--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -84,6 +84,17 @@
 	c.heardConfig(m.member, now)
 }
 
+// answeredBy: the daemon at address has answered a heartbeat with its account.
+type answeredBy struct {
+	address string
+	member  membership.Member
+}
+
+func (m answeredBy) apply(c *control) {
+	c.knownContacts().Answered(m.address, time.Now())
+	heardFrom{m.member}.apply(c)
+}
+
 // hostsListed: the platform's host list was read.
 type hostsListed struct{ hosts []membership.Host }
 
@@ -123,7 +134,7 @@
 //
 // Only the answer to a heartbeat of its own confirms a daemon's configuration
 // (see confirmedAt). Two daemons keep the order in which they began: one whose
-// peers always beat first would leave all of them out for good, and where it is
+// peers always beat first would hardly ask any of them, and where it is
 // cut off from the store it would refuse customers with a bound on staleness
 // although peers know the version to be the newest. So it asks all of them
 // while its configuration is unconfirmed for longer than confirmWithin.
@@ -161,7 +172,7 @@
 	}
 	member := fromWire(reply)
 	member.ConfirmedAt = confirmedAt(asked, reply.ConfirmedAgeMs)
-	d.control.send(heardFrom{member})
+	d.control.send(answeredBy{address: address, member: member})
 }
 
 // Beat answers a peer's heartbeat; it implements peer.DRPCMembershipServer.
--- a/internal/membership/contacts.go
+++ b/internal/membership/contacts.go
@@ -39,7 +39,9 @@
 	heard   map[string]time.Time
 	rumored map[string]time.Time
 	tried   map[string]time.Time
-	cursor  int
+	// answered is when a heartbeat to an address was last answered.
+	answered map[string]time.Time
+	cursor   int
 }
 
 // NewContacts returns contacts that never include self.
@@ -47,6 +49,7 @@
 	return &Contacts{
 		self: self, listed: map[string]bool{}, heard: map[string]time.Time{},
 		rumored: map[string]time.Time{}, tried: map[string]time.Time{},
+		answered: map[string]time.Time{},
 	}
 }
 
@@ -61,10 +64,14 @@
 // Heard notes that the daemon at address was heard.
 func (c *Contacts) Heard(address string, now time.Time) { note(c.heard, address, now) }
 
+// Answered notes that the daemon at address has answered a heartbeat.
+func (c *Contacts) Answered(address string, now time.Time) { note(c.answered, address, now) }
+
 // Left notes that the daemon at address has said that it leaves.
 func (c *Contacts) Left(address string) {
 	delete(c.heard, address)
 	delete(c.rumored, address)
+	delete(c.answered, address)
 }
 
 // Rumored notes addresses that another daemon hears.
@@ -102,12 +109,17 @@
 // less than BeatEvery, so that a beat is never left out twice in a row.
 const freshFor = BeatEvery * 4 / 5
 
+// answerEvery is the longest time without an answer from a daemon that is heard.
+// Only an answer tells when its configuration was confirmed.
+const answerEvery = 10 * BeatEvery
+
 // Fresh tells whether the daemon at address was heard so lately that it has
 // this daemon's account too: a heartbeat and its answer carry both. Without
 // this each pair of daemons would exchange both accounts twice every BeatEvery.
+// A daemon that always beats first is asked every answerEvery all the same.
 func (c *Contacts) Fresh(address string, now time.Time) bool {
 	heard, ok := c.heard[address]
-	return ok && now.Sub(heard) < freshFor
+	return ok && now.Sub(heard) < freshFor && now.Sub(c.answered[address]) < answerEvery
 }
 
 // All returns every address kept.
@@ -130,6 +142,7 @@
 	maps.DeleteFunc(c.rumored, olderThan(rumorFor))
 	maps.DeleteFunc(c.heard, olderThan(silentFor))
 	maps.DeleteFunc(c.tried, olderThan(silentFor))
+	maps.DeleteFunc(c.answered, olderThan(silentFor))
 }
 
 // Gossip returns the next few of the addresses heard lately, each in turn.
--- a/internal/membership/contacts_test.go
+++ b/internal/membership/contacts_test.go
@@ -39,6 +39,22 @@
 	g.Expect(c.Due(t0.Add(10*time.Minute + 2*BeatEvery))).To(BeEmpty())
 }
 
+// A peer whose heartbeats always come first would never be asked, and when its
+// configuration was confirmed would stay unknown here for good.
+func TestPeerThatBeatsFirstIsAskedNowAndThen(t *testing.T) {
+	g := NewWithT(t)
+	c := NewContacts("self")
+	asked := 0
+	for now := t0; now.Before(t0.Add(time.Minute)); now = now.Add(BeatEvery) {
+		c.Heard("early", now.Add(-BeatEvery/10))
+		if !c.Fresh("early", now) {
+			asked++
+			c.Answered("early", now)
+		}
+	}
+	g.Expect(asked).To(Equal(int(time.Minute / answerEvery)))
+}
+
 // Every live peer must be named in turn, and a silent one no more.
 func TestGossipNamesLivePeersInTurn(t *testing.T) {
 	g := NewWithT(t)
