Load reports include the request that they come with

Hypothesis: hosts expect longer queues than there are.

Change: others = running + waiting - own requests at the upstream.

Test: TestAnsweredRequestIsNotCountedTwice fails without it.

--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -28,10 +28,10 @@
 	told bool
 }
 
-// note takes an account in. inflight of this host still counts the request
-// that was answered by it.
+// note takes an account in. The account and inflight both still count the request
+// that is answered with it.
 func (l *load) note(now time.Time, told traffic.Load) {
-	others := max(float64(told.Running+told.Waiting-(l.inflight-1)), 0)
+	others := max(float64(told.Running+told.Waiting-l.inflight), 0)
 	if !l.told {
 		l.mean = others
 	}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -268,6 +268,23 @@
 	g.Expect(ask(t, table, start, query("1")).ID).NotTo(Equal(first.ID))
 }
 
+// An upstream counts the request that it answers among those that run. Counted once
+// more by the host, every upstream seems to hold a request that nobody sent, and
+// requests go to cold ones while the warm one is idle.
+func TestAnsweredRequestIsNotCountedTwice(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(t, "a1")
+	u := upstream("x", "a1")
+	u.Slots = 1
+	table.Put(start, u)
+	c, err := table.Choose(start, query("1"))
+	g.Expect(err).NotTo(HaveOccurred())
+	table.Done(start, c, place.Report{Result: place.Answered, Told: true, Load: traffic.Load{Running: 1, Slots: 1}})
+	next, err := table.Choose(start, query("1"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(next.Wait).To(BeZero())
+}
+
 // Callers of a region multiply from one second to the next, and its own
 // upstreams are full. The part of the requests that runs in the other region may
 // grow by steps only.
