Hosts keep what is warm over a restart of all of them

Change: one host of the fleet, by rendezvous among those that take callers and reach the store, writes the warm objects and the work of routes into the store, every two seconds or at 16 kB/s. A host reads it with its first listing, so it costs no call there and nothing waits for it. Version, time of day and checksum; ignored with a line in the log when broken, old or of upstreams that have started again. Weighed against asking peers: there are none after such a fault.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -10,6 +10,7 @@
 	"balsambarrow/internal/follow"
 	"balsambarrow/internal/front"
 	"balsambarrow/internal/place"
+	"balsambarrow/internal/snapshot"
 )
 
 const (
@@ -53,6 +54,9 @@
 	journal  follow.Journal
 	seen     follow.Seen
 	confirms confirms
+	// recalled says that the first listing has been looked at for a snapshot.
+	recalled  bool
+	snapshots snapshot.Writer
 }
 
 func newControl(d *Daemon) *control {
@@ -112,6 +116,7 @@
 	}
 	c.publish(now)
 	c.seekConfirmation(now)
+	c.snapshot(now)
 	if !now.Before(c.beatDue) {
 		c.beat(now)
 	}
--- a/internal/entryhost/helper_test.go
+++ b/internal/entryhost/helper_test.go
@@ -98,6 +98,8 @@
 // ServeHTTP implements http.Handler.
 func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if g.shut.Load() {
+		// The server notices that a client has gone only once the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return
 	}
--- /dev/null
+++ b/internal/entryhost/recall.go
@@ -0,0 +1,72 @@
+package entryhost
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"balsambarrow/internal/kv"
+	"balsambarrow/internal/place"
+	"balsambarrow/internal/rendezvous"
+	"balsambarrow/internal/snapshot"
+	"balsambarrow/platform"
+)
+
+// snapshotRole is what the host that writes snapshots is picked by.
+const snapshotRole = "snapshot"
+
+// recall takes over what the fleet knew before this process began. A snapshot that
+// cannot be used is ignored: the host learns anew.
+func (c *control) recall(now time.Time, items []kv.Item) {
+	if c.recalled {
+		return
+	}
+	c.recalled = true
+	i := slices.IndexFunc(items, func(item kv.Item) bool { return item.Key == platform.SnapshotKey })
+	if i < 0 {
+		return
+	}
+	m, err := snapshot.Decode(time.Now(), items[i].Value)
+	if err != nil {
+		c.d.events.Info("snapshot ignored", "revision", items[i].Revision, "bytes", len(items[i].Value), "error", err)
+		return
+	}
+	c.d.events.Info("snapshot recalled", "revision", items[i].Revision, "bytes", len(items[i].Value),
+		"upstreams", len(m.Upstreams), "objects", c.d.table.Recall(now, m), "routes", len(m.Routes))
+}
+
+// writesSnapshot tells whether this host is the one of the fleet that writes
+// snapshots. Two that believe so for a moment overwrite each other.
+func (c *control) writesSnapshot() bool {
+	d := c.d.directory.Load()
+	seers := append(d.seers(c.d.self.Region), d.seersBeyond(c.d.self.Region)...)
+	return c.recalled && rendezvous.Pick(snapshotRole, seers) == c.d.self.Instance
+}
+
+// snapshot writes what this host knows into the store, if it is its turn.
+func (c *control) snapshot(now time.Time) {
+	if !c.snapshots.Due(now) || !c.writesSnapshot() {
+		return
+	}
+	memory := c.d.table.Memory(now)
+	if len(memory.Upstreams) == 0 {
+		return
+	}
+	data, err := snapshot.Encode(time.Now(), memory)
+	if err != nil {
+		c.d.events.Warn("snapshot not encoded", "error", err)
+		return
+	}
+	c.snapshots.Began(now, len(data))
+	c.d.spawn(func(ctx context.Context) { c.d.writeSnapshot(ctx, data, memory) })
+}
+
+func (d *Daemon) writeSnapshot(ctx context.Context, data []byte, memory place.Memory) {
+	ctx, cancel := context.WithTimeout(ctx, callBound)
+	defer cancel()
+	if err := d.store.Put(ctx, platform.SnapshotKey, data, 0); err != nil {
+		d.events.Debug("snapshot not written", "error", err)
+		return
+	}
+	d.events.Debug("snapshot written", "bytes", len(data), "upstreams", len(memory.Upstreams), "routes", len(memory.Routes))
+}
--- /dev/null
+++ b/internal/place/memory.go
@@ -0,0 +1,99 @@
+package place
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Memory is what a table has learned that is still true after all entry hosts
+// have started again: upstreams live on.
+type Memory struct {
+	Upstreams []UpstreamMemory
+	Routes    []RouteMemory
+}
+
+// UpstreamMemory is one run of an upstream.
+type UpstreamMemory struct {
+	ID      string
+	Born    int64
+	Objects []ObjectMemory
+}
+
+// ObjectMemory is an object that is warm at an upstream.
+type ObjectMemory struct {
+	Object Object
+	// Age is the time since the upstream was last asked about it.
+	Age time.Duration
+}
+
+// RouteMemory is what a route's requests take.
+type RouteMemory struct {
+	Name string
+	// Warm and Cold are the times that work takes; 0: not known.
+	Warm, Cold time.Duration
+	// Bytes of an answer.
+	Bytes int
+}
+
+// Memory returns what this host knows.
+func (t *Table) Memory(now time.Time) Memory {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var m Memory
+	for _, w := range t.byID {
+		if known := w.memory(now); len(known.Objects) > 0 {
+			m.Upstreams = append(m.Upstreams, known)
+		}
+	}
+	for name, w := range t.work {
+		m.Routes = append(m.Routes, RouteMemory{Name: name, Warm: w.warm, Bytes: int(t.way.bytes[name])})
+	}
+	slices.SortFunc(m.Upstreams, func(a, b UpstreamMemory) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(m.Routes, func(a, b RouteMemory) int { return strings.Compare(a.Name, b.Name) })
+	return m
+}
+
+func (w *worker) memory(now time.Time) UpstreamMemory {
+	out := UpstreamMemory{ID: w.ID, Born: w.Born}
+	for object, known := range w.warm {
+		if age := now.Sub(known.at); known.answered && age < WarmFor {
+			out.Objects = append(out.Objects, ObjectMemory{object, age})
+		}
+	}
+	slices.SortFunc(out.Objects, func(a, b ObjectMemory) int { return int(a.Object>>1) - int(b.Object>>1) })
+	return out
+}
+
+// Recall takes over what was known before this process began, and returns the
+// number of objects. What was learned since goes before it, and an upstream that
+// has started again holds nothing of before.
+func (t *Table) Recall(now time.Time, m Memory) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	objects := 0
+	for _, known := range m.Upstreams {
+		if w := t.byID[known.ID]; w != nil && w.Born == known.Born {
+			objects += w.recall(now, known.Objects)
+		}
+	}
+	for _, r := range m.Routes {
+		t.of(t.work, r.Name).recall(r)
+		if _, ok := t.way.bytes[r.Name]; !ok && r.Bytes > 0 {
+			t.way.bytes[r.Name] = float64(r.Bytes)
+		}
+	}
+	return objects
+}
+
+func (w *worker) recall(now time.Time, objects []ObjectMemory) int {
+	n := 0
+	for _, o := range objects {
+		if _, ok := w.warm[o.Object]; ok || o.Age >= WarmFor || len(w.warm) >= warmMost {
+			continue
+		}
+		w.warm[o.Object] = warmth{at: now.Add(-o.Age), answered: true, shared: now}
+		n++
+	}
+	return n
+}
--- a/internal/place/work.go
+++ b/internal/place/work.go
@@ -36,3 +36,13 @@
 	gain := max(workGain, 1/float64(w.samples))
 	w.warm += time.Duration(gain * float64(took-w.warm))
 }
+
+// recalledSamples is the weight of what was known before this process began.
+const recalledSamples = 5
+
+// recall takes over what was known before, if nothing is known yet.
+func (w *work) recall(r RouteMemory) {
+	if w.samples == 0 && r.Warm > 0 {
+		w.warm, w.samples = r.Warm, recalledSamples
+	}
+}
--- a/internal/place/worker.go
+++ b/internal/place/worker.go
@@ -6,11 +6,11 @@
 	"balsambarrow/internal/catalog"
 )
 
-// warmFor is how long an object counts as warm where this host has sent it, and
+// WarmFor is how long an object counts as warm where a host has sent it, and
 // warmMost how many objects are remembered for each upstream. Upstreams keep
 // some tens of objects and forget the least recent.
 const (
-	warmFor  = 20 * time.Second
+	WarmFor  = 20 * time.Second
 	warmMost = 64
 )
 
@@ -55,7 +55,7 @@
 // isWarm tells whether the upstream handles an object, or has done so lately.
 func (w *worker) isWarm(now time.Time, object Object) bool {
 	known, ok := w.warm[object]
-	return ok && now.Sub(known.at) < warmFor
+	return ok && now.Sub(known.at) < WarmFor
 }
 
 // hasAnswered tells whether it has done so lately.
--- a/internal/standin/kvstore.go
+++ b/internal/standin/kvstore.go
@@ -150,6 +150,13 @@
 	return out
 }
 
+// Revision of the last change of a key; 0: there is none.
+func (s *KVStore) Revision(key string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Revision
+}
+
 // Calls is the number of calls by path, without ids; " stale" follows it where the
 // answer may be stale.
 func (s *KVStore) Calls() map[string]int {
