Placement goes by the work that is observed

Hypothesis: constants that fit the three known customers to the digit cost others: 150 ms of first work, steps of 15 ms a rank and 140 ms away from an object's home, affinity also where it gains nothing.

Change: before any answer a route's work is reckoned from its target; the steps are parts of what warm work saves and of the way to the farthest region; cold work is observed, and where it takes less than 1.25 times as long as warm, affinity ends and the least expected finish decides. The weight of cold work (3.3 times warm) stays, as the policy's bias.

Tried and not kept: cold work as observed in place of that weight. Where cold work is cheap more of it is sent, and it takes the room of warm work; where it is dear, requests are refused that another upstream had room for.

The bound on objects that move is as it was.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -7,11 +7,10 @@
 	"time"
 )
 
-// rankStep is added to the expected finish for each rank, so that all hosts
-// prefer the same upstream as an object's next one; it is small beside the
-// difference between warm and cold.
+// rankPart of what warm work saves is added to the expected finish for each rank,
+// so that all hosts prefer the same upstream as an object's next one.
 const (
-	rankStep = 15 * time.Millisecond
+	rankPart = 1.0 / 16
 	rankMost = 8
 )
 
@@ -204,12 +203,15 @@
 // estimate fills in the expected finish of each candidate.
 func (t *Table) estimate(now time.Time, q Query, object Object, list []candidate) {
 	t.markWarm(now, q, object, list)
-	route, usual := t.of(t.work, q.Route), t.of(t.usual, q.Service)
+	route := t.workOf(q.Route)
+	route.expect(q.Target)
+	each := t.queued(q.Service, route)
+	rank, away := time.Duration(rankPart*float64(route.gain())), t.awayStep(route)
 	here := t.way.heavy(q.Route) || t.livesHere(object, list)
 	for i := range list {
 		c := &list[i]
 		load := c.load.expect(now)
-		c.wait = waiting(load, c.Slots, time.Duration(float64(usual.estimate(true))*c.health.slowness))
+		c.wait = waiting(load, c.Slots, time.Duration(float64(each)*c.health.slowness))
 		c.finish = time.Duration(float64(route.estimate(c.warm))*c.health.slowness) + c.wait + t.way.to(c.region, c.Zone)
 		c.cost = c.finish + t.way.cost(q.Route, c.region, c.Zone, q.BodyBytes) +
 			time.Duration(c.health.failures*float64(failureCost))
@@ -217,14 +219,22 @@
 			c.cost += displaced(load, c.Slots, route)
 		}
 		if object != 0 {
-			c.cost += time.Duration(min(i, rankMost)) * rankStep
+			c.cost += time.Duration(min(i, rankMost)) * rank
 			if !c.warm && (c.region == t.self.Region) != here {
-				c.cost += awayStep
+				c.cost += away
 			}
 		}
 	}
 }
 
+// queued is how long a request that waits at an upstream of a service takes.
+func (t *Table) queued(service string, route *work) time.Duration {
+	if usual := t.usualOf(service); usual.samples > 0 {
+		return usual.value
+	}
+	return route.estimate(true)
+}
+
 // markWarm ranks the candidates of an object and tells which of them are warm:
 // those that any host has asked lately.
 //
@@ -263,16 +273,7 @@
 // answers that were nearly all late.
 func displaced(load float64, slots int, w *work) time.Duration {
 	busy := min(load/float64(slots), mostDisplaced)
-	return time.Duration(busy * float64(w.estimate(false)-w.estimate(true)))
-}
-
-// waiting is how long a new request waits for one of the slots.
-func waiting(load float64, slots int, each time.Duration) time.Duration {
-	ahead := load + 1 - float64(slots)
-	if ahead <= 0 {
-		return 0
-	}
-	return time.Duration(math.Ceil(ahead) / float64(slots) * float64(each))
+	return time.Duration(busy * float64(w.gain()))
 }
 
 // warms tells whether this host is the one that sends to a cold upstream. One
@@ -300,3 +301,13 @@
 	}
 	return false
 }
+
+// waiting is how long a new request waits for one of the slots, if each of those
+// before it takes as long as given.
+func waiting(load float64, slots int, each time.Duration) time.Duration {
+	ahead := load + 1 - float64(slots)
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(math.Ceil(ahead) / float64(slots) * float64(each))
+}
--- a/internal/place/home.go
+++ b/internal/place/home.go
@@ -11,11 +11,18 @@
 // of the region's requests moves at once. So a fixed part of its objects, by
 // hash, has its home elsewhere from the beginning.
 const (
-	// awayStep is added to the expected finish where an object has not its
-	// home: more than the way between regions, less than cold work.
-	awayStep = 140 * time.Millisecond
+	// awayPart of what warm work saves is added, beside the way to the farthest
+	// region, to the expected finish where an object has not its home.
+	awayPart = 0.25
 )
 
+// awayStep is added to the expected finish where an object has not its home: more
+// than the way between regions, so that the home counts, and no more than what is
+// lost by cold work.
+func (t *Table) awayStep(route *work) time.Duration {
+	return min(t.way.farthest()+time.Duration(awayPart*float64(route.gain())), route.gain())
+}
+
 // homePart is the part of this region's objects that has its home here.
 func (t *Table) homePart(list []candidate) float64 {
 	regions := map[string]int{}
--- a/internal/place/memory.go
+++ b/internal/place/memory.go
@@ -47,7 +47,7 @@
 		}
 	}
 	for name, w := range t.work {
-		m.Routes = append(m.Routes, RouteMemory{Name: name, Warm: w.warm, Bytes: int(t.way.bytes[name])})
+		m.Routes = append(m.Routes, RouteMemory{Name: name, Warm: w.warm.value, Cold: w.cold.value, Bytes: int(t.way.bytes[name])})
 	}
 	slices.SortFunc(m.Upstreams, func(a, b UpstreamMemory) int { return strings.Compare(a.ID, b.ID) })
 	slices.SortFunc(m.Routes, func(a, b RouteMemory) int { return strings.Compare(a.Name, b.Name) })
@@ -78,7 +78,7 @@
 		}
 	}
 	for _, r := range m.Routes {
-		t.of(t.work, r.Name).recall(r)
+		t.workOf(r.Name).recall(r)
 		if _, ok := t.way.bytes[r.Name]; !ok && r.Bytes > 0 {
 			t.way.bytes[r.Name] = float64(r.Bytes)
 		}
--- a/internal/place/room.go
+++ b/internal/place/room.go
@@ -19,10 +19,10 @@
 	// whose work alone takes longer is late in any case, and warms the upstream
 	// for the next.
 	leastWait = 0.25
-	// rankPart is what a less urgent request may wait of the wait that is
+	// urgentPart is what a less urgent request may wait of the wait that is
 	// allowed to a more urgent one of the same service. Otherwise those with
 	// the longer target would fill the queues first.
-	rankPart = 0.75
+	urgentPart = 0.75
 	// rankMemory is how long a more urgent kind of request is reckoned with
 	// after the last one.
 	rankMemory = 5 * time.Second
@@ -43,7 +43,7 @@
 	r[priority] = allowance{wait, now}
 	for p, a := range r {
 		if p < priority && now.Sub(a.at) < rankMemory {
-			wait = min(wait, time.Duration(rankPart*float64(a.wait)))
+			wait = min(wait, time.Duration(urgentPart*float64(a.wait)))
 		}
 	}
 	return wait
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -30,7 +30,7 @@
 	hosts    []Host
 	work     map[string]*work
 	// usual is the mean work of a service, for what waits at its upstreams.
-	usual map[string]*work
+	usual map[string]*mean
 	ranks map[string]ranks
 	way   ways
 	mix   mix
@@ -43,7 +43,7 @@
 func NewTable(self Host, zones map[string]string) *Table {
 	return &Table{
 		self: self, zones: zones, byID: map[string]*worker{}, services: map[string][]*worker{},
-		evacuate: map[string]bool{}, work: map[string]*work{}, usual: map[string]*work{},
+		evacuate: map[string]bool{}, work: map[string]*work{}, usual: map[string]*mean{},
 		ranks: map[string]ranks{},
 		way:   newWays(self),
 	}
@@ -232,18 +232,28 @@
 		return
 	}
 	took := max(r.Took-r.Connect-t.way.to(w.region, w.Zone), time.Millisecond)
+	route := t.workOf(c.route)
+	route.learn(took, c.Warm)
 	if c.Warm {
-		w.health.learnSpeed(took, t.of(t.work, c.route).estimate(true))
-		t.of(t.work, c.route).learn(took)
-		t.of(t.usual, w.Service).learn(took)
+		w.health.learnSpeed(took, route.estimate(true))
+		t.usualOf(w.Service).learn(took)
 	}
 }
 
-func (t *Table) of(m map[string]*work, name string) *work {
-	w := m[name]
+func (t *Table) workOf(route string) *work {
+	w := t.work[route]
 	if w == nil {
 		w = &work{}
-		m[name] = w
+		t.work[route] = w
 	}
 	return w
 }
+
+func (t *Table) usualOf(service string) *mean {
+	m := t.usual[service]
+	if m == nil {
+		m = &mean{}
+		t.usual[service] = m
+	}
+	return m
+}
--- a/internal/place/way.go
+++ b/internal/place/way.go
@@ -76,6 +76,18 @@
 	return firstFar
 }
 
+// farthest is the time to the farthest region and back.
+func (w *ways) farthest() time.Duration {
+	longest := time.Duration(0)
+	for _, d := range w.far {
+		longest = max(longest, d)
+	}
+	if longest == 0 {
+		return firstFar
+	}
+	return longest
+}
+
 // cost is what a transfer of a route's answer, and of up bytes of its body,
 // takes of links.
 func (w *ways) cost(route, region, zone string, up int) time.Duration {
