An upstream that joins gets the objects that rank it first

Change: two seconds after a host has heard of an upstream that nobody has asked, the one host that would warm it sends it the objects that rank it first, until one is sent.

Test: TestUpstreamThatJoinsGetsItsFirstObjects fails without it.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -225,6 +225,10 @@
 			}
 		}
 	}
+	// Candidates of an object are in the order of their ranks.
+	if object != 0 && t.joins(now, list[0]) {
+		list[0].cost = list[0].wait
+	}
 }
 
 // queued is how long a request that waits at an upstream of a service takes.
--- /dev/null
+++ b/internal/place/join.go
@@ -0,0 +1,20 @@
+package place
+
+import "time"
+
+// How an upstream that has joined gets its first objects.
+//
+// Load pattern: every object is warm somewhere and the upstreams there have room.
+// By expected finish alone an upstream that joins gets nothing until others are
+// full, and is cold when it is needed. So the host that would warm it sends it the
+// objects that rank it first, until it has been asked once; from then on these are
+// warm there, and it takes part by load.
+
+// joinAfter is how long an upstream is left to the usual choice first. Hosts that
+// have all started again do not spread objects that are warm elsewhere at once.
+const joinAfter = 2 * time.Second
+
+// joins tells whether a candidate gets an object because nobody has asked it yet.
+func (t *Table) joins(now time.Time, first candidate) bool {
+	return !first.used && now.Sub(first.since) >= joinAfter && t.warms(first.worker)
+}
--- a/internal/place/memory.go
+++ b/internal/place/memory.go
@@ -92,6 +92,7 @@
 		if _, ok := w.warm[o.Object]; ok || o.Age >= WarmFor || len(w.warm) >= warmMost {
 			continue
 		}
+		w.used = true
 		w.warm[o.Object] = warmth{at: now.Add(-o.Age), answered: true, shared: now}
 		n++
 	}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -445,6 +445,36 @@
 	g.Expect(ask(t, table, start, query("1")).Warm).To(BeTrue())
 }
 
+// Objects are warm and their upstreams idle when another upstream joins. It must get
+// a few of the objects while nobody needs it, and no more.
+func TestUpstreamThatJoinsGetsItsFirstObjects(t *testing.T) {
+	g := NewWithT(t)
+	table := full(t, "a1")
+	now := start
+	round := func() int {
+		got := 0
+		for i := range 60 {
+			now = now.Add(20 * time.Millisecond)
+			if ask(t, table, now, query(fmt.Sprint(i))).ID == "a1-new" {
+				got++
+			}
+		}
+		return got
+	}
+	for range 3 {
+		round()
+	}
+	table.Put(now, upstream("a1-new", "a1"))
+	g.Expect(round()).To(BeZero(), "the usual choice comes first")
+	table.Put(now, upstream("a1-new", "a1"))
+	got := 0
+	for range 3 {
+		got += round()
+	}
+	g.Expect(got).To(BeNumerically(">=", 2))
+	g.Expect(got).To(BeNumerically("<=", 6), "one object moved")
+}
+
 // A service whose upstreams gain nothing from affinity. An object must not wait at
 // the one that had it last while others are idle.
 func TestNoAffinityWithoutGain(t *testing.T) {
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -99,11 +99,11 @@
 	w := t.byID[u.ID]
 	news := w == nil || w.Born != u.Born || w.State != u.State || w.Address != u.Address || w.Service != u.Service
 	if w == nil {
-		w = newWorker(u, t.zones[u.Zone])
+		w = newWorker(now, u, t.zones[u.Zone])
 		t.byID[u.ID] = w
 		t.services[u.Service] = append(t.services[u.Service], w)
 	} else {
-		t.replace(w, u)
+		t.replace(now, w, u)
 	}
 	w.coldUntil = now.Add(u.ColdFor)
 	// It is alive, and says itself whether it is cold.
@@ -111,9 +111,9 @@
 	return news
 }
 
-func (t *Table) replace(w *worker, u catalog.Upstream) {
+func (t *Table) replace(now time.Time, w *worker, u catalog.Upstream) {
 	if w.Born != u.Born || w.Address != u.Address {
-		w.restarted()
+		w.restarted(now)
 	}
 	if w.Service != u.Service {
 		t.unlist(w)
--- a/internal/place/worker.go
+++ b/internal/place/worker.go
@@ -25,6 +25,10 @@
 	// coldUntil is when it stops being cold, by its own account or because
 	// its zone comes back from an evacuation.
 	coldUntil time.Time
+	// since is when this host first heard of this run, and used says that some host
+	// has sent it a request.
+	since time.Time
+	used  bool
 	// warm holds the objects that it is known to have handled lately.
 	warm map[Object]warmth
 }
@@ -40,14 +44,15 @@
 	shared   time.Time
 }
 
-func newWorker(u catalog.Upstream, region string) *worker {
-	return &worker{Upstream: u, id: hash(u.ID), region: region, health: newHealth(), warm: map[Object]warmth{}}
+func newWorker(now time.Time, u catalog.Upstream, region string) *worker {
+	return &worker{Upstream: u, id: hash(u.ID), region: region, since: now, health: newHealth(), warm: map[Object]warmth{}}
 }
 
 // restarted forgets what was known of an earlier run under the same id.
-func (w *worker) restarted() {
+func (w *worker) restarted(now time.Time) {
 	inflight := w.load.inflight
 	w.health, w.load, w.warm = newHealth(), load{inflight: inflight}, map[Object]warmth{}
+	w.since, w.used = now, false
 }
 
 func (w *worker) isCold(now time.Time) bool { return now.Before(w.coldUntil) || w.health.doubtful(now) }
@@ -72,6 +77,7 @@
 // from .5619 to .5837 at the cooperative and from .6507 to .6575 at the
 // association, in trials without processor time.
 func (w *worker) ask(now time.Time, object Object) {
+	w.used = true
 	known, ok := w.warm[object]
 	if !ok && len(w.warm) >= warmMost {
 		w.forgetOldest()
