A customer over its rate leaves the queues to others

Change: a request whose customer asks for more than 1.3 times its part of the rate may wait two thirds of the time within which it is served in time, in place of four times.

Test: TestCustomerOverItsRateLeavesTheQueuesToOthers plays the load with and without.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -86,8 +86,10 @@
 	route    *catalog.Route
 	customer *catalog.Customer
 	service  string
-	body     *body
-	tally    tally
+	// over says that the customer asks for more than its rate.
+	over  bool
+	body  *body
+	tally tally
 }
 
 // tally is what happened at upstreams.
@@ -148,6 +150,7 @@
 				"part", v.Part, "demand", v.Demand, "version", state.Catalog.Version)
 			return &refusal{status: http.StatusTooManyRequests, cause: CauseOverRate, comeBack: v.ComeBack}
 		}
+		q.over = v.Over(q.customer.Rate)
 	}
 	q.service = h.split.service(q.route)
 	return nil
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -85,7 +85,7 @@
 	return place.Query{
 		Service: q.service, Route: q.route.Name, Object: object, Homes: homes, Bound: bound,
 		Tried: q.tally.tried, BodyBytes: len(q.body.kept), Priority: catalog.Priority(q.route, q.customer),
-		Target: q.route.Target, Remaining: q.until.Sub(h.Now()),
+		Over: q.over, Target: q.route.Target, Remaining: q.until.Sub(h.Now()),
 	}
 }
 
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -30,6 +30,8 @@
 	BodyBytes int
 	// Priority ranks the request; 0 is the most urgent.
 	Priority int
+	// Over says that the customer asks for more than its rate.
+	Over bool
 	// Target is the time within which an answer has its full use, and Remaining
 	// the time within which it has any.
 	Target    time.Duration
@@ -142,7 +144,11 @@
 	if target == 0 {
 		target = q.Remaining
 	}
-	return min(r.allow(now, q.Priority, target, rest), max(q.Remaining-rest, 0))
+	wait := min(r.allow(now, q.Priority, target, rest), max(q.Remaining-rest, 0))
+	if q.Over {
+		return min(wait, time.Duration(overWait*float64(inTime(target, rest))))
+	}
+	return wait
 }
 
 func (t *Table) coldRate(service string) float64 {
--- a/internal/place/room.go
+++ b/internal/place/room.go
@@ -19,6 +19,11 @@
 	// whose work alone takes longer is late in any case, and warms the upstream
 	// for the next.
 	leastWait = 0.25
+	// overWait is the part of the wait within which it would be served in time that
+	// a request may wait whose customer asks for more than its rate. Its callers
+	// have more to ask at any time; if they fill the queues, those of all other
+	// customers are late as well.
+	overWait = 2.0 / 3
 	// urgentPart is what a less urgent request may wait of the wait that is
 	// allowed to a more urgent one of the same service. Otherwise those with
 	// the longer target would fill the queues first.
@@ -36,10 +41,16 @@
 	at   time.Time
 }
 
+// inTime is how long a request may wait and be served in time, if its work and way
+// take rest of its target; leastWait of the target at least.
+func inTime(target, rest time.Duration) time.Duration {
+	return max(target-rest, time.Duration(leastWait*float64(target)))
+}
+
 // allow is how long a request of the priority may wait if its work and way take
 // rest of its target.
 func (r ranks) allow(now time.Time, priority int, target, rest time.Duration) time.Duration {
-	wait := waitPart * max(target-rest, time.Duration(leastWait*float64(target)))
+	wait := waitPart * inTime(target, rest)
 	r[priority] = allowance{wait, now}
 	for p, a := range r {
 		if p < priority && now.Sub(a.at) < rankMemory {
--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -98,6 +98,12 @@
 	Demand float64
 }
 
+// overPart is how much more than its part a customer asks for that is over its rate.
+const overPart = 1.3
+
+// Over tells whether the customer asks for more than its rate.
+func (v Verdict) Over(rate float64) bool { return rate > 0 && v.Demand > overPart*v.Part*rate }
+
 // Admit takes one request of a customer.
 func (s *Shares) Admit(now time.Time, c *catalog.Customer) Verdict {
 	s.mu.Lock()
