Late answers tell what was expected of their upstream

Cause: choosing, waiting and refusing rest on an expected wait, and nothing recorded its error; a late answer's line had the longest queue that was met and not what came of it.

Change: histograms of expected and actual answer time and wait by route on the metrics address, and the four figures on the line of a late answer.

Test: TestLateAnswerTellsWhatWasExpected.

--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -48,4 +49,20 @@
 	set := d.metrics.Set
 	set.GetOrCreateCounter(fmt.Sprintf(`balsambarrow_answers_total{route=%q,status="%d",cause=%q}`, o.Route, o.Status, cause)).Inc()
 	set.GetOrCreateHistogram(fmt.Sprintf(`balsambarrow_answer_seconds{route=%q}`, o.Route)).Update(o.Took.Seconds())
+	d.observePlaced(o.Route, o.Placed)
+}
+
+// observePlaced counts what was expected of an upstream beside what came of it.
+func (d *Daemon) observePlaced(route string, p *front.Placed) {
+	if p == nil {
+		return
+	}
+	update := func(what, of string, took time.Duration) {
+		name := fmt.Sprintf(`balsambarrow_upstream_%s_seconds{route=%q,of=%q}`, what, route, of)
+		d.metrics.Set.GetOrCreateHistogram(name).Update(took.Seconds())
+	}
+	update("answer", "expected", p.Expected)
+	update("answer", "actual", p.Took)
+	update("wait", "expected", p.ExpectedWait)
+	update("wait", "actual", p.Waited)
 }
--- /dev/null
+++ b/internal/entryhost/placed_test.go
@@ -0,0 +1,36 @@
+package entryhost_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// An answer comes late because its upstream took longer than was expected. Both
+// figures must be on its line and in the metrics, or nobody can tell a bad choice
+// from a slow upstream.
+func TestLateAnswerTellsWhatWasExpected(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	var logs syncBuffer
+	s.logs = &logs
+	s.worker("i-1", "s", "a1", 600*time.Millisecond)
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	s.awaitServing()
+	g.Expect(s.read(h).status).To(Equal(http.StatusOK))
+	g.Eventually(logs.String, "5s").Should(MatchRegexp(
+		`msg=answered .*target=500ms .*expected=\S+ expected_wait=0s upstream_took=\S+ waited=`))
+	resp, err := http.Get("http://" + h.listen.Metrics + "/metrics")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	metrics, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, of := range []string{"expected", "actual"} {
+		g.Expect(string(metrics)).To(ContainSubstring(`balsambarrow_upstream_answer_seconds_count{route="read",of="` + of + `"}`))
+		g.Expect(string(metrics)).To(ContainSubstring(`balsambarrow_upstream_wait_seconds_count{route="read",of="` + of + `"}`))
+	}
+}
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -68,6 +68,7 @@
 		report.Result, end = place.Failed, failed
 	}
 	h.Table.Done(h.Now(), c, report)
+	q.tally.placed = newPlaced(c, report.Took)
 	h.Log.Debug("upstream answered", "id", q.ID, "route", q.route.Name, "object", q.Object, "upstream", c.ID, "zone", c.Zone,
 		"status", a.status, "took", report.Took, "expected", c.Expected, "expected_wait", c.Wait, "warm", c.Warm,
 		"running", said.Load.Running, "waiting", said.Load.Waiting, "bytes", report.Bytes)
@@ -106,11 +107,12 @@
 	// A failed write means that the caller has left.
 	_, _ = w.Write(a.body)
 	took := h.Now().Sub(q.arrived)
-	h.Observe(Observation{Route: q.route.Name, Status: a.status, Took: took, Bytes: len(a.body), Sends: q.tally.sends})
+	h.Observe(Observation{Route: q.route.Name, Status: a.status, Took: took, Bytes: len(a.body), Sends: q.tally.sends, Placed: q.tally.placed})
 	late := q.route.Target > 0 && took > q.route.Target
 	if q.tally.sends > 1 || late || a.status >= http.StatusInternalServerError || h.given.Add(1)%plainSample == 0 {
 		h.Log.Info("answered", "id", q.ID, "route", q.route.Name, "status", a.status, "took", took,
-			"target", q.route.Target, "sends", q.tally.sends, "tried", q.tally.tried, "wait", q.tally.wait)
+			"target", q.route.Target, "sends", q.tally.sends, "tried", q.tally.tried, "expected", q.tally.placed.Expected,
+			"expected_wait", q.tally.placed.ExpectedWait, "upstream_took", q.tally.placed.Took, "waited", q.tally.placed.Waited)
 	}
 }
 
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -64,6 +64,25 @@
 	Bytes int
 	// Sends is the number of upstreams that were asked.
 	Sends int
+	// Placed is how the choice of the upstream that answered was borne out; nil where
+	// none did.
+	Placed *Placed
+}
+
+// Placed is what the choice of an upstream went by beside what came of it.
+type Placed struct {
+	// Expected is the time until the answer, ExpectedWait the part of it that was to
+	// be spent in the upstream's queue.
+	Expected, ExpectedWait time.Duration
+	// Took is the time until the answer's header, and Waited the part of it beyond
+	// the work and the way that were expected.
+	Took, Waited time.Duration
+}
+
+func newPlaced(c place.Choice, took time.Duration) *Placed {
+	return &Placed{
+		Expected: c.Expected, ExpectedWait: c.Wait, Took: took, Waited: max(took-(c.Expected-c.Wait), 0),
+	}
 }
 
 // Handler serves callers.
@@ -101,6 +120,8 @@
 	shed bool
 	// wait is the longest queue that was met.
 	wait time.Duration
+	// placed is how the last choice was borne out by an answer.
+	placed *Placed
 }
 
 // ServeHTTP implements http.Handler.
