--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -206,30 +206,13 @@
 	return best
 }
 
-// estimate fills in the expected finish of each candidate.
+// estimate fills in the expected finish and the cost of each candidate.
 func (t *Table) estimate(now time.Time, q Query, object Object, list []candidate) {
 	t.markWarm(now, q, object, list)
-	route := t.workOf(q.Route)
-	route.expect(q.Target)
-	each := t.queued(q.Service, route)
-	rank, away := time.Duration(rankPart*float64(route.gain())), t.awayStep(route)
-	here := t.way.heavy(q.Route) || t.livesHere(object, list)
+	e := t.estimator(now, q, object, list)
 	for i := range list {
-		c := &list[i]
-		load := c.load.expect(now)
-		c.wait = waiting(load, c.Slots, time.Duration(float64(each)*c.health.slowness))
-		c.finish = time.Duration(float64(route.estimate(c.warm))*c.health.slowness) + c.wait + t.way.to(c.region, c.Zone)
-		c.cost = c.finish + t.way.cost(q.Route, c.region, c.Zone, q.BodyBytes) +
-			time.Duration(c.health.failures*float64(failureCost))
-		if !c.warm {
-			c.cost += displaced(load, c.Slots, route)
-		}
-		if object != 0 {
-			c.cost += time.Duration(min(i, rankMost)) * rank
-			if !c.warm && (c.region == t.self.Region) != here {
-				c.cost += away
-			}
-		}
+		e.finish(&list[i])
+		e.cost(&list[i], i)
 	}
 	// Candidates of an object are in the order of their ranks.
 	if object != 0 && t.joins(now, list[0]) {
@@ -237,6 +220,56 @@
 	}
 }
 
+// estimator is what the estimates of one request have in common.
+type estimator struct {
+	table *Table
+	now   time.Time
+	query Query
+	// affine says that the request is about an object.
+	affine bool
+	route  *work
+	// queued is how long a request that waits takes.
+	queued time.Duration
+	// rank and away are added for each rank and where the object has not its home.
+	rank, away time.Duration
+	// here says that its home is in this region.
+	here bool
+}
+
+func (t *Table) estimator(now time.Time, q Query, object Object, list []candidate) *estimator {
+	route := t.workOf(q.Route)
+	route.expect(q.Target)
+	return &estimator{
+		table: t, now: now, query: q, affine: object != 0, route: route, queued: t.queued(q.Service, route),
+		rank: time.Duration(rankPart * float64(route.gain())), away: t.awayStep(route),
+		here: t.way.heavy(q.Route) || t.livesHere(object, list),
+	}
+}
+
+// finish fills in how long the request would wait and take.
+func (e *estimator) finish(c *candidate) {
+	c.wait = waiting(c.load.expect(e.now), c.Slots, time.Duration(float64(e.queued)*c.health.slowness))
+	work := time.Duration(float64(e.route.estimate(c.warm)) * c.health.slowness)
+	c.finish = work + c.wait + e.table.way.to(c.region, c.Zone)
+}
+
+// cost adds what a choice costs others to the finish of the candidate of a rank.
+func (e *estimator) cost(c *candidate, rank int) {
+	c.cost = c.finish + e.table.way.cost(e.query.Route, c.region, c.Zone, e.query.BodyBytes) +
+		time.Duration(c.health.failures*float64(failureCost))
+	if !e.affine {
+		return
+	}
+	c.cost += time.Duration(min(rank, rankMost)) * e.rank
+	if c.warm {
+		return
+	}
+	c.cost += displaced(c.load.expect(e.now), c.Slots, e.route)
+	if (c.region == e.table.self.Region) != e.here {
+		c.cost += e.away
+	}
+}
+
 // queued is how long a request that waits at an upstream of a service takes.
 func (t *Table) queued(service string, route *work) time.Duration {
 	if usual := t.usualOf(service); usual.samples > 0 {
