--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -311,9 +311,8 @@
 // displaced is what cold work at an upstream takes from the requests that it
 // would do warm in the same time, as far as it has any. Without it, requests that
 // would wait long where they are warm go where they are cold as soon as that is
-// a little sooner for themselves; each then takes the room of three, all queues
-// grow, and more go cold: a burst of two seconds was followed by twenty of
-// answers that were nearly all late.
+// a little sooner for themselves; each then takes the room of several, all queues
+// grow, and more go cold, long after the burst that began it.
 func displaced(load float64, slots int, w *work) time.Duration {
 	busy := min(load/float64(slots), mostDisplaced)
 	return time.Duration(busy * float64(w.gain()))
--- a/internal/place/doc.go
+++ b/internal/place/doc.go
@@ -1,11 +1,9 @@
 // Package place decides which upstream a request is sent to.
 //
-// Load pattern: many requests about few objects, with upstreams that are at
-// about nine tenths of their capacity even on a calm day if each object is
-// handled by the same upstream, and far over it if not: an upstream that has
-// handled an object lately needs about a third of the time for it. Without
-// affinity all upstreams are over capacity; with affinity alone, those that
-// have the popular objects are.
+// Load pattern: many requests about few objects, and upstreams that need a part of
+// the time for an object that they have handled lately. Without affinity all
+// upstreams are over capacity; with affinity alone, those that have the popular
+// objects are. Where affinity gains nothing, the least expected finish decides.
 //
 // So each candidate gets an expected finish: the work there, warm or cold, what
 // waits there before it, the way there, and what its failures cost on the
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -9,7 +9,7 @@
 
 const (
 	// loadMemory is the time in which what an upstream said of others' requests
-	// loses most of its meaning: one to two times what a request takes.
+	// loses most of its meaning.
 	loadMemory = 400 * time.Millisecond
 	// meanGain is the weight of one account in the mean of others' requests.
 	meanGain = 0.1
--- a/internal/place/rank.go
+++ b/internal/place/rank.go
@@ -16,11 +16,7 @@
 // objectOf hashes an affinity key and the route on which it came; 0 stands for
 // none.
 //
-// What one route has warmed at an upstream does not help another. On a calm day of
-// the cooperative 687 summaries came to an upstream that had answered about their
-// key before; for 71 of them only on another route, and all 71 took the cold time,
-// as did 20 of the others. The mean worth of its six days was .5515 before and .5624
-// after, in trials without processor time.
+// What one route has warmed at an upstream does not help another.
 func objectOf(route, key string) Object {
 	if key == "" {
 		return 0
--- a/internal/place/room.go
+++ b/internal/place/room.go
@@ -7,10 +7,8 @@
 // Load pattern: a burst, a hot customer or the loss of a zone brings twice what
 // the upstreams can do, for some seconds. Without a bound queues fill until the
 // upstreams refuse. With a bound as tight as the target, requests are refused
-// that the end of the burst would have served: the mean worth of twelve days
-// fell from .59 to .52, with twice the target to .575. With four times it is the
-// same as without (.59), the worst days gain (.499 to .516, .394 to .409), and
-// nobody waits who could not be served in time.
+// that the end of the burst would have served. With the bound below the end of a burst
+// is served, and nobody waits who could not be served in time.
 const (
 	// waitPart is how long a request may wait, in parts of what its target
 	// leaves beside work and way.
--- a/internal/place/way.go
+++ b/internal/place/way.go
@@ -4,15 +4,13 @@
 
 const (
 	// firstFar is assumed of the way to another region and back, before a
-	// connection has shown it. Today's users have 70 ms and 110 ms.
+	// connection has shown it.
 	firstFar = 80 * time.Millisecond
 	// nearZone is the way to another zone of the region and back.
 	nearZone = 1 * time.Millisecond
 	// farPerKB and zonePerKB weigh what a transfer takes of links that are
 	// shared and paid for, in time per kilobyte that leaves the region or the
-	// zone. A report of 90 kB then stays in its region unless waiting there
-	// costs 0.6 s and in its zone unless it costs 0.2 s, and an answer of
-	// 1.5 kB may go anywhere.
+	// zone.
 	farPerKB  = 6700 * time.Microsecond
 	zonePerKB = 2500 * time.Microsecond
 	// heavyBytes is the size of answer from which a route has a home in each
@@ -35,10 +33,7 @@
 	return ways{self: self, far: map[string]time.Duration{}, bytes: map[string]float64{}}
 }
 
-// note takes the time of a new connection, which is one way there and back. The
-// association's regions are 110 ms apart: with firstFar alone, requests went there
-// that were late by the difference, and the time of new connections was taken for
-// work. Its mean worth rose from .6384 to .6449, in trials without processor time.
+// note takes the time of a new connection, which is one way there and back.
 func (w *ways) note(region string, took time.Duration) {
 	if region == w.self.Region {
 		return
--- a/internal/place/worker.go
+++ b/internal/place/worker.go
@@ -71,11 +71,8 @@
 // ask notes that the upstream is sent a request about an object.
 //
 // Requests that come while the first one is at work go to the same upstream and
-// find the object warm there, or wait a little. Before, each of them went by the
-// load of that moment: an object was warmed at 1.5 to 2 upstreams when a day
-// began, in the seconds in which all were full. The mean worth of six days rose
-// from .5619 to .5837 at the cooperative and from .6507 to .6575 at the
-// association, in trials without processor time.
+// find the object warm there, or wait a little. By the load of the moment each of
+// them would warm another upstream.
 func (w *worker) ask(now time.Time, object Object) {
 	w.used = true
 	known, ok := w.warm[object]
--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -14,9 +14,7 @@
 	evenPart = 0.3
 	// depthPart of the burst is in the buckets: all of it. What demand moves between
 	// regions before they hear of it stays within the tolerance that operators were
-	// promised (see the tests); with 0.8, customers within their burst were refused:
-	// scale-1 of the cooperative had a worth of .520 in place of .558, the mean of
-	// three seeds in trials without processor time.
+	// promised (see the tests).
 	depthPart = 1.0
 	// startPart of its depth is in a bucket when a host starts: it may have
 	// spent the rest before it started again.
