--- /dev/null
+++ b/internal/place/estimate.go
@@ -0,0 +1,135 @@
+package place
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// rankPart of what warm work saves is added to the expected finish for each rank,
+// so that all hosts prefer the same upstream as an object's next one.
+const (
+	rankPart = 1.0 / 16
+	rankMost = 8
+)
+
+// estimate fills in the expected finish and the cost of each candidate.
+func (t *Table) estimate(now time.Time, q Query, object Object, list []candidate) {
+	t.markWarm(now, q, object, list)
+	e := t.estimator(now, q, object, list)
+	for i := range list {
+		e.finish(&list[i])
+		e.cost(&list[i], i)
+	}
+	// Candidates of an object are in the order of their ranks.
+	if object != 0 && t.joins(now, list[0]) {
+		list[0].cost = list[0].wait
+	}
+}
+
+// estimator is what the estimates of one request have in common.
+type estimator struct {
+	table *Table
+	now   time.Time
+	query Query
+	// affine says that the request is about an object.
+	affine bool
+	route  *work
+	// queued is how long a request that waits takes.
+	queued time.Duration
+	// rank and away are added for each rank and where the object has not its home.
+	rank, away time.Duration
+	// here says that its home is in this region.
+	here bool
+}
+
+func (t *Table) estimator(now time.Time, q Query, object Object, list []candidate) *estimator {
+	route := t.workOf(q.Route)
+	route.expect(q.Target)
+	return &estimator{
+		table: t, now: now, query: q, affine: object != 0, route: route, queued: t.queued(q.Service, route),
+		rank: time.Duration(rankPart * float64(route.gain())), away: t.awayStep(route),
+		here: t.way.heavy(q.Route) || t.livesHere(object, list),
+	}
+}
+
+// finish fills in how long the request would wait and take.
+func (e *estimator) finish(c *candidate) {
+	c.wait = waiting(c.load.expect(e.now), c.Slots, time.Duration(float64(e.queued)*c.health.slowness))
+	work := time.Duration(float64(e.route.estimate(c.warm)) * c.health.slowness)
+	c.finish = work + c.wait + e.table.way.to(c.region, c.Zone)
+}
+
+// cost adds what a choice costs others to the finish of the candidate of a rank.
+func (e *estimator) cost(c *candidate, rank int) {
+	c.cost = c.finish + e.table.way.cost(e.query.Route, c.region, c.Zone, e.query.BodyBytes) +
+		time.Duration(c.health.failures*float64(failureCost))
+	if !e.affine {
+		return
+	}
+	c.cost += time.Duration(min(rank, rankMost)) * e.rank
+	if c.warm {
+		return
+	}
+	c.cost += displaced(c.load.expect(e.now), c.Slots, e.route)
+	if (c.region == e.table.self.Region) != e.here {
+		c.cost += e.away
+	}
+}
+
+// queued is how long a request that waits at an upstream of a service takes.
+func (t *Table) queued(service string, route *work) time.Duration {
+	if usual := t.usualOf(service); usual.samples > 0 {
+		return usual.value
+	}
+	return route.estimate(true)
+}
+
+// markWarm ranks the candidates of an object and tells which of them are warm:
+// those that any host has asked lately.
+//
+// Where an answer is so large that it should not leave its zone, the first in rank of
+// the zone counts as warm: it costs one cold request, and then no transfer any more.
+func (t *Table) markWarm(now time.Time, q Query, object Object, list []candidate) {
+	for i := range list {
+		list[i].weight = weight(uint64(object), list[i].id)
+		list[i].warm = object == 0 || list[i].isWarm(now, object)
+	}
+	if object == 0 {
+		return
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].weight > list[j].weight })
+	if !t.way.heavy(q.Route) {
+		return
+	}
+	for i := range list {
+		if list[i].Zone == t.self.Zone {
+			list[i].warm = true
+			return
+		}
+	}
+}
+
+// mostDisplaced bounds what cold work is reckoned to take from others, in full
+// upstreams.
+const mostDisplaced = 2.0
+
+// displaced is what cold work at an upstream takes from the requests that it
+// would do warm in the same time, as far as it has any. Without it, requests that
+// would wait long where they are warm go where they are cold as soon as that is
+// a little sooner for themselves; each then takes the room of several, all queues
+// grow, and more go cold, long after the burst that began it.
+func displaced(load float64, slots int, w *work) time.Duration {
+	busy := min(load/float64(slots), mostDisplaced)
+	return time.Duration(busy * float64(w.gain()))
+}
+
+// waiting is how long a new request waits for one of the slots, if each of those
+// before it takes as long as given.
+func waiting(load float64, slots int, each time.Duration) time.Duration {
+	ahead := load + 1 - float64(slots)
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(math.Ceil(ahead) / float64(slots) * float64(each))
+}
--- a/internal/place/pace.go
+++ b/internal/place/pace.go
@@ -35,3 +35,29 @@
 	p.tokens--
 	return true
 }
+
+// warms tells whether this host is the one that sends to a cold upstream. One
+// alone does, by rendezvous among the ready hosts of the upstream's zone, else
+// of its region, else all: each host then knows the whole rate.
+func (t *Table) warms(w *worker) bool {
+	near := func(test func(Host) bool) (Host, bool) {
+		var best Host
+		var most uint64
+		for _, h := range t.hosts {
+			if x := weight(w.id, hash(h.Instance)); test(h) && (best.Instance == "" || x > most) {
+				best, most = h, x
+			}
+		}
+		return best, best.Instance != ""
+	}
+	for _, test := range []func(Host) bool{
+		func(h Host) bool { return h.Zone == w.Zone },
+		func(h Host) bool { return h.Region == w.region },
+		func(Host) bool { return true },
+	} {
+		if h, ok := near(test); ok {
+			return h.Instance == t.self.Instance
+		}
+	}
+	return false
+}
