--- a/internal/daemon/confirm_test.go
+++ b/internal/daemon/confirm_test.go
@@ -107,6 +107,7 @@
 	const peer = "127.0.0.1:2"
 	now := time.Now()
 	c.config.confirmed = now
+	c.knownContacts().Answered(peer, now)
 	asked := map[time.Duration]bool{}
 	for since := time.Duration(0); since < 10*time.Second; since += membership.BeatEvery {
 		beat := now.Add(since)
