What affinity gains is learned from load reports only

Cause: an answer without a load report says nothing about waits.

Change: cold work is learned from answers with a load report.

Test: the third case of TestNoAffinityWithoutGain.

--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -478,7 +478,7 @@
 // A service whose upstreams gain nothing from affinity. An object must not wait at
 // the one that had it last while others are idle.
 func TestNoAffinityWithoutGain(t *testing.T) {
-	wait := func(cold time.Duration) time.Duration {
+	wait := func(cold time.Duration, told bool) time.Duration {
 		g := NewWithT(t)
 		table := full(t, "a1")
 		now := start
@@ -490,7 +490,8 @@
 			if c.Warm {
 				took = 300 * time.Millisecond
 			}
-			table.Done(now, c, place.Report{Result: place.Answered, Took: took, Bytes: 1000})
+			load := traffic.Load{Running: 1, Slots: 4}
+			table.Done(now, c, place.Report{Result: place.Answered, Took: took, Bytes: 1000, Told: told, Load: load})
 		}
 		longest := time.Duration(0)
 		for range 30 {
@@ -501,6 +502,7 @@
 		return longest
 	}
 	g := NewWithT(t)
-	g.Expect(wait(300*time.Millisecond)).To(BeZero(), "16 upstreams of 4 slots")
-	g.Expect(wait(900*time.Millisecond)).To(BeNumerically(">", 0), "affinity is worth a wait")
+	g.Expect(wait(300*time.Millisecond, true)).To(BeZero(), "16 upstreams of 4 slots")
+	g.Expect(wait(900*time.Millisecond, true)).To(BeNumerically(">", 0), "affinity is worth a wait")
+	g.Expect(wait(300*time.Millisecond, false)).To(BeNumerically(">", 0), "what looks like no gain may be waits")
 }
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -233,7 +233,10 @@
 	}
 	took := max(r.Took-r.Connect-t.way.to(w.region, w.Zone), time.Millisecond)
 	route := t.workOf(c.route)
-	route.learn(took, c.Warm)
+	if c.Warm || r.Told {
+		// Without a load report a wait cannot be told from cold work.
+		route.learn(took, c.Warm)
+	}
 	if c.Warm {
 		w.health.learnSpeed(took, route.estimate(true))
 		t.usualOf(w.Service).learn(took)
