Placement: one way to take in what others saw, one load estimate a candidate

Found in reading the change again. What a recalled object and one told by a peer note is the same (worker.hear); the load of a candidate was estimated twice in each choice; two look-ups by name were copies (of); what is remembered was sorted for nobody. Behaviour as before.

--- a/internal/place/estimate.go
+++ b/internal/place/estimate.go
@@ -16,10 +16,12 @@
 // estimate fills in the expected finish and the cost of each candidate.
 func (t *Table) estimate(now time.Time, q Query, object Object, list []candidate) {
 	t.markWarm(now, q, object, list)
-	e := t.estimator(now, q, object, list)
+	e := t.estimator(q, object, list)
 	for i := range list {
-		e.finish(&list[i])
-		e.cost(&list[i], i)
+		c := &list[i]
+		load := c.load.expect(now)
+		e.finish(c, load)
+		e.cost(c, load, i)
 	}
 	// Candidates of an object are in the order of their ranks.
 	if object != 0 && t.joins(now, list[0]) {
@@ -30,7 +32,6 @@
 // estimator is what the estimates of one request have in common.
 type estimator struct {
 	table *Table
-	now   time.Time
 	query Query
 	// affine says that the request is about an object.
 	affine bool
@@ -43,25 +44,25 @@
 	here bool
 }
 
-func (t *Table) estimator(now time.Time, q Query, object Object, list []candidate) *estimator {
-	route := t.workOf(q.Route)
+func (t *Table) estimator(q Query, object Object, list []candidate) *estimator {
+	route := of(t.work, q.Route)
 	route.expect(q.Target)
 	return &estimator{
-		table: t, now: now, query: q, affine: object != 0, route: route, queued: t.queued(q.Service, route),
+		table: t, query: q, affine: object != 0, route: route, queued: t.queued(q.Service, route),
 		rank: time.Duration(rankPart * float64(route.gain())), away: t.awayStep(route),
 		here: t.way.heavy(q.Route) || t.livesHere(object, list),
 	}
 }
 
-// finish fills in how long the request would wait and take.
-func (e *estimator) finish(c *candidate) {
-	c.wait = waiting(c.load.expect(e.now), c.Slots, time.Duration(float64(e.queued)*c.health.slowness))
+// finish fills in how long the request would wait and take where load requests are.
+func (e *estimator) finish(c *candidate, load float64) {
+	c.wait = waiting(load, c.Slots, time.Duration(float64(e.queued)*c.health.slowness))
 	work := time.Duration(float64(e.route.estimate(c.warm)) * c.health.slowness)
 	c.finish = work + c.wait + e.table.way.to(c.region, c.Zone)
 }
 
 // cost adds what a choice costs others to the finish of the candidate of a rank.
-func (e *estimator) cost(c *candidate, rank int) {
+func (e *estimator) cost(c *candidate, load float64, rank int) {
 	c.cost = c.finish + e.table.way.cost(e.query.Route, c.region, c.Zone, e.query.BodyBytes) +
 		time.Duration(c.health.failures*float64(failureCost))
 	if !e.affine {
@@ -71,7 +72,7 @@
 	if c.warm {
 		return
 	}
-	c.cost += displaced(c.load.expect(e.now), c.Slots, e.route)
+	c.cost += displaced(load, c.Slots, e.route)
 	if (c.region == e.table.self.Region) != e.here {
 		c.cost += e.away
 	}
@@ -79,7 +80,7 @@
 
 // queued is how long a request that waits at an upstream of a service takes.
 func (t *Table) queued(service string, route *work) time.Duration {
-	if usual := t.usualOf(service); usual.samples > 0 {
+	if usual := of(t.usual, service); usual.samples > 0 {
 		return usual.value
 	}
 	return route.estimate(true)
--- a/internal/place/memory.go
+++ b/internal/place/memory.go
@@ -1,10 +1,6 @@
 package place
 
-import (
-	"slices"
-	"strings"
-	"time"
-)
+import "time"
 
 // Memory is what a table has learned that is still true after all entry hosts
 // have started again: upstreams live on.
@@ -49,8 +45,6 @@
 	for name, w := range t.work {
 		m.Routes = append(m.Routes, RouteMemory{Name: name, Warm: w.warm.value, Cold: w.cold.value, Bytes: int(t.way.bytes[name])})
 	}
-	slices.SortFunc(m.Upstreams, func(a, b UpstreamMemory) int { return strings.Compare(a.ID, b.ID) })
-	slices.SortFunc(m.Routes, func(a, b RouteMemory) int { return strings.Compare(a.Name, b.Name) })
 	return m
 }
 
@@ -61,7 +55,6 @@
 			out.Objects = append(out.Objects, ObjectMemory{object, age})
 		}
 	}
-	slices.SortFunc(out.Objects, func(a, b ObjectMemory) int { return int(a.Object>>1) - int(b.Object>>1) })
 	return out
 }
 
@@ -78,7 +71,7 @@
 		}
 	}
 	for _, r := range m.Routes {
-		t.workOf(r.Name).recall(r)
+		of(t.work, r.Name).recall(r)
 		if _, ok := t.way.bytes[r.Name]; !ok && r.Bytes > 0 {
 			t.way.bytes[r.Name] = float64(r.Bytes)
 		}
@@ -92,8 +85,7 @@
 		if _, ok := w.warm[o.Object]; ok || o.Age >= WarmFor || len(w.warm) >= warmMost {
 			continue
 		}
-		w.used = true
-		w.warm[o.Object] = warmth{at: now.Add(-o.Age), answered: true, shared: now}
+		w.hear(now, now.Add(-o.Age), o.Object)
 		n++
 	}
 	return n
--- a/internal/place/news.go
+++ b/internal/place/news.go
@@ -55,10 +55,6 @@
 		if w == nil {
 			continue
 		}
-		object := Object(n >> 32)
-		w.remember(now, object)
-		known := w.warm[object]
-		known.shared = now
-		w.warm[object] = known
+		w.hear(now, now, Object(n>>32))
 	}
 }
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -232,31 +232,23 @@
 		return
 	}
 	took := max(r.Took-r.Connect-t.way.to(w.region, w.Zone), time.Millisecond)
-	route := t.workOf(c.route)
+	route := of(t.work, c.route)
 	if c.Warm || r.Told {
 		// Without a load report a wait cannot be told from cold work.
 		route.learn(took, c.Warm)
 	}
 	if c.Warm {
 		w.health.learnSpeed(took, route.estimate(true))
-		t.usualOf(w.Service).learn(took)
+		of(t.usual, w.Service).learn(took)
 	}
 }
 
-func (t *Table) workOf(route string) *work {
-	w := t.work[route]
-	if w == nil {
-		w = &work{}
-		t.work[route] = w
-	}
-	return w
-}
-
-func (t *Table) usualOf(service string) *mean {
-	m := t.usual[service]
-	if m == nil {
-		m = &mean{}
-		t.usual[service] = m
+// of returns what is known by name, which is nothing at first.
+func of[T any](known map[string]*T, name string) *T {
+	x := known[name]
+	if x == nil {
+		x = new(T)
+		known[name] = x
 	}
-	return m
+	return x
 }
--- a/internal/place/worker.go
+++ b/internal/place/worker.go
@@ -91,6 +91,15 @@
 	w.warm[object] = known
 }
 
+// hear notes at now what another host has seen: that it answered about an object at
+// a time.
+func (w *worker) hear(now, at time.Time, object Object) {
+	w.remember(at, object)
+	known := w.warm[object]
+	known.shared = now
+	w.warm[object] = known
+}
+
 // refused notes that the upstream has not done what it was asked for.
 func (w *worker) refused(object Object) {
 	if known, ok := w.warm[object]; ok && !known.answered {
