--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -71,18 +71,21 @@
 // watcher is the host that watches the store for this region: one of those that
 // take callers and reach the store, by rendezvous. "" if this host knows none.
 func (c *control) watcher() string {
-	return rendezvous.Pick(storeKey, c.d.directory.Load().seers(c.d.self.Region))
+	return rendezvous.Pick(storeKey, c.d.directory.Load().seers(c.ownRegion))
 }
 
+// ownRegion tells whether a region is this host's.
+func (c *control) ownRegion(region string) bool { return region == c.d.self.Region }
+
 // second is another host than the watcher that takes callers and reaches the store,
 // as far as this one knows: one of another region, which the same failure is less
 // likely to have met; "" if there is none.
 func (c *control) second(watcher string) string {
 	d := c.d.directory.Load()
-	if far := rendezvous.Pick(storeKey, d.seersBeyond(c.d.self.Region)); far != "" {
+	if far := rendezvous.Pick(storeKey, d.seers(func(region string) bool { return !c.ownRegion(region) })); far != "" {
 		return far
 	}
-	near := slices.DeleteFunc(d.seers(c.d.self.Region), func(instance string) bool {
+	near := slices.DeleteFunc(d.seers(c.ownRegion), func(instance string) bool {
 		return instance == watcher || instance == c.d.self.Instance
 	})
 	return rendezvous.Pick(storeKey, near)
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -54,8 +54,7 @@
 	journal  follow.Journal
 	seen     follow.Seen
 	confirms confirms
-	// recalled says that the first listing has been looked at for a snapshot.
-	recalled  bool
+	// snapshots paces those that this host writes.
 	snapshots snapshot.Writer
 }
 
@@ -86,6 +85,7 @@
 			m(c)
 			c.drain()
 		case <-tick.C:
+			c.snapshot(c.d.now())
 		}
 		c.tick(c.d.now())
 	}
@@ -116,7 +116,6 @@
 	}
 	c.publish(now)
 	c.seekConfirmation(now)
-	c.snapshot(now)
 	if !now.Before(c.beatDue) {
 		c.beat(now)
 	}
--- a/internal/entryhost/directory.go
+++ b/internal/entryhost/directory.go
@@ -45,22 +45,12 @@
 	return nil
 }
 
-// seers lists the instances of a region that take callers and reach the store.
-func (d *directory) seers(region string) []string {
-	out := d.othersThatSee(func(r string) bool { return r == region })
-	if d.ready && d.seesStore && d.self.Region == region {
+// seers lists the instances of some regions that take callers and reach the store.
+func (d *directory) seers(in func(region string) bool) []string {
+	var out []string
+	if d.ready && d.seesStore && in(d.self.Region) {
 		out = append(out, d.self.Instance)
 	}
-	return out
-}
-
-// seersBeyond lists those of all other regions.
-func (d *directory) seersBeyond(region string) []string {
-	return d.othersThatSee(func(r string) bool { return r != region })
-}
-
-func (d *directory) othersThatSee(in func(region string) bool) []string {
-	var out []string
 	for _, m := range d.others {
 		if m.Ready && m.SeesStore && !m.Leaving && in(m.Region) {
 			out = append(out, m.Instance)
--- a/internal/entryhost/recall.go
+++ b/internal/entryhost/recall.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"balsambarrow/internal/kv"
-	"balsambarrow/internal/place"
 	"balsambarrow/internal/rendezvous"
 	"balsambarrow/internal/snapshot"
 	"balsambarrow/platform"
@@ -18,10 +17,6 @@
 // recall takes over what the fleet knew before this process began. A snapshot that
 // cannot be used is ignored: the host learns anew.
 func (c *control) recall(now time.Time, items []kv.Item) {
-	if c.recalled {
-		return
-	}
-	c.recalled = true
 	i := slices.IndexFunc(items, func(item kv.Item) bool { return item.Key == platform.SnapshotKey })
 	if i < 0 {
 		return
@@ -38,9 +33,8 @@
 // writesSnapshot tells whether this host is the one of the fleet that writes
 // snapshots. Two that believe so for a moment overwrite each other.
 func (c *control) writesSnapshot() bool {
-	d := c.d.directory.Load()
-	seers := append(d.seers(c.d.self.Region), d.seersBeyond(c.d.self.Region)...)
-	return c.recalled && rendezvous.Pick(snapshotRole, seers) == c.d.self.Instance
+	all := c.d.directory.Load().seers(func(string) bool { return true })
+	return rendezvous.Pick(snapshotRole, all) == c.d.self.Instance
 }
 
 // snapshot writes what this host knows into the store, if it is its turn.
@@ -58,15 +52,15 @@
 		return
 	}
 	c.snapshots.Began(now, len(data))
-	c.d.spawn(func(ctx context.Context) { c.d.writeSnapshot(ctx, data, memory) })
+	c.d.spawn(func(ctx context.Context) { c.d.writeSnapshot(ctx, data) })
 }
 
-func (d *Daemon) writeSnapshot(ctx context.Context, data []byte, memory place.Memory) {
+func (d *Daemon) writeSnapshot(ctx context.Context, data []byte) {
 	ctx, cancel := context.WithTimeout(ctx, callBound)
 	defer cancel()
 	if err := d.store.Put(ctx, platform.SnapshotKey, data, 0); err != nil {
 		d.events.Debug("snapshot not written", "error", err)
 		return
 	}
-	d.events.Debug("snapshot written", "bytes", len(data), "upstreams", len(memory.Upstreams), "routes", len(memory.Routes))
+	d.events.Debug("snapshot written", "bytes", len(data))
 }
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -42,7 +42,9 @@
 				c.evacuate(zone, false)
 			}
 		}
-		c.recall(now, l.Items)
+		if !c.listed {
+			c.recall(now, l.Items)
+		}
 		c.listHosts(now)
 		c.listed = true
 		c.confirmedByStore(asOf)
--- a/internal/snapshot/writer.go
+++ b/internal/snapshot/writer.go
@@ -3,15 +3,12 @@
 import "time"
 
 const (
-	// writeEvery is the shortest time between two snapshots. What is learned
-	// within it is lost if all hosts end.
+	// writeEvery is the shortest time between two snapshots, above the bound of a call
+	// to the store. What is learned within it is lost if all hosts end.
 	writeEvery = 2 * time.Second
 	// bytesPerSecond bounds what snapshots cost the store and those that watch it:
 	// a large one is written less often.
 	bytesPerSecond = 16 << 10
-	// writeBound is the time after which a write without an answer may be followed
-	// by the next.
-	writeBound = 2 * time.Second
 )
 
 // Writer paces the snapshots of the host that writes them. The zero value writes
@@ -23,5 +20,5 @@
 
 // Began notes that a snapshot of so many bytes is being written.
 func (w *Writer) Began(now time.Time, bytes int) {
-	w.next = now.Add(max(writeEvery, writeBound, time.Duration(bytes)*time.Second/bytesPerSecond))
+	w.next = now.Add(max(writeEvery, time.Duration(bytes)*time.Second/bytesPerSecond))
 }
