--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -546,15 +546,11 @@
 	s.store.Delete("servers/i-1")
 	g.Eventually(func() int { return s.read(h).status }, "5s", "50ms").Should(Equal(http.StatusServiceUnavailable))
 	use()
-	resp, err := http.Get("http://" + h.listen.Metrics + "/metrics")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = resp.Body.Close() }()
-	metrics, err := io.ReadAll(resp.Body)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(string(metrics)).To(ContainSubstring("balsambarrow_answers_total"))
+	metrics := s.metrics(h)
+	g.Expect(metrics).To(ContainSubstring("balsambarrow_answers_total"))
 	g.Eventually(logs.String, "5s").Should(ContainSubstring("no-upstream"))
 	g.Expect(logs.String()).To(ContainSubstring("configuration refused"))
-	g.Expect(logs.String() + string(metrics)).NotTo(ContainSubstring("secret"))
+	g.Expect(logs.String() + metrics).NotTo(ContainSubstring("secret"))
 }
 
 // A request that is tried at two upstreams leaves a span for the host and one for
--- a/internal/entryhost/helper_test.go
+++ b/internal/entryhost/helper_test.go
@@ -188,6 +188,17 @@
 
 func (s *site) post(h *host) answer { return s.call(h, "POST", "/post/1", "k1", "weight=200") }
 
+// metrics is what a host serves on its metrics address.
+func (s *site) metrics(h *host) string {
+	g := NewWithT(s.t)
+	resp, err := http.Get("http://" + h.listen.Metrics + "/metrics")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
+
 func status(address, path string) int {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
 	resp, err := client.Get("http://" + address + path)
--- a/internal/entryhost/placed_test.go
+++ b/internal/entryhost/placed_test.go
@@ -1,7 +1,6 @@
 package entryhost_test
 
 import (
-	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -24,13 +23,9 @@
 	g.Expect(s.read(h).status).To(Equal(http.StatusOK))
 	g.Eventually(logs.String, "5s").Should(MatchRegexp(
 		`msg=answered .*target=500ms .*expected=\S+ expected_wait=0s upstream_took=\S+ waited=`))
-	resp, err := http.Get("http://" + h.listen.Metrics + "/metrics")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = resp.Body.Close() }()
-	metrics, err := io.ReadAll(resp.Body)
-	g.Expect(err).NotTo(HaveOccurred())
+	metrics := s.metrics(h)
 	for _, of := range []string{"expected", "actual"} {
-		g.Expect(string(metrics)).To(ContainSubstring(`balsambarrow_upstream_answer_seconds_count{route="read",of="` + of + `"}`))
-		g.Expect(string(metrics)).To(ContainSubstring(`balsambarrow_upstream_wait_seconds_count{route="read",of="` + of + `"}`))
+		g.Expect(metrics).To(ContainSubstring(`balsambarrow_upstream_answer_seconds_count{route="read",of="` + of + `"}`))
+		g.Expect(metrics).To(ContainSubstring(`balsambarrow_upstream_wait_seconds_count{route="read",of="` + of + `"}`))
 	}
 }
