Outcome of a queued posting is checked against what its caller was told

TestOutcomesOfDeadlines failed once beside load: a request with the common name "queued" ran once. The owner counts the deadline from the arrival of the request, and does not cancel a posting whose asker leaves, on purpose. So the case is allowed; what is never allowed is a run after not-run, or two runs. The test now has a name for each way and checks each against the outcome told, a second one plays the late posting on a delayed link, and the channel that both sides of the test replaced is guarded.

--- a/internal/daemon/answers_test.go
+++ b/internal/daemon/answers_test.go
@@ -58,6 +58,30 @@
 	return u.runs[name]
 }
 
+// gate is what slow requests wait for at present.
+func (u *edgeUpstream) gate() chan struct{} {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.release
+}
+
+// hold has slow requests wait again. A request that was late on its way may arrive
+// at the same moment.
+func (u *edgeUpstream) hold() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.release = make(chan struct{})
+}
+
+// expectRuns checks what a caller was told of a request against what ran.
+func (u *edgeUpstream) expectRuns(g *WithT, name string, told wire.Outcome) {
+	if told == wire.OutcomeNotRun {
+		g.Expect(u.ran(name)).To(BeZero(), name)
+		return
+	}
+	g.Expect(u.ran(name)).To(BeNumerically("<=", 1), name)
+}
+
 func (u *edgeUpstream) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
@@ -97,7 +121,7 @@
 
 func (u *edgeUpstream) answer(conn net.Conn, edge string) (open bool) {
 	if edge == "slow" {
-		<-u.release
+		<-u.gate()
 		edge = "fine"
 	}
 	text := edgeAnswers[edge]
@@ -254,8 +278,10 @@
 		})
 	}
 	g.Eventually(func() int { return u.ran("long-0") + u.ran("long-1") + u.ran("long-2") + u.ran("long-3") }, settle).Should(Equal(4))
+	outcomes := map[string]wire.Outcome{}
 	for _, w := range ways {
-		r := f.send(w, "slow", "queued", soon)
+		r := f.send(w, "slow", "queued "+w.name, soon)
+		outcomes["queued "+w.name] = r.Outcome
 		g.Expect(r.Outcome).To(BeElementOf(wire.OutcomeNotRun, wire.OutcomeMayHaveRun), "%+v", r)
 		if w.entry == "me-1" {
 			g.Expect(r.Outcome).To(Equal(wire.OutcomeNotRun), "%+v", r)
@@ -263,8 +289,10 @@
 	}
 	close(u.release)
 	running.Wait()
-	u.release = make(chan struct{})
-	g.Expect(u.ran("queued")).To(BeZero())
+	u.hold()
+	for name, outcome := range outcomes {
+		u.expectRuns(g, name, outcome)
+	}
 
 	for i, w := range ways {
 		name := "slow-" + strconv.Itoa(i)
@@ -276,6 +304,26 @@
 	close(u.release)
 }
 
+// Guards against "not run" for a posting that reaches its owner late, outlives its
+// caller's deadline in the queue there, and then runs.
+func TestOutcomeOfAPostingThatReachesItsOwnerLate(t *testing.T) {
+	g := NewWithT(t)
+	const oneWay = 100 * time.Millisecond
+	f, u := edgeFleetOn(t, func(_ [2]string, c net.Conn) net.Conn { return newDelayedConn(c, oneWay) })
+	var running sync.WaitGroup
+	for i := range 4 {
+		running.Go(func() {
+			f.send(ways[2], "slow", "long-"+strconv.Itoa(i), map[string]string{wire.HeaderTimeoutMs: "9000"})
+		})
+	}
+	g.Eventually(func() int { return u.ran("long-0") + u.ran("long-1") + u.ran("long-2") + u.ran("long-3") }, settle).Should(Equal(4))
+	r := f.send(ways[5], "slow", "late", map[string]string{wire.HeaderTimeoutMs: "300"})
+	close(u.release)
+	running.Wait()
+	g.Expect(r.Outcome).To(Equal(wire.OutcomeMayHaveRun), "%+v", r)
+	g.Consistently(func() int { return u.ran("late") }, 3*oneWay).Should(BeNumerically("<=", 1))
+}
+
 // The handler's host dies before a request reaches it, or while a worker runs
 // it. Before: nothing can have run. During: it may have.
 func TestOutcomesOfADyingHandler(t *testing.T) {
@@ -340,7 +388,7 @@
 			g.Expect(string(r.Body)).To(Equal("whole"))
 		}
 		g.Expect(u.ran(name)).To(Equal(1))
-		u.release = make(chan struct{})
+		u.hold()
 	}
 }
 
