A placement looks at each upstream once, without sorting or allocating

Cause: Choose ranked and sorted all upstreams of a service twice for every request, asked each for the object by a map and each zone's way by two more, and allocated the list anew: .42 ms at 648 upstreams, under one lock. News of peers built a map of all upstreams anew for each heartbeat.

Now the way to each zone is worked out once a request, the holders of an object are kept by object, the eight highest ranks are picked in one pass, and the cheapest candidate is looked for instead of sorting all. Who sends to a cold upstream is worked out once for each change of hosts. Policy unchanged but for ties, which now go to the highest weight, the same at all hosts.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -1,10 +1,6 @@
 package place
 
-import (
-	"slices"
-	"sort"
-	"time"
-)
+import "time"
 
 // Query is a request to be placed.
 type Query struct {
@@ -76,6 +72,7 @@
 
 type candidate struct {
 	*worker
+	leg    *leg
 	weight uint64
 	cold   bool
 	warm   bool
@@ -88,31 +85,35 @@
 func (t *Table) Choose(now time.Time, q Query) (Choice, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	open, reason := t.open(now, q)
-	if len(open) == 0 {
-		return Choice{}, &NoneError{q.Service, reason}
-	}
 	object := objectOf(q.Route, q.Object)
-	t.estimate(now, q, object, open)
-	t.holdBack(now, q.Service, open)
-	sort.Slice(open, func(i, j int) bool { return open[i].cost < open[j].cost })
-	return t.first(now, q, object, open)
+	s := t.survey(now, q, object)
+	if len(s.open) == 0 {
+		return Choice{}, &NoneError{q.Service, s.reason}
+	}
+	t.estimate(now, q, object, s)
+	t.holdBack(now, s)
+	return t.first(now, q, object, s.open)
 }
 
 // first takes the first candidate, by cost, that may be asked. One at which the
 // request would wait too long ends the search: the others cost more, because
 // the work there is cold and would take the room of several warm requests.
 func (t *Table) first(now time.Time, q Query, object Object, list []candidate) (Choice, error) {
-	for _, c := range list {
+	for len(list) > 0 {
+		i := cheapest(list)
+		c := list[i]
 		if allowed := t.allowed(now, q, c); c.wait > allowed {
 			return Choice{}, &FullError{q.Service, c.wait, allowed}
 		}
 		if c.cold && !c.pace.take(now, t.coldRate(c.Service)) {
+			last := len(list) - 1
+			list[i] = list[last]
+			list = list[:last]
 			continue
 		}
 		warm := object == 0 || c.hasAnswered(now, object)
 		if object != 0 {
-			c.ask(now, object)
+			t.asked(now, c.worker, object)
 		}
 		c.load.inflight++
 		t.mix.note(now, c.region)
@@ -124,6 +125,18 @@
 	return Choice{}, &NoneError{q.Service, NoneWarm}
 }
 
+// cheapest is the index of the candidate of least cost; among equals that of the
+// highest weight, so that all hosts agree.
+func cheapest(list []candidate) int {
+	best := 0
+	for i := 1; i < len(list); i++ {
+		if list[i].cost < list[best].cost || list[i].cost == list[best].cost && list[i].weight > list[best].weight {
+			best = i
+		}
+	}
+	return best
+}
+
 // allowed is how long the request may wait at a candidate.
 func (t *Table) allowed(now time.Time, q Query, c candidate) time.Duration {
 	rest := c.finish - c.wait
@@ -149,51 +162,3 @@
 	}
 	return 0
 }
-
-// open lists the upstreams that may be asked, and says why there is none.
-func (t *Table) open(now time.Time, q Query) ([]candidate, Reason) {
-	reason := NoneKnown
-	var out, ejected []candidate
-	for _, w := range t.services[q.Service] {
-		if q.Bound && !slices.Contains(q.Homes, w.region) || slices.Contains(q.Tried, w.ID) {
-			continue
-		}
-		if t.evacuate[w.Zone] || w.State != "ready" {
-			reason = NoneOpen
-			continue
-		}
-		c := candidate{worker: w, cold: w.isCold(now)}
-		if c.cold && !t.warms(w) {
-			if reason != NoneReachable {
-				reason = NoneWarm
-			}
-			continue
-		}
-		if !w.health.usable(now) {
-			ejected = append(ejected, c)
-			reason = NoneReachable
-			continue
-		}
-		out = append(out, c)
-	}
-	if len(out) == 0 {
-		// Where all have failed, the one that failed longest ago may be back.
-		return soonest(ejected), reason
-	}
-	return out, ""
-}
-
-// soonest returns the candidate whose ejection ends first, if it is a doubt
-// about lost answers only: an upstream that could not be reached stays out.
-func soonest(ejected []candidate) []candidate {
-	var best []candidate
-	for _, c := range ejected {
-		if c.cold {
-			continue
-		}
-		if len(best) == 0 || c.health.ejected.Before(best[0].health.ejected) {
-			best = []candidate{c}
-		}
-	}
-	return best
-}
--- a/internal/place/estimate.go
+++ b/internal/place/estimate.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sort"
 	"time"
 )
 
@@ -14,18 +13,26 @@
 )
 
 // estimate fills in the expected finish and the cost of each candidate.
-func (t *Table) estimate(now time.Time, q Query, object Object, list []candidate) {
+func (t *Table) estimate(now time.Time, q Query, object Object, s *survey) {
+	list := s.open
 	t.markWarm(now, q, object, list)
 	e := t.estimator(q, object, list)
 	for i := range list {
 		c := &list[i]
 		load := c.load.expect(now)
 		e.finish(c, load)
-		e.cost(c, load, i)
+		e.cost(c, load)
 	}
-	// Candidates of an object are in the order of their ranks.
-	if object != 0 && t.joins(now, list[0]) {
-		list[0].cost = list[0].wait
+	if object == 0 {
+		return
+	}
+	top := rank(list)
+	for place, i := range top.index[:top.n] {
+		// The others have the last rank.
+		list[i].cost -= time.Duration(rankMost-place) * e.rank
+	}
+	if first := &list[top.index[0]]; t.joins(now, *first) {
+		first.cost = first.wait
 	}
 }
 
@@ -50,7 +57,7 @@
 	return &estimator{
 		table: t, query: q, affine: object != 0, route: route, queued: t.queued(q.Service, route),
 		rank: time.Duration(rankPart * float64(route.gain())), away: t.awayStep(route),
-		here: t.way.heavy(q.Route) || t.livesHere(object, list),
+		here: t.way.heavy(q.Route) || t.livesHere(object),
 	}
 }
 
@@ -58,22 +65,21 @@
 func (e *estimator) finish(c *candidate, load float64) {
 	c.wait = waiting(load, c.Slots, time.Duration(float64(e.queued)*c.health.slowness))
 	work := time.Duration(float64(e.route.estimate(c.warm)) * c.health.slowness)
-	c.finish = work + c.wait + e.table.way.to(c.region, c.Zone)
+	c.finish = work + c.wait + c.leg.way
 }
 
-// cost adds what a choice costs others to the finish of the candidate of a rank.
-func (e *estimator) cost(c *candidate, load float64, rank int) {
-	c.cost = c.finish + e.table.way.cost(e.query.Route, c.region, c.Zone, e.query.BodyBytes) +
-		time.Duration(c.health.failures*float64(failureCost))
+// cost adds what a choice costs others to the finish of a candidate of the last rank.
+func (e *estimator) cost(c *candidate, load float64) {
+	c.cost = c.finish + c.leg.transfer + time.Duration(c.health.failures*float64(failureCost))
 	if !e.affine {
 		return
 	}
-	c.cost += time.Duration(min(rank, rankMost)) * e.rank
+	c.cost += rankMost * e.rank
 	if c.warm {
 		return
 	}
 	c.cost += displaced(load, c.Slots, e.route)
-	if (c.region == e.table.self.Region) != e.here {
+	if c.leg.here != e.here {
 		c.cost += e.away
 	}
 }
@@ -92,23 +98,24 @@
 // Where an answer is so large that it should not leave its zone, the first in rank of
 // the zone counts as warm: it costs one cold request, and then no transfer any more.
 func (t *Table) markWarm(now time.Time, q Query, object Object, list []candidate) {
-	for i := range list {
-		list[i].weight = weight(uint64(object), list[i].id)
-		list[i].warm = object == 0 || list[i].isWarm(now, object)
-	}
 	if object == 0 {
+		for i := range list {
+			list[i].warm = true
+		}
 		return
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].weight > list[j].weight })
-	if !t.way.heavy(q.Route) {
-		return
-	}
+	t.markHolders(now, object)
+	nearest := -1
 	for i := range list {
-		if list[i].Zone == t.self.Zone {
-			list[i].warm = true
-			return
+		c := &list[i]
+		c.warm = c.mark == t.mark
+		if c.Zone == t.self.Zone && (nearest < 0 || c.weight > list[nearest].weight) {
+			nearest = i
 		}
 	}
+	if nearest >= 0 && t.way.heavy(q.Route) {
+		list[nearest].warm = true
+	}
 }
 
 // mostDisplaced bounds what cold work is reckoned to take from others, in full
--- a/internal/place/health.go
+++ b/internal/place/health.go
@@ -42,6 +42,11 @@
 
 func (h *health) usable(now time.Time) bool { return !now.Before(h.ejected) }
 
+// failedSince tells whether it was ejected, or its ejection ended, within a span.
+func (h *health) failedSince(now time.Time, span time.Duration) bool {
+	return !h.ejected.IsZero() && now.Sub(h.ejected) < span
+}
+
 func (h *health) doubtful(now time.Time) bool { return now.Before(h.doubt) }
 
 func (h *health) good() {
--- a/internal/place/home.go
+++ b/internal/place/home.go
@@ -23,23 +23,37 @@
 	return min(t.way.farthest()+time.Duration(awayPart*float64(route.gain())), route.gain())
 }
 
-// homePart is the part of this region's objects that has its home here.
-func (t *Table) homePart(list []candidate) float64 {
-	regions := map[string]int{}
-	all := 0
-	for _, c := range list {
-		regions[c.region] += c.Slots
-		all += c.Slots
+// homePart is the part of this region's objects that has its home here, by the slots
+// of the upstreams that may be asked.
+func (t *Table) homePart() float64 {
+	own, all, regions := 0, 0, 0
+	for i, l := range t.zoneLegs {
+		all += l.open
+		if l.here {
+			own += l.open
+		}
+		if l.open > 0 && t.firstOpen(i) {
+			regions++
+		}
 	}
-	own := regions[t.self.Region]
 	if own == all || own == 0 {
 		return float64(own)
 	}
-	return float64(own) * float64(len(regions)) / float64(all)
+	return float64(own) * float64(regions) / float64(all)
+}
+
+// firstOpen tells whether a zone is the first of its region that has slots.
+func (t *Table) firstOpen(i int) bool {
+	for _, l := range t.zoneLegs[:i] {
+		if l.open > 0 && l.region == t.zoneLegs[i].region {
+			return false
+		}
+	}
+	return true
 }
 
 // livesHere tells whether the object has its home in this region.
-func (t *Table) livesHere(object Object, list []candidate) bool {
+func (t *Table) livesHere(object Object) bool {
 	const buckets = 1 << 16
-	return float64(weight(uint64(object), hash(t.self.Region))%buckets) < t.homePart(list)*buckets
+	return float64(weight(uint64(object), t.regionHash)%buckets) < t.homePart()*buckets
 }
--- a/internal/place/memory.go
+++ b/internal/place/memory.go
@@ -67,7 +67,7 @@
 	objects := 0
 	for _, known := range m.Upstreams {
 		if w := t.byID[known.ID]; w != nil && w.Born == known.Born {
-			objects += w.recall(now, known.Objects)
+			objects += t.recall(now, w, known.Objects)
 		}
 	}
 	for _, r := range m.Routes {
@@ -79,13 +79,13 @@
 	return objects
 }
 
-func (w *worker) recall(now time.Time, objects []ObjectMemory) int {
+func (t *Table) recall(now time.Time, w *worker, objects []ObjectMemory) int {
 	n := 0
 	for _, o := range objects {
 		if _, ok := w.warm[o.Object]; ok || o.Age >= WarmFor || len(w.warm) >= warmMost {
 			continue
 		}
-		w.hear(now, now.Add(-o.Age), o.Object)
+		t.hear(now, now.Add(-o.Age), w, o.Object)
 		n++
 	}
 	return n
--- a/internal/place/news.go
+++ b/internal/place/news.go
@@ -46,15 +46,15 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	byHash := make(map[uint32]*worker, len(t.byID))
-	for _, w := range t.byID {
-		byHash[uint32(w.id)] = w
-	}
 	for _, n := range news {
-		w := byHash[uint32(n)]
-		if w == nil {
-			continue
+		if w := t.byHash[uint32(n)]; w != nil {
+			t.hear(now, now, w, Object(n>>32))
 		}
-		w.hear(now, now, Object(n>>32))
 	}
 }
+
+// hear takes in that an upstream answered about an object at a time.
+func (t *Table) hear(now, at time.Time, w *worker, object Object) {
+	t.hold(w, object)
+	w.hear(now, at, object)
+}
--- a/internal/place/pace.go
+++ b/internal/place/pace.go
@@ -40,24 +40,36 @@
 // alone does, by rendezvous among the ready hosts of the upstream's zone, else
 // of its region, else all: each host then knows the whole rate.
 func (t *Table) warms(w *worker) bool {
-	near := func(test func(Host) bool) (Host, bool) {
-		var best Host
-		var most uint64
-		for _, h := range t.hosts {
-			if x := weight(w.id, hash(h.Instance)); test(h) && (best.Instance == "" || x > most) {
-				best, most = h, x
-			}
+	if w.warmedAt != t.hostsAt {
+		w.warmedAt, w.warmedHere = t.hostsAt, t.warmer(w) == t.self.Instance
+	}
+	return w.warmedHere
+}
+
+// warmer is the instance that sends to a cold upstream; "" if no host is ready.
+func (t *Table) warmer(w *worker) string {
+	// The nearest hosts come last, so that one of them has the last word.
+	var byDistance [3]struct {
+		instance string
+		weight   uint64
+	}
+	for i, h := range t.hosts {
+		near := 0
+		switch {
+		case h.Zone == w.Zone:
+			near = 2
+		case h.Region == w.region:
+			near = 1
+		}
+		best := &byDistance[near]
+		if x := weight(w.id, t.hostHashes[i]); best.instance == "" || x > best.weight {
+			best.instance, best.weight = h.Instance, x
 		}
-		return best, best.Instance != ""
 	}
-	for _, test := range []func(Host) bool{
-		func(h Host) bool { return h.Zone == w.Zone },
-		func(h Host) bool { return h.Region == w.region },
-		func(Host) bool { return true },
-	} {
-		if h, ok := near(test); ok {
-			return h.Instance == t.self.Instance
+	for near := len(byDistance) - 1; near >= 0; near-- {
+		if instance := byDistance[near].instance; instance != "" {
+			return instance
 		}
 	}
-	return false
+	return ""
 }
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -329,12 +329,18 @@
 }
 
 func BenchmarkChoose(b *testing.B) {
+	for _, upstreams := range []int{16, 120, 650, 1080, 2300} {
+		b.Run(fmt.Sprint(upstreams), func(b *testing.B) { benchmarkChoose(b, upstreams) })
+	}
+}
+
+func benchmarkChoose(b *testing.B, upstreams int) {
 	table := place.NewTable(place.Host{Instance: "me", Zone: "a1", Region: "a"}, zones)
-	for i := range 20 {
+	for i := range upstreams {
 		zone := []string{"a1", "a2", "b1", "b2"}[i%4]
 		table.Put(start, upstream(fmt.Sprint("u", i), zone))
 	}
-	objects := make([]string, 64)
+	objects := make([]string, max(64, upstreams))
 	for i := range objects {
 		objects[i] = fmt.Sprint(i)
 	}
--- a/internal/place/shift.go
+++ b/internal/place/shift.go
@@ -84,31 +84,17 @@
 // holdBack adds to the cost of the candidates of those regions whose share has
 // grown as much as it may, so that a request goes there only if it would wait
 // long elsewhere.
-func (t *Table) holdBack(now time.Time, service string, list []candidate) {
-	if t.maxShift <= 0 || t.disturbed(now, service) {
+func (t *Table) holdBack(now time.Time, s *survey) {
+	if t.maxShift <= 0 || s.disturbed {
 		return
 	}
-	allowed := map[string]bool{}
-	for i := range list {
-		c := &list[i]
-		ok, known := allowed[c.region]
-		if !known {
-			ok = t.mix.allows(now, c.region, t.maxShift)
-			allowed[c.region] = ok
-		}
-		if !ok {
-			c.cost += shiftStep
-		}
+	for i := range t.zoneLegs {
+		l := &t.zoneLegs[i]
+		l.heldBack = l.open > 0 && !t.mix.allows(now, l.region, t.maxShift)
 	}
-}
-
-// disturbed tells whether an upstream of the service in this region has failed
-// lately.
-func (t *Table) disturbed(now time.Time, service string) bool {
-	for _, w := range t.services[service] {
-		if w.region == t.self.Region && !w.health.ejected.IsZero() && now.Sub(w.health.ejected) < disturbedFor {
-			return true
+	for i := range s.open {
+		if c := &s.open[i]; c.leg.heldBack {
+			c.cost += shiftStep
 		}
 	}
-	return false
 }
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -22,12 +22,25 @@
 	self  Host
 	zones map[string]string
 
-	mu       sync.Mutex
-	byID     map[string]*worker
+	mu   sync.Mutex
+	byID map[string]*worker
+	// byHash has the upstreams by the lower half of their hash.
+	byHash   map[uint32]*worker
 	services map[string][]*worker
 	declared *catalog.Catalog
 	evacuate map[string]bool
-	hosts    []Host
+	// hosts are those that are ready, hostHashes those of their instances, and hostsAt
+	// grows with each change of them.
+	hosts      []Host
+	hostHashes []uint64
+	hostsAt    uint64
+	// holders are the upstreams that may be warm for an object.
+	holders map[Object][]*worker
+	// mark grows with each request about an object, and turn with each other one.
+	mark, turn uint64
+	zoneLegs   []leg
+	surveyed   survey
+	regionHash uint64
 	work     map[string]*work
 	// usual is the mean work of a service, for what waits at its upstreams.
 	usual map[string]*mean
@@ -42,10 +55,10 @@
 // region of each zone.
 func NewTable(self Host, zones map[string]string) *Table {
 	return &Table{
-		self: self, zones: zones, byID: map[string]*worker{}, services: map[string][]*worker{},
-		evacuate: map[string]bool{}, work: map[string]*work{}, usual: map[string]*mean{},
-		ranks: map[string]ranks{},
-		way:   newWays(self),
+		self: self, zones: zones, byID: map[string]*worker{}, byHash: map[uint32]*worker{},
+		services: map[string][]*worker{}, evacuate: map[string]bool{}, work: map[string]*work{},
+		usual: map[string]*mean{}, ranks: map[string]ranks{}, holders: map[Object][]*worker{},
+		way: newWays(self), regionHash: hash(self.Region), hostsAt: 1,
 	}
 }
 
@@ -60,7 +73,14 @@
 func (t *Table) SetHosts(hosts []Host) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.hosts = slices.Clone(hosts)
+	if slices.Equal(t.hosts, hosts) {
+		return
+	}
+	t.hosts, t.hostHashes = slices.Clone(hosts), t.hostHashes[:0]
+	for _, h := range hosts {
+		t.hostHashes = append(t.hostHashes, hash(h.Instance))
+	}
+	t.hostsAt++
 }
 
 // Evacuate says which zones get nothing new. The upstreams of a zone that comes
@@ -100,11 +120,12 @@
 	news := w == nil || w.Born != u.Born || w.State != u.State || w.Address != u.Address || w.Service != u.Service
 	if w == nil {
 		w = newWorker(now, u, t.zones[u.Zone])
-		t.byID[u.ID] = w
+		t.byID[u.ID], t.byHash[uint32(w.id)] = w, w
 		t.services[u.Service] = append(t.services[u.Service], w)
 	} else {
 		t.replace(now, w, u)
 	}
+	w.leg, w.warmedAt = t.legOf(u.Zone), 0
 	w.coldUntil = now.Add(u.ColdFor)
 	// It is alive, and says itself whether it is cold.
 	w.health.doubt = time.Time{}
@@ -113,6 +134,7 @@
 
 func (t *Table) replace(now time.Time, w *worker, u catalog.Upstream) {
 	if w.Born != u.Born || w.Address != u.Address {
+		t.dropAll(w)
 		w.restarted(now)
 	}
 	if w.Service != u.Service {
@@ -131,6 +153,10 @@
 		return
 	}
 	delete(t.byID, id)
+	if t.byHash[uint32(w.id)] == w {
+		delete(t.byHash, uint32(w.id))
+	}
+	t.dropAll(w)
 	t.unlist(w)
 }
 
@@ -209,13 +235,13 @@
 		w.health.noAnswer(now)
 	case Unreachable:
 		w.health.unreachable(now)
-		w.refused(c.object)
+		t.refused(w, c.object)
 	case Misdirected:
-		w.refused(c.object)
+		t.refused(w, c.object)
 		// Its own entry will go; until then nobody is sent there.
 		w.health.eject(now)
 	case Shed:
-		w.refused(c.object)
+		t.refused(w, c.object)
 	case Left:
 	}
 }
@@ -223,6 +249,7 @@
 func (t *Table) learn(now time.Time, c Choice, r Report) {
 	w := c.worker
 	if c.object != 0 {
+		t.hold(w, c.object)
 		w.remember(now, c.object)
 	}
 	t.way.noteBytes(c.route, r.Bytes)
--- a/internal/place/worker.go
+++ b/internal/place/worker.go
@@ -31,6 +31,14 @@
 	used  bool
 	// warm holds the objects that it is known to have handled lately.
 	warm map[Object]warmth
+	// leg is the index of its zone's.
+	leg int
+	// mark is the table's, if it holds the object of the request at hand.
+	mark uint64
+	// warmedHere says that this host is the one that sends to it while it is cold, as
+	// of a generation of hosts.
+	warmedHere bool
+	warmedAt   uint64
 }
 
 // Object is the hash of an affinity key and its route.
@@ -48,10 +56,10 @@
 	return &worker{Upstream: u, id: hash(u.ID), region: region, since: now, health: newHealth(), warm: map[Object]warmth{}}
 }
 
-// restarted forgets what was known of an earlier run under the same id.
+// restarted forgets how an earlier run under the same id was met.
 func (w *worker) restarted(now time.Time) {
 	inflight := w.load.inflight
-	w.health, w.load, w.warm = newHealth(), load{inflight: inflight}, map[Object]warmth{}
+	w.health, w.load = newHealth(), load{inflight: inflight}
 	w.since, w.used = now, false
 }
 
@@ -75,10 +83,7 @@
 // them would warm another upstream.
 func (w *worker) ask(now time.Time, object Object) {
 	w.used = true
-	known, ok := w.warm[object]
-	if !ok && len(w.warm) >= warmMost {
-		w.forgetOldest()
-	}
+	known := w.warm[object]
 	known.at = now
 	w.warm[object] = known
 }
@@ -100,14 +105,8 @@
 	w.warm[object] = known
 }
 
-// refused notes that the upstream has not done what it was asked for.
-func (w *worker) refused(object Object) {
-	if known, ok := w.warm[object]; ok && !known.answered {
-		delete(w.warm, object)
-	}
-}
-
-func (w *worker) forgetOldest() {
+// oldest is the object that it was asked about longest ago.
+func (w *worker) oldest() Object {
 	var oldest Object
 	var at time.Time
 	for object, known := range w.warm {
@@ -115,5 +114,5 @@
 			oldest, at = object, known.at
 		}
 	}
-	delete(w.warm, oldest)
+	return oldest
 }
