--- /dev/null
+++ b/internal/entryhost/beat.go
@@ -0,0 +1,75 @@
+package entryhost
+
+import (
+	"time"
+
+	"balsambarrow/internal/fleet"
+)
+
+// announce has heartbeats sent at once. Those that stand by are told only by hosts
+// that callers are sent to.
+func (c *control) announce(now time.Time) {
+	c.beatDue = now
+	if c.ready {
+		c.standbyDue = now
+	}
+}
+
+// announceToAll has heartbeats sent at once to every host.
+func (c *control) announceToAll(now time.Time) {
+	c.beatDue, c.standbyDue, c.tellsAll = now, now, true
+}
+
+// beat sends the heartbeats that are due: full ones to the hosts that take callers,
+// brief ones to the others. Hosts that stand by tell nothing to each other.
+func (c *control) beat(now time.Time) {
+	if !now.Before(c.beatDue) {
+		c.beatDue = now.Add(c.members.Interval(c.ready))
+		b := c.heartbeat(now)
+		c.addLearned(now, b)
+		c.sendBeat(b, c.members.Peers(true))
+	}
+	if now.Before(c.standbyDue) {
+		return
+	}
+	c.standbyDue = now.Add(c.members.IntervalToStandby(true))
+	tells := c.ready || c.tellsAll
+	c.tellsAll = false
+	if peers := c.members.Peers(false); tells && len(peers) > 0 {
+		b := c.heartbeat(now)
+		b.Brief = true
+		c.sendBeat(b, peers)
+	}
+}
+
+func (c *control) sendBeat(b *fleet.Heartbeat, peers []string) {
+	if err := c.d.wire.Send(b, peers); err != nil {
+		c.d.events.Debug("heartbeat not sent", "error", err)
+	}
+}
+
+// heartbeat is what this host tells of itself.
+func (c *control) heartbeat(now time.Time) *fleet.Heartbeat {
+	c.sequence++
+	s, load, capacity := c.d.self, c.d.meter.read(now), c.d.capacity()
+	return &fleet.Heartbeat{
+		Instance: s.Instance, Host: s.Name, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Peers: s.Peers,
+		Sequence: c.sequence, Ready: c.ready, Leaving: c.leaving, Version: c.version(),
+		Able: c.able(now), Registered: c.held, SeesStore: !c.storeOut, Digest: c.toldDigest(),
+		Cores: float32(capacity.Cores), LinkMbps: float32(capacity.LinkMbps),
+		RequestsPerSecond: float32(load.Requests), AnswerMbps: float32(load.AnswerMbps),
+	}
+}
+
+// addLearned adds what customers ask for here and which objects were seen where.
+func (c *control) addLearned(now time.Time, b *fleet.Heartbeat) {
+	for customer, rate := range c.d.shares.Tell(now) {
+		b.Demand = append(b.Demand, &fleet.Demand{Customer: customer, PerSecond: float32(rate)})
+	}
+	if !c.ready {
+		return
+	}
+	for _, n := range c.d.table.News(now) {
+		b.Warm = append(b.Warm, uint64(n))
+	}
+}
--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"balsambarrow/internal/fleet"
+	"balsambarrow/internal/follow"
 	"balsambarrow/internal/kv"
 	"balsambarrow/internal/rendezvous"
 )
@@ -23,6 +24,8 @@
 const (
 	// askEvery is the time between two questions.
 	askEvery = 500 * time.Millisecond
+	// askStandby is the same for a host that stands by.
+	askStandby = time.Second
 	// secondAfter is the age from which another host than the watcher is asked too,
 	// of another region if there is one. The store may turn a whole region away;
 	// each of its hosts takes a second or two to find that out and to leave the
@@ -33,6 +36,12 @@
 	// alone is the age from which a host looks for itself: two questions have had
 	// no answer that confirms.
 	alone = 2100 * time.Millisecond
+	// standbyLater is how much later both are for a host that stands by. It asks less
+	// often, and looks for itself if a caller comes.
+	standbyLater = 900 * time.Millisecond
+	// hostsAlone is the age of what is known of other hosts' registrations from which a
+	// host looks for itself, and the time between such looks.
+	hostsAlone = 8 * time.Second
 	// confirmsKept bounds the questions without an answer that are remembered.
 	confirmsKept = 8
 	// mostChangeBytes fits one datagram, of 64 kB at most, with keys and frames.
@@ -45,6 +54,27 @@
 type knowledge struct {
 	digest uint64
 	at     time.Time
+	// hosts and hostsAt are the same for the registrations of entry hosts.
+	hosts   uint64
+	hostsAt time.Time
+}
+
+// hostKnowledge is what is known of the registrations of entry hosts. They are
+// confirmed apart: two hosts that were cut off from the store at different times may
+// never agree on them, and must still confirm each other's keys.
+type hostKnowledge struct {
+	digest  follow.Digest
+	journal follow.Journal
+	at      time.Time
+	// lookDue is when the store may be looked at on their behalf again.
+	lookDue time.Time
+}
+
+// confirmedAsOf notes that what is known was what the store held at a time.
+func (h *hostKnowledge) confirmedAsOf(asOf time.Time) {
+	if asOf.After(h.at) {
+		h.at = asOf
+	}
 }
 
 // confirms are the questions that this process has asked.
@@ -71,7 +101,16 @@
 // watcher is the host that watches the store for this region: one of those that
 // take callers and reach the store, by rendezvous. "" if this host knows none.
 func (c *control) watcher() string {
-	return rendezvous.Pick(storeKey, c.d.directory.Load().seers(c.ownRegion))
+	if d := c.d.directory.Load(); d != c.watchers.of {
+		c.watchers = watchers{of: d, own: rendezvous.Pick(storeKey, d.seers(c.ownRegion))}
+	}
+	return c.watchers.own
+}
+
+// watchers is who watches the store, as of a directory.
+type watchers struct {
+	of  *directory
+	own string
 }
 
 // ownRegion tells whether a region is this host's.
@@ -108,24 +147,29 @@
 		c.d.lookNow()
 	}
 	before := c.d.known.Load()
-	if before == nil || before.digest != c.digest.Sum() || before.at != c.at {
-		c.d.known.Store(&knowledge{c.digest.Sum(), c.at})
-		if watches && before != nil && before.digest != c.digest.Sum() {
+	if known := (knowledge{c.digest.Sum(), c.at, c.hosts.digest.Sum(), c.hosts.at}); before == nil || *before != known {
+		c.d.known.Store(&known)
+		if watches && before != nil && before.digest != known.digest {
 			// The others should look at once.
-			c.beatDue = now
+			c.announce(now)
 		}
 	}
-	if !watches && now.Sub(c.at) > alone {
+	every, later := askEvery, time.Duration(0)
+	if !c.ready {
+		every, later = askStandby, standbyLater
+	}
+	if !watches && now.Sub(c.at) > alone+later {
 		c.d.lookNow()
 	}
+	c.lookForHosts(now)
 	if now.Before(c.confirms.askDue) {
 		return
 	}
-	c.confirms.askDue = now.Add(askEvery)
+	c.confirms.askDue = now.Add(every)
 	if !watches {
 		c.ask(now, watcher)
 	}
-	if now.Sub(c.at) > secondAfter {
+	if now.Sub(c.at) > secondAfter+later {
 		c.ask(now, c.second(watcher))
 	}
 }
@@ -141,7 +185,9 @@
 	}
 	id := q.next()
 	q.asked[id] = now
-	p := &fleet.Packet{Content: &fleet.Packet_ConfirmRequest{ConfirmRequest: &fleet.ConfirmRequest{Id: id, Digest: c.digest.Sum()}}}
+	p := &fleet.Packet{Content: &fleet.Packet_ConfirmRequest{ConfirmRequest: &fleet.ConfirmRequest{
+		Id: id, Digest: c.digest.Sum(), Hosts: c.hosts.digest.Sum(),
+	}}}
 	if err := c.d.wire.SendPacket(p, c.members.Address(host)); err != nil {
 		c.d.events.Debug("peer not asked", "peer", host, "error", err)
 	}
@@ -153,27 +199,37 @@
 	if k == nil || k.digest == 0 {
 		return
 	}
-	if q.Digest != k.digest {
+	if q.Digest != k.digest || q.Hosts != k.hosts {
 		d.control.send(func(c *control) { c.tellChanges(q, from) })
 		return
 	}
-	d.answerConfirm(&fleet.ConfirmAnswer{Id: q.Id, Digest: k.digest}, k.at, from)
+	d.answerConfirm(&fleet.ConfirmAnswer{Id: q.Id, Digest: k.digest, Hosts: k.hosts}, k.at, k.hostsAt, from)
 }
 
 // tellChanges answers a host that knows something else than this one, with the
 // changes that it lacks, if they are known and fit.
 func (c *control) tellChanges(q *fleet.ConfirmRequest, from string) {
-	a := &fleet.ConfirmAnswer{Id: q.Id, Digest: c.digest.Sum()}
-	events, _ := c.journal.Since(q.Digest, mostChangeBytes)
+	a := &fleet.ConfirmAnswer{Id: q.Id, Digest: c.digest.Sum(), Hosts: c.hosts.digest.Sum()}
+	a.Changes = changesSince(&c.journal, q.Digest)
+	a.HostChanges = changesSince(&c.hosts.journal, q.Hosts)
+	c.d.answerConfirm(a, c.at, c.hosts.at, from)
+}
+
+func changesSince(j *follow.Journal, digest uint64) []*fleet.Change {
+	var out []*fleet.Change
+	events, _ := j.Since(digest, mostChangeBytes)
 	for _, e := range events {
-		a.Changes = append(a.Changes, &fleet.Change{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+		out = append(out, &fleet.Change{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
 	}
-	c.d.answerConfirm(a, c.at, from)
+	return out
 }
 
-// answerConfirm sends an answer that speaks for the time at.
-func (d *Daemon) answerConfirm(a *fleet.ConfirmAnswer, at time.Time, from string) {
-	a.AgeUs = uint64(d.now().Sub(at).Microseconds()) + 1
+// answerConfirm sends an answer that speaks for the time at, and of registrations for
+// the time hostsAt.
+func (d *Daemon) answerConfirm(a *fleet.ConfirmAnswer, at, hostsAt time.Time, from string) {
+	now := d.now()
+	a.AgeUs = uint64(now.Sub(at).Microseconds()) + 1
+	a.HostsAgeUs = uint64(now.Sub(hostsAt).Microseconds()) + 1
 	if err := d.wire.SendPacket(&fleet.Packet{Content: &fleet.Packet_ConfirmAnswer{ConfirmAnswer: a}}, from); err != nil {
 		d.events.Debug("digest not told", "error", err)
 	}
@@ -188,16 +244,40 @@
 		return
 	}
 	delete(c.confirms.asked, a.Id)
-	var lacking []kv.Event
-	for _, e := range a.Changes {
-		lacking = append(lacking, kv.Event{Item: kv.Item{Key: e.Key, Value: e.Value, Revision: e.Revision}, Deleted: e.Deleted})
+	c.change(c.d.now(), eventsOf(a.HostChanges))
+	if c.hosts.digest.Sum() == a.Hosts {
+		c.hosts.confirmedAsOf(asked.Add(-time.Duration(a.HostsAgeUs) * time.Microsecond))
 	}
-	c.change(c.d.now(), lacking)
-	if a.Digest != c.digest.Sum() {
+	before := c.digest.Sum()
+	c.change(c.d.now(), eventsOf(a.Changes))
+	switch c.digest.Sum() {
+	case a.Digest:
+		c.confirmedAsOf(asked.Add(-time.Duration(a.AgeUs) * time.Microsecond))
+	case before:
 		c.d.lookNow()
+	default:
+		// There are more changes than fit into one answer.
+		c.confirms.askDue = time.Time{}
+	}
+}
+
+func eventsOf(changes []*fleet.Change) []kv.Event {
+	var out []kv.Event
+	for _, e := range changes {
+		out = append(out, kv.Event{Item: kv.Item{Key: e.Key, Value: e.Value, Revision: e.Revision}, Deleted: e.Deleted})
+	}
+	return out
+}
+
+// lookForHosts has the store looked at if the registrations of hosts have not been
+// confirmed for long.
+func (c *control) lookForHosts(now time.Time) {
+	h := &c.hosts
+	if now.Sub(h.at) < hostsAlone || now.Before(h.lookDue) {
 		return
 	}
-	c.confirmedAsOf(asked.Add(-time.Duration(a.AgeUs) * time.Microsecond))
+	h.lookDue = now.Add(hostsAlone)
+	c.d.lookNow()
 }
 
 // heardDigest asks the watcher at once where it knows something else.
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -8,12 +8,18 @@
 	"balsambarrow/internal/catalog"
 	"balsambarrow/internal/fleet"
 	"balsambarrow/internal/follow"
-	"balsambarrow/internal/front"
-	"balsambarrow/internal/place"
 	"balsambarrow/internal/snapshot"
 )
 
 const (
+	// surveyEvery is how often hosts that have gone silent are looked for, and
+	// demandEvery how often the demand that others have told is summed up. The second
+	// is well below the time that heartbeats are reckoned to take.
+	surveyEvery = 100 * time.Millisecond
+	demandEvery = 50 * time.Millisecond
+	// reviewEvery is how often settings and loads, which change without notice, are
+	// taken into account.
+	reviewEvery = time.Second
 	// tickEvery is how often the control thread looks at what time alone
 	// changes: a tenth of the shortest bound that it keeps.
 	tickEvery = 100 * time.Millisecond
@@ -41,19 +47,30 @@
 	listed        bool
 	leaving       bool
 	storeOut      bool
-	// registeredAt is when the last call left that kept the registration.
-	registeredAt time.Time
-	hostsListed  time.Time
+	registration  registration
+	// hostsListed says that registrations were taken over once, and hostsChanged that
+	// some have changed since.
+	hostsListed, hostsChanged bool
 	// held says that the registration stands.
 	held     bool
 	sequence uint64
-	beatDue  time.Time
-	ready    bool
-	duty     duty
-	digest   follow.Digest
-	journal  follow.Journal
-	seen     follow.Seen
-	confirms confirms
+	// beatDue and standbyDue are when heartbeats to hosts that take callers, and to the
+	// others, are due.
+	beatDue, standbyDue time.Time
+	// tellsAll says that the next heartbeat to hosts that stand by is sent whether this
+	// host takes callers or not.
+	tellsAll  bool
+	ready     bool
+	duty      duty
+	published published
+	digest    follow.Digest
+	journal   follow.Journal
+	seen      follow.Seen
+	hosts     hostKnowledge
+	confirms  confirms
+	watchers  watchers
+	// recalled is when what the fleet had learned was read last.
+	recalled time.Time
 	// snapshots paces those that this host writes.
 	snapshots snapshot.Writer
 }
@@ -107,48 +124,16 @@
 	for _, id := range c.roster.Expired(now) {
 		c.leave(id, "missing since the store is back")
 	}
-	c.log(c.members.Tick(now))
 	if held := c.registered(now); held != c.held {
 		// Others should ask another host for customers' tokens, or this one again.
-		c.held, c.beatDue = held, now
+		c.held = held
+		c.announce(now)
 		c.d.registeredOnce.Store(true)
 		c.d.shares.Hold(held)
 	}
 	c.publish(now)
 	c.seekConfirmation(now)
-	if !now.Before(c.beatDue) {
-		c.beat(now)
-	}
-}
-
-// registered tells whether this host knows the others, and they count it.
-func (c *control) registered(now time.Time) bool {
-	return !c.hostsListed.IsZero() && now.Sub(c.registeredAt) < leaseTime-leaseMargin
-}
-
-func (c *control) publish(now time.Time) {
-	heard := c.members.Heard(now)
-	c.setReady(now, heard)
-	c.d.state.Store(&front.State{
-		Catalog: c.catalog, ConfirmedAt: c.at, Listed: c.listed, Leaving: c.leaving, Standby: !c.duty.wanted,
-	})
-	c.d.fresh.fire()
-	c.d.directory.Store(&directory{self: c.d.self, ready: c.ready, leaving: c.leaving, seesStore: !c.storeOut, others: heard})
-	hosts := make([]place.Host, 0, len(heard)+1)
-	for _, m := range heard {
-		if m.Ready {
-			hosts = append(hosts, place.Host{Instance: m.Instance, Zone: m.Zone, Region: m.Region})
-		}
-	}
-	if c.ready {
-		hosts = append(hosts, place.Host{Instance: c.d.self.Instance, Zone: c.d.self.Zone, Region: c.d.self.Region})
-	}
-	c.d.table.SetHosts(hosts)
-	c.d.pool.Store(newPool(c.d.self, c.ready && c.held, heard, c.members.Count()))
-	c.d.shares.SetOthers(c.members.Demand(), c.buckets(), c.members.Complete())
-	bounds := c.d.settings.Load().Bounds
-	c.d.retries.SetSlack(bounds.RetrySlack, c.members.Count())
-	c.d.table.SetMaxShift(bounds.MaxShift)
+	c.beat(now)
 }
 
 // buckets is how many buckets a customer's rate is split among: one for each
@@ -169,29 +154,6 @@
 	return c.catalog.Version
 }
 
-func (c *control) beat(now time.Time) {
-	c.sequence++
-	c.beatDue = now.Add(c.members.Interval(c.ready))
-	s, load := c.d.self, c.d.meter.read(now)
-	capacity := c.d.capacity()
-	b := &fleet.Heartbeat{
-		Instance: s.Instance, Host: s.Name, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Peers: s.Peers,
-		Sequence: c.sequence, Ready: c.ready, Leaving: c.leaving, Version: c.version(),
-		Able: c.able(now), Registered: c.held, SeesStore: !c.storeOut, Digest: c.toldDigest(),
-		Cores: float32(capacity.Cores), LinkMbps: float32(capacity.LinkMbps),
-		RequestsPerSecond: float32(load.Requests), AnswerMbps: float32(load.AnswerMbps),
-	}
-	for customer, rate := range c.d.shares.Tell(now) {
-		b.Demand = append(b.Demand, &fleet.Demand{Customer: customer, PerSecond: float32(rate)})
-	}
-	for _, n := range c.d.table.News(now) {
-		b.Warm = append(b.Warm, uint64(n))
-	}
-	if err := c.d.wire.Send(b, c.members.Peers()); err != nil {
-		c.d.events.Debug("heartbeat not sent", "error", err)
-	}
-}
-
 func (c *control) log(changes []fleet.Arrival) {
 	for _, change := range changes {
 		c.d.events.Info("peer "+change.What, "peer", change.Member.Host, "instance", change.Member.Instance,
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -61,6 +61,12 @@
 	ready     atomic.Bool
 	// registeredOnce says that this host's registration has stood before.
 	registeredOnce atomic.Bool
+	// listed is closed after the first listing of the store; peersKnown says that it
+	// had other hosts.
+	listed     chan struct{}
+	peersKnown atomic.Bool
+	// spends says that this host should hold shares of customers' rates.
+	spends atomic.Bool
 	// watches says that this host watches the store for its region.
 	watches atomic.Bool
 	// known is what the store held and when, for hosts that ask.
@@ -112,6 +118,7 @@
 		retries: retry.NewWindow(s.Bounds.RetryWindow.Value(), s.Bounds.RetryRatio),
 		errs:    make(chan error, 4),
 		hurry:   make(chan struct{}, 1),
+		listed:  make(chan struct{}),
 
 		callerConns: newCallerConns(),
 	}
@@ -153,11 +160,13 @@
 	d.spawn(func(ctx context.Context) {
 		d.wire.Receive(ctx, d.received, func(err error) { d.events.Debug("packet not readable", "error", err) })
 	})
+	registrar := newRegistrar(d)
 	follower := &follow.Follower{
 		Store: d.store, Prefix: platform.AllKeys, Pace: d.storePace, Now: d.now, Sink: storeSink{d.control}, Hurry: d.hurry,
+		Listed: func(ctx context.Context) { await(ctx, registrar.done, registerWithin) },
 	}
 	d.spawn(follower.Run)
-	d.spawn((&registrar{d: d}).run)
+	d.spawn(registrar.run)
 	d.spawn(d.conns.Run)
 	d.spawn(d.sweepCallers)
 	d.events.Info("started", "instance", d.self.Instance, "zone", d.self.Zone, "region", d.self.Region,
--- a/internal/entryhost/duty.go
+++ b/internal/entryhost/duty.go
@@ -15,6 +15,9 @@
 	// take callers: at a start and after a cut, heartbeats of all hosts come
 	// within a second or two.
 	yieldAfter = 4 * time.Second
+	// dutyEvery is the least time between two decisions on it; each looks at all hosts
+	// of the region.
+	dutyEvery = 100 * time.Millisecond
 )
 
 // duty is whether this host takes callers.
@@ -22,14 +25,20 @@
 	// wanted says that this host is one of those that should.
 	wanted   bool
 	wantedAt time.Time
-	// decidedAt is when that was decided last; each heartbeat brings a turn of
-	// the control thread, and the decision looks at all hosts.
+	// decidedAt is when that was decided last, and basis what it went by beside the
+	// load of the hosts.
 	decidedAt time.Time
+	basis     basis
+}
+
+type basis struct {
+	members       uint64
+	able, leaving bool
 }
 
 // able tells whether the host could take callers at once.
 func (c *control) able(now time.Time) bool {
-	known := c.catalog != nil && c.listed && !c.hostsListed.IsZero()
+	known := c.catalog != nil && c.listed
 	return known && !c.leaving && now.Sub(c.at) < freshFor
 }
 
@@ -44,8 +53,12 @@
 		return
 	}
 	c.ready = ready
+	c.members.SetReady(ready)
+	if ready {
+		c.recallAgain(now)
+	}
 	// The others should know at once.
-	c.beatDue = now
+	c.announceToAll(now)
 	c.d.events.Info("ready", "ready", ready, "wanted", c.duty.wanted, "version", c.version(), "age", now.Sub(c.at),
 		"leaving", c.leaving, "upstreams", c.d.table.Size(), "hosts", c.members.Count())
 }
@@ -53,10 +66,12 @@
 // decideDuty decides whether this host should take callers.
 func (c *control) decideDuty(now time.Time, heard []fleet.Member) {
 	d := &c.duty
-	if now.Sub(d.decidedAt) < tickEvery {
+	next := basis{c.members.Generation(), c.able(now), c.leaving}
+	since := now.Sub(d.decidedAt)
+	if since < dutyEvery || next == d.basis && since < reviewEvery {
 		return
 	}
-	d.decidedAt = now
+	d.decidedAt, d.basis = now, next
 	if c.needed(now, heard) {
 		d.wantedAt = now
 	}
@@ -82,8 +97,8 @@
 	if !c.leaving {
 		all = append(all, self)
 	}
-	for _, m := range heard {
-		if m.Leaving {
+	for _, m := range c.others(heard) {
+		if m.Leaving || m.Region != self.Region {
 			continue
 		}
 		h := standby.Host{Instance: m.Instance, Zone: m.Zone, Region: m.Region, Capacity: m.Capacity, Load: m.Load}
@@ -92,6 +107,8 @@
 			able = append(able, h)
 		}
 	}
+	// Who should take callers if all were able may spend, so it registers as such.
+	c.d.spends.Store(c.duty.wanted || standby.Active(all, self.Region)[self.Instance])
 	active := standby.Active(able, self.Region)
 	if len(active) == 0 {
 		active = standby.Active(all, self.Region)
@@ -99,6 +116,20 @@
 	return active[self.Instance]
 }
 
+// others are the hosts that this one goes by. One that stands by does not hear the
+// others that do, and takes them to be as able as they are registered.
+func (c *control) others(heard []fleet.Member) []fleet.Member {
+	if c.ready {
+		return heard
+	}
+	out := heard[:len(heard):len(heard)]
+	for _, m := range c.members.Unheard(c.d.self.Region) {
+		m.Able = true
+		out = append(out, m)
+	}
+	return out
+}
+
 func (d *Daemon) capacity() standby.Capacity {
 	c := d.settings.Load().Capacity
 	return standby.Capacity{Cores: c.CPUShare * max(c.CPUCores, 1), LinkMbps: c.LinkMbps}
--- a/internal/entryhost/pace.go
+++ b/internal/entryhost/pace.go
@@ -27,10 +27,9 @@
 	// is then known after two seconds at most: a look of the watcher, its word,
 	// and this.
 	storeOwn = 1200 * time.Millisecond
-	// storeSeldom is the space of the others, whose knowledge the watcher confirms:
-	// well below the 20 s that the store keeps history for. What the digest leaves
-	// out, the registrations of hosts, is read then.
-	storeSeldom = 8 * time.Second
+	// storeSeldom is the space of the others, whose knowledge the watcher confirms.
+	// A look after the store has forgotten the history since costs one listing.
+	storeSeldom = 5 * time.Minute
 )
 
 func (d *Daemon) storePace() follow.Pace {
@@ -38,7 +37,7 @@
 		return follow.Pace{Wait: storeWait, Every: storeWatch, Least: storeWatch}
 	}
 	pace := follow.Pace{Wait: storeWait, Every: storeSeldom, Least: storeOwn}
-	if d.now().Sub(d.state.Load().ConfirmedAt) < alone {
+	if d.now().Sub(d.state.Load().ConfirmedAt) < alone+standbyLater {
 		pace.Failing = storeTurnedAway
 	}
 	return pace
--- /dev/null
+++ b/internal/entryhost/publish.go
@@ -0,0 +1,91 @@
+package entryhost
+
+import (
+	"time"
+
+	"balsambarrow/internal/fleet"
+	"balsambarrow/internal/front"
+	"balsambarrow/internal/place"
+)
+
+// published is what the control thread has told the other threads.
+type published struct {
+	surveyed, reviewed, summed time.Time
+	// generation and demand are those of the members that were told last.
+	generation, demand uint64
+	// heard are the other hosts that are there.
+	heard []fleet.Member
+	view  view
+	state front.State
+}
+
+// view is what the directory and the pool depend on beside the other hosts.
+type view struct {
+	ready, leaving, seesStore, held bool
+}
+
+// publish tells the other threads what has changed. Most messages change nothing that
+// they go by.
+func (c *control) publish(now time.Time) {
+	p := &c.published
+	if now.Sub(p.surveyed) >= surveyEvery {
+		p.surveyed = now
+		c.log(c.members.Tick(now))
+	}
+	changed := p.generation != c.members.Generation()
+	if changed {
+		p.generation, p.heard = c.members.Generation(), c.members.Heard()
+	}
+	c.setReady(now, p.heard)
+	review := now.Sub(p.reviewed) >= reviewEvery
+	next := view{c.ready, c.leaving, !c.storeOut, c.held}
+	if changed || review || next != p.view {
+		p.view, p.reviewed = next, now
+		c.publishHosts()
+	}
+	c.publishState()
+	c.publishDemand(now, changed)
+}
+
+// publishHosts tells who takes callers and who holds customers' buckets.
+func (c *control) publishHosts() {
+	heard := c.published.heard
+	c.d.directory.Store(&directory{self: c.d.self, ready: c.ready, leaving: c.leaving, seesStore: !c.storeOut, others: heard})
+	hosts := make([]place.Host, 0, len(heard)+1)
+	for _, m := range heard {
+		if m.Ready {
+			hosts = append(hosts, place.Host{Instance: m.Instance, Zone: m.Zone, Region: m.Region})
+		}
+	}
+	if c.ready {
+		hosts = append(hosts, place.Host{Instance: c.d.self.Instance, Zone: c.d.self.Zone, Region: c.d.self.Region})
+	}
+	c.d.table.SetHosts(hosts)
+	c.d.pool.Store(newPool(c.d.self, c.ready && c.held, heard, c.members.Count()))
+	bounds := c.d.settings.Load().Bounds
+	c.d.retries.SetSlack(bounds.RetrySlack, c.members.Count())
+	c.d.table.SetMaxShift(bounds.MaxShift)
+}
+
+// publishState tells what requests go by.
+func (c *control) publishState() {
+	next := front.State{
+		Catalog: c.catalog, ConfirmedAt: c.at, Listed: c.listed, Leaving: c.leaving, Standby: !c.duty.wanted,
+	}
+	if next == c.published.state {
+		return
+	}
+	c.published.state = next
+	c.d.state.Store(&next)
+	c.d.fresh.fire()
+}
+
+// publishDemand tells what customers ask for at the other hosts.
+func (c *control) publishDemand(now time.Time, changed bool) {
+	p := &c.published
+	if !changed && (p.demand == c.members.DemandGeneration() || now.Sub(p.summed) < demandEvery) {
+		return
+	}
+	p.demand, p.summed = c.members.DemandGeneration(), now
+	c.d.shares.SetOthers(c.members.Demand(), c.buckets(), c.members.Complete())
+}
--- a/internal/entryhost/recall.go
+++ b/internal/entryhost/recall.go
@@ -11,12 +11,17 @@
 	"balsambarrow/platform"
 )
 
+// recallAfter is the age of the last snapshot that was read from which a host that
+// begins to take callers reads it again.
+const recallAfter = 5 * time.Second
+
 // snapshotRole is what the host that writes snapshots is picked by.
 const snapshotRole = "snapshot"
 
 // recall takes over what the fleet knew before this process began. A snapshot that
 // cannot be used is ignored: the host learns anew.
 func (c *control) recall(now time.Time, items []kv.Item) {
+	c.recalled = now
 	i := slices.IndexFunc(items, func(item kv.Item) bool { return item.Key == platform.SnapshotKey })
 	if i < 0 {
 		return
@@ -30,6 +35,25 @@
 		"upstreams", len(m.Upstreams), "objects", c.d.table.Recall(now, m), "routes", len(m.Routes))
 }
 
+// recallAgain has what the fleet has learned read anew, if this host did not hear it
+// because it stood by.
+func (c *control) recallAgain(now time.Time) {
+	if now.Sub(c.recalled) < recallAfter {
+		return
+	}
+	c.recalled = now
+	c.d.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, callBound)
+		defer cancel()
+		item, err := c.d.store.Get(ctx, platform.SnapshotKey)
+		if err != nil {
+			c.d.events.Debug("snapshot not read", "error", err)
+			return
+		}
+		c.send(func(c *control) { c.recall(c.d.now(), []kv.Item{item}) })
+	})
+}
+
 // writesSnapshot tells whether this host is the one of the fleet that writes
 // snapshots. Two that believe so for a moment overwrite each other.
 func (c *control) writesSnapshot() bool {
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -16,38 +16,121 @@
 	// leaseTime is how long a host that has died is counted by the others: what
 	// its customers' shares wait for. Renewals cost a tenth of a call each.
 	leaseTime = 5 * time.Second
+	// renewEvery leaves room for two lost renewals.
+	renewEvery = 1500 * time.Millisecond
+	// standbyLease and standbyRenew are those of hosts that stand by, which hold no
+	// share of any customer's rate.
+	standbyLease = 20 * time.Second
+	standbyRenew = 6 * time.Second
 	// leaseMargin is how much earlier the host itself stops to spend: its last
 	// renewal may have arrived as late as a slow store's answer.
 	leaseMargin = time.Second
-	// renewEvery leaves room for two lost renewals.
-	renewEvery = 1500 * time.Millisecond
 	// callBound bounds one call to the store.
 	callBound = 1200 * time.Millisecond
 	retryCall = 250 * time.Millisecond
+	// registerWithin bounds how long the first registration waits for the first
+	// listing, and the first watch for the first registration.
+	registerWithin = time.Second
+	// yieldToStronger is how long a host with one core waits before it is the first to
+	// register; one with less waits for longer, mostWait at most. Those that find
+	// enough stronger ones register as hosts that stand by.
+	yieldToStronger = 50 * time.Millisecond
+	mostWait        = 500 * time.Millisecond
 )
 
+// registration is what keeps this host's entry in the store.
+type registration struct {
+	// written is when the entry was in the store, and kept when the last call left
+	// that kept it.
+	written, kept time.Time
+	lease         time.Duration
+}
+
+// registered tells whether the others count this host, and it knows those that
+// registered before.
+//
+// Of two hosts that start together, the one that registers later must find the other,
+// whose heartbeats it then makes itself known by. Otherwise both go on as the only
+// host, and each gives out the whole rate of every customer.
+func (c *control) registered(now time.Time) bool {
+	r := c.registration
+	return r.lease > 0 && !c.hosts.at.Before(r.written) && now.Sub(r.kept) < r.lease-leaseMargin
+}
+
 // registrar keeps this host's registration.
 type registrar struct {
 	d     *Daemon
 	lease uint64
+	// spends says that the lease is that of a host that holds shares.
+	spends  bool
+	written time.Time
+	// kept is when the last call left that kept the registration.
+	kept time.Time
+	// done is closed after the first registration.
+	done chan struct{}
 }
 
+func newRegistrar(d *Daemon) *registrar { return &registrar{d: d, done: make(chan struct{})} }
+
 func (r *registrar) run(ctx context.Context) {
+	r.awaitOthers(ctx)
+	first := true
 	for ctx.Err() == nil {
-		began := r.d.now()
-		err := r.try(ctx, r.keep)
-		if err == nil {
-			r.d.control.send(func(c *control) { c.registeredAt = began })
-		}
 		pause := renewEvery
-		if err != nil {
-			pause = retryCall
+		if r.due() {
+			if err := r.try(ctx, r.keep); err != nil {
+				pause = retryCall
+			} else if first {
+				first = false
+				close(r.done)
+			}
 		}
 		sleep(ctx, pause)
 	}
 	r.end()
 }
 
+// awaitOthers waits for the first listing, and where it has no other host lets
+// stronger ones register first.
+func (r *registrar) awaitOthers(ctx context.Context) {
+	if !await(ctx, r.d.listed, registerWithin) || r.d.peersKnown.Load() {
+		return
+	}
+	if cores := r.d.capacity().Cores; cores > 0 {
+		sleep(ctx, min(time.Duration(float64(yieldToStronger)/cores), mostWait))
+	}
+	_ = r.try(ctx, r.readOthers)
+}
+
+// readOthers reads which hosts are registered.
+func (r *registrar) readOthers(ctx context.Context) error {
+	l, err := r.d.store.List(ctx, platform.HostPrefix, false)
+	if err != nil {
+		return err
+	}
+	known := make(chan struct{})
+	r.d.control.send(func(c *control) {
+		defer close(known)
+		now := c.d.now()
+		for _, item := range l.Items {
+			c.hostRegistered(item)
+		}
+		c.listHosts(now)
+		c.needed(now, nil)
+	})
+	await(ctx, known, registerWithin)
+	return nil
+}
+
+// due tells whether the lease is to be renewed, or to be exchanged because the host
+// has begun or ended to hold shares.
+func (r *registrar) due() bool {
+	if r.lease == 0 || r.spends != r.d.spends.Load() || r.spends {
+		return true
+	}
+	return r.d.now().Sub(r.kept) >= standbyRenew
+}
+
 // try makes one bounded call and logs why it failed.
 func (r *registrar) try(ctx context.Context, call func(context.Context) error) error {
 	bounded, cancel := context.WithTimeout(ctx, callBound)
@@ -61,45 +144,62 @@
 
 // keep renews the lease, or makes one and writes the entry under it.
 func (r *registrar) keep(ctx context.Context) error {
-	if r.lease != 0 {
+	began, spends := r.d.now(), r.d.spends.Load()
+	if r.lease != 0 && r.spends == spends {
 		err := r.d.store.Renew(ctx, r.lease)
+		if err == nil {
+			r.tell(began)
+		}
 		if !errors.Is(err, kv.ErrLeaseLapsed) {
 			return err
 		}
 		r.d.events.Warn("registration lapsed", "lease", r.lease)
-		r.lease = 0
 	}
-	lease, err := r.d.store.Grant(ctx, leaseTime)
+	r.lease, r.spends = 0, spends
+	lease, err := r.d.store.Grant(ctx, r.leaseTime())
 	if err != nil {
 		return err
 	}
-	s := r.d.self
-	value, err := json.Marshal(fleet.Registration{Instance: s.Instance, Host: s.Name, Zone: s.Zone, Region: s.Region, Peers: s.Peers})
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	if err := r.d.store.Put(ctx, platform.HostPrefix+s.Instance, value, lease); err != nil {
+	if err := r.write(ctx, lease); err != nil {
 		return err
 	}
-	// Of two hosts that start together, the one that registers later finds the
-	// other here, and its heartbeat makes itself known. Without this reading
-	// both may go on for seconds as the only host, and each gives out the whole
-	// rate of every customer: three hosts gave out 277 in five seconds for 218.
-	l, err := r.d.store.List(ctx, platform.HostPrefix, false)
-	if err != nil {
-		return err
+	r.lease, r.written = lease, r.d.now()
+	r.tell(began)
+	if spends {
+		// What registered meanwhile is to be known before this host spends.
+		r.d.lookNow()
 	}
-	r.lease = lease
-	r.d.control.send(func(c *control) {
-		for _, item := range l.Items {
-			c.hostRegistered(item)
-		}
-		c.listHosts(c.d.now())
-	})
-	r.d.events.Info("registered", "lease", lease)
+	r.d.events.Info("registered", "lease", lease, "spends", spends)
 	return nil
 }
 
+func (r *registrar) leaseTime() time.Duration {
+	if r.spends {
+		return leaseTime
+	}
+	return standbyLease
+}
+
+func (r *registrar) write(ctx context.Context, lease uint64) error {
+	s, capacity := r.d.self, r.d.capacity()
+	value, err := json.Marshal(fleet.Registration{
+		Instance: s.Instance, Host: s.Name, Zone: s.Zone, Region: s.Region, Peers: s.Peers,
+		Cores: capacity.Cores, LinkMbps: capacity.LinkMbps,
+	})
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return r.d.store.Put(ctx, platform.HostPrefix+s.Instance, value, lease)
+}
+
+// tell tells the control thread that the registration was kept by a call that left at
+// a time.
+func (r *registrar) tell(began time.Time) {
+	r.kept = began
+	kept := registration{written: r.written, kept: began, lease: r.leaseTime()}
+	r.d.control.send(func(c *control) { c.registration = kept })
+}
+
 // end gives the registration up, so that the others need not wait for it to
 // lapse.
 func (r *registrar) end() {
@@ -113,6 +213,19 @@
 	}
 }
 
+// await waits until a channel is closed, and tells whether it was in time.
+func await(ctx context.Context, done <-chan struct{}, most time.Duration) bool {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	return false
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/entryhost/stop.go
+++ b/internal/entryhost/stop.go
@@ -27,7 +27,7 @@
 	d.events.Info("stopping", "grace", grace)
 	d.control.send(func(c *control) {
 		c.leaving = true
-		c.beatDue = time.Time{}
+		c.announceToAll(d.now())
 	})
 	time.Sleep(time.Duration(float64(grace) * acceptPart))
 	left := grace - endMargin - d.now().Sub(began)
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -23,8 +23,11 @@
 		c.roster.Reached(now)
 		c.seen.Listed(l.Items)
 		c.journal.Reset()
+		c.hosts.journal.Reset()
 		upstreams, zones := map[string]bool{}, map[string]bool{}
-		clear(c.registrations)
+		for key := range c.registrations {
+			c.hostUnregistered(key)
+		}
 		for _, item := range l.Items {
 			if zone, ok := platform.EvacuatedZone(item.Key); ok {
 				zones[zone] = true
@@ -46,7 +49,13 @@
 			c.recall(now, l.Items)
 		}
 		c.listHosts(now)
-		c.listed = true
+		if !c.listed {
+			c.listed = true
+			c.d.peersKnown.Store(len(c.registrations) > 0)
+			// Whether the host will hold shares decides how it registers.
+			c.needed(now, nil)
+			close(c.d.listed)
+		}
 		c.confirmedByStore(asOf)
 	})
 }
@@ -57,7 +66,6 @@
 		now := c.d.now()
 		c.roster.Reached(now)
 		c.change(now, changes.Events)
-		c.listHosts(now)
 		c.confirmedByStore(asOf)
 	})
 }
@@ -73,14 +81,16 @@
 // change takes changes over, from the store or from a peer.
 func (c *control) change(now time.Time, events []kv.Event) {
 	for _, e := range c.seen.Latest(events) {
-		before := c.digest.Sum()
+		before, hostsBefore := c.digest.Sum(), c.hosts.digest.Sum()
 		if e.Deleted {
 			c.removed(now, e.Key)
 		} else {
 			c.wrote(now, e.Item)
 		}
 		c.journal.Add(before, c.digest.Sum(), e)
+		c.hosts.journal.Add(hostsBefore, c.hosts.digest.Sum(), e)
 	}
+	c.listHosts(now)
 }
 
 // wrote takes a key over that was written.
@@ -95,6 +105,11 @@
 	}
 	if _, ok := platform.HostInstance(item.Key); ok {
 		c.hostRegistered(item)
+		return
+	}
+	if item.Key == platform.SnapshotKey && c.at.IsZero() && c.listed {
+		// The first listing may have been old.
+		c.recall(now, []kv.Item{item})
 	}
 	if zone, ok := platform.EvacuatedZone(item.Key); ok {
 		c.evacuate(zone, true)
@@ -109,7 +124,7 @@
 	if zone, ok := platform.EvacuatedZone(key); ok {
 		c.evacuate(zone, false)
 	}
-	delete(c.registrations, key)
+	c.hostUnregistered(key)
 }
 
 // hostRegistered notes an entry host's registration.
@@ -120,10 +135,26 @@
 		return
 	}
 	c.registrations[item.Key] = r
+	c.hosts.digest.SetHost(item.Key, item.Value)
+	c.hostsChanged = true
 }
 
+// hostUnregistered notes that an entry host's registration is gone.
+func (c *control) hostUnregistered(key string) {
+	if _, ok := c.registrations[key]; !ok {
+		return
+	}
+	delete(c.registrations, key)
+	c.hosts.digest.RemoveHost(key)
+	c.hostsChanged = true
+}
+
+// listHosts takes over which hosts are registered, if that has changed.
 func (c *control) listHosts(now time.Time) {
-	c.hostsListed = now
+	if c.hostsListed && !c.hostsChanged {
+		return
+	}
+	c.hostsListed, c.hostsChanged = true, false
 	c.members.List(now, slices.Collect(maps.Values(c.registrations)))
 }
 
@@ -171,8 +202,10 @@
 // confirmedByStore is the same, by an answer of the store itself.
 func (c *control) confirmedByStore(asOf time.Time) {
 	c.confirmedAsOf(asOf)
+	c.hosts.confirmedAsOf(asOf)
 	if c.storeOut {
-		c.storeOut, c.beatDue = false, time.Time{}
+		c.storeOut = false
+		c.announce(c.d.now())
 		c.d.events.Info("store regained", "version", c.version())
 	}
 }
@@ -180,7 +213,8 @@
 func (c *control) lostStore(err error) {
 	if !c.storeOut {
 		// The others may have to go by another watcher from now on.
-		c.storeOut, c.beatDue = true, time.Time{}
+		c.storeOut = true
+		c.announce(c.d.now())
 		c.d.events.Warn("store lost", "error", err, "age", c.d.now().Sub(c.at))
 	}
 }
--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -15,8 +15,8 @@
 	// customer's demand moves between hosts in that time stays within the tolerance
 	// that operators were promised.
 	shortInterval = 250 * time.Millisecond
-	// perHost stretches the interval of a large fleet, where each heartbeat
-	// goes to every host: a host then handles at most sixty a second.
+	// perHost stretches the interval of a large fleet, so that a host handles at most
+	// sixty heartbeats a second of those that take callers.
 	perHost = 16 * time.Millisecond
 	// maxDatagram is the largest heartbeat that is read.
 	maxDatagram = 64 << 10
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -12,6 +12,12 @@
 	// heardFor is how long a host counts as there after a heartbeat: four
 	// heartbeats at the shortest interval and a lost one.
 	heardFor = 1300 * time.Millisecond
+	// standbyInterval is the least time between heartbeats to a host that stands by,
+	// where there are some: callers keep an answer of the directory for longer.
+	standbyInterval = time.Second
+	// intervalsMissed is the number of intervals without a heartbeat after which a
+	// host counts as silent.
+	intervalsMissed = 4
 	// rememberFor is how long a host that is not registered is remembered
 	// after its last heartbeat. Its registration may be on the way.
 	rememberFor = 5 * time.Second
@@ -43,15 +49,25 @@
 	sequence   uint64
 	heard      time.Time
 	registered bool
+	// alive is whether it was there at the last look.
+	alive bool
+	// complete says that its last heartbeat told what customers ask for there.
+	complete bool
 }
 
 // Registration is what a host writes into the store.
 type Registration struct {
-	Instance string `json:"instance"`
-	Host     string `json:"host"`
-	Zone     string `json:"zone"`
-	Region   string `json:"region"`
-	Peers    string `json:"peers"`
+	Instance string  `json:"instance"`
+	Host     string  `json:"host"`
+	Zone     string  `json:"zone"`
+	Region   string  `json:"region"`
+	Peers    string  `json:"peers"`
+	Cores    float64 `json:"cores,omitempty"`
+	LinkMbps float64 `json:"link_mbps,omitempty"`
+}
+
+func (r Registration) capacity() standby.Capacity {
+	return standby.Capacity{Cores: r.Cores, LinkMbps: r.LinkMbps}
 }
 
 // Members are the other hosts as this one knows them. It is not safe for
@@ -61,14 +77,19 @@
 	// host of this daemon; an earlier instance of it is gone.
 	host string
 	by   map[string]*Member
-	// gap is the interval between heartbeats of a host that stands by, and
-	// readyGap of one that takes callers.
-	gap, readyGap time.Duration
+	// ready is the number of hosts that take callers, and selfReady tells whether this
+	// one does.
+	ready     int
+	selfReady bool
+	// generation grows with each change of who is there and what may be asked of it.
+	generation uint64
+	// demandAt grows with each change of what customers ask for.
+	demandAt uint64
 }
 
 // NewMembers returns what the instance self on host knows at its start.
 func NewMembers(self, host string) *Members {
-	return &Members{self: self, host: host, by: map[string]*Member{}, gap: Interval(1), readyGap: Interval(1)}
+	return &Members{self: self, host: host, by: map[string]*Member{}}
 }
 
 // Arrival says that a host appeared or disappeared, for the log.
@@ -93,111 +114,191 @@
 	if b.Sequence <= known.sequence {
 		return changes
 	}
-	if !known.alive(now, m.gapOf(known)) {
+	if !known.alive {
 		changes = append(changes, Arrival{Member{Instance: b.Instance, Host: b.Host, Zone: b.Zone}, "heard"})
 	}
 	if b.Leaving && !known.Leaving {
 		changes = append(changes, Arrival{Member{Instance: b.Instance, Host: b.Host, Zone: b.Zone}, "leaving"})
 	}
-	known.Host, known.Zone, known.Region = b.Host, b.Zone, b.Region
-	known.Callers, known.Peers = b.Callers, b.Peers
-	known.Ready, known.Leaving, known.Version = b.Ready, b.Leaving, b.Version
-	known.Able, known.Registered, known.SeesStore = b.Able, b.Registered, b.SeesStore
-	known.Capacity = standby.Capacity{Cores: float64(b.Cores), LinkMbps: float64(b.LinkMbps)}
-	known.Load = standby.Load{Requests: float64(b.RequestsPerSecond), AnswerMbps: float64(b.AnswerMbps)}
-	known.sequence, known.heard = b.Sequence, now
-	known.Demand = make(map[string]float64, len(b.Demand))
-	for _, d := range b.Demand {
-		known.Demand[d.Customer] = float64(d.PerSecond)
+	if !known.alive || known.differs(b) {
+		m.generation++
 	}
+	if b.Ready != known.Ready {
+		m.countReady(b.Ready)
+	}
+	known.take(now, b)
+	m.takeDemand(known, b)
 	return changes
 }
 
+// countReady notes that a host has begun to take callers, or has ended it.
+func (m *Members) countReady(begins bool) {
+	if begins {
+		m.ready++
+		return
+	}
+	m.ready--
+}
+
+// differs tells whether a heartbeat says anything of its host that others go by at
+// once; load and demand change with each.
+func (k *Member) differs(b *Heartbeat) bool {
+	return k.Host != b.Host || k.Zone != b.Zone || k.Region != b.Region || k.Callers != b.Callers || k.Peers != b.Peers ||
+		k.Ready != b.Ready || k.Leaving != b.Leaving || k.Able != b.Able || k.Registered != b.Registered ||
+		k.SeesStore != b.SeesStore
+}
+
+func (k *Member) take(now time.Time, b *Heartbeat) {
+	k.Host, k.Zone, k.Region = b.Host, b.Zone, b.Region
+	k.Callers, k.Peers = b.Callers, b.Peers
+	k.Ready, k.Leaving, k.Version = b.Ready, b.Leaving, b.Version
+	k.Able, k.Registered, k.SeesStore = b.Able, b.Registered, b.SeesStore
+	k.Capacity = standby.Capacity{Cores: float64(b.Cores), LinkMbps: float64(b.LinkMbps)}
+	k.Load = standby.Load{Requests: float64(b.RequestsPerSecond), AnswerMbps: float64(b.AnswerMbps)}
+	k.sequence, k.heard, k.alive = b.Sequence, now, true
+}
+
+// takeDemand takes over what customers ask for at a member. What a brief heartbeat
+// leaves out has been forgotten once full ones come again.
+func (m *Members) takeDemand(k *Member, b *Heartbeat) {
+	if k.complete == b.Brief {
+		k.complete = !b.Brief
+		m.demandAt++
+	}
+	if len(b.Demand) == 0 && len(k.Demand) == 0 {
+		return
+	}
+	m.demandAt++
+	k.Demand = make(map[string]float64, len(b.Demand))
+	for _, d := range b.Demand {
+		k.Demand[d.Customer] = float64(d.PerSecond)
+	}
+}
+
 // replaceHost forgets earlier instances of a host that has started again: they
 // cannot be running.
 func (m *Members) replaceHost(b *Heartbeat) []Arrival {
 	var changes []Arrival
 	for id, old := range m.by {
 		if old.Host == b.Host && old.sequence > 0 {
-			delete(m.by, id)
+			m.forget(id)
 			changes = append(changes, Arrival{*old, "replaced"})
 		}
 	}
 	return changes
 }
 
+// forget drops a host.
+func (m *Members) forget(id string) {
+	if m.by[id].Ready {
+		m.countReady(false)
+	}
+	delete(m.by, id)
+	m.generation++
+	m.demandAt++
+}
+
 // List takes the registrations in the store over. One of an earlier instance of
 // this host or of a host that is heard again is of a daemon that has ended.
 func (m *Members) List(now time.Time, list []Registration) {
 	listed := map[string]bool{}
+	heard := m.heardByHost()
 	for _, r := range list {
-		if r.Instance == m.self || r.Host == m.host || m.restarted(r) {
+		if r.Instance == m.self || r.Host == m.host {
+			continue
+		}
+		if instance, ok := heard[r.Host]; ok && instance != r.Instance {
 			continue
 		}
 		listed[r.Instance] = true
 		if m.by[r.Instance] == nil {
-			m.by[r.Instance] = &Member{Instance: r.Instance, Host: r.Host, Zone: r.Zone, Region: r.Region, Peers: r.Peers, heard: now.Add(-rememberFor)}
+			m.by[r.Instance] = &Member{
+				Instance: r.Instance, Host: r.Host, Zone: r.Zone, Region: r.Region, Peers: r.Peers,
+				Capacity: r.capacity(), heard: now.Add(-rememberFor),
+			}
+			m.generation++
 		}
 	}
 	for id, k := range m.by {
-		k.registered = listed[id]
+		if k.registered != listed[id] {
+			k.registered = listed[id]
+			m.generation++
+		}
 	}
 }
 
-func (m *Members) restarted(r Registration) bool {
+// heardByHost is the instance of each host that has been heard.
+func (m *Members) heardByHost() map[string]string {
+	out := make(map[string]string, len(m.by))
 	for id, k := range m.by {
-		if id != r.Instance && k.Host == r.Host && k.sequence > 0 {
-			return true
+		if k.sequence > 0 {
+			out[k.Host] = id
 		}
 	}
-	return false
+	return out
 }
 
-// Tick forgets hosts that are neither registered nor heard, and returns those
-// that have just gone silent or were forgotten.
+// Tick forgets hosts that are neither registered nor heard, notes those that have
+// gone silent, and returns those that were forgotten.
 func (m *Members) Tick(now time.Time) []Arrival {
 	var changes []Arrival
 	for id, k := range m.by {
 		if !k.registered && now.Sub(k.heard) >= rememberFor {
-			delete(m.by, id)
+			m.forget(id)
 			changes = append(changes, Arrival{*k, "forgotten"})
+			continue
+		}
+		if alive := k.isAlive(now, m.gapOf(k)); alive != k.alive {
+			k.alive = alive
+			m.generation++
 		}
 	}
-	m.gap, m.readyGap = Interval(len(m.by)+1), Interval(m.readyCount()+1)
 	return changes
 }
 
-func (m *Members) readyCount() int {
-	n := 0
-	for _, k := range m.by {
-		if k.Ready {
-			n++
-		}
-	}
-	return n
-}
+// Generation changes with who is there and what may be asked of them.
+func (m *Members) Generation() uint64 { return m.generation }
+
+// DemandGeneration changes with what customers ask for elsewhere.
+func (m *Members) DemandGeneration() uint64 { return m.demandAt }
 
-// Interval between this host's heartbeats. Those that take callers are few where
-// hosts differ, and what they tell of customers and objects is needed sooner.
+// Interval between this host's heartbeats to those that take callers. Those that
+// take callers themselves are few where hosts differ, and what they tell of customers
+// and objects is needed sooner.
 func (m *Members) Interval(ready bool) time.Duration {
 	if ready {
-		return m.readyGap
+		return Interval(m.ready + 1)
 	}
-	return m.gap
+	return Interval(len(m.by) + 1)
 }
 
-// gapOf is the interval between a member's heartbeats.
-func (m *Members) gapOf(k *Member) time.Duration { return m.Interval(k.Ready) }
+// IntervalToStandby is the time between a host's heartbeats to those that stand by.
+// They need to know who takes callers, and little else.
+func (m *Members) IntervalToStandby(ready bool) time.Duration {
+	return max(standbyInterval, 2*m.Interval(ready))
+}
+
+// SetReady says whether this host takes callers; the others then send it heartbeats
+// more often.
+func (m *Members) SetReady(ready bool) { m.selfReady = ready }
+
+// gapOf is the interval between a member's heartbeats to this host.
+func (m *Members) gapOf(k *Member) time.Duration {
+	if m.selfReady {
+		return m.Interval(k.Ready)
+	}
+	return m.IntervalToStandby(k.Ready)
+}
 
-func (k *Member) alive(now time.Time, gap time.Duration) bool {
-	return k.sequence > 0 && now.Sub(k.heard) < max(heardFor, 4*gap)
+func (k *Member) isAlive(now time.Time, gap time.Duration) bool {
+	return k.sequence > 0 && now.Sub(k.heard) < max(heardFor, intervalsMissed*gap)
 }
 
 // Heard lists the hosts that are there, by instance.
-func (m *Members) Heard(now time.Time) []Member {
+func (m *Members) Heard() []Member {
 	var out []Member
 	for _, k := range m.by {
-		if k.alive(now, m.gapOf(k)) {
+		if k.alive {
 			out = append(out, *k)
 		}
 	}
@@ -205,6 +306,18 @@
 	return out
 }
 
+// Unheard lists the hosts of a region that are registered, and that this one does not
+// hear because both stand by. They may be taken to live.
+func (m *Members) Unheard(region string) []Member {
+	var out []Member
+	for _, k := range m.by {
+		if k.registered && !k.alive && !k.Ready && k.Region == region {
+			out = append(out, *k)
+		}
+	}
+	return out
+}
+
 // Count is the number of hosts that may be spending what the fleet shares, this
 // one included.
 func (m *Members) Count() int { return len(m.by) + 1 }
@@ -235,18 +348,20 @@
 // for there.
 func (m *Members) Complete() bool {
 	for _, k := range m.by {
-		if k.sequence == 0 {
+		if k.sequence == 0 || k.Ready && !k.complete {
 			return false
 		}
 	}
 	return true
 }
 
-// Peers lists where heartbeats go.
-func (m *Members) Peers() []string {
+// Peers lists the addresses of the hosts that take callers, or of the others.
+func (m *Members) Peers(ready bool) []string {
 	out := make([]string, 0, len(m.by))
 	for _, k := range m.by {
-		out = append(out, k.Peers)
+		if k.Ready == ready {
+			out = append(out, k.Peers)
+		}
 	}
 	return out
 }
--- a/internal/follow/digest.go
+++ b/internal/follow/digest.go
@@ -10,7 +10,7 @@
 
 // Digest is one number for what the store holds that a host goes by: the version
 // of the configuration, the evacuated zones and the upstreams, without the marks
-// by which these show that they live. Two hosts with the same digest know the
+// by which these show that they live; or the registrations of entry hosts. Two hosts with the same digest know the
 // same, in whatever order they learned it. The zero value is that of an empty
 // store. It is not safe for concurrent use.
 type Digest struct {
@@ -43,6 +43,12 @@
 	d.set("upstream/"+u.ID, fmt.Sprint(u.Service, " ", u.Address, " ", u.Zone, " ", u.Slots, " ", u.State, " ", u.ColdFor > 0, " ", u.Born))
 }
 
+// SetHost notes an entry host's registration.
+func (d *Digest) SetHost(key string, registration []byte) { d.set("host/"+key, string(registration)) }
+
+// RemoveHost notes that a host has no registration.
+func (d *Digest) RemoveHost(key string) { d.remove("host/" + key) }
+
 // RemoveUpstream notes that an upstream has no entry.
 func (d *Digest) RemoveUpstream(id string) { d.remove("upstream/" + id) }
 
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -25,7 +25,7 @@
 // Sink is told what the store holds.
 type Sink interface {
 	// Listed replaces all that was known. It is what the store held at some
-	// time after asOf.
+	// time after asOf; the first listing may be of any time, and asOf is zero then.
 	Listed(l kv.Listing, asOf time.Time)
 	// Changed adds events, perhaps none, up to some time after asOf.
 	Changed(c kv.Changes, asOf time.Time)
@@ -44,6 +44,8 @@
 	// Hurry ends the pause before the next look, but not one after a call that
 	// failed. Default nil: never.
 	Hurry <-chan struct{}
+	// Listed is called between the first listing and the first watch. Default nil.
+	Listed func(ctx context.Context)
 }
 
 // Pace says how often the store is called.
@@ -62,7 +64,7 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	pause := firstPause
-	revision, listed := uint64(0), false
+	revision, listed := f.first(ctx), true
 	for ctx.Err() == nil {
 		asked, pace := f.Now(), f.Pace()
 		next, err := f.step(ctx, revision, listed, asked, pace.Wait)
@@ -73,20 +75,62 @@
 			f.rest(ctx, pace.Every-f.Now().Sub(asked), f.Hurry)
 		case errors.Is(err, kv.ErrCompacted):
 			listed = false
-		case ctx.Err() == nil:
-			f.Sink.Failed(err)
-			f.rest(ctx, time.Duration(float64(pause)*(0.5+rand.Float64())), nil)
-			pause = min(2*pause, max(longestPause, pace.Failing))
+		default:
+			pause = f.failed(ctx, err, pause)
 		}
 	}
 }
 
+// first lists the prefix as of any time, which costs the store little when all hosts
+// start together, and returns the revision to watch on from: the first watch brings
+// what the listing lacks.
+func (f *Follower) first(ctx context.Context) uint64 {
+	pause := firstPause
+	for ctx.Err() == nil {
+		l, err := f.list(ctx, true)
+		if err == nil {
+			f.Sink.Listed(l, time.Time{})
+			if f.Listed != nil {
+				f.Listed(ctx)
+			}
+			return seenUpTo(l)
+		}
+		pause = f.failed(ctx, err, pause)
+	}
+	return 0
+}
+
+// seenUpTo is the revision from which a watch brings all that a listing lacks which may
+// be old. A store that gives such a listing the revision of the moment would hide the
+// changes between the two.
+func seenUpTo(l kv.Listing) uint64 {
+	latest := uint64(0)
+	for _, item := range l.Items {
+		latest = max(latest, item.Revision)
+	}
+	return min(latest, l.Revision)
+}
+
+// failed reports a call that failed, rests, and returns the pause after the next one.
+func (f *Follower) failed(ctx context.Context, err error, pause time.Duration) time.Duration {
+	if ctx.Err() != nil {
+		return pause
+	}
+	f.Sink.Failed(err)
+	f.rest(ctx, time.Duration(float64(pause)*(0.5+rand.Float64())), nil)
+	return min(2*pause, max(longestPause, f.Pace().Failing))
+}
+
+func (f *Follower) list(ctx context.Context, stale bool) (kv.Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*answerBound)
+	defer cancel()
+	return f.Store.List(ctx, f.Prefix, stale)
+}
+
 // step makes one call and returns the revision to go on from.
 func (f *Follower) step(ctx context.Context, revision uint64, listed bool, asked time.Time, wait time.Duration) (uint64, error) {
 	if !listed {
-		call, cancel := context.WithTimeout(ctx, 2*answerBound)
-		defer cancel()
-		l, err := f.Store.List(call, f.Prefix, false)
+		l, err := f.list(ctx, false)
 		if err != nil {
 			return 0, err
 		}
--- a/internal/follow/journal.go
+++ b/internal/follow/journal.go
@@ -3,9 +3,9 @@
 import "balsambarrow/internal/kv"
 
 const (
-	// mostSteps and mostStepBytes bound what a journal keeps: some seconds of the
-	// busiest release of today's users, 50 upstreams that join and leave.
-	mostSteps     = 256
+	// mostSteps and mostStepBytes bound what a journal keeps: the registrations of some
+	// hundreds of hosts that start together.
+	mostSteps     = 1024
 	mostStepBytes = 256 << 10
 )
 
@@ -44,26 +44,30 @@
 // Reset forgets all changes.
 func (j *Journal) Reset() { *j = Journal{} }
 
-// Since returns the changes that a host with the digest lacks; false if that is
-// not known, or if their values are more than most bytes.
+// Since returns the changes that a host with the digest lacks, the first of them if all
+// are more than most bytes; false if they are not known.
 func (j *Journal) Since(digest uint64, most int) ([]kv.Event, bool) {
-	size := 0
 	for i := len(j.steps) - 1; i >= 0; i-- {
-		if size += len(j.steps[i].event.Value); size > most {
-			return nil, false
-		}
-		if j.steps[i].before != digest {
-			continue
-		}
-		var out []kv.Event
-		for _, s := range j.steps[i:] {
-			out = append(out, s.event)
+		if j.steps[i].before == digest {
+			return firstOf(j.steps[i:], most), true
 		}
-		return out, true
 	}
 	return nil, false
 }
 
+// firstOf returns the first steps' events that fit into most bytes.
+func firstOf(steps []step, most int) []kv.Event {
+	var out []kv.Event
+	size := 0
+	for _, s := range steps {
+		if size += len(s.event.Key) + len(s.event.Value); size > most {
+			break
+		}
+		out = append(out, s.event)
+	}
+	return out
+}
+
 // mostSeen bounds the keys that Seen remembers: all of a site of a thousand
 // upstreams that are replaced twice.
 const mostSeen = 4096
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -70,7 +70,7 @@
 // meanwhile may be missing: watch on from Revision.
 type Listing struct {
 	Items []Item
-	// Revision of the store when the first page was read.
+	// Revision that no page is older than.
 	Revision uint64
 }
 
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -41,7 +41,7 @@
 	zoneLegs   []leg
 	surveyed   survey
 	regionHash uint64
-	work     map[string]*work
+	work       map[string]*work
 	// usual is the mean work of a service, for what waits at its upstreams.
 	usual map[string]*mean
 	ranks map[string]ranks
