--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -87,3 +88,92 @@
 	g.Expect(got.GetHeartbeat().Sequence).To(Equal(uint64(3)))
 	g.Expect(a.Send(beat("a", "host-a", 3), []string{"not an address"})).NotTo(Succeed())
 }
+
+// Guards against a host that has just begun to take callers and takes a customer's
+// whole rate, because brief heartbeats have told it of no demand elsewhere.
+func TestBriefHeartbeatsTellNoDemand(t *testing.T) {
+	g := NewWithT(t)
+	m := fleet.NewMembers("me", "host-me")
+	full := beat("a", "host-a", 1)
+	m.Hear(start, full)
+	g.Expect(m.Complete()).To(BeTrue())
+	brief := beat("a", "host-a", 2)
+	brief.Brief, brief.Demand = true, nil
+	m.Hear(start, brief)
+	g.Expect(m.Complete()).To(BeFalse())
+	g.Expect(m.Demand()).To(BeEmpty())
+	m.Hear(start, beat("a", "host-a", 3))
+	g.Expect(m.Complete()).To(BeTrue())
+	g.Expect(m.Demand()).To(HaveKeyWithValue("x", 5.0))
+}
+
+// Guards against views of the whole fleet that are rebuilt with each heartbeat: at
+// hundreds of hosts that alone takes a host's processor.
+func TestHeartbeatsThatSayNothingNewChangeNoView(t *testing.T) {
+	g := NewWithT(t)
+	m := fleet.NewMembers("me", "host-me")
+	m.Hear(start, beat("a", "host-a", 1))
+	m.Tick(start)
+	before := m.Generation()
+	again := beat("a", "host-a", 2)
+	again.RequestsPerSecond = 70
+	m.Hear(start.Add(time.Second), again)
+	m.Tick(start.Add(time.Second))
+	g.Expect(m.Generation()).To(Equal(before))
+	stops := beat("a", "host-a", 3)
+	stops.Ready = false
+	m.Hear(start.Add(time.Second), stops)
+	g.Expect(m.Generation()).NotTo(Equal(before), "it takes no callers any more")
+	before = m.Generation()
+	m.Tick(start.Add(time.Minute))
+	g.Expect(m.Generation()).NotTo(Equal(before), "it is silent")
+}
+
+// Guards against a cost at rest that grows with the square of the fleet: a host that
+// stands by is sent nothing by the others that do, and takes them to live as long as
+// they are registered.
+func TestHostsThatStandByAreTakenToLive(t *testing.T) {
+	g := NewWithT(t)
+	m := fleet.NewMembers("me", "host-me")
+	m.List(start, []fleet.Registration{
+		{Instance: "near", Host: "host-near", Region: "r", Peers: "p-near", Cores: 0.8},
+		{Instance: "far", Host: "host-far", Region: "elsewhere", Peers: "p-far"},
+		registration("a", "host-a"),
+	})
+	m.Hear(start, beat("a", "host-a", 1))
+	g.Expect(m.Peers(true)).To(ConsistOf("p-a"))
+	g.Expect(m.Peers(false)).To(ConsistOf("p-near", "p-far"))
+	g.Expect(m.Interval(true)).To(Equal(fleet.Interval(2)), "by the hosts that take callers")
+	unheard := m.Unheard("r")
+	g.Expect(unheard).To(HaveLen(1))
+	g.Expect(unheard[0].Capacity.Cores).To(Equal(0.8))
+	m.Tick(start.Add(time.Minute))
+	g.Expect(m.Heard()).To(BeEmpty())
+	g.Expect(m.Unheard("r")).To(HaveLen(1), "a host that took callers and is silent is not")
+}
+
+func BenchmarkMembers(b *testing.B) {
+	for _, hosts := range []int{10, 84, 295} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			m := fleet.NewMembers("me", "host-me")
+			beats := make([]*fleet.Heartbeat, hosts)
+			for i := range beats {
+				name := fmt.Sprint(i)
+				beats[i] = beat(name, "host-"+name, 1)
+			}
+			now := start
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Millisecond)
+				h := beats[i%hosts]
+				h.Sequence++
+				m.Hear(now, h)
+				if i%100 == 0 {
+					m.Tick(now)
+				}
+				if m.Generation() == 0 {
+					b.Fatal("nothing was heard")
+				}
+			}
+		})
+	}
+}
