A host that has just started waits for what it is about to know; fewer wake-ups of hosts that stand by

Brief heartbeats stay in their region but each fourth; a host that stands by looks at the time four times a second; garbage is collected when the heap has grown fourfold, within half of the memory that the host has.

--- a/cmd/balsambarrowd/entry.go
+++ b/cmd/balsambarrowd/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -46,11 +47,31 @@
 	return cmd
 }
 
+const (
+	// collectPercent is the growth of the heap between two collections. Most hosts have
+	// a small part of a core and far more memory than the live heap takes.
+	collectPercent = 300
+	// heapPart of the memory is the size of the heap from which collections come more
+	// often.
+	heapPart   = 0.5
+	bytesPerMB = 1 << 20
+)
+
+// boundHeap trades memory that the host has for processor time.
+func boundHeap(s *entryhost.Settings) {
+	if s.Capacity.MemoryMB <= 0 {
+		return
+	}
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(heapPart * s.Capacity.MemoryMB * bytesPerMB))
+}
+
 func serveEntry(path string, s *entryhost.Settings) error {
 	// The platform restarts a process that ends by SIGHUP, so the signal is
 	// taken before anything else.
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	boundHeap(s)
 	metrics := telemetry.NewMetrics()
 	events := telemetry.NewEvents(os.Stdout, s.LogLevel, s.Host)
 	events.Dropped = metrics.LinesDropped
--- a/internal/entryhost/beat.go
+++ b/internal/entryhost/beat.go
@@ -27,15 +27,17 @@
 		c.beatDue = now.Add(c.members.Interval(c.ready))
 		b := c.heartbeat(now)
 		c.addLearned(now, b)
-		c.sendBeat(b, c.members.Peers(true))
+		c.sendBeat(b, c.members.ReadyPeers())
 	}
 	if now.Before(c.standbyDue) {
 		return
 	}
-	c.standbyDue = now.Add(c.members.IntervalToStandby(true))
+	c.standbyDue = now.Add(c.members.IntervalToStandby())
+	c.rounds++
+	all := c.tellsAll || c.rounds%fleet.FarRounds == 0
 	tells := c.ready || c.tellsAll
 	c.tellsAll = false
-	if peers := c.members.Peers(false); tells && len(peers) > 0 {
+	if peers := c.members.StandbyPeers(all); tells && len(peers) > 0 {
 		b := c.heartbeat(now)
 		b.Brief = true
 		c.sendBeat(b, peers)
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -22,7 +22,8 @@
 	reviewEvery = time.Second
 	// tickEvery is how often the control thread looks at what time alone
 	// changes: a tenth of the shortest bound that it keeps.
-	tickEvery = 100 * time.Millisecond
+	tickEvery   = 100 * time.Millisecond
+	standbyTick = 250 * time.Millisecond
 	// deafFor is how long a watch may have been deaf before it says nothing.
 	deafFor = time.Second
 	// keyMargin covers the way from the caller and what the process needs
@@ -59,7 +60,9 @@
 	beatDue, standbyDue time.Time
 	// tellsAll says that the next heartbeat to hosts that stand by is sent whether this
 	// host takes callers or not.
-	tellsAll  bool
+	tellsAll bool
+	// rounds counts the heartbeats to hosts that stand by.
+	rounds    int
 	ready     bool
 	duty      duty
 	published published
@@ -79,7 +82,7 @@
 	return &control{
 		d: d, inbox: make(chan message, 256), zones: map[string]bool{},
 		registrations: map[string]fleet.Registration{}, confirms: newConfirms(),
-		members: fleet.NewMembers(d.self.Instance, d.settings.Load().Host), roster: follow.NewRoster(),
+		members: fleet.NewMembers(d.self.Instance, d.self.Name, d.self.Region), roster: follow.NewRoster(),
 	}
 }
 
@@ -94,7 +97,12 @@
 func (c *control) run(ctx context.Context) {
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
+	ready := true
 	for {
+		if c.ready != ready {
+			ready = c.ready
+			tick.Reset(c.tickInterval())
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -108,6 +116,15 @@
 	}
 }
 
+// tickInterval is the time between two looks at what time alone changes. A host that
+// stands by has nothing to do that must be done sooner.
+func (c *control) tickInterval() time.Duration {
+	if c.ready {
+		return tickEvery
+	}
+	return standbyTick
+}
+
 // drain takes what else is waiting, so that a burst is published once.
 func (c *control) drain() {
 	for {
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -73,9 +73,10 @@
 	known atomic.Pointer[knowledge]
 	// hurry ends the pause before the next look at the store.
 	hurry chan struct{}
-	// fresh tells of each new state.
-	fresh signal
-	meter meter
+	// fresh tells of each new state, and newHosts of each change of the hosts.
+	fresh, newHosts signal
+	startedAt       time.Time
+	meter           meter
 
 	callerConns *callerConns
 
@@ -137,10 +138,11 @@
 
 // Start serves callers and follows the store.
 func (d *Daemon) Start() {
+	d.startedAt = d.now()
 	deps := front.Deps{
 		State: d.state.Load, Codec: platform.Headers{}, Pool: d.conns, Table: d.table, Shares: d.tokens,
 		Retries: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, Now: d.now,
-		Refresh: d.refresh, Crowded: d.crowded,
+		Refresh: d.refresh, News: d.fresh.next, Starting: d.starting, Crowded: d.crowded,
 	}
 	if d.settings.Load().TraceFile != "" {
 		deps.Tracer = d.tracing.Tracer
@@ -237,7 +239,7 @@
 }
 
 func (d *Daemon) resolve(region, _ string) platform.Directions {
-	return platform.Directions{Addresses: d.directory.Load().resolve(region), For: directionsFor}
+	return platform.Directions{Addresses: d.awaitDirectory().resolve(region), For: directionsFor}
 }
 
 func (d *Daemon) spawn(task func(context.Context)) {
--- a/internal/entryhost/publish.go
+++ b/internal/entryhost/publish.go
@@ -62,6 +62,7 @@
 	}
 	c.d.table.SetHosts(hosts)
 	c.d.pool.Store(newPool(c.d.self, c.ready && c.held, heard, c.members.Count()))
+	c.d.newHosts.fire()
 	bounds := c.d.settings.Load().Bounds
 	c.d.retries.SetSlack(bounds.RetrySlack, c.members.Count())
 	c.d.table.SetMaxShift(bounds.MaxShift)
--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -56,6 +56,8 @@
 	CPUCores float64 `json:"cpu_cores"`
 	// LinkMbps is the rate of the host's link, in Mbit/s.
 	LinkMbps float64 `json:"link_mbps"`
+	// MemoryMB is the memory that the process may use, in MB. Default 0: not known.
+	MemoryMB float64 `json:"memory_mb"`
 	// Descriptors is the number of files and connections that the process may
 	// have open. Default 0: not known, then callers' connections are not bounded.
 	Descriptors int `json:"descriptors"`
@@ -166,6 +168,7 @@
 	require(s.Capacity.CPUShare >= 0, "/capacity/cpu_share", "want zero or more")
 	require(s.Capacity.CPUCores >= 0, "/capacity/cpu_cores", "want zero or more")
 	require(s.Capacity.LinkMbps >= 0, "/capacity/link_mbps", "want zero or more")
+	require(s.Capacity.MemoryMB >= 0, "/capacity/memory_mb", "want zero or more")
 	require(s.Capacity.Descriptors >= 0, "/capacity/descriptors", "want zero or more")
 	require(s.Bounds.RetryWindow.Value() > 0, "/bounds/retry_window", "want more than nothing")
 	require(s.Bounds.RetryRatio >= 0, "/bounds/retry_ratio", "want zero or more")
--- a/internal/entryhost/tokens.go
+++ b/internal/entryhost/tokens.go
@@ -59,7 +59,7 @@
 	if c.Rate <= 0 {
 		return share.Verdict{Admitted: true, Part: 1}
 	}
-	p := t.d.pool.Load()
+	p := t.d.awaitPool()
 	owner := share.Owner(c.Name, p.instances)
 	peer := p.peers[owner]
 	if peer == "" {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -29,7 +29,7 @@
 // registration has lapsed.
 func TestSilentHostKeepsItsPart(t *testing.T) {
 	g := NewWithT(t)
-	m := fleet.NewMembers("me", "host-me")
+	m := fleet.NewMembers("me", "host-me", "r")
 	m.List(start, []fleet.Registration{registration("a", "host-a")})
 	m.Hear(start, beat("a", "host-a", 1))
 	g.Expect(m.Heard()).To(HaveLen(1))
@@ -48,7 +48,7 @@
 // whether its registration or its heartbeat is read first.
 func TestRestartedHostCountsOnce(t *testing.T) {
 	g := NewWithT(t)
-	m := fleet.NewMembers("me", "host-me")
+	m := fleet.NewMembers("me", "host-me", "r")
 	m.Hear(start, beat("a-1", "host-a", 7))
 	m.Hear(start, beat("a-2", "host-a", 1))
 	m.List(start, []fleet.Registration{registration("a-1", "host-a"), registration("a-2", "host-a"), registration("me-0", "host-me")})
@@ -62,7 +62,7 @@
 // ready again.
 func TestOldHeartbeat(t *testing.T) {
 	g := NewWithT(t)
-	m := fleet.NewMembers("me", "host-me")
+	m := fleet.NewMembers("me", "host-me", "r")
 	leaving := beat("a", "host-a", 9)
 	leaving.Ready, leaving.Leaving = false, true
 	m.Hear(start, leaving)
@@ -93,7 +93,7 @@
 // whole rate, because brief heartbeats have told it of no demand elsewhere.
 func TestBriefHeartbeatsTellNoDemand(t *testing.T) {
 	g := NewWithT(t)
-	m := fleet.NewMembers("me", "host-me")
+	m := fleet.NewMembers("me", "host-me", "r")
 	full := beat("a", "host-a", 1)
 	m.Hear(start, full)
 	g.Expect(m.Complete()).To(BeTrue())
@@ -111,7 +111,7 @@
 // hundreds of hosts that alone takes a host's processor.
 func TestHeartbeatsThatSayNothingNewChangeNoView(t *testing.T) {
 	g := NewWithT(t)
-	m := fleet.NewMembers("me", "host-me")
+	m := fleet.NewMembers("me", "host-me", "r")
 	m.Hear(start, beat("a", "host-a", 1))
 	m.Tick(start)
 	before := m.Generation()
@@ -134,15 +134,16 @@
 // they are registered.
 func TestHostsThatStandByAreTakenToLive(t *testing.T) {
 	g := NewWithT(t)
-	m := fleet.NewMembers("me", "host-me")
+	m := fleet.NewMembers("me", "host-me", "r")
 	m.List(start, []fleet.Registration{
 		{Instance: "near", Host: "host-near", Region: "r", Peers: "p-near", Cores: 0.8},
 		{Instance: "far", Host: "host-far", Region: "elsewhere", Peers: "p-far"},
 		registration("a", "host-a"),
 	})
 	m.Hear(start, beat("a", "host-a", 1))
-	g.Expect(m.Peers(true)).To(ConsistOf("p-a"))
-	g.Expect(m.Peers(false)).To(ConsistOf("p-near", "p-far"))
+	g.Expect(m.ReadyPeers()).To(ConsistOf("p-a"))
+	g.Expect(m.StandbyPeers(false)).To(ConsistOf("p-near"))
+	g.Expect(m.StandbyPeers(true)).To(ConsistOf("p-near", "p-far"))
 	g.Expect(m.Interval(true)).To(Equal(fleet.Interval(2)), "by the hosts that take callers")
 	unheard := m.Unheard("r")
 	g.Expect(unheard).To(HaveLen(1))
@@ -155,7 +156,7 @@
 func BenchmarkMembers(b *testing.B) {
 	for _, hosts := range []int{10, 84, 295} {
 		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
-			m := fleet.NewMembers("me", "host-me")
+			m := fleet.NewMembers("me", "host-me", "r")
 			beats := make([]*fleet.Heartbeat, hosts)
 			for i := range beats {
 				name := fmt.Sprint(i)
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -15,6 +15,9 @@
 	// standbyInterval is the least time between heartbeats to a host that stands by,
 	// where there are some: callers keep an answer of the directory for longer.
 	standbyInterval = time.Second
+	// FarRounds is the number of heartbeats to hosts that stand by in a host's region
+	// for one to those of other regions: they need it only if their own region has none.
+	FarRounds = 4
 	// intervalsMissed is the number of intervals without a heartbeat after which a
 	// host counts as silent.
 	intervalsMissed = 4
@@ -75,8 +78,9 @@
 type Members struct {
 	self string
 	// host of this daemon; an earlier instance of it is gone.
-	host string
-	by   map[string]*Member
+	host   string
+	region string
+	by     map[string]*Member
 	// ready is the number of hosts that take callers, and selfReady tells whether this
 	// one does.
 	ready     int
@@ -87,9 +91,9 @@
 	demandAt uint64
 }
 
-// NewMembers returns what the instance self on host knows at its start.
-func NewMembers(self, host string) *Members {
-	return &Members{self: self, host: host, by: map[string]*Member{}}
+// NewMembers returns what the instance self on a host of a region knows at its start.
+func NewMembers(self, host, region string) *Members {
+	return &Members{self: self, host: host, region: region, by: map[string]*Member{}}
 }
 
 // Arrival says that a host appeared or disappeared, for the log.
@@ -272,11 +276,10 @@
 	return Interval(len(m.by) + 1)
 }
 
-// IntervalToStandby is the time between a host's heartbeats to those that stand by.
-// They need to know who takes callers, and little else.
-func (m *Members) IntervalToStandby(ready bool) time.Duration {
-	return max(standbyInterval, 2*m.Interval(ready))
-}
+// IntervalToStandby is the time between the heartbeats of a host that takes callers to
+// those of its region that stand by. They need to know who takes callers, and little
+// else.
+func (m *Members) IntervalToStandby() time.Duration { return max(standbyInterval, 2*m.Interval(true)) }
 
 // SetReady says whether this host takes callers; the others then send it heartbeats
 // more often.
@@ -284,10 +287,13 @@
 
 // gapOf is the interval between a member's heartbeats to this host.
 func (m *Members) gapOf(k *Member) time.Duration {
-	if m.selfReady {
+	switch {
+	case m.selfReady || !k.Ready:
 		return m.Interval(k.Ready)
+	case k.Region == m.region:
+		return m.IntervalToStandby()
 	}
-	return m.IntervalToStandby(k.Ready)
+	return FarRounds * m.IntervalToStandby()
 }
 
 func (k *Member) isAlive(now time.Time, gap time.Duration) bool {
@@ -355,11 +361,20 @@
 	return true
 }
 
-// Peers lists the addresses of the hosts that take callers, or of the others.
-func (m *Members) Peers(ready bool) []string {
+// ReadyPeers lists the addresses of the hosts that take callers.
+func (m *Members) ReadyPeers() []string {
+	return m.peers(func(k *Member) bool { return k.Ready })
+}
+
+// StandbyPeers lists the addresses of the others, of this host's region or of all.
+func (m *Members) StandbyPeers(all bool) []string {
+	return m.peers(func(k *Member) bool { return !k.Ready && (all || k.Region == m.region) })
+}
+
+func (m *Members) peers(which func(*Member) bool) []string {
 	out := make([]string, 0, len(m.by))
 	for _, k := range m.by {
-		if k.Ready == ready {
+		if which(k) {
 			out = append(out, k.Peers)
 		}
 	}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -47,6 +47,11 @@
 	// Refresh has the store looked at now. The channel is closed when something
 	// newer is known; State then returns it.
 	Refresh func() <-chan struct{}
+	// News returns a channel that is closed when something newer is known.
+	News func() <-chan struct{}
+	// Starting is the time for which the host may still be about to learn what it needs
+	// for its first requests; 0 or less: it is not.
+	Starting func() time.Duration
 	// Crowded tells whether callers should not keep their connections.
 	Crowded func() bool
 	// Tracer writes a span for each hop. Default nil: none.
@@ -146,12 +151,13 @@
 
 // admit decides whether the request may be sent to an upstream at all.
 func (h *Handler) admit(w http.ResponseWriter, q *request) *refusal {
-	state := h.State()
-	if state.Catalog == nil || !state.Listed {
+	state := h.awaitState(q, h.Starting(), h.News, func(s *State) bool { return !s.starting() })
+	if state == nil {
 		return unavailable(CauseNoCatalog, backSoon)
 	}
 	if state.Standby && state.age(q.arrived) > strayFor {
-		if state = h.refreshed(q); state == nil {
+		state = h.awaitState(q, refreshFor, h.Refresh, func(s *State) bool { return s.age(h.Now()) <= strayFor })
+		if state == nil {
 			return unavailable(CauseStandby, backSoon)
 		}
 	}
@@ -177,14 +183,21 @@
 	return nil
 }
 
-// refreshed waits until a host that stands by knows enough to serve a caller that
-// came to it; nil if that takes too long.
-func (h *Handler) refreshed(q *request) *State {
-	timeout := time.NewTimer(refreshFor)
+// awaitState waits until a state is known that will do for a request; nil if that takes
+// longer than most. A host that stands by must look at the store first, and one that has
+// just started knows within some tenths of a second what it needs.
+func (h *Handler) awaitState(q *request, most time.Duration, next func() <-chan struct{}, will func(*State) bool) *State {
+	if state := h.State(); will(state) {
+		return state
+	}
+	if most <= 0 {
+		return nil
+	}
+	timeout := time.NewTimer(most)
 	defer timeout.Stop()
 	for {
-		news := h.Refresh()
-		if state := h.State(); state.age(h.Now()) <= strayFor {
+		news := next()
+		if state := h.State(); will(state) {
 			return state
 		}
 		select {
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -47,4 +47,9 @@
 	defaultPatience = 30 * time.Second
 )
 
+// starting tells whether the host does not know yet what it needs for any request.
+func (s *State) starting() bool {
+	return s.Catalog == nil || !s.Listed || s.ConfirmedAt.IsZero()
+}
+
 func (s *State) age(now time.Time) time.Duration { return now.Sub(s.ConfirmedAt) }
