--- a/cmd/balsambarrowd/entry.go
+++ b/cmd/balsambarrowd/entry.go
@@ -50,7 +50,7 @@
 const (
 	// collectPercent is the growth of the heap between two collections. Most hosts have
 	// a small part of a core and far more memory than the live heap takes.
-	collectPercent = 300
+	collectPercent = 200
 	// heapPart of the memory is the size of the heap from which collections come more
 	// often.
 	heapPart   = 0.5
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -75,8 +75,9 @@
 	hurry chan struct{}
 	// fresh tells of each new state, and newHosts of each change of the hosts.
 	fresh, newHosts signal
-	startedAt       time.Time
-	meter           meter
+	// startedAt is when the daemon started, and startedWall the time of day then.
+	startedAt, startedWall time.Time
+	meter                  meter
 
 	callerConns *callerConns
 
@@ -138,7 +139,7 @@
 
 // Start serves callers and follows the store.
 func (d *Daemon) Start() {
-	d.startedAt = d.now()
+	d.startedAt, d.startedWall = d.now(), time.Now()
 	deps := front.Deps{
 		State: d.state.Load, Codec: platform.Headers{}, Pool: d.conns, Table: d.table, Shares: d.tokens,
 		Retries: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, Now: d.now,
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		return err
 	}
-	if err := r.write(ctx, lease); err != nil {
+	if err := r.write(ctx, lease, spends); err != nil {
 		return err
 	}
 	r.lease, r.written = lease, r.d.now()
@@ -180,11 +180,11 @@
 	return standbyLease
 }
 
-func (r *registrar) write(ctx context.Context, lease uint64) error {
+func (r *registrar) write(ctx context.Context, lease uint64, spends bool) error {
 	s, capacity := r.d.self, r.d.capacity()
 	value, err := json.Marshal(fleet.Registration{
 		Instance: s.Instance, Host: s.Name, Zone: s.Zone, Region: s.Region, Peers: s.Peers,
-		Cores: capacity.Cores, LinkMbps: capacity.LinkMbps,
+		Cores: capacity.Cores, LinkMbps: capacity.LinkMbps, StartedMs: r.d.startedWall.UnixMilli(), Spends: spends,
 	})
 	if err != nil {
 		return errors.WithStack(err)
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -52,6 +52,8 @@
 	sequence   uint64
 	heard      time.Time
 	registered bool
+	// spends says that its registration is that of a host that holds shares.
+	spends bool
 	// alive is whether it was there at the last look.
 	alive bool
 	// complete says that its last heartbeat told what customers ask for there.
@@ -67,6 +69,11 @@
 	Peers    string  `json:"peers"`
 	Cores    float64 `json:"cores,omitempty"`
 	LinkMbps float64 `json:"link_mbps,omitempty"`
+	// StartedMs is when the instance started, by its own clock. Of two registrations of
+	// a host, the one that started earlier has ended.
+	StartedMs int64 `json:"started_ms,omitempty"`
+	// Spends says that the host holds shares of customers' rates.
+	Spends bool `json:"spends,omitempty"`
 }
 
 func (r Registration) capacity() standby.Capacity {
@@ -205,8 +212,31 @@
 // List takes the registrations in the store over. One of an earlier instance of
 // this host or of a host that is heard again is of a daemon that has ended.
 func (m *Members) List(now time.Time, list []Registration) {
-	listed := map[string]bool{}
+	listed := m.latest(list)
+	for instance, r := range listed {
+		k := m.by[instance]
+		if k == nil {
+			k = &Member{
+				Instance: instance, Host: r.Host, Zone: r.Zone, Region: r.Region, Peers: r.Peers,
+				Capacity: r.capacity(), heard: now.Add(-rememberFor),
+			}
+			m.by[instance] = k
+			m.generation++
+		}
+		k.spends = r.Spends
+	}
+	for id, k := range m.by {
+		if _, ok := listed[id]; k.registered != ok {
+			k.registered = ok
+			m.generation++
+		}
+	}
+}
+
+// latest is the registration of the last instance of each other host, by instance.
+func (m *Members) latest(list []Registration) map[string]Registration {
 	heard := m.heardByHost()
+	byHost := make(map[string]Registration, len(list))
 	for _, r := range list {
 		if r.Instance == m.self || r.Host == m.host {
 			continue
@@ -214,21 +244,15 @@
 		if instance, ok := heard[r.Host]; ok && instance != r.Instance {
 			continue
 		}
-		listed[r.Instance] = true
-		if m.by[r.Instance] == nil {
-			m.by[r.Instance] = &Member{
-				Instance: r.Instance, Host: r.Host, Zone: r.Zone, Region: r.Region, Peers: r.Peers,
-				Capacity: r.capacity(), heard: now.Add(-rememberFor),
-			}
-			m.generation++
+		if known, ok := byHost[r.Host]; !ok || r.StartedMs > known.StartedMs {
+			byHost[r.Host] = r
 		}
 	}
-	for id, k := range m.by {
-		if k.registered != listed[id] {
-			k.registered = listed[id]
-			m.generation++
-		}
+	out := make(map[string]Registration, len(byHost))
+	for _, r := range byHost {
+		out[r.Instance] = r
 	}
+	return out
 }
 
 // heardByHost is the instance of each host that has been heard.
@@ -350,11 +374,11 @@
 	return out
 }
 
-// Complete tells whether every host that may be spending has told what is asked
-// for there.
+// Complete tells whether every host that holds shares has told what is asked for
+// there.
 func (m *Members) Complete() bool {
 	for _, k := range m.by {
-		if k.sequence == 0 || k.Ready && !k.complete {
+		if k.sequence == 0 && k.spends || k.Ready && !k.complete {
 			return false
 		}
 	}
