Buckets fill from when they are held; hosts that stand by leave their entry to its lease

It now fills from the time at which the host could spend, and begins at .35 of its depth: two starts of all hosts within one window stay inside the tolerance for bursts up to what a customer may send in a second. An end of a lease costs a call; the entry of a host without shares decides nothing.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -146,7 +146,7 @@
 		c.held = held
 		c.announce(now)
 		c.d.registeredOnce.Store(true)
-		c.d.shares.Hold(held)
+		c.d.shares.Hold(now, held)
 	}
 	c.publish(now)
 	c.seekConfirmation(now)
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -200,10 +200,10 @@
 	r.d.control.send(func(c *control) { c.registration = kept })
 }
 
-// end gives the registration up, so that the others need not wait for it to
-// lapse.
+// end gives the registration of a host that holds shares up, so that the others need
+// not wait for it to lapse.
 func (r *registrar) end() {
-	if r.lease == 0 {
+	if r.lease == 0 || !r.spends {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), retryCall)
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -52,7 +52,7 @@
 		s.accounts[c.Name] = a
 	}
 	part := sparePart / float64(max(hosts, 1))
-	a.refill(now, part*c.Rate, spareDepth)
+	a.fill(now, now, part*c.Rate, spareDepth)
 	v := Verdict{Part: part}
 	if a.tokens >= 1 {
 		a.tokens--
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -26,7 +26,7 @@
 	f := &fleet{rng: rand.New(rand.NewPCG(7, uint64(n))), now: time.Unix(1000, 0), cut: map[int]bool{}}
 	for range n {
 		s := share.New()
-		s.Hold(true)
+		s.Hold(f.now, true)
 		f.hosts = append(f.hosts, s)
 		f.demand = append(f.demand, map[string]float64{})
 	}
@@ -166,10 +166,10 @@
 func TestRestartedHostKeepsToItsEvenPart(t *testing.T) {
 	g := NewWithT(t)
 	s := share.New()
-	s.Hold(true)
+	now, admitted := time.Unix(1000, 0), 0
+	s.Hold(now, true)
 	s.SetOthers(nil, 3, false)
 	c := &catalog.Customer{Name: "hot", Rate: 30, Burst: 30}
-	now, admitted := time.Unix(1000, 0), 0
 	for range 2000 {
 		now = now.Add(time.Millisecond)
 		if now.UnixMilli()%250 == 0 {
@@ -193,7 +193,7 @@
 	g.Expect(v.Admitted).To(BeFalse())
 	g.Expect(v.ComeBack).To(BeNumerically(">", 0))
 	g.Expect(v.Unheld).To(BeTrue(), "it says nothing about the customer")
-	s.Hold(true)
+	s.Hold(now, true)
 	g.Expect(s.Admit(now.Add(time.Second), c).Admitted).To(BeTrue())
 	g.Expect(s.Admit(now, &catalog.Customer{Name: "free"}).Admitted).To(BeTrue())
 }
@@ -203,9 +203,9 @@
 func TestRefusedReturnOneByOne(t *testing.T) {
 	g := NewWithT(t)
 	s := share.New()
-	s.Hold(true)
-	c := &catalog.Customer{Name: "a", Rate: 20, Burst: 1}
 	now := time.Unix(1000, 0)
+	s.Hold(now, true)
+	c := &catalog.Customer{Name: "a", Rate: 20, Burst: 1}
 	var last time.Duration
 	for range 10 {
 		v := s.Admit(now, c)
@@ -280,3 +280,26 @@
 	t.Logf("%d of %d served", len(admitted), asked)
 	g.Expect(len(admitted)).To(BeNumerically(">=", asked*95/100))
 }
+
+// Guards against refusals inside the rate in the first seconds of traffic: hosts have
+// held their buckets for some time when the first callers of a customer come.
+func TestBucketFillsBeforeTheFirstCaller(t *testing.T) {
+	g := NewWithT(t)
+	s := share.New()
+	start := time.Unix(1000, 0)
+	s.Hold(start, true)
+	c := &catalog.Customer{Name: "early", Rate: 40, Burst: 40}
+	admitted := func(now time.Time) (n int) {
+		for range 100 {
+			if s.Admit(now, c).Admitted {
+				n++
+			}
+		}
+		return n
+	}
+	g.Expect(admitted(start.Add(10*time.Second))).To(BeNumerically(">=", 40))
+	again := share.New()
+	again.Hold(start, true)
+	s = again
+	g.Expect(admitted(start)).To(BeNumerically("<=", 15), "a host that has just started may have spent before")
+}
--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -16,9 +16,9 @@
 	// regions before they hear of it stays within the tolerance that operators were
 	// promised (see the tests).
 	depthPart = 1.0
-	// startPart of its depth is in a bucket when a host starts: it may have
-	// spent the rest before it started again.
-	startPart = 0.25
+	// startPart of its depth is in a bucket when a host begins to hold shares: it may
+	// have spent the rest before it started again.
+	startPart = 0.35
 	// leastDepth lets one request in where a customer's part of the burst is
 	// less than one, and spareTokens more over all owners together: a customer
 	// that enters in one region has a few requests in each of the others, and
@@ -43,8 +43,10 @@
 	owners int
 	// complete says that the demand of all other hosts is known.
 	complete bool
-	// held says that this host may spend its shares.
-	held bool
+	// held says that this host may spend its shares, and heldSince is when it could
+	// first. Buckets fill from then on, whether a customer has asked yet or not.
+	held      bool
+	heldSince time.Time
 }
 
 type account struct {
@@ -77,10 +79,13 @@
 
 // Hold says whether this host may spend: its registration stands, so the others
 // count it.
-func (s *Shares) Hold(held bool) {
+func (s *Shares) Hold(now time.Time, held bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.held = held
+	if held && s.heldSince.IsZero() {
+		s.heldSince = now
+	}
 }
 
 // Verdict on one request.
@@ -114,7 +119,7 @@
 	part := s.part(now, c.Name, a)
 	v := Verdict{Part: part, Demand: a.demand.perSecond}
 	rate, depth := part*c.Rate, max(part*c.Burst*depthPart, leastDepth+spareTokens/float64(s.owners))
-	a.refill(now, rate, depth)
+	a.fill(now, s.heldSince, rate, depth)
 	if s.held && a.tokens >= 1 {
 		a.tokens--
 		v.Admitted = true
@@ -133,14 +138,17 @@
 	}
 }
 
-func (a *account) refill(now time.Time, rate, depth float64) {
+// fill brings a bucket to now. One that nobody has asked for yet has been filling since
+// a time.
+func (a *account) fill(now, since time.Time, rate, depth float64) {
 	if a.at.IsZero() {
-		a.tokens = max(depth*startPart, 1)
-	} else {
-		a.tokens += now.Sub(a.at).Seconds() * rate
+		a.tokens, a.at = max(depth*startPart, 1), now
+		if !since.IsZero() {
+			a.at = since
+		}
 	}
+	a.tokens = min(a.tokens+now.Sub(a.at).Seconds()*rate, depth)
 	a.at = now
-	a.tokens = min(a.tokens, depth)
 }
 
 // comeBack spreads those that are refused over the tokens that will come: each
