A host decides whether it is needed once it knows the others

Cause, from a trial that logged calls by kind: at the first start every host took itself for the only one, took callers for four seconds, registered under the short lease and renewed it every 1.5 s; until one heard a host that takes callers each watched the store for itself. Now the decision waits for the registration, within a second of the start, and hosts that are registered to hold shares are sent heartbeats before they are heard.

--- a/internal/entryhost/duty.go
+++ b/internal/entryhost/duty.go
@@ -65,6 +65,9 @@
 
 // decideDuty decides whether this host should take callers.
 func (c *control) decideDuty(now time.Time, heard []fleet.Member) {
+	if !c.knowsOthers(now) {
+		return
+	}
 	d := &c.duty
 	next := basis{c.members.Generation(), c.able(now), c.leaving}
 	since := now.Sub(d.decidedAt)
@@ -82,6 +85,12 @@
 	d.wanted = wanted
 }
 
+// knowsOthers tells whether the host can tell if it is needed: right after its start it
+// knows only itself, and every host would take callers.
+func (c *control) knowsOthers(now time.Time) bool {
+	return c.listed && (c.registration.lease > 0 || now.Sub(c.d.startedAt) >= registerWithin)
+}
+
 // needed tells whether this host is one of those that take callers, by what is
 // known of all. Where no host is able, as in an outage of the store, those go on
 // that would be the first to be able again.
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -34,7 +34,7 @@
 	// yieldToStronger is how long a host with one core waits before it is the first to
 	// register; one with less waits for longer, mostWait at most. Those that find
 	// enough stronger ones register as hosts that stand by.
-	yieldToStronger = 50 * time.Millisecond
+	yieldToStronger = 100 * time.Millisecond
 	mostWait        = 500 * time.Millisecond
 )
 
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -385,16 +385,20 @@
 	return true
 }
 
-// ReadyPeers lists the addresses of the hosts that take callers.
+// ReadyPeers lists the addresses of the hosts that take callers, or are about to.
 func (m *Members) ReadyPeers() []string {
-	return m.peers(func(k *Member) bool { return k.Ready })
+	return m.peers((*Member).takesCallers)
 }
 
 // StandbyPeers lists the addresses of the others, of this host's region or of all.
 func (m *Members) StandbyPeers(all bool) []string {
-	return m.peers(func(k *Member) bool { return !k.Ready && (all || k.Region == m.region) })
+	return m.peers(func(k *Member) bool { return !k.takesCallers() && (all || k.Region == m.region) })
 }
 
+// takesCallers tells whether callers are sent there, as far as is known. One that has
+// registered to hold shares and was never heard may not know this host yet.
+func (k *Member) takesCallers() bool { return k.Ready || k.spends && k.sequence == 0 }
+
 func (m *Members) peers(which func(*Member) bool) []string {
 	out := make([]string, 0, len(m.by))
 	for _, k := range m.by {
