A host that starts looks at the store once, and is greeted by those that take callers

One that starts is sent a heartbeat by the hosts of its region that take callers as soon as they hear it.

--- a/internal/entryhost/beat.go
+++ b/internal/entryhost/beat.go
@@ -44,6 +44,17 @@
 	}
 }
 
+// greet makes this host known to one of its region that stands by and was not heard
+// before. Until it hears a host that takes callers, it looks at the store for itself.
+func (c *control) greet(now time.Time, b *fleet.Heartbeat, changes []fleet.Arrival) {
+	if !c.ready || b.Ready || b.Leaving || b.Region != c.d.self.Region || len(changes) == 0 {
+		return
+	}
+	own := c.heartbeat(now)
+	own.Brief = true
+	c.sendBeat(own, []string{b.Peers})
+}
+
 func (c *control) sendBeat(b *fleet.Heartbeat, peers []string) {
 	if err := c.d.wire.Send(b, peers); err != nil {
 		c.d.events.Debug("heartbeat not sent", "error", err)
--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -144,7 +144,9 @@
 	watches := watcher == "" || watcher == c.d.self.Instance
 	if c.d.watches.Swap(watches) != watches {
 		c.d.events.Info("store watch", "watches", watches, "watcher", watcher)
-		c.d.lookNow()
+		if watches && !c.at.IsZero() {
+			c.d.lookNow()
+		}
 	}
 	before := c.d.known.Load()
 	if known := (knowledge{c.digest.Sum(), c.at, c.hosts.digest.Sum(), c.hosts.at}); before == nil || *before != known {
@@ -158,7 +160,7 @@
 	if !c.ready {
 		every, later = askStandby, standbyLater
 	}
-	if !watches && now.Sub(c.at) > alone+later {
+	if !watches && !c.at.IsZero() && now.Sub(c.at) > alone+later {
 		c.d.lookNow()
 	}
 	c.lookForHosts(now)
@@ -273,7 +275,7 @@
 // confirmed for long.
 func (c *control) lookForHosts(now time.Time) {
 	h := &c.hosts
-	if now.Sub(h.at) < hostsAlone || now.Before(h.lookDue) {
+	if h.at.IsZero() || now.Sub(h.at) < hostsAlone || now.Before(h.lookDue) {
 		return
 	}
 	h.lookDue = now.Add(hostsAlone)
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -180,7 +180,9 @@
 
 func (c *control) heard(b *fleet.Heartbeat) {
 	now := c.d.now()
-	c.log(c.members.Hear(now, b))
+	changes := c.members.Hear(now, b)
+	c.log(changes)
+	c.greet(now, b, changes)
 	c.d.table.Hear(now, b.Warm)
 	c.heardDigest(b.Instance, b.Digest)
 }
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -428,7 +428,7 @@
 	g.Expect(s.read(weak).status).To(Equal(http.StatusOK))
 
 	s.declare(7, "k2")
-	// Its own next look at the store is up to eight seconds away.
+	// Its own next look at the store is minutes away.
 	granted := func() int { return s.call(weak, "GET", "/read/1", "k2", "").status }
 	g.Eventually(granted, "2500ms", "100ms").Should(Equal(http.StatusOK), "learns that it has to look at the store")
 	for _, h := range strong {
@@ -439,6 +439,30 @@
 	g.Eventually(weak.ready, "5s", "50ms").Should(BeTrue())
 }
 
+// Guards against a start that costs the store several listings and leases a host: one
+// that joins stronger hosts lists once, from what may be old, registers once, as a host
+// that stands by, and never takes callers.
+func TestHostThatJoinsStrongerOnesCostsTheStoreLittle(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1")
+	var named []string
+	for i := range 3 {
+		named = append(named, s.hostWith(fmt.Sprint("strong-", i), "a1", hostOptions{mbps: 200}).listen.Callers)
+	}
+	s.awaitServing()
+	before := s.store.Calls()
+	weak := s.hostWith("weak", "a1", hostOptions{mbps: 10})
+	g.Eventually(weak.ready, "5s", "10ms").Should(BeTrue())
+	g.Eventually(func() []string { return directory(t, weak, "a") }, "5s", "10ms").Should(ConsistOf(named))
+	after := s.store.Calls()
+	g.Expect(after["/-/kv-range"]-before["/-/kv-range"]).To(BeZero(), "listings of the moment")
+	g.Expect(after["/-/kv-range stale"]-before["/-/kv-range stale"]).To(Equal(1))
+	g.Expect(after["/-/kv-lease"]-before["/-/kv-lease"]).To(Equal(1))
+	g.Eventually(func() []string { return directory(t, s.hosts[0], "a") }, "5s", "10ms").Should(ConsistOf(named))
+}
+
 // The store turns one host away and serves the others. Callers of that host must
 // be served on, since a peer tells it that nothing has changed; and as soon as a
 // key is withdrawn, the host must not accept it longer than promised, though it
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -62,8 +62,11 @@
 	d     *Daemon
 	lease uint64
 	// spends says that the lease is that of a host that holds shares.
-	spends  bool
-	written time.Time
+	spends bool
+	// registeredBefore says that an entry was written since the start, and written is
+	// when the last one was.
+	registeredBefore bool
+	written          time.Time
 	// kept is when the last call left that kept the registration.
 	kept time.Time
 	// done is closed after the first registration.
@@ -165,10 +168,12 @@
 	}
 	r.lease, r.written = lease, r.d.now()
 	r.tell(began)
-	if spends {
-		// What registered meanwhile is to be known before this host spends.
+	if spends && r.registeredBefore {
+		// What registered meanwhile is to be known before this host spends. At the start
+		// the first watch follows.
 		r.d.lookNow()
 	}
+	r.registeredBefore = true
 	r.d.events.Info("registered", "lease", lease, "spends", spends)
 	return nil
 }
