--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -148,14 +148,7 @@
 			c.d.lookNow()
 		}
 	}
-	before := c.d.known.Load()
-	if known := (knowledge{c.digest.Sum(), c.at, c.hosts.digest.Sum(), c.hosts.at}); before == nil || *before != known {
-		c.d.known.Store(&known)
-		if watches && before != nil && before.digest != known.digest {
-			// The others should look at once.
-			c.announce(now)
-		}
-	}
+	c.publishKnowledge(now, watches)
 	every, later := askEvery, time.Duration(0)
 	if !c.ready {
 		every, later = askStandby, standbyLater
@@ -176,6 +169,20 @@
 	}
 }
 
+// publishKnowledge tells what hosts that ask are answered. The others should look at
+// once where the watcher knows something new.
+func (c *control) publishKnowledge(now time.Time, watches bool) {
+	before := c.d.known.Load()
+	known := knowledge{c.digest.Sum(), c.at, c.hosts.digest.Sum(), c.hosts.at}
+	if before != nil && *before == known {
+		return
+	}
+	c.d.known.Store(&known)
+	if watches && before != nil && before.digest != known.digest {
+		c.announce(now)
+	}
+}
+
 // ask sends a question to a host.
 func (c *control) ask(now time.Time, host string) {
 	if host == "" {
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -77,7 +77,9 @@
 	fresh, newHosts signal
 	// startedAt is when the daemon started, and startedWall the time of day then.
 	startedAt, startedWall time.Time
-	meter                  meter
+	// startingFor bounds how long a caller waits after the start.
+	startingFor time.Duration
+	meter       meter
 
 	callerConns *callerConns
 
@@ -122,6 +124,8 @@
 		hurry:   make(chan struct{}, 1),
 		listed:  make(chan struct{}),
 
+		startingFor: startingFor,
+
 		callerConns: newCallerConns(),
 	}
 	d.table = place.NewTable(d.self.Host, s.Zones)
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -439,6 +439,31 @@
 	g.Eventually(weak.ready, "5s", "50ms").Should(BeTrue())
 }
 
+// Guards against refusals after the loss of all hosts: they start together, and callers
+// come before any of them knows the configuration, who takes callers or who holds the
+// customer's bucket. Most callers try only once more.
+func TestCallersThatComeWithTheStartAreServed(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1")
+	s.store.SetFault(func(string) standin.StoreFault { return standin.StoreBusy })
+	patient := hostOptions{starting: time.Minute}
+	hosts := []*host{s.hostWith("h1", "a1", patient), s.hostWith("h2", "a2", patient)}
+	var callers sync.WaitGroup
+	statuses, named := make([]int, len(hosts)), make([][]string, len(hosts))
+	for i, h := range hosts {
+		callers.Go(func() { statuses[i] = s.read(h).status })
+		callers.Go(func() { named[i] = directory(t, h, "a") })
+	}
+	s.store.SetFault(nil)
+	callers.Wait()
+	for i := range hosts {
+		g.Expect(statuses[i]).To(Equal(http.StatusOK))
+		g.Expect(named[i]).NotTo(BeEmpty())
+	}
+}
+
 // Guards against a start that costs the store several listings and leases a host: one
 // that joins stronger hosts lists once, from what may be old, registers once, as a host
 // that stands by, and never takes callers.
@@ -458,8 +483,8 @@
 	g.Eventually(func() []string { return directory(t, weak, "a") }, "5s", "10ms").Should(ConsistOf(named))
 	after := s.store.Calls()
 	g.Expect(after["/-/kv-range"]-before["/-/kv-range"]).To(BeZero(), "listings of the moment")
-	g.Expect(after["/-/kv-range stale"]-before["/-/kv-range stale"]).To(Equal(1))
-	g.Expect(after["/-/kv-lease"]-before["/-/kv-lease"]).To(Equal(1))
+	g.Expect(after["/-/kv-range stale"] - before["/-/kv-range stale"]).To(Equal(1))
+	g.Expect(after["/-/kv-lease"] - before["/-/kv-lease"]).To(Equal(1))
 	g.Eventually(func() []string { return directory(t, s.hosts[0], "a") }, "5s", "10ms").Should(ConsistOf(named))
 }
 
--- a/internal/entryhost/helper_test.go
+++ b/internal/entryhost/helper_test.go
@@ -60,6 +60,8 @@
 type hostOptions struct {
 	// mbps is the rate of its link; 0: it does not say.
 	mbps float64
+	// starting is how long callers wait after its start; 0: as usual.
+	starting time.Duration
 	// store is the address at which it reaches the store; "": as all do.
 	store string
 }
@@ -83,6 +85,9 @@
 	s.t.Cleanup(func() { close(stop) })
 	d, err := entryhost.New(settings, events, telemetry.NewMetrics())
 	g.Expect(err).NotTo(HaveOccurred())
+	if o.starting > 0 {
+		d.SetStarting(o.starting)
+	}
 	d.Start()
 	h := &host{daemon: d, listen: d.Addresses()}
 	s.hosts = append(s.hosts, h)
--- a/internal/entryhost/starting.go
+++ b/internal/entryhost/starting.go
@@ -14,7 +14,7 @@
 const startingFor = 500 * time.Millisecond
 
 // starting is what is left of startingFor; 0 or less: nothing.
-func (d *Daemon) starting() time.Duration { return startingFor - d.now().Sub(d.startedAt) }
+func (d *Daemon) starting() time.Duration { return d.startingFor - d.now().Sub(d.startedAt) }
 
 // awaitPool waits, right after the start, until some host takes callers, and returns
 // the hosts that hold customers' buckets.
--- a/internal/place/estimate.go
+++ b/internal/place/estimate.go
@@ -16,7 +16,7 @@
 func (t *Table) estimate(now time.Time, q Query, object Object, s *survey) {
 	list := s.open
 	t.markWarm(now, q, object, list)
-	e := t.estimator(q, object, list)
+	e := t.estimator(q, object)
 	for i := range list {
 		c := &list[i]
 		load := c.load.expect(now)
@@ -51,7 +51,7 @@
 	here bool
 }
 
-func (t *Table) estimator(q Query, object Object, list []candidate) *estimator {
+func (t *Table) estimator(q Query, object Object) *estimator {
 	route := of(t.work, q.Route)
 	route.expect(q.Target)
 	return &estimator{
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -297,7 +297,7 @@
 		}
 		return n
 	}
-	g.Expect(admitted(start.Add(10*time.Second))).To(BeNumerically(">=", 40))
+	g.Expect(admitted(start.Add(10 * time.Second))).To(BeNumerically(">=", 40))
 	again := share.New()
 	again.Hold(start, true)
 	s = again
