Only a host that is registered to hold shares holds them

Cause, found by reading: with the long lease of hosts that stand by, one that is cut off counted as registered for 19 s and would have admitted customers by a bucket of its own, an even part of the rate at each. Now it goes by its spare, as before the long leases. The test fails without the change at "stands by".

--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -59,7 +59,8 @@
 	directory atomic.Pointer[directory]
 	pool      atomic.Pointer[pool]
 	ready     atomic.Bool
-	// registeredOnce says that this host's registration has stood before.
+	// registeredOnce says that this host has held shares, or that it stands by and will
+	// not: where no owner of a bucket answers it goes by its spare.
 	registeredOnce atomic.Bool
 	// listed is closed after the first listing of the store; peersKnown says that it
 	// had other hosts.
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -44,17 +44,20 @@
 	// that kept it.
 	written, kept time.Time
 	lease         time.Duration
+	// spends says that it is the entry of a host that holds shares.
+	spends bool
 }
 
-// registered tells whether the others count this host, and it knows those that
-// registered before.
+// registered tells whether the others count this host as one that holds shares, and it
+// knows those that registered before. The lease of a host that stands by is long: cut
+// off, it would go on spending for as long.
 //
 // Of two hosts that start together, the one that registers later must find the other,
 // whose heartbeats it then makes itself known by. Otherwise both go on as the only
 // host, and each gives out the whole rate of every customer.
 func (c *control) registered(now time.Time) bool {
 	r := c.registration
-	return r.lease > 0 && !c.hosts.at.Before(r.written) && now.Sub(r.kept) < r.lease-leaseMargin
+	return r.spends && !c.hosts.at.Before(r.written) && now.Sub(r.kept) < r.lease-leaseMargin
 }
 
 // registrar keeps this host's registration.
@@ -201,7 +204,10 @@
 // a time.
 func (r *registrar) tell(began time.Time) {
 	r.kept = began
-	kept := registration{written: r.written, kept: began, lease: r.leaseTime()}
+	kept := registration{written: r.written, kept: began, lease: r.leaseTime(), spends: r.spends}
+	if !r.spends {
+		r.d.registeredOnce.Store(true)
+	}
 	r.d.control.send(func(c *control) { c.registration = kept })
 }
 
--- /dev/null
+++ b/internal/entryhost/register_test.go
@@ -0,0 +1,32 @@
+package entryhost
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a customer that gets its rate several times over: a host that stands by
+// is cut off and goes on spending for as long as its long lease stands, and one that has
+// just registered spends before it knows those that did so before.
+func TestWhoMayHoldShares(t *testing.T) {
+	now := time.Unix(1000, 0)
+	spender := registration{written: now, kept: now, lease: leaseTime, spends: true}
+	standing := registration{written: now, kept: now, lease: standbyLease}
+	for name, c := range map[string]struct {
+		registration registration
+		hostsAt, at  time.Time
+		want         bool
+	}{
+		"never registered":            {registration{}, now, now, false},
+		"registered, knows the rest":  {spender, now, now, true},
+		"registered, knows what was":  {spender, now.Add(-time.Millisecond), now, false},
+		"before the end of the lease": {spender, now, now.Add(leaseTime - leaseMargin - 1), true},
+		"lease may have lapsed":       {spender, now, now.Add(leaseTime - leaseMargin), false},
+		"stands by":                   {standing, now, now, false},
+	} {
+		control := &control{registration: c.registration, hosts: hostKnowledge{at: c.hostsAt}}
+		NewWithT(t).Expect(control.registered(c.at)).To(Equal(c.want), name)
+	}
+}
