Half of the tolerance of customers' rates is in their buckets

Hypothesis: customers with a small rate are refused inside it, because each region sees a third of their callers and a third of a small burst is a few tokens.

The tolerance that operators count with (window, part, slack) comes from the settings; half of it is in the buckets of all owners together, in place of ten tokens.

--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -12,6 +12,9 @@
 	"balsambarrow/internal/share"
 )
 
+// tolerance is what today's operators count customers' rates with.
+var tolerance = share.Tolerance{Window: 5 * time.Second, Part: 0.1, Slack: 20}
+
 // fleet plays hosts that tell each other their demand with a delay.
 type fleet struct {
 	rng    *rand.Rand
@@ -27,6 +30,7 @@
 	for range n {
 		s := share.New()
 		s.Hold(f.now, true)
+		s.SetTolerance(tolerance)
 		f.hosts = append(f.hosts, s)
 		f.demand = append(f.demand, map[string]float64{})
 	}
@@ -34,6 +38,17 @@
 	return f
 }
 
+// restart has all hosts begin anew at a time.
+func (f *fleet) restart(at time.Time) {
+	f.now = at
+	for i := range f.hosts {
+		f.hosts[i] = share.New()
+		f.hosts[i].Hold(at, true)
+		f.hosts[i].SetTolerance(tolerance)
+	}
+	f.exchange()
+}
+
 // exchange is a round of heartbeats. Whoever is cut off keeps what it knew.
 func (f *fleet) exchange() {
 	for i, s := range f.hosts {
@@ -168,6 +183,7 @@
 	s := share.New()
 	now, admitted := time.Unix(1000, 0), 0
 	s.Hold(now, true)
+	s.SetTolerance(tolerance)
 	s.SetOthers(nil, 3, false)
 	c := &catalog.Customer{Name: "hot", Rate: 30, Burst: 30}
 	for range 2000 {
@@ -303,3 +319,36 @@
 	s = again
 	g.Expect(admitted(start)).To(BeNumerically("<=", 15), "a host that has just started may have spent before")
 }
+
+// Guards against refusals inside the rate of small customers: each region sees a third of
+// their callers, a few come together, and a third of a small burst is less than that.
+func TestSmallCustomersAreServedWithinTheirRate(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(3)
+	c := &catalog.Customer{Name: "small", Rate: 12, Burst: 12}
+	f.play(c, 9, 5*time.Second, even(3))
+	admitted, asked := f.play(c, 9, 60*time.Second, even(3))
+	refused := 1 - float64(len(admitted))/float64(asked)
+	t.Logf("refused %.2f%% at three quarters of the rate", 100*refused)
+	g.Expect(refused).To(BeNumerically("<", 0.01))
+	hot, _ := f.play(c, 90, 20*time.Second, even(3))
+	g.Expect(worst(append(admitted, hot...))).To(BeNumerically("<=", (5*12+12)*1.1+20))
+}
+
+// Guards against a customer that gets more than its rate because all owners of its
+// buckets start again while it sends too much, twice within one window.
+func TestStartsOfAllOwnersStayWithinTheTolerance(t *testing.T) {
+	g := NewWithT(t)
+	c := &catalog.Customer{Name: "hot", Rate: 60, Burst: 60}
+	f := newFleet(3)
+	all, _ := f.play(c, 400, 6*time.Second, even(3))
+	for range 2 {
+		at := f.now.Add(time.Second)
+		f = newFleet(3)
+		f.restart(at)
+		admitted, _ := f.play(c, 400, 1500*time.Millisecond, even(3))
+		all = append(all, admitted...)
+	}
+	t.Logf("most in five seconds: %d", worst(all))
+	g.Expect(worst(all)).To(BeNumerically("<=", (5*60+60)*1.1+20))
+}
--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -19,13 +19,14 @@
 	// startPart of its depth is in a bucket when a host begins to hold shares: it may
 	// have spent the rest before it started again.
 	startPart = 0.35
-	// leastDepth lets one request in where a customer's part of the burst is
-	// less than one, and spareTokens more over all owners together: a customer
-	// that enters in one region has a few requests in each of the others, and
-	// two that come together would be one too many. It is half of the slack that
-	// users are promised to be counted with.
-	leastDepth  = 1.0
-	spareTokens = 10.0
+	// leastDepth lets one request in where a customer's part of the burst is less than
+	// one.
+	leastDepth = 1.0
+	// tolerancePart of what a customer is counted with beyond its rate is in the buckets
+	// of all owners together. Each owner sees a part of the customer's callers, and a few
+	// that come together find a bucket of a few tokens empty. The rest is for what demand
+	// moves between owners before they hear of it.
+	tolerancePart = 0.5
 	// tellingTakes is how long a heartbeat takes to be reckoned with by the
 	// others: the way between regions and a turn of the control thread.
 	tellingTakes = 180 * time.Millisecond
@@ -42,7 +43,8 @@
 	others map[string]float64
 	owners int
 	// complete says that the demand of all other hosts is known.
-	complete bool
+	complete  bool
+	tolerance Tolerance
 	// held says that this host may spend its shares, and heldSince is when it could
 	// first. Buckets fill from then on, whether a customer has asked yet or not.
 	held      bool
@@ -77,6 +79,25 @@
 	s.others, s.owners, s.complete = perSecond, max(owners, 1), complete
 }
 
+// Tolerance is how much more than its rate and burst a customer may get in some window.
+type Tolerance struct {
+	Window time.Duration
+	// Part of rate and burst, and Slack in requests.
+	Part, Slack float64
+}
+
+// extra is the requests beyond its rate and burst that a customer may get.
+func (t Tolerance) extra(c *catalog.Customer) float64 {
+	return t.Part*(c.Rate*t.Window.Seconds()+c.Burst) + t.Slack
+}
+
+// SetTolerance says what operators count customers' rates with.
+func (s *Shares) SetTolerance(t Tolerance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tolerance = t
+}
+
 // Hold says whether this host may spend: its registration stands, so the others
 // count it.
 func (s *Shares) Hold(now time.Time, held bool) {
@@ -118,7 +139,8 @@
 	}
 	part := s.part(now, c.Name, a)
 	v := Verdict{Part: part, Demand: a.demand.perSecond}
-	rate, depth := part*c.Rate, max(part*c.Burst*depthPart, leastDepth+spareTokens/float64(s.owners))
+	spare := tolerancePart * s.tolerance.extra(c) / float64(s.owners)
+	rate, depth := part*c.Rate, max(part*c.Burst*depthPart, leastDepth)+spare
 	a.fill(now, s.heldSince, rate, depth)
 	if s.held && a.tokens >= 1 {
 		a.tokens--
