Only the slack, not the part of the tolerance, is in the buckets

So the part that grows with the rate is out again; half of the slack, ten requests over all owners, is added to the buckets.

--- a/internal/entryhost/publish.go
+++ b/internal/entryhost/publish.go
@@ -6,7 +6,6 @@
 	"balsambarrow/internal/fleet"
 	"balsambarrow/internal/front"
 	"balsambarrow/internal/place"
-	"balsambarrow/internal/share"
 )
 
 // published is what the control thread has told the other threads.
@@ -67,9 +66,7 @@
 	bounds := c.d.settings.Load().Bounds
 	c.d.retries.SetSlack(bounds.RetrySlack, c.members.Count())
 	c.d.table.SetMaxShift(bounds.MaxShift)
-	c.d.shares.SetTolerance(share.Tolerance{
-		Window: bounds.RateWindow.Value(), Part: bounds.RatePart, Slack: bounds.RateSlack,
-	})
+	c.d.shares.SetSlack(bounds.RateSlack)
 }
 
 // publishState tells what requests go by.
--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -79,12 +79,9 @@
 	RetryRatio  float64  `json:"retry_ratio"`
 	RetrySlack  float64  `json:"retry_slack"`
 	RetryWindow Duration `json:"retry_window"`
-	// RateWindow, RatePart and RateSlack are what customers' rates are counted with: in
-	// any window, a customer may get that part more than its rate and burst, and the
-	// slack in requests. Defaults 5s, 0 and 0.
-	RateWindow Duration `json:"rate_window"`
-	RatePart   float64  `json:"rate_part"`
-	RateSlack  float64  `json:"rate_slack"`
+	// RateSlack is the number of requests beyond its rate and burst that a customer may
+	// get. Default 0.
+	RateSlack float64 `json:"rate_slack"`
 	// MaxShift bounds the part of a region's requests that may change the
 	// region in which they run, from one two seconds to the next. Default 0:
 	// without bound.
@@ -109,7 +106,6 @@
 	defaultGrace       = "6s"
 	defaultRetryRatio  = 0.1
 	defaultRetryWindow = "10s"
-	defaultRateWindow  = "5s"
 )
 
 // LoadSettings reads and checks a settings file. A file that cannot be used
@@ -134,9 +130,6 @@
 	if s.Bounds.Grace == "" {
 		s.Bounds.Grace = defaultGrace
 	}
-	if s.Bounds.RateWindow == "" {
-		s.Bounds.RateWindow = defaultRateWindow
-	}
 	if s.Bounds.RetryRatio == 0 {
 		s.Bounds.RetryRatio = defaultRetryRatio
 	}
@@ -182,8 +175,6 @@
 	require(s.Capacity.Descriptors >= 0, "/capacity/descriptors", "want zero or more")
 	require(s.Bounds.RetryWindow.Value() > 0, "/bounds/retry_window", "want more than nothing")
 	require(s.Bounds.RetryRatio >= 0, "/bounds/retry_ratio", "want zero or more")
-	require(s.Bounds.RateWindow.Value() > 0, "/bounds/rate_window", "want more than nothing")
-	require(s.Bounds.RatePart >= 0 && s.Bounds.RatePart <= 1, "/bounds/rate_part", "want a part, 0 to 1")
 	require(s.Bounds.RateSlack >= 0, "/bounds/rate_slack", "want zero or more")
 	require(s.Bounds.MaxShift >= 0 && s.Bounds.MaxShift <= 1, "/bounds/max_shift", "want a part, 0 to 1")
 	require(s.Bounds.RetrySlack >= 0, "/bounds/retry_slack", "want zero or more")
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -12,8 +12,8 @@
 	"balsambarrow/internal/share"
 )
 
-// tolerance is what today's operators count customers' rates with.
-var tolerance = share.Tolerance{Window: 5 * time.Second, Part: 0.1, Slack: 20}
+// slack is what today's operators grant customers beyond rate and burst, in requests.
+const slack = 20.0
 
 // fleet plays hosts that tell each other their demand with a delay.
 type fleet struct {
@@ -30,7 +30,7 @@
 	for range n {
 		s := share.New()
 		s.Hold(f.now, true)
-		s.SetTolerance(tolerance)
+		s.SetSlack(slack)
 		f.hosts = append(f.hosts, s)
 		f.demand = append(f.demand, map[string]float64{})
 	}
@@ -44,7 +44,7 @@
 	for i := range f.hosts {
 		f.hosts[i] = share.New()
 		f.hosts[i].Hold(at, true)
-		f.hosts[i].SetTolerance(tolerance)
+		f.hosts[i].SetSlack(slack)
 	}
 	f.exchange()
 }
@@ -183,7 +183,7 @@
 	s := share.New()
 	now, admitted := time.Unix(1000, 0), 0
 	s.Hold(now, true)
-	s.SetTolerance(tolerance)
+	s.SetSlack(slack)
 	s.SetOthers(nil, 3, false)
 	c := &catalog.Customer{Name: "hot", Rate: 30, Burst: 30}
 	for range 2000 {
--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -22,11 +22,11 @@
 	// leastDepth lets one request in where a customer's part of the burst is less than
 	// one.
 	leastDepth = 1.0
-	// tolerancePart of what a customer is counted with beyond its rate is in the buckets
-	// of all owners together. Each owner sees a part of the customer's callers, and a few
-	// that come together find a bucket of a few tokens empty. The rest is for what demand
-	// moves between owners before they hear of it.
-	tolerancePart = 0.5
+	// slackPart of the requests that customers are granted beyond rate and burst is in the
+	// buckets of all owners together. Each owner sees a part of the customer's callers, and
+	// a few that come together find a bucket of a few tokens empty. The rest is for what
+	// demand moves between owners before they hear of it.
+	slackPart = 0.5
 	// tellingTakes is how long a heartbeat takes to be reckoned with by the
 	// others: the way between regions and a turn of the control thread.
 	tellingTakes = 180 * time.Millisecond
@@ -43,8 +43,9 @@
 	others map[string]float64
 	owners int
 	// complete says that the demand of all other hosts is known.
-	complete  bool
-	tolerance Tolerance
+	complete bool
+	// slack is the number of requests beyond its rate and burst that a customer may get.
+	slack float64
 	// held says that this host may spend its shares, and heldSince is when it could
 	// first. Buckets fill from then on, whether a customer has asked yet or not.
 	held      bool
@@ -79,23 +80,11 @@
 	s.others, s.owners, s.complete = perSecond, max(owners, 1), complete
 }
 
-// Tolerance is how much more than its rate and burst a customer may get in some window.
-type Tolerance struct {
-	Window time.Duration
-	// Part of rate and burst, and Slack in requests.
-	Part, Slack float64
-}
-
-// extra is the requests beyond its rate and burst that a customer may get.
-func (t Tolerance) extra(c *catalog.Customer) float64 {
-	return t.Part*(c.Rate*t.Window.Seconds()+c.Burst) + t.Slack
-}
-
-// SetTolerance says what operators count customers' rates with.
-func (s *Shares) SetTolerance(t Tolerance) {
+// SetSlack says how many requests beyond its rate and burst operators grant a customer.
+func (s *Shares) SetSlack(requests float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tolerance = t
+	s.slack = requests
 }
 
 // Hold says whether this host may spend: its registration stands, so the others
@@ -139,7 +128,7 @@
 	}
 	part := s.part(now, c.Name, a)
 	v := Verdict{Part: part, Demand: a.demand.perSecond}
-	spare := tolerancePart * s.tolerance.extra(c) / float64(s.owners)
+	spare := slackPart * s.slack / float64(s.owners)
 	rate, depth := part*c.Rate, max(part*c.Burst*depthPart, leastDepth)+spare
 	a.fill(now, s.heldSince, rate, depth)
 	if s.held && a.tokens >= 1 {
