--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"balsambarrow/internal/fleet"
-	"balsambarrow/internal/follow"
 	"balsambarrow/internal/kv"
 	"balsambarrow/internal/rendezvous"
 )
@@ -14,13 +13,12 @@
 // How hosts confirm to each other that what they know is what the store holds.
 //
 // Load pattern: each host needs to know every second that no key was withdrawn
-// and no upstream has left, and each call to the store is paid for. With sixty
-// hosts that look for themselves, calls were the largest price of a calm day:
-// 1,962 in 30 s, 0.06 of its worth. So one host of each region watches the store;
-// the others ask it, by datagram, for the digest of what it knows and its age.
-// The same digest confirms what they know as of the question less that age. Where
-// they differ the answer brings the changes that lack, and only where that cannot
-// be they look at the store. A host that the store turns away stays confirmed.
+// and no upstream has left, and each call to the store is paid for. So one host of
+// each region watches the store; the others ask it, by datagram, for the digest of
+// what it knows and its age. The same digest confirms what they know as of the
+// question less that age. Where they differ the answer brings the changes that lack,
+// and only where that cannot be they look at the store. A host that the store turns
+// away stays confirmed.
 const (
 	// askEvery is the time between two questions.
 	askEvery = 500 * time.Millisecond
@@ -29,9 +27,7 @@
 	// secondAfter is the age from which another host than the watcher is asked too,
 	// of another region if there is one. The store may turn a whole region away;
 	// each of its hosts takes a second or two to find that out and to leave the
-	// watch to the next. In a day that operators recorded, three hosts of a region
-	// refused keys for six seconds while the other regions knew all that was
-	// needed.
+	// watch to the next.
 	secondAfter = 1200 * time.Millisecond
 	// alone is the age from which a host looks for itself: two questions have had
 	// no answer that confirms.
@@ -44,39 +40,10 @@
 	hostsAlone = 8 * time.Second
 	// confirmsKept bounds the questions without an answer that are remembered.
 	confirmsKept = 8
-	// mostChangeBytes fits one datagram, of 64 kB at most, with keys and frames.
-	mostChangeBytes = 24 << 10
 	// storeKey is what the watcher is picked by.
 	storeKey = "store"
 )
 
-// knowledge is what the store held at a time. It is never modified.
-type knowledge struct {
-	digest uint64
-	at     time.Time
-	// hosts and hostsAt are the same for the registrations of entry hosts.
-	hosts   uint64
-	hostsAt time.Time
-}
-
-// hostKnowledge is what is known of the registrations of entry hosts. They are
-// confirmed apart: two hosts that were cut off from the store at different times may
-// never agree on them, and must still confirm each other's keys.
-type hostKnowledge struct {
-	digest  follow.Digest
-	journal follow.Journal
-	at      time.Time
-	// lookDue is when the store may be looked at on their behalf again.
-	lookDue time.Time
-}
-
-// confirmedAsOf notes that what is known was what the store held at a time.
-func (h *hostKnowledge) confirmedAsOf(asOf time.Time) {
-	if asOf.After(h.at) {
-		h.at = asOf
-	}
-}
-
 // confirms are the questions that this process has asked.
 type confirms struct {
 	last   uint64
@@ -130,13 +97,6 @@
 	return rendezvous.Pick(storeKey, near)
 }
 
-func (c *control) toldDigest() uint64 {
-	if !c.d.watches.Load() {
-		return 0
-	}
-	return c.digest.Sum()
-}
-
 // seekConfirmation has what is known confirmed, by the watcher or by a look at
 // the store.
 func (c *control) seekConfirmation(now time.Time) {
@@ -169,20 +129,6 @@
 	}
 }
 
-// publishKnowledge tells what hosts that ask are answered. The others should look at
-// once where the watcher knows something new.
-func (c *control) publishKnowledge(now time.Time, watches bool) {
-	before := c.d.known.Load()
-	known := knowledge{c.digest.Sum(), c.at, c.hosts.digest.Sum(), c.hosts.at}
-	if before != nil && *before == known {
-		return
-	}
-	c.d.known.Store(&known)
-	if watches && before != nil && before.digest != known.digest {
-		c.announce(now)
-	}
-}
-
 // ask sends a question to a host.
 func (c *control) ask(now time.Time, host string) {
 	if host == "" {
@@ -202,48 +148,6 @@
 	}
 }
 
-// tellDigest answers a host that asks what this one knows.
-func (d *Daemon) tellDigest(q *fleet.ConfirmRequest, from string) {
-	k := d.known.Load()
-	if k == nil || k.digest == 0 {
-		return
-	}
-	if q.Digest != k.digest || q.Hosts != k.hosts {
-		d.control.send(func(c *control) { c.tellChanges(q, from) })
-		return
-	}
-	d.answerConfirm(&fleet.ConfirmAnswer{Id: q.Id, Digest: k.digest, Hosts: k.hosts}, k.at, k.hostsAt, from)
-}
-
-// tellChanges answers a host that knows something else than this one, with the
-// changes that it lacks, if they are known and fit.
-func (c *control) tellChanges(q *fleet.ConfirmRequest, from string) {
-	a := &fleet.ConfirmAnswer{Id: q.Id, Digest: c.digest.Sum(), Hosts: c.hosts.digest.Sum()}
-	a.Changes = changesSince(&c.journal, q.Digest)
-	a.HostChanges = changesSince(&c.hosts.journal, q.Hosts)
-	c.d.answerConfirm(a, c.at, c.hosts.at, from)
-}
-
-func changesSince(j *follow.Journal, digest uint64) []*fleet.Change {
-	var out []*fleet.Change
-	events, _ := j.Since(digest, mostChangeBytes)
-	for _, e := range events {
-		out = append(out, &fleet.Change{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
-	}
-	return out
-}
-
-// answerConfirm sends an answer that speaks for the time at, and of registrations for
-// the time hostsAt.
-func (d *Daemon) answerConfirm(a *fleet.ConfirmAnswer, at, hostsAt time.Time, from string) {
-	now := d.now()
-	a.AgeUs = uint64(now.Sub(at).Microseconds()) + 1
-	a.HostsAgeUs = uint64(now.Sub(hostsAt).Microseconds()) + 1
-	if err := d.wire.SendPacket(&fleet.Packet{Content: &fleet.Packet_ConfirmAnswer{ConfirmAnswer: a}}, from); err != nil {
-		d.events.Debug("digest not told", "error", err)
-	}
-}
-
 // heardConfirmation takes an answer in. It was made after the question left, so
 // what it says held at the question less the age, however long it was on its way
 // and whatever stood still meanwhile.
--- a/internal/entryhost/conns.go
+++ b/internal/entryhost/conns.go
@@ -14,9 +14,8 @@
 //
 // Load pattern: a customer sends seven times its rate. Each request that is
 // refused comes back on a new connection, and the old one is kept open for
-// nothing. One host of eight had 3,786 open after seven seconds, its limit; from
-// then on it could neither accept callers nor reach upstreams, to the end of the
-// day. So a refusal closes its connection (see front), connections that have been
+// nothing. A host at its limit of descriptors can neither accept callers nor reach
+// upstreams. So a refusal closes its connection (see front), connections that have been
 // idle for as long as operators allow are closed, and where many are open each
 // answer closes its own.
 const (
--- /dev/null
+++ b/internal/entryhost/knowledge.go
@@ -0,0 +1,103 @@
+package entryhost
+
+import (
+	"time"
+
+	"balsambarrow/internal/fleet"
+	"balsambarrow/internal/follow"
+)
+
+// mostChangeBytes is the most that an answer brings of either kind of changes: both fit
+// into one datagram.
+const mostChangeBytes = 24 << 10
+
+// knowledge is what the store held at a time. It is never modified.
+type knowledge struct {
+	digest uint64
+	at     time.Time
+	// hosts and hostsAt are the same for the registrations of entry hosts.
+	hosts   uint64
+	hostsAt time.Time
+}
+
+// hostKnowledge is what is known of the registrations of entry hosts. They are
+// confirmed apart: two hosts that were cut off from the store at different times may
+// never agree on them, and must still confirm each other's keys.
+type hostKnowledge struct {
+	digest  follow.Digest
+	journal follow.Journal
+	at      time.Time
+	// lookDue is when the store may be looked at on their behalf again.
+	lookDue time.Time
+}
+
+// confirmedAsOf notes that what is known was what the store held at a time.
+func (h *hostKnowledge) confirmedAsOf(asOf time.Time) {
+	if asOf.After(h.at) {
+		h.at = asOf
+	}
+}
+
+// toldDigest is the digest in heartbeats: only the watcher tells it.
+func (c *control) toldDigest() uint64 {
+	if !c.d.watches.Load() {
+		return 0
+	}
+	return c.digest.Sum()
+}
+
+// publishKnowledge tells what hosts that ask are answered. The others should look at
+// once where the watcher knows something new.
+func (c *control) publishKnowledge(now time.Time, watches bool) {
+	before := c.d.known.Load()
+	known := knowledge{c.digest.Sum(), c.at, c.hosts.digest.Sum(), c.hosts.at}
+	if before != nil && *before == known {
+		return
+	}
+	c.d.known.Store(&known)
+	if watches && before != nil && before.digest != known.digest {
+		c.announce(now)
+	}
+}
+
+// tellDigest answers a host that asks what this one knows.
+func (d *Daemon) tellDigest(q *fleet.ConfirmRequest, from string) {
+	k := d.known.Load()
+	if k == nil || k.digest == 0 {
+		return
+	}
+	if q.Digest != k.digest || q.Hosts != k.hosts {
+		d.control.send(func(c *control) { c.tellChanges(q, from) })
+		return
+	}
+	d.answerConfirm(&fleet.ConfirmAnswer{Id: q.Id, Digest: k.digest, Hosts: k.hosts}, k.at, k.hostsAt, from)
+}
+
+// tellChanges answers a host that knows something else than this one, with the
+// changes that it lacks, if they are known and fit.
+func (c *control) tellChanges(q *fleet.ConfirmRequest, from string) {
+	a := &fleet.ConfirmAnswer{Id: q.Id, Digest: c.digest.Sum(), Hosts: c.hosts.digest.Sum()}
+	a.Changes = changesSince(&c.journal, q.Digest)
+	a.HostChanges = changesSince(&c.hosts.journal, q.Hosts)
+	c.d.answerConfirm(a, c.at, c.hosts.at, from)
+}
+
+func changesSince(j *follow.Journal, digest uint64) []*fleet.Change {
+	var out []*fleet.Change
+	events, _ := j.Since(digest, mostChangeBytes)
+	for _, e := range events {
+		out = append(out, &fleet.Change{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+	}
+	return out
+}
+
+// answerConfirm sends an answer that speaks for the time at, and of registrations for
+// the time hostsAt.
+func (d *Daemon) answerConfirm(a *fleet.ConfirmAnswer, at, hostsAt time.Time, from string) {
+	now := d.now()
+	a.AgeUs = uint64(now.Sub(at).Microseconds()) + 1
+	a.HostsAgeUs = uint64(now.Sub(hostsAt).Microseconds()) + 1
+	if err := d.wire.SendPacket(&fleet.Packet{Content: &fleet.Packet_ConfirmAnswer{ConfirmAnswer: a}}, from); err != nil {
+		d.events.Debug("digest not told", "error", err)
+	}
+}
--- a/internal/fleet/doc.go
+++ b/internal/fleet/doc.go
@@ -2,8 +2,9 @@
 // what customers ask for at each.
 //
 // Each daemon registers in the platform's store under a lease, which is how
-// daemons find each other, and sends heartbeats by datagram to all that are
-// registered. A heartbeat that is lost or late is made good by the next one, so
+// daemons find each other, and sends heartbeats by datagram. Hosts that take callers
+// tell each other all; they send brief heartbeats to those that stand by, which answer
+// only them. A heartbeat that is lost or late is made good by the next one, so
 // neither connections nor acknowledgements are needed.
 //
 // A host is heard, or registered, or both. Callers are sent only to hosts that
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -1,30 +1,14 @@
 package fleet
 
 import (
-	"slices"
-	"sort"
 	"time"
 
 	"balsambarrow/internal/standby"
 )
 
-const (
-	// heardFor is how long a host counts as there after a heartbeat: four
-	// heartbeats at the shortest interval and a lost one.
-	heardFor = 1300 * time.Millisecond
-	// standbyInterval is the least time between heartbeats to a host that stands by,
-	// where there are some: callers keep an answer of the directory for longer.
-	standbyInterval = time.Second
-	// FarRounds is the number of heartbeats to hosts that stand by in a host's region
-	// for one to those of other regions: they need it only if their own region has none.
-	FarRounds = 4
-	// intervalsMissed is the number of intervals without a heartbeat after which a
-	// host counts as silent.
-	intervalsMissed = 4
-	// rememberFor is how long a host that is not registered is remembered
-	// after its last heartbeat. Its registration may be on the way.
-	rememberFor = 5 * time.Second
-)
+// rememberFor is how long a host that is not registered is remembered after its last
+// heartbeat. Its registration may be on the way.
+const rememberFor = 5 * time.Second
 
 // Member is another entry host.
 type Member struct {
@@ -60,26 +44,6 @@
 	complete bool
 }
 
-// Registration is what a host writes into the store.
-type Registration struct {
-	Instance string  `json:"instance"`
-	Host     string  `json:"host"`
-	Zone     string  `json:"zone"`
-	Region   string  `json:"region"`
-	Peers    string  `json:"peers"`
-	Cores    float64 `json:"cores,omitempty"`
-	LinkMbps float64 `json:"link_mbps,omitempty"`
-	// StartedMs is when the instance started, by its own clock. Of two registrations of
-	// a host, the one that started earlier has ended.
-	StartedMs int64 `json:"started_ms,omitempty"`
-	// Spends says that the host holds shares of customers' rates.
-	Spends bool `json:"spends,omitempty"`
-}
-
-func (r Registration) capacity() standby.Capacity {
-	return standby.Capacity{Cores: r.Cores, LinkMbps: r.LinkMbps}
-}
-
 // Members are the other hosts as this one knows them. It is not safe for
 // concurrent use.
 type Members struct {
@@ -209,63 +173,6 @@
 	m.demandAt++
 }
 
-// List takes the registrations in the store over. One of an earlier instance of
-// this host or of a host that is heard again is of a daemon that has ended.
-func (m *Members) List(now time.Time, list []Registration) {
-	listed := m.latest(list)
-	for instance, r := range listed {
-		k := m.by[instance]
-		if k == nil {
-			k = &Member{
-				Instance: instance, Host: r.Host, Zone: r.Zone, Region: r.Region, Peers: r.Peers,
-				Capacity: r.capacity(), heard: now.Add(-rememberFor),
-			}
-			m.by[instance] = k
-			m.generation++
-		}
-		k.spends = r.Spends
-	}
-	for id, k := range m.by {
-		if _, ok := listed[id]; k.registered != ok {
-			k.registered = ok
-			m.generation++
-		}
-	}
-}
-
-// latest is the registration of the last instance of each other host, by instance.
-func (m *Members) latest(list []Registration) map[string]Registration {
-	heard := m.heardByHost()
-	byHost := make(map[string]Registration, len(list))
-	for _, r := range list {
-		if r.Instance == m.self || r.Host == m.host {
-			continue
-		}
-		if instance, ok := heard[r.Host]; ok && instance != r.Instance {
-			continue
-		}
-		if known, ok := byHost[r.Host]; !ok || r.StartedMs > known.StartedMs {
-			byHost[r.Host] = r
-		}
-	}
-	out := make(map[string]Registration, len(byHost))
-	for _, r := range byHost {
-		out[r.Instance] = r
-	}
-	return out
-}
-
-// heardByHost is the instance of each host that has been heard.
-func (m *Members) heardByHost() map[string]string {
-	out := make(map[string]string, len(m.by))
-	for id, k := range m.by {
-		if k.sequence > 0 {
-			out[k.Host] = id
-		}
-	}
-	return out
-}
-
 // Tick forgets hosts that are neither registered nor heard, notes those that have
 // gone silent, and returns those that were forgotten.
 func (m *Members) Tick(now time.Time) []Arrival {
@@ -289,130 +196,3 @@
 
 // DemandGeneration changes with what customers ask for elsewhere.
 func (m *Members) DemandGeneration() uint64 { return m.demandAt }
-
-// Interval between this host's heartbeats to those that take callers. Those that
-// take callers themselves are few where hosts differ, and what they tell of customers
-// and objects is needed sooner.
-func (m *Members) Interval(ready bool) time.Duration {
-	if ready {
-		return Interval(m.ready + 1)
-	}
-	return Interval(len(m.by) + 1)
-}
-
-// IntervalToStandby is the time between the heartbeats of a host that takes callers to
-// those of its region that stand by. They need to know who takes callers, and little
-// else.
-func (m *Members) IntervalToStandby() time.Duration { return max(standbyInterval, 2*m.Interval(true)) }
-
-// SetReady says whether this host takes callers; the others then send it heartbeats
-// more often.
-func (m *Members) SetReady(ready bool) { m.selfReady = ready }
-
-// gapOf is the interval between a member's heartbeats to this host.
-func (m *Members) gapOf(k *Member) time.Duration {
-	switch {
-	case m.selfReady || !k.Ready:
-		return m.Interval(k.Ready)
-	case k.Region == m.region:
-		return m.IntervalToStandby()
-	}
-	return FarRounds * m.IntervalToStandby()
-}
-
-func (k *Member) isAlive(now time.Time, gap time.Duration) bool {
-	return k.sequence > 0 && now.Sub(k.heard) < max(heardFor, intervalsMissed*gap)
-}
-
-// Heard lists the hosts that are there, by instance.
-func (m *Members) Heard() []Member {
-	var out []Member
-	for _, k := range m.by {
-		if k.alive {
-			out = append(out, *k)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Instance < out[j].Instance })
-	return out
-}
-
-// Unheard lists the hosts of a region that are registered, and that this one does not
-// hear because both stand by. They may be taken to live.
-func (m *Members) Unheard(region string) []Member {
-	var out []Member
-	for _, k := range m.by {
-		if k.registered && !k.alive && !k.Ready && k.Region == region {
-			out = append(out, *k)
-		}
-	}
-	return out
-}
-
-// Count is the number of hosts that may be spending what the fleet shares, this
-// one included.
-func (m *Members) Count() int { return len(m.by) + 1 }
-
-// Demand is what customers ask for at all other hosts that may be serving them.
-func (m *Members) Demand() map[string]float64 {
-	out := map[string]float64{}
-	for _, k := range m.by {
-		for customer, rate := range k.Demand {
-			out[customer] += rate
-		}
-	}
-	return out
-}
-
-// Regions lists the regions of the hosts that may be spending.
-func (m *Members) Regions() []string {
-	var out []string
-	for _, k := range m.by {
-		if !slices.Contains(out, k.Region) {
-			out = append(out, k.Region)
-		}
-	}
-	return out
-}
-
-// Complete tells whether every host that holds shares has told what is asked for
-// there.
-func (m *Members) Complete() bool {
-	for _, k := range m.by {
-		if k.sequence == 0 && k.spends || k.Ready && !k.complete {
-			return false
-		}
-	}
-	return true
-}
-
-// ReadyPeers lists the addresses of the hosts that take callers, or are about to.
-func (m *Members) ReadyPeers() []string {
-	return m.peers((*Member).takesCallers)
-}
-
-// StandbyPeers lists the addresses of the others, of this host's region or of all.
-func (m *Members) StandbyPeers(all bool) []string {
-	return m.peers(func(k *Member) bool { return !k.takesCallers() && (all || k.Region == m.region) })
-}
-
-// takesCallers tells whether callers are sent there, as far as is known. One that has
-// registered to hold shares and was never heard may not know this host yet.
-func (k *Member) takesCallers() bool { return k.Ready || k.spends && k.sequence == 0 }
-
-func (m *Members) peers(which func(*Member) bool) []string {
-	out := make([]string, 0, len(m.by))
-	for _, k := range m.by {
-		if which(k) {
-			out = append(out, k.Peers)
-		}
-	}
-	return out
-}
-
-// Address of a member for packets; "" if it is not known.
-func (m *Members) Address(instance string) string {
-	if k := m.by[instance]; k != nil {
-		return k.Peers
-	}
-	return ""
-}
--- a/internal/fleet/beat.go
+++ b/internal/fleet/wire.go
@@ -4,26 +4,13 @@
 	"context"
 	"net"
 	"net/netip"
-	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 )
 
-const (
-	// shortInterval is the time between heartbeats of a small fleet: what a
-	// customer's demand moves between hosts in that time stays within the tolerance
-	// that operators were promised.
-	shortInterval = 250 * time.Millisecond
-	// perHost stretches the interval of a large fleet, so that a host handles at most
-	// sixty heartbeats a second of those that take callers.
-	perHost = 16 * time.Millisecond
-	// maxDatagram is the largest heartbeat that is read.
-	maxDatagram = 64 << 10
-)
-
-// Interval between the heartbeats of a fleet of n hosts.
-func Interval(n int) time.Duration { return max(shortInterval, time.Duration(n)*perHost) }
+// maxDatagram is the largest packet that is read.
+const maxDatagram = 64 << 10
 
 // Wire sends and receives heartbeats as datagrams.
 type Wire struct{ conn *net.UDPConn }
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -11,11 +11,10 @@
 // Why the hosts of one region share a bucket.
 //
 // Load pattern: sixty hosts and seventy customers, so that each host sees half a
-// request a second of a customer with thirty. The rule leaves each host a bucket
-// of about one token, and requests that come in pairs find it empty: on a calm
-// day of the grown cooperative 6,204 answers in fourteen seconds were 429. One
-// host of each region therefore holds the bucket of a customer, and the others
-// ask it by datagram, a millisecond there and back.
+// request a second of a customer with thirty. An even split leaves each host a bucket
+// of about one token, and requests that come in pairs find it empty. One host of each
+// region therefore holds the bucket of a customer, and the others ask it by datagram,
+// a millisecond there and back.
 
 // Owner picks the host of a region that holds a customer's bucket, by rendezvous:
 // hosts that know the same pool agree, and when one leaves only its customers
