Callers of a host that stands by are confirmed by the host that watches

Now the host asks the watcher first, and the store only if that brings nothing within 100 ms. The test passes without the change too, in 6.8 s for 2.9 s: there each such caller waits.

--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -29,6 +29,9 @@
 	// each of its hosts takes a second or two to find that out and to leave the
 	// watch to the next.
 	secondAfter = 1200 * time.Millisecond
+	// refreshAnswer is how long the watcher may take to answer where a request waits: a
+	// few milliseconds on the way, and turns of two small processors.
+	refreshAnswer = 100 * time.Millisecond
 	// alone is the age from which a host looks for itself: two questions have had
 	// no answer that confirms.
 	alone = 2100 * time.Millisecond
@@ -49,6 +52,8 @@
 	last   uint64
 	askDue time.Time
 	asked  map[uint64]time.Time
+	// refreshed is when a question was asked for a request that waits.
+	refreshed time.Time
 }
 
 // newConfirms begins with an id of its own (see firstID).
@@ -182,6 +187,29 @@
 	return out
 }
 
+// refresh has what is known confirmed for a request that waits: by the watcher, which
+// costs nothing, and by the store if that brings nothing in time.
+func (c *control) refresh(now time.Time) {
+	watcher := c.watcher()
+	if c.d.watches.Load() || watcher == "" {
+		c.d.lookNow()
+		return
+	}
+	if now.Sub(c.confirms.refreshed) < refreshAnswer {
+		return
+	}
+	c.confirms.refreshed = now
+	c.ask(now, watcher)
+	since := c.at
+	time.AfterFunc(refreshAnswer, func() {
+		c.send(func(c *control) {
+			if c.at.Equal(since) {
+				c.d.lookNow()
+			}
+		})
+	})
+}
+
 // lookForHosts has the store looked at if the registrations of hosts have not been
 // confirmed for long.
 func (c *control) lookForHosts(now time.Time) {
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -488,6 +488,28 @@
 	g.Eventually(func() []string { return directory(t, s.hosts[0], "a") }, "5s", "10ms").Should(ConsistOf(named))
 }
 
+// Guards against a look at the store, or a refusal, for each caller that comes to a host
+// that stands by: the host that watches confirms what it knows. Here the store gives it no
+// answer at all.
+func TestHostThatStandsByIsConfirmedForItsCallers(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1")
+	for i := range 3 {
+		s.hostWith(fmt.Sprint("strong-", i), "a1", hostOptions{mbps: 200})
+	}
+	gate, address := s.gate()
+	weak := s.hostWith("weak", "a1", hostOptions{mbps: 10, store: address})
+	s.awaitServing()
+	g.Eventually(func() int { return len(directory(t, weak, "a")) }, "10s", "10ms").Should(Equal(3))
+	gate.shut.Store(true)
+	for range 50 {
+		g.Expect(s.read(weak).status).To(Equal(http.StatusOK))
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // The store turns one host away and serves the others. Callers of that host must
 // be served on, since a peer tells it that nothing has changed; and as soon as a
 // key is withdrawn, the host must not accept it longer than promised, though it
--- a/internal/entryhost/pace.go
+++ b/internal/entryhost/pace.go
@@ -43,11 +43,11 @@
 	return pace
 }
 
-// refresh has the store looked at now, and returns a channel that is closed when
+// refresh has what is known confirmed now, and returns a channel that is closed when
 // there is a new state.
 func (d *Daemon) refresh() <-chan struct{} {
 	news := d.fresh.next()
-	d.lookNow()
+	d.control.send(func(c *control) { c.refresh(c.d.now()) })
 	return news
 }
 
