In an outage of the store hosts that stand by leave the calls to those that take callers

Hypothesis: hosts that stand by need not; those that take callers find the store back and confirm them.

--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -106,7 +106,7 @@
 // the store.
 func (c *control) seekConfirmation(now time.Time) {
 	watcher := c.watcher()
-	watches := watcher == "" || watcher == c.d.self.Instance
+	watches := watcher == c.d.self.Instance || watcher == "" && c.watchesAlone()
 	if c.d.watches.Swap(watches) != watches {
 		c.d.events.Info("store watch", "watches", watches, "watcher", watcher)
 		if watches && !c.at.IsZero() {
@@ -134,6 +134,13 @@
 	}
 }
 
+// watchesAlone tells whether this host watches the store where no host that takes callers
+// reaches it. One that stands by leaves that to those that take callers, if it hears any:
+// in an outage of the store each call of each host is paid for, and brings nothing.
+func (c *control) watchesAlone() bool {
+	return c.ready || !c.d.directory.Load().anyReady()
+}
+
 // ask sends a question to a host.
 func (c *control) ask(now time.Time, host string) {
 	if host == "" {
--- a/internal/entryhost/pace.go
+++ b/internal/entryhost/pace.go
@@ -20,8 +20,8 @@
 	// region.
 	storeWatch = 700 * time.Millisecond
 	// storeTurnedAway is the longest pause between calls of a host that the store
-	// turns away, while a peer confirms what it knows: each is paid for, and the
-	// registration, which lapses meanwhile, is made by calls of its own.
+	// turns away, while it stands by or a peer confirms what it knows: each is paid for,
+	// and the registration, which lapses meanwhile, is made by calls of its own.
 	storeTurnedAway = 2 * time.Second
 	// storeOwn is the least space between looks of the others. What has changed
 	// is then known after two seconds at most: a look of the watcher, its word,
@@ -37,7 +37,8 @@
 		return follow.Pace{Wait: storeWait, Every: storeWatch, Least: storeWatch}
 	}
 	pace := follow.Pace{Wait: storeWait, Every: storeSeldom, Least: storeOwn}
-	if d.now().Sub(d.state.Load().ConfirmedAt) < alone+standbyLater {
+	state := d.state.Load()
+	if state.Standby || d.now().Sub(state.ConfirmedAt) < alone {
 		pace.Failing = storeTurnedAway
 	}
 	return pace
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -85,7 +85,7 @@
 		pause := renewEvery
 		if r.due() {
 			if err := r.try(ctx, r.keep); err != nil {
-				pause = retryCall
+				pause = r.retryPause()
 			} else if first {
 				first = false
 				close(r.done)
@@ -128,6 +128,15 @@
 	return nil
 }
 
+// retryPause is the pause after a call that failed. Each is paid for, and an entry that
+// lapses while a host stands by decides little.
+func (r *registrar) retryPause() time.Duration {
+	if r.registeredBefore && !r.d.spends.Load() {
+		return renewEvery
+	}
+	return retryCall
+}
+
 // due tells whether the lease is to be renewed, or to be exchanged because the host
 // has begun or ended to hold shares.
 func (r *registrar) due() bool {
