Weak hosts leave the first listing to those that take callers

Cause, from a play of 4 s with a loss of power of all hosts (logs by kind, per fifth of a second): hosts started at 4.66 s, the first were ready at 5.8, the last at 6.6, and some 1,600 to 1,900 requests in each fifth were refused, "no configuration". 295 hosts list half a megabyte each at the same moment; the store's link carries 1,000 Mbit/s.

A host that reads there that it is weak beside three of its region makes itself known to them, directs callers to them as soon as it hears them, and lists the store .7 to 2.2 s after its start.

--- a/internal/entryhost/beat.go
+++ b/internal/entryhost/beat.go
@@ -27,7 +27,7 @@
 		c.beatDue = now.Add(c.members.Interval(c.ready))
 		b := c.heartbeat(now)
 		c.addLearned(now, b)
-		c.sendBeat(b, c.members.ReadyPeers())
+		c.sendBeat(b, c.readyPeers())
 	}
 	if now.Before(c.standbyDue) {
 		return
@@ -44,6 +44,15 @@
 	}
 }
 
+// readyPeers lists the hosts that are told all: those that take callers, as far as is
+// known.
+func (c *control) readyPeers() []string {
+	if peers := c.members.ReadyPeers(); len(peers) > 0 {
+		return peers
+	}
+	return c.guides
+}
+
 // greet makes this host known to one of its region that stands by and was not heard
 // before. Until it hears a host that takes callers, it looks at the store for itself.
 func (c *control) greet(now time.Time, b *fleet.Heartbeat, changes []fleet.Arrival) {
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -74,6 +74,10 @@
 	watchers  watchers
 	// recalled is when what the fleet had learned was read last.
 	recalled time.Time
+	// guide is what the guide in the store is, as far as this host knows, and guides are
+	// the hosts that it makes itself known to until it hears one that takes callers.
+	guide  []byte
+	guides []string
 	// snapshots paces those that this host writes.
 	snapshots snapshot.Writer
 }
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -171,6 +171,7 @@
 	registrar := newRegistrar(d)
 	follower := &follow.Follower{
 		Store: d.store, Prefix: platform.AllKeys, Pace: d.storePace, Now: d.now, Sink: storeSink{d.control}, Hurry: d.hurry,
+		Before: d.orient,
 		Listed: func(ctx context.Context) { await(ctx, registrar.done, registerWithin) },
 	}
 	d.spawn(follower.Run)
--- /dev/null
+++ b/internal/entryhost/guide.go
@@ -0,0 +1,136 @@
+package entryhost
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"balsambarrow/internal/kv"
+	"balsambarrow/internal/standby"
+	"balsambarrow/platform"
+)
+
+// How hundreds of hosts start at once.
+//
+// Load pattern: all hosts lose power, and each lists all that the store holds when it
+// starts again. Together that is more than the store's link carries in a second, and those
+// that are to take callers wait behind all the others. So the fleet keeps a small key with
+// the hosts that take callers. A host that reads there that it is much weaker than they
+// are makes itself known to them, directs callers to them as soon as it hears them, and
+// lists the store later.
+
+const (
+	// guided is the number of hosts of each region that the guide names.
+	guided = 16
+	// leastGuides is the number of stronger hosts in its region from which a host leaves
+	// the first calls to them.
+	leastGuides = 3
+	// weakPart of the strength of the strongest is a host's that expects to stand by.
+	weakPart = 0.5
+	// listAfter and listSpread are when a host that expects to stand by lists the store:
+	// after the start, and at random within the spread.
+	listAfter  = 700 * time.Millisecond
+	listSpread = 1500 * time.Millisecond
+)
+
+// guide names the hosts that take callers, by region.
+type guide map[string][]guideHost
+
+type guideHost struct {
+	Peers    string  `json:"peers"`
+	Cores    float64 `json:"cores"`
+	LinkMbps float64 `json:"link_mbps"`
+}
+
+func (h guideHost) capacity() standby.Capacity {
+	return standby.Capacity{Cores: h.Cores, LinkMbps: h.LinkMbps}
+}
+
+// newGuide names the hosts of a directory that take callers.
+func newGuide(d *directory, own standby.Capacity) guide {
+	g := guide{}
+	if d.ready {
+		g[d.self.Region] = append(g[d.self.Region], guideHost{d.self.Peers, own.Cores, own.LinkMbps})
+	}
+	for _, m := range d.others {
+		if m.Ready && !m.Leaving {
+			g[m.Region] = append(g[m.Region], guideHost{m.Peers, m.Capacity.Cores, m.Capacity.LinkMbps})
+		}
+	}
+	for region, hosts := range g {
+		slices.SortFunc(hosts, func(a, b guideHost) int { return bytes.Compare([]byte(a.Peers), []byte(b.Peers)) })
+		g[region] = hosts[:min(len(hosts), guided)]
+	}
+	return g
+}
+
+// stronger lists the addresses of the hosts of a region beside which a host is weak; none
+// if there are too few to leave the callers to.
+func (g guide) stronger(region string, own standby.Capacity) []string {
+	if own == (standby.Capacity{}) {
+		return nil
+	}
+	var out []string
+	for _, h := range g[region] {
+		if own.PartOf(h.capacity()) < weakPart {
+			out = append(out, h.Peers)
+		}
+	}
+	if len(out) < leastGuides {
+		return nil
+	}
+	return out
+}
+
+// orient reads the guide before the first listing. A host that is weak beside those that
+// it names makes itself known to them and waits before it lists.
+func (d *Daemon) orient(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, callBound)
+	defer cancel()
+	l, err := d.store.List(bounded, platform.GuideKey, true)
+	if err != nil || len(l.Items) == 0 {
+		return
+	}
+	var g guide
+	if err := json.Unmarshal(l.Items[0].Value, &g); err != nil {
+		d.events.Warn("guide not readable", "revision", l.Items[0].Revision, "error", err)
+		return
+	}
+	stronger := g.stronger(d.self.Region, d.capacity())
+	if len(stronger) == 0 {
+		return
+	}
+	d.control.send(func(c *control) {
+		c.guides = stronger
+		c.beatDue = time.Time{}
+	})
+	sleep(ctx, listAfter+rand.N(listSpread))
+}
+
+// writeGuide writes the guide into the store if it has changed. Whoever writes snapshots
+// does.
+func (c *control) writeGuide() {
+	data, err := json.Marshal(newGuide(c.d.directory.Load(), c.d.capacity()))
+	if err != nil {
+		c.d.events.Warn("guide not encoded", "error", err)
+		return
+	}
+	if bytes.Equal(data, c.guide) {
+		return
+	}
+	c.guide = data
+	c.d.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, callBound)
+		defer cancel()
+		if err := c.d.store.Put(ctx, platform.GuideKey, data, 0); err != nil {
+			c.d.events.Debug("guide not written", "error", err)
+			c.send(func(c *control) { c.guide = nil })
+		}
+	})
+}
+
+// readGuide notes what the guide in the store is.
+func (c *control) readGuide(item kv.Item) { c.guide = item.Value }
--- a/internal/entryhost/recall.go
+++ b/internal/entryhost/recall.go
@@ -66,6 +66,7 @@
 	if !c.snapshots.Due(now) || !c.writesSnapshot() {
 		return
 	}
+	c.writeGuide()
 	memory := c.d.table.Memory(now)
 	if len(memory.Upstreams) == 0 {
 		return
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -29,7 +29,7 @@
 	callBound = 1200 * time.Millisecond
 	retryCall = 250 * time.Millisecond
 	// registerWithin bounds how long the first registration waits for the first
-	// listing, and the first watch for the first registration.
+	// listing, once that begins, and the first watch for the first registration.
 	registerWithin = time.Second
 	// yieldToStronger is how long a host with one core waits before it is the first to
 	// register; one with less waits for longer, mostWait at most. Those that find
@@ -99,7 +99,7 @@
 // awaitOthers waits for the first listing, and where it has no other host lets
 // stronger ones register first.
 func (r *registrar) awaitOthers(ctx context.Context) {
-	if !await(ctx, r.d.listed, registerWithin) || r.d.peersKnown.Load() {
+	if !await(ctx, r.d.listed, registerWithin+listAfter+listSpread) || r.d.peersKnown.Load() {
 		return
 	}
 	if cores := r.d.capacity().Cores; cores > 0 {
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -107,6 +107,10 @@
 		c.hostRegistered(item)
 		return
 	}
+	if item.Key == platform.GuideKey {
+		c.readGuide(item)
+		return
+	}
 	if item.Key == platform.SnapshotKey && c.at.IsZero() && c.listed {
 		// The first listing may have been old.
 		c.recall(now, []kv.Item{item})
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -44,6 +44,8 @@
 	// Hurry ends the pause before the next look, but not one after a call that
 	// failed. Default nil: never.
 	Hurry <-chan struct{}
+	// Before is called before the first listing. Default nil.
+	Before func(ctx context.Context)
 	// Listed is called between the first listing and the first watch. Default nil.
 	Listed func(ctx context.Context)
 }
@@ -85,6 +87,9 @@
 // start together, and returns the revision to watch on from: the first watch brings
 // what the listing lacks.
 func (f *Follower) first(ctx context.Context) uint64 {
+	if f.Before != nil {
+		f.Before(ctx)
+	}
 	pause := firstPause
 	for ctx.Err() == nil {
 		l, err := f.list(ctx, true)
--- a/internal/standby/active.go
+++ b/internal/standby/active.go
@@ -42,6 +42,18 @@
 	LinkMbps float64
 }
 
+// PartOf is the part of another's capacity that this one is, of what it has least.
+func (c Capacity) PartOf(other Capacity) float64 {
+	part := 1.0
+	if other.Cores > 0 {
+		part = min(part, c.Cores/other.Cores)
+	}
+	if other.LinkMbps > 0 {
+		part = min(part, c.LinkMbps/other.LinkMbps)
+	}
+	return part
+}
+
 // Load is what a host does.
 type Load struct {
 	// Requests per second.
@@ -103,16 +115,7 @@
 }
 
 // strength is the part of the strongest that a host has of what it has least.
-func strength(h Host, strongest Capacity) float64 {
-	part := 1.0
-	if strongest.Cores > 0 {
-		part = min(part, h.Cores/strongest.Cores)
-	}
-	if strongest.LinkMbps > 0 {
-		part = min(part, h.LinkMbps/strongest.LinkMbps)
-	}
-	return part
-}
+func strength(h Host, strongest Capacity) float64 { return h.Capacity.PartOf(strongest) }
 
 func loadOf(hosts []Host) Load {
 	var sum Load
