Hosts that will take callers register beside their first listing

One that the guide shows to be among the strongest registers at once; callers wait within a second of the start.

--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -66,6 +66,9 @@
 	// had other hosts.
 	listed     chan struct{}
 	peersKnown atomic.Bool
+	// needed is closed when the host knows, before its first listing, that it will take
+	// callers.
+	needed chan struct{}
 	// spends says that this host should hold shares of customers' rates.
 	spends atomic.Bool
 	// watches says that this host watches the store for its region.
@@ -124,6 +127,7 @@
 		errs:    make(chan error, 4),
 		hurry:   make(chan struct{}, 1),
 		listed:  make(chan struct{}),
+		needed:  make(chan struct{}),
 
 		startingFor: startingFor,
 
--- a/internal/entryhost/guide.go
+++ b/internal/entryhost/guide.go
@@ -101,6 +101,11 @@
 	}
 	stronger := g.stronger(d.self.Region, d.capacity())
 	if len(stronger) == 0 {
+		if len(g[d.self.Region]) > 0 {
+			// It is one of the strongest: others need not be known for it to register.
+			d.spends.Store(true)
+			close(d.needed)
+		}
 		return
 	}
 	d.control.send(func(c *control) {
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -96,10 +96,21 @@
 	r.end()
 }
 
-// awaitOthers waits for the first listing, and where it has no other host lets
-// stronger ones register first.
+// awaitOthers waits for the first listing, unless the host will take callers in any case,
+// and where it has no other host lets stronger ones register first.
 func (r *registrar) awaitOthers(ctx context.Context) {
-	if !await(ctx, r.d.listed, registerWithin+listAfter+listSpread) || r.d.peersKnown.Load() {
+	timeout := time.NewTimer(registerWithin + listAfter + listSpread)
+	defer timeout.Stop()
+	select {
+	case <-r.d.listed:
+	case <-r.d.needed:
+		return
+	case <-timeout.C:
+		return
+	case <-ctx.Done():
+		return
+	}
+	if r.d.peersKnown.Load() {
 		return
 	}
 	if cores := r.d.capacity().Cores; cores > 0 {
@@ -233,17 +244,15 @@
 	}
 }
 
-// await waits until a channel is closed, and tells whether it was in time.
-func await(ctx context.Context, done <-chan struct{}, most time.Duration) bool {
+// await waits until a channel is closed, for a time at most.
+func await(ctx context.Context, done <-chan struct{}, most time.Duration) {
 	t := time.NewTimer(most)
 	defer t.Stop()
 	select {
 	case <-done:
-		return true
 	case <-ctx.Done():
 	case <-t.C:
 	}
-	return false
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/entryhost/starting.go
+++ b/internal/entryhost/starting.go
@@ -10,8 +10,8 @@
 // meantime sends callers to hosts that refuse them, and many callers try only once more.
 
 // startingFor bounds how long a caller waits for a host that has just started: the
-// calls to the store at its start, from the farthest region.
-const startingFor = 500 * time.Millisecond
+// calls to the store at its start, from the farthest region, beside those of all others.
+const startingFor = time.Second
 
 // starting is what is left of startingFor; 0 or less: nothing.
 func (d *Daemon) starting() time.Duration { return d.startingFor - d.now().Sub(d.startedAt) }
--- a/internal/standby/active.go
+++ b/internal/standby/active.go
@@ -115,7 +115,7 @@
 }
 
 // strength is the part of the strongest that a host has of what it has least.
-func strength(h Host, strongest Capacity) float64 { return h.Capacity.PartOf(strongest) }
+func strength(h Host, strongest Capacity) float64 { return h.PartOf(strongest) }
 
 func loadOf(hosts []Host) Load {
 	var sum Load
