An upstream that has been removed holds no object

Found by reading: an answer that comes after its upstream was removed put it among the holders of the object for good. The test fails without the change.

--- a/internal/place/holders.go
+++ b/internal/place/holders.go
@@ -14,9 +14,10 @@
 	w.ask(now, object)
 }
 
-// hold makes room for an object at an upstream that does not know it yet.
+// hold makes room for an object at an upstream that does not know it yet. One that has
+// been removed meanwhile holds nothing.
 func (t *Table) hold(w *worker, object Object) {
-	if _, ok := w.warm[object]; ok {
+	if _, ok := w.warm[object]; ok || t.byID[w.ID] != w {
 		return
 	}
 	if len(w.warm) >= warmMost {
--- /dev/null
+++ b/internal/place/holders_test.go
@@ -0,0 +1,51 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"balsambarrow/internal/catalog"
+)
+
+// Guards against memory that grows with each object ever asked for, and with answers of
+// upstreams that have left meanwhile.
+func TestHoldersAreThoseThatKnowAnObject(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := NewTable(Host{Instance: "me", Zone: "z", Region: "r"}, map[string]string{"z": "r"})
+	put := func(id string) {
+		table.Put(now, catalog.Upstream{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4, State: catalog.StateReady, Born: 1})
+	}
+	put("stays")
+	put("leaves")
+	var late []Choice
+	for i := range 50 * warmMost {
+		now = now.Add(time.Millisecond)
+		c, err := table.Choose(now, Query{Service: "s", Route: "r", Object: fmt.Sprint(i), Target: time.Second, Remaining: time.Hour})
+		if err != nil {
+			continue
+		}
+		if c.ID == "leaves" && len(late) == 0 {
+			late = append(late, c)
+			continue
+		}
+		table.Done(now, c, Report{Result: Answered, Took: time.Millisecond})
+	}
+	g.Expect(late).NotTo(BeEmpty())
+	table.Remove("leaves")
+	for _, c := range late {
+		table.Done(now, c, Report{Result: Answered, Took: time.Millisecond})
+	}
+	held := 0
+	for _, list := range table.holders {
+		held += len(list)
+		for _, w := range list {
+			g.Expect(w.ID).To(Equal("stays"))
+		}
+	}
+	g.Expect(held).To(Equal(len(table.byID["stays"].warm)))
+	g.Expect(held).To(BeNumerically("<=", warmMost))
+}
