--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -22,7 +22,8 @@
 	reviewEvery = time.Second
 	// tickEvery is how often the control thread looks at what time alone
 	// changes: a tenth of the shortest bound that it keeps.
-	tickEvery   = 100 * time.Millisecond
+	tickEvery = 100 * time.Millisecond
+	// standbyTick is the same for a host that stands by.
 	standbyTick = 250 * time.Millisecond
 	// deafFor is how long a watch may have been deaf before it says nothing.
 	deafFor = time.Second
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -133,8 +133,8 @@
 	k.sequence, k.heard, k.alive = b.Sequence, now, true
 }
 
-// takeDemand takes over what customers ask for at a member. What a brief heartbeat
-// leaves out has been forgotten once full ones come again.
+// takeDemand takes over what customers ask for at a member. A brief heartbeat leaves it
+// out; what was known of it is then of some time ago, and dropped.
 func (m *Members) takeDemand(k *Member, b *Heartbeat) {
 	if k.complete == b.Brief {
 		k.complete = !b.Brief
