--- a/internal/entryhost/duty.go
+++ b/internal/entryhost/activation.go
@@ -8,23 +8,23 @@
 )
 
 const (
-	// freshFor is the age of the configuration up to which the host counts as
+	// maxConfigurationAge is the age of the configuration up to which the host counts as
 	// ready: a watch and a slow answer, and less than keys are accepted for.
-	freshFor = 3300 * time.Millisecond
-	// yieldAfter is how long others must have been enough before a host stops to
+	maxConfigurationAge = 3300 * time.Millisecond
+	// deactivateAfter is how long others must have been enough before a host stops to
 	// take callers: at a start and after a cut, heartbeats of all hosts come
 	// within a second or two.
-	yieldAfter = 4 * time.Second
-	// dutyEvery is the least time between two decisions on it; each looks at all hosts
+	deactivateAfter = 4 * time.Second
+	// activationEvery is the least time between two decisions on it; each looks at all hosts
 	// of the region.
-	dutyEvery = 100 * time.Millisecond
+	activationEvery = 100 * time.Millisecond
 )
 
-// duty is whether this host takes callers.
-type duty struct {
-	// wanted says that this host is one of those that should.
-	wanted   bool
-	wantedAt time.Time
+// activation is whether this host takes callers.
+type activation struct {
+	// active says that this host is one of those that should.
+	active   bool
+	activeAt time.Time
 	// decidedAt is when that was decided last, and basis what it went by beside the
 	// load of the hosts.
 	decidedAt time.Time
@@ -36,19 +36,19 @@
 	able, leaving bool
 }
 
-// able tells whether the host could take callers at once.
-func (c *control) able(now time.Time) bool {
+// canServe tells whether the host could take callers at once.
+func (c *control) canServe(now time.Time) bool {
 	known := c.catalog != nil && c.listed
-	return known && !c.leaving && now.Sub(c.at) < freshFor
+	return known && !c.leaving && now.Sub(c.confirmedAt) < maxConfigurationAge
 }
 
 // setReady decides whether callers may be sent here.
 func (c *control) setReady(now time.Time, heard []fleet.Member) {
-	c.decideDuty(now, heard)
-	able := c.able(now)
+	c.decideActivation(now, heard)
+	able := c.canServe(now)
 	// A host that stands by serves whoever comes.
 	c.d.ready.Store(able)
-	ready := c.duty.wanted && able
+	ready := c.activation.active && able
 	if ready == c.ready {
 		return
 	}
@@ -59,30 +59,30 @@
 	}
 	// The others should know at once.
 	c.announceToAll(now)
-	c.d.events.Info("ready", "ready", ready, "wanted", c.duty.wanted, "version", c.version(), "age", now.Sub(c.at),
+	c.d.events.Info("ready", "ready", ready, "active", c.activation.active, "version", c.version(), "age", now.Sub(c.confirmedAt),
 		"leaving", c.leaving, "upstreams", c.d.table.Size(), "hosts", c.members.Count())
 }
 
-// decideDuty decides whether this host should take callers.
-func (c *control) decideDuty(now time.Time, heard []fleet.Member) {
+// decideActivation decides whether this host should take callers.
+func (c *control) decideActivation(now time.Time, heard []fleet.Member) {
 	if !c.knowsOthers(now) {
 		return
 	}
-	d := &c.duty
-	next := basis{c.members.Generation(), c.able(now), c.leaving}
+	d := &c.activation
+	next := basis{c.members.Generation(), c.canServe(now), c.leaving}
 	since := now.Sub(d.decidedAt)
-	if since < dutyEvery || next == d.basis && since < reviewEvery {
+	if since < activationEvery || next == d.basis && since < reviewEvery {
 		return
 	}
 	d.decidedAt, d.basis = now, next
-	if c.needed(now, heard) {
-		d.wantedAt = now
+	if c.shouldBeActive(now, heard) {
+		d.activeAt = now
 	}
-	wanted := now.Sub(d.wantedAt) < yieldAfter
-	if wanted != d.wanted {
-		c.d.events.Info("duty", "takes_callers", wanted, "hosts", c.members.Count())
+	wanted := now.Sub(d.activeAt) < deactivateAfter
+	if wanted != d.active {
+		c.d.events.Info("activation", "takes_callers", wanted, "hosts", c.members.Count())
 	}
-	d.wanted = wanted
+	d.active = wanted
 }
 
 // knowsOthers tells whether the host can tell if it is needed: right after its start it
@@ -91,16 +91,16 @@
 	return c.listed && (c.registration.lease > 0 || now.Sub(c.d.startedAt) >= registerWithin)
 }
 
-// needed tells whether this host is one of those that take callers, by what is
+// shouldBeActive tells whether this host is one of those that take callers, by what is
 // known of all. Where no host is able, as in an outage of the store, those go on
 // that would be the first to be able again.
-func (c *control) needed(now time.Time, heard []fleet.Member) bool {
+func (c *control) shouldBeActive(now time.Time, heard []fleet.Member) bool {
 	self := standby.Host{
 		Instance: c.d.self.Instance, Zone: c.d.self.Zone, Region: c.d.self.Region,
 		Capacity: c.d.capacity(), Load: c.d.meter.last(),
 	}
 	var able, all []standby.Host
-	if c.able(now) {
+	if c.canServe(now) {
 		able = append(able, self)
 	}
 	if !c.leaving {
@@ -117,7 +117,7 @@
 		}
 	}
 	// Who should take callers if all were able may spend, so it registers as such.
-	c.d.spends.Store(c.duty.wanted || standby.Active(all, self.Region)[self.Instance])
+	c.d.spends.Store(c.activation.active || standby.Active(all, self.Region)[self.Instance])
 	active := standby.Active(able, self.Region)
 	if len(active) == 0 {
 		active = standby.Active(all, self.Region)
--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -24,23 +24,23 @@
 	askEvery = 500 * time.Millisecond
 	// askStandby is the same for a host that stands by.
 	askStandby = time.Second
-	// secondAfter is the age from which another host than the watcher is asked too,
+	// secondPeerAfter is the age from which another host than the watcher is asked too,
 	// of another region if there is one. The store may turn a whole region away;
 	// each of its hosts takes a second or two to find that out and to leave the
 	// watch to the next.
-	secondAfter = 1200 * time.Millisecond
+	secondPeerAfter = 1200 * time.Millisecond
 	// refreshAnswer is how long the watcher may take to answer where a request waits: a
 	// few milliseconds on the way, and turns of two small processors.
 	refreshAnswer = 100 * time.Millisecond
-	// alone is the age from which a host looks for itself: two questions have had
+	// lookAfter is the age from which a host looks for itself: two questions have had
 	// no answer that confirms.
-	alone = 2100 * time.Millisecond
+	lookAfter = 2100 * time.Millisecond
 	// standbyLater is how much later both are for a host that stands by. It asks less
 	// often, and looks for itself if a caller comes.
 	standbyLater = 900 * time.Millisecond
-	// hostsAlone is the age of what is known of other hosts' registrations from which a
+	// hostsLookAfter is the age of what is known of other hosts' registrations from which a
 	// host looks for itself, and the time between such looks.
-	hostsAlone = 8 * time.Second
+	hostsLookAfter = 8 * time.Second
 	// confirmsKept bounds the questions without an answer that are remembered.
 	confirmsKept = 8
 	// storeKey is what the watcher is picked by.
@@ -57,7 +57,7 @@
 }
 
 // newConfirms begins with an id of its own (see firstID).
-func newConfirms() confirms { return confirms{last: firstID(), asked: map[uint64]time.Time{}} }
+func newConfirms() confirms { return confirms{last: randomID(), asked: map[uint64]time.Time{}} }
 
 // next is the id of the next question.
 func (q *confirms) next() uint64 {
@@ -65,10 +65,10 @@
 	return q.last
 }
 
-// firstID is where a process begins to number its questions: at random. One that
+// randomID is where a process begins to number its questions: at random. One that
 // began at zero would take the answer to a question of the process before it, which
 // had the same address, for the answer to its own; spec/confirm.pml finds that.
-func firstID() uint64 { return rand.Uint64() }
+func randomID() uint64 { return rand.Uint64() }
 
 // watcher is the host that watches the store for this region: one of those that
 // take callers and reach the store, by rendezvous. "" if this host knows none.
@@ -109,7 +109,7 @@
 	watches := watcher == c.d.self.Instance || watcher == "" && c.watchesAlone()
 	if c.d.watches.Swap(watches) != watches {
 		c.d.events.Info("store watch", "watches", watches, "watcher", watcher)
-		if watches && !c.at.IsZero() {
+		if watches && !c.confirmedAt.IsZero() {
 			c.d.lookNow()
 		}
 	}
@@ -118,7 +118,7 @@
 	if !c.ready {
 		every, later = askStandby, standbyLater
 	}
-	if !watches && !c.at.IsZero() && now.Sub(c.at) > alone+later {
+	if !watches && !c.confirmedAt.IsZero() && now.Sub(c.confirmedAt) > lookAfter+later {
 		c.d.lookNow()
 	}
 	c.lookForHosts(now)
@@ -129,7 +129,7 @@
 	if !watches {
 		c.ask(now, watcher)
 	}
-	if now.Sub(c.at) > secondAfter+later {
+	if now.Sub(c.confirmedAt) > secondPeerAfter+later {
 		c.ask(now, c.second(watcher))
 	}
 }
@@ -153,28 +153,28 @@
 	id := q.next()
 	q.asked[id] = now
 	p := &fleet.Packet{Content: &fleet.Packet_ConfirmRequest{ConfirmRequest: &fleet.ConfirmRequest{
-		Id: id, Digest: c.digest.Sum(), Hosts: c.hosts.digest.Sum(),
+		Id: id, Digest: c.digest.Sum(), Hosts: c.hostRegistrations.digest.Sum(),
 	}}}
 	if err := c.d.wire.SendPacket(p, c.members.Address(host)); err != nil {
 		c.d.events.Debug("peer not asked", "peer", host, "error", err)
 	}
 }
 
-// heardConfirmation takes an answer in. It was made after the question left, so
+// handleConfirmation takes an answer in. It was made after the question left, so
 // what it says held at the question less the age, however long it was on its way
 // and whatever stood still meanwhile.
-func (c *control) heardConfirmation(a *fleet.ConfirmAnswer) {
+func (c *control) handleConfirmation(a *fleet.ConfirmAnswer) {
 	asked, ok := c.confirms.asked[a.Id]
 	if !ok {
 		return
 	}
 	delete(c.confirms.asked, a.Id)
-	c.change(c.d.now(), eventsOf(a.HostChanges))
-	if c.hosts.digest.Sum() == a.Hosts {
-		c.hosts.confirmedAsOf(asked.Add(-time.Duration(a.HostsAgeUs) * time.Microsecond))
+	c.applyChanges(c.d.now(), eventsOf(a.HostChanges))
+	if c.hostRegistrations.digest.Sum() == a.Hosts {
+		c.hostRegistrations.confirmedAsOf(asked.Add(-time.Duration(a.HostsAgeUs) * time.Microsecond))
 	}
 	before := c.digest.Sum()
-	c.change(c.d.now(), eventsOf(a.Changes))
+	c.applyChanges(c.d.now(), eventsOf(a.Changes))
 	switch c.digest.Sum() {
 	case a.Digest:
 		c.confirmedAsOf(asked.Add(-time.Duration(a.AgeUs) * time.Microsecond))
@@ -207,10 +207,10 @@
 	}
 	c.confirms.refreshed = now
 	c.ask(now, watcher)
-	since := c.at
+	since := c.confirmedAt
 	time.AfterFunc(refreshAnswer, func() {
 		c.send(func(c *control) {
-			if c.at.Equal(since) {
+			if c.confirmedAt.Equal(since) {
 				c.d.lookNow()
 			}
 		})
@@ -220,16 +220,16 @@
 // lookForHosts has the store looked at if the registrations of hosts have not been
 // confirmed for long.
 func (c *control) lookForHosts(now time.Time) {
-	h := &c.hosts
-	if h.at.IsZero() || now.Sub(h.at) < hostsAlone || now.Before(h.lookDue) {
+	h := &c.hostRegistrations
+	if h.at.IsZero() || now.Sub(h.at) < hostsLookAfter || now.Before(h.lookDue) {
 		return
 	}
-	h.lookDue = now.Add(hostsAlone)
+	h.lookDue = now.Add(hostsLookAfter)
 	c.d.lookNow()
 }
 
-// heardDigest asks the watcher at once where it knows something else.
-func (c *control) heardDigest(from string, digest uint64) {
+// handleDigest asks the watcher at once where it knows something else.
+func (c *control) handleDigest(from string, digest uint64) {
 	if digest != 0 && digest != c.digest.Sum() && from == c.watcher() {
 		c.confirms.askDue = time.Time{}
 	}
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -25,8 +25,8 @@
 	tickEvery = 100 * time.Millisecond
 	// standbyTick is the same for a host that stands by.
 	standbyTick = 250 * time.Millisecond
-	// deafFor is how long a watch may have been deaf before it says nothing.
-	deafFor = time.Second
+	// watchSilence is how long a watch may have been deaf before it says nothing.
+	watchSilence = time.Second
 	// keyMargin covers the way from the caller and what the process needs
 	// between the check of a key and its next look at the clock.
 	keyMargin = 400 * time.Millisecond
@@ -45,7 +45,7 @@
 	roster        *follow.Roster
 	catalog       *catalog.Catalog
 	zones         map[string]bool
-	at            time.Time
+	confirmedAt   time.Time
 	listed        bool
 	leaving       bool
 	storeOut      bool
@@ -56,23 +56,23 @@
 	// held says that the registration stands.
 	held     bool
 	sequence uint64
-	// beatDue and standbyDue are when heartbeats to hosts that take callers, and to the
+	// heartbeatDue and standbyDue are when heartbeats to hosts that take callers, and to the
 	// others, are due.
-	beatDue, standbyDue time.Time
-	// tellsAll says that the next heartbeat to hosts that stand by is sent whether this
+	heartbeatDue, briefHeartbeatDue time.Time
+	// toAllHosts says that the next heartbeat to hosts that stand by is sent whether this
 	// host takes callers or not.
-	tellsAll bool
+	toAllHosts bool
 	// rounds counts the heartbeats to hosts that stand by.
-	rounds    int
-	ready     bool
-	duty      duty
-	published published
-	digest    follow.Digest
-	journal   follow.Journal
-	seen      follow.Seen
-	hosts     hostKnowledge
-	confirms  confirms
-	watchers  watchers
+	rounds            int
+	ready             bool
+	activation        activation
+	published         published
+	digest            follow.Digest
+	journal           follow.Journal
+	seen              follow.Seen
+	hostRegistrations hostKnowledge
+	confirms          confirms
+	watchers          watchers
 	// recalled is when what the fleet had learned was read last.
 	recalled time.Time
 	// guide is what the guide in the store is, as far as this host knows, and guides are
@@ -151,11 +151,11 @@
 		c.held = held
 		c.announce(now)
 		c.d.registeredOnce.Store(true)
-		c.d.shares.Hold(now, held)
+		c.d.shares.SetLease(now, held)
 	}
 	c.publish(now)
 	c.seekConfirmation(now)
-	c.beat(now)
+	c.sendHeartbeats(now)
 }
 
 // buckets is how many buckets a customer's rate is split among: one for each
@@ -183,17 +183,17 @@
 	}
 }
 
-func (c *control) heard(b *fleet.Heartbeat) {
+func (c *control) handleHeartbeat(b *fleet.Heartbeat) {
 	now := c.d.now()
 	changes := c.members.Hear(now, b)
 	c.log(changes)
 	c.greet(now, b, changes)
-	c.d.table.Hear(now, b.Warm)
-	c.heardDigest(b.Instance, b.Digest)
+	c.d.table.ApplyWarmReports(now, b.Warm)
+	c.handleDigest(b.Instance, b.Digest)
 }
 
 // leave stops sending to an upstream.
 func (c *control) leave(id, why string) {
 	c.d.table.Remove(id)
-	c.d.events.Info("upstream gone", "upstream", id, "why", why)
+	c.d.events.Info("upstream gone", "upstream", id, "reason", why)
 }
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -60,7 +60,7 @@
 	pool      atomic.Pointer[pool]
 	ready     atomic.Bool
 	// registeredOnce says that this host has held shares, or that it stands by and will
-	// not: where no owner of a bucket answers it goes by its spare.
+	// not: where no owner of a bucket answers it goes by its fallback bucket.
 	registeredOnce atomic.Bool
 	// listed is closed after the first listing of the store; peersKnown says that it
 	// had other hosts.
@@ -129,7 +129,7 @@
 		listed:  make(chan struct{}),
 		needed:  make(chan struct{}),
 
-		startingFor: startingFor,
+		startingFor: startGrace,
 
 		callerConns: newCallerConns(),
 	}
@@ -152,7 +152,7 @@
 	deps := front.Deps{
 		State: d.state.Load, Codec: platform.Headers{}, Pool: d.conns, Table: d.table, Shares: d.tokens,
 		Retries: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, Now: d.now,
-		Refresh: d.refresh, News: d.fresh.next, Starting: d.starting, Crowded: d.crowded,
+		Refresh: d.refresh, Updates: d.fresh.next, Starting: d.starting, Overcrowded: d.crowded,
 	}
 	if d.settings.Load().TraceFile != "" {
 		deps.Tracer = d.tracing.Tracer
@@ -174,7 +174,7 @@
 	})
 	registrar := newRegistrar(d)
 	follower := &follow.Follower{
-		Store: d.store, Prefix: platform.AllKeys, Pace: d.storePace, Now: d.now, Sink: storeSink{d.control}, Hurry: d.hurry,
+		Store: d.store, Prefix: platform.AllKeys, Pace: d.storePace, Now: d.now, Sink: storeSink{d.control}, Wake: d.hurry,
 		Before: d.orient,
 		Listed: func(ctx context.Context) { await(ctx, registrar.done, registerWithin) },
 	}
@@ -189,15 +189,15 @@
 // received takes a packet of a peer in.
 func (d *Daemon) received(p *fleet.Packet, from string) {
 	if b := p.GetHeartbeat(); b != nil {
-		d.control.send(func(c *control) { c.heard(b) })
+		d.control.send(func(c *control) { c.handleHeartbeat(b) })
 		return
 	}
 	if q := p.GetConfirmRequest(); q != nil {
-		d.tellDigest(q, from)
+		d.answerConfirmRequest(q, from)
 		return
 	}
 	if a := p.GetConfirmAnswer(); a != nil {
-		d.control.send(func(c *control) { c.heardConfirmation(a) })
+		d.control.send(func(c *control) { c.handleConfirmation(a) })
 		return
 	}
 	d.tokens.receive(p, from)
@@ -246,7 +246,7 @@
 	if !b.StrictRevocation || b.Revoke.Value() == 0 {
 		return front.Bounds{}
 	}
-	return front.Bounds{KeysFor: max(b.Revoke.Value()-deafFor-keyMargin, tickEvery)}
+	return front.Bounds{KeysFor: max(b.Revoke.Value()-watchSilence-keyMargin, tickEvery)}
 }
 
 func (d *Daemon) resolve(region, _ string) platform.Directions {
--- a/internal/entryhost/guide.go
+++ b/internal/entryhost/guide.go
@@ -110,7 +110,7 @@
 	}
 	d.control.send(func(c *control) {
 		c.guides = stronger
-		c.beatDue = time.Time{}
+		c.heartbeatDue = time.Time{}
 	})
 	sleep(ctx, listAfter+rand.N(listSpread))
 }
--- a/internal/entryhost/beat.go
+++ b/internal/entryhost/heartbeat.go
@@ -9,38 +9,38 @@
 // announce has heartbeats sent at once. Those that stand by are told only by hosts
 // that callers are sent to.
 func (c *control) announce(now time.Time) {
-	c.beatDue = now
+	c.heartbeatDue = now
 	if c.ready {
-		c.standbyDue = now
+		c.briefHeartbeatDue = now
 	}
 }
 
 // announceToAll has heartbeats sent at once to every host.
 func (c *control) announceToAll(now time.Time) {
-	c.beatDue, c.standbyDue, c.tellsAll = now, now, true
+	c.heartbeatDue, c.briefHeartbeatDue, c.toAllHosts = now, now, true
 }
 
-// beat sends the heartbeats that are due: full ones to the hosts that take callers,
+// sendHeartbeats sends the heartbeats that are due: full ones to the hosts that take callers,
 // brief ones to the others. Hosts that stand by tell nothing to each other.
-func (c *control) beat(now time.Time) {
-	if !now.Before(c.beatDue) {
-		c.beatDue = now.Add(c.members.Interval(c.ready))
+func (c *control) sendHeartbeats(now time.Time) {
+	if !now.Before(c.heartbeatDue) {
+		c.heartbeatDue = now.Add(c.members.Interval(c.ready))
 		b := c.heartbeat(now)
 		c.addLearned(now, b)
-		c.sendBeat(b, c.readyPeers())
+		c.sendHeartbeat(b, c.readyPeers())
 	}
-	if now.Before(c.standbyDue) {
+	if now.Before(c.briefHeartbeatDue) {
 		return
 	}
-	c.standbyDue = now.Add(c.members.IntervalToStandby())
+	c.briefHeartbeatDue = now.Add(c.members.IntervalToStandby())
 	c.rounds++
-	all := c.tellsAll || c.rounds%fleet.FarRounds == 0
-	tells := c.ready || c.tellsAll
-	c.tellsAll = false
+	all := c.toAllHosts || c.rounds%fleet.FarRounds == 0
+	tells := c.ready || c.toAllHosts
+	c.toAllHosts = false
 	if peers := c.members.StandbyPeers(all); tells && len(peers) > 0 {
 		b := c.heartbeat(now)
 		b.Brief = true
-		c.sendBeat(b, peers)
+		c.sendHeartbeat(b, peers)
 	}
 }
 
@@ -61,10 +61,10 @@
 	}
 	own := c.heartbeat(now)
 	own.Brief = true
-	c.sendBeat(own, []string{b.Peers})
+	c.sendHeartbeat(own, []string{b.Peers})
 }
 
-func (c *control) sendBeat(b *fleet.Heartbeat, peers []string) {
+func (c *control) sendHeartbeat(b *fleet.Heartbeat, peers []string) {
 	if err := c.d.wire.Send(b, peers); err != nil {
 		c.d.events.Debug("heartbeat not sent", "error", err)
 	}
@@ -77,7 +77,7 @@
 	return &fleet.Heartbeat{
 		Instance: s.Instance, Host: s.Name, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Peers: s.Peers,
 		Sequence: c.sequence, Ready: c.ready, Leaving: c.leaving, Version: c.version(),
-		Able: c.able(now), Registered: c.held, SeesStore: !c.storeOut, Digest: c.toldDigest(),
+		Able: c.canServe(now), Registered: c.held, SeesStore: !c.storeOut, Digest: c.announcedDigest(),
 		Cores: float32(capacity.Cores), LinkMbps: float32(capacity.LinkMbps),
 		RequestsPerSecond: float32(load.Requests), AnswerMbps: float32(load.AnswerMbps),
 	}
@@ -85,13 +85,13 @@
 
 // addLearned adds what customers ask for here and which objects were seen where.
 func (c *control) addLearned(now time.Time, b *fleet.Heartbeat) {
-	for customer, rate := range c.d.shares.Tell(now) {
+	for customer, rate := range c.d.shares.AnnounceDemand(now) {
 		b.Demand = append(b.Demand, &fleet.Demand{Customer: customer, PerSecond: float32(rate)})
 	}
 	if !c.ready {
 		return
 	}
-	for _, n := range c.d.table.News(now) {
+	for _, n := range c.d.table.WarmReports(now) {
 		b.Warm = append(b.Warm, uint64(n))
 	}
 }
--- a/internal/entryhost/knowledge.go
+++ b/internal/entryhost/knowledge.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// toldDigest is the digest in heartbeats: only the watcher tells it.
-func (c *control) toldDigest() uint64 {
+// announcedDigest is the digest in heartbeats: only the watcher tells it.
+func (c *control) announcedDigest() uint64 {
 	if !c.d.watches.Load() {
 		return 0
 	}
@@ -50,7 +50,7 @@
 // once where the watcher knows something new.
 func (c *control) publishKnowledge(now time.Time, watches bool) {
 	before := c.d.known.Load()
-	known := knowledge{c.digest.Sum(), c.at, c.hosts.digest.Sum(), c.hosts.at}
+	known := knowledge{c.digest.Sum(), c.confirmedAt, c.hostRegistrations.digest.Sum(), c.hostRegistrations.at}
 	if before != nil && *before == known {
 		return
 	}
@@ -60,26 +60,26 @@
 	}
 }
 
-// tellDigest answers a host that asks what this one knows.
-func (d *Daemon) tellDigest(q *fleet.ConfirmRequest, from string) {
+// answerConfirmRequest answers a host that asks what this one knows.
+func (d *Daemon) answerConfirmRequest(q *fleet.ConfirmRequest, from string) {
 	k := d.known.Load()
 	if k == nil || k.digest == 0 {
 		return
 	}
 	if q.Digest != k.digest || q.Hosts != k.hosts {
-		d.control.send(func(c *control) { c.tellChanges(q, from) })
+		d.control.send(func(c *control) { c.answerWithChanges(q, from) })
 		return
 	}
 	d.answerConfirm(&fleet.ConfirmAnswer{Id: q.Id, Digest: k.digest, Hosts: k.hosts}, k.at, k.hostsAt, from)
 }
 
-// tellChanges answers a host that knows something else than this one, with the
+// answerWithChanges answers a host that knows something else than this one, with the
 // changes that it lacks, if they are known and fit.
-func (c *control) tellChanges(q *fleet.ConfirmRequest, from string) {
-	a := &fleet.ConfirmAnswer{Id: q.Id, Digest: c.digest.Sum(), Hosts: c.hosts.digest.Sum()}
+func (c *control) answerWithChanges(q *fleet.ConfirmRequest, from string) {
+	a := &fleet.ConfirmAnswer{Id: q.Id, Digest: c.digest.Sum(), Hosts: c.hostRegistrations.digest.Sum()}
 	a.Changes = changesSince(&c.journal, q.Digest)
-	a.HostChanges = changesSince(&c.hosts.journal, q.Hosts)
-	c.d.answerConfirm(a, c.at, c.hosts.at, from)
+	a.HostChanges = changesSince(&c.hostRegistrations.journal, q.Hosts)
+	c.d.answerConfirm(a, c.confirmedAt, c.hostRegistrations.at, from)
 }
 
 func changesSince(j *follow.Journal, digest uint64) []*fleet.Change {
--- a/internal/entryhost/pace.go
+++ b/internal/entryhost/pace.go
@@ -12,9 +12,8 @@
 // is left of the bound on withdrawn keys is how long keyed requests go on when the
 // store is lost. A draining upstream must be left within 2.5 s.
 const (
-	// storeWait is how long a watch waits for a change. With twice as long, the
-	// other hosts' knowledge grew older than they bear (see alone) between two
-	// confirmations, and all looked for themselves.
+	// storeWait is how long a watch waits for a change. Together with storeWatch it
+	// stays below lookAfter, from which other hosts look for themselves.
 	storeWait = 700 * time.Millisecond
 	// storeWatch is the space between looks of the host that watches for its
 	// region.
@@ -38,8 +37,8 @@
 	}
 	pace := follow.Pace{Wait: storeWait, Every: storeSeldom, Least: storeOwn}
 	state := d.state.Load()
-	if state.Standby || d.now().Sub(state.ConfirmedAt) < alone {
-		pace.Failing = storeTurnedAway
+	if state.Standby || d.now().Sub(state.ConfirmedAt) < lookAfter {
+		pace.MaxBackoff = storeTurnedAway
 	}
 	return pace
 }
--- a/internal/entryhost/recall.go
+++ b/internal/entryhost/recall.go
@@ -32,7 +32,7 @@
 		return
 	}
 	c.d.events.Info("snapshot recalled", "revision", items[i].Revision, "bytes", len(items[i].Value),
-		"upstreams", len(m.Upstreams), "objects", c.d.table.Recall(now, m), "routes", len(m.Routes))
+		"upstreams", len(m.Upstreams), "objects", c.d.table.Restore(now, m), "routes", len(m.Routes))
 }
 
 // recallAgain has what the fleet has learned read anew, if this host did not hear it
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -57,7 +57,7 @@
 // host, and each gives out the whole rate of every customer.
 func (c *control) registered(now time.Time) bool {
 	r := c.registration
-	return r.spends && !c.hosts.at.Before(r.written) && now.Sub(r.kept) < r.lease-leaseMargin
+	return r.spends && !c.hostRegistrations.at.Before(r.written) && now.Sub(r.kept) < r.lease-leaseMargin
 }
 
 // registrar keeps this host's registration.
@@ -133,7 +133,7 @@
 			c.hostRegistered(item)
 		}
 		c.listHosts(now)
-		c.needed(now, nil)
+		c.shouldBeActive(now, nil)
 	})
 	await(ctx, known, registerWithin)
 	return nil
--- a/internal/entryhost/register_test.go
+++ b/internal/entryhost/register_test.go
@@ -26,7 +26,7 @@
 		"lease may have lapsed":       {spender, now, now.Add(leaseTime - leaseMargin), false},
 		"stands by":                   {standing, now, now, false},
 	} {
-		control := &control{registration: c.registration, hosts: hostKnowledge{at: c.hostsAt}}
+		control := &control{registration: c.registration, hostRegistrations: hostKnowledge{at: c.hostsAt}}
 		NewWithT(t).Expect(control.registered(c.at)).To(Equal(c.want), name)
 	}
 }
--- a/internal/entryhost/starting.go
+++ b/internal/entryhost/starting.go
@@ -9,9 +9,9 @@
 // Each host knows within some tenths of a second who takes callers. An answer in the
 // meantime sends callers to hosts that refuse them, and many callers try only once more.
 
-// startingFor bounds how long a caller waits for a host that has just started: the
+// startGrace bounds how long a caller waits for a host that has just started: the
 // calls to the store at its start, from the farthest region, beside those of all others.
-const startingFor = time.Second
+const startGrace = time.Second
 
 // starting is what is left of startingFor; 0 or less: nothing.
 func (d *Daemon) starting() time.Duration { return d.startingFor - d.now().Sub(d.startedAt) }
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -23,7 +23,7 @@
 		c.roster.Reached(now)
 		c.seen.Listed(l.Items)
 		c.journal.Reset()
-		c.hosts.journal.Reset()
+		c.hostRegistrations.journal.Reset()
 		upstreams, zones := map[string]bool{}, map[string]bool{}
 		for key := range c.registrations {
 			c.hostUnregistered(key)
@@ -35,7 +35,7 @@
 			if id, ok := platform.UpstreamID(item.Key); ok {
 				upstreams[id] = true
 			}
-			c.wrote(now, item)
+			c.applyWrite(now, item)
 		}
 		for _, id := range c.roster.Unlisted(upstreams) {
 			c.unregister(now, id)
@@ -53,7 +53,7 @@
 			c.listed = true
 			c.d.peersKnown.Store(len(c.registrations) > 0)
 			// Whether the host will hold shares decides how it registers.
-			c.needed(now, nil)
+			c.shouldBeActive(now, nil)
 			close(c.d.listed)
 		}
 		c.confirmedByStore(asOf)
@@ -65,7 +65,7 @@
 	s.c.send(func(c *control) {
 		now := c.d.now()
 		c.roster.Reached(now)
-		c.change(now, changes.Events)
+		c.applyChanges(now, changes.Events)
 		c.confirmedByStore(asOf)
 	})
 }
@@ -78,23 +78,23 @@
 	})
 }
 
-// change takes changes over, from the store or from a peer.
-func (c *control) change(now time.Time, events []kv.Event) {
+// applyChanges takes changes over, from the store or from a peer.
+func (c *control) applyChanges(now time.Time, events []kv.Event) {
 	for _, e := range c.seen.Latest(events) {
-		before, hostsBefore := c.digest.Sum(), c.hosts.digest.Sum()
+		before, hostsBefore := c.digest.Sum(), c.hostRegistrations.digest.Sum()
 		if e.Deleted {
-			c.removed(now, e.Key)
+			c.applyRemoval(now, e.Key)
 		} else {
-			c.wrote(now, e.Item)
+			c.applyWrite(now, e.Item)
 		}
 		c.journal.Add(before, c.digest.Sum(), e)
-		c.hosts.journal.Add(hostsBefore, c.hosts.digest.Sum(), e)
+		c.hostRegistrations.journal.Add(hostsBefore, c.hostRegistrations.digest.Sum(), e)
 	}
 	c.listHosts(now)
 }
 
-// wrote takes a key over that was written.
-func (c *control) wrote(now time.Time, item kv.Item) {
+// applyWrite takes a key over that was written.
+func (c *control) applyWrite(now time.Time, item kv.Item) {
 	if platform.IsConfiguration(item.Key) {
 		c.declare(item)
 		return
@@ -111,7 +111,7 @@
 		c.readGuide(item)
 		return
 	}
-	if item.Key == platform.SnapshotKey && c.at.IsZero() && c.listed {
+	if item.Key == platform.SnapshotKey && c.confirmedAt.IsZero() && c.listed {
 		// The first listing may have been old.
 		c.recall(now, []kv.Item{item})
 	}
@@ -120,8 +120,8 @@
 	}
 }
 
-// removed takes over that a key is gone.
-func (c *control) removed(now time.Time, key string) {
+// applyRemoval takes over that a key is gone.
+func (c *control) applyRemoval(now time.Time, key string) {
 	if id, ok := platform.UpstreamID(key); ok {
 		c.unregister(now, id)
 	}
@@ -139,7 +139,7 @@
 		return
 	}
 	c.registrations[item.Key] = r
-	c.hosts.digest.SetHost(item.Key, item.Value)
+	c.hostRegistrations.digest.SetHost(item.Key, item.Value)
 	c.hostsChanged = true
 }
 
@@ -149,7 +149,7 @@
 		return
 	}
 	delete(c.registrations, key)
-	c.hosts.digest.RemoveHost(key)
+	c.hostRegistrations.digest.RemoveHost(key)
 	c.hostsChanged = true
 }
 
@@ -198,15 +198,15 @@
 
 // confirmedAsOf notes that what is known was what the store held at a time.
 func (c *control) confirmedAsOf(asOf time.Time) {
-	if asOf.After(c.at) {
-		c.at = asOf
+	if asOf.After(c.confirmedAt) {
+		c.confirmedAt = asOf
 	}
 }
 
 // confirmedByStore is the same, by an answer of the store itself.
 func (c *control) confirmedByStore(asOf time.Time) {
 	c.confirmedAsOf(asOf)
-	c.hosts.confirmedAsOf(asOf)
+	c.hostRegistrations.confirmedAsOf(asOf)
 	if c.storeOut {
 		c.storeOut = false
 		c.announce(c.d.now())
@@ -219,7 +219,7 @@
 		// The others may have to go by another watcher from now on.
 		c.storeOut = true
 		c.announce(c.d.now())
-		c.d.events.Warn("store lost", "error", err, "age", c.d.now().Sub(c.at))
+		c.d.events.Warn("store lost", "error", err, "age", c.d.now().Sub(c.confirmedAt))
 	}
 }
 
@@ -230,7 +230,7 @@
 		id, _ := platform.UpstreamID(item.Key)
 		c.d.events.Info("upstream entry void", "upstream", id, "revision", item.Revision, "error", err)
 		c.digest.RemoveUpstream(id)
-		if c.roster.Void(id) {
+		if c.roster.Invalidate(id) {
 			c.leave(id, "entry void")
 		}
 		return
@@ -248,7 +248,7 @@
 
 func (c *control) unregister(now time.Time, id string) {
 	c.digest.RemoveUpstream(id)
-	if c.roster.Gone(now, id) {
+	if c.roster.Removed(now, id) {
 		c.leave(id, "entry removed")
 	}
 }
--- a/internal/entryhost/tokens.go
+++ b/internal/entryhost/tokens.go
@@ -33,7 +33,7 @@
 // is held.
 type tokens struct {
 	d     *Daemon
-	spare *share.Spare
+	spare *share.FallbackBucket
 
 	mu      sync.Mutex
 	last    uint64
@@ -41,7 +41,7 @@
 }
 
 func newTokens(d *Daemon) *tokens {
-	return &tokens{d: d, spare: share.NewSpare(), last: firstID(), waiting: map[uint64]chan *fleet.TokenAnswer{}}
+	return &tokens{d: d, spare: share.NewFallbackBucket(), last: randomID(), waiting: map[uint64]chan *fleet.TokenAnswer{}}
 }
 
 // expect makes room for the answer to a question and returns the question's id.
@@ -60,15 +60,15 @@
 		return share.Verdict{Admitted: true, Part: 1}
 	}
 	p := t.d.awaitPool()
-	owner := share.Owner(c.Name, p.instances)
+	owner := share.ShardOwner(c.Name, p.instances)
 	peer := p.peers[owner]
 	if peer == "" {
 		v := t.d.shares.Admit(now, c)
-		if v.Unheld && t.d.registeredOnce.Load() {
+		if v.NoLease && t.d.registeredOnce.Load() {
 			return t.spare.Admit(now, c, p.hosts)
 		}
 		// A host that has just started waits for its registration, a call or two: the
-		// spare would serve the first caller of each customer and refuse the next.
+		// fallback bucket would serve the first caller of each customer and refuse the next.
 		return v
 	}
 	a := t.ask(peer, c.Name, p.answerFor)
@@ -77,7 +77,7 @@
 		return t.spare.Admit(now, c, p.hosts)
 	}
 	return share.Verdict{
-		Admitted: a.Granted, ComeBack: time.Duration(a.BackMs) * time.Millisecond,
+		Admitted: a.Granted, RetryAfter: time.Duration(a.BackMs) * time.Millisecond,
 		Part: float64(a.Part), Demand: float64(a.Demand),
 	}
 }
@@ -139,24 +139,24 @@
 		return
 	}
 	v := t.d.shares.Admit(t.d.now(), c)
-	if v.Unheld {
-		// Its registration has lapsed since it told so; the asker goes by its spare.
+	if v.NoLease {
+		// Its registration has lapsed since it told so; the asker goes by its fallback bucket.
 		return
 	}
 	answer := &fleet.TokenAnswer{
-		Id: q.Id, Granted: v.Admitted, BackMs: uint32(v.ComeBack.Milliseconds()), Part: float32(v.Part), Demand: float32(v.Demand),
+		Id: q.Id, Granted: v.Admitted, BackMs: uint32(v.RetryAfter.Milliseconds()), Part: float32(v.Part), Demand: float32(v.Demand),
 	}
 	if err := t.d.wire.SendPacket(&fleet.Packet{Content: &fleet.Packet_TokenAnswer{TokenAnswer: answer}}, from); err != nil {
 		t.d.events.Debug("token not sent", "error", err)
 	}
 }
 
-// Undo gives the token of a request back that certainly did not run. Only the
+// Refund gives the token of a request back that certainly did not run. Only the
 // host that holds the bucket does; a lost token refuses too much.
-func (t *tokens) Undo(customer string) {
+func (t *tokens) Refund(customer string) {
 	p := t.d.pool.Load()
-	if p.peers[share.Owner(customer, p.instances)] == "" {
-		t.d.shares.Undo(customer)
+	if p.peers[share.ShardOwner(customer, p.instances)] == "" {
+		t.d.shares.Refund(customer)
 	}
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -31,12 +31,12 @@
 	r.Failed()
 	back := start.Add(6 * time.Second)
 	r.Reached(back)
-	g.Expect(r.Gone(back, "a")).To(BeFalse())
-	g.Expect(r.Gone(back.Add(time.Second), "b")).To(BeFalse())
+	g.Expect(r.Removed(back, "a")).To(BeFalse())
+	g.Expect(r.Removed(back.Add(time.Second), "b")).To(BeFalse())
 	g.Expect(r.Expired(back.Add(2 * time.Second))).To(BeEmpty())
 	g.Expect(r.Put(entry("a", 1, 2))).To(BeTrue())
 	g.Expect(r.Expired(back.Add(2300 * time.Millisecond))).To(Equal([]string{"b"}))
-	g.Expect(r.Gone(back.Add(3*time.Second), "a")).To(BeTrue(), "the grace is over")
+	g.Expect(r.Removed(back.Add(3*time.Second), "a")).To(BeTrue(), "the grace is over")
 }
 
 // With the store in order, a removed entry is an upstream that leaves.
@@ -45,8 +45,8 @@
 	r := follow.NewRoster()
 	r.Reached(start)
 	r.Put(entry("a", 1, 1))
-	g.Expect(r.Gone(start, "a")).To(BeTrue())
-	g.Expect(r.Gone(start, "a")).To(BeFalse())
+	g.Expect(r.Removed(start, "a")).To(BeTrue())
+	g.Expect(r.Removed(start, "a")).To(BeFalse())
 	g.Expect(r.Unlisted(nil)).To(BeEmpty())
 }
 
@@ -59,7 +59,7 @@
 	g.Expect(r.Put(entry("a", 4, 99))).To(BeFalse(), "an earlier run")
 	g.Expect(r.Put(entry("a", 5, 6))).To(BeFalse(), "an earlier moment")
 	g.Expect(r.Put(entry("a", 6, 1))).To(BeTrue(), "a new run counts anew")
-	g.Expect(r.Void("a")).To(BeTrue())
+	g.Expect(r.Invalidate("a")).To(BeTrue())
 	g.Expect(r.Put(entry("a", 6, 1))).To(BeTrue(), "the upstream writes again")
 }
 
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -14,12 +14,12 @@
 	// answerBound is how long a call may take beyond its own waiting. A slow
 	// store takes a third of a second; a silent connection shows only by this.
 	answerBound = 1200 * time.Millisecond
-	// firstPause and longestPause lie between calls that fail: each failing
+	// minBackoff and maxBackoff lie between calls that fail: each failing
 	// call is paid for, and after an outage all hosts come at once. But what
 	// has left meanwhile must be known well before the host counts as reached
 	// again, four seconds after the end of the outage.
-	firstPause   = 80 * time.Millisecond
-	longestPause = 250 * time.Millisecond
+	minBackoff = 80 * time.Millisecond
+	maxBackoff = 250 * time.Millisecond
 )
 
 // Sink is told what the store holds.
@@ -41,9 +41,9 @@
 	Pace func() Pace
 	Now  func() time.Time
 	Sink Sink
-	// Hurry ends the pause before the next look, but not one after a call that
+	// Wake ends the pause before the next look, but not one after a call that
 	// failed. Default nil: never.
-	Hurry <-chan struct{}
+	Wake <-chan struct{}
 	// Before is called before the first listing. Default nil.
 	Before func(ctx context.Context)
 	// Listed is called between the first listing and the first watch. Default nil.
@@ -58,23 +58,23 @@
 	// asks for one: changes that come close together are then fetched by one
 	// call. Default 0.
 	Every, Least time.Duration
-	// Failing is the longest pause between calls that fail. Default and least:
+	// MaxBackoff is the longest pause between calls that fail. Default and least:
 	// 250 ms.
-	Failing time.Duration
+	MaxBackoff time.Duration
 }
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	pause := firstPause
+	pause := minBackoff
 	revision, listed := f.first(ctx), true
 	for ctx.Err() == nil {
 		asked, pace := f.Now(), f.Pace()
 		next, err := f.step(ctx, revision, listed, asked, pace.Wait)
 		switch {
 		case err == nil:
-			revision, listed, pause = next, true, firstPause
-			f.rest(ctx, pace.Least-f.Now().Sub(asked), nil)
-			f.rest(ctx, pace.Every-f.Now().Sub(asked), f.Hurry)
+			revision, listed, pause = next, true, minBackoff
+			f.pause(ctx, pace.Least-f.Now().Sub(asked), nil)
+			f.pause(ctx, pace.Every-f.Now().Sub(asked), f.Wake)
 		case errors.Is(err, kv.ErrCompacted):
 			listed = false
 		default:
@@ -90,7 +90,7 @@
 	if f.Before != nil {
 		f.Before(ctx)
 	}
-	pause := firstPause
+	pause := minBackoff
 	for ctx.Err() == nil {
 		l, err := f.list(ctx, true)
 		if err == nil {
@@ -98,17 +98,17 @@
 			if f.Listed != nil {
 				f.Listed(ctx)
 			}
-			return seenUpTo(l)
+			return watchFrom(l)
 		}
 		pause = f.failed(ctx, err, pause)
 	}
 	return 0
 }
 
-// seenUpTo is the revision from which a watch brings all that a listing lacks which may
+// watchFrom is the revision from which a watch brings all that a listing lacks which may
 // be old. A store that gives such a listing the revision of the moment would hide the
 // changes between the two.
-func seenUpTo(l kv.Listing) uint64 {
+func watchFrom(l kv.Listing) uint64 {
 	latest := uint64(0)
 	for _, item := range l.Items {
 		latest = max(latest, item.Revision)
@@ -122,8 +122,8 @@
 		return pause
 	}
 	f.Sink.Failed(err)
-	f.rest(ctx, time.Duration(float64(pause)*(0.5+rand.Float64())), nil)
-	return min(2*pause, max(longestPause, f.Pace().Failing))
+	f.pause(ctx, time.Duration(float64(pause)*(0.5+rand.Float64())), nil)
+	return min(2*pause, max(maxBackoff, f.Pace().MaxBackoff))
 }
 
 func (f *Follower) list(ctx context.Context, stale bool) (kv.Listing, error) {
@@ -163,8 +163,8 @@
 	return waited
 }
 
-// rest waits between two calls, or until hurry receives.
-func (f *Follower) rest(ctx context.Context, d time.Duration, hurry <-chan struct{}) {
+// pause waits between two calls, or until hurry receives.
+func (f *Follower) pause(ctx context.Context, d time.Duration, hurry <-chan struct{}) {
 	if d <= 0 {
 		return
 	}
--- a/internal/follow/roster.go
+++ b/internal/follow/roster.go
@@ -9,8 +9,7 @@
 // returnGrace is how long after an outage of the store entries may be missing
 // whose upstreams live: the platform says two seconds, and a heartbeat's way. It
 // cannot be told from a cut of this host alone, in which those upstreams have
-// left: with 2.3 s, and calls that hung for 1.5 s after the cut, a request was
-// sent to one that had left twelve seconds before.
+// left, so it must not be longer.
 const returnGrace = 2100 * time.Millisecond
 
 // Roster knows which upstreams are registered. An entry that goes missing in
@@ -49,9 +48,9 @@
 	return true
 }
 
-// Gone notes that an entry is missing, and tells whether the upstream is to be
+// Removed notes that an entry is missing, and tells whether the upstream is to be
 // left at once.
-func (r *Roster) Gone(now time.Time, id string) bool {
+func (r *Roster) Removed(now time.Time, id string) bool {
 	if _, ok := r.entries[id]; !ok {
 		return false
 	}
@@ -65,8 +64,8 @@
 	return true
 }
 
-// Void notes that an entry was overwritten by one that names no upstream.
-func (r *Roster) Void(id string) bool {
+// Invalidate notes that an entry was overwritten by one that names no upstream.
+func (r *Roster) Invalidate(id string) bool {
 	_, known := r.entries[id]
 	r.drop(id)
 	return known
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -14,14 +14,14 @@
 	"balsambarrow/internal/traffic"
 )
 
-// keptAnswer is the largest answer that is read to its end before the caller
+// maxBufferedAnswer is the largest answer that is read to its end before the caller
 // gets any of it. If it breaks off, an idempotent request can still be served
-// by another upstream. Today's reports are half of it at most.
-const keptAnswer = 1 << 20
+// by another upstream.
+const maxBufferedAnswer = 1 << 20
 
-// plainSample is how many plain answers go on one log line, so that a log shows
+// answerLogSample is how many plain answers go on one log line, so that a log shows
 // what is usual at the time of a failure.
-const plainSample = 64
+const answerLogSample = 64
 
 // answer is an upstream's answer that was read to its end.
 type answer struct {
@@ -36,18 +36,18 @@
 	report := place.Report{
 		Took: h.Now().Sub(began), Connect: reply.Connect, Load: said.Load, Told: said.Told, ColdFor: said.ColdFor,
 	}
-	if problem := spoiled(reply.Response, said); problem != "" {
+	if problem := invalidAnswer(reply.Response, said); problem != "" {
 		reply.Close(said.KeepFor)
-		return h.lose(ctx, q, c, &h1.SpoiledError{Problem: problem}), nil
+		return h.recordNoAnswer(ctx, q, c, &h1.SpoiledError{Problem: problem}), nil
 	}
-	kept, err := io.ReadAll(io.LimitReader(reply, keptAnswer+1))
+	kept, err := io.ReadAll(io.LimitReader(reply, maxBufferedAnswer+1))
 	if err != nil {
 		reply.Close(said.KeepFor)
-		return h.lose(ctx, q, c, err), nil
+		return h.recordNoAnswer(ctx, q, c, err), nil
 	}
 	report.Bytes = len(kept)
 	a := &answer{status: reply.StatusCode, header: reply.Header, body: kept}
-	if len(kept) > keptAnswer {
+	if len(kept) > maxBufferedAnswer {
 		err := h.stream(w, a, reply)
 		reply.Close(said.KeepFor)
 		return h.streamed(ctx, q, c, report, err), nil
@@ -68,13 +68,13 @@
 		report.Result, end = place.Failed, failed
 	}
 	h.Table.Done(h.Now(), c, report)
-	q.tally.placed = newPlaced(c, report.Took)
+	q.attempts.placed = newPlaced(c, report.Took)
 	h.Log.Debug("upstream answered", "id", q.ID, "route", q.route.Name, "object", q.Object, "upstream", c.ID, "zone", c.Zone,
 		"status", a.status, "took", report.Took, "expected", c.Expected, "expected_wait", c.Wait, "warm", c.Warm,
 		"running", said.Load.Running, "waiting", said.Load.Waiting, "bytes", report.Bytes)
 	switch end {
 	case done:
-		h.give(w, q, a)
+		h.writeAnswer(w, q, a)
 	case shed:
 		h.Log.Info("upstream refused", "id", q.ID, "upstream", c.ID, "status", a.status, "running", said.Load.Running,
 			"waiting", said.Load.Waiting, "slots", said.Load.Slots, "expected_wait", c.Wait)
@@ -84,8 +84,8 @@
 	return end, a
 }
 
-// spoiled says what is wrong with an answer that cannot be the upstream's own.
-func spoiled(r *http.Response, said traffic.Answer) string {
+// invalidAnswer says what is wrong with an answer that cannot be the upstream's own.
+func invalidAnswer(r *http.Response, said traffic.Answer) string {
 	switch {
 	case said.Encoded:
 		return "encoded body"
@@ -97,8 +97,8 @@
 	return ""
 }
 
-// give writes a whole answer to the caller.
-func (h *Handler) give(w http.ResponseWriter, q *request, a *answer) {
+// writeAnswer writes a whole answer to the caller.
+func (h *Handler) writeAnswer(w http.ResponseWriter, q *request, a *answer) {
 	copyHeader(w.Header(), a.header)
 	if q.http.Method != http.MethodHead {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
@@ -107,12 +107,12 @@
 	// A failed write means that the caller has left.
 	_, _ = w.Write(a.body)
 	took := h.Now().Sub(q.arrived)
-	h.Observe(Observation{Route: q.route.Name, Status: a.status, Took: took, Bytes: len(a.body), Sends: q.tally.sends, Placed: q.tally.placed})
+	h.Observe(Observation{Route: q.route.Name, Status: a.status, Took: took, Bytes: len(a.body), Sends: q.attempts.sends, Placed: q.attempts.placed})
 	late := q.route.Target > 0 && took > q.route.Target
-	if q.tally.sends > 1 || late || a.status >= http.StatusInternalServerError || h.given.Add(1)%plainSample == 0 {
+	if q.attempts.sends > 1 || late || a.status >= http.StatusInternalServerError || h.answerCount.Add(1)%answerLogSample == 0 {
 		h.Log.Info("answered", "id", q.ID, "route", q.route.Name, "status", a.status, "took", took,
-			"target", q.route.Target, "sends", q.tally.sends, "tried", q.tally.tried, "expected", q.tally.placed.Expected,
-			"expected_wait", q.tally.placed.ExpectedWait, "upstream_took", q.tally.placed.Took, "waited", q.tally.placed.Waited)
+			"target", q.route.Target, "sends", q.attempts.sends, "tried", q.attempts.tried, "expected", q.attempts.placed.Expected,
+			"expected_wait", q.attempts.placed.ExpectedWait, "upstream_took", q.attempts.placed.Took, "waited", q.attempts.placed.Waited)
 	}
 }
 
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -7,14 +7,13 @@
 	"net/http"
 )
 
-// keptBody is the largest body that is read before it is sent. It can then be
-// sent again, and its upstream does not wait for a slow caller. Ten megabytes
-// of memory hold forty such bodies.
-const keptBody = 256 << 10
+// maxBufferedBody is the largest body that is read before it is sent. It can then be
+// sent again, and its upstream does not wait for a slow caller.
+const maxBufferedBody = 256 << 10
 
 // body is a request's body: kept whole, or passed on as it comes.
 type body struct {
-	kept []byte
+	buffered []byte
 	// rest is what comes after kept; nil if kept is all.
 	rest   io.Reader
 	length int64
@@ -31,7 +30,7 @@
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, most)
 	}
-	kept, err := io.ReadAll(io.LimitReader(r.Body, keptBody+1))
+	kept, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBody+1))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -40,10 +39,10 @@
 		return nil, &refusal{cause: CauseLeft}
 	case err != nil:
 		return nil, denied(http.StatusBadRequest, CauseBadBody)
-	case len(kept) <= keptBody:
-		return &body{kept: kept, length: int64(len(kept))}, nil
+	case len(kept) <= maxBufferedBody:
+		return &body{buffered: kept, length: int64(len(kept))}, nil
 	}
-	return &body{kept: kept, rest: r.Body, length: r.ContentLength}, nil
+	return &body{buffered: kept, rest: r.Body, length: r.ContentLength}, nil
 }
 
 // reader returns the body from its beginning; nil if there is none.
@@ -51,11 +50,11 @@
 	b.used = true
 	switch {
 	case b.rest != nil:
-		return io.MultiReader(bytes.NewReader(b.kept), b.rest)
-	case len(b.kept) == 0:
+		return io.MultiReader(bytes.NewReader(b.buffered), b.rest)
+	case len(b.buffered) == 0:
 		return nil
 	}
-	return bytes.NewReader(b.kept)
+	return bytes.NewReader(b.buffered)
 }
 
 // repeatable tells whether the body can be sent once more.
--- a/internal/front/caller.go
+++ b/internal/front/caller.go
@@ -15,14 +15,13 @@
 	return context.WithValue(ctx, callerKey{}, c)
 }
 
-// left tells whether the caller of a request has closed its connection.
+// callerGone tells whether the caller of a request has closed its connection.
 //
 // The failure it guards against: a host that is behind with its work reads a
 // request whose caller has given up long before, and sends it on before the
 // server has noticed the close, which it looks for beside the handler. Upstreams
-// that are full then work for nobody. In a burst, eleven requests of one host
-// reached upstreams over half a second after their callers had left.
-func left(r *http.Request) bool {
+// that are full then work for nobody.
+func callerGone(r *http.Request) bool {
 	if r.Context().Err() != nil {
 		return true
 	}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -28,7 +28,7 @@
 type Shares interface {
 	Admit(now time.Time, c *catalog.Customer) share.Verdict
 	// Undo gives the token of a request back that certainly did not run.
-	Undo(customer string)
+	Refund(customer string)
 }
 
 // Deps are what the front works with.
@@ -47,13 +47,13 @@
 	// Refresh has the store looked at now. The channel is closed when something
 	// newer is known; State then returns it.
 	Refresh func() <-chan struct{}
-	// News returns a channel that is closed when something newer is known.
-	News func() <-chan struct{}
+	// Updates returns a channel that is closed when something newer is known.
+	Updates func() <-chan struct{}
 	// Starting is the time for which the host may still be about to learn what it needs
 	// for its first requests; 0 or less: it is not.
 	Starting func() time.Duration
-	// Crowded tells whether callers should not keep their connections.
-	Crowded func() bool
+	// Overcrowded tells whether callers should not keep their connections.
+	Overcrowded func() bool
 	// Tracer writes a span for each hop. Default nil: none.
 	Tracer trace.Tracer
 }
@@ -94,8 +94,8 @@
 type Handler struct {
 	Deps
 	split *splitter
-	// given counts answers, for the sample of plain ones that is logged.
-	given atomic.Uint64
+	// answerCount counts answers, for the sample of plain ones that is logged.
+	answerCount atomic.Uint64
 }
 
 // New returns a handler.
@@ -111,20 +111,20 @@
 	customer *catalog.Customer
 	service  string
 	// over says that the customer asks for more than its rate.
-	over  bool
-	body  *body
-	tally tally
+	over     bool
+	body     *body
+	attempts attempts
 }
 
-// tally is what happened at upstreams.
-type tally struct {
+// attempts is what happened at upstreams.
+type attempts struct {
 	sends int
 	tried []string
-	// lost says that an upstream may have run the request.
-	lost bool
-	shed bool
-	// wait is the longest queue that was met.
-	wait time.Duration
+	// mayHaveRun says that an upstream may have run the request.
+	mayHaveRun bool
+	shed       bool
+	// longestWait is the longest queue that was met.
+	longestWait time.Duration
 	// placed is how the last choice was borne out by an answer.
 	placed *Placed
 }
@@ -135,7 +135,7 @@
 	var end func()
 	q.http, end = spans{h.Tracer}.entry(r, q.ID)
 	defer end()
-	if h.State().Leaving || h.Crowded() {
+	if h.State().Leaving || h.Overcrowded() {
 		// The caller finds another host, or makes a new connection, for its next
 		// request.
 		w.Header().Set("Connection", "close")
@@ -151,20 +151,20 @@
 
 // admit decides whether the request may be sent to an upstream at all.
 func (h *Handler) admit(w http.ResponseWriter, q *request) *refusal {
-	state := h.awaitState(q, h.Starting(), h.News, func(s *State) bool { return !s.starting() })
+	state := h.awaitState(q, h.Starting(), h.Updates, func(s *State) bool { return !s.starting() })
 	if state == nil {
-		return unavailable(CauseNoCatalog, backSoon)
+		return unavailable(CauseNoCatalog, retrySoon)
 	}
-	if state.Standby && state.age(q.arrived) > strayFor {
-		state = h.awaitState(q, refreshFor, h.Refresh, func(s *State) bool { return s.age(h.Now()) <= strayFor })
+	if state.Standby && state.age(q.arrived) > standbyMaxAge {
+		state = h.awaitState(q, refreshFor, h.Refresh, func(s *State) bool { return s.age(h.Now()) <= standbyMaxAge })
 		if state == nil {
-			return unavailable(CauseStandby, backSoon)
+			return unavailable(CauseStandby, retrySoon)
 		}
 	}
 	if refused := h.authorize(state, q); refused != nil {
 		return refused
 	}
-	q.until = q.arrived.Add(patience(q))
+	q.until = q.arrived.Add(timeBudget(q))
 	body, refused := readBody(w, q.http, state.Catalog.Limits.MaxBodyBytes)
 	if refused != nil {
 		return refused
@@ -175,7 +175,7 @@
 		if !v.Admitted {
 			h.Log.Info("over rate", "id", q.ID, "customer", q.customer.Name, "rate", q.customer.Rate,
 				"part", v.Part, "demand", v.Demand, "version", state.Catalog.Version)
-			return &refusal{status: http.StatusTooManyRequests, cause: CauseOverRate, comeBack: v.ComeBack}
+			return &refusal{status: http.StatusTooManyRequests, cause: CauseOverRate, retryAfter: v.RetryAfter}
 		}
 		q.over = v.Over(q.customer.Rate)
 	}
@@ -214,8 +214,8 @@
 func (h *Handler) authorize(state *State, q *request) *refusal {
 	age := state.age(q.arrived)
 	deny := func(status int, cause Cause) *refusal {
-		if age > deniesFor {
-			return unavailable(CauseBehind, backSoon)
+		if age > denyMaxAge {
+			return unavailable(CauseBehind, retrySoon)
 		}
 		return denied(status, cause)
 	}
@@ -227,7 +227,7 @@
 		return nil
 	}
 	if bound := h.Bounds().KeysFor; bound > 0 && age > bound {
-		return unavailable(CauseKeysStale, backSoon)
+		return unavailable(CauseKeysStale, retrySoon)
 	}
 	if q.Key == "" {
 		return deny(http.StatusUnauthorized, CauseNoKey)
@@ -238,16 +238,16 @@
 	return nil
 }
 
-// stillValid repeats the check of the key right before a send: the wait for a
+// revalidateKey repeats the check of the key right before a send: the wait for a
 // body or for another upstream may have been long, and the process may have
 // been suspended.
-func (h *Handler) stillValid(q *request) *refusal {
+func (h *Handler) revalidateKey(q *request) *refusal {
 	if q.customer == nil {
 		return nil
 	}
 	state := h.State()
 	if bound := h.Bounds().KeysFor; bound > 0 && state.age(h.Now()) > bound {
-		return unavailable(CauseKeysStale, backSoon)
+		return unavailable(CauseKeysStale, retrySoon)
 	}
 	if owner := state.Catalog.Customer(q.Key); owner == nil || owner.Name != q.customer.Name {
 		return denied(http.StatusUnauthorized, CauseUnknownKey)
@@ -255,13 +255,13 @@
 	return nil
 }
 
-func patience(q *request) time.Duration {
+func timeBudget(q *request) time.Duration {
 	d := q.Patience
 	if t := q.route.Timeout; t > 0 && (d == 0 || t < d) {
 		d = t
 	}
 	if d == 0 {
-		return defaultPatience
+		return defaultTimeBudget
 	}
 	return d
 }
@@ -296,17 +296,17 @@
 		route = q.route.Name
 	}
 	took := h.Now().Sub(q.arrived)
-	h.Observe(Observation{Route: route, Status: f.status, Cause: f.cause, Took: took, Sends: q.tally.sends})
+	h.Observe(Observation{Route: route, Status: f.status, Cause: f.cause, Took: took, Sends: q.attempts.sends})
 	h.Log.Info("refused", "id", q.ID, "route", route, "service", q.service, "status", f.status, "cause", f.cause,
-		"why", f.why, "back", f.comeBack, "took", took, "sends", q.tally.sends, "tried", q.tally.tried,
+		"reason", f.reason, "retry_after", f.retryAfter, "took", took, "sends", q.attempts.sends, "tried", q.attempts.tried,
 		"age", h.State().age(h.Now()), "version", h.version())
 	if f.cause == CauseLeft {
 		panic(http.ErrAbortHandler)
 	}
-	if f.comeBack > 0 {
+	if f.retryAfter > 0 {
 		// It comes back on a new connection; this one would stay open for nothing.
 		w.Header().Set("Connection", "close")
-		h.Codec.Refusal(w.Header(), f.comeBack)
+		h.Codec.Refusal(w.Header(), f.retryAfter)
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(f.status)
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -34,29 +34,29 @@
 type refusal struct {
 	status int
 	cause  Cause
-	// comeBack is set where the caller is asked to return.
-	comeBack time.Duration
-	// why is what the choice of an upstream went by; nil where the cause says all.
-	why error
+	// retryAfter is set where the caller is asked to return.
+	retryAfter time.Duration
+	// reason is what the choice of an upstream went by; nil where the cause says all.
+	reason error
 }
 
 // How long callers are told to stay away, where no better figure is known.
 const (
-	// backSoon: the condition ends within a heartbeat or two, or another host
+	// retrySoon: the condition ends within a heartbeat or two, or another host
 	// serves the request at once.
-	backSoon = 150 * time.Millisecond
-	// backCold: cold or crashed upstreams take seconds.
-	backCold = 400 * time.Millisecond
+	retrySoon = 150 * time.Millisecond
+	// retryCold: cold or crashed upstreams take seconds.
+	retryCold = 400 * time.Millisecond
 )
 
 func unavailable(cause Cause, comeBack time.Duration) *refusal {
-	return &refusal{status: http.StatusServiceUnavailable, cause: cause, comeBack: comeBack}
+	return &refusal{status: http.StatusServiceUnavailable, cause: cause, retryAfter: comeBack}
 }
 
 func denied(status int, cause Cause) *refusal { return &refusal{status: status, cause: cause} }
 
-// because adds what the decision went by, for the log.
-func (f *refusal) because(why error) *refusal {
-	f.why = why
+// withReason adds what the decision went by, for the log.
+func (f *refusal) withReason(why error) *refusal {
+	f.reason = why
 	return f
 }
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -45,33 +45,33 @@
 	h.Retries.First(h.Now(), q.service)
 	var kept *answer
 	for unreached := 0; ; {
-		if left(q.http) {
-			return h.giveUp(w, q, kept, &refusal{cause: CauseLeft})
+		if callerGone(q.http) {
+			return h.finishUnserved(w, q, kept, &refusal{cause: CauseLeft})
 		}
-		if refused := h.stillValid(q); refused != nil {
-			return h.giveUp(w, q, kept, refused)
+		if refused := h.revalidateKey(q); refused != nil {
+			return h.finishUnserved(w, q, kept, refused)
 		}
 		choice, err := h.Table.Choose(h.Now(), h.query(q))
 		if err != nil {
-			return h.giveUp(w, q, kept, h.noChoice(q, err))
+			return h.finishUnserved(w, q, kept, h.placementRefusal(q, err))
 		}
 		end, a := h.send(ctx, w, q, choice)
 		switch end {
 		case done:
 			return nil
 		case late:
-			return h.ended(q)
+			return h.timedOut(q)
 		case unsent:
 			unreached++
 		case failed:
 			kept = a
 		case lost:
-			q.tally.lost = true
+			q.attempts.mayHaveRun = true
 		case shed:
-			q.tally.shed = true
+			q.attempts.shed = true
 		}
-		if refused := h.mayRepeat(q, end, unreached); refused != nil {
-			return h.giveUp(w, q, kept, refused)
+		if refused := h.mayRetry(q, end, unreached); refused != nil {
+			return h.finishUnserved(w, q, kept, refused)
 		}
 	}
 }
@@ -84,15 +84,15 @@
 	}
 	return place.Query{
 		Service: q.service, Route: q.route.Name, Object: object, Homes: homes, Bound: bound,
-		Tried: q.tally.tried, BodyBytes: len(q.body.kept), Priority: catalog.Priority(q.route, q.customer),
+		Tried: q.attempts.tried, BodyBytes: len(q.body.buffered), Priority: catalog.Priority(q.route, q.customer),
 		Over: q.over, Target: q.route.Target, Remaining: q.until.Sub(h.Now()),
 	}
 }
 
-// mayRepeat tells whether the request may go to another upstream after a send
+// mayRetry tells whether the request may go to another upstream after a send
 // that ended without an answer; nil: it may.
-func (h *Handler) mayRepeat(q *request, end outcome, unreached int) *refusal {
-	why := q.why()
+func (h *Handler) mayRetry(q *request, end outcome, unreached int) *refusal {
+	why := q.notServed()
 	if end == unsent {
 		if unreached > maxUnsent || !q.body.repeatable() {
 			return why
@@ -102,84 +102,84 @@
 	if end != shed && !q.route.Kind.Idempotent() || !q.body.repeatable() {
 		return why
 	}
-	if q.tally.sends >= q.route.MaxAttempts || !h.Retries.Again(h.Now(), q.service) {
+	if q.attempts.sends >= q.route.MaxAttempts || !h.Retries.Again(h.Now(), q.service) {
 		return why
 	}
 	return nil
 }
 
-// why is the refusal that is true of what has happened so far.
-func (q *request) why() *refusal {
+// notServed is the refusal that is true of what has happened so far.
+func (q *request) notServed() *refusal {
 	switch {
-	case q.tally.lost:
+	case q.attempts.mayHaveRun:
 		return &refusal{status: http.StatusBadGateway, cause: CauseLost}
-	case q.tally.shed:
-		return unavailable(CauseShed, q.tally.wait/2+backSoon)
+	case q.attempts.shed:
+		return unavailable(CauseShed, q.attempts.longestWait/2+retrySoon)
 	}
-	return unavailable(CauseUnreachable, backCold)
+	return unavailable(CauseUnreachable, retryCold)
 }
 
-func (h *Handler) noChoice(q *request, err error) *refusal {
-	if q.tally.sends > 0 || len(q.tally.tried) > 0 {
-		return q.why()
+func (h *Handler) placementRefusal(q *request, err error) *refusal {
+	if q.attempts.sends > 0 || len(q.attempts.tried) > 0 {
+		return q.notServed()
 	}
 	var full *place.FullError
 	if errors.As(err, &full) {
-		return unavailable(CauseOverloaded, h.later(full.Wait)).because(err)
+		return unavailable(CauseOverloaded, h.retryAfterQueue(full.Wait)).withReason(err)
 	}
 	var none *place.NoneError
 	if errors.As(err, &none) && none.Reason != place.NoneKnown {
-		return unavailable(CauseNoUpstream, backCold).because(err)
+		return unavailable(CauseNoUpstream, retryCold).withReason(err)
 	}
-	return unavailable(CauseNoUpstream, 2*backCold).because(err)
+	return unavailable(CauseNoUpstream, 2*retryCold).withReason(err)
 }
 
-// later is when a request that found no room is told to come back: when half of
+// retryAfterQueue is when a request that found no room is told to come back: when half of
 // what waits now is done, spread over as long again, so that those who are
 // refused together do not return together.
-func (h *Handler) later(wait time.Duration) time.Duration {
-	base := wait/2 + backSoon
+func (h *Handler) retryAfterQueue(wait time.Duration) time.Duration {
+	base := wait/2 + retrySoon
 	return base + time.Duration(rand.Int64N(int64(base)))
 }
 
-// giveUp ends a request that no further upstream is asked for. An upstream's
+// finishUnserved ends a request that no further upstream is asked for. An upstream's
 // own failure goes before a refusal, and a doubt before a promise.
-func (h *Handler) giveUp(w http.ResponseWriter, q *request, kept *answer, refused *refusal) *refusal {
+func (h *Handler) finishUnserved(w http.ResponseWriter, q *request, kept *answer, refused *refusal) *refusal {
 	if kept != nil {
-		h.give(w, q, kept)
+		h.writeAnswer(w, q, kept)
 		return nil
 	}
-	if q.tally.lost && promises(refused.status) {
+	if q.attempts.mayHaveRun && saysNotRun(refused.status) {
 		refused = &refusal{status: http.StatusBadGateway, cause: refused.cause}
 	}
-	if q.customer != nil && promises(refused.status) {
-		h.Shares.Undo(q.customer.Name)
+	if q.customer != nil && saysNotRun(refused.status) {
+		h.Shares.Refund(q.customer.Name)
 	}
 	return refused
 }
 
-// promises tells whether a status says that the request has not run.
-func promises(status int) bool {
+// saysNotRun tells whether a status says that the request has not run.
+func saysNotRun(status int) bool {
 	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable ||
 		status == http.StatusUnauthorized
 }
 
-// ended is the answer to a request whose time is up.
-func (h *Handler) ended(q *request) *refusal {
+// timedOut is the answer to a request whose time is up.
+func (h *Handler) timedOut(q *request) *refusal {
 	if q.http.Context().Err() != nil {
 		return &refusal{cause: CauseLeft}
 	}
-	if q.tally.sends > 0 {
+	if q.attempts.sends > 0 {
 		return &refusal{status: http.StatusGatewayTimeout, cause: CauseTimeout}
 	}
-	return unavailable(CauseTimeout, backSoon)
+	return unavailable(CauseTimeout, retrySoon)
 }
 
 // send sends the request to one upstream.
 func (h *Handler) send(ctx context.Context, w http.ResponseWriter, q *request, c place.Choice) (end outcome, kept *answer) {
 	began := h.Now()
-	q.tally.tried = append(q.tally.tried, c.ID)
-	q.tally.wait = max(q.tally.wait, c.Wait)
+	q.attempts.tried = append(q.attempts.tried, c.ID)
+	q.attempts.longestWait = max(q.attempts.longestWait, c.Wait)
 	out := h.outgoing(q, c, began)
 	ended := spans{h.Tracer}.upstream(ctx, out.Header, c)
 	defer func() { ended(end) }()
@@ -187,13 +187,13 @@
 	var unsentError *h1.UnsentError
 	switch {
 	case err == nil:
-		q.tally.sends++
+		q.attempts.sends++
 		return h.receive(ctx, w, q, c, began, reply)
 	case errors.As(err, &unsentError):
 		return h.notSent(ctx, q, c, unsentError)
 	}
-	q.tally.sends++
-	return h.lose(ctx, q, c, err), nil
+	q.attempts.sends++
+	return h.recordNoAnswer(ctx, q, c, err), nil
 }
 
 func (h *Handler) outgoing(q *request, c place.Choice, now time.Time) *h1.Request {
@@ -222,8 +222,8 @@
 	return unsent, nil
 }
 
-// lose notes that the answer of an upstream is lost.
-func (h *Handler) lose(ctx context.Context, q *request, c place.Choice, err error) outcome {
+// recordNoAnswer notes that the answer of an upstream is lost.
+func (h *Handler) recordNoAnswer(ctx context.Context, q *request, c place.Choice, err error) outcome {
 	if ctx.Err() != nil {
 		h.Table.Done(h.Now(), c, place.Report{Result: place.Left})
 		return late
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -30,21 +30,21 @@
 }
 
 const (
-	// deniesFor is how long after ConfirmedAt a request may be denied because
+	// denyMaxAge is how long after ConfirmedAt a request may be denied because
 	// its route or key is unknown. A host that has fallen behind would deny
 	// what was added meanwhile, for good, where "come back" is true.
-	deniesFor = 3200 * time.Millisecond
-	// strayFor is the age of the configuration up to which a host that stands by
+	denyMaxAge = 3200 * time.Millisecond
+	// standbyMaxAge is the age of the configuration up to which a host that stands by
 	// serves a caller that has an old answer of the directory. It is the longest
 	// pause between two looks at the store of a host that takes callers: with an
 	// older list of upstreams a request would go to one that has left.
-	strayFor = 1500 * time.Millisecond
+	standbyMaxAge = 1500 * time.Millisecond
 	// refreshFor bounds the wait for a look at the store on behalf of such a
 	// caller: the way to the farthest region and back three times.
 	refreshFor = 350 * time.Millisecond
-	// defaultPatience bounds a request of which neither the caller nor its
+	// defaultTimeBudget bounds a request of which neither the caller nor its
 	// route says how long it may take.
-	defaultPatience = 30 * time.Second
+	defaultTimeBudget = 30 * time.Second
 )
 
 // starting tells whether the host does not know yet what it needs for any request.
--- a/internal/h1/rest.go
+++ b/internal/h1/rest.go
@@ -12,11 +12,9 @@
 // earlier than it says and without notice. Whatever is sent on it next is reset. A
 // read is sent again; a posting's outcome stays in doubt, and its caller gets an
 // error for it. A fixed bound of two seconds is longer than the 0.3 s after which
-// some upstreams forget, and where nothing is forgotten most postings to another
-// region wait for a new connection: of 2,250 top-ups on a calm day 107 were late that
-// had met a warm upstream of another region without a queue, and 54 with a bound of
-// six seconds. So what the upstream says goes, until a connection has turned out
-// forgotten.
+// some upstreams forget, and where nothing is forgotten it makes most postings to
+// another region wait for a new connection. So what the upstream says goes, until a
+// connection has turned out forgotten.
 //
 // A reset alone does not show that: an upstream that loses answers resets busy
 // connections too. One that had hardly rested tells the two apart.
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -40,9 +40,9 @@
 	// Warm says that the upstream has answered about the object lately, as far as is known.
 	Warm bool
 
-	worker *worker
-	object Object
-	route  string
+	upstream *upstream
+	object   Object
+	route    string
 	// cold: the upstream itself has just started.
 	cold bool
 }
@@ -71,8 +71,8 @@
 func (e *NoneError) Error() string { return "place: " + e.Service + ": " + string(e.Reason) }
 
 type candidate struct {
-	*worker
-	leg    *leg
+	*upstream
+	path   *zonePath
 	weight uint64
 	cold   bool
 	warm   bool
@@ -87,25 +87,25 @@
 	defer t.mu.Unlock()
 	object := objectOf(q.Route, q.Object)
 	s := t.survey(now, q, object)
-	if len(s.open) == 0 {
+	if len(s.candidates) == 0 {
 		return Choice{}, &NoneError{q.Service, s.reason}
 	}
 	t.estimate(now, q, object, s)
-	t.holdBack(now, s)
-	return t.first(now, q, object, s.open)
+	t.limitShift(now, s)
+	return t.chooseCheapest(now, q, object, s.candidates)
 }
 
-// first takes the first candidate, by cost, that may be asked. One at which the
+// chooseCheapest takes the first candidate, by cost, that may be asked. One at which the
 // request would wait too long ends the search: the others cost more, because
 // the work there is cold and would take the room of several warm requests.
-func (t *Table) first(now time.Time, q Query, object Object, list []candidate) (Choice, error) {
+func (t *Table) chooseCheapest(now time.Time, q Query, object Object, list []candidate) (Choice, error) {
 	for len(list) > 0 {
 		i := cheapest(list)
 		c := list[i]
-		if allowed := t.allowed(now, q, c); c.wait > allowed {
+		if allowed := t.queueLimit(now, q, c); c.wait > allowed {
 			return Choice{}, &FullError{q.Service, c.wait, allowed}
 		}
-		if c.cold && !c.pace.take(now, t.coldRate(c.Service)) {
+		if c.cold && !c.slowStart.take(now, t.coldRate(c.Service)) {
 			last := len(list) - 1
 			list[i] = list[last]
 			list = list[:last]
@@ -113,13 +113,13 @@
 		}
 		warm := object == 0 || c.hasAnswered(now, object)
 		if object != 0 {
-			t.asked(now, c.worker, object)
+			t.recordSent(now, c.upstream, object)
 		}
 		c.load.inflight++
-		t.mix.note(now, c.region)
+		t.shares.observe(now, c.region)
 		return Choice{
 			ID: c.ID, Address: c.Address, Zone: c.Zone, Region: c.region, Expected: c.finish, Wait: c.wait,
-			worker: c.worker, object: object, route: q.Route, Warm: warm, cold: c.cold,
+			upstream: c.upstream, object: object, route: q.Route, Warm: warm, cold: c.cold,
 		}, nil
 	}
 	return Choice{}, &NoneError{q.Service, NoneWarm}
@@ -137,21 +137,21 @@
 	return best
 }
 
-// allowed is how long the request may wait at a candidate.
-func (t *Table) allowed(now time.Time, q Query, c candidate) time.Duration {
+// queueLimit is how long the request may wait at a candidate.
+func (t *Table) queueLimit(now time.Time, q Query, c candidate) time.Duration {
 	rest := c.finish - c.wait
-	r := t.ranks[q.Service]
+	r := t.queueLimits[q.Service]
 	if r == nil {
-		r = ranks{}
-		t.ranks[q.Service] = r
+		r = queueLimits{}
+		t.queueLimits[q.Service] = r
 	}
 	target := q.Target
 	if target == 0 {
 		target = q.Remaining
 	}
-	wait := min(r.allow(now, q.Priority, target, rest), max(q.Remaining-rest, 0))
+	wait := min(r.limit(now, q.Priority, target, rest), max(q.Remaining-rest, 0))
 	if q.Over {
-		return min(wait, time.Duration(overWait*float64(inTime(target, rest))))
+		return min(wait, time.Duration(overRateQueuePart*float64(inTimeWait(target, rest))))
 	}
 	return wait
 }
--- a/internal/place/estimate.go
+++ b/internal/place/estimate.go
@@ -5,21 +5,21 @@
 	"time"
 )
 
-// rankPart of what warm work saves is added to the expected finish for each rank,
+// rankPenaltyPart of what warm work saves is added to the expected finish for each rank,
 // so that all hosts prefer the same upstream as an object's next one.
 const (
-	rankPart = 1.0 / 16
-	rankMost = 8
+	rankPenaltyPart = 1.0 / 16
+	maxRanks        = 8
 )
 
 // estimate fills in the expected finish and the cost of each candidate.
 func (t *Table) estimate(now time.Time, q Query, object Object, s *survey) {
-	list := s.open
+	list := s.candidates
 	t.markWarm(now, q, object, list)
 	e := t.estimator(q, object)
 	for i := range list {
 		c := &list[i]
-		load := c.load.expect(now)
+		load := c.load.estimate(now)
 		e.finish(c, load)
 		e.cost(c, load)
 	}
@@ -29,9 +29,9 @@
 	top := rank(list)
 	for place, i := range top.index[:top.n] {
 		// The others have the last rank.
-		list[i].cost -= time.Duration(rankMost-place) * e.rank
+		list[i].cost -= time.Duration(maxRanks-place) * e.rank
 	}
-	if first := &list[top.index[0]]; t.joins(now, *first) {
+	if first := &list[top.index[0]]; t.needsFirstObject(now, *first) {
 		first.cost = first.wait
 	}
 }
@@ -42,51 +42,51 @@
 	query Query
 	// affine says that the request is about an object.
 	affine bool
-	route  *work
+	route  *serviceTime
 	// queued is how long a request that waits takes.
 	queued time.Duration
 	// rank and away are added for each rank and where the object has not its home.
 	rank, away time.Duration
-	// here says that its home is in this region.
-	here bool
+	// homeHere says that its home is in this region.
+	homeHere bool
 }
 
 func (t *Table) estimator(q Query, object Object) *estimator {
-	route := of(t.work, q.Route)
-	route.expect(q.Target)
+	route := getOrCreate(t.serviceTimes, q.Route)
+	route.setInitial(q.Target)
 	return &estimator{
-		table: t, query: q, affine: object != 0, route: route, queued: t.queued(q.Service, route),
-		rank: time.Duration(rankPart * float64(route.gain())), away: t.awayStep(route),
-		here: t.way.heavy(q.Route) || t.livesHere(object),
+		table: t, query: q, affine: object != 0, route: route, queued: t.queuedWork(q.Service, route),
+		rank: time.Duration(rankPenaltyPart * float64(route.affinityGain())), away: t.awayPenalty(route),
+		homeHere: t.links.staysInZone(q.Route) || t.isHomeRegion(object),
 	}
 }
 
 // finish fills in how long the request would wait and take where load requests are.
 func (e *estimator) finish(c *candidate, load float64) {
-	c.wait = waiting(load, c.Slots, time.Duration(float64(e.queued)*c.health.slowness))
+	c.wait = queueTime(load, c.Slots, time.Duration(float64(e.queued)*c.health.slowness))
 	work := time.Duration(float64(e.route.estimate(c.warm)) * c.health.slowness)
-	c.finish = work + c.wait + c.leg.way
+	c.finish = work + c.wait + c.path.roundTrip
 }
 
 // cost adds what a choice costs others to the finish of a candidate of the last rank.
 func (e *estimator) cost(c *candidate, load float64) {
-	c.cost = c.finish + c.leg.transfer + time.Duration(c.health.failures*float64(failureCost))
+	c.cost = c.finish + c.path.transferCost + time.Duration(c.health.failures*float64(failureCost))
 	if !e.affine {
 		return
 	}
-	c.cost += rankMost * e.rank
+	c.cost += maxRanks * e.rank
 	if c.warm {
 		return
 	}
-	c.cost += displaced(load, c.Slots, e.route)
-	if c.leg.here != e.here {
+	c.cost += displacedWork(load, c.Slots, e.route)
+	if c.path.local != e.homeHere {
 		c.cost += e.away
 	}
 }
 
-// queued is how long a request that waits at an upstream of a service takes.
-func (t *Table) queued(service string, route *work) time.Duration {
-	if usual := of(t.usual, service); usual.samples > 0 {
+// queuedWork is how long a request that waits at an upstream of a service takes.
+func (t *Table) queuedWork(service string, route *serviceTime) time.Duration {
+	if usual := getOrCreate(t.queuedTimes, service); usual.samples > 0 {
 		return usual.value
 	}
 	return route.estimate(true)
@@ -113,28 +113,28 @@
 			nearest = i
 		}
 	}
-	if nearest >= 0 && t.way.heavy(q.Route) {
+	if nearest >= 0 && t.links.staysInZone(q.Route) {
 		list[nearest].warm = true
 	}
 }
 
-// mostDisplaced bounds what cold work is reckoned to take from others, in full
+// maxDisplaced bounds what cold work is reckoned to take from others, in full
 // upstreams.
-const mostDisplaced = 2.0
+const maxDisplaced = 2.0
 
-// displaced is what cold work at an upstream takes from the requests that it
+// displacedWork is what cold work at an upstream takes from the requests that it
 // would do warm in the same time, as far as it has any. Without it, requests that
 // would wait long where they are warm go where they are cold as soon as that is
 // a little sooner for themselves; each then takes the room of several, all queues
 // grow, and more go cold, long after the burst that began it.
-func displaced(load float64, slots int, w *work) time.Duration {
-	busy := min(load/float64(slots), mostDisplaced)
-	return time.Duration(busy * float64(w.gain()))
+func displacedWork(load float64, slots int, w *serviceTime) time.Duration {
+	busy := min(load/float64(slots), maxDisplaced)
+	return time.Duration(busy * float64(w.affinityGain()))
 }
 
-// waiting is how long a new request waits for one of the slots, if each of those
+// queueTime is how long a new request waits for one of the slots, if each of those
 // before it takes as long as given.
-func waiting(load float64, slots int, each time.Duration) time.Duration {
+func queueTime(load float64, slots int, each time.Duration) time.Duration {
 	ahead := load + 1 - float64(slots)
 	if ahead <= 0 {
 		return 0
--- a/internal/place/join.go
+++ b/internal/place/firstobject.go
@@ -10,11 +10,11 @@
 // objects that rank it first, until it has been asked once; from then on these are
 // warm there, and it takes part by load.
 
-// joinAfter is how long an upstream is left to the usual choice first. Hosts that
+// joinDelay is how long an upstream is left to the usual choice first. Hosts that
 // have all started again do not spread objects that are warm elsewhere at once.
-const joinAfter = 2 * time.Second
+const joinDelay = 2 * time.Second
 
-// joins tells whether a candidate gets an object because nobody has asked it yet.
-func (t *Table) joins(now time.Time, first candidate) bool {
-	return !first.used && now.Sub(first.since) >= joinAfter && t.warms(first.worker)
+// needsFirstObject tells whether a candidate gets an object because nobody has asked it yet.
+func (t *Table) needsFirstObject(now time.Time, first candidate) bool {
+	return !first.used && now.Sub(first.since) >= joinDelay && t.isSlowStartSender(first.upstream)
 }
--- a/internal/place/holders.go
+++ b/internal/place/holders.go
@@ -8,29 +8,29 @@
 // The upstreams know which objects they have handled; holders is the same by object,
 // so that a request need not look at all upstreams.
 
-// asked notes that an upstream is sent a request about an object.
-func (t *Table) asked(now time.Time, w *worker, object Object) {
-	t.hold(w, object)
-	w.ask(now, object)
+// recordSent notes that an upstream is sent a request about an object.
+func (t *Table) recordSent(now time.Time, w *upstream, object Object) {
+	t.addHolder(w, object)
+	w.markSent(now, object)
 }
 
-// hold makes room for an object at an upstream that does not know it yet. One that has
+// addHolder makes room for an object at an upstream that does not know it yet. One that has
 // been removed meanwhile holds nothing.
-func (t *Table) hold(w *worker, object Object) {
+func (t *Table) addHolder(w *upstream, object Object) {
 	if _, ok := w.warm[object]; ok || t.byID[w.ID] != w {
 		return
 	}
-	if len(w.warm) >= warmMost {
-		t.drop(w, w.oldest())
+	if len(w.warm) >= maxWarmObjects {
+		t.dropHolder(w, w.leastRecentObject())
 	}
-	w.warm[object] = warmth{}
+	w.warm[object] = warmState{}
 	t.holders[object] = append(t.holders[object], w)
 }
 
-// drop forgets that an upstream knows an object.
-func (t *Table) drop(w *worker, object Object) {
+// dropHolder forgets that an upstream knows an object.
+func (t *Table) dropHolder(w *upstream, object Object) {
 	delete(w.warm, object)
-	list := slices.DeleteFunc(t.holders[object], func(x *worker) bool { return x == w })
+	list := slices.DeleteFunc(t.holders[object], func(x *upstream) bool { return x == w })
 	if len(list) == 0 {
 		delete(t.holders, object)
 		return
@@ -38,17 +38,17 @@
 	t.holders[object] = list
 }
 
-// dropAll forgets what an upstream knows.
-func (t *Table) dropAll(w *worker) {
+// dropHolders forgets what an upstream knows.
+func (t *Table) dropHolders(w *upstream) {
 	for object := range w.warm {
-		t.drop(w, object)
+		t.dropHolder(w, object)
 	}
 }
 
-// refused notes that an upstream has not done what it was asked for.
-func (t *Table) refused(w *worker, object Object) {
+// dropUnanswered notes that an upstream has not done what it was asked for.
+func (t *Table) dropUnanswered(w *upstream, object Object) {
 	if known, ok := w.warm[object]; ok && !known.answered {
-		t.drop(w, object)
+		t.dropHolder(w, object)
 	}
 }
 
--- a/internal/place/holders_test.go
+++ b/internal/place/holders_test.go
@@ -22,7 +22,7 @@
 	put("stays")
 	put("leaves")
 	var late []Choice
-	for i := range 50 * warmMost {
+	for i := range 50 * maxWarmObjects {
 		now = now.Add(time.Millisecond)
 		c, err := table.Choose(now, Query{Service: "s", Route: "r", Object: fmt.Sprint(i), Target: time.Second, Remaining: time.Hour})
 		if err != nil {
@@ -47,5 +47,5 @@
 		}
 	}
 	g.Expect(held).To(Equal(len(table.byID["stays"].warm)))
-	g.Expect(held).To(BeNumerically("<=", warmMost))
+	g.Expect(held).To(BeNumerically("<=", maxWarmObjects))
 }
--- a/internal/place/home.go
+++ b/internal/place/home.go
@@ -16,23 +16,23 @@
 	awayPart = 0.25
 )
 
-// awayStep is added to the expected finish where an object has not its home: more
+// awayPenalty is added to the expected finish where an object has not its home: more
 // than the way between regions, so that the home counts, and no more than what is
 // lost by cold work.
-func (t *Table) awayStep(route *work) time.Duration {
-	return min(t.way.farthest()+time.Duration(awayPart*float64(route.gain())), route.gain())
+func (t *Table) awayPenalty(route *serviceTime) time.Duration {
+	return min(t.links.longestRoundTrip()+time.Duration(awayPart*float64(route.affinityGain())), route.affinityGain())
 }
 
-// homePart is the part of this region's objects that has its home here, by the slots
+// homeShare is the part of this region's objects that has its home here, by the slots
 // of the upstreams that may be asked.
-func (t *Table) homePart() float64 {
+func (t *Table) homeShare() float64 {
 	own, all, regions := 0, 0, 0
-	for i, l := range t.zoneLegs {
-		all += l.open
-		if l.here {
-			own += l.open
+	for i, l := range t.zonePaths {
+		all += l.openSlots
+		if l.local {
+			own += l.openSlots
 		}
-		if l.open > 0 && t.firstOpen(i) {
+		if l.openSlots > 0 && t.isFirstOpenZone(i) {
 			regions++
 		}
 	}
@@ -42,18 +42,18 @@
 	return float64(own) * float64(regions) / float64(all)
 }
 
-// firstOpen tells whether a zone is the first of its region that has slots.
-func (t *Table) firstOpen(i int) bool {
-	for _, l := range t.zoneLegs[:i] {
-		if l.open > 0 && l.region == t.zoneLegs[i].region {
+// isFirstOpenZone tells whether a zone is the first of its region that has slots.
+func (t *Table) isFirstOpenZone(i int) bool {
+	for _, l := range t.zonePaths[:i] {
+		if l.openSlots > 0 && l.region == t.zonePaths[i].region {
 			return false
 		}
 	}
 	return true
 }
 
-// livesHere tells whether the object has its home in this region.
-func (t *Table) livesHere(object Object) bool {
+// isHomeRegion tells whether the object has its home in this region.
+func (t *Table) isHomeRegion(object Object) bool {
 	const buckets = 1 << 16
-	return float64(weight(uint64(object), t.regionHash)%buckets) < t.homePart()*buckets
+	return float64(weight(uint64(object), t.regionHash)%buckets) < t.homeShare()*buckets
 }
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// loadMemory is the time in which what an upstream said of others' requests
+	// loadDecay is the time in which what an upstream said of others' requests
 	// loses most of its meaning.
-	loadMemory = 400 * time.Millisecond
+	loadDecay = 400 * time.Millisecond
 	// meanGain is the weight of one account in the mean of others' requests.
 	meanGain = 0.1
 )
@@ -24,27 +24,27 @@
 	others float64
 	at     time.Time
 	// mean of others over the last accounts.
-	mean float64
-	told bool
+	mean     float64
+	reported bool
 }
 
-// note takes an account in. The account and inflight both still count the request
+// observe takes an account in. The account and inflight both still count the request
 // that is answered with it.
-func (l *load) note(now time.Time, told traffic.Load) {
+func (l *load) observe(now time.Time, told traffic.Load) {
 	others := max(float64(told.Running+told.Waiting-l.inflight), 0)
-	if !l.told {
+	if !l.reported {
 		l.mean = others
 	}
-	l.told = true
+	l.reported = true
 	l.mean += meanGain * (others - l.mean)
 	l.others, l.at = others, now
 }
 
-// expect is the number of requests that are at the upstream now.
-func (l *load) expect(now time.Time) float64 {
-	if !l.told {
+// estimate is the number of requests that are at the upstream now.
+func (l *load) estimate(now time.Time) float64 {
+	if !l.reported {
 		return float64(l.inflight)
 	}
-	fade := math.Exp(-float64(now.Sub(l.at)) / float64(loadMemory))
+	fade := math.Exp(-float64(now.Sub(l.at)) / float64(loadDecay))
 	return float64(l.inflight) + l.mean + (l.others-l.mean)*fade
 }
--- a/internal/place/memory.go
+++ b/internal/place/memory.go
@@ -42,13 +42,13 @@
 			m.Upstreams = append(m.Upstreams, known)
 		}
 	}
-	for name, w := range t.work {
-		m.Routes = append(m.Routes, RouteMemory{Name: name, Warm: w.warm.value, Cold: w.cold.value, Bytes: int(t.way.bytes[name])})
+	for name, w := range t.serviceTimes {
+		m.Routes = append(m.Routes, RouteMemory{Name: name, Warm: w.warm.value, Cold: w.cold.value, Bytes: int(t.links.answerBytes[name])})
 	}
 	return m
 }
 
-func (w *worker) memory(now time.Time) UpstreamMemory {
+func (w *upstream) memory(now time.Time) UpstreamMemory {
 	out := UpstreamMemory{ID: w.ID, Born: w.Born}
 	for object, known := range w.warm {
 		if age := now.Sub(known.at); known.answered && age < WarmFor {
@@ -58,34 +58,34 @@
 	return out
 }
 
-// Recall takes over what was known before this process began, and returns the
+// Restore takes over what was known before this process began, and returns the
 // number of objects. What was learned since goes before it, and an upstream that
 // has started again holds nothing of before.
-func (t *Table) Recall(now time.Time, m Memory) int {
+func (t *Table) Restore(now time.Time, m Memory) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	objects := 0
 	for _, known := range m.Upstreams {
 		if w := t.byID[known.ID]; w != nil && w.Born == known.Born {
-			objects += t.recall(now, w, known.Objects)
+			objects += t.restoreObjects(now, w, known.Objects)
 		}
 	}
 	for _, r := range m.Routes {
-		of(t.work, r.Name).recall(r)
-		if _, ok := t.way.bytes[r.Name]; !ok && r.Bytes > 0 {
-			t.way.bytes[r.Name] = float64(r.Bytes)
+		getOrCreate(t.serviceTimes, r.Name).restore(r)
+		if _, ok := t.links.answerBytes[r.Name]; !ok && r.Bytes > 0 {
+			t.links.answerBytes[r.Name] = float64(r.Bytes)
 		}
 	}
 	return objects
 }
 
-func (t *Table) recall(now time.Time, w *worker, objects []ObjectMemory) int {
+func (t *Table) restoreObjects(now time.Time, w *upstream, objects []ObjectMemory) int {
 	n := 0
 	for _, o := range objects {
-		if _, ok := w.warm[o.Object]; ok || o.Age >= WarmFor || len(w.warm) >= warmMost {
+		if _, ok := w.warm[o.Object]; ok || o.Age >= WarmFor || len(w.warm) >= maxWarmObjects {
 			continue
 		}
-		t.hear(now, now.Add(-o.Age), w, o.Object)
+		t.applyWarm(now, now.Add(-o.Age), w, o.Object)
 		n++
 	}
 	return n
--- a/internal/place/memory_test.go
+++ b/internal/place/memory_test.go
@@ -39,7 +39,7 @@
 			after := full(t, "a1")
 			after.Put(start, upstream("a1-9", "a1"))
 			c.change(after, &m)
-			g.Expect(after.Recall(start, m)).To(Equal(map[bool]int{true: 1}[c.stays]))
+			g.Expect(after.Restore(start, m)).To(Equal(map[bool]int{true: 1}[c.stays]))
 			choice := ask(t, after, start, query("object"))
 			g.Expect(choice.Warm).To(Equal(c.stays))
 			g.Expect(choice.ID == "a1-9").To(Equal(c.stays))
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -90,13 +90,13 @@
 		homes[fmt.Sprint(i)] = ask(t, one, start, query(fmt.Sprint(i))).ID
 	}
 	var news []uint64
-	for _, n := range one.News(start) {
+	for _, n := range one.WarmReports(start) {
 		news = append(news, uint64(n))
 	}
 	g.Expect(news).To(HaveLen(40))
-	g.Expect(one.News(start.Add(time.Second))).To(BeEmpty(), "each fact is told once")
-	far.Hear(start, news)
-	g.Expect(far.News(start)).To(BeEmpty(), "and not told on")
+	g.Expect(one.WarmReports(start.Add(time.Second))).To(BeEmpty(), "each fact is told once")
+	far.ApplyWarmReports(start, news)
+	g.Expect(far.WarmReports(start)).To(BeEmpty(), "and not told on")
 	for object, home := range homes {
 		g.Expect(ask(t, far, start, query(object)).ID).To(Equal(home))
 	}
--- a/internal/place/room.go
+++ b/internal/place/queuelimit.go
@@ -7,52 +7,51 @@
 // Load pattern: a burst, a hot customer or the loss of a zone brings twice what
 // the upstreams can do, for some seconds. Without a bound queues fill until the
 // upstreams refuse. With a bound as tight as the target, requests are refused
-// that the end of the burst would have served. With the bound below the end of a burst
-// is served, and nobody waits who could not be served in time.
+// that the end of the burst would have served.
 const (
-	// waitPart is how long a request may wait, in parts of what its target
+	// queueLimitFactor is how long a request may wait, in parts of what its target
 	// leaves beside work and way.
-	waitPart = 4
-	// leastWait is the part of its target that a request may always wait: one
+	queueLimitFactor = 4
+	// minQueuePart is the part of its target that a request may always wait: one
 	// whose work alone takes longer is late in any case, and warms the upstream
 	// for the next.
-	leastWait = 0.25
-	// overWait is the part of the wait within which it would be served in time that
+	minQueuePart = 0.25
+	// overRateQueuePart is the part of the wait within which it would be served in time that
 	// a request may wait whose customer asks for more than its rate. Its callers
 	// have more to ask at any time; if they fill the queues, those of all other
 	// customers are late as well.
-	overWait = 2.0 / 3
-	// urgentPart is what a less urgent request may wait of the wait that is
+	overRateQueuePart = 2.0 / 3
+	// lowerPriorityPart is what a less urgent request may wait of the wait that is
 	// allowed to a more urgent one of the same service. Otherwise those with
 	// the longer target would fill the queues first.
-	urgentPart = 0.75
-	// rankMemory is how long a more urgent kind of request is reckoned with
+	lowerPriorityPart = 0.75
+	// priorityMemory is how long a more urgent kind of request is reckoned with
 	// after the last one.
-	rankMemory = 5 * time.Second
+	priorityMemory = 5 * time.Second
 )
 
-// ranks is the wait that is allowed to each priority of one service.
-type ranks map[int]allowance
+// queueLimits is the wait that is allowed to each priority of one service.
+type queueLimits map[int]queueLimit
 
-type allowance struct {
+type queueLimit struct {
 	wait time.Duration
 	at   time.Time
 }
 
-// inTime is how long a request may wait and be served in time, if its work and way
+// inTimeWait is how long a request may wait and be served in time, if its work and way
 // take rest of its target; leastWait of the target at least.
-func inTime(target, rest time.Duration) time.Duration {
-	return max(target-rest, time.Duration(leastWait*float64(target)))
+func inTimeWait(target, rest time.Duration) time.Duration {
+	return max(target-rest, time.Duration(minQueuePart*float64(target)))
 }
 
-// allow is how long a request of the priority may wait if its work and way take
+// limit is how long a request of the priority may wait if its work and way take
 // rest of its target.
-func (r ranks) allow(now time.Time, priority int, target, rest time.Duration) time.Duration {
-	wait := waitPart * inTime(target, rest)
-	r[priority] = allowance{wait, now}
+func (r queueLimits) limit(now time.Time, priority int, target, rest time.Duration) time.Duration {
+	wait := queueLimitFactor * inTimeWait(target, rest)
+	r[priority] = queueLimit{wait, now}
 	for p, a := range r {
-		if p < priority && now.Sub(a.at) < rankMemory {
-			wait = min(wait, time.Duration(urgentPart*float64(a.wait)))
+		if p < priority && now.Sub(a.at) < priorityMemory {
+			wait = min(wait, time.Duration(lowerPriorityPart*float64(a.wait)))
 		}
 	}
 	return wait
--- a/internal/place/pace.go
+++ b/internal/place/slowstart.go
@@ -3,30 +3,30 @@
 import "time"
 
 const (
-	// coldPart of what a cold upstream bears is sent. The rest is for a second
+	// slowStartPart of what a cold upstream bears is sent. The rest is for a second
 	// host that believes, for a moment after a change of members, that it is
 	// the one to send.
-	coldPart = 0.85
-	// coldDepth lets requests that arrive close together through.
-	coldDepth = 2
+	slowStartPart = 0.85
+	// slowStartBurst lets requests that arrive close together through.
+	slowStartBurst = 2
 )
 
-// pace bounds what is sent to a cold upstream: it crashes at well above what it
+// slowStart bounds what is sent to a cold upstream: it crashes at well above what it
 // bears. One host alone sends to it, so no count has to be shared.
-type pace struct {
+type slowStart struct {
 	tokens float64
 	at     time.Time
 }
 
 // take uses one request of rate per second; rate 0 is no bound.
-func (p *pace) take(now time.Time, rate float64) bool {
+func (p *slowStart) take(now time.Time, rate float64) bool {
 	if rate <= 0 {
 		return true
 	}
 	if p.at.IsZero() {
 		p.tokens = 1
 	} else {
-		p.tokens = min(p.tokens+now.Sub(p.at).Seconds()*rate*coldPart, coldDepth)
+		p.tokens = min(p.tokens+now.Sub(p.at).Seconds()*rate*slowStartPart, slowStartBurst)
 	}
 	p.at = now
 	if p.tokens < 1 {
@@ -36,18 +36,18 @@
 	return true
 }
 
-// warms tells whether this host is the one that sends to a cold upstream. One
+// isSlowStartSender tells whether this host is the one that sends to a cold upstream. One
 // alone does, by rendezvous among the ready hosts of the upstream's zone, else
 // of its region, else all: each host then knows the whole rate.
-func (t *Table) warms(w *worker) bool {
-	if w.warmedAt != t.hostsAt {
-		w.warmedAt, w.warmedHere = t.hostsAt, t.warmer(w) == t.self.Instance
+func (t *Table) isSlowStartSender(w *upstream) bool {
+	if w.senderGeneration != t.hostsGeneration {
+		w.senderGeneration, w.isSender = t.hostsGeneration, t.slowStartSender(w) == t.self.Instance
 	}
-	return w.warmedHere
+	return w.isSender
 }
 
-// warmer is the instance that sends to a cold upstream; "" if no host is ready.
-func (t *Table) warmer(w *worker) string {
+// slowStartSender is the instance that sends to a cold upstream; "" if no host is ready.
+func (t *Table) slowStartSender(w *upstream) string {
 	// The nearest hosts come last, so that one of them has the last word.
 	var byDistance [3]struct {
 		instance string
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -23,30 +23,30 @@
 	zones map[string]string
 
 	mu   sync.Mutex
-	byID map[string]*worker
+	byID map[string]*upstream
 	// byHash has the upstreams by the lower half of their hash.
-	byHash   map[uint32]*worker
-	services map[string][]*worker
+	byHash   map[uint32]*upstream
+	services map[string][]*upstream
 	declared *catalog.Catalog
 	evacuate map[string]bool
 	// hosts are those that are ready, hostHashes those of their instances, and hostsAt
 	// grows with each change of them.
-	hosts      []Host
-	hostHashes []uint64
-	hostsAt    uint64
+	hosts           []Host
+	hostHashes      []uint64
+	hostsGeneration uint64
 	// holders are the upstreams that may be warm for an object.
-	holders map[Object][]*worker
+	holders map[Object][]*upstream
 	// mark grows with each request about an object, and turn with each other one.
-	mark, turn uint64
-	zoneLegs   []leg
-	surveyed   survey
-	regionHash uint64
-	work       map[string]*work
-	// usual is the mean work of a service, for what waits at its upstreams.
-	usual map[string]*mean
-	ranks map[string]ranks
-	way   ways
-	mix   mix
+	mark, sequence uint64
+	zonePaths      []zonePath
+	scratch        survey
+	regionHash     uint64
+	serviceTimes   map[string]*serviceTime
+	// queuedTimes is the mean work of a service, for what waits at its upstreams.
+	queuedTimes map[string]*mean
+	queueLimits map[string]queueLimits
+	links       linkCosts
+	shares      regionShares
 	// maxShift bounds how fast the regions in which requests run change.
 	maxShift float64
 }
@@ -55,10 +55,10 @@
 // region of each zone.
 func NewTable(self Host, zones map[string]string) *Table {
 	return &Table{
-		self: self, zones: zones, byID: map[string]*worker{}, byHash: map[uint32]*worker{},
-		services: map[string][]*worker{}, evacuate: map[string]bool{}, work: map[string]*work{},
-		usual: map[string]*mean{}, ranks: map[string]ranks{}, holders: map[Object][]*worker{},
-		way: newWays(self), regionHash: hash(self.Region), hostsAt: 1,
+		self: self, zones: zones, byID: map[string]*upstream{}, byHash: map[uint32]*upstream{},
+		services: map[string][]*upstream{}, evacuate: map[string]bool{}, serviceTimes: map[string]*serviceTime{},
+		queuedTimes: map[string]*mean{}, queueLimits: map[string]queueLimits{}, holders: map[Object][]*upstream{},
+		links: newLinkCosts(self), regionHash: hash(self.Region), hostsGeneration: 1,
 	}
 }
 
@@ -80,7 +80,7 @@
 	for _, h := range hosts {
 		t.hostHashes = append(t.hostHashes, hash(h.Instance))
 	}
-	t.hostsAt++
+	t.hostsGeneration++
 }
 
 // Evacuate says which zones get nothing new. The upstreams of a zone that comes
@@ -119,26 +119,26 @@
 	w := t.byID[u.ID]
 	news := w == nil || w.Born != u.Born || w.State != u.State || w.Address != u.Address || w.Service != u.Service
 	if w == nil {
-		w = newWorker(now, u, t.zones[u.Zone])
+		w = newUpstream(now, u, t.zones[u.Zone])
 		t.byID[u.ID], t.byHash[uint32(w.id)] = w, w
 		t.services[u.Service] = append(t.services[u.Service], w)
 	} else {
 		t.replace(now, w, u)
 	}
-	w.leg, w.warmedAt = t.legOf(u.Zone), 0
+	w.zonePath, w.senderGeneration = t.zonePathIndex(u.Zone), 0
 	w.coldUntil = now.Add(u.ColdFor)
 	// It is alive, and says itself whether it is cold.
-	w.health.doubt = time.Time{}
+	w.health.restartDoubtUntil = time.Time{}
 	return news
 }
 
-func (t *Table) replace(now time.Time, w *worker, u catalog.Upstream) {
+func (t *Table) replace(now time.Time, w *upstream, u catalog.Upstream) {
 	if w.Born != u.Born || w.Address != u.Address {
-		t.dropAll(w)
-		w.restarted(now)
+		t.dropHolders(w)
+		w.reset(now)
 	}
 	if w.Service != u.Service {
-		t.unlist(w)
+		t.removeFromService(w)
 		t.services[u.Service] = append(t.services[u.Service], w)
 	}
 	w.Upstream, w.region = u, t.zones[u.Zone]
@@ -156,11 +156,11 @@
 	if t.byHash[uint32(w.id)] == w {
 		delete(t.byHash, uint32(w.id))
 	}
-	t.dropAll(w)
-	t.unlist(w)
+	t.dropHolders(w)
+	t.removeFromService(w)
 }
 
-func (t *Table) unlist(w *worker) {
+func (t *Table) removeFromService(w *upstream) {
 	list := t.services[w.Service]
 	if i := slices.Index(list, w); i >= 0 {
 		t.services[w.Service] = slices.Delete(list, i, i+1)
@@ -214,64 +214,64 @@
 func (t *Table) Done(now time.Time, c Choice, r Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := c.worker
+	w := c.upstream
 	if r.Told {
-		w.load.note(now, r.Load)
+		w.load.observe(now, r.Load)
 	}
 	w.load.inflight--
 	if r.Connect > 0 {
-		t.way.note(w.region, r.Connect)
+		t.links.observeRTT(w.region, r.Connect)
 	}
 	if r.ColdFor > 0 {
 		w.coldUntil = now.Add(r.ColdFor)
 	}
 	switch r.Result {
 	case Answered:
-		w.health.good()
+		w.health.recordSuccess()
 		t.learn(now, c, r)
 	case Failed:
-		w.health.bad()
+		w.health.recordFailure()
 	case Lost:
-		w.health.noAnswer(now)
+		w.health.recordNoAnswer(now)
 	case Unreachable:
-		w.health.unreachable(now)
-		t.refused(w, c.object)
+		w.health.recordUnreachable(now)
+		t.dropUnanswered(w, c.object)
 	case Misdirected:
-		t.refused(w, c.object)
+		t.dropUnanswered(w, c.object)
 		// Its own entry will go; until then nobody is sent there.
 		w.health.eject(now)
 	case Shed:
-		t.refused(w, c.object)
+		t.dropUnanswered(w, c.object)
 	case Left:
 	}
 }
 
 func (t *Table) learn(now time.Time, c Choice, r Report) {
-	w := c.worker
+	w := c.upstream
 	if c.object != 0 {
-		t.hold(w, c.object)
-		w.remember(now, c.object)
+		t.addHolder(w, c.object)
+		w.markAnswered(now, c.object)
 	}
-	t.way.noteBytes(c.route, r.Bytes)
+	t.links.observeAnswerBytes(c.route, r.Bytes)
 	// Only work that did not wait says how long work takes.
 	queued := r.Told && r.Load.Running+r.Load.Waiting >= r.Load.Slots
 	if queued || c.cold {
 		return
 	}
-	took := max(r.Took-r.Connect-t.way.to(w.region, w.Zone), time.Millisecond)
-	route := of(t.work, c.route)
+	took := max(r.Took-r.Connect-t.links.roundTrip(w.region, w.Zone), time.Millisecond)
+	route := getOrCreate(t.serviceTimes, c.route)
 	if c.Warm || r.Told {
 		// Without a load report a wait cannot be told from cold work.
-		route.learn(took, c.Warm)
+		route.observe(took, c.Warm)
 	}
 	if c.Warm {
-		w.health.learnSpeed(took, route.estimate(true))
-		of(t.usual, w.Service).learn(took)
+		w.health.observeSpeed(took, route.estimate(true))
+		getOrCreate(t.queuedTimes, w.Service).observe(took)
 	}
 }
 
-// of returns what is known by name, which is nothing at first.
-func of[T any](known map[string]*T, name string) *T {
+// getOrCreate returns what is known by name, which is nothing at first.
+func getOrCreate[T any](known map[string]*T, name string) *T {
 	x := known[name]
 	if x == nil {
 		x = new(T)
--- a/internal/place/worker.go
+++ b/internal/place/upstream.go
@@ -10,18 +10,18 @@
 // warmMost how many objects are remembered for each upstream. Upstreams keep
 // some tens of objects and forget the least recent.
 const (
-	WarmFor  = 20 * time.Second
-	warmMost = 64
+	WarmFor        = 20 * time.Second
+	maxWarmObjects = 64
 )
 
-// worker is one upstream and what is known of it.
-type worker struct {
+// upstream is one upstream and what is known of it.
+type upstream struct {
 	catalog.Upstream
-	id     uint64
-	region string
-	health health
-	load   load
-	pace   pace
+	id        uint64
+	region    string
+	health    health
+	load      load
+	slowStart slowStart
 	// coldUntil is when it stops being cold, by its own account or because
 	// its zone comes back from an evacuation.
 	coldUntil time.Time
@@ -30,83 +30,85 @@
 	since time.Time
 	used  bool
 	// warm holds the objects that it is known to have handled lately.
-	warm map[Object]warmth
-	// leg is the index of its zone's.
-	leg int
+	warm map[Object]warmState
+	// zonePath is the index of its zone's.
+	zonePath int
 	// mark is the table's, if it holds the object of the request at hand.
 	mark uint64
-	// warmedHere says that this host is the one that sends to it while it is cold, as
+	// isSender says that this host is the one that sends to it while it is cold, as
 	// of a generation of hosts.
-	warmedHere bool
-	warmedAt   uint64
+	isSender         bool
+	senderGeneration uint64
 }
 
 // Object is the hash of an affinity key and its route.
 type Object uint32
 
-// warmth is when an upstream was last asked about an object, as far as this host
+// warmState is when an upstream was last asked about an object, as far as this host
 // knows, whether it has answered yet, and when the hosts last told each other so.
-type warmth struct {
-	at       time.Time
-	answered bool
-	shared   time.Time
+type warmState struct {
+	at         time.Time
+	answered   bool
+	gossipedAt time.Time
 }
 
-func newWorker(now time.Time, u catalog.Upstream, region string) *worker {
-	return &worker{Upstream: u, id: hash(u.ID), region: region, since: now, health: newHealth(), warm: map[Object]warmth{}}
+func newUpstream(now time.Time, u catalog.Upstream, region string) *upstream {
+	return &upstream{Upstream: u, id: hash(u.ID), region: region, since: now, health: newHealth(), warm: map[Object]warmState{}}
 }
 
-// restarted forgets how an earlier run under the same id was met.
-func (w *worker) restarted(now time.Time) {
+// reset forgets how an earlier run under the same id was met.
+func (w *upstream) reset(now time.Time) {
 	inflight := w.load.inflight
 	w.health, w.load = newHealth(), load{inflight: inflight}
 	w.since, w.used = now, false
 }
 
-func (w *worker) isCold(now time.Time) bool { return now.Before(w.coldUntil) || w.health.doubtful(now) }
+func (w *upstream) isCold(now time.Time) bool {
+	return now.Before(w.coldUntil) || w.health.mayHaveRestarted(now)
+}
 
 // isWarm tells whether the upstream handles an object, or has done so lately.
-func (w *worker) isWarm(now time.Time, object Object) bool {
+func (w *upstream) isWarm(now time.Time, object Object) bool {
 	known, ok := w.warm[object]
 	return ok && now.Sub(known.at) < WarmFor
 }
 
 // hasAnswered tells whether it has done so lately.
-func (w *worker) hasAnswered(now time.Time, object Object) bool {
+func (w *upstream) hasAnswered(now time.Time, object Object) bool {
 	return w.isWarm(now, object) && w.warm[object].answered
 }
 
-// ask notes that the upstream is sent a request about an object.
+// markSent notes that the upstream is sent a request about an object.
 //
 // Requests that come while the first one is at work go to the same upstream and
 // find the object warm there, or wait a little. By the load of the moment each of
 // them would warm another upstream.
-func (w *worker) ask(now time.Time, object Object) {
+func (w *upstream) markSent(now time.Time, object Object) {
 	w.used = true
 	known := w.warm[object]
 	known.at = now
 	w.warm[object] = known
 }
 
-// remember notes that the upstream has answered about an object.
-func (w *worker) remember(now time.Time, object Object) {
-	w.ask(now, object)
+// markAnswered notes that the upstream has answered about an object.
+func (w *upstream) markAnswered(now time.Time, object Object) {
+	w.markSent(now, object)
 	known := w.warm[object]
 	known.answered = true
 	w.warm[object] = known
 }
 
-// hear notes at now what another host has seen: that it answered about an object at
+// markReported notes at now what another host has seen: that it answered about an object at
 // a time.
-func (w *worker) hear(now, at time.Time, object Object) {
-	w.remember(at, object)
+func (w *upstream) markReported(now, at time.Time, object Object) {
+	w.markAnswered(at, object)
 	known := w.warm[object]
-	known.shared = now
+	known.gossipedAt = now
 	w.warm[object] = known
 }
 
-// oldest is the object that it was asked about longest ago.
-func (w *worker) oldest() Object {
+// leastRecentObject is the object that it was asked about longest ago.
+func (w *upstream) leastRecentObject() Object {
 	var oldest Object
 	var at time.Time
 	for object, known := range w.warm {
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -29,7 +29,7 @@
 	f := &fleet{rng: rand.New(rand.NewPCG(7, uint64(n))), now: time.Unix(1000, 0), cut: map[int]bool{}}
 	for range n {
 		s := share.New()
-		s.Hold(f.now, true)
+		s.SetLease(f.now, true)
 		s.SetSlack(slack)
 		f.hosts = append(f.hosts, s)
 		f.demand = append(f.demand, map[string]float64{})
@@ -43,7 +43,7 @@
 	f.now = at
 	for i := range f.hosts {
 		f.hosts[i] = share.New()
-		f.hosts[i].Hold(at, true)
+		f.hosts[i].SetLease(at, true)
 		f.hosts[i].SetSlack(slack)
 	}
 	f.exchange()
@@ -53,7 +53,7 @@
 func (f *fleet) exchange() {
 	for i, s := range f.hosts {
 		if !f.cut[i] {
-			f.demand[i] = s.Tell(f.now)
+			f.demand[i] = s.AnnounceDemand(f.now)
 		}
 	}
 	for i, s := range f.hosts {
@@ -182,14 +182,14 @@
 	g := NewWithT(t)
 	s := share.New()
 	now, admitted := time.Unix(1000, 0), 0
-	s.Hold(now, true)
+	s.SetLease(now, true)
 	s.SetSlack(slack)
 	s.SetOthers(nil, 3, false)
 	c := &catalog.Customer{Name: "hot", Rate: 30, Burst: 30}
 	for range 2000 {
 		now = now.Add(time.Millisecond)
 		if now.UnixMilli()%250 == 0 {
-			s.Tell(now)
+			s.AnnounceDemand(now)
 		}
 		if s.Admit(now, c).Admitted {
 			admitted++
@@ -207,9 +207,9 @@
 	now := time.Unix(1000, 0)
 	v := s.Admit(now, c)
 	g.Expect(v.Admitted).To(BeFalse())
-	g.Expect(v.ComeBack).To(BeNumerically(">", 0))
-	g.Expect(v.Unheld).To(BeTrue(), "it says nothing about the customer")
-	s.Hold(now, true)
+	g.Expect(v.RetryAfter).To(BeNumerically(">", 0))
+	g.Expect(v.NoLease).To(BeTrue(), "it says nothing about the customer")
+	s.SetLease(now, true)
 	g.Expect(s.Admit(now.Add(time.Second), c).Admitted).To(BeTrue())
 	g.Expect(s.Admit(now, &catalog.Customer{Name: "free"}).Admitted).To(BeTrue())
 }
@@ -220,7 +220,7 @@
 	g := NewWithT(t)
 	s := share.New()
 	now := time.Unix(1000, 0)
-	s.Hold(now, true)
+	s.SetLease(now, true)
 	c := &catalog.Customer{Name: "a", Rate: 20, Burst: 1}
 	var last time.Duration
 	for range 10 {
@@ -228,8 +228,8 @@
 		if v.Admitted {
 			continue
 		}
-		g.Expect(v.ComeBack).To(BeNumerically(">", last))
-		last = v.ComeBack
+		g.Expect(v.RetryAfter).To(BeNumerically(">", last))
+		last = v.RetryAfter
 	}
 }
 
@@ -254,13 +254,13 @@
 func TestOwnersAgreeAndStay(t *testing.T) {
 	g := NewWithT(t)
 	pool := []string{"a", "b", "c", "d"}
-	g.Expect(share.Owner("x", nil)).To(BeEmpty())
+	g.Expect(share.ShardOwner("x", nil)).To(BeEmpty())
 	for i := range 50 {
 		customer := fmt.Sprint("c", i)
-		owner := share.Owner(customer, pool)
-		g.Expect(share.Owner(customer, []string{"d", "c", "b", "a"})).To(Equal(owner))
+		owner := share.ShardOwner(customer, pool)
+		g.Expect(share.ShardOwner(customer, []string{"d", "c", "b", "a"})).To(Equal(owner))
 		if owner != "d" {
-			g.Expect(share.Owner(customer, pool[:3])).To(Equal(owner), "only the customers of the host that left move")
+			g.Expect(share.ShardOwner(customer, pool[:3])).To(Equal(owner), "only the customers of the host that left move")
 		}
 	}
 }
@@ -271,7 +271,7 @@
 	g := NewWithT(t)
 	c := &catalog.Customer{Name: "hot", Rate: 100, Burst: 100}
 	now, admitted := time.Unix(1000, 0), 0
-	spares := []*share.Spare{share.NewSpare(), share.NewSpare(), share.NewSpare(), share.NewSpare()}
+	spares := []*share.FallbackBucket{share.NewFallbackBucket(), share.NewFallbackBucket(), share.NewFallbackBucket(), share.NewFallbackBucket()}
 	for range 5000 {
 		now = now.Add(time.Millisecond)
 		for _, s := range spares {
@@ -303,7 +303,7 @@
 	g := NewWithT(t)
 	s := share.New()
 	start := time.Unix(1000, 0)
-	s.Hold(start, true)
+	s.SetLease(start, true)
 	c := &catalog.Customer{Name: "early", Rate: 40, Burst: 40}
 	admitted := func(now time.Time) (n int) {
 		for range 100 {
@@ -315,7 +315,7 @@
 	}
 	g.Expect(admitted(start.Add(10 * time.Second))).To(BeNumerically(">=", 40))
 	again := share.New()
-	again.Hold(start, true)
+	again.SetLease(start, true)
 	s = again
 	g.Expect(admitted(start)).To(BeNumerically("<=", 15), "a host that has just started may have spent before")
 }
--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -19,20 +19,20 @@
 	// startPart of its depth is in a bucket when a host begins to hold shares: it may
 	// have spent the rest before it started again.
 	startPart = 0.35
-	// leastDepth lets one request in where a customer's part of the burst is less than
+	// minDepth lets one request in where a customer's part of the burst is less than
 	// one.
-	leastDepth = 1.0
+	minDepth = 1.0
 	// slackPart of the requests that customers are granted beyond rate and burst is in the
 	// buckets of all owners together. Each owner sees a part of the customer's callers, and
 	// a few that come together find a bucket of a few tokens empty. The rest is for what
 	// demand moves between owners before they hear of it.
 	slackPart = 0.5
-	// tellingTakes is how long a heartbeat takes to be reckoned with by the
+	// announceDelay is how long a heartbeat takes to be reckoned with by the
 	// others: the way between regions and a turn of the control thread.
-	tellingTakes = 180 * time.Millisecond
+	announceDelay = 180 * time.Millisecond
 	// shortest and longest time that a refused caller is told to stay away.
-	shortestPause = 100 * time.Millisecond
-	longestPause  = 2 * time.Second
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
 )
 
 // Shares admits customers' requests. It is safe for concurrent use.
@@ -46,22 +46,22 @@
 	complete bool
 	// slack is the number of requests beyond its rate and burst that a customer may get.
 	slack float64
-	// held says that this host may spend its shares, and heldSince is when it could
+	// leaseHeld says that this host may spend its shares, and heldSince is when it could
 	// first. Buckets fill from then on, whether a customer has asked yet or not.
-	held      bool
-	heldSince time.Time
+	leaseHeld  bool
+	leaseSince time.Time
 }
 
 type account struct {
 	demand demand
 	tokens float64
 	at     time.Time
-	// told is the demand that the others were told last, at toldAt, and before
-	// what they had been told until then.
-	told, before float64
-	toldAt       time.Time
-	// lastBack is the latest time at which a refused caller was told to return.
-	lastBack time.Time
+	// announced is the demand that the others were told last, at announcedAt, and
+	// previouslyAnnounced what they had been told until then.
+	announced, previouslyAnnounced float64
+	announcedAt                    time.Time
+	// lastRetryAt is the latest time at which a refused caller was told to return.
+	lastRetryAt time.Time
 }
 
 // New returns shares that admit nothing until Hold is called.
@@ -87,24 +87,24 @@
 	s.slack = requests
 }
 
-// Hold says whether this host may spend: its registration stands, so the others
+// SetLease says whether this host may spend: its registration stands, so the others
 // count it.
-func (s *Shares) Hold(now time.Time, held bool) {
+func (s *Shares) SetLease(now time.Time, held bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.held = held
-	if held && s.heldSince.IsZero() {
-		s.heldSince = now
+	s.leaseHeld = held
+	if held && s.leaseSince.IsZero() {
+		s.leaseSince = now
 	}
 }
 
 // Verdict on one request.
 type Verdict struct {
 	Admitted bool
-	// ComeBack is when there is likely to be room; set if it is not admitted.
-	ComeBack time.Duration
-	// Unheld says that this host may not spend at all: its registration has lapsed.
-	Unheld bool
+	// RetryAfter is when there is likely to be room; set if it is not admitted.
+	RetryAfter time.Duration
+	// NoLease says that this host may not spend at all: its registration has lapsed.
+	NoLease bool
 	// Part is this host's part of the rate, and Demand the rate that it is
 	// asked for, for the log.
 	Part   float64
@@ -129,19 +129,19 @@
 	part := s.part(now, c.Name, a)
 	v := Verdict{Part: part, Demand: a.demand.perSecond}
 	spare := slackPart * s.slack / float64(s.owners)
-	rate, depth := part*c.Rate, max(part*c.Burst*depthPart, leastDepth)+spare
-	a.fill(now, s.heldSince, rate, depth)
-	if s.held && a.tokens >= 1 {
+	rate, depth := part*c.Rate, max(part*c.Burst*depthPart, minDepth)+spare
+	a.refill(now, s.leaseSince, rate, depth)
+	if s.leaseHeld && a.tokens >= 1 {
 		a.tokens--
 		v.Admitted = true
 		return v
 	}
-	v.ComeBack, v.Unheld = a.comeBack(now, rate), !s.held
+	v.RetryAfter, v.NoLease = a.retryAfter(now, rate), !s.leaseHeld
 	return v
 }
 
-// Undo gives the token of a request back that certainly did not run.
-func (s *Shares) Undo(customer string) {
+// Refund gives the token of a request back that certainly did not run.
+func (s *Shares) Refund(customer string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if a := s.accounts[customer]; a != nil {
@@ -149,9 +149,9 @@
 	}
 }
 
-// fill brings a bucket to now. One that nobody has asked for yet has been filling since
+// refill brings a bucket to now. One that nobody has asked for yet has been filling since
 // a time.
-func (a *account) fill(now, since time.Time, rate, depth float64) {
+func (a *account) refill(now, since time.Time, rate, depth float64) {
 	if a.at.IsZero() {
 		a.tokens, a.at = max(depth*startPart, 1), now
 		if !since.IsZero() {
@@ -162,43 +162,43 @@
 	a.at = now
 }
 
-// comeBack spreads those that are refused over the tokens that will come: each
+// retryAfter spreads those that are refused over the tokens that will come: each
 // is told a later time than the one before, or they would all return together.
-func (a *account) comeBack(now time.Time, rate float64) time.Duration {
-	next := now.Add(shortestPause)
-	if a.lastBack.After(now) {
-		next = a.lastBack
+func (a *account) retryAfter(now time.Time, rate float64) time.Duration {
+	next := now.Add(minRetryAfter)
+	if a.lastRetryAt.After(now) {
+		next = a.lastRetryAt
 	}
 	if rate > 0 {
 		next = next.Add(time.Duration(float64(time.Second) / rate))
 	}
-	if next.Sub(now) > longestPause {
-		next = now.Add(longestPause)
+	if next.Sub(now) > maxRetryAfter {
+		next = now.Add(maxRetryAfter)
 	}
-	a.lastBack = next
+	a.lastRetryAt = next
 	return next.Sub(now)
 }
 
 // part is this host's part of a customer's rate. It goes by the demand that the
 // others have been told, not by the one of this moment: where a customer's
 // callers appear at all hosts at once, each host would else believe for the
-// length of a heartbeat that all of the rate is its own. Six hosts then gave out
-// 1.4 times what they may in five seconds.
+// length of a heartbeat that all of the rate is its own, and together they would
+// admit more than the rate.
 func (s *Shares) part(now time.Time, customer string, a *account) float64 {
 	even := 1 / float64(s.owners)
-	own, others := a.known(now), s.others[customer]
+	own, others := a.announcedDemand(now), s.others[customer]
 	if own+others <= 0 || !s.complete {
 		return even
 	}
 	return evenPart*even + (1-evenPart)*own/(own+others)
 }
 
-// known is the demand here that the others know by now.
-func (a *account) known(now time.Time) float64 {
-	if now.Sub(a.toldAt) < tellingTakes {
-		return a.before
+// announcedDemand is the demand here that the others know by now.
+func (a *account) announcedDemand(now time.Time) float64 {
+	if now.Sub(a.announcedAt) < announceDelay {
+		return a.previouslyAnnounced
 	}
-	return a.told
+	return a.announced
 }
 
 func (s *Shares) account(name string) *account {
@@ -210,24 +210,24 @@
 	return a
 }
 
-// Tell returns what each customer asks for at this host, in requests per second,
+// AnnounceDemand returns what each customer asks for at this host, in requests per second,
 // to be told to the others now. Customers that ask for next to nothing are left
 // out.
-func (s *Shares) Tell(now time.Time) map[string]float64 {
+func (s *Shares) AnnounceDemand(now time.Time) map[string]float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := map[string]float64{}
 	for name, a := range s.accounts {
 		rate := a.demand.rate(now)
-		if rate <= leastDemand {
+		if rate <= minDemand {
 			rate = 0
 		} else {
 			out[name] = rate
 		}
-		a.before, a.told, a.toldAt = a.known(now), rate, now
+		a.previouslyAnnounced, a.announced, a.announcedAt = a.announcedDemand(now), rate, now
 	}
 	return out
 }
 
-// leastDemand is what is left of one request after four seconds.
-const leastDemand = 0.03
+// minDemand is what is left of one request after four seconds.
+const minDemand = 0.03
--- a/internal/snapshot/encode.go
+++ b/internal/snapshot/encode.go
@@ -21,8 +21,8 @@
 	// maxAge is the age from which a snapshot says nothing: upstreams have handled
 	// other objects since.
 	maxAge = place.WarmFor
-	// mostObjects bounds a snapshot to about 250 kB, a quarter of what the store
-	// takes; those that were used longest ago are left out.
+	// mostObjects keeps a snapshot well below the largest value that the store takes;
+	// those that were used longest ago are left out.
 	mostObjects = 40_000
 )
 
--- a/internal/standby/active.go
+++ b/internal/standby/active.go
@@ -8,17 +8,15 @@
 )
 
 const (
-	// alike is the part of the strongest host's strength from which a host
+	// similarStrength is the part of the strongest host's strength from which a host
 	// counts as strong as it: hosts of one kind of machine always all take
 	// callers, and the kinds of today's users differ by five and more.
-	alike = 0.5
-	// leastActive hosts take callers in each region, so that two may be lost at
+	similarStrength = 0.5
+	// minActive hosts take callers in each region, so that two may be lost at
 	// once and the third still does.
-	leastActive = 3
-	// requestsPerCore is the load that a core is given: a sixth of the 8,000
-	// requests a second that it can do (0.12 ms each, measured over a day), so
-	// that a burst of three times the usual still leaves room for the loss of
-	// half of the hosts.
+	minActive = 3
+	// requestsPerCore is the load that a core is given. A burst of three times the
+	// usual still leaves room for the loss of half of the hosts.
 	requestsPerCore = 1300.0
 	// linkPart is the part of a link that answers may take on the average. Each
 	// is counted once, though it passes the link twice, in and out.
@@ -75,20 +73,20 @@
 	out, zones := map[string]bool{}, map[string]bool{}
 	need := loadOf(list)
 	for _, h := range list {
-		enough := len(out) >= leastActive && need.Requests <= 0 && need.AnswerMbps <= 0
-		if enough && strength(h, strongest) < alike && zones[h.Zone] {
+		enough := len(out) >= minActive && need.Requests <= 0 && need.AnswerMbps <= 0
+		if enough && strength(h, strongest) < similarStrength && zones[h.Zone] {
 			continue
 		}
 		out[h.Instance], zones[h.Zone] = true, true
-		need.Requests = left(need.Requests, h.Cores*requestsPerCore)
-		need.AnswerMbps = left(need.AnswerMbps, h.LinkMbps*linkPart)
+		need.Requests = remaining(need.Requests, h.Cores*requestsPerCore)
+		need.AnswerMbps = remaining(need.AnswerMbps, h.LinkMbps*linkPart)
 	}
 	return out
 }
 
-// left is what is left of a load after a host has taken its part. One that does
+// remaining is what is left of a load after a host has taken its part. One that does
 // not say what it has is taken to be able to carry all.
-func left(load, part float64) float64 {
+func remaining(load, part float64) float64 {
 	if part <= 0 {
 		return 0
 	}
--- a/internal/standby/doc.go
+++ b/internal/standby/doc.go
@@ -4,12 +4,10 @@
 // Load pattern: a fleet whose hosts differ, a few with a fast link and a large
 // part of a core and many with a link of 10 Mbit/s. Callers pick one of the
 // hosts that the directory names at random, so weak hosts get as many requests
-// as strong ones: a report of 90 kB then holds a weak link for 72 ms each way,
-// and whatever is behind it waits, heartbeats and questions about a customer's
-// rate too. On a busy day of the grown cooperative a third of those questions
-// was not answered in time. Besides, sixty hosts that each send a sixtieth of
-// the requests know little of the load at upstreams, and each has its own
-// connections and its own calls to the store.
+// as strong ones: a long answer then holds a weak link, and heartbeats and
+// questions about a customer's rate wait behind it. Besides, many hosts that each
+// send a small part of the requests know little of the load at upstreams, and each
+// has its own connections and its own calls to the store.
 //
 // So callers are sent to the strongest hosts, as many as the load needs. Hosts of
 // about the same strength all take callers. The others stand by: they follow the
