--- /dev/null
+++ b/cmd/balsamlab/compare.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"balsambarrow/internal/compare"
+)
+
+func compareCommand() *cobra.Command {
+	var p compare.Plan
+	var first, seeds int
+	cmd := &cobra.Command{
+		Use:   "compare BEFORE AFTER FILE:DAY,DAY...",
+		Short: "Play two checkouts on the same deployments, days and seeds, and compare them in pairs",
+		Args:  cobra.MinimumNArgs(3),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			p.Before, p.After = args[0], args[1]
+			for _, text := range args[2:] {
+				s, err := compare.ParseSite(text)
+				if err != nil {
+					return err
+				}
+				p.Sites = append(p.Sites, s)
+			}
+			for seed := first; seed < first+seeds; seed++ {
+				p.Seeds = append(p.Seeds, seed)
+			}
+			out := cmd.OutOrStdout()
+			p.Played = func(version string, q compare.Play) {
+				_, _ = fmt.Fprintf(out, "played version=%s site=%s day=%s seed=%d worth=%.3f broken=%v fault=%q\n",
+					version, q.Site, q.Day, q.Seed, q.Worth, q.Broken, q.Fault)
+			}
+			before, after, err := p.Run(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return compare.Print(out, compare.Summarize(before, after))
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&p.Bench, "bench", "", "program that plays a day")
+	f.IntVar(&first, "first", 1, "first seed")
+	f.IntVar(&seeds, "seeds", 5, "number of seeds")
+	f.IntVar(&p.Jobs, "jobs", 2, "plays at once")
+	f.BoolVar(&p.Processor, "processor", false, "charge processor time; plays then differ a little each time")
+	f.StringVar(&p.Why, "why", "", "what the change is expected to do; noted with each play")
+	_ = cmd.MarkFlagRequired("bench")
+	return cmd
+}
--- a/cmd/balsamlab/main.go
+++ b/cmd/balsamlab/main.go
@@ -16,7 +16,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(platformCommand(), hostCommand(), upstreamsCommand(), callersCommand(), calmCommand(), overheadCommand(), metricCommand())
+	root.AddCommand(platformCommand(), hostCommand(), upstreamsCommand(), callersCommand(), calmCommand(), overheadCommand(), metricCommand(), compareCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- /dev/null
+++ b/internal/compare/pairs.go
@@ -0,0 +1,142 @@
+package compare
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"text/tabwriter"
+)
+
+// Play is one play of one version.
+type Play struct {
+	Site string
+	Day  string
+	Seed int
+	// Worth is the figure that is compared.
+	Worth float64
+	// Broken are the rules that were broken, and Fault why the play does not count; "".
+	Broken []string
+	Fault  string
+}
+
+// key is what a pair has in common.
+type key struct {
+	site, day string
+	seed      int
+}
+
+func (p Play) key() key { return key{p.Site, p.Day, p.Seed} }
+
+// Verdict on a difference.
+type Verdict string
+
+// Verdicts.
+const (
+	Better Verdict = "better"
+	Worse  Verdict = "worse"
+	Inside Verdict = "inside the spread"
+)
+
+// spreadFactor is the number of standard errors within which a mean difference says
+// nothing.
+const spreadFactor = 2.0
+
+// Summary is what the pairs of one deployment, or of one of its days, say.
+type Summary struct {
+	Site, Day string
+	Pairs     int
+	// Before and After are the means of both versions.
+	Before, After float64
+	// Difference is the mean of the pairs' differences, and Error its standard error.
+	Difference, Error float64
+	// Up and Down count the pairs in which the later version is better or worse.
+	Up, Down int
+}
+
+// Verdict says whether the difference is larger than its spread.
+func (s Summary) Verdict() Verdict {
+	switch {
+	case s.Pairs < 2 || math.Abs(s.Difference) <= spreadFactor*s.Error:
+		return Inside
+	case s.Difference > 0:
+		return Better
+	}
+	return Worse
+}
+
+// allDays stands for a day in the summary of a deployment.
+const allDays = "all"
+
+// Summarize pairs the plays of two versions, and returns a summary of each day and of each
+// deployment. Plays without a partner are left out.
+func Summarize(before, after []Play) []Summary {
+	partner := map[key]Play{}
+	for _, p := range before {
+		partner[p.key()] = p
+	}
+	groups := map[key][][2]float64{}
+	for _, p := range after {
+		b, ok := partner[p.key()]
+		if !ok {
+			continue
+		}
+		pair := [2]float64{b.Worth, p.Worth}
+		for _, k := range []key{{site: p.Site, day: p.Day}, {site: p.Site, day: allDays}} {
+			groups[k] = append(groups[k], pair)
+		}
+	}
+	var out []Summary
+	for k, pairs := range groups {
+		out = append(out, summarize(k, pairs))
+	}
+	slices.SortFunc(out, func(a, b Summary) int {
+		return cmp.Or(cmp.Compare(a.Site, b.Site), cmp.Compare(boolInt(a.Day == allDays), boolInt(b.Day == allDays)), cmp.Compare(a.Day, b.Day))
+	})
+	return out
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func summarize(k key, pairs [][2]float64) Summary {
+	s := Summary{Site: k.site, Day: k.day, Pairs: len(pairs)}
+	n := float64(len(pairs))
+	for _, p := range pairs {
+		s.Before += p[0] / n
+		s.After += p[1] / n
+		switch {
+		case p[1] > p[0]:
+			s.Up++
+		case p[1] < p[0]:
+			s.Down++
+		}
+	}
+	s.Difference = s.After - s.Before
+	if len(pairs) < 2 {
+		return s
+	}
+	variance := 0.0
+	for _, p := range pairs {
+		d := p[1] - p[0] - s.Difference
+		variance += d * d / (n - 1)
+	}
+	s.Error = math.Sqrt(variance / n)
+	return s
+}
+
+// Print writes summaries as a table.
+func Print(w io.Writer, summaries []Summary) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "deployment\tday\tpairs\tbefore\tafter\tdifference\tstandard error\tup\tdown\tverdict")
+	for _, s := range summaries {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%.3f\t%+.4f\t%.4f\t%d\t%d\t%s\n",
+			s.Site, s.Day, s.Pairs, s.Before, s.After, s.Difference, s.Error, s.Up, s.Down, s.Verdict())
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/compare/pairs_test.go
@@ -0,0 +1,53 @@
+package compare_test
+
+import (
+	"bytes"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"balsambarrow/internal/compare"
+)
+
+func plays(day string, worth ...float64) []compare.Play {
+	var out []compare.Play
+	for seed, w := range worth {
+		out = append(out, compare.Play{Site: "s", Day: day, Seed: seed, Worth: w})
+	}
+	return out
+}
+
+func TestVerdicts(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		before, after []float64
+		want          compare.Verdict
+	}{
+		{"one pair proves nothing", []float64{.5}, []float64{.7}, compare.Inside},
+		{"up and down", []float64{.5, .6, .5, .6}, []float64{.6, .5, .6, .5}, compare.Inside},
+		{"always a little up", []float64{.5, .6, .7, .4}, []float64{.51, .612, .709, .411}, compare.Better},
+		{"always a little down", []float64{.51, .612, .709, .411}, []float64{.5, .6, .7, .4}, compare.Worse},
+		{"the same", []float64{.5, .6}, []float64{.5, .6}, compare.Inside},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := compare.Summarize(plays("d", c.before...), plays("d", c.after...))
+			g.Expect(s).To(HaveLen(2), "the day and the deployment")
+			g.Expect(s[0].Verdict()).To(Equal(c.want))
+		})
+	}
+}
+
+func TestOnlyPairsAreCompared(t *testing.T) {
+	g := NewWithT(t)
+	before := append(plays("a", .5, .6), plays("b", .1)...)
+	after := append(plays("a", .6, .7, .9), plays("c", .9)...)
+	s := compare.Summarize(before, after)
+	g.Expect(s).To(HaveLen(2))
+	g.Expect(s[0].Pairs).To(Equal(2))
+	g.Expect(s[0].Up).To(Equal(2))
+	g.Expect(s[0].Difference).To(BeNumerically("~", .1, 1e-9))
+	var b bytes.Buffer
+	g.Expect(compare.Print(&b, s)).To(Succeed())
+	g.Expect(b.String()).To(ContainSubstring("+0.1000"))
+}
--- /dev/null
+++ b/internal/compare/run.go
@@ -0,0 +1,201 @@
+package compare
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// Plan says what is played.
+type Plan struct {
+	// Bench is the program that plays a day: BENCH run SITE DAY --seed N --report FILE.
+	Bench string
+	// Before and After are checkouts of both versions.
+	Before, After string
+	Sites         []Site
+	Seeds         []int
+	// Jobs is the number of plays at once.
+	Jobs int
+	// Processor says that processor time is charged; plays then differ a little each time.
+	Processor bool
+	// Why is noted with each play.
+	Why string
+	// Played is told of each play. Default nil.
+	Played func(version string, p Play)
+}
+
+// Site is a deployment and the days of it that are played.
+type Site struct {
+	File string
+	Days []string
+}
+
+// Name is the file's, without directories and extension.
+func (s Site) Name() string {
+	return strings.TrimSuffix(filepath.Base(s.File), filepath.Ext(s.File))
+}
+
+// ParseSite reads FILE:DAY,DAY. The error is a *SiteError.
+func ParseSite(text string) (Site, error) {
+	file, days, ok := strings.Cut(text, ":")
+	s := Site{File: file, Days: strings.Split(days, ",")}
+	if !ok || file == "" || slices.Contains(s.Days, "") {
+		return Site{}, errors.WithStack(&SiteError{text})
+	}
+	return s, nil
+}
+
+// SiteError says that an argument does not name a deployment and days.
+type SiteError struct{ Text string }
+
+func (e *SiteError) Error() string { return fmt.Sprintf("%q is not FILE:DAY,DAY", e.Text) }
+
+// ReportError says that a play left no report that can be read.
+type ReportError struct {
+	Play   Play
+	Output string
+	Cause  error
+}
+
+func (e *ReportError) Error() string {
+	return fmt.Sprintf("%s %s, seed %d: %v\n%s", e.Play.Site, e.Play.Day, e.Play.Seed, e.Cause, e.Output)
+}
+
+// Unwrap returns the cause.
+func (e *ReportError) Unwrap() error { return e.Cause }
+
+// task is one play to be made.
+type task struct {
+	version string
+	dir     string
+	file    string
+	play    Play
+}
+
+// Run plays all pairs. Both plays of a pair are made one after the other.
+func (p Plan) Run(ctx context.Context) (before, after []Play, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	queue := make(chan task)
+	go func() {
+		defer close(queue)
+		for _, t := range p.tasks() {
+			select {
+			case queue <- t:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	var mu sync.Mutex
+	var workers sync.WaitGroup
+	for range max(p.Jobs, 1) {
+		workers.Go(func() {
+			for t := range queue {
+				played, failed := p.play(ctx, t)
+				mu.Lock()
+				switch {
+				case failed != nil && err == nil:
+					err = failed
+					cancel()
+				case t.version == versionBefore:
+					before = append(before, played)
+				default:
+					after = append(after, played)
+				}
+				if failed == nil && p.Played != nil {
+					p.Played(t.version, played)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	workers.Wait()
+	return before, after, err
+}
+
+// Names of the versions.
+const (
+	versionBefore = "before"
+	versionAfter  = "after"
+)
+
+func (p Plan) tasks() []task {
+	var out []task
+	for _, s := range p.Sites {
+		for _, seed := range p.Seeds {
+			for _, day := range s.Days {
+				play := Play{Site: s.Name(), Day: day, Seed: seed}
+				out = append(out, task{versionBefore, p.Before, s.File, play}, task{versionAfter, p.After, s.File, play})
+			}
+		}
+	}
+	return out
+}
+
+// report is the part of a play's report that is read.
+type report struct {
+	Worth  *float64       `json:"G"`
+	Fault  any            `json:"fault"`
+	Broken map[string]any `json:"breaks"`
+}
+
+// play makes one play. The error is a *ReportError.
+func (p Plan) play(ctx context.Context, t task) (Play, error) {
+	file, err := os.CreateTemp("", "play-*.json")
+	if err != nil {
+		return t.play, errors.WithStack(err)
+	}
+	_ = file.Close()
+	defer func() { _ = os.Remove(file.Name()) }()
+	args := []string{"run", t.file, t.play.Day, "--seed", strconv.Itoa(t.play.Seed), "--report", file.Name(),
+		"--why", t.version + ": " + p.Why}
+	if !p.Processor {
+		args = append(args, "--no-cpu")
+	}
+	cmd := exec.CommandContext(ctx, p.Bench, args...)
+	cmd.Dir = t.dir
+	output, failed := cmd.CombinedOutput()
+	data, err := os.ReadFile(file.Name())
+	if err == nil {
+		err = t.play.read(data)
+	}
+	if err != nil {
+		if failed != nil {
+			err = failed
+		}
+		return t.play, errors.WithStack(&ReportError{t.play, string(output), err})
+	}
+	return t.play, nil
+}
+
+// errNoWorth says that a report has no figure.
+var errNoWorth = errors.New("report without a figure")
+
+func (p *Play) read(data []byte) error {
+	var r report
+	if err := json.Unmarshal(data, &r); err != nil {
+		return errors.WithStack(err)
+	}
+	if r.Worth == nil {
+		return errors.WithStack(errNoWorth)
+	}
+	p.Worth = *r.Worth
+	if r.Fault != nil {
+		p.Fault = fmt.Sprint(r.Fault)
+	}
+	for rule := range r.Broken {
+		p.Broken = append(p.Broken, rule)
+	}
+	slices.Sort(p.Broken)
+	return nil
+}
--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"balsambarrow/internal/fleet"
-	"balsambarrow/internal/kv"
 	"balsambarrow/internal/rendezvous"
 )
 
@@ -41,6 +40,8 @@
 	// hostsLookAfter is the age of what is known of other hosts' registrations from which a
 	// host looks for itself, and the time between such looks.
 	hostsLookAfter = 8 * time.Second
+	// askAgain is when a host asks again whose peer had sent as much as its link bears.
+	askAgain = 150 * time.Millisecond
 	// confirmsKept bounds the questions without an answer that are remembered.
 	confirmsKept = 8
 	// storeKey is what the watcher is picked by.
@@ -51,13 +52,20 @@
 type confirms struct {
 	last   uint64
 	askDue time.Time
-	asked  map[uint64]time.Time
+	asked  map[uint64]question
 	// refreshed is when a question was asked for a request that waits.
 	refreshed time.Time
 }
 
+// question is one that a peer was asked.
+type question struct {
+	at time.Time
+	// referred says that another peer had named the one that was asked.
+	referred bool
+}
+
 // newConfirms begins with an id of its own (see firstID).
-func newConfirms() confirms { return confirms{last: randomID(), asked: map[uint64]time.Time{}} }
+func newConfirms() confirms { return confirms{last: randomID(), asked: map[uint64]question{}} }
 
 // next is the id of the next question.
 func (q *confirms) next() uint64 {
@@ -110,7 +118,7 @@
 	if c.d.watches.Swap(watches) != watches {
 		c.d.events.Info("store watch", "watches", watches, "watcher", watcher)
 		if watches && !c.confirmedAt.IsZero() {
-			c.d.lookNow()
+			c.d.lookNow("watches from now on")
 		}
 	}
 	c.publishKnowledge(now, watches)
@@ -119,7 +127,7 @@
 		every, later = askStandby, standbyLater
 	}
 	if !watches && !c.confirmedAt.IsZero() && now.Sub(c.confirmedAt) > lookAfter+later {
-		c.d.lookNow()
+		c.d.lookNow("not confirmed")
 	}
 	c.lookForHosts(now)
 	if now.Before(c.confirms.askDue) {
@@ -143,20 +151,24 @@
 
 // ask sends a question to a host.
 func (c *control) ask(now time.Time, host string) {
-	if host == "" {
-		return
+	if host != "" {
+		c.askAt(now, c.members.Address(host), false)
 	}
+}
+
+// askAt sends a question to an address.
+func (c *control) askAt(now time.Time, address string, referred bool) {
 	q := &c.confirms
 	if len(q.asked) >= confirmsKept {
 		clear(q.asked)
 	}
 	id := q.next()
-	q.asked[id] = now
+	q.asked[id] = question{now, referred}
 	p := &fleet.Packet{Content: &fleet.Packet_ConfirmRequest{ConfirmRequest: &fleet.ConfirmRequest{
 		Id: id, Digest: c.digest.Sum(), Hosts: c.hostRegistrations.digest.Sum(),
 	}}}
-	if err := c.d.wire.SendPacket(p, c.members.Address(host)); err != nil {
-		c.d.events.Debug("peer not asked", "peer", host, "error", err)
+	if err := c.d.wire.SendPacket(p, address); err != nil {
+		c.d.events.Debug("peer not asked", "peer", address, "error", err)
 	}
 }
 
@@ -169,29 +181,47 @@
 		return
 	}
 	delete(c.confirms.asked, a.Id)
-	c.applyChanges(c.d.now(), eventsOf(a.HostChanges))
+	now := c.d.now()
+	c.applyPeerChanges(now, a.HostChanges)
 	if c.hostRegistrations.digest.Sum() == a.Hosts {
-		c.hostRegistrations.confirmedAsOf(asked.Add(-time.Duration(a.HostsAgeUs) * time.Microsecond))
+		c.hostRegistrations.confirmedAsOf(asked.at.Add(-time.Duration(a.HostsAgeUs) * time.Microsecond))
 	}
 	before := c.digest.Sum()
-	c.applyChanges(c.d.now(), eventsOf(a.Changes))
+	c.applyPeerChanges(now, a.Changes)
 	switch c.digest.Sum() {
 	case a.Digest:
-		c.confirmedAsOf(asked.Add(-time.Duration(a.AgeUs) * time.Microsecond))
+		c.confirmedAsOf(asked.at.Add(-time.Duration(a.AgeUs) * time.Microsecond))
 	case before:
-		c.d.lookNow()
+		c.lackChanges(now, a, asked.referred)
 	default:
 		// There are more changes than fit into one answer.
 		c.confirms.askDue = time.Time{}
 	}
 }
 
-func eventsOf(changes []*fleet.Change) []kv.Event {
-	var out []kv.Event
-	for _, e := range changes {
-		out = append(out, kv.Event{Item: kv.Item{Key: e.Key, Value: e.Value, Revision: e.Revision}, Deleted: e.Deleted})
+// lackChanges goes on after an answer that told of changes and did not bring them.
+func (c *control) lackChanges(now time.Time, a *fleet.ConfirmAnswer, referred bool) {
+	switch {
+	case a.Later:
+		c.confirms.askDue = now.Add(askAgain)
+		if referred {
+			return
+		}
+		for _, holder := range a.Holders {
+			c.askAt(now, holder, true)
+		}
+	case !referred:
+		c.d.lookNow("changes not known to the peer")
+	}
+}
+
+// applyPeerChanges takes changes over that a peer has sent.
+func (c *control) applyPeerChanges(now time.Time, changes []*fleet.Change) {
+	events, err := c.eventsOf(changes)
+	if err != nil {
+		c.d.events.Warn("change of a peer not usable", "error", err)
 	}
-	return out
+	c.applyChanges(now, events)
 }
 
 // refresh has what is known confirmed for a request that waits: by the watcher, which
@@ -199,7 +229,7 @@
 func (c *control) refresh(now time.Time) {
 	watcher := c.watcher()
 	if c.d.watches.Load() || watcher == "" {
-		c.d.lookNow()
+		c.d.lookNow("a request waits")
 		return
 	}
 	if now.Sub(c.confirms.refreshed) < refreshAnswer {
@@ -211,7 +241,7 @@
 	time.AfterFunc(refreshAnswer, func() {
 		c.send(func(c *control) {
 			if c.confirmedAt.Equal(since) {
-				c.d.lookNow()
+				c.d.lookNow("a request waits")
 			}
 		})
 	})
@@ -225,7 +255,7 @@
 		return
 	}
 	h.lookDue = now.Add(hostsLookAfter)
-	c.d.lookNow()
+	c.d.lookNow("hosts not confirmed")
 }
 
 // handleDigest asks the watcher at once where it knows something else.
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"balsambarrow/internal/catalog"
+	"balsambarrow/internal/fanout"
 	"balsambarrow/internal/fleet"
 	"balsambarrow/internal/follow"
 	"balsambarrow/internal/snapshot"
@@ -44,6 +45,8 @@
 	registrations map[string]fleet.Registration
 	roster        *follow.Roster
 	catalog       *catalog.Catalog
+	// configuration is the value that catalog was decoded from.
+	configuration []byte
 	zones         map[string]bool
 	confirmedAt   time.Time
 	listed        bool
@@ -69,6 +72,7 @@
 	published         published
 	digest            follow.Digest
 	journal           follow.Journal
+	fanout            fanout.Limiter
 	seen              follow.Seen
 	hostRegistrations hostKnowledge
 	confirms          confirms
--- a/internal/entryhost/knowledge.go
+++ b/internal/entryhost/knowledge.go
@@ -3,13 +3,21 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"balsambarrow/internal/delta"
 	"balsambarrow/internal/fleet"
 	"balsambarrow/internal/follow"
+	"balsambarrow/internal/kv"
 )
 
-// mostChangeBytes is the most that an answer brings of either kind of changes: both fit
-// into one datagram.
-const mostChangeBytes = 24 << 10
+const (
+	// maxChangeBytes is the most that an answer brings of what decides about requests:
+	// the largest value of the store, packed.
+	maxChangeBytes = 256 << 10
+	// maxHostChangeBytes is the same for the registrations of entry hosts.
+	maxHostChangeBytes = 24 << 10
+)
 
 // knowledge is what the store held at a time. It is never modified.
 type knowledge struct {
@@ -74,23 +82,59 @@
 }
 
 // answerWithChanges answers a host that knows something else than this one, with the
-// changes that it lacks, if they are known and fit.
+// changes that it lacks, if they are known and fit; or with who has them, if this host
+// has sent as much as its link bears.
 func (c *control) answerWithChanges(q *fleet.ConfirmRequest, from string) {
 	a := &fleet.ConfirmAnswer{Id: q.Id, Digest: c.digest.Sum(), Hosts: c.hostRegistrations.digest.Sum()}
-	a.Changes = changesSince(&c.journal, q.Digest)
-	a.HostChanges = changesSince(&c.hostRegistrations.journal, q.Hosts)
+	a.HostChanges = changesSince(&c.hostRegistrations.journal, q.Hosts, maxHostChangeBytes)
+	if changes := changesSince(&c.journal, q.Digest, maxChangeBytes); len(changes) > 0 {
+		size := proto.Size(&fleet.ConfirmAnswer{Changes: changes})
+		ok, holders := c.fanout.Send(c.d.now(), a.Digest, from, size, c.d.capacity().LinkMbps)
+		if ok {
+			a.Changes = changes
+		}
+		a.Later, a.Holders = !ok, holders
+	}
 	c.d.answerConfirm(a, c.confirmedAt, c.hostRegistrations.at, from)
 }
 
-func changesSince(j *follow.Journal, digest uint64) []*fleet.Change {
+func changesSince(j *follow.Journal, digest uint64, most int) []*fleet.Change {
 	var out []*fleet.Change
-	events, _ := j.Since(digest, mostChangeBytes)
-	for _, e := range events {
-		out = append(out, &fleet.Change{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+	changes, _ := j.Since(digest, most)
+	for _, x := range changes {
+		change := &fleet.Change{Key: x.Key, Value: x.Value, Revision: x.Revision, Deleted: x.Deleted}
+		if p := x.Patch; p != nil {
+			change.Patch = &fleet.Patch{Base: p.Base, Result: p.Result, Data: p.Data}
+		}
+		out = append(out, change)
 	}
 	return out
 }
 
+// eventsOf unpacks changes that a peer has sent, in their order. The error is one of
+// package delta's.
+func (c *control) eventsOf(changes []*fleet.Change) ([]kv.Event, error) {
+	var out []kv.Event
+	known := c.configuration
+	for _, x := range changes {
+		if !c.seen.IsNews(x.Key, x.Revision) {
+			// The answer to a question that was asked twice.
+			continue
+		}
+		e := kv.Event{Item: kv.Item{Key: x.Key, Value: x.Value, Revision: x.Revision}, Deleted: x.Deleted}
+		if x.Patch != nil {
+			p := delta.Patch{Base: x.Patch.Base, Result: x.Patch.Result, Data: x.Patch.Data}
+			value, err := p.Apply(known, kv.MaxValueBytes)
+			if err != nil {
+				return out, err
+			}
+			e.Value, known = value, value
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
+
 // answerConfirm sends an answer that speaks for the time at, and of registrations for
 // the time hostsAt.
 func (d *Daemon) answerConfirm(a *fleet.ConfirmAnswer, at, hostsAt time.Time, from string) {
--- a/internal/entryhost/pace.go
+++ b/internal/entryhost/pace.go
@@ -52,9 +52,10 @@
 }
 
 // lookNow has the store looked at without waiting for the next turn.
-func (d *Daemon) lookNow() {
+func (d *Daemon) lookNow(cause string) {
 	select {
 	case d.hurry <- struct{}{}:
+		d.events.Info("store look", "cause", cause)
 	default:
 	}
 }
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -194,7 +194,7 @@
 	if spends && r.registeredBefore {
 		// What registered meanwhile is to be known before this host spends. At the start
 		// the first watch follows.
-		r.d.lookNow()
+		r.d.lookNow("registered")
 	}
 	r.registeredBefore = true
 	r.d.events.Info("registered", "lease", lease, "spends", spends)
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -82,13 +82,17 @@
 func (c *control) applyChanges(now time.Time, events []kv.Event) {
 	for _, e := range c.seen.Latest(events) {
 		before, hostsBefore := c.digest.Sum(), c.hostRegistrations.digest.Sum()
+		var base []byte
+		if platform.IsConfiguration(e.Key) {
+			base = c.configuration
+		}
 		if e.Deleted {
 			c.applyRemoval(now, e.Key)
 		} else {
 			c.applyWrite(now, e.Item)
 		}
-		c.journal.Add(before, c.digest.Sum(), e)
-		c.hostRegistrations.journal.Add(hostsBefore, c.hostRegistrations.digest.Sum(), e)
+		c.journal.Add(before, c.digest.Sum(), e, base)
+		c.hostRegistrations.journal.Add(hostsBefore, c.hostRegistrations.digest.Sum(), e, nil)
 	}
 	c.listHosts(now)
 }
@@ -173,7 +177,7 @@
 		return
 	}
 	c.d.events.Info("configuration in force", "version", next.Version, "before", c.version(), "revision", item.Revision)
-	c.catalog = next
+	c.catalog, c.configuration = next, item.Value
 	c.digest.SetVersion(next.Version)
 	c.d.table.SetCatalog(next)
 }
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -12,8 +14,12 @@
 // maxDatagram is the largest packet that is read.
 const maxDatagram = 64 << 10
 
-// Wire sends and receives heartbeats as datagrams.
-type Wire struct{ conn *net.UDPConn }
+// Wire sends and receives packets as datagrams, a large one in fragments.
+type Wire struct {
+	conn *net.UDPConn
+	// fragmented counts the packets that were sent in fragments.
+	fragmented atomic.Uint64
+}
 
 // Listen opens the socket at address, IP:port.
 func Listen(address string) (*Wire, error) {
@@ -25,7 +31,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for heartbeats")
 	}
-	return &Wire{conn}, nil
+	w := &Wire{conn: conn}
+	// A process that starts again must not complete a packet of the one before it.
+	w.fragmented.Store(rand.Uint64())
+	return w, nil
 }
 
 // Address that heartbeats arrive at.
@@ -53,7 +62,19 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	return w.write(data, peer)
+	if len(data) <= fragmentBytes {
+		return w.write(data, peer)
+	}
+	for _, f := range fragments(w.fragmented.Add(1), data) {
+		part, err := proto.Marshal(&Packet{Content: &Packet_Fragment{f}})
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		if err := w.write(part, peer); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (w *Wire) write(data []byte, peer string) error {
@@ -71,6 +92,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = w.conn.Close() })
 	defer stop()
 	buffer := make([]byte, maxDatagram)
+	var partial assembly
 	for ctx.Err() == nil {
 		n, from, err := w.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
@@ -84,6 +106,14 @@
 			spoiled(errors.WithStack(err))
 			continue
 		}
-		heard(p, from.String())
+		sender := from.String()
+		if f := p.GetFragment(); f != nil {
+			if p, err = partial.add(sender, f); err != nil {
+				spoiled(err)
+			}
+		}
+		if p != nil {
+			heard(p, sender)
+		}
 	}
 }
--- a/internal/follow/journal.go
+++ b/internal/follow/journal.go
@@ -1,14 +1,36 @@
 package follow
 
-import "balsambarrow/internal/kv"
+import (
+	"balsambarrow/internal/delta"
+	"balsambarrow/internal/kv"
+)
 
 const (
-	// mostSteps and mostStepBytes bound what a journal keeps: the registrations of some
-	// hundreds of hosts that start together.
-	mostSteps     = 1024
-	mostStepBytes = 256 << 10
+	// maxSteps and maxStepBytes bound what a journal keeps: the registrations of some
+	// hundreds of hosts that start together, or the last few large values.
+	maxSteps     = 1024
+	maxStepBytes = 2 << 20
+	// patchFrom is the size from which a value is passed on as a patch.
+	patchFrom = 4 << 10
 )
 
+// Change is a change in the store as hosts pass it on.
+type Change struct {
+	// Event, without its value if there is a patch.
+	kv.Event
+	// Patch leads from the key's value before to this one; nil: none.
+	Patch *delta.Patch
+}
+
+// bytes is about what the change takes in a packet.
+func (c Change) bytes() int {
+	size := len(c.Key) + len(c.Value)
+	if c.Patch != nil {
+		size += len(c.Patch.Data)
+	}
+	return size
+}
+
 // Journal keeps the latest changes that a host has taken over, each with the
 // digests before and after it. A host whose digest is one of those before lacks
 // the changes since, and no others. The zero value is empty. It is not safe for
@@ -21,11 +43,15 @@
 type step struct {
 	before, after uint64
 	event         kv.Event
+	// base is the value that the event replaced, for a patch.
+	base []byte
+	// change is what is passed on, made when it is asked for first.
+	change *Change
 }
 
-// Add notes a change. One that leaves the digest as it is decides nothing, and is
-// left out.
-func (j *Journal) Add(before, after uint64, e kv.Event) {
+// Add notes a change of a key that had the value base, if that is known. One that
+// leaves the digest as it is decides nothing, and is left out.
+func (j *Journal) Add(before, after uint64, e kv.Event, base []byte) {
 	if before == after {
 		return
 	}
@@ -33,9 +59,9 @@
 		// Something else has changed in between: what came before leads nowhere.
 		j.Reset()
 	}
-	j.steps = append(j.steps, step{before, after, e})
+	j.steps = append(j.steps, step{before: before, after: after, event: e, base: base})
 	j.bytes += len(e.Value)
-	for len(j.steps) > mostSteps || (j.bytes > mostStepBytes && len(j.steps) > 1) {
+	for len(j.steps) > maxSteps || (j.bytes > maxStepBytes && len(j.steps) > 1) {
 		j.bytes -= len(j.steps[0].event.Value)
 		j.steps = j.steps[1:]
 	}
@@ -46,7 +72,7 @@
 
 // Since returns the changes that a host with the digest lacks, the first of them if all
 // are more than most bytes; false if they are not known.
-func (j *Journal) Since(digest uint64, most int) ([]kv.Event, bool) {
+func (j *Journal) Since(digest uint64, most int) ([]Change, bool) {
 	for i := len(j.steps) - 1; i >= 0; i-- {
 		if j.steps[i].before == digest {
 			return firstOf(j.steps[i:], most), true
@@ -55,19 +81,36 @@
 	return nil, false
 }
 
-// firstOf returns the first steps' events that fit into most bytes.
-func firstOf(steps []step, most int) []kv.Event {
-	var out []kv.Event
+// firstOf returns the first steps' changes that fit into most bytes.
+func firstOf(steps []step, most int) []Change {
+	var out []Change
 	size := 0
-	for _, s := range steps {
-		if size += len(s.event.Key) + len(s.event.Value); size > most {
+	for i := range steps {
+		c := steps[i].passedOn()
+		if size += c.bytes(); size > most {
 			break
 		}
-		out = append(out, s.event)
+		out = append(out, c)
 	}
 	return out
 }
 
+// passedOn is the step's change as it is passed on. A value that cannot be packed goes
+// as it is.
+func (s *step) passedOn() Change {
+	if s.change != nil {
+		return *s.change
+	}
+	c := Change{Event: s.event}
+	if len(s.event.Value) >= patchFrom {
+		if p, err := delta.New(s.base, s.event.Value); err == nil {
+			c.Value, c.Patch = nil, &p
+		}
+	}
+	s.change = &c
+	return c
+}
+
 // mostSeen bounds the keys that Seen remembers: all of a site of a thousand
 // upstreams that are replaced twice.
 const mostSeen = 4096
@@ -78,6 +121,9 @@
 // value is empty. It is not safe for concurrent use.
 type Seen struct{ revisions map[string]uint64 }
 
+// IsNews tells whether a change of a key at a revision is newer than what is known.
+func (s *Seen) IsNews(key string, revision uint64) bool { return revision > s.revisions[key] }
+
 // Latest returns the events that are newer than what is known, only the last one
 // of each key.
 func (s *Seen) Latest(events []kv.Event) []kv.Event {
--- a/internal/follow/journal_test.go
+++ b/internal/follow/journal_test.go
@@ -1,6 +1,7 @@
 package follow_test
 
 import (
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -21,14 +22,22 @@
 	return out
 }
 
+func changedKeys(changes []follow.Change) []string {
+	var out []string
+	for _, c := range changes {
+		out = append(out, c.Key)
+	}
+	return out
+}
+
 func TestJournalTellsWhatIsLacking(t *testing.T) {
 	g := NewWithT(t)
 	var j follow.Journal
-	j.Add(1, 2, event("a", 10))
-	j.Add(2, 2, event("a mark of life", 11))
-	j.Add(2, 3, event("b", 12))
-	j.Add(3, 2, event("b gone", 13))
-	j.Add(2, 4, event("c", 14))
+	j.Add(1, 2, event("a", 10), nil)
+	j.Add(2, 2, event("a mark of life", 11), nil)
+	j.Add(2, 3, event("b", 12), nil)
+	j.Add(3, 2, event("b gone", 13), nil)
+	j.Add(2, 4, event("c", 14), nil)
 	for _, c := range []struct {
 		name   string
 		digest uint64
@@ -43,14 +52,14 @@
 	} {
 		events, known := j.Since(c.digest, 1000)
 		g.Expect(known).To(Equal(c.known), c.name)
-		g.Expect(keys(events)).To(Equal(c.want), c.name)
+		g.Expect(changedKeys(events)).To(Equal(c.want), c.name)
 	}
 	events, known := j.Since(1, 20)
 	g.Expect(known).To(BeTrue())
-	g.Expect(keys(events)).To(Equal([]string{"a"}), "what fits into one packet, the oldest first")
+	g.Expect(changedKeys(events)).To(Equal([]string{"a"}), "what fits into one packet, the oldest first")
 	events, _ = j.Since(1, 5)
 	g.Expect(events).To(BeEmpty(), "one that does not fit is not cut")
-	j.Add(7, 8, event("d", 20))
+	j.Add(7, 8, event("d", 20), nil)
 	_, known = j.Since(3, 1000)
 	g.Expect(known).To(BeFalse(), "something was learned in between in another way")
 }
@@ -59,7 +68,7 @@
 	g := NewWithT(t)
 	var j follow.Journal
 	for i := range uint64(2000) {
-		j.Add(i, i+1, event("k", i))
+		j.Add(i, i+1, event("k", i), nil)
 	}
 	_, known := j.Since(100, 1<<20)
 	g.Expect(known).To(BeFalse())
@@ -83,3 +92,25 @@
 	g.Expect(keys(latest)).To(Equal([]string{"y", "x"}), "the last of each key")
 	g.Expect(latest[0].Revision).To(Equal(uint64(14)))
 }
+
+// Guards against a change of one route that is passed on as the whole of a large
+// configuration, or not at all: each host then read it from the store.
+func TestALargeValueIsPassedOnAsAPatch(t *testing.T) {
+	g := NewWithT(t)
+	before := []byte(strings.Repeat("a route of the configuration, ", 10_000))
+	after := append([]byte("another route, "), before...)
+	var j follow.Journal
+	j.Add(1, 2, kv.Event{Item: kv.Item{Key: "c", Value: before, Revision: 5}}, nil)
+	j.Add(2, 3, kv.Event{Item: kv.Item{Key: "c", Value: after, Revision: 6}}, before)
+	changes, known := j.Since(1, 8000)
+	g.Expect(known).To(BeTrue())
+	g.Expect(changedKeys(changes)).To(Equal([]string{"c", "c"}))
+	value := []byte(nil)
+	for _, c := range changes {
+		g.Expect(c.Value).To(BeEmpty())
+		var err error
+		value, err = c.Patch.Apply(value, 1<<20)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(value).To(Equal(after))
+}
