--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -16,7 +16,8 @@
 
 // Wire sends and receives packets as datagrams, a large one in fragments.
 type Wire struct {
-	conn *net.UDPConn
+	conn   *net.UDPConn
+	packer packer
 	// fragmented counts the packets that were sent in fragments.
 	fragmented atomic.Uint64
 }
@@ -32,6 +33,9 @@
 		return nil, errors.Wrap(err, "listen for heartbeats")
 	}
 	w := &Wire{conn: conn}
+	if w.packer, err = newPacker(); err != nil {
+		return nil, err
+	}
 	// A process that starts again must not complete a packet of the one before it.
 	w.fragmented.Store(rand.Uint64())
 	return w, nil
@@ -62,6 +66,11 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
+	if len(data) >= packFrom {
+		if data, err = w.packer.pack(data); err != nil {
+			return err
+		}
+	}
 	if len(data) <= fragmentBytes {
 		return w.write(data, peer)
 	}
@@ -108,11 +117,14 @@
 		}
 		sender := from.String()
 		if f := p.GetFragment(); f != nil {
-			if p, err = partial.add(sender, f); err != nil {
-				spoiled(err)
-			}
+			p, err = partial.add(sender, f)
+		}
+		if packed := p.GetPacked(); packed != nil && err == nil {
+			p, err = w.packer.unpack(packed)
 		}
-		if p != nil {
+		if err != nil {
+			spoiled(err)
+		} else if p != nil {
 			heard(p, sender)
 		}
 	}
