Hosts spread requests without affinity apart from each other

Cause: a table numbered its requests from zero and ranked upstreams by that number, so hosts that start together send their first, second, third request to the same upstream. Found by playing a simulated fleet of 60 hosts and 80 upstreams without affinity at .95 of what these can do. Change: each host numbers from the hash of its instance.

--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -58,7 +58,7 @@
 		self: self, zones: zones, byID: map[string]*upstream{}, byHash: map[uint32]*upstream{},
 		services: map[string][]*upstream{}, evacuate: map[string]bool{}, serviceTimes: map[string]*serviceTime{},
 		queuedTimes: map[string]*mean{}, queueLimits: map[string]queueLimits{}, holders: map[Object][]*upstream{},
-		links: newLinkCosts(self), regionHash: hash(self.Region), hostsGeneration: 1,
+		links: newLinkCosts(self), regionHash: hash(self.Region), hostsGeneration: 1, sequence: hash(self.Instance),
 	}
 }
 
