A standing queue at an upstream is kept short enough for answers in time

Hypothesis: in an overload of seconds each request may wait four times what is in time, so queues stay full and all answers are late. Change: the shortest wait met at an upstream over half a second (as CoDel does) tells a burst from a standing queue; where that is longer than would be in time, a request that could be in time waits no longer than that. Requests that are late in any case keep the old bound.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -102,6 +102,7 @@
 	for len(list) > 0 {
 		i := cheapest(list)
 		c := list[i]
+		c.standing.observe(now, c.wait)
 		if allowed := t.queueLimit(now, q, c); c.wait > allowed {
 			return Choice{}, &FullError{q.Service, c.wait, allowed}
 		}
@@ -150,6 +151,9 @@
 		target = q.Remaining
 	}
 	wait := min(r.limit(now, q.Priority, target, rest), max(q.Remaining-rest, 0))
+	if inTime := inTimeWait(target, rest); rest < target && c.standing.wait(now) > inTime {
+		wait = min(wait, inTime)
+	}
 	if q.Over {
 		return min(wait, time.Duration(overRateQueuePart*float64(inTimeWait(target, rest))))
 	}
--- a/internal/place/queuelimit.go
+++ b/internal/place/queuelimit.go
@@ -30,6 +30,44 @@
 	priorityMemory = 5 * time.Second
 )
 
+// standingFor is how long the shortest wait at an upstream is remembered. A queue that
+// does not get shorter for so long does not come from a burst.
+const standingFor = 500 * time.Millisecond
+
+// standingQueue is the shortest wait that requests have met at an upstream lately, over
+// the present half of standingFor and the one before.
+//
+// Load pattern: more requests than an upstream can do, for seconds. If each may wait until
+// the queue is full, all of them are late. A queue that never gets short enough for an
+// answer in time gains nothing, so it is kept as short as that.
+type standingQueue struct {
+	half          int64
+	least, before time.Duration
+}
+
+func (s *standingQueue) observe(now time.Time, wait time.Duration) {
+	half := now.UnixNano() / int64(standingFor/2)
+	switch half - s.half {
+	case 0:
+		s.least = min(s.least, wait)
+	case 1:
+		*s = standingQueue{half, wait, s.least}
+	default:
+		*s = standingQueue{half, wait, 0}
+	}
+}
+
+// wait is the shortest wait over the last moments; 0 if there were no requests.
+func (s *standingQueue) wait(now time.Time) time.Duration {
+	switch now.UnixNano()/int64(standingFor/2) - s.half {
+	case 0:
+		return min(s.least, s.before)
+	case 1:
+		return s.least
+	}
+	return 0
+}
+
 // queueLimits is the wait that is allowed to each priority of one service.
 type queueLimits map[int]queueLimit
 
--- a/internal/place/upstream.go
+++ b/internal/place/upstream.go
@@ -22,6 +22,7 @@
 	health    health
 	load      load
 	slowStart slowStart
+	standing  standingQueue
 	// coldUntil is when it stops being cold, by its own account or because
 	// its zone comes back from an evacuation.
 	coldUntil time.Time
