Hosts that stand by take what the store holds from peers at their start

Change: such a host has a stronger peer tell all that the store holds (packed, within the peer's part of its link, or from another that has it), and lists the store only if nobody answers. The answer speaks for a time, as confirmations do. A peer whose revision is behind is no reason to look at the store. Whoever was told by a peer registers as a host that stands by.

--- a/internal/compare/run.go
+++ b/internal/compare/run.go
@@ -19,10 +19,11 @@
 type Plan struct {
 	// Bench is the program that plays a day: BENCH run SITE DAY --seed N --report FILE.
 	Bench string
-	// Before and After are checkouts of both versions.
-	Before, After string
-	Sites         []Site
-	Seeds         []int
+	// Versions are the checkouts that are played on the same days and seeds. The others
+	// are compared with the first.
+	Versions []string
+	Sites    []Site
+	Seeds    []int
 	// Jobs is the number of plays at once.
 	Jobs int
 	// Processor says that processor time is charged; plays then differ a little each time.
@@ -76,13 +77,14 @@
 // task is one play to be made.
 type task struct {
 	version string
-	dir     string
 	file    string
 	play    Play
 }
 
-// Run plays all pairs. Both plays of a pair are made one after the other.
-func (p Plan) Run(ctx context.Context) (before, after []Play, err error) {
+// Run makes all plays, and returns them by version. What belongs together is played one
+// after the other.
+func (p Plan) Run(ctx context.Context) (plays map[string][]Play, err error) {
+	plays = map[string][]Play{}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	queue := make(chan task)
@@ -107,10 +109,8 @@
 				case failed != nil && err == nil:
 					err = failed
 					cancel()
-				case t.version == versionBefore:
-					before = append(before, played)
 				default:
-					after = append(after, played)
+					plays[t.version] = append(plays[t.version], played)
 				}
 				if failed == nil && p.Played != nil {
 					p.Played(t.version, played)
@@ -120,22 +120,18 @@
 		})
 	}
 	workers.Wait()
-	return before, after, err
+	return plays, err
 }
 
-// Names of the versions.
-const (
-	versionBefore = "before"
-	versionAfter  = "after"
-)
-
 func (p Plan) tasks() []task {
 	var out []task
 	for _, s := range p.Sites {
 		for _, seed := range p.Seeds {
 			for _, day := range s.Days {
 				play := Play{Site: s.Name(), Day: day, Seed: seed}
-				out = append(out, task{versionBefore, p.Before, s.File, play}, task{versionAfter, p.After, s.File, play})
+				for _, version := range p.Versions {
+					out = append(out, task{version, s.File, play})
+				}
 			}
 		}
 	}
@@ -158,12 +154,12 @@
 	_ = file.Close()
 	defer func() { _ = os.Remove(file.Name()) }()
 	args := []string{"run", t.file, t.play.Day, "--seed", strconv.Itoa(t.play.Seed), "--report", file.Name(),
-		"--why", t.version + ": " + p.Why}
+		"--why", filepath.Base(t.version) + ": " + p.Why}
 	if !p.Processor {
 		args = append(args, "--no-cpu")
 	}
 	cmd := exec.CommandContext(ctx, p.Bench, args...)
-	cmd.Dir = t.dir
+	cmd.Dir = t.version
 	output, failed := cmd.CombinedOutput()
 	data, err := os.ReadFile(file.Name())
 	if err == nil {
--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"balsambarrow/internal/fleet"
+	"balsambarrow/internal/kv"
 	"balsambarrow/internal/rendezvous"
 )
 
@@ -60,8 +61,9 @@
 // question is one that a peer was asked.
 type question struct {
 	at time.Time
-	// referred says that another peer had named the one that was asked.
-	referred bool
+	// referred says that another peer had named the one that was asked, and whole that
+	// it was asked for all that the store holds.
+	referred, whole bool
 }
 
 // newConfirms begins with an id of its own (see firstID).
@@ -152,20 +154,21 @@
 // ask sends a question to a host.
 func (c *control) ask(now time.Time, host string) {
 	if host != "" {
-		c.askAt(now, c.members.Address(host), false)
+		c.askAt(now, c.members.Address(host), question{})
 	}
 }
 
 // askAt sends a question to an address.
-func (c *control) askAt(now time.Time, address string, referred bool) {
+func (c *control) askAt(now time.Time, address string, asked question) {
 	q := &c.confirms
+	asked.at = now
 	if len(q.asked) >= confirmsKept {
 		clear(q.asked)
 	}
 	id := q.next()
-	q.asked[id] = question{now, referred}
+	q.asked[id] = asked
 	p := &fleet.Packet{Content: &fleet.Packet_ConfirmRequest{ConfirmRequest: &fleet.ConfirmRequest{
-		Id: id, Digest: c.digest.Sum(), Hosts: c.hostRegistrations.digest.Sum(),
+		Id: id, Digest: c.digest.Sum(), Hosts: c.hostRegistrations.digest.Sum(), Whole: asked.whole,
 	}}}
 	if err := c.d.wire.SendPacket(p, address); err != nil {
 		c.d.events.Debug("peer not asked", "peer", address, "error", err)
@@ -182,6 +185,10 @@
 	}
 	delete(c.confirms.asked, a.Id)
 	now := c.d.now()
+	if asked.whole {
+		c.takeAll(now, a, asked)
+		return
+	}
 	c.applyPeerChanges(now, a.HostChanges)
 	if c.hostRegistrations.digest.Sum() == a.Hosts {
 		c.hostRegistrations.confirmedAsOf(asked.at.Add(-time.Duration(a.HostsAgeUs) * time.Microsecond))
@@ -191,8 +198,9 @@
 	switch c.digest.Sum() {
 	case a.Digest:
 		c.confirmedAsOf(asked.at.Add(-time.Duration(a.AgeUs) * time.Microsecond))
+		c.revision = max(c.revision, a.Revision)
 	case before:
-		c.lackChanges(now, a, asked.referred)
+		c.lackChanges(now, a, asked)
 	default:
 		// There are more changes than fit into one answer.
 		c.confirms.askDue = time.Time{}
@@ -200,21 +208,57 @@
 }
 
 // lackChanges goes on after an answer that told of changes and did not bring them.
-func (c *control) lackChanges(now time.Time, a *fleet.ConfirmAnswer, referred bool) {
+func (c *control) lackChanges(now time.Time, a *fleet.ConfirmAnswer, asked question) {
 	switch {
 	case a.Later:
 		c.confirms.askDue = now.Add(askAgain)
-		if referred {
-			return
-		}
-		for _, holder := range a.Holders {
-			c.askAt(now, holder, true)
-		}
-	case !referred:
+		c.askHolders(now, a, asked)
+	case asked.referred:
+	case a.Revision > 0 && a.Revision < c.revision:
+		// The peer is behind, and will know the same with its next look.
+	default:
 		c.d.lookNow("changes not known to the peer")
 	}
 }
 
+// askHolders asks the hosts that an answer has named instead of changes.
+func (c *control) askHolders(now time.Time, a *fleet.ConfirmAnswer, asked question) {
+	if asked.referred {
+		return
+	}
+	asked.referred = true
+	for _, holder := range a.Holders {
+		c.askAt(now, holder, asked)
+	}
+}
+
+// takeAll takes over from a peer what the store holds, if this host has not listed it yet.
+func (c *control) takeAll(now time.Time, a *fleet.ConfirmAnswer, asked question) {
+	if c.listed {
+		return
+	}
+	if a.Later {
+		c.askHolders(now, a, asked)
+		return
+	}
+	items := make([]kv.Item, 0, len(a.Changes))
+	for _, x := range a.Changes {
+		items = append(items, kv.Item{Key: x.Key, Value: x.Value, Revision: x.Revision})
+	}
+	c.replaceAll(now, items)
+	c.revision = a.Revision
+	// It is weak beside the peer, and registers as a host that stands by.
+	close(c.d.listed)
+	if c.digest.Sum() != a.Digest || c.hostRegistrations.digest.Sum() != a.Hosts {
+		c.d.lookNow("peer's items differ from its digest")
+		return
+	}
+	c.confirmedAsOf(asked.at.Add(-time.Duration(a.AgeUs) * time.Microsecond))
+	c.hostRegistrations.confirmedAsOf(asked.at.Add(-time.Duration(a.HostsAgeUs) * time.Microsecond))
+	c.d.events.Info("store taken over from a peer", "items", len(items), "revision", a.Revision, "version", c.version(),
+		"age_us", a.AgeUs)
+}
+
 // applyPeerChanges takes changes over that a peer has sent.
 func (c *control) applyPeerChanges(now time.Time, changes []*fleet.Change) {
 	events, err := c.eventsOf(changes)
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -9,6 +9,7 @@
 	"balsambarrow/internal/fanout"
 	"balsambarrow/internal/fleet"
 	"balsambarrow/internal/follow"
+	"balsambarrow/internal/kv"
 	"balsambarrow/internal/snapshot"
 )
 
@@ -45,6 +46,10 @@
 	registrations map[string]fleet.Registration
 	roster        *follow.Roster
 	catalog       *catalog.Catalog
+	// items is what the store holds but for snapshots, and revision the store's of the
+	// latest look, here or at the peer that confirmed the same.
+	items    map[string]kv.Item
+	revision uint64
 	// configuration is the value that catalog was decoded from.
 	configuration []byte
 	zones         map[string]bool
@@ -89,7 +94,7 @@
 
 func newControl(d *Daemon) *control {
 	return &control{
-		d: d, inbox: make(chan message, 256), zones: map[string]bool{},
+		d: d, inbox: make(chan message, 256), zones: map[string]bool{}, items: map[string]kv.Item{},
 		registrations: map[string]fleet.Registration{}, confirms: newConfirms(),
 		members: fleet.NewMembers(d.self.Instance, d.self.Name, d.self.Region), roster: follow.NewRoster(),
 	}
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -69,6 +69,8 @@
 	// needed is closed when the host knows, before its first listing, that it will take
 	// callers.
 	needed chan struct{}
+	// toldByPeer says that a peer, not a listing, told this host what the store holds.
+	toldByPeer atomic.Bool
 	// spends says that this host should hold shares of customers' rates.
 	spends atomic.Bool
 	// watches says that this host watches the store for its region.
--- a/internal/entryhost/guide.go
+++ b/internal/entryhost/guide.go
@@ -34,6 +34,10 @@
 	// after the start, and at random within the spread.
 	listAfter  = 700 * time.Millisecond
 	listSpread = 1500 * time.Millisecond
+	// askSpread is within which hosts begin to ask peers for what the store holds, and
+	// askPeersEvery the time between two questions.
+	askSpread     = 300 * time.Millisecond
+	askPeersEvery = 300 * time.Millisecond
 )
 
 // guide names the hosts that take callers, by region.
@@ -86,18 +90,19 @@
 }
 
 // orient reads the guide before the first listing. A host that is weak beside those that
-// it names makes itself known to them and waits before it lists.
-func (d *Daemon) orient(ctx context.Context) {
+// it names makes itself known to them, and has them tell what the store holds. It returns
+// the revision of that; false if the host has to list the store itself.
+func (d *Daemon) orient(ctx context.Context) (revision uint64, ok bool) {
 	bounded, cancel := context.WithTimeout(ctx, callBound)
 	defer cancel()
 	l, err := d.store.List(bounded, platform.GuideKey, true)
 	if err != nil || len(l.Items) == 0 {
-		return
+		return 0, false
 	}
 	var g guide
 	if err := json.Unmarshal(l.Items[0].Value, &g); err != nil {
 		d.events.Warn("guide not readable", "revision", l.Items[0].Revision, "error", err)
-		return
+		return 0, false
 	}
 	stronger := g.stronger(d.self.Region, d.capacity())
 	if len(stronger) == 0 {
@@ -106,13 +111,50 @@
 			d.spends.Store(true)
 			close(d.needed)
 		}
-		return
+		return 0, false
 	}
 	d.control.send(func(c *control) {
 		c.guides = stronger
 		c.heartbeatDue = time.Time{}
 	})
-	sleep(ctx, listAfter+rand.N(listSpread))
+	return d.listFromPeers(ctx, stronger)
+}
+
+// listFromPeers asks peers in turn for all that the store holds, until one has told it or
+// it is time to list the store.
+func (d *Daemon) listFromPeers(ctx context.Context, peers []string) (revision uint64, ok bool) {
+	until := d.now().Add(listAfter + listSpread)
+	sleep(ctx, listAfter+rand.N(askSpread))
+	for i := rand.IntN(len(peers)); ctx.Err() == nil && d.now().Before(until); i++ {
+		d.control.send(func(c *control) {
+			c.askAt(c.d.now(), peers[i%len(peers)], question{whole: true})
+		})
+		await(ctx, d.listed, askPeersEvery)
+		if isClosed(d.listed) {
+			break
+		}
+	}
+	if !isClosed(d.listed) {
+		return 0, false
+	}
+	d.toldByPeer.Store(true)
+	told := make(chan uint64, 1)
+	d.control.send(func(c *control) { told <- c.revision })
+	select {
+	case revision = <-told:
+		return revision, true
+	case <-ctx.Done():
+		return 0, false
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
 }
 
 // writeGuide writes the guide into the store if it has changed. Whoever writes snapshots
--- a/internal/entryhost/knowledge.go
+++ b/internal/entryhost/knowledge.go
@@ -17,6 +17,8 @@
 	maxChangeBytes = 256 << 10
 	// maxHostChangeBytes is the same for the registrations of entry hosts.
 	maxHostChangeBytes = 24 << 10
+	// wholeMaxAge is the age up to which a host passes on all that it knows.
+	wholeMaxAge = 1500 * time.Millisecond
 )
 
 // knowledge is what the store held at a time. It is never modified.
@@ -26,6 +28,8 @@
 	// hosts and hostsAt are the same for the registrations of entry hosts.
 	hosts   uint64
 	hostsAt time.Time
+	// revision of the store that both speak for.
+	revision uint64
 }
 
 // hostKnowledge is what is known of the registrations of entry hosts. They are
@@ -58,7 +62,7 @@
 // once where the watcher knows something new.
 func (c *control) publishKnowledge(now time.Time, watches bool) {
 	before := c.d.known.Load()
-	known := knowledge{c.digest.Sum(), c.confirmedAt, c.hostRegistrations.digest.Sum(), c.hostRegistrations.at}
+	known := knowledge{c.digest.Sum(), c.confirmedAt, c.hostRegistrations.digest.Sum(), c.hostRegistrations.at, c.revision}
 	if before != nil && *before == known {
 		return
 	}
@@ -74,30 +78,56 @@
 	if k == nil || k.digest == 0 {
 		return
 	}
-	if q.Digest != k.digest || q.Hosts != k.hosts {
+	if q.Whole || q.Digest != k.digest || q.Hosts != k.hosts {
 		d.control.send(func(c *control) { c.answerWithChanges(q, from) })
 		return
 	}
-	d.answerConfirm(&fleet.ConfirmAnswer{Id: q.Id, Digest: k.digest, Hosts: k.hosts}, k.at, k.hostsAt, from)
+	d.answerConfirm(&fleet.ConfirmAnswer{Id: q.Id, Digest: k.digest, Hosts: k.hosts, Revision: k.revision}, k.at, k.hostsAt, from)
 }
 
 // answerWithChanges answers a host that knows something else than this one, with the
 // changes that it lacks, if they are known and fit; or with who has them, if this host
 // has sent as much as its link bears.
 func (c *control) answerWithChanges(q *fleet.ConfirmRequest, from string) {
-	a := &fleet.ConfirmAnswer{Id: q.Id, Digest: c.digest.Sum(), Hosts: c.hostRegistrations.digest.Sum()}
+	a := &fleet.ConfirmAnswer{
+		Id: q.Id, Digest: c.digest.Sum(), Hosts: c.hostRegistrations.digest.Sum(), Revision: c.revision,
+	}
+	if q.Whole {
+		c.answerWithAll(a, from)
+		return
+	}
 	a.HostChanges = changesSince(&c.hostRegistrations.journal, q.Hosts, maxHostChangeBytes)
 	if changes := changesSince(&c.journal, q.Digest, maxChangeBytes); len(changes) > 0 {
-		size := proto.Size(&fleet.ConfirmAnswer{Changes: changes})
-		ok, holders := c.fanout.Send(c.d.now(), a.Digest, from, size, c.d.capacity().LinkMbps)
-		if ok {
-			a.Changes = changes
-		}
-		a.Later, a.Holders = !ok, holders
+		c.addChanges(a, changes, from)
 	}
 	c.d.answerConfirm(a, c.confirmedAt, c.hostRegistrations.at, from)
 }
 
+// answerWithAll answers a host that has just started with all that the store holds, as far
+// as this one knows it, or with who else may have it.
+func (c *control) answerWithAll(a *fleet.ConfirmAnswer, from string) {
+	if !c.listed || c.d.now().Sub(c.confirmedAt) > wholeMaxAge {
+		return
+	}
+	a.Whole = true
+	all := make([]*fleet.Change, 0, len(c.items))
+	for _, item := range c.items {
+		all = append(all, &fleet.Change{Key: item.Key, Value: item.Value, Revision: item.Revision})
+	}
+	c.addChanges(a, all, from)
+	c.d.answerConfirm(a, c.confirmedAt, c.hostRegistrations.at, from)
+}
+
+// addChanges adds changes to an answer if the link bears it, and else who has them.
+func (c *control) addChanges(a *fleet.ConfirmAnswer, changes []*fleet.Change, from string) {
+	size := proto.Size(&fleet.ConfirmAnswer{Changes: changes})
+	ok, holders := c.fanout.Send(c.d.now(), a.Digest, from, size, c.d.capacity().LinkMbps)
+	if ok {
+		a.Changes = changes
+	}
+	a.Later, a.Holders = !ok, holders
+}
+
 func changesSince(j *follow.Journal, digest uint64, most int) []*fleet.Change {
 	var out []*fleet.Change
 	changes, _ := j.Since(digest, most)
--- a/internal/entryhost/recall.go
+++ b/internal/entryhost/recall.go
@@ -21,11 +21,11 @@
 // recall takes over what the fleet knew before this process began. A snapshot that
 // cannot be used is ignored: the host learns anew.
 func (c *control) recall(now time.Time, items []kv.Item) {
-	c.recalled = now
 	i := slices.IndexFunc(items, func(item kv.Item) bool { return item.Key == platform.SnapshotKey })
 	if i < 0 {
 		return
 	}
+	c.recalled = now
 	m, err := snapshot.Decode(time.Now(), items[i].Value)
 	if err != nil {
 		c.d.events.Info("snapshot ignored", "revision", items[i].Revision, "bytes", len(items[i].Value), "error", err)
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -21,51 +21,64 @@
 	s.c.send(func(c *control) {
 		now := c.d.now()
 		c.roster.Reached(now)
-		c.seen.Listed(l.Items)
-		c.journal.Reset()
-		c.hostRegistrations.journal.Reset()
-		upstreams, zones := map[string]bool{}, map[string]bool{}
-		for key := range c.registrations {
-			c.hostUnregistered(key)
-		}
-		for _, item := range l.Items {
-			if zone, ok := platform.EvacuatedZone(item.Key); ok {
-				zones[zone] = true
-			}
-			if id, ok := platform.UpstreamID(item.Key); ok {
-				upstreams[id] = true
-			}
-			c.applyWrite(now, item)
-		}
-		for _, id := range c.roster.Unlisted(upstreams) {
-			c.unregister(now, id)
-		}
-		for zone := range c.zones {
-			if !zones[zone] {
-				c.evacuate(zone, false)
-			}
-		}
-		if !c.listed {
-			c.recall(now, l.Items)
-		}
-		c.listHosts(now)
-		if !c.listed {
-			c.listed = true
-			c.d.peersKnown.Store(len(c.registrations) > 0)
+		first := !c.listed
+		c.replaceAll(now, l.Items)
+		if first {
 			// Whether the host will hold shares decides how it registers.
 			c.shouldBeActive(now, nil)
 			close(c.d.listed)
 		}
+		if !asOf.IsZero() {
+			c.revision = max(c.revision, l.Revision)
+		}
 		c.confirmedByStore(asOf)
 	})
 }
 
+// replaceAll takes all over that the store holds.
+func (c *control) replaceAll(now time.Time, items []kv.Item) {
+	c.seen.Listed(items)
+	c.journal.Reset()
+	c.hostRegistrations.journal.Reset()
+	clear(c.items)
+	upstreams, zones := map[string]bool{}, map[string]bool{}
+	for key := range c.registrations {
+		c.hostUnregistered(key)
+	}
+	for _, item := range items {
+		if zone, ok := platform.EvacuatedZone(item.Key); ok {
+			zones[zone] = true
+		}
+		if id, ok := platform.UpstreamID(item.Key); ok {
+			upstreams[id] = true
+		}
+		c.applyWrite(now, item)
+	}
+	for _, id := range c.roster.Unlisted(upstreams) {
+		c.unregister(now, id)
+	}
+	for zone := range c.zones {
+		if !zones[zone] {
+			c.evacuate(zone, false)
+		}
+	}
+	if !c.listed {
+		c.recall(now, items)
+	}
+	c.listHosts(now)
+	if !c.listed {
+		c.listed = true
+		c.d.peersKnown.Store(len(c.registrations) > 0)
+	}
+}
+
 // Changed implements follow.Sink.
 func (s storeSink) Changed(changes kv.Changes, asOf time.Time) {
 	s.c.send(func(c *control) {
 		now := c.d.now()
 		c.roster.Reached(now)
 		c.applyChanges(now, changes.Events)
+		c.revision = max(c.revision, changes.Revision)
 		c.confirmedByStore(asOf)
 	})
 }
@@ -99,6 +112,9 @@
 
 // applyWrite takes a key over that was written.
 func (c *control) applyWrite(now time.Time, item kv.Item) {
+	if item.Key != platform.SnapshotKey {
+		c.items[item.Key] = item
+	}
 	if platform.IsConfiguration(item.Key) {
 		c.declare(item)
 		return
@@ -126,6 +142,7 @@
 
 // applyRemoval takes over that a key is gone.
 func (c *control) applyRemoval(now time.Time, key string) {
+	delete(c.items, key)
 	if id, ok := platform.UpstreamID(key); ok {
 		c.unregister(now, id)
 	}
--- a/internal/fleet/packer.go
+++ b/internal/fleet/packer.go
@@ -12,8 +12,9 @@
 	// packWindowBytes bounds the memory of compression; packets of many changes repeat
 	// themselves within it.
 	packWindowBytes = 64 << 10
-	// maxPacketBytes is the largest packet that is unpacked.
-	maxPacketBytes = maxFragments * fragmentBytes
+	// maxPacketBytes is the largest packet that is unpacked: the accounts of some thousands
+	// of upstreams and the largest configuration.
+	maxPacketBytes = 8 << 20
 )
 
 // packer compresses large packets: accounts of many upstreams are much alike. It is safe
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -44,8 +44,10 @@
 	// Wake ends the pause before the next look, but not one after a call that
 	// failed. Default nil: never.
 	Wake <-chan struct{}
-	// Before is called before the first listing. Default nil.
-	Before func(ctx context.Context)
+	// Before is called before the first listing. If a peer has told what the store holds
+	// meanwhile, it returns the revision of that, and nothing is listed; the first watch
+	// is made when it is due. Default nil.
+	Before func(ctx context.Context) (revision uint64, ok bool)
 	// Listed is called between the first listing and the first watch. Default nil.
 	Listed func(ctx context.Context)
 }
@@ -88,7 +90,10 @@
 // what the listing lacks.
 func (f *Follower) first(ctx context.Context) uint64 {
 	if f.Before != nil {
-		f.Before(ctx)
+		if revision, ok := f.Before(ctx); ok {
+			f.pause(ctx, f.Pace().Every, f.Wake)
+			return revision
+		}
 	}
 	pause := minBackoff
 	for ctx.Err() == nil {
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -99,7 +99,7 @@
 
 // writeAnswer writes a whole answer to the caller.
 func (h *Handler) writeAnswer(w http.ResponseWriter, q *request, a *answer) {
-	copyHeader(w.Header(), a.header)
+	moveHeader(w.Header(), a.header)
 	if q.http.Method != http.MethodHead {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
@@ -119,7 +119,7 @@
 // stream passes a long answer on as it comes. If it breaks off, the caller's
 // connection is broken off too: an answer that ends early must not look whole.
 func (h *Handler) stream(w http.ResponseWriter, a *answer, rest io.Reader) error {
-	copyHeader(w.Header(), a.header)
+	moveHeader(w.Header(), a.header)
 	w.WriteHeader(a.status)
 	if _, err := w.Write(a.body); err != nil {
 		return &callerError{err}
@@ -163,10 +163,9 @@
 	return n, nil
 }
 
-// copyHeader copies an upstream's headers but those of the connection to it: that
+// moveHeader moves an upstream's headers but those of the connection to it: that
 // it closes says nothing about the connection to the caller.
-func copyHeader(to, from http.Header) {
-	kept := from.Clone()
-	h1.StripHops(kept)
-	maps.Copy(to, kept)
+func moveHeader(to, from http.Header) {
+	h1.StripHops(from)
+	maps.Copy(to, from)
 }
