A host that starts has its second connection to the store opened ahead

Cause: log of a start in a region 70 ms from the store: the registration waits for a connection of its own while the listing uses the first. Change: one connection is opened beside the first call.

--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -122,7 +122,6 @@
 			Name: s.Host, Callers: addresses.Callers, Peers: addresses.Peers,
 		},
 		events: events, metrics: metrics, tracing: tracing, wire: wire, addresses: addresses, listeners: listeners,
-		store:   platform.NewStore("http://"+s.Store, h1.Dialer(storeDialBound), metrics.StoreCall),
 		conns:   h1.NewPool(h1.Dialer(upstreamDialBound), clock.Now),
 		shares:  share.New(),
 		retries: retry.NewWindow(s.Bounds.RetryWindow.Value(), s.Bounds.RetryRatio),
@@ -140,6 +139,8 @@
 	d.state.Store(&front.State{})
 	d.directory.Store(&directory{self: d.self})
 	d.ctx, d.cancel = context.WithCancel(context.Background())
+	ahead := h1.DialAhead(d.ctx, h1.Dialer(storeDialBound), s.Store)
+	d.store = platform.NewStore("http://"+s.Store, ahead.Dial, metrics.StoreCall)
 	d.control = newControl(d)
 	d.tokens = newTokens(d)
 	d.pool.Store(&pool{})
--- a/internal/h1/dial.go
+++ b/internal/h1/dial.go
@@ -1,7 +1,6 @@
 package h1
 
 import (
-	"context"
 	"net"
 	"syscall"
 	"time"
@@ -25,7 +24,7 @@
 )
 
 // Dialer opens TCP connections that notice a silent other side.
-func Dialer(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+func Dialer(timeout time.Duration) DialFunc {
 	d := &net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probes},
