What a host itself can do decides at once whether it takes callers

Cause: log of a start: 51 ms between the answer that made a host able to serve and its next decision, which others' news may ask for ten times a second. Change: a change of the host's own state does not wait for that.

--- a/internal/entryhost/activation.go
+++ b/internal/entryhost/activation.go
@@ -71,7 +71,9 @@
 	d := &c.activation
 	next := basis{c.members.Generation(), c.canServe(now), c.leaving}
 	since := now.Sub(d.decidedAt)
-	if since < activationEvery || next == d.basis && since < reviewEvery {
+	// What this host itself can do shows at once.
+	own := next.able != d.basis.able || next.leaving != d.basis.leaving
+	if !own && (since < activationEvery || next == d.basis && since < reviewEvery) {
 		return
 	}
 	d.decidedAt, d.basis = now, next
