A host that has not listed the store yet asks nobody to confirm what it knows

Cause: of the watches after a loss of all hosts, 35 were made by hosts that stand by and whose question, sent before they knew anything, had found no changes that they lack. Change: questions begin with the first listing.

--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -132,7 +132,8 @@
 		c.d.lookNow("not confirmed")
 	}
 	c.lookForHosts(now)
-	if now.Before(c.confirms.askDue) {
+	if !c.listed || now.Before(c.confirms.askDue) {
+		// Before the first listing there is nothing to confirm.
 		return
 	}
 	c.confirms.askDue = now.Add(every)
--- a/internal/entryhost/guide.go
+++ b/internal/entryhost/guide.go
@@ -121,18 +121,15 @@
 }
 
 // listFromPeers asks peers in turn for all that the store holds, until one has told it or
-// it is time to list the store.
+// it is time to list the store. It returns the revision of what was told.
 func (d *Daemon) listFromPeers(ctx context.Context, peers []string) (revision uint64, ok bool) {
 	until := d.now().Add(listAfter + listSpread)
 	sleep(ctx, listAfter+rand.N(askSpread))
-	for i := rand.IntN(len(peers)); ctx.Err() == nil && d.now().Before(until); i++ {
+	for i := rand.IntN(len(peers)); ctx.Err() == nil && !isClosed(d.listed) && d.now().Before(until); i++ {
 		d.control.send(func(c *control) {
 			c.askAt(c.d.now(), peers[i%len(peers)], question{whole: true})
 		})
 		await(ctx, d.listed, askPeersEvery)
-		if isClosed(d.listed) {
-			break
-		}
 	}
 	if !isClosed(d.listed) {
 		return 0, false
