--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 
 lint: $(BIN)/golangci-lint
 	$(BIN)/golangci-lint run ./...
+	scripts/style.sh
 
 build:
 	go build -o $(BIN)/ ./cmd/...
