Weak hosts wait for the first guide; hosts that stand by leave an outage's end to the others

Change: where there is no guide a host waits for one, the longer the weaker it is, and then has a stronger host tell what the store holds; a host that stands by does not look for itself as long as nobody that takes callers reaches the store.

--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -128,7 +128,7 @@
 	if !c.ready {
 		every, later = askStandby, standbyLater
 	}
-	if !watches && !c.confirmedAt.IsZero() && now.Sub(c.confirmedAt) > lookAfter+later {
+	if !watches && !c.confirmedAt.IsZero() && now.Sub(c.confirmedAt) > lookAfter+later && c.looksAlone() {
 		c.d.lookNow("not confirmed")
 	}
 	c.lookForHosts(now)
@@ -152,6 +152,14 @@
 	return c.ready || !c.d.directory.Load().anyReady()
 }
 
+// looksAlone tells whether this host looks at the store if nobody confirms what it knows.
+// One that stands by leaves that to those that take callers as long as none of them reaches
+// the store either: at the end of an outage all hosts would look at once.
+func (c *control) looksAlone() bool {
+	d := c.d.directory.Load()
+	return c.watchesAlone() || len(d.seers(func(string) bool { return true })) > 0
+}
+
 // ask sends a question to a host.
 func (c *control) ask(now time.Time, host string) {
 	if host != "" {
--- a/internal/entryhost/guide.go
+++ b/internal/entryhost/guide.go
@@ -34,6 +34,11 @@
 	// after the start, and at random within the spread.
 	listAfter  = 700 * time.Millisecond
 	listSpread = 1500 * time.Millisecond
+	// guideAfter is how long a host with one core waits for a guide where there is none;
+	// one with less waits for longer, mostGuideWait at most, so that the strongest are
+	// ready first and write it.
+	guideAfter    = 200 * time.Millisecond
+	mostGuideWait = 1500 * time.Millisecond
 	// askSpread is within which hosts begin to ask peers for what the store holds, and
 	// askPeersEvery the time between two questions.
 	askSpread     = 300 * time.Millisecond
@@ -93,16 +98,11 @@
 // it names makes itself known to them, and has them tell what the store holds. It returns
 // the revision of that; false if the host has to list the store itself.
 func (d *Daemon) orient(ctx context.Context) (revision uint64, ok bool) {
-	bounded, cancel := context.WithTimeout(ctx, callBound)
-	defer cancel()
-	l, err := d.store.List(bounded, platform.GuideKey, true)
-	if err != nil || len(l.Items) == 0 {
-		return 0, false
-	}
-	var g guide
-	if err := json.Unmarshal(l.Items[0].Value, &g); err != nil {
-		d.events.Warn("guide not readable", "revision", l.Items[0].Revision, "error", err)
-		return 0, false
+	g, known := d.fetchGuide(ctx)
+	if cores := d.capacity().Cores; known && len(g) == 0 && cores > 0 {
+		// Nobody has written one yet: the fleet starts for the first time.
+		sleep(ctx, min(time.Duration(float64(guideAfter)/cores), mostGuideWait))
+		g, _ = d.fetchGuide(ctx)
 	}
 	stronger := g.stronger(d.self.Region, d.capacity())
 	if len(stronger) == 0 {
@@ -120,6 +120,25 @@
 	return d.listFromPeers(ctx, stronger)
 }
 
+// fetchGuide reads the guide, which is empty if there is none; false if the store does not
+// answer.
+func (d *Daemon) fetchGuide(ctx context.Context) (g guide, ok bool) {
+	bounded, cancel := context.WithTimeout(ctx, callBound)
+	defer cancel()
+	l, err := d.store.List(bounded, platform.GuideKey, true)
+	if err != nil {
+		return nil, false
+	}
+	if len(l.Items) == 0 {
+		return nil, true
+	}
+	if err := json.Unmarshal(l.Items[0].Value, &g); err != nil {
+		d.events.Warn("guide not readable", "revision", l.Items[0].Revision, "error", err)
+		return nil, false
+	}
+	return g, true
+}
+
 // listFromPeers asks peers in turn for all that the store holds, until one has told it or
 // it is time to list the store. It returns the revision of what was told.
 func (d *Daemon) listFromPeers(ctx context.Context, peers []string) (revision uint64, ok bool) {
@@ -134,7 +153,7 @@
 	if !isClosed(d.listed) {
 		return 0, false
 	}
-	d.toldByPeer.Store(true)
+	d.lookWhenRegistered.Store(true)
 	told := make(chan uint64, 1)
 	d.control.send(func(c *control) { told <- c.revision })
 	select {
