A late first registration is followed by a look at the store

By the code: a host whose registration takes longer than the first watch waits for it takes callers, and may not spend until it looks at the store again, up to 1.4 s later; all its callers are refused as over their rate. A test that holds the registration back shows just that: ready, registered .06 s later, no look. Change: the registration is then followed by a look. The test fails without the change.

--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -69,8 +69,8 @@
 	// needed is closed when the host knows, before its first listing, that it will take
 	// callers.
 	needed chan struct{}
-	// toldByPeer says that a peer, not a listing, told this host what the store holds.
-	toldByPeer atomic.Bool
+	// lookWhenRegistered says that no look at the store follows the first registration.
+	lookWhenRegistered atomic.Bool
 	// spends says that this host should hold shares of customers' rates.
 	spends atomic.Bool
 	// watches says that this host watches the store for its region.
@@ -179,7 +179,10 @@
 	follower := &follow.Follower{
 		Store: d.store, Prefix: platform.AllKeys, Pace: d.storePace, Now: d.now, Sink: storeSink{d.control}, Wake: d.hurry,
 		Before: d.orient,
-		Listed: func(ctx context.Context) { await(ctx, registrar.done, registerWithin) },
+		Listed: func(ctx context.Context) {
+			await(ctx, registrar.done, registerWithin)
+			d.lookWhenRegistered.Store(!isClosed(registrar.done))
+		},
 	}
 	d.spawn(follower.Run)
 	d.spawn(registrar.run)
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -489,6 +489,29 @@
 	g.Eventually(func() []string { return directory(t, s.hosts[0], "a") }, "5s", "10ms").Should(ConsistOf(named))
 }
 
+// Guards against a host whose first registration takes longer than its first watch waits
+// for it, as with a slow store: it takes callers, and refuses all of them as over their
+// rate until it happens to look at the store again.
+func TestALateFirstRegistrationIsFollowedByALook(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	logs := &syncBuffer{}
+	s.logs = logs
+	s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1")
+	s.store.SetFault(func(path string) standin.StoreFault {
+		if path == "/-/kv-lease" {
+			return standin.StoreBusy
+		}
+		return standin.StoreFine
+	})
+	h := s.host("h1", "a1")
+	g.Eventually(h.ready, "10s", "10ms").Should(BeTrue(), "it does not wait for its registration")
+	s.store.SetFault(nil)
+	g.Eventually(logs.String, "10s", "10ms").Should(ContainSubstring("cause=registered"))
+	s.awaitServing()
+}
+
 // Guards against a look at the store, or a refusal, for each caller that comes to a host
 // that stands by: the host that watches confirms what it knows. Here the store gives it no
 // answer at all.
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -191,9 +191,9 @@
 	}
 	r.lease, r.written = lease, r.d.now()
 	r.tell(began)
-	if spends && (r.registeredBefore || r.d.toldByPeer.Load()) {
+	if spends && (r.registeredBefore || r.d.lookWhenRegistered.Load()) {
 		// What registered meanwhile is to be known before this host spends. At the start
-		// the first watch follows, unless a peer has told what the store holds.
+		// the first watch follows, unless it did not wait, or a peer has told all.
 		r.d.lookNow("registered")
 	}
 	r.registeredBefore = true
