--- a/internal/fanout/limiter.go
+++ b/internal/fanout/limiter.go
@@ -1,8 +1,9 @@
 package fanout
 
 import (
-	"math/rand/v2"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -31,6 +32,8 @@
 	// state is the digest that the holders have.
 	state   uint64
 	holders []holder
+	// asked counts the hosts to which holders were named.
+	asked uint64
 }
 
 type holder struct {
@@ -70,12 +73,14 @@
 	l.at = now
 }
 
-// named are some holders, picked at random so that hosts that ask together spread over
-// them.
+// named are some holders, other ones for each host, so that hosts that ask together spread
+// over them.
 func (l *Limiter) named(now time.Time, host string) []string {
 	var out []string
-	for _, i := range rand.Perm(len(l.holders)) {
-		h := l.holders[i]
+	first := xxhash.Sum64String(host) + l.asked
+	l.asked++
+	for i := range uint64(len(l.holders)) {
+		h := l.holders[(first+i)%uint64(len(l.holders))]
 		if h.address == host || now.Sub(h.at) < settles {
 			continue
 		}
