--- a/internal/entryhost/activation.go
+++ b/internal/entryhost/activation.go
@@ -55,7 +55,7 @@
 	c.ready = ready
 	c.members.SetReady(ready)
 	if ready {
-		c.recallAgain(now)
+		c.restoreSnapshotAgain(now)
 	}
 	// The others should know at once.
 	c.announceToAll(now)
@@ -134,7 +134,7 @@
 		return heard
 	}
 	out := heard[:len(heard):len(heard)]
-	for _, m := range c.members.Unheard(c.d.self.Region) {
+	for _, m := range c.members.PresumedStandbys(c.d.self.Region) {
 		m.Able = true
 		out = append(out, m)
 	}
--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -84,7 +84,7 @@
 // take callers and reach the store, by rendezvous. "" if this host knows none.
 func (c *control) watcher() string {
 	if d := c.d.directory.Load(); d != c.watchers.of {
-		c.watchers = watchers{of: d, own: rendezvous.Pick(storeKey, d.seers(c.ownRegion))}
+		c.watchers = watchers{of: d, own: rendezvous.Pick(storeKey, d.storeReaders(c.ownRegion))}
 	}
 	return c.watchers.own
 }
@@ -103,18 +103,18 @@
 // likely to have met; "" if there is none.
 func (c *control) second(watcher string) string {
 	d := c.d.directory.Load()
-	if far := rendezvous.Pick(storeKey, d.seers(func(region string) bool { return !c.ownRegion(region) })); far != "" {
+	if far := rendezvous.Pick(storeKey, d.storeReaders(func(region string) bool { return !c.ownRegion(region) })); far != "" {
 		return far
 	}
-	near := slices.DeleteFunc(d.seers(c.ownRegion), func(instance string) bool {
+	near := slices.DeleteFunc(d.storeReaders(c.ownRegion), func(instance string) bool {
 		return instance == watcher || instance == c.d.self.Instance
 	})
 	return rendezvous.Pick(storeKey, near)
 }
 
-// seekConfirmation has what is known confirmed, by the watcher or by a look at
+// confirmKnowledge has what is known confirmed, by the watcher or by a look at
 // the store.
-func (c *control) seekConfirmation(now time.Time) {
+func (c *control) confirmKnowledge(now time.Time) {
 	watcher := c.watcher()
 	watches := watcher == c.d.self.Instance || watcher == "" && c.watchesAlone()
 	if c.d.watches.Swap(watches) != watches {
@@ -157,18 +157,18 @@
 // the store either: at the end of an outage all hosts would look at once.
 func (c *control) looksAlone() bool {
 	d := c.d.directory.Load()
-	return c.watchesAlone() || len(d.seers(func(string) bool { return true })) > 0
+	return c.watchesAlone() || len(d.storeReaders(func(string) bool { return true })) > 0
 }
 
 // ask sends a question to a host.
 func (c *control) ask(now time.Time, host string) {
 	if host != "" {
-		c.askAt(now, c.members.Address(host), question{})
+		c.askPeer(now, c.members.Address(host), question{})
 	}
 }
 
-// askAt sends a question to an address.
-func (c *control) askAt(now time.Time, address string, asked question) {
+// askPeer sends a question to an address.
+func (c *control) askPeer(now time.Time, address string, asked question) {
 	q := &c.confirms
 	asked.at = now
 	if len(q.asked) >= confirmsKept {
@@ -237,7 +237,7 @@
 	}
 	asked.referred = true
 	for _, holder := range a.Holders {
-		c.askAt(now, holder, asked)
+		c.askPeer(now, holder, asked)
 	}
 }
 
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -82,8 +82,8 @@
 	hostRegistrations hostKnowledge
 	confirms          confirms
 	watchers          watchers
-	// recalled is when what the fleet had learned was read last.
-	recalled time.Time
+	// snapshotReadAt is when what the fleet had learned was read last.
+	snapshotReadAt time.Time
 	// guide is what the guide in the store is, as far as this host knows, and guides are
 	// the hosts that it makes itself known to until it hears one that takes callers.
 	guide  []byte
@@ -153,7 +153,7 @@
 
 func (c *control) tick(now time.Time) {
 	for _, id := range c.roster.Expired(now) {
-		c.leave(id, "missing since the store is back")
+		c.removeUpstream(id, "missing since the store is back")
 	}
 	if held := c.registered(now); held != c.held {
 		// Others should ask another host for customers' tokens, or this one again.
@@ -163,7 +163,7 @@
 		c.d.shares.SetLease(now, held)
 	}
 	c.publish(now)
-	c.seekConfirmation(now)
+	c.confirmKnowledge(now)
 	c.sendHeartbeats(now)
 }
 
@@ -185,7 +185,7 @@
 	return c.catalog.Version
 }
 
-func (c *control) log(changes []fleet.Arrival) {
+func (c *control) log(changes []fleet.MemberChange) {
 	for _, change := range changes {
 		c.d.events.Info("peer "+change.What, "peer", change.Member.Host, "instance", change.Member.Instance,
 			"zone", change.Member.Zone)
@@ -194,15 +194,15 @@
 
 func (c *control) handleHeartbeat(b *fleet.Heartbeat) {
 	now := c.d.now()
-	changes := c.members.Hear(now, b)
+	changes := c.members.ApplyHeartbeat(now, b)
 	c.log(changes)
-	c.greet(now, b, changes)
+	c.answerStandby(now, b, changes)
 	c.d.table.ApplyWarmReports(now, b.Warm)
 	c.handleDigest(b.Instance, b.Digest)
 }
 
-// leave stops sending to an upstream.
-func (c *control) leave(id, why string) {
+// removeUpstream stops sending to an upstream.
+func (c *control) removeUpstream(id, why string) {
 	c.d.table.Remove(id)
 	c.d.events.Info("upstream gone", "upstream", id, "reason", why)
 }
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -178,7 +178,7 @@
 	registrar := newRegistrar(d)
 	follower := &follow.Follower{
 		Store: d.store, Prefix: platform.AllKeys, Pace: d.storePace, Now: d.now, Sink: storeSink{d.control}, Wake: d.hurry,
-		Before: d.orient,
+		Before: d.startFromGuide,
 		Listed: func(ctx context.Context) {
 			await(ctx, registrar.done, registerWithin)
 			d.lookWhenRegistered.Store(!isClosed(registrar.done))
--- a/internal/entryhost/directory.go
+++ b/internal/entryhost/directory.go
@@ -45,8 +45,8 @@
 	return nil
 }
 
-// seers lists the instances of some regions that take callers and reach the store.
-func (d *directory) seers(in func(region string) bool) []string {
+// storeReaders lists the instances of some regions that take callers and reach the store.
+func (d *directory) storeReaders(in func(region string) bool) []string {
 	var out []string
 	if d.ready && d.seesStore && in(d.self.Region) {
 		out = append(out, d.self.Instance)
--- a/internal/entryhost/guide.go
+++ b/internal/entryhost/guide.go
@@ -94,10 +94,10 @@
 	return out
 }
 
-// orient reads the guide before the first listing. A host that is weak beside those that
+// startFromGuide reads the guide before the first listing. A host that is weak beside those that
 // it names makes itself known to them, and has them tell what the store holds. It returns
 // the revision of that; false if the host has to list the store itself.
-func (d *Daemon) orient(ctx context.Context) (revision uint64, ok bool) {
+func (d *Daemon) startFromGuide(ctx context.Context) (revision uint64, ok bool) {
 	g, known := d.fetchGuide(ctx)
 	if cores := d.capacity().Cores; known && len(g) == 0 && cores > 0 {
 		// Nobody has written one yet: the fleet starts for the first time.
@@ -146,7 +146,7 @@
 	sleep(ctx, listAfter+rand.N(askSpread))
 	for i := rand.IntN(len(peers)); ctx.Err() == nil && !isClosed(d.listed) && d.now().Before(until); i++ {
 		d.control.send(func(c *control) {
-			c.askAt(c.d.now(), peers[i%len(peers)], question{whole: true})
+			c.askPeer(c.d.now(), peers[i%len(peers)], question{whole: true})
 		})
 		await(ctx, d.listed, askPeersEvery)
 	}
--- a/internal/entryhost/heartbeat.go
+++ b/internal/entryhost/heartbeat.go
@@ -53,9 +53,9 @@
 	return c.guides
 }
 
-// greet makes this host known to one of its region that stands by and was not heard
+// answerStandby makes this host known to one of its region that stands by and was not heard
 // before. Until it hears a host that takes callers, it looks at the store for itself.
-func (c *control) greet(now time.Time, b *fleet.Heartbeat, changes []fleet.Arrival) {
+func (c *control) answerStandby(now time.Time, b *fleet.Heartbeat, changes []fleet.MemberChange) {
 	if !c.ready || b.Ready || b.Leaving || b.Region != c.d.self.Region || len(changes) == 0 {
 		return
 	}
--- a/internal/entryhost/publish.go
+++ b/internal/entryhost/publish.go
@@ -30,11 +30,11 @@
 	p := &c.published
 	if now.Sub(p.surveyed) >= surveyEvery {
 		p.surveyed = now
-		c.log(c.members.Tick(now))
+		c.log(c.members.Expire(now))
 	}
 	changed := p.generation != c.members.Generation()
 	if changed {
-		p.generation, p.heard = c.members.Generation(), c.members.Heard()
+		p.generation, p.heard = c.members.Generation(), c.members.Present()
 	}
 	c.setReady(now, p.heard)
 	review := now.Sub(p.reviewed) >= reviewEvery
--- a/internal/entryhost/recall.go
+++ b/internal/entryhost/snapshot.go
@@ -11,21 +11,21 @@
 	"balsambarrow/platform"
 )
 
-// recallAfter is the age of the last snapshot that was read from which a host that
+// snapshotMaxAge is the age of the last snapshot that was read from which a host that
 // begins to take callers reads it again.
-const recallAfter = 5 * time.Second
+const snapshotMaxAge = 5 * time.Second
 
 // snapshotRole is what the host that writes snapshots is picked by.
 const snapshotRole = "snapshot"
 
-// recall takes over what the fleet knew before this process began. A snapshot that
+// restoreSnapshot takes over what the fleet knew before this process began. A snapshot that
 // cannot be used is ignored: the host learns anew.
-func (c *control) recall(now time.Time, items []kv.Item) {
+func (c *control) restoreSnapshot(now time.Time, items []kv.Item) {
 	i := slices.IndexFunc(items, func(item kv.Item) bool { return item.Key == platform.SnapshotKey })
 	if i < 0 {
 		return
 	}
-	c.recalled = now
+	c.snapshotReadAt = now
 	m, err := snapshot.Decode(time.Now(), items[i].Value)
 	if err != nil {
 		c.d.events.Info("snapshot ignored", "revision", items[i].Revision, "bytes", len(items[i].Value), "error", err)
@@ -35,13 +35,13 @@
 		"upstreams", len(m.Upstreams), "objects", c.d.table.Restore(now, m), "routes", len(m.Routes))
 }
 
-// recallAgain has what the fleet has learned read anew, if this host did not hear it
+// restoreSnapshotAgain has what the fleet has learned read anew, if this host did not hear it
 // because it stood by.
-func (c *control) recallAgain(now time.Time) {
-	if now.Sub(c.recalled) < recallAfter {
+func (c *control) restoreSnapshotAgain(now time.Time) {
+	if now.Sub(c.snapshotReadAt) < snapshotMaxAge {
 		return
 	}
-	c.recalled = now
+	c.snapshotReadAt = now
 	c.d.spawn(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, callBound)
 		defer cancel()
@@ -50,14 +50,14 @@
 			c.d.events.Debug("snapshot not read", "error", err)
 			return
 		}
-		c.send(func(c *control) { c.recall(c.d.now(), []kv.Item{item}) })
+		c.send(func(c *control) { c.restoreSnapshot(c.d.now(), []kv.Item{item}) })
 	})
 }
 
 // writesSnapshot tells whether this host is the one of the fleet that writes
 // snapshots. Two that believe so for a moment overwrite each other.
 func (c *control) writesSnapshot() bool {
-	all := c.d.directory.Load().seers(func(string) bool { return true })
+	all := c.d.directory.Load().storeReaders(func(string) bool { return true })
 	return rendezvous.Pick(snapshotRole, all) == c.d.self.Instance
 }
 
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -63,7 +63,7 @@
 		}
 	}
 	if !c.listed {
-		c.recall(now, items)
+		c.restoreSnapshot(now, items)
 	}
 	c.listHosts(now)
 	if !c.listed {
@@ -87,7 +87,7 @@
 func (s storeSink) Failed(err error) {
 	s.c.send(func(c *control) {
 		c.roster.Failed()
-		c.lostStore(err)
+		c.noteStoreLost(err)
 	})
 }
 
@@ -133,7 +133,7 @@
 	}
 	if item.Key == platform.SnapshotKey && c.confirmedAt.IsZero() && c.listed {
 		// The first listing may have been old.
-		c.recall(now, []kv.Item{item})
+		c.restoreSnapshot(now, []kv.Item{item})
 	}
 	if zone, ok := platform.EvacuatedZone(item.Key); ok {
 		c.evacuate(zone, true)
@@ -235,7 +235,7 @@
 	}
 }
 
-func (c *control) lostStore(err error) {
+func (c *control) noteStoreLost(err error) {
 	if !c.storeOut {
 		// The others may have to go by another watcher from now on.
 		c.storeOut = true
@@ -252,7 +252,7 @@
 		c.d.events.Info("upstream entry void", "upstream", id, "revision", item.Revision, "error", err)
 		c.digest.RemoveUpstream(id)
 		if c.roster.Invalidate(id) {
-			c.leave(id, "entry void")
+			c.removeUpstream(id, "entry void")
 		}
 		return
 	}
@@ -270,6 +270,6 @@
 func (c *control) unregister(now time.Time, id string) {
 	c.digest.RemoveUpstream(id)
 	if c.roster.Removed(now, id) {
-		c.leave(id, "entry removed")
+		c.removeUpstream(id, "entry removed")
 	}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -31,15 +31,15 @@
 	g := NewWithT(t)
 	m := fleet.NewMembers("me", "host-me", "r")
 	m.List(start, []fleet.Registration{registration("a", "host-a")})
-	m.Hear(start, beat("a", "host-a", 1))
-	g.Expect(m.Heard()).To(HaveLen(1))
+	m.ApplyHeartbeat(start, beat("a", "host-a", 1))
+	g.Expect(m.Present()).To(HaveLen(1))
 	later := start.Add(10 * time.Second)
-	m.Tick(later)
-	g.Expect(m.Heard()).To(BeEmpty())
+	m.Expire(later)
+	g.Expect(m.Present()).To(BeEmpty())
 	g.Expect(m.Count()).To(Equal(2))
 	g.Expect(m.Demand()).To(HaveKeyWithValue("x", 5.0))
 	m.List(later, nil)
-	m.Tick(later)
+	m.Expire(later)
 	g.Expect(m.Count()).To(Equal(1))
 	g.Expect(m.Demand()).To(BeEmpty())
 }
@@ -49,10 +49,10 @@
 func TestRestartedHostCountsOnce(t *testing.T) {
 	g := NewWithT(t)
 	m := fleet.NewMembers("me", "host-me", "r")
-	m.Hear(start, beat("a-1", "host-a", 7))
-	m.Hear(start, beat("a-2", "host-a", 1))
+	m.ApplyHeartbeat(start, beat("a-1", "host-a", 7))
+	m.ApplyHeartbeat(start, beat("a-2", "host-a", 1))
 	m.List(start, []fleet.Registration{registration("a-1", "host-a"), registration("a-2", "host-a"), registration("me-0", "host-me")})
-	heard := m.Heard()
+	heard := m.Present()
 	g.Expect(heard).To(HaveLen(1))
 	g.Expect(heard[0].Instance).To(Equal("a-2"))
 	g.Expect(m.Count()).To(Equal(2))
@@ -65,10 +65,10 @@
 	m := fleet.NewMembers("me", "host-me", "r")
 	leaving := beat("a", "host-a", 9)
 	leaving.Ready, leaving.Leaving = false, true
-	m.Hear(start, leaving)
-	m.Hear(start, beat("a", "host-a", 8))
-	g.Expect(m.Heard()[0].Leaving).To(BeTrue())
-	m.Hear(start, beat("me", "host-me", 1))
+	m.ApplyHeartbeat(start, leaving)
+	m.ApplyHeartbeat(start, beat("a", "host-a", 8))
+	g.Expect(m.Present()[0].Leaving).To(BeTrue())
+	m.ApplyHeartbeat(start, beat("me", "host-me", 1))
 	g.Expect(m.Count()).To(Equal(2), "an echo of one's own is nobody")
 }
 
@@ -95,14 +95,14 @@
 	g := NewWithT(t)
 	m := fleet.NewMembers("me", "host-me", "r")
 	full := beat("a", "host-a", 1)
-	m.Hear(start, full)
+	m.ApplyHeartbeat(start, full)
 	g.Expect(m.Complete()).To(BeTrue())
 	brief := beat("a", "host-a", 2)
 	brief.Brief, brief.Demand = true, nil
-	m.Hear(start, brief)
+	m.ApplyHeartbeat(start, brief)
 	g.Expect(m.Complete()).To(BeFalse())
 	g.Expect(m.Demand()).To(BeEmpty())
-	m.Hear(start, beat("a", "host-a", 3))
+	m.ApplyHeartbeat(start, beat("a", "host-a", 3))
 	g.Expect(m.Complete()).To(BeTrue())
 	g.Expect(m.Demand()).To(HaveKeyWithValue("x", 5.0))
 }
@@ -112,20 +112,20 @@
 func TestHeartbeatsThatSayNothingNewChangeNoView(t *testing.T) {
 	g := NewWithT(t)
 	m := fleet.NewMembers("me", "host-me", "r")
-	m.Hear(start, beat("a", "host-a", 1))
-	m.Tick(start)
+	m.ApplyHeartbeat(start, beat("a", "host-a", 1))
+	m.Expire(start)
 	before := m.Generation()
 	again := beat("a", "host-a", 2)
 	again.RequestsPerSecond = 70
-	m.Hear(start.Add(time.Second), again)
-	m.Tick(start.Add(time.Second))
+	m.ApplyHeartbeat(start.Add(time.Second), again)
+	m.Expire(start.Add(time.Second))
 	g.Expect(m.Generation()).To(Equal(before))
 	stops := beat("a", "host-a", 3)
 	stops.Ready = false
-	m.Hear(start.Add(time.Second), stops)
+	m.ApplyHeartbeat(start.Add(time.Second), stops)
 	g.Expect(m.Generation()).NotTo(Equal(before), "it takes no callers any more")
 	before = m.Generation()
-	m.Tick(start.Add(time.Minute))
+	m.Expire(start.Add(time.Minute))
 	g.Expect(m.Generation()).NotTo(Equal(before), "it is silent")
 }
 
@@ -140,17 +140,17 @@
 		{Instance: "far", Host: "host-far", Region: "elsewhere", Peers: "p-far"},
 		registration("a", "host-a"),
 	})
-	m.Hear(start, beat("a", "host-a", 1))
+	m.ApplyHeartbeat(start, beat("a", "host-a", 1))
 	g.Expect(m.ReadyPeers()).To(ConsistOf("p-a"))
 	g.Expect(m.StandbyPeers(false)).To(ConsistOf("p-near"))
 	g.Expect(m.StandbyPeers(true)).To(ConsistOf("p-near", "p-far"))
 	g.Expect(m.Interval(true)).To(Equal(fleet.Interval(2)), "by the hosts that take callers")
-	unheard := m.Unheard("r")
+	unheard := m.PresumedStandbys("r")
 	g.Expect(unheard).To(HaveLen(1))
 	g.Expect(unheard[0].Capacity.Cores).To(Equal(0.8))
-	m.Tick(start.Add(time.Minute))
-	g.Expect(m.Heard()).To(BeEmpty())
-	g.Expect(m.Unheard("r")).To(HaveLen(1), "a host that took callers and is silent is not")
+	m.Expire(start.Add(time.Minute))
+	g.Expect(m.Present()).To(BeEmpty())
+	g.Expect(m.PresumedStandbys("r")).To(HaveLen(1), "a host that took callers and is silent is not")
 }
 
 func BenchmarkMembers(b *testing.B) {
@@ -167,9 +167,9 @@
 				now = now.Add(time.Millisecond)
 				h := beats[i%hosts]
 				h.Sequence++
-				m.Hear(now, h)
+				m.ApplyHeartbeat(now, h)
 				if i%100 == 0 {
-					m.Tick(now)
+					m.Expire(now)
 				}
 				if m.Generation() == 0 {
 					b.Fatal("nothing was heard")
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -67,19 +67,19 @@
 	return &Members{self: self, host: host, region: region, by: map[string]*Member{}}
 }
 
-// Arrival says that a host appeared or disappeared, for the log.
-type Arrival struct {
+// MemberChange says that a host appeared or disappeared, for the log.
+type MemberChange struct {
 	Member Member
 	// What happened: heard, silent, left, replaced.
 	What string
 }
 
-// Hear takes a heartbeat in.
-func (m *Members) Hear(now time.Time, b *Heartbeat) []Arrival {
+// ApplyHeartbeat takes a heartbeat in.
+func (m *Members) ApplyHeartbeat(now time.Time, b *Heartbeat) []MemberChange {
 	if b.Instance == m.self || b.Instance == "" {
 		return nil
 	}
-	var changes []Arrival
+	var changes []MemberChange
 	known := m.by[b.Instance]
 	if known == nil {
 		changes = m.replaceHost(b)
@@ -90,10 +90,10 @@
 		return changes
 	}
 	if !known.alive {
-		changes = append(changes, Arrival{Member{Instance: b.Instance, Host: b.Host, Zone: b.Zone}, "heard"})
+		changes = append(changes, MemberChange{Member{Instance: b.Instance, Host: b.Host, Zone: b.Zone}, "heard"})
 	}
 	if b.Leaving && !known.Leaving {
-		changes = append(changes, Arrival{Member{Instance: b.Instance, Host: b.Host, Zone: b.Zone}, "leaving"})
+		changes = append(changes, MemberChange{Member{Instance: b.Instance, Host: b.Host, Zone: b.Zone}, "leaving"})
 	}
 	if !known.alive || known.differs(b) {
 		m.generation++
@@ -101,8 +101,8 @@
 	if b.Ready != known.Ready {
 		m.countReady(b.Ready)
 	}
-	known.take(now, b)
-	m.takeDemand(known, b)
+	known.applyHeartbeat(now, b)
+	m.applyDemand(known, b)
 	return changes
 }
 
@@ -123,7 +123,7 @@
 		k.SeesStore != b.SeesStore
 }
 
-func (k *Member) take(now time.Time, b *Heartbeat) {
+func (k *Member) applyHeartbeat(now time.Time, b *Heartbeat) {
 	k.Host, k.Zone, k.Region = b.Host, b.Zone, b.Region
 	k.Callers, k.Peers = b.Callers, b.Peers
 	k.Ready, k.Leaving, k.Version = b.Ready, b.Leaving, b.Version
@@ -133,9 +133,9 @@
 	k.sequence, k.heard, k.alive = b.Sequence, now, true
 }
 
-// takeDemand takes over what customers ask for at a member. A brief heartbeat leaves it
+// applyDemand takes over what customers ask for at a member. A brief heartbeat leaves it
 // out; what was known of it is then of some time ago, and dropped.
-func (m *Members) takeDemand(k *Member, b *Heartbeat) {
+func (m *Members) applyDemand(k *Member, b *Heartbeat) {
 	if k.complete == b.Brief {
 		k.complete = !b.Brief
 		m.demandAt++
@@ -152,12 +152,12 @@
 
 // replaceHost forgets earlier instances of a host that has started again: they
 // cannot be running.
-func (m *Members) replaceHost(b *Heartbeat) []Arrival {
-	var changes []Arrival
+func (m *Members) replaceHost(b *Heartbeat) []MemberChange {
+	var changes []MemberChange
 	for id, old := range m.by {
 		if old.Host == b.Host && old.sequence > 0 {
 			m.forget(id)
-			changes = append(changes, Arrival{*old, "replaced"})
+			changes = append(changes, MemberChange{*old, "replaced"})
 		}
 	}
 	return changes
@@ -173,14 +173,14 @@
 	m.demandAt++
 }
 
-// Tick forgets hosts that are neither registered nor heard, notes those that have
+// Expire forgets hosts that are neither registered nor heard, notes those that have
 // gone silent, and returns those that were forgotten.
-func (m *Members) Tick(now time.Time) []Arrival {
-	var changes []Arrival
+func (m *Members) Expire(now time.Time) []MemberChange {
+	var changes []MemberChange
 	for id, k := range m.by {
 		if !k.registered && now.Sub(k.heard) >= rememberFor {
 			m.forget(id)
-			changes = append(changes, Arrival{*k, "forgotten"})
+			changes = append(changes, MemberChange{*k, "forgotten"})
 			continue
 		}
 		if alive := k.isAlive(now, m.gapOf(k)); alive != k.alive {
--- a/internal/fleet/views.go
+++ b/internal/fleet/views.go
@@ -5,8 +5,8 @@
 	"sort"
 )
 
-// Heard lists the hosts that are there, by instance.
-func (m *Members) Heard() []Member {
+// Present lists the hosts that are there, by instance.
+func (m *Members) Present() []Member {
 	var out []Member
 	for _, k := range m.by {
 		if k.alive {
@@ -17,9 +17,9 @@
 	return out
 }
 
-// Unheard lists the hosts of a region that are registered, and that this one does not
+// PresumedStandbys lists the hosts of a region that are registered, and that this one does not
 // hear because both stand by. They may be taken to live.
-func (m *Members) Unheard(region string) []Member {
+func (m *Members) PresumedStandbys(region string) []Member {
 	var out []Member
 	for _, k := range m.by {
 		if k.registered && !k.alive && !k.Ready && k.Region == region {
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -34,7 +34,7 @@
 func (h *Handler) receive(ctx context.Context, w http.ResponseWriter, q *request, c place.Choice, began time.Time, reply *h1.Reply) (outcome, *answer) {
 	said := h.Codec.Answer(reply.Response)
 	report := place.Report{
-		Took: h.Now().Sub(began), Connect: reply.Connect, Load: said.Load, Told: said.Told, ColdFor: said.ColdFor,
+		Took: h.Now().Sub(began), Connect: reply.Connect, Load: said.Load, HasLoad: said.HasLoad, ColdFor: said.ColdFor,
 	}
 	if problem := invalidAnswer(reply.Response, said); problem != "" {
 		reply.Close(said.KeepFor)
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -256,7 +256,7 @@
 }
 
 func timeBudget(q *request) time.Duration {
-	d := q.Patience
+	d := q.TimeBudget
 	if t := q.route.Timeout; t > 0 && (d == 0 || t < d) {
 		d = t
 	}
--- a/internal/place/hot_test.go
+++ b/internal/place/hot_test.go
@@ -74,7 +74,7 @@
 				continue
 			}
 			told := traffic.Load{Running: 1 + upstreams[o.choice.ID].busy(o.at, work), Slots: 4}
-			table.Done(o.at, o.choice, place.Report{Result: place.Answered, Took: o.took, Told: true, Load: told})
+			table.Done(o.at, o.choice, place.Report{Result: place.Answered, Took: o.took, HasLoad: true, Load: told})
 		}
 		running = left
 	}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -268,7 +268,7 @@
 	first, err := table.Choose(start, query("1"))
 	g.Expect(err).NotTo(HaveOccurred())
 	table.Done(start, first, place.Report{
-		Result: place.Shed, Told: true, Load: traffic.Load{Running: 4, Waiting: 12, Slots: 4},
+		Result: place.Shed, HasLoad: true, Load: traffic.Load{Running: 4, Waiting: 12, Slots: 4},
 	})
 	g.Expect(ask(t, table, start, query("1")).ID).NotTo(Equal(first.ID))
 }
@@ -284,7 +284,7 @@
 	table.Put(start, u)
 	c, err := table.Choose(start, query("1"))
 	g.Expect(err).NotTo(HaveOccurred())
-	table.Done(start, c, place.Report{Result: place.Answered, Told: true, Load: traffic.Load{Running: 1, Slots: 1}})
+	table.Done(start, c, place.Report{Result: place.Answered, HasLoad: true, Load: traffic.Load{Running: 1, Slots: 1}})
 	next, err := table.Choose(start, query("1"))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(next.Wait).To(BeZero())
@@ -497,7 +497,7 @@
 				took = 300 * time.Millisecond
 			}
 			load := traffic.Load{Running: 1, Slots: 4}
-			table.Done(now, c, place.Report{Result: place.Answered, Took: took, Bytes: 1000, Told: told, Load: load})
+			table.Done(now, c, place.Report{Result: place.Answered, Took: took, Bytes: 1000, HasLoad: told, Load: load})
 		}
 		longest := time.Duration(0)
 		for range 30 {
--- a/internal/place/standing_test.go
+++ b/internal/place/standing_test.go
@@ -144,7 +144,7 @@
 		}
 		load := f.ups[r.c.ID].load(r.at)
 		load.Running++
-		r.table.Done(r.at, r.c, Report{Result: Answered, Took: r.took, Told: true, Load: load})
+		r.table.Done(r.at, r.c, Report{Result: Answered, Took: r.took, HasLoad: true, Load: load})
 	}
 	f.open = left
 }
@@ -176,7 +176,7 @@
 	switch {
 	case !ok:
 		out.refused++
-		t.Done(now, c, Report{Result: Shed, Told: true, Load: f.ups[c.ID].load(now)})
+		t.Done(now, c, Report{Result: Shed, HasLoad: true, Load: f.ups[c.ID].load(now)})
 		return
 	case at.Sub(now) <= overloadAim:
 		out.inTime++
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -203,7 +203,7 @@
 	// Connect is the part of it that a new connection took; 0: there was one.
 	Connect time.Duration
 	Load    traffic.Load
-	Told    bool
+	HasLoad bool
 	// ColdFor, if the upstream says it.
 	ColdFor time.Duration
 	// Bytes of the answer.
@@ -215,7 +215,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := c.upstream
-	if r.Told {
+	if r.HasLoad {
 		w.load.observe(now, r.Load)
 	}
 	w.load.inflight--
@@ -254,13 +254,13 @@
 	}
 	t.links.observeAnswerBytes(c.route, r.Bytes)
 	// Only work that did not wait says how long work takes.
-	queued := r.Told && r.Load.Running+r.Load.Waiting >= r.Load.Slots
+	queued := r.HasLoad && r.Load.Running+r.Load.Waiting >= r.Load.Slots
 	if queued || c.cold {
 		return
 	}
 	took := max(r.Took-r.Connect-t.links.roundTrip(w.region, w.Zone), time.Millisecond)
 	route := getOrCreate(t.serviceTimes, c.route)
-	if c.Warm || r.Told {
+	if c.Warm || r.HasLoad {
 		// Without a load report a wait cannot be told from cold work.
 		route.observe(took, c.Warm)
 	}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -13,8 +13,8 @@
 	ID string
 	// Object is the affinity key: requests about one object share it.
 	Object string
-	// Patience is how long the caller will wait; 0: not said.
-	Patience time.Duration
+	// TimeBudget is how long the caller will wait; 0: not said.
+	TimeBudget time.Duration
 	// Key is the customer's.
 	Key string
 }
@@ -51,8 +51,8 @@
 	// Encoded says that the body is not as the upstream wrote it.
 	Encoded bool
 	// Load, if Told is set.
-	Load Load
-	Told bool
+	Load    Load
+	HasLoad bool
 	// ColdFor is how long the upstream stays cold; 0 if it does not say.
 	ColdFor time.Duration
 	// KeepFor is how long the upstream keeps the connection; 0: not said.
