--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -566,6 +566,29 @@
 	}
 }
 
+// Guards against a large configuration that peers cannot pass on: each host reads it from
+// the store, and one that the store turns away denies what was added, or serves what was
+// dropped, for as long as it is turned away.
+func TestALargeConfigurationReachesAHostThroughItsPeer(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.worker("i-1", "s", "a1", 0)
+	s.added = 2000
+	s.declare(4, "k1")
+	s.host("h1", "a1")
+	gate, address := s.gate()
+	h := s.hostWith("h2", "a1", hostOptions{store: address})
+	s.awaitServing()
+	added := func() int { return s.call(h, "GET", fmt.Sprintf("/added-%d/", s.added-1), "", "").status }
+	g.Expect(added()).To(Equal(http.StatusOK))
+	gate.shut.Store(true)
+	for i, routes := range []int{2001, 4000} {
+		s.added = routes
+		s.declare(5+i, "k1")
+		g.Eventually(added, "10s", "50ms").Should(Equal(http.StatusOK))
+	}
+}
+
 // The store turns all hosts of a region away at once, without an answer, and serves
 // the other region. One host after the other finds out and leaves the watch to the
 // next, which is as deaf. Their callers must be served on, by what the other region
--- a/internal/entryhost/helper_test.go
+++ b/internal/entryhost/helper_test.go
@@ -33,6 +33,8 @@
 	logs io.Writer
 	// rate and burst of the customer that is declared.
 	rate int
+	// added is the number of routes that are declared beside the usual ones.
+	added int
 	// traces is the file for spans; "" writes none.
 	traces string
 }
@@ -163,12 +165,19 @@
 	table := func(columns []string, rows ...[]any) map[string]any {
 		return map[string]any{"columns": columns, "rows": rows}
 	}
+	routes := [][]any{
+		{"read", "x.example", "/read/", "safe", "3000ms", "500ms", 2, false, true, "s"},
+		{"post", "x.example", "/post/", "unsafe", "3000ms", "500ms", 2, false, true, "s"},
+		{"open", "x.example", "/open/", "safe", "3000ms", "500ms", 2, true, true, "s"},
+	}
+	for i := range s.added {
+		name := fmt.Sprint("added-", i)
+		routes = append(routes, []any{name, "x.example", "/" + name + "/", "safe", "3000ms", "500ms", 2, true, true, "s"})
+	}
 	value, err := json.Marshal(map[string]any{
 		"version": fmt.Sprintf("r%d", version),
 		"routes": table([]string{"name", "host", "prefix", "kind", "timeout", "target-latency", "max-attempts", "public", "session-affinity", "service"},
-			[]any{"read", "x.example", "/read/", "safe", "3000ms", "500ms", 2, false, true, "s"},
-			[]any{"post", "x.example", "/post/", "unsafe", "3000ms", "500ms", 2, false, true, "s"},
-			[]any{"open", "x.example", "/open/", "safe", "3000ms", "500ms", 2, true, true, "s"}),
+			routes...),
 		"services": table([]string{"name", "health-check-path", "cold-start", "cold-per-s"}, []any{"s", "/health", "3s", 6}),
 		"limits":   map[string]any{"max-body-bytes": 1000},
 		"tenants":  table([]string{"name", "api-keys", "priority", "rate-per-s", "burst"}, []any{"t1", keys, 1, s.rate, s.rate}),
