--- a/internal/compare/pairs.go
+++ b/internal/compare/pairs.go
@@ -37,11 +37,16 @@
 	Better Verdict = "better"
 	Worse  Verdict = "worse"
 	Inside Verdict = "inside the spread"
+	TooFew Verdict = "too few pairs"
 )
 
-// spreadFactor is the number of standard errors within which a mean difference says
-// nothing.
-const spreadFactor = 2.0
+const (
+	// spreadFactor is the number of standard errors within which a mean difference says
+	// nothing.
+	spreadFactor = 2.0
+	// minPairs is the number of pairs from which the standard error is worth something.
+	minPairs = 5
+)
 
 // Summary is what the pairs of one deployment, or of one of its days, say.
 type Summary struct {
@@ -58,7 +63,9 @@
 // Verdict says whether the difference is larger than its spread.
 func (s Summary) Verdict() Verdict {
 	switch {
-	case s.Pairs < 2 || math.Abs(s.Difference) <= spreadFactor*s.Error:
+	case s.Pairs < minPairs:
+		return TooFew
+	case math.Abs(s.Difference) <= spreadFactor*s.Error:
 		return Inside
 	case s.Difference > 0:
 		return Better
--- a/internal/compare/pairs_test.go
+++ b/internal/compare/pairs_test.go
@@ -23,11 +23,12 @@
 		before, after []float64
 		want          compare.Verdict
 	}{
-		{"one pair proves nothing", []float64{.5}, []float64{.7}, compare.Inside},
-		{"up and down", []float64{.5, .6, .5, .6}, []float64{.6, .5, .6, .5}, compare.Inside},
-		{"always a little up", []float64{.5, .6, .7, .4}, []float64{.51, .612, .709, .411}, compare.Better},
-		{"always a little down", []float64{.51, .612, .709, .411}, []float64{.5, .6, .7, .4}, compare.Worse},
-		{"the same", []float64{.5, .6}, []float64{.5, .6}, compare.Inside},
+		{"one pair proves nothing", []float64{.5}, []float64{.7}, compare.TooFew},
+		{"nor do four that agree", []float64{.5, .6, .7, .4}, []float64{.51, .612, .709, .411}, compare.TooFew},
+		{"up and down", []float64{.5, .6, .5, .6, .5}, []float64{.6, .5, .6, .5, .5}, compare.Inside},
+		{"always a little up", []float64{.5, .6, .7, .4, .5}, []float64{.51, .612, .709, .411, .512}, compare.Better},
+		{"always a little down", []float64{.51, .612, .709, .411, .512}, []float64{.5, .6, .7, .4, .5}, compare.Worse},
+		{"the same", []float64{.5, .6, .7, .4, .5}, []float64{.5, .6, .7, .4, .5}, compare.Inside},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
