Log the rate limits that upstreams announce

What callers saw: nothing yet; operators could not see that an upstream had asked for fewer requests.

A change is logged (upstream rate limit) and the number of limited upstreams is a gauge. No decision uses it yet.

--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -21,6 +21,7 @@
 		return d.now().Sub(d.state.Load().ConfirmedAt).Seconds()
 	})
 	d.metrics.Gauge("balsambarrow_upstreams", func() float64 { return float64(d.table.Size()) })
+	d.metrics.Gauge("balsambarrow_upstreams_rate_limited", func() float64 { return float64(d.table.RateLimited()) })
 	d.metrics.Gauge("balsambarrow_ready", func() float64 { return boolGauge(d.ready.Load()) })
 	d.metrics.Gauge("balsambarrow_takes_callers", func() float64 { return boolGauge(!d.state.Load().Standby) })
 	d.metrics.Gauge("balsambarrow_watches_store", func() float64 { return boolGauge(d.watches.Load()) })
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -37,6 +37,7 @@
 	report := place.Report{
 		TimeToHeader: h.Now().Sub(sentAt), ConnectTime: upstream.ConnectTime, Load: meta.Load, HasLoad: meta.HasLoad, ColdFor: meta.ColdFor,
 	}
+	h.observeRateLimit(q, c, meta)
 	if problem := invalidResponse(upstream.Response, meta); problem != "" {
 		upstream.Close(meta.KeepAlive)
 		return h.recordLost(ctx, q, c, &h1.InvalidResponseError{Problem: problem}), nil
@@ -57,6 +58,20 @@
 	return h.finishBuffered(w, q, c, meta, report, resp)
 }
 
+// observeRateLimit records the rate limit that an upstream announces, and logs a change. A
+// limit that cannot be used leaves the last one in force.
+func (h *Handler) observeRateLimit(q *request, c place.Choice, meta traffic.Response) {
+	switch {
+	case meta.Misdirected:
+		// Another upstream has responded.
+	case meta.RateLimitError != nil:
+		h.Log.Warn("upstream header invalid", "id", q.ID, "upstream", c.ID, "error", meta.RateLimitError)
+	case h.Table.ObserveRateLimit(h.Now(), c, meta.RateLimit):
+		h.Log.Info("upstream rate limit", "id", q.ID, "upstream", c.ID, "zone", c.Zone,
+			"limited", meta.RateLimit.Limited, "per_second", meta.RateLimit.PerSecond, "source", "response")
+	}
+}
+
 // finishBuffered determines the outcome of a completely buffered response,
 // records it, and writes the response to the caller if the upstream answered.
 func (h *Handler) finishBuffered(w http.ResponseWriter, q *request, c place.Choice, meta traffic.Response, report place.Report, resp *response) (outcome, *response) {
--- a/internal/place/upstream.go
+++ b/internal/place/upstream.go
@@ -23,6 +23,7 @@
 	load          load
 	slowStart     slowStart
 	standingQueue standingQueue
+	rateLimit     rateLimit
 	// coldUntil is when the upstream stops being cold, as reported by the upstream or
 	// because its zone returns from an evacuation.
 	coldUntil time.Time
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -38,6 +39,24 @@
 	Slots   int
 }
 
+// RateLimit is what a response announces about the rate limit of its upstream.
+type RateLimit struct {
+	// Limited is set if the upstream accepts only PerSecond requests per second from all
+	// entry hosts together.
+	Limited   bool
+	PerSecond float64
+}
+
+// HeaderError reports a response header whose value cannot be used.
+type HeaderError struct {
+	Header string
+	Value  string
+}
+
+func (e *HeaderError) Error() string {
+	return "traffic: header " + e.Header + ": invalid value " + strconv.Quote(e.Value)
+}
+
 // Response is the metadata of an upstream's response, besides status and body.
 type Response struct {
 	// ID of the request that this response belongs to.
@@ -59,6 +78,10 @@
 	KeepAlive time.Duration
 	// Instance is the upstream that responded, if reported.
 	Instance string
+	// RateLimit is valid only if RateLimitError is nil.
+	RateLimit RateLimit
+	// RateLimitError is a *HeaderError if the announced rate limit cannot be used.
+	RateLimitError error
 }
 
 // Codec maps the request and response metadata to HTTP headers.
