Keep within the rate limit that an upstream announces, over all hosts

Cause: the announcement was read by nobody; and what an upstream says to one host reached no other.

Evidence: rates at the upstreams are the same before and after the announcement, no log line mentions it.

Change: a limit is used by a few senders, ranked by rendezvous hash as in slow start; the others send nothing. Hosts pass announcements on in heartbeats with their age, first-hand ones only, and the most recent one counts. An announcement ends with its instance, not with its registration. A limit that no host has heard of for 5 s is probed.

Why it works: the senders' parts add up to the limit whatever the number of hosts, and a host that has not been told learns of it within a heartbeat.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -204,11 +204,12 @@
 	c.logMemberChanges(changes)
 	c.replyToStandby(now, b, changes)
 	c.d.table.ApplyWarmReports(now, b.Warm)
+	c.applyRateLimits(now, b)
 	c.handleDigest(b.Instance, b.Digest)
 }
 
 // removeUpstream stops sending requests to an upstream.
 func (c *control) removeUpstream(id, why string) {
-	c.d.table.RemoveUpstream(id)
+	c.d.table.RemoveUpstream(c.d.now(), id)
 	c.d.events.Info("upstream gone", "upstream", id, "reason", why)
 }
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -41,8 +41,10 @@
 	Warm bool
 
 	upstream *upstream
-	object   Object
-	route    string
+	// startedMs is the start time of the chosen instance.
+	startedMs int64
+	object    Object
+	route     string
 	// cold is set if the upstream itself is cold, for any object.
 	cold bool
 }
@@ -61,6 +63,9 @@
 	// AllCold: the remaining upstreams are cold, and this host is not the one that sends
 	// to them, or they have reached their request rate.
 	AllCold Reason = "all-cold"
+	// AllRateLimited: the remaining upstreams limit their rate, and this host is no sender of
+	// theirs, or has used its part.
+	AllRateLimited Reason = "all-rate-limited"
 )
 
 // NoUpstreamError reports that no upstream can take the request at present.
@@ -103,6 +108,7 @@
 // limit: the others cost more because the object is cold there, and the request would
 // take the capacity of several warm requests.
 func (t *Table) chooseCheapest(now time.Time, q Query, object Object, list []candidate) (Choice, error) {
+	reason := AllCold
 	for len(list) > 0 {
 		i := cheapest(list)
 		c := list[i]
@@ -110,7 +116,10 @@
 		if limit := t.queueLimit(now, q, c); c.queueing > limit {
 			return Choice{}, &QueueLimitError{q.Service, c.queueing, limit}
 		}
-		if c.cold && !c.slowStart.allow(now, t.coldRate(c.Service)) {
+		if c.announced.rateLimit.Limited && !t.takeRateLimit(now, c.upstream) || c.cold && !t.allowSlowStart(now, c.upstream) {
+			if c.announced.rateLimit.Limited {
+				reason = AllRateLimited
+			}
 			last := len(list) - 1
 			list[i] = list[last]
 			list = list[:last]
@@ -124,10 +133,10 @@
 		t.shares.observe(now, c.region)
 		return Choice{
 			ID: c.ID, Address: c.Address, Zone: c.Zone, Region: c.region, ExpectedLatency: c.latency, ExpectedQueueing: c.queueing,
-			upstream: c.upstream, object: object, route: q.Route, Warm: warm, cold: c.cold,
+			upstream: c.upstream, startedMs: c.StartedMs, object: object, route: q.Route, Warm: warm, cold: c.cold,
 		}, nil
 	}
-	return Choice{}, &NoUpstreamError{q.Service, AllCold}
+	return Choice{}, &NoUpstreamError{q.Service, reason}
 }
 
 // cheapest returns the index of the candidate with the lowest cost. Ties go to the
--- a/internal/place/holders_test.go
+++ b/internal/place/holders_test.go
@@ -35,7 +35,7 @@
 		table.Done(now, c, Report{Result: Succeeded, TimeToHeader: time.Millisecond})
 	}
 	g.Expect(unfinished).NotTo(BeEmpty())
-	table.RemoveUpstream("leaves")
+	table.RemoveUpstream(now, "leaves")
 	for _, c := range unfinished {
 		table.Done(now, c, Report{Result: Succeeded, TimeToHeader: time.Millisecond})
 	}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -131,7 +131,7 @@
 		{"removed", func(tb *place.Table) {
 			for _, z := range []string{"a1", "a2", "b2"} {
 				for i := range 4 {
-					tb.RemoveUpstream(fmt.Sprintf("%s-%d", z, i))
+					tb.RemoveUpstream(start, fmt.Sprintf("%s-%d", z, i))
 				}
 			}
 		}, nil, "", []string{"b1"}},
--- a/internal/place/ratelimit.go
+++ b/internal/place/ratelimit.go
@@ -1,16 +1,49 @@
 package place
 
 import (
+	"math"
 	"time"
 
 	"balsambarrow/internal/traffic"
 )
 
+// Rate limits that upstreams announce in their responses.
+//
+// A limit counts over all entry hosts, so it is used by few of them: each of its senders
+// gets an equal part, and all other hosts send the upstream nothing. Hosts that have not
+// received a response of the upstream learn of the limit from heartbeats.
+const (
+	// minSenderRate is the lowest part of a limit, in requests per second, for which a
+	// further sender is added.
+	minSenderRate = 2.0
+	// rateLimitBurst is the time in which a sender accumulates its largest burst.
+	rateLimitBurst = 500 * time.Millisecond
+	// rateLimitTTL is how long an announcement is passed on to other hosts. A host that
+	// has not heard of a limit for longer may probe whether it still applies.
+	rateLimitTTL = 5 * time.Second
+	// maxRateLimitReports bounds the size of a heartbeat.
+	maxRateLimitReports = 120
+)
+
 // rateLimit is the rate limit that an upstream has announced.
 type rateLimit struct {
 	traffic.RateLimit
 	// announcedAt is when the upstream last responded with the limit, or without one.
 	announcedAt time.Time
+	// firstHand is set if this host received that response.
+	firstHand bool
+	// relevant is set once any limit of the upstream was known, so that its end is passed
+	// on, too.
+	relevant bool
+	bucket   tokenBucket
+}
+
+// set replaces the announcement and reports whether the limit has changed.
+func (l *rateLimit) set(announced traffic.RateLimit, at time.Time, firstHand bool) bool {
+	changed := l.RateLimit != announced
+	l.RateLimit, l.announcedAt, l.firstHand = announced, at, firstHand
+	l.relevant = l.relevant || announced.Limited
+	return changed
 }
 
 // ObserveRateLimit records the rate limit that the upstream of a choice announces in its
@@ -18,10 +51,8 @@
 func (t *Table) ObserveRateLimit(now time.Time, c Choice, announced traffic.RateLimit) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := c.upstream
-	changed := w.rateLimit.RateLimit != announced
-	w.rateLimit.RateLimit, w.rateLimit.announcedAt = announced, now
-	return changed
+	w := t.instance(c)
+	return w != nil && w.announced.rateLimit.set(announced, now, true)
 }
 
 // RateLimited returns the number of upstreams that have announced a rate limit.
@@ -30,9 +61,106 @@
 	defer t.mu.Unlock()
 	n := 0
 	for _, w := range t.byID {
-		if w.rateLimit.Limited {
+		if w.announced.rateLimit.Limited {
 			n++
 		}
 	}
 	return n
 }
+
+// rateShare returns the part of the upstream's limit, in requests per second, that this host
+// may use; 0 if it is no sender.
+func (t *Table) rateShare(w *upstream) float64 {
+	perSecond := w.announced.rateLimit.PerSecond
+	senders := min(max(math.Floor(perSecond/minSenderRate), 1), float64(len(t.hosts)))
+	if rank := t.senderRank(w); rank == noSender || float64(rank) >= senders {
+		return 0
+	}
+	return perSecond / senders
+}
+
+// mayProbe reports whether this host may send one request although its part of the limit
+// does not allow it: no host has had a response for a while, so the limit may have ended.
+// Hosts take turns, the first sender first.
+func (t *Table) mayProbe(now time.Time, w *upstream) bool {
+	rank := t.senderRank(w)
+	if rank == noSender || w.load.inflight > 0 {
+		return false
+	}
+	return now.Sub(w.announced.rateLimit.announcedAt) >= time.Duration(rank+1)*rateLimitTTL
+}
+
+// isRateLimitSender reports whether this host may send to an upstream that has a rate limit.
+func (t *Table) isRateLimitSender(now time.Time, w *upstream) bool {
+	return t.rateShare(w) > 0 || t.mayProbe(now, w)
+}
+
+// takeRateLimit takes one request of the upstream's rate limit.
+func (t *Table) takeRateLimit(now time.Time, w *upstream) bool {
+	share := t.rateShare(w)
+	if w.announced.rateLimit.bucket.take(now, share, max(share*rateLimitBurst.Seconds(), 1)) {
+		return true
+	}
+	return t.mayProbe(now, w)
+}
+
+// RateLimitReport passes the announcement of an upstream on to another host.
+type RateLimitReport struct {
+	// Instance holds the low bits of the hash of the upstream's ID, and below these the low
+	// bits of the start time of the instance.
+	Instance uint64
+	traffic.RateLimit
+	// Age is the time since the announcement.
+	Age time.Duration
+}
+
+// RateLimitReports returns the recent announcements that this host has received itself. Those
+// received from other hosts are left out, so that no announcement outlives its age by being
+// passed on again.
+func (t *Table) RateLimitReports(now time.Time) []RateLimitReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []RateLimitReport
+	for _, w := range t.byID {
+		l := &w.announced.rateLimit
+		age := now.Sub(l.announcedAt)
+		if !l.relevant || !l.firstHand || age > rateLimitTTL {
+			continue
+		}
+		if len(out) == maxRateLimitReports {
+			break
+		}
+		out = append(out, RateLimitReport{w.idHash<<32 | uint64(uint32(w.StartedMs)), l.RateLimit, age})
+	}
+	return out
+}
+
+// RateLimitChange is a rate limit that a report has changed, for the log.
+type RateLimitChange struct {
+	Upstream string
+	Zone     string
+	traffic.RateLimit
+}
+
+// ApplyRateLimitReports applies the reports of another host that are more recent than what
+// this host knows, and returns the limits that have changed.
+func (t *Table) ApplyRateLimitReports(now time.Time, reports []RateLimitReport) []RateLimitChange {
+	if len(reports) == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changes []RateLimitChange
+	for _, r := range reports {
+		w := t.byHash[uint32(r.Instance>>32)]
+		if w == nil || uint32(w.StartedMs) != uint32(r.Instance) {
+			continue
+		}
+		l := &w.announced.rateLimit
+		l.relevant = true
+		if at := now.Add(-r.Age); at.After(l.announcedAt) && l.set(r.RateLimit, at, false) {
+			changes = append(changes, RateLimitChange{w.ID, w.Zone, r.RateLimit})
+		}
+	}
+	return changes
+}
--- a/internal/place/ratelimit_test.go
+++ b/internal/place/ratelimit_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -45,6 +46,7 @@
 const (
 	limitedHosts       = 10
 	limitedServiceTime = 300 * time.Millisecond
+	limitedHeartbeat   = 250 * time.Millisecond
 	limitedSeed        = 35
 )
 
@@ -89,6 +91,9 @@
 	const step = time.Millisecond
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
 		f.finishRuns()
+		if f.now.Sub(start)%limitedHeartbeat == 0 {
+			f.gossip()
+		}
 		for host := range f.tables {
 			if f.rng.Float64() < perSecond*step.Seconds() {
 				f.send(host)
@@ -126,6 +131,29 @@
 	f.running = rest
 }
 
+// gossip passes the announcements that each host has received on to all others.
+func (f *limitedFleet) gossip() {
+	for _, from := range f.tables {
+		reports := from.RateLimitReports(f.now)
+		for _, to := range f.tables {
+			if to != from {
+				to.ApplyRateLimitReports(f.now, reports)
+			}
+		}
+	}
+}
+
+// received returns the number of requests that an upstream has received since.
+func (f *limitedFleet) received(upstream string, since time.Time) int {
+	n := 0
+	for _, a := range f.arrivals {
+		if a.upstream == upstream && a.at.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *limitedFleet) inform(upstream string, host int) {
 	if f.informedAt[upstream] == nil {
 		f.informedAt[upstream] = map[int]time.Time{}
@@ -194,3 +222,105 @@
 		})
 	}
 }
+
+// Guards against hosts that send more than an upstream accepts until each has received a
+// response of it: hosts must learn of the limit, and of its end, from each other.
+func TestRateLimitReachesHostsThatWereNotTold(t *testing.T) {
+	g := NewWithT(t)
+	f := newLimitedFleet(t)
+	f.limited["a1-0"], f.announced = true, traffic.RateLimit{Limited: true, PerSecond: 2}
+	f.run(4*time.Second, 17)
+	settled := f.now
+	f.run(8*time.Second, 17)
+	g.Expect(f.received("a1-0", settled)).To(BeNumerically("<=", 8*2+2))
+	g.Expect(f.received("a1-0", settled)).To(BeNumerically(">=", 8), "the limit is used")
+	f.limited["a1-0"] = false
+	f.run(4*time.Second, 17)
+	settled = f.now
+	f.run(4*time.Second, 17)
+	g.Expect(f.received("a1-0", settled)).To(BeNumerically(">", 4*2*2), "all hosts send again")
+	g.Expect(f.tables[0].RateLimited()).To(Equal(0))
+}
+
+// Guards against upstreams that are never used again after a limit of zero.
+func TestZeroRateLimitIsProbed(t *testing.T) {
+	g := NewWithT(t)
+	f := newLimitedFleet(t)
+	f.limited["a1-0"], f.announced = true, traffic.RateLimit{Limited: true}
+	f.run(4*time.Second, 17)
+	f.limited["a1-0"] = false
+	f.run(8*time.Second, 17)
+	settled := f.now
+	f.run(4*time.Second, 17)
+	g.Expect(f.received("a1-0", settled)).To(BeNumerically(">", 8))
+}
+
+// Guards against a limit that is forgotten although its instance goes on, and against one
+// that outlives its instance.
+func TestRateLimitBelongsToOneInstance(t *testing.T) {
+	limit := traffic.RateLimit{Limited: true, PerSecond: 2}
+	restarted := upstream("x", "a1")
+	restarted.StartedMs = 2
+	for _, c := range []struct {
+		name    string
+		change  func(*place.Table, place.Choice)
+		limited int
+	}{
+		{"next registration", func(tb *place.Table, _ place.Choice) { tb.PutUpstream(start, upstream("x", "a1")) }, 1},
+		{"registration expires and returns", func(tb *place.Table, _ place.Choice) {
+			tb.RemoveUpstream(start, "x")
+			tb.PutUpstream(start, upstream("x", "a1"))
+		}, 1},
+		{"restart", func(tb *place.Table, _ place.Choice) { tb.PutUpstream(start, restarted) }, 0},
+		{"registration expires and the upstream restarts", func(tb *place.Table, _ place.Choice) {
+			tb.RemoveUpstream(start, "x")
+			tb.PutUpstream(start, restarted)
+		}, 0},
+		{"response of the earlier instance arrives late", func(tb *place.Table, c place.Choice) {
+			tb.PutUpstream(start, restarted)
+			tb.ObserveRateLimit(start, c, limit)
+		}, 0},
+		{"report about the earlier instance arrives late", func(tb *place.Table, _ place.Choice) {
+			reports := tb.RateLimitReports(start)
+			tb.PutUpstream(start, restarted)
+			tb.ApplyRateLimitReports(start, reports)
+		}, 0},
+		{"older report of another host", func(tb *place.Table, _ place.Choice) {
+			report := tb.RateLimitReports(start)[0]
+			report.RateLimit, report.Age = traffic.RateLimit{}, time.Second
+			tb.ApplyRateLimitReports(start, []place.RateLimitReport{report})
+		}, 1},
+		{"newer report of another host", func(tb *place.Table, _ place.Choice) {
+			report := tb.RateLimitReports(start)[0]
+			report.RateLimit = traffic.RateLimit{}
+			tb.ApplyRateLimitReports(start.Add(time.Second), []place.RateLimitReport{report})
+		}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			table := newTable(t, "a1")
+			table.PutUpstream(start, upstream("x", "a1"))
+			choice, err := table.Choose(start, query("1"))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(table.ObserveRateLimit(start, choice, limit)).To(BeTrue())
+			c.change(table, choice)
+			g.Expect(table.RateLimited()).To(Equal(c.limited))
+		})
+	}
+}
+
+// Guards against a host that is rejected for want of a sender's part: the reason must say so.
+func TestRateLimitedUpstreamsAreNamedAsTheReason(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(t, "a1")
+	table.PutUpstream(start, upstream("x", "a1"))
+	choice, err := table.Choose(start, query("1"))
+	g.Expect(err).NotTo(HaveOccurred())
+	table.ObserveRateLimit(start, choice, traffic.RateLimit{Limited: true, PerSecond: 1})
+	_, err = table.Choose(start, query("1"))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = table.Choose(start, query("1"))
+	var none *place.NoUpstreamError
+	g.Expect(errors.As(err, &none)).To(BeTrue())
+	g.Expect(none.Reason).To(Equal(place.AllRateLimited))
+}
--- a/internal/place/slowstart.go
+++ b/internal/place/slowstart.go
@@ -1,6 +1,9 @@
 package place
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// slowStartPart is the part of a cold upstream's request rate that its sender uses.
@@ -11,66 +14,54 @@
 	slowStartBurst = 2
 )
 
-// slowStart is the token bucket that limits requests to a cold upstream, which crashes at
-// well above its cold rate. Only one host sends to it, so no count is shared.
-type slowStart struct {
-	tokens     float64
-	refilledAt time.Time
-}
-
-// allow takes a token, refilled at rate per second; rate 0 means no limit.
-func (s *slowStart) allow(now time.Time, rate float64) bool {
-	if rate <= 0 {
-		return true
-	}
-	if s.refilledAt.IsZero() {
-		s.tokens = 1
-	} else {
-		s.tokens = min(s.tokens+now.Sub(s.refilledAt).Seconds()*rate*slowStartPart, slowStartBurst)
-	}
-	s.refilledAt = now
-	if s.tokens < 1 {
-		return false
-	}
-	s.tokens--
-	return true
+// allowSlowStart takes one request of a cold upstream's rate. The upstream crashes at well above
+// that rate. Only one host sends to it, so no count is shared.
+func (t *Table) allowSlowStart(now time.Time, w *upstream) bool {
+	rate := t.coldRate(w.Service)
+	return rate <= 0 || w.slowStart.take(now, rate*slowStartPart, slowStartBurst)
 }
 
 // isSlowStartSender reports whether this host is the one that sends to the upstream while
-// it is cold. With a single sender, the cold rate need not be divided among hosts. The
-// sender is selected by rendezvous hash among the ready hosts of the upstream's zone,
-// else of its region, else of all regions.
-func (t *Table) isSlowStartSender(w *upstream) bool {
+// it is cold. With a single sender, the cold rate need not be divided among hosts.
+func (t *Table) isSlowStartSender(w *upstream) bool { return t.senderRank(w) == 0 }
+
+// noSender is the rank of a host that is not ready.
+const noSender = -1
+
+// senderRank returns the rank of this host among the ready hosts that may send to an upstream
+// which takes few requests: those of the upstream's zone first, then those of its region,
+// then all others, each in the order of their rendezvous weights. All hosts compute the same
+// ranks without messages.
+func (t *Table) senderRank(w *upstream) int {
 	if w.senderGeneration != t.hostsGeneration {
-		w.senderGeneration, w.isSender = t.hostsGeneration, t.slowStartSender(w) == t.self.Instance
+		w.senderGeneration, w.senderRank = t.hostsGeneration, t.computeSenderRank(w)
 	}
-	return w.isSender
+	return w.senderRank
 }
 
-// slowStartSender returns the instance that sends to a cold upstream; "" if no host is ready.
-func (t *Table) slowStartSender(w *upstream) string {
-	// Index 2 is for hosts of the same zone, 1 for the same region, 0 for all others.
-	var byProximity [3]struct {
-		instance string
-		weight   uint64
+func (t *Table) computeSenderRank(w *upstream) int {
+	self := slices.IndexFunc(t.hosts, func(h Host) bool { return h.Instance == t.self.Instance })
+	if self < 0 {
+		return noSender
 	}
+	rank := 0
+	own, ownWeight := proximity(t.hosts[self], w), weight(w.idHash, t.hostHashes[self])
 	for i, h := range t.hosts {
-		proximity := 0
-		switch {
-		case h.Zone == w.Zone:
-			proximity = 2
-		case h.Region == w.region:
-			proximity = 1
-		}
-		best := &byProximity[proximity]
-		if x := weight(w.idHash, t.hostHashes[i]); best.instance == "" || x > best.weight {
-			best.instance, best.weight = h.Instance, x
+		if p := proximity(h, w); p > own || p == own && weight(w.idHash, t.hostHashes[i]) > ownWeight {
+			rank++
 		}
 	}
-	for proximity := len(byProximity) - 1; proximity >= 0; proximity-- {
-		if instance := byProximity[proximity].instance; instance != "" {
-			return instance
-		}
+	return rank
+}
+
+// proximity returns 2 for a host of the upstream's zone, 1 for one of its region and 0 for all
+// others.
+func proximity(h Host, w *upstream) int {
+	switch {
+	case h.Zone == w.Zone:
+		return 2
+	case h.Region == w.region:
+		return 1
 	}
-	return ""
+	return 0
 }
--- a/internal/place/survey.go
+++ b/internal/place/survey.go
@@ -76,17 +76,14 @@
 		if q.RegionRestricted && !slices.Contains(q.AllowedRegions, w.region) || slices.Contains(q.Excluded, w.ID) {
 			continue
 		}
-		if path.closed || w.State != catalog.StateReady {
-			s.reason = AllClosed
-			continue
-		}
-		c := candidate{upstream: w, path: path, weight: weight(key, w.idHash), cold: w.isCold(now)}
-		if c.cold && !t.isSlowStartSender(w) {
-			if s.reason != AllEjected {
-				s.reason = AllCold
+		cold := w.isCold(now)
+		if reason := t.unavailable(now, w, path, cold); reason != "" {
+			if reason == AllClosed || s.reason != AllEjected {
+				s.reason = reason
 			}
 			continue
 		}
+		c := candidate{upstream: w, path: path, weight: weight(key, w.idHash), cold: cold}
 		if !w.health.usable(now) {
 			ejected = append(ejected, c)
 			s.reason = AllEjected
@@ -102,6 +99,20 @@
 	return s
 }
 
+// unavailable returns why this host may send no requests to an upstream at present; "" if it
+// may.
+func (t *Table) unavailable(now time.Time, w *upstream, path *zonePath, cold bool) Reason {
+	switch {
+	case path.closed || w.State != catalog.StateReady:
+		return AllClosed
+	case w.announced.rateLimit.Limited && !t.isRateLimitSender(now, w):
+		return AllRateLimited
+	case cold && !t.isSlowStartSender(w):
+		return AllCold
+	}
+	return ""
+}
+
 // earliestReturning returns the candidate whose ejection ends first. Cold candidates are
 // left out, so an upstream that was unreachable stays ejected.
 func earliestReturning(ejected []candidate) []candidate {
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -25,7 +25,9 @@
 	mu   sync.Mutex
 	byID map[string]*upstream
 	// byHash indexes the upstreams by the lower half of the hash of their ID.
-	byHash         map[uint32]*upstream
+	byHash map[uint32]*upstream
+	// departed holds recently removed upstreams, by ID.
+	departed       map[string]departed
 	services       map[string][]*upstream
 	catalog        *catalog.Catalog
 	evacuatedZones map[string]bool
@@ -58,7 +60,7 @@
 // region.
 func NewTable(self Host, zones map[string]string) *Table {
 	return &Table{
-		self: self, zones: zones, byID: map[string]*upstream{}, byHash: map[uint32]*upstream{},
+		self: self, zones: zones, byID: map[string]*upstream{}, byHash: map[uint32]*upstream{}, departed: map[string]departed{},
 		services: map[string][]*upstream{}, evacuatedZones: map[string]bool{}, serviceTimes: map[string]*serviceTime{},
 		queuedTimes: map[string]*mean{}, queueLimits: map[string]queueLimits{}, holders: map[Object][]*upstream{},
 		links: newLinkCosts(self), regionHash: hash(self.Region), hostsGeneration: 1, keylessSequence: hash(self.Instance),
@@ -124,6 +126,7 @@
 	changed := w == nil || w.StartedMs != u.StartedMs || w.State != u.State || w.Address != u.Address || w.Service != u.Service
 	if w == nil {
 		w = newUpstream(now, u, t.zones[u.Zone])
+		t.restoreAnnounced(w)
 		t.byID[u.ID], t.byHash[uint32(w.idHash)] = w, w
 		t.services[u.Service] = append(t.services[u.Service], w)
 	} else {
@@ -149,7 +152,7 @@
 }
 
 // RemoveUpstream removes an upstream that has left.
-func (t *Table) RemoveUpstream(id string) {
+func (t *Table) RemoveUpstream(now time.Time, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := t.byID[id]
@@ -162,6 +165,7 @@
 	}
 	t.dropHolders(w)
 	t.removeFromService(w)
+	t.keepAnnounced(now, w)
 }
 
 func (t *Table) removeFromService(w *upstream) {
--- a/internal/place/upstream.go
+++ b/internal/place/upstream.go
@@ -21,9 +21,9 @@
 	region        string
 	health        health
 	load          load
-	slowStart     slowStart
+	slowStart     tokenBucket
 	standingQueue standingQueue
-	rateLimit     rateLimit
+	announced     announced
 	// coldUntil is when the upstream stops being cold, as reported by the upstream or
 	// because its zone returns from an evacuation.
 	coldUntil time.Time
@@ -37,9 +37,9 @@
 	pathIndex int
 	// warmForQuery equals Table.querySequence if the object of the current query is warm here.
 	warmForQuery uint64
-	// isSender is set if this host sends to the upstream while it is cold. It was computed
-	// for the hosts of senderGeneration.
-	isSender         bool
+	// senderRank is the rank of this host among the hosts that may send to the upstream while
+	// it is cold or limits its rate. It was computed for the hosts of senderGeneration.
+	senderRank       int
 	senderGeneration uint64
 }
 
@@ -61,7 +61,7 @@
 // reset discards the state of an earlier instance with the same ID.
 func (w *upstream) reset(now time.Time) {
 	inflight := w.load.inflight
-	w.health, w.load = newHealth(), load{inflight: inflight}
+	w.health, w.load, w.announced = newHealth(), load{inflight: inflight}, announced{}
 	w.firstSeen, w.hasReceived = now, false
 }
 
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -53,6 +53,7 @@
 		c.reporter.Errorf("only %d of %d requests with the steady key succeeded", succeeded, steady)
 	}
 	c.checkRate(limitedRuns)
+	c.checkRateLimits(requests)
 	if c.reporter.Failed() {
 		perSecond := map[string]int{}
 		for _, r := range requests {
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -42,6 +42,8 @@
 	// received SIGTERM.
 	faultedAt time.Time
 	stoppedAt time.Time
+	// disturbances are the times of all signals that restart or suspend the process.
+	disturbances []time.Time
 }
 
 // upstream is a stand-in upstream with its server. faultedUntil is the end of its last
@@ -78,6 +80,8 @@
 	activeEvacuations map[string]time.Time
 	// endedEvacuations are the evacuations that were declared and lifted again.
 	endedEvacuations []evacuation
+	// rateLimits are the rate limits that upstreams have announced.
+	rateLimits []rateLimitSpan
 	// faultLog lists the injected faults. It is logged when a check fails.
 	faultLog []string
 }
@@ -210,6 +214,9 @@
 func (h *daemonProcess) signal(sig syscall.Signal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if sig != syscall.SIGHUP {
+		h.disturbances = append(h.disturbances, time.Now())
+	}
 	select {
 	case <-h.exited:
 	default:
--- a/internal/soak/violations_test.go
+++ b/internal/soak/violations_test.go
@@ -34,6 +34,21 @@
 	u.standIn.ServeHTTP(httptest.NewRecorder(), r)
 }
 
+// runAtLimitedUpstream sends n requests at once to an upstream that has announced a limit of two
+// requests per second five seconds ago.
+func runAtLimitedUpstream(s *cluster, u *upstream, h *daemonProcess, n int) []callerRequest {
+	now := time.Now()
+	s.rateLimits = []rateLimitSpan{{upstream: u, perSecond: 2, start: now.Add(-5 * time.Second), end: now.Add(time.Second)}}
+	var out []callerRequest
+	for i := range n {
+		r := callerRequest{id: fmt.Sprint("l", i), key: "steady", host: h, startedAt: now, endedAt: now.Add(-time.Second), status: http.StatusOK}
+		r.body = "i-0 ran " + r.id
+		runAtUpstream(u, "GET", r.id, standin.UnlimitedCustomer, "")
+		out = append(out, r)
+	}
+	return out
+}
+
 // Guards against checks that cannot fail. Each case simulates what callers and
 // upstreams would observe if the fleet violated one guarantee; the checks must report
 // that violation and nothing else. Cases without a violation must report nothing.
@@ -129,6 +144,16 @@
 			}
 			return nil
 		}, "the hot customer got 300"},
+		{"an upstream gets more than its rate limit", func(s *cluster, u *upstream, r callerRequest) []callerRequest {
+			return runAtLimitedUpstream(s, u, r.host, 40)
+		}, "got 39 requests in 4s, allowed 17"},
+		{"an upstream gets as much as its rate limit", func(s *cluster, u *upstream, r callerRequest) []callerRequest {
+			return runAtLimitedUpstream(s, u, r.host, 10)
+		}, ""},
+		{"a restarted host may exceed a rate limit", func(s *cluster, u *upstream, r callerRequest) []callerRequest {
+			r.host.disturbances = []time.Time{now}
+			return runAtLimitedUpstream(s, u, r.host, 40)
+		}, ""},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/standin/platformupstream.go
+++ b/internal/standin/platformupstream.go
@@ -32,6 +32,7 @@
 	mu         sync.Mutex
 	instanceID string
 	handler    func(w http.ResponseWriter, r *http.Request)
+	rateLimit  string
 	running    int
 	runs       []PlatformRun
 }
@@ -54,6 +55,14 @@
 	u.handler = handler
 }
 
+// SetRateLimit sets the value of the rate limit header that all responses carry; "" omits
+// the header. The upstream does not enforce the limit.
+func (u *PlatformUpstream) SetRateLimit(value string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.rateLimit = value
+}
+
 // SetInstanceID changes the instance ID, as if another instance had started at the same
 // address.
 func (u *PlatformUpstream) SetInstanceID(id string) {
@@ -113,8 +122,11 @@
 	}
 	time.Sleep(u.ServiceTime)
 	u.mu.Lock()
-	running := u.running
+	running, rateLimit := u.running, u.rateLimit
 	u.mu.Unlock()
+	if rateLimit != "" {
+		w.Header().Set("Server-Limit", rateLimit)
+	}
 	w.Header().Set("X-Response-Signature", "signed-by-"+u.ID)
 	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", running, platformUpstreamSlots))
 	// A write fails only if the client has disconnected.
