Log the delay that an upstream asks for when it rejects a request

The logs of second1 do not tell whether a rejection carried a delay, so nobody could see that hosts did not wait for it.

Change: Retry-After of a 503 is decoded into a typed field and logged with upstream refused. No decision uses it yet.

--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -37,7 +37,7 @@
 	report := place.Report{
 		TimeToHeader: h.Now().Sub(sentAt), ConnectTime: upstream.ConnectTime, Load: meta.Load, HasLoad: meta.HasLoad, ColdFor: meta.ColdFor,
 	}
-	h.observeRateLimit(q, c, meta)
+	h.observeAnnouncements(q, c, meta)
 	if problem := invalidResponse(upstream.Response, meta); problem != "" {
 		upstream.Close(meta.KeepAlive)
 		return h.recordLost(ctx, q, c, &h1.InvalidResponseError{Problem: problem}), nil
@@ -58,15 +58,18 @@
 	return h.finishBuffered(w, q, c, meta, report, resp)
 }
 
-// observeRateLimit records the rate limit that an upstream announces, and logs a change. A
-// limit that cannot be used leaves the last one in force.
-func (h *Handler) observeRateLimit(q *request, c place.Choice, meta traffic.Response) {
-	switch {
-	case meta.Misdirected:
-		// Another upstream has responded.
-	case meta.RateLimitError != nil:
-		h.Log.Warn("upstream header invalid", "id", q.ID, "upstream", c.ID, "error", meta.RateLimitError)
-	case h.Table.ObserveRateLimit(h.Now(), c, meta.RateLimit):
+// observeAnnouncements records what an upstream announces about itself, and logs changes. A
+// value that cannot be used leaves the last one in force.
+func (h *Handler) observeAnnouncements(q *request, c place.Choice, meta traffic.Response) {
+	if meta.Misdirected {
+		return // another upstream has responded
+	}
+	for _, err := range []error{meta.RateLimitError, meta.RetryAfterError} {
+		if err != nil {
+			h.Log.Warn("upstream header invalid", "id", q.ID, "upstream", c.ID, "error", err)
+		}
+	}
+	if meta.RateLimitError == nil && h.Table.ObserveRateLimit(h.Now(), c, meta.RateLimit) {
 		h.Log.Info("upstream rate limit", "id", q.ID, "upstream", c.ID, "zone", c.Zone,
 			"limited", meta.RateLimit.Limited, "per_second", meta.RateLimit.PerSecond, "source", "response")
 	}
@@ -93,7 +96,7 @@
 	case outcomeAnswered:
 		h.writeResponse(w, q, resp)
 	case outcomeShed:
-		h.Log.Info("upstream refused", "id", q.ID, "upstream", c.ID, "status", resp.status, "running", meta.Load.Running,
+		h.Log.Info("upstream refused", "id", q.ID, "upstream", c.ID, "status", resp.status, "retry_after", meta.RetryAfter, "running", meta.Load.Running,
 			"waiting", meta.Load.Waiting, "slots", meta.Load.Slots, "expected_wait", c.ExpectedQueueing)
 	case outcomeFailed:
 		h.Log.Info("upstream failed", "id", q.ID, "upstream", c.ID, "status", resp.status)
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -82,6 +82,11 @@
 	RateLimit RateLimit
 	// RateLimitError is a *HeaderError if the announced rate limit cannot be used.
 	RateLimitError error
+	// RetryAfter is how long the upstream wants no requests from this host after it has
+	// rejected one; 0 if it does not say.
+	RetryAfter time.Duration
+	// RetryAfterError is a *HeaderError if that time cannot be used.
+	RetryAfterError error
 }
 
 // Codec maps the request and response metadata to HTTP headers.
