Keep the pause that an upstream asks for when it rejects a request

Cause: the delay was read by nobody, and a rejection taught the host nothing. An upstream that rejects runs nothing, so it looked like the best choice.

Change: an upstream gets nothing from a host during the pause it has asked it for, then one request as a probe, and the others once that was not rejected. If only paused upstreams are left, the request is refused at once with the end of the first pause, plus a random part, as Retry-After.

Why it works: the selection leaves paused upstreams out, whatever load they report, and a pause belongs to the instance, so no registration and no earlier response ends it.

--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -22,6 +22,7 @@
 	})
 	d.metrics.Gauge("balsambarrow_upstreams", func() float64 { return float64(d.table.Size()) })
 	d.metrics.Gauge("balsambarrow_upstreams_rate_limited", func() float64 { return float64(d.table.RateLimited()) })
+	d.metrics.Gauge("balsambarrow_upstreams_paused", func() float64 { return float64(d.table.Paused(d.now())) })
 	d.metrics.Gauge("balsambarrow_ready", func() float64 { return boolGauge(d.ready.Load()) })
 	d.metrics.Gauge("balsambarrow_takes_callers", func() float64 { return boolGauge(!d.state.Load().Standby) })
 	d.metrics.Gauge("balsambarrow_watches_store", func() float64 { return boolGauge(d.watches.Load()) })
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -69,6 +69,9 @@
 			h.Log.Warn("upstream header invalid", "id", q.ID, "upstream", c.ID, "error", err)
 		}
 	}
+	if meta.RetryAfterError == nil {
+		h.Table.ObserveRetryAfter(h.Now(), c, meta.RetryAfter)
+	}
 	if meta.RateLimitError == nil && h.Table.ObserveRateLimit(h.Now(), c, meta.RateLimit) {
 		h.Log.Info("upstream rate limit", "id", q.ID, "upstream", c.ID, "zone", c.Zone,
 			"limited", meta.RateLimit.Limited, "per_second", meta.RateLimit.PerSecond, "source", "response")
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -132,12 +132,23 @@
 		return unavailable(CauseOverloaded, h.retryAfterQueue(full.ExpectedQueueing)).withReason(err)
 	}
 	var none *place.NoUpstreamError
-	if errors.As(err, &none) && none.Reason != place.NotRegistered {
+	switch {
+	case !errors.As(err, &none) || none.Reason == place.NotRegistered:
+	case none.Reason == place.AllPaused:
+		return unavailable(CauseNoUpstream, retryAfterPause(none.RetryAfter)).withReason(err)
+	default:
 		return unavailable(CauseNoUpstream, retryCold).withReason(err)
 	}
 	return unavailable(CauseNoUpstream, 2*retryCold).withReason(err)
 }
 
+// retryAfterPause returns the retry delay for a request that was refused because the upstreams
+// want no requests for some time. A random delay is added, so that callers refused together do
+// not retry together and the first of them can probe an upstream.
+func retryAfterPause(pause time.Duration) time.Duration {
+	return pause + retrySoon + time.Duration(rand.Int64N(int64(retryCold)))
+}
+
 // retryAfterQueue returns the retry delay for a request that was refused because
 // the queues are full. The minimum is the time in which half of the shortest queue
 // is served, plus retrySoon. A random delay of up to the same length is added, so
--- a/internal/place/announced.go
+++ b/internal/place/announced.go
@@ -10,6 +10,7 @@
 // It ends with the instance, not with its registration.
 type announced struct {
 	rateLimit rateLimit
+	pause     pause
 }
 
 // instance returns the state of the instance that was chosen; nil if the upstream has
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -47,6 +47,8 @@
 	route     string
 	// cold is set if the upstream itself is cold, for any object.
 	cold bool
+	// probe is set if the request probes whether the upstream accepts requests after a pause.
+	probe bool
 }
 
 // Reason is the reason why no upstream can be selected.
@@ -63,6 +65,9 @@
 	// AllCold: the remaining upstreams are cold, and this host is not the one that sends
 	// to them, or they have reached their request rate.
 	AllCold Reason = "all-cold"
+	// AllPaused: the remaining upstreams have rejected requests and want none from this host
+	// for a while.
+	AllPaused Reason = "all-paused"
 	// AllRateLimited: the remaining upstreams limit their rate, and this host is no sender of
 	// theirs, or has used its part.
 	AllRateLimited Reason = "all-rate-limited"
@@ -72,6 +77,9 @@
 type NoUpstreamError struct {
 	Service string
 	Reason  Reason
+	// RetryAfter is when the first pause ends, if Reason is AllPaused; 0 if an upstream is
+	// being probed.
+	RetryAfter time.Duration
 }
 
 func (e *NoUpstreamError) Error() string { return "place: " + e.Service + ": " + string(e.Reason) }
@@ -96,7 +104,7 @@
 	object := objectOf(q.Route, q.Object)
 	s := t.survey(now, q, object)
 	if len(s.candidates) == 0 {
-		return Choice{}, &NoUpstreamError{q.Service, s.reason}
+		return Choice{}, &NoUpstreamError{q.Service, s.reason, max(s.firstPauseEnd.Sub(now), 0)}
 	}
 	t.estimate(now, q, object, s)
 	t.limitShift(now, s)
@@ -130,13 +138,15 @@
 			t.recordSent(now, c.upstream, object)
 		}
 		c.load.inflight++
+		probe := c.announced.pause.unconfirmed
+		c.announced.pause.probing = probe
 		t.shares.observe(now, c.region)
 		return Choice{
 			ID: c.ID, Address: c.Address, Zone: c.Zone, Region: c.region, ExpectedLatency: c.latency, ExpectedQueueing: c.queueing,
-			upstream: c.upstream, startedMs: c.StartedMs, object: object, route: q.Route, Warm: warm, cold: c.cold,
+			upstream: c.upstream, startedMs: c.StartedMs, object: object, route: q.Route, Warm: warm, cold: c.cold, probe: probe,
 		}, nil
 	}
-	return Choice{}, &NoUpstreamError{q.Service, reason}
+	return Choice{}, &NoUpstreamError{Service: q.Service, Reason: reason}
 }
 
 // cheapest returns the index of the candidate with the lowest cost. Ties go to the
--- /dev/null
+++ b/internal/place/pause_test.go
@@ -0,0 +1,112 @@
+package place_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"balsambarrow/internal/place"
+)
+
+// reject lets the upstream of a choice reject the request and ask for a pause.
+func reject(table *place.Table, now time.Time, c place.Choice, retryAfter time.Duration) {
+	table.ObserveRetryAfter(now, c, retryAfter)
+	table.Done(now, c, place.Report{Result: place.Shed})
+}
+
+func chooseAt(t *testing.T, table *place.Table, now time.Time) place.Choice {
+	c, err := table.Choose(now, query("1"))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return c
+}
+
+func expectPaused(t *testing.T, table *place.Table, now time.Time, retryAfter time.Duration) {
+	_, err := table.Choose(now, query("1"))
+	var none *place.NoUpstreamError
+	NewWithT(t).Expect(errors.As(err, &none)).To(BeTrue(), "%v", err)
+	NewWithT(t).Expect(none.Reason).To(Equal(place.AllPaused))
+	NewWithT(t).Expect(none.RetryAfter).To(Equal(retryAfter))
+}
+
+func newPausedTable(t *testing.T) *place.Table {
+	table := newTable(t, "a1")
+	table.PutUpstream(start, upstream("x", "a1"))
+	reject(table, start, chooseAt(t, table, start), 3*time.Second)
+	return table
+}
+
+// Guards against requests that all go to an upstream at the end of its pause: the first one
+// must show that the upstream accepts requests again.
+func TestPauseEndsWithOneProbe(t *testing.T) {
+	table := newPausedTable(t)
+	expectPaused(t, table, start.Add(time.Second), 2*time.Second)
+	probe := chooseAt(t, table, start.Add(3*time.Second))
+	expectPaused(t, table, start.Add(3100*time.Millisecond), 0)
+	reject(table, start.Add(3200*time.Millisecond), probe, 3*time.Second)
+	expectPaused(t, table, start.Add(4200*time.Millisecond), 2*time.Second)
+
+	later := start.Add(7 * time.Second)
+	probe = chooseAt(t, table, later)
+	table.Done(later, probe, place.Report{Result: place.NoResponse})
+	probe = chooseAt(t, table, later)
+	table.ObserveRetryAfter(later, probe, 0)
+	table.Done(later, probe, place.Report{Result: place.Succeeded})
+	for range 3 {
+		chooseAt(t, table, later)
+	}
+}
+
+// Guards against a pause that is cut short by a response to an earlier request, by a shorter
+// pause or by a registration, and against one that outlives the instance.
+func TestPauseBelongsToOneInstance(t *testing.T) {
+	restarted := upstream("x", "a1")
+	restarted.StartedMs = 2
+	at := start.Add(time.Second)
+	for _, c := range []struct {
+		name   string
+		change func(*place.Table, place.Choice)
+		paused int
+	}{
+		{"next registration", func(tb *place.Table, _ place.Choice) { tb.PutUpstream(at, upstream("x", "a1")) }, 1},
+		{"registration expires and returns", func(tb *place.Table, _ place.Choice) {
+			tb.RemoveUpstream(at, "x")
+			tb.PutUpstream(at, upstream("x", "a1"))
+		}, 1},
+		{"earlier request succeeds", func(tb *place.Table, earlier place.Choice) {
+			tb.ObserveRetryAfter(at, earlier, 0)
+			tb.Done(at, earlier, place.Report{Result: place.Succeeded})
+		}, 1},
+		{"earlier request asks for a shorter pause", func(tb *place.Table, earlier place.Choice) {
+			reject(tb, at, earlier, time.Millisecond)
+		}, 1},
+		{"restart", func(tb *place.Table, _ place.Choice) { tb.PutUpstream(at, restarted) }, 0},
+		{"rejection of the earlier instance arrives late", func(tb *place.Table, earlier place.Choice) {
+			tb.PutUpstream(at, restarted)
+			reject(tb, at, earlier, time.Minute)
+		}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTable(t, "a1")
+			table.PutUpstream(start, upstream("x", "a1"))
+			earlier := chooseAt(t, table, start)
+			reject(table, start, chooseAt(t, table, start), 3*time.Second)
+			c.change(table, earlier)
+			NewWithT(t).Expect(table.Paused(at.Add(time.Second))).To(Equal(c.paused))
+		})
+	}
+}
+
+// Guards against a pause that other upstreams take part in.
+func TestPauseLeavesOtherUpstreamsAlone(t *testing.T) {
+	g := NewWithT(t)
+	table := newFullTable(t, "a1")
+	first := chooseAt(t, table, start)
+	reject(table, start, first, time.Hour)
+	for range 20 {
+		c := chooseAt(t, table, start.Add(time.Minute))
+		g.Expect(c.ID).NotTo(Equal(first.ID))
+		table.Done(start.Add(time.Minute), c, place.Report{Result: place.Succeeded, TimeToHeader: time.Millisecond})
+	}
+}
--- a/internal/place/survey.go
+++ b/internal/place/survey.go
@@ -13,6 +13,8 @@
 	candidates []candidate
 	// reason explains an empty list of candidates.
 	reason Reason
+	// firstPauseEnd is when the first pause of an upstream ends; zero if none is paused.
+	firstPauseEnd time.Time
 	// localFailure is set if an upstream of the service in this host's region was ejected
 	// within failoverWindow.
 	localFailure bool
@@ -61,7 +63,7 @@
 func (t *Table) survey(now time.Time, q Query, object Object) *survey {
 	t.refreshZonePaths(q)
 	s := &t.scratch
-	s.candidates, s.reason, s.localFailure = s.candidates[:0], NotRegistered, false
+	*s = survey{candidates: s.candidates[:0], reason: NotRegistered}
 	key := uint64(object)
 	if object == 0 {
 		t.keylessSequence++
@@ -78,9 +80,7 @@
 		}
 		cold := w.isCold(now)
 		if reason := t.unavailable(now, w, path, cold); reason != "" {
-			if reason == AllClosed || s.reason != AllEjected {
-				s.reason = reason
-			}
+			s.exclude(w, reason)
 			continue
 		}
 		c := candidate{upstream: w, path: path, weight: weight(key, w.idHash), cold: cold}
@@ -99,12 +99,24 @@
 	return s
 }
 
+// exclude records why an upstream is no candidate.
+func (s *survey) exclude(w *upstream, reason Reason) {
+	if reason == AllClosed || s.reason != AllEjected {
+		s.reason = reason
+	}
+	if end := w.announced.pause.until; reason == AllPaused && (s.firstPauseEnd.IsZero() || end.Before(s.firstPauseEnd)) {
+		s.firstPauseEnd = end
+	}
+}
+
 // unavailable returns why this host may send no requests to an upstream at present; "" if it
 // may.
 func (t *Table) unavailable(now time.Time, w *upstream, path *zonePath, cold bool) Reason {
 	switch {
 	case path.closed || w.State != catalog.StateReady:
 		return AllClosed
+	case w.announced.pause.active(now):
+		return AllPaused
 	case w.announced.rateLimit.Limited && !t.isRateLimitSender(now, w):
 		return AllRateLimited
 	case cold && !t.isSlowStartSender(w):
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -229,6 +229,9 @@
 		w.load.observe(now, r.Load)
 	}
 	w.load.inflight--
+	if probed := t.instance(c); c.probe && probed != nil {
+		probed.announced.pause.probing = false
+	}
 	if r.ConnectTime > 0 {
 		t.links.observeRTT(w.region, r.ConnectTime)
 	}
--- a/internal/soak/ratelimit_test.go
+++ b/internal/soak/ratelimit_test.go
@@ -92,6 +92,8 @@
 	return times
 }
 
+// disturbedBetween reports whether the host was restarted or suspended in the span or shortly
+// before it.
 func (h *daemonProcess) disturbedBetween(from, to time.Time) bool {
 	for _, at := range h.disturbances {
 		if at.After(from.Add(-faultSettleTime)) && at.Before(to) {
--- a/internal/soak/violations_test.go
+++ b/internal/soak/violations_test.go
@@ -49,6 +49,24 @@
 	return out
 }
 
+// runDuringPause lets an upstream reject a request of a host, and the host send n more to it later
+// in the pause.
+func runDuringPause(u *upstream, h *daemonProcess, n int) []callerRequest {
+	now := time.Now()
+	u.standIn.Reject(rejectionPause)
+	runAtUpstream(u, "GET", "rejected", standin.UnlimitedCustomer, "")
+	u.standIn.Reject(0)
+	out := []callerRequest{{id: "rejected", key: "steady", host: h, startedAt: now, endedAt: now, status: http.StatusServiceUnavailable}}
+	time.Sleep(pauseReaction + 10*time.Millisecond)
+	for i := range n {
+		r := callerRequest{id: fmt.Sprint("p", i), key: "steady", host: h, startedAt: now, endedAt: now, status: http.StatusOK}
+		r.body = "i-0 ran " + r.id
+		runAtUpstream(u, "GET", r.id, standin.UnlimitedCustomer, "")
+		out = append(out, r)
+	}
+	return out
+}
+
 // Guards against checks that cannot fail. Each case simulates what callers and
 // upstreams would observe if the fleet violated one guarantee; the checks must report
 // that violation and nothing else. Cases without a violation must report nothing.
@@ -150,6 +168,16 @@
 		{"an upstream gets as much as its rate limit", func(s *cluster, u *upstream, r callerRequest) []callerRequest {
 			return runAtLimitedUpstream(s, u, r.host, 10)
 		}, ""},
+		{"an upstream gets requests during its pause", func(_ *cluster, u *upstream, r callerRequest) []callerRequest {
+			return runDuringPause(u, r.host, 3)
+		}, "got 3 requests from it during the pause"},
+		{"an upstream may be probed during its pause", func(_ *cluster, u *upstream, r callerRequest) []callerRequest {
+			return runDuringPause(u, r.host, 2)
+		}, ""},
+		{"a restarted host may send during a pause", func(_ *cluster, u *upstream, r callerRequest) []callerRequest {
+			r.host.disturbances = []time.Time{now}
+			return runDuringPause(u, r.host, 3)
+		}, ""},
 		{"a restarted host may exceed a rate limit", func(s *cluster, u *upstream, r callerRequest) []callerRequest {
 			r.host.disturbances = []time.Time{now}
 			return runAtLimitedUpstream(s, u, r.host, 40)
--- a/internal/standin/platformupstream.go
+++ b/internal/standin/platformupstream.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -33,8 +34,11 @@
 	instanceID string
 	handler    func(w http.ResponseWriter, r *http.Request)
 	rateLimit  string
-	running    int
-	runs       []PlatformRun
+	// rejection is the pause that rejections ask for; 0 if requests are not rejected.
+	rejection time.Duration
+	rejected  []PlatformRun
+	running   int
+	runs      []PlatformRun
 }
 
 // platformUpstreamSlots is the concurrency that a PlatformUpstream reports.
@@ -63,6 +67,35 @@
 	u.rateLimit = value
 }
 
+// Reject makes the upstream reject all requests without running them, and ask for a pause; 0
+// ends it.
+func (u *PlatformUpstream) Reject(pause time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.rejection = pause
+}
+
+// Rejected returns the requests that the upstream has rejected.
+func (u *PlatformUpstream) Rejected() []PlatformRun {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]PlatformRun(nil), u.rejected...)
+}
+
+// reject rejects the request if the upstream is to reject requests.
+func (u *PlatformUpstream) reject(w http.ResponseWriter, r *http.Request) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.rejection == 0 {
+		return false
+	}
+	u.rejected = append(u.rejected, PlatformRun{ID: r.Header.Get("X-Request-Id"), Method: r.Method, Target: r.RequestURI, At: time.Now()})
+	w.Header().Set("X-Not-Executed", "1")
+	w.Header().Set("Retry-After", strconv.FormatFloat(u.rejection.Seconds(), 'f', -1, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
 // SetInstanceID changes the instance ID, as if another instance had started at the same
 // address.
 func (u *PlatformUpstream) SetInstanceID(id string) {
@@ -100,7 +133,7 @@
 		return
 	}
 	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	if err != nil || u.reject(w, r) {
 		return
 	}
 	u.mu.Lock()
