Send nothing more to an upstream that announces it leaves

Change: the announcement closes the upstream until it restarts, whatever its registration says, and hosts pass it on in heartbeats. A value that is no boolean is a HeaderError and changes nothing.

--- a/internal/entryhost/ratelimits.go
+++ b/internal/entryhost/announcements.go
@@ -48,8 +48,8 @@
 	return out, err
 }
 
-// applyRateLimits applies the rate limits that upstreams have announced to a peer.
-func (c *control) applyRateLimits(now time.Time, b *fleet.Heartbeat) {
+// applyAnnouncements applies what upstreams have announced to a peer.
+func (c *control) applyAnnouncements(now time.Time, b *fleet.Heartbeat) {
 	reports, err := decodeRateLimits(b)
 	if err != nil {
 		c.d.events.Warn("heartbeat invalid", "peer", b.Host, "error", err)
@@ -58,4 +58,7 @@
 		c.d.events.Info("upstream rate limit", "upstream", change.Upstream, "zone", change.Zone, "limited", change.Limited,
 			"per_second", change.PerSecond, "source", b.Host)
 	}
+	for _, id := range c.d.table.ApplyLeavingReports(b.LeavingUpstreams) {
+		c.d.events.Info("upstream leaving", "upstream", id, "source", b.Host)
+	}
 }
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -204,7 +204,7 @@
 	c.logMemberChanges(changes)
 	c.replyToStandby(now, b, changes)
 	c.d.table.ApplyWarmReports(now, b.Warm)
-	c.applyRateLimits(now, b)
+	c.applyAnnouncements(now, b)
 	c.handleDigest(b.Instance, b.Digest)
 }
 
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -64,11 +64,14 @@
 	if meta.Misdirected {
 		return // another upstream has responded
 	}
-	for _, err := range []error{meta.RateLimitError, meta.RetryAfterError} {
+	for _, err := range []error{meta.RateLimitError, meta.RetryAfterError, meta.LeavingError} {
 		if err != nil {
 			h.Log.Warn("upstream header invalid", "id", q.ID, "upstream", c.ID, "error", err)
 		}
 	}
+	if meta.Leaving && h.Table.ObserveLeaving(c) {
+		h.Log.Info("upstream leaving", "id", q.ID, "upstream", c.ID, "zone", c.Zone, "source", "response")
+	}
 	if meta.RetryAfterError == nil {
 		h.Table.ObserveRetryAfter(h.Now(), c, meta.RetryAfter)
 	}
--- a/internal/place/announced.go
+++ b/internal/place/announced.go
@@ -2,15 +2,32 @@
 
 import "time"
 
-// departedTTL is how long the announcements of a removed upstream are kept. A registration
-// that has expired, for example while the store was down, may return.
-const departedTTL = time.Minute
+const (
+	// departedTTL is how long the announcements of a removed upstream are kept. A registration
+	// that has expired, for example while the store was down, may return.
+	departedTTL = time.Minute
+	// maxAnnouncementReports is the maximum number of announcements of a kind in a heartbeat.
+	maxAnnouncementReports = 120
+)
 
 // announced is what an instance of an upstream has announced about itself in its responses.
 // It ends with the instance, not with its registration.
 type announced struct {
 	rateLimit rateLimit
 	pause     pause
+	leaving   leaving
+}
+
+// instanceKey identifies an instance of an upstream in messages between hosts: it holds the low
+// bits of the hash of the upstream's ID, and below these the low bits of its start time.
+func (w *upstream) instanceKey() uint64 { return w.idHash<<32 | uint64(uint32(w.StartedMs)) }
+
+// byInstanceKey returns the registered instance with the key; nil if there is none.
+func (t *Table) byInstanceKey(key uint64) *upstream {
+	if w := t.byHash[uint32(key>>32)]; w != nil && uint32(w.StartedMs) == uint32(key) {
+		return w
+	}
+	return nil
 }
 
 // instance returns the state of the instance that was chosen; nil if the upstream has
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -58,7 +58,7 @@
 const (
 	// NotRegistered: no upstream of the service is registered in an allowed region.
 	NotRegistered Reason = "no-upstream"
-	// AllClosed: the registered upstreams are evacuated or draining.
+	// AllClosed: the registered upstreams are evacuated, draining or leaving.
 	AllClosed Reason = "all-closed"
 	// AllEjected: the open upstreams are ejected because of recent failures.
 	AllEjected Reason = "all-ejected"
--- a/internal/place/ratelimit.go
+++ b/internal/place/ratelimit.go
@@ -21,8 +21,6 @@
 	// rateLimitTTL is how long an announcement is passed on to other hosts. A host that
 	// has not heard of a limit for longer may probe whether it still applies.
 	rateLimitTTL = 5 * time.Second
-	// maxRateLimitReports bounds the size of a heartbeat.
-	maxRateLimitReports = 120
 )
 
 // rateLimit is the rate limit that an upstream has announced.
@@ -106,8 +104,7 @@
 
 // RateLimitReport passes the announcement of an upstream on to another host.
 type RateLimitReport struct {
-	// Instance holds the low bits of the hash of the upstream's ID, and below these the low
-	// bits of the start time of the instance.
+	// Instance is the key of the instance of the upstream; see upstream.instanceKey.
 	Instance uint64
 	traffic.RateLimit
 	// Age is the time since the announcement.
@@ -127,10 +124,10 @@
 		if !l.relevant || !l.firstHand || age > rateLimitTTL {
 			continue
 		}
-		if len(out) == maxRateLimitReports {
+		if len(out) == maxAnnouncementReports {
 			break
 		}
-		out = append(out, RateLimitReport{w.idHash<<32 | uint64(uint32(w.StartedMs)), l.RateLimit, age})
+		out = append(out, RateLimitReport{w.instanceKey(), l.RateLimit, age})
 	}
 	return out
 }
@@ -152,8 +149,8 @@
 	defer t.mu.Unlock()
 	var changes []RateLimitChange
 	for _, r := range reports {
-		w := t.byHash[uint32(r.Instance>>32)]
-		if w == nil || uint32(w.StartedMs) != uint32(r.Instance) {
+		w := t.byInstanceKey(r.Instance)
+		if w == nil {
 			continue
 		}
 		l := &w.announced.rateLimit
--- a/internal/place/survey.go
+++ b/internal/place/survey.go
@@ -113,7 +113,7 @@
 // may.
 func (t *Table) unavailable(now time.Time, w *upstream, path *zonePath, cold bool) Reason {
 	switch {
-	case path.closed || w.State != catalog.StateReady:
+	case path.closed || w.State != catalog.StateReady || w.announced.leaving.announced:
 		return AllClosed
 	case w.announced.pause.active(now):
 		return AllPaused
--- a/internal/standin/platformupstream.go
+++ b/internal/standin/platformupstream.go
@@ -34,6 +34,7 @@
 	instanceID string
 	handler    func(w http.ResponseWriter, r *http.Request)
 	rateLimit  string
+	leaving    bool
 	// rejection is the pause that rejections ask for; 0 if requests are not rejected.
 	rejection time.Duration
 	rejected  []PlatformRun
@@ -67,6 +68,13 @@
 	u.rateLimit = value
 }
 
+// Leave makes all responses announce that the upstream is about to stop.
+func (u *PlatformUpstream) Leave() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.leaving = true
+}
+
 // Reject makes the upstream reject all requests without running them, and ask for a pause; 0
 // ends it.
 func (u *PlatformUpstream) Reject(pause time.Duration) {
@@ -155,8 +163,11 @@
 	}
 	time.Sleep(u.ServiceTime)
 	u.mu.Lock()
-	running, rateLimit := u.running, u.rateLimit
+	running, rateLimit, leaving := u.running, u.rateLimit, u.leaving
 	u.mu.Unlock()
+	if leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if rateLimit != "" {
 		w.Header().Set("Server-Limit", rateLimit)
 	}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -82,6 +82,10 @@
 	RateLimit RateLimit
 	// RateLimitError is a *HeaderError if the announced rate limit cannot be used.
 	RateLimitError error
+	// Leaving is set if the upstream is about to stop.
+	Leaving bool
+	// LeavingError is a *HeaderError if the announcement cannot be used.
+	LeavingError error
 	// RetryAfter is how long the upstream wants no requests from this host after it has
 	// rejected one; 0 if it does not say.
 	RetryAfter time.Duration
