Own interface: keep the pause that an upstream asks for when it sheds a request

An upstream that sheds everything kept its place in the selection, so GETs spent their second attempt on it and postings were answered upstream-shed while others had room.

Cause: Retry-After of a 503 was passed on to the caller and read by nobody else.

Change: the handler, which alone sends to an upstream, leaves it out for the pause, also in the headroom that peers see. If all upstreams that accept requests are paused, new requests and those queued past their deadline are refused at once with the end of the first pause; the others start when it ends. A second attempt that finds no upstream is answered with the problem of the first. TestOutcomesOfUpstreamFailures shares one upstream among its cases and now waits until that is in use again; what it checks is unchanged.

--- a/internal/daemon/outcomes_test.go
+++ b/internal/daemon/outcomes_test.go
@@ -223,6 +223,7 @@
 		for i, form := range requestForms {
 			t.Run(failure.name+"/"+form.name, func(t *testing.T) {
 				g := NewWithT(t)
+				f.awaitEndOfPause(g, form)
 				name := failure.name + "-" + strconv.Itoa(i)
 				r := f.send(form, failure.name, name, nil)
 				maxRuns := failure.maxRuns[0]
@@ -246,6 +247,14 @@
 	}
 }
 
+// awaitEndOfPause waits until the upstream, which may have shed a request and asked for a pause,
+// can be reached from the entry of a form again.
+func (f *fleet) awaitEndOfPause(g *WithT, form requestForm) {
+	g.Eventually(func() int {
+		return f.call(form.entry, http.MethodGet, "posting/fine", "secret", nil).Status
+	}, settleTimeout, "50ms").Should(Equal(http.StatusOK))
+}
+
 // checkRepeat sends a request again with the same posting id and checks the response.
 func (f *fleet) checkRepeat(g *WithT, u *faultyUpstream, form requestForm, failure failureCase, name string, first reply) {
 	if form.owner == "" {
--- a/internal/upstream/handler.go
+++ b/internal/upstream/handler.go
@@ -122,6 +122,9 @@
 	if p == nil || !slices.ContainsFunc(p.upstreams, func(s *upstreamState) bool { return s.acceptsRequests(now) }) {
 		return nil, wire.NotRunProblem(wire.TypeNoRoom, "no upstream of this service is handled here", 0)
 	}
+	if end := p.firstPauseEnd(now); !end.IsZero() {
+		return nil, pausedProblem(end, now)
+	}
 	t := newTicket(h, p, r, h.config.Customers[r.Customer].Weight)
 	if refusal := p.enqueue(t, now); refusal != nil {
 		return nil, refusalProblem(refusal)
@@ -145,6 +148,7 @@
 	case t.upstream != nil:
 		return t, nil
 	case !t.expired:
+		delete(t.pool.waiting, t)
 		t.pool.queue.Remove(&t.item, now)
 	}
 	return nil, expiredProblem(t.pool, t, now)
@@ -158,6 +162,9 @@
 }
 
 func expiredProblem(p *pool, t *Ticket, now time.Time) *wire.Problem {
+	if !t.pausedUntil.IsZero() {
+		return pausedProblem(t.pausedUntil, now)
+	}
 	return wire.NotRunProblem(wire.TypeDeadline, "no upstream had room before the deadline", p.queue.RetryAfter(&t.item, now))
 }
 
@@ -181,6 +188,17 @@
 	defer h.mu.Unlock()
 	t.pool.finish(t, r, now)
 	h.dispatch(t.pool, now)
+	if r.RetryAfter > 0 {
+		// Requests that are queued at the end of the pause have no other occasion to start.
+		time.AfterFunc(r.RetryAfter, func() { h.resume(t.pool) })
+	}
+}
+
+// resume starts queued requests after a pause.
+func (h *Handler) resume(p *pool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.dispatch(p, time.Now())
 }
 
 // Headroom returns the capacity of each service handled here. Limit is the
@@ -207,7 +225,7 @@
 		if s.freeSlots(now) == 0 && s.health.condition != healthy {
 			continue
 		}
-		if s.acceptsRequests(now) {
+		if s.acceptsRequests(now) && !s.paused(now) {
 			headroom.Limit += s.advertisedSlots(now, s.slotLimit(now))
 			headroom.Free += s.advertisedSlots(now, s.freeSlots(now))
 		}
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -72,10 +74,32 @@
 	return p
 }
 
+// retryAfter returns the delay after which the caller of a shed request should retry.
 func retryAfter(resp *http.Response) time.Duration {
-	seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
-	if err != nil || seconds <= 0 {
-		return defaultRetryAfter
+	if d, err := parseRetryAfter(resp.Header); err == nil && d > 0 {
+		return d
 	}
-	return min(time.Duration(seconds)*time.Second, maxRetryAfter)
+	return defaultRetryAfter
+}
+
+// RetryAfterError reports a Retry-After header that is no number of at least 0.
+type RetryAfterError struct{ Value string }
+
+func (e *RetryAfterError) Error() string {
+	return "upstream: header Retry-After: invalid value " + strconv.Quote(e.Value)
+}
+
+// parseRetryAfter returns the delay that an upstream asks for, at most maxRetryAfter; 0 if it
+// asks for none. The error is a *RetryAfterError.
+func parseRetryAfter(h http.Header) (time.Duration, error) {
+	values := h.Values("Retry-After")
+	if len(values) == 0 {
+		return 0, nil
+	}
+	seconds, err := strconv.ParseFloat(values[0], 64)
+	outOfRange := errors.Is(err, strconv.ErrRange)
+	if len(values) > 1 || err != nil && !outOfRange || math.IsInf(seconds, 0) && !outOfRange || !(seconds >= 0) {
+		return 0, &RetryAfterError{strings.Join(values, ", ")}
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second)), nil
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -22,13 +22,15 @@
 	slotTimes     *fairqueue.CostEstimator
 	responseTimes *fairqueue.CostEstimator
 	rng           *rand.Rand
+	// waiting holds the tickets of the queued requests.
+	waiting map[*Ticket]struct{}
 }
 
 func newPool(service config.Service, rng *rand.Rand) *pool {
 	expected := time.Duration(service.ExpectedMs * float64(time.Millisecond))
 	return &pool{
 		queue: fairqueue.New(), slotTimes: fairqueue.NewCostEstimator(expected),
-		responseTimes: fairqueue.NewCostEstimator(expected), rng: rng,
+		responseTimes: fairqueue.NewCostEstimator(expected), rng: rng, waiting: map[*Ticket]struct{}{},
 	}
 }
 
@@ -39,7 +41,11 @@
 		t.expectedResponseTime, _ = p.responseTimes.Estimate(t.kind)
 	}
 	p.queue.SetSlots(p.slotLimit(now))
-	return p.queue.Push(&t.item, now)
+	refusal := p.queue.Push(&t.item, now)
+	if refusal == nil {
+		p.waiting[t] = struct{}{}
+	}
+	return refusal
 }
 
 // dispatch starts queued requests while slots are free. It calls onStart for
@@ -47,13 +53,19 @@
 // because it could not meet its deadline.
 func (p *pool) dispatch(now time.Time, onStart, onExpired func(*Ticket)) {
 	p.queue.SetSlots(p.slotLimit(now))
-	expire := func(it *fairqueue.Item) { onExpired(it.Value.(*Ticket)) }
+	expireTicket := func(t *Ticket) {
+		delete(p.waiting, t)
+		onExpired(t)
+	}
+	p.expireDuringPause(now, expireTicket)
+	expire := func(it *fairqueue.Item) { expireTicket(it.Value.(*Ticket)) }
 	for p.queue.Len() > 0 && p.freeSlots(now) > 0 {
 		it := p.queue.Pop(now, expire)
 		if it == nil {
 			return
 		}
 		t := it.Value.(*Ticket)
+		delete(p.waiting, t)
 		p.start(t, p.pick(t, now))
 		onStart(t)
 	}
@@ -85,7 +97,7 @@
 	offset := p.rng.IntN(len(p.upstreams))
 	for i := range p.upstreams {
 		s := p.upstreams[(i+offset)%len(p.upstreams)]
-		if s.running == 0 && s.acceptsRequests(now) && s.health.TrialDue(t.safe, now) && s.name != t.avoid {
+		if s.running == 0 && s.acceptsRequests(now) && !s.paused(now) && s.health.TrialDue(t.safe, now) && s.name != t.avoid {
 			return s
 		}
 		if s.freeSlots(now) == 0 {
@@ -120,6 +132,7 @@
 	case resultUnsent:
 	case resultShed:
 		s.limit.Decrease(s.running, now)
+		s.pause(r.RetryAfter, now)
 		p.recordTrial(t, false, 0, now)
 	case resultFailed:
 		s.health.RecordFailure()
@@ -234,7 +247,7 @@
 func (p *pool) slotLimit(now time.Time) int {
 	sum := 0
 	for _, s := range p.upstreams {
-		if s.acceptsRequests(now) && s.health.condition == healthy {
+		if s.acceptsRequests(now) && !s.paused(now) && s.health.condition == healthy {
 			sum += s.slotLimit(now)
 		}
 	}
--- a/internal/upstream/run.go
+++ b/internal/upstream/run.go
@@ -51,6 +51,10 @@
 			return response, nil
 		}
 		span.AddEvent(attemptProblem.Type)
+		if problem != nil && attemptProblem.Type == wire.TypeNoRoom {
+			// No other upstream could be tried, so the earlier attempt is the answer.
+			return nil, problem
+		}
 		problem = attemptProblem.MergeEarlier(problem)
 		if !canRetry(call, attemptProblem) || !r.RetryBudgets.AllowRetryOn(call.Service, attemptProblem) {
 			break
@@ -94,7 +98,11 @@
 		return nil, ticket.Upstream, sendProblem(ctx, sent, err)
 	}
 	body := &trackedBody{ReadCloser: resp.Body, ctx: ctx, ticket: ticket, start: start, firstByte: time.Since(start)}
-	body.shed = resp.StatusCode == http.StatusServiceUnavailable
+	if body.shed = resp.StatusCode == http.StatusServiceUnavailable; body.shed {
+		if body.retryAfter, err = parseRetryAfter(resp.Header); err != nil {
+			span.RecordError(err)
+		}
+	}
 	body.failed = resp.StatusCode >= http.StatusInternalServerError
 	if problem := responseProblem(resp); problem != nil {
 		body.failed = true
@@ -137,8 +145,10 @@
 	start     time.Time
 	firstByte time.Duration
 	shed      bool
-	failed    bool
-	once      sync.Once
+	// retryAfter is the pause that an upstream asks for when it sheds the request.
+	retryAfter time.Duration
+	failed     bool
+	once       sync.Once
 }
 
 func (b *trackedBody) Read(p []byte) (int, error) {
@@ -153,7 +163,7 @@
 	err := b.ReadCloser.Close()
 	b.once.Do(func() {
 		b.ticket.Done(Result{
-			Failed: b.failed, Shed: b.shed, Abandoned: b.failed && b.ctx.Err() != nil,
+			Failed: b.failed, Shed: b.shed, RetryAfter: b.retryAfter, Abandoned: b.failed && b.ctx.Err() != nil,
 			Took: time.Since(b.start), FirstByte: b.firstByte,
 		})
 	})
--- a/internal/upstream/state.go
+++ b/internal/upstream/state.go
@@ -18,6 +18,8 @@
 	// requests are still running here.
 	released bool
 	probe    probeSchedule
+	// pausedUntil is when the upstream accepts requests again after it has shed one.
+	pausedUntil time.Time
 	// takeover limits the slots while a previous handler may still use some
 	// of them; nil if there is none.
 	takeover *Takeover
@@ -35,7 +37,7 @@
 // freeSlots returns the number of requests that may start now, not counting
 // trial requests.
 func (s *upstreamState) freeSlots(now time.Time) int {
-	if !s.acceptsRequests(now) || s.health.condition != healthy {
+	if !s.acceptsRequests(now) || s.paused(now) || s.health.condition != healthy {
 		return 0
 	}
 	return max(s.slotLimit(now)-s.running, 0)
--- a/internal/upstream/ticket.go
+++ b/internal/upstream/ticket.go
@@ -30,6 +30,9 @@
 	Failed bool
 	// Shed is true if the upstream shed the request.
 	Shed bool
+	// RetryAfter is how long an upstream that shed the request wants no other; 0 if it does
+	// not say.
+	RetryAfter time.Duration
 	// Abandoned is true if the caller disconnected or the deadline passed. It
 	// counts against the upstream only after many times the expected response
 	// time.
@@ -96,6 +99,8 @@
 	// expired is true if the request left the queue because it could not meet
 	// its deadline.
 	expired bool
+	// pausedUntil is set if the request expired because all upstreams are paused until then.
+	pausedUntil time.Time
 }
 
 func newTicket(h *Handler, p *pool, r Request, weight float64) *Ticket {
