Own interface: a load report counts in any response

What callers saw: nothing reported.

Found by looking for other statements of upstreams that are read by nobody. TestLoadReportInAnyResponseLowersWeight failed on the code before. Values that are no number of at least 0 are HeaderErrors and count as no report.

--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -82,24 +82,34 @@
 	return defaultRetryAfter
 }
 
-// RetryAfterError reports a Retry-After header that is no number of at least 0.
-type RetryAfterError struct{ Value string }
+// HeaderError reports a response header that is no number of at least 0.
+type HeaderError struct {
+	Header string
+	Value  string
+}
 
-func (e *RetryAfterError) Error() string {
-	return "upstream: header Retry-After: invalid value " + strconv.Quote(e.Value)
+func (e *HeaderError) Error() string {
+	return "upstream: header " + e.Header + ": invalid value " + strconv.Quote(e.Value)
 }
 
-// parseRetryAfter returns the delay that an upstream asks for, at most maxRetryAfter; 0 if it
-// asks for none. The error is a *RetryAfterError.
-func parseRetryAfter(h http.Header) (time.Duration, error) {
-	values := h.Values("Retry-After")
+// parseNumber returns the value of a header that holds one number; 0 if the header is missing.
+// A number beyond the range of a float64 is infinite. The error is a *HeaderError.
+func parseNumber(h http.Header, name string) (float64, error) {
+	values := h.Values(name)
 	if len(values) == 0 {
 		return 0, nil
 	}
-	seconds, err := strconv.ParseFloat(values[0], 64)
+	x, err := strconv.ParseFloat(values[0], 64)
 	outOfRange := errors.Is(err, strconv.ErrRange)
-	if len(values) > 1 || err != nil && !outOfRange || math.IsInf(seconds, 0) && !outOfRange || !(seconds >= 0) {
-		return 0, &RetryAfterError{strings.Join(values, ", ")}
+	if len(values) > 1 || err != nil && !outOfRange || math.IsInf(x, 0) && !outOfRange || math.IsNaN(x) || x < 0 {
+		return 0, &HeaderError{name, strings.Join(values, ", ")}
 	}
-	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second)), nil
+	return x, nil
+}
+
+// parseRetryAfter returns the delay that an upstream asks for, at most maxRetryAfter; 0 if it
+// asks for none. The error is a *HeaderError.
+func parseRetryAfter(h http.Header) (time.Duration, error) {
+	seconds, err := parseNumber(h, "Retry-After")
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second)), err
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -150,6 +150,9 @@
 	slowness := slownessOf(r, t.expectedResponseTime)
 	s.health.RecordResponse(slowness)
 	s.probe.lastResponse = now
+	if s.reportsOverload(r.Load) {
+		s.health.RecordWarning(now)
+	}
 	if s.health.condition == healthy {
 		p.slotTimes.Record(t.kind, r.Took)
 		p.responseTimes.Record(t.kind, r.responseTime())
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 )
@@ -114,8 +113,7 @@
 }
 
 func (s *upstreamState) recordProbe(r ProbeResult, now time.Time) {
-	reportsOverload := r.Load >= warningLoad && 2*s.running < s.limit.Value()
-	if !r.OK || reportsOverload {
+	if !r.OK || s.reportsOverload(r.Load) {
 		s.health.RecordWarning(now)
 	}
 	if s.health.condition == healthy {
@@ -124,6 +122,11 @@
 	s.health.probePassed = r.OK
 }
 
+// reportsOverload reports whether a load report counts as a warning.
+func (s *upstreamState) reportsOverload(load float64) bool {
+	return load >= warningLoad && 2*s.running < s.limit.Value()
+}
+
 // Prober probes the upstreams that a daemon handles.
 type Prober struct {
 	Handler *Handler
@@ -160,7 +163,7 @@
 		return ProbeResult{}
 	}
 	_ = resp.Body.Close()
-	load, err := strconv.ParseFloat(resp.Header.Get(headerLoad), 64)
+	load, err := parseNumber(resp.Header, headerLoad)
 	if err != nil {
 		load = 0
 	}
--- a/internal/upstream/probe_test.go
+++ b/internal/upstream/probe_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +11,10 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"balsambarrow/internal/config"
+	"balsambarrow/internal/wire"
 )
 
 // A probe costs the upstream 6 ms. An upstream without requests is probed
@@ -103,3 +108,31 @@
 	g.Expect(h.RecordTrial(true, 1, 1, secondDue)).To(BeFalse())
 	g.Expect(h.RecordTrial(true, 1, 1, secondDue)).To(BeTrue())
 }
+
+// Guards against a load report that is read only in responses to probes: an upstream that
+// responds to requests is not probed.
+func TestLoadReportInAnyResponseLowersWeight(t *testing.T) {
+	g := NewWithT(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Balsam-Load", "0.95")
+	}))
+	defer server.Close()
+	h := NewHandler()
+	upstreams := lookupUpstreams("u1")
+	upstreams["u1"] = config.Upstream{Service: "lookup", Slots: 8, Address: server.Listener.Addr().String()}
+	h.Assign(lookupConfig(nil), upstreams, false)
+	client := NewClient(nil)
+	defer client.Close()
+	runner := &Runner{
+		Handler: h, Client: client, KeyValid: func(config.Digest, string) bool { return true },
+		Tracer: noop.NewTracerProvider().Tracer("test"),
+	}
+	call := &wire.Call{
+		Service: "lookup", Method: http.MethodGet, Path: "/animal/7", Header: http.Header{}, Customer: "a",
+		KeyDigest: config.DigestOf("secret").String(), Deadline: time.Now().Add(time.Minute),
+	}
+	response, problem := runner.Run(context.Background(), call)
+	g.Expect(problem).To(BeNil())
+	g.Expect(response.Body.Close()).To(Succeed())
+	g.Expect(h.pools["lookup"].upstreams[0].health.warnedUntil).NotTo(BeZero())
+}
--- a/internal/upstream/run.go
+++ b/internal/upstream/run.go
@@ -103,6 +103,9 @@
 			span.RecordError(err)
 		}
 	}
+	if body.load, err = parseNumber(resp.Header, headerLoad); err != nil {
+		span.RecordError(err)
+	}
 	body.failed = resp.StatusCode >= http.StatusInternalServerError
 	if problem := responseProblem(resp); problem != nil {
 		body.failed = true
@@ -147,8 +150,10 @@
 	shed      bool
 	// retryAfter is the pause that an upstream asks for when it sheds the request.
 	retryAfter time.Duration
-	failed     bool
-	once       sync.Once
+	// load is the load that the upstream reports.
+	load   float64
+	failed bool
+	once   sync.Once
 }
 
 func (b *trackedBody) Read(p []byte) (int, error) {
@@ -163,7 +168,7 @@
 	err := b.ReadCloser.Close()
 	b.once.Do(func() {
 		b.ticket.Done(Result{
-			Failed: b.failed, Shed: b.shed, RetryAfter: b.retryAfter, Abandoned: b.failed && b.ctx.Err() != nil,
+			Failed: b.failed, Shed: b.shed, RetryAfter: b.retryAfter, Load: b.load, Abandoned: b.failed && b.ctx.Err() != nil,
 			Took: time.Since(b.start), FirstByte: b.firstByte,
 		})
 	})
--- a/internal/upstream/ticket.go
+++ b/internal/upstream/ticket.go
@@ -33,6 +33,8 @@
 	// RetryAfter is how long an upstream that shed the request wants no other; 0 if it does
 	// not say.
 	RetryAfter time.Duration
+	// Load is the fraction of its slots that the upstream reports as used; 0 if it reports none.
+	Load float64
 	// Abandoned is true if the caller disconnected or the deadline passed. It
 	// counts against the upstream only after many times the expected response
 	// time.
