Measure a reset from before the request is written

What callers saw: some connections were taken for dropped by the upstream, so postings to all upstreams opened new ones for up to 30 s.

Cause: the time of sending was read after the write. The upstream may have processed the request and reset the connection by then, so the reset looked immediate.

Change: the time is read before the write.

--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -94,6 +94,8 @@
 		}
 		r = &Request{Method: r.Method, Matches: r.Matches}
 	}
+	// The upstream may respond before Write returns.
+	sentAt := p.now()
 	if n, err := c.Write(head.Bytes()); err != nil {
 		if n == 0 {
 			return nil, &UnsentError{Address: c.address, Cause: err}
@@ -107,7 +109,6 @@
 	if r.Body != nil {
 		resp.written = writeBody(c, r)
 	}
-	sentAt := p.now()
 	if _, err := c.br.Peek(1); err != nil {
 		p.recordNoResponse(c, sentAt, err)
 		return nil, &NoResponseError{c.address, c.reused, err}
