Own interface: use an outlier last while too many are ejected to eject it

What callers saw: an upstream that fails everything got 41 of 400 requests, want fewer than 20 (TestCallersDoNotNoticeAFailingUpstream, once, in KNOWN-RED.txt).

Cause: at most half of the upstreams may be ejected. If a healthy one of three is ejected first, for one response that took 200 times the usual time, the failing one stays in use, and as it fails at once it has the lowest load.

Change: an upstream that should be ejected and may not be is used only if no other is free, and is ejected as soon as the limit allows.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -52,6 +52,7 @@
 // each request that starts and onExpired for each one that left the queue
 // because it could not meet its deadline.
 func (p *pool) dispatch(now time.Time, onStart, onExpired func(*Ticket)) {
+	p.ejectOutliers(now)
 	p.queue.SetSlots(p.slotLimit(now))
 	expireTicket := func(t *Ticket) {
 		delete(p.waiting, t)
@@ -89,7 +90,7 @@
 // so that the better of two random choices would only be worse. An upstream
 // in slow start, in a drain or with a warning takes part in only a fraction
 // of the choices (see trafficFraction) and is otherwise used only if no other
-// upstream is free. An upstream that is due for a trial request is chosen
+// upstream is free, and so is an outlier that may not be ejected. An upstream that is due for a trial request is chosen
 // first, and one on which an earlier attempt failed is chosen last.
 func (p *pool) pick(t *Ticket, now time.Time) *upstreamState {
 	var best *upstreamState
@@ -107,6 +108,9 @@
 		if fraction := s.trafficFraction(now); fraction < 1 && p.rng.Float64() >= fraction {
 			load += lastResortLoad
 		}
+		if s.outlier {
+			load += 2 * lastResortLoad
+		}
 		if s.name == t.avoid {
 			load = math.MaxFloat64
 		}
@@ -203,12 +207,24 @@
 // of its peers, unless too many are ejected already.
 func (p *pool) ejectIfUnhealthy(s *upstreamState, now time.Time) {
 	h := s.health
+	s.outlier = false
 	if h.condition != healthy || (h.failureRatio <= maxFailureRatio && h.slowness <= maxSlowness) {
 		return
 	}
 	peerSlowness, peerFailures := p.peerStats(s, now)
-	if h.ShouldEject(peerSlowness, peerFailures) && p.mayEject(now) {
-		h.Eject(now)
+	if h.ShouldEject(peerSlowness, peerFailures) {
+		s.outlier = true
+		p.ejectOutliers(now)
+	}
+}
+
+// ejectOutliers ejects outliers as far as the limit allows.
+func (p *pool) ejectOutliers(now time.Time) {
+	for _, s := range p.upstreams {
+		if s.outlier && p.mayEject(now) {
+			s.outlier = false
+			s.health.Eject(now)
+		}
 	}
 }
 
--- a/internal/upstream/state.go
+++ b/internal/upstream/state.go
@@ -18,6 +18,9 @@
 	// requests are still running here.
 	released bool
 	probe    probeSchedule
+	// outlier is set while the upstream should be ejected and too many others are. It is then
+	// used only if no other upstream is free.
+	outlier bool
 	// pausedUntil is when the upstream accepts requests again after it has shed one.
 	pausedUntil time.Time
 	// takeover limits the slots while a previous handler may still use some
