Active-hosts hint: a starting host does not overwrite a better one

What callers saw: nothing; a weak host that started beside its active hosts listed the store itself, and registered as one that takes callers.

Cause: while hosts start, several of them consider themselves the writer of the hint. Traced on four failures of TestWeakHostStartsWithFewStoreCalls: a host wrote three hosts, another wrote one or two 6 to 14 ms later, and the weak host read that, with too few hosts to start from. The writes were unconditional.

Change: the hint is written only over the revision that the writer knows; after a conflict it writes again once it has received the other hint. The test waits for the registration before it reads the counts, all of which it checks as before.

--- a/internal/entryhost/activehosts.go
+++ b/internal/entryhost/activehosts.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"balsambarrow/internal/kv"
 	"balsambarrow/internal/standby"
 	"balsambarrow/platform"
@@ -190,15 +192,36 @@
 		return
 	}
 	c.storedHint = data
+	known := c.storedHintRevision
 	c.d.spawn(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 		defer cancel()
-		if err := c.d.store.Put(ctx, platform.ActiveHostsKey, data, 0); err != nil {
-			c.d.events.Debug("active-hosts hint not written", "error", err)
-			c.send(func(c *control) { c.storedHint = nil })
-		}
+		revision, err := c.d.store.CompareAndSwap(ctx, platform.ActiveHostsKey, known, data, 0)
+		c.send(func(c *control) { c.finishHint(data, revision, err) })
 	})
 }
 
+// finishHint records the result of a write of the hint. While hosts start, several of them
+// consider themselves the writer, and one that knows few others must not overwrite the hint of
+// one that knows more: after a conflict, a host writes again only once it has received that hint.
+func (c *control) finishHint(data []byte, revision uint64, err error) {
+	var conflict *kv.ConflictError
+	switch {
+	case err == nil:
+		c.noteStoredHint(kv.Item{Value: data, Revision: revision})
+	case errors.As(err, &conflict) && conflict.Current > 0:
+	default:
+		c.d.events.Debug("active-hosts hint not written", "error", err)
+		c.storedHint = nil
+		if conflict != nil {
+			c.storedHintRevision = 0
+		}
+	}
+}
+
 // noteStoredHint records the hint that is in the store.
-func (c *control) noteStoredHint(item kv.Item) { c.storedHint = item.Value }
+func (c *control) noteStoredHint(item kv.Item) {
+	if item.Revision >= c.storedHintRevision {
+		c.storedHint, c.storedHintRevision = item.Value, item.Revision
+	}
+}
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -89,9 +89,12 @@
 	watcherCache          watcherCache
 	// snapshotReadAt is when the snapshot of the fleet's learned state was last read.
 	snapshotReadAt time.Time
-	// storedHint is the active-hosts hint in the store, as last known to this host. hintedPeers
-	// are the addresses to which this host sends heartbeats until it knows an active host.
-	storedHint  []byte
+	// storedHint is the active-hosts hint in the store, as last known to this host, and
+	// storedHintRevision its revision.
+	storedHint         []byte
+	storedHintRevision uint64
+	// hintedPeers are the addresses to which this host sends heartbeats until it knows an
+	// active host.
 	hintedPeers []string
 	// snapshotPacer paces the snapshots that this host writes.
 	snapshotPacer snapshot.Pacer
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -484,6 +484,7 @@
 	weak := s.hostWith("weak", "a1", hostOptions{mbps: 10})
 	g.Eventually(weak.ready, "5s", "10ms").Should(BeTrue())
 	g.Eventually(func() []string { return directory(t, weak, "a") }, "5s", "10ms").Should(ConsistOf(named))
+	g.Eventually(func() int { return s.store.Calls()["/-/kv-lease"] - before["/-/kv-lease"] }, "5s", "10ms").Should(Equal(1), "the registration")
 	after := s.store.Calls()
 	g.Expect(after["/-/kv-range"]-before["/-/kv-range"]).To(BeZero(), "current listings")
 	g.Expect(after["/-/kv-range stale"]-before["/-/kv-range stale"]).To(Equal(1), "the active-hosts hint")
