--- a/internal/entryhost/leaving_test.go
+++ b/internal/entryhost/leaving_test.go
@@ -10,8 +10,7 @@
 	"balsambarrow/internal/standin"
 )
 
-// Guards against hosts that send to an upstream which has announced that it leaves, because its
-// registration, which the store does not update, still says that it is ready.
+// Guards against hosts that trust an outdated registration more than the upstream's own word.
 func TestLeavingUpstreamGetsNoRequestsWhileStoreIsDown(t *testing.T) {
 	g := NewWithT(t)
 	s := newSite(t)
--- a/internal/entryhost/retryafter_test.go
+++ b/internal/entryhost/retryafter_test.go
@@ -19,8 +19,7 @@
 	}
 }
 
-// Guards against hosts that go on sending to upstreams which have rejected a request and asked
-// for a pause.
+// Guards against hosts that ignore the pause which an upstream asks for with a rejection.
 func TestRejectingUpstreamGetsNoRequestsDuringItsPause(t *testing.T) {
 	g := NewWithT(t)
 	s := newSite(t)
--- a/internal/place/leaving_test.go
+++ b/internal/place/leaving_test.go
@@ -9,8 +9,7 @@
 	"balsambarrow/internal/place"
 )
 
-// Guards against an upstream that is used again although it leaves, and against an announcement
-// that outlives its instance.
+// Guards against an announcement that is forgotten, and against one that outlives its instance.
 func TestLeavingBelongsToOneInstance(t *testing.T) {
 	restarted := upstream("x", "a1")
 	restarted.StartedMs = 2
--- a/internal/place/pause_test.go
+++ b/internal/place/pause_test.go
@@ -37,8 +37,7 @@
 	return table
 }
 
-// Guards against requests that all go to an upstream at the end of its pause: the first one
-// must show that the upstream accepts requests again.
+// Guards against many requests that are rejected together at the end of a pause.
 func TestPauseEndsWithOneProbe(t *testing.T) {
 	table := newPausedTable(t)
 	expectPaused(t, table, start.Add(time.Second), 2*time.Second)
@@ -58,8 +57,7 @@
 	}
 }
 
-// Guards against a pause that is cut short by a response to an earlier request, by a shorter
-// pause or by a registration, and against one that outlives the instance.
+// Guards against a pause that is cut short, and against one that outlives its instance.
 func TestPauseBelongsToOneInstance(t *testing.T) {
 	restarted := upstream("x", "a1")
 	restarted.StartedMs = 2
@@ -98,7 +96,7 @@
 	}
 }
 
-// Guards against a pause that other upstreams take part in.
+// Guards against a pause that affects other upstreams.
 func TestPauseLeavesOtherUpstreamsAlone(t *testing.T) {
 	g := NewWithT(t)
 	table := newFullTable(t, "a1")
--- a/internal/place/ratelimit_test.go
+++ b/internal/place/ratelimit_test.go
@@ -223,8 +223,7 @@
 	}
 }
 
-// Guards against hosts that send more than an upstream accepts until each has received a
-// response of it: hosts must learn of the limit, and of its end, from each other.
+// Guards against hosts that learn of a limit, or of its end, from the upstream only.
 func TestRateLimitReachesHostsThatWereNotTold(t *testing.T) {
 	g := NewWithT(t)
 	f := newLimitedFleet(t)
@@ -255,8 +254,7 @@
 	g.Expect(f.received("a1-0", settled)).To(BeNumerically(">", 8))
 }
 
-// Guards against a limit that is forgotten although its instance goes on, and against one
-// that outlives its instance.
+// Guards against a limit that is forgotten, and against one that outlives its instance.
 func TestRateLimitBelongsToOneInstance(t *testing.T) {
 	limit := traffic.RateLimit{Limited: true, PerSecond: 2}
 	restarted := upstream("x", "a1")
@@ -309,7 +307,7 @@
 	}
 }
 
-// Guards against a host that is rejected for want of a sender's part: the reason must say so.
+// Guards against refusals whose reason does not name the limit.
 func TestRateLimitedUpstreamsAreNamedAsTheReason(t *testing.T) {
 	g := NewWithT(t)
 	table := newTable(t, "a1")
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -55,6 +55,7 @@
 	c.checkRate(limitedRuns)
 	c.checkRateLimits(requests)
 	c.checkPauses(requests)
+	c.checkLeaving(requests)
 	if c.reporter.Failed() {
 		perSecond := map[string]int{}
 		for _, r := range requests {
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -54,6 +54,8 @@
 	zone         string
 	sequence     int
 	faultedUntil time.Time
+	// leavingSince is when the upstream began to announce that it leaves; zero if it has not.
+	leavingSince time.Time
 }
 
 // evacuation is a period during which a zone was declared evacuated.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -82,6 +82,7 @@
 	spawn(&tasks, func() { c.injectFaults(rand.New(rand.NewPCG(seed, 1)), stop) })
 	spawn(&tasks, func() { c.limitUpstreams(rand.New(rand.NewPCG(seed, 2)), stop) })
 	spawn(&tasks, func() { c.rejectAtUpstreams(rand.New(rand.NewPCG(seed, 3)), stop) })
+	spawn(&tasks, func() { c.announceLeaving(rand.New(rand.NewPCG(seed, 4)), stop) })
 	var mu sync.Mutex
 	var requests []callerRequest
 	for i := range 9 {
--- a/internal/soak/violations_test.go
+++ b/internal/soak/violations_test.go
@@ -49,6 +49,21 @@
 	return out
 }
 
+// runAtLeavingUpstream sends two requests to an upstream that leaves, the second one by the given
+// time after the response to the first one.
+func runAtLeavingUpstream(u *upstream, h *daemonProcess, pause time.Duration) []callerRequest {
+	now := time.Now()
+	u.leavingSince = now.Add(-time.Second)
+	var out []callerRequest
+	for i, at := range []time.Time{now, now.Add(pause)} {
+		r := callerRequest{id: fmt.Sprint("v", i), key: "steady", host: h, startedAt: at, endedAt: at, status: http.StatusOK}
+		r.body = "i-0 ran " + r.id
+		runAtUpstream(u, "GET", r.id, standin.UnlimitedCustomer, "")
+		out = append(out, r)
+	}
+	return out
+}
+
 // runDuringPause lets an upstream reject a request of a host, and the host send n more to it later
 // in the pause.
 func runDuringPause(u *upstream, h *daemonProcess, n int) []callerRequest {
@@ -178,6 +193,12 @@
 			r.host.disturbances = []time.Time{now}
 			return runDuringPause(u, r.host, 3)
 		}, ""},
+		{"a leaving upstream gets requests", func(_ *cluster, u *upstream, r callerRequest) []callerRequest {
+			return runAtLeavingUpstream(u, r.host, leavingDelay+time.Second)
+		}, "which leaves"},
+		{"a leaving upstream may get requests for a while", func(_ *cluster, u *upstream, r callerRequest) []callerRequest {
+			return runAtLeavingUpstream(u, r.host, leavingDelay-time.Second)
+		}, ""},
 		{"a restarted host may exceed a rate limit", func(s *cluster, u *upstream, r callerRequest) []callerRequest {
 			r.host.disturbances = []time.Time{now}
 			return runAtLimitedUpstream(s, u, r.host, 40)
--- a/internal/upstream/ejection_test.go
+++ b/internal/upstream/ejection_test.go
@@ -10,8 +10,7 @@
 	"balsambarrow/internal/config"
 )
 
-// Guards against a failing upstream that stays in use because another one was ejected after a
-// single stall: only half of the upstreams may be ejected.
+// Guards against a failing upstream that stays in use while the ejection limit is reached.
 func TestFailingUpstreamIsAvoidedBesideAnEjectedOne(t *testing.T) {
 	const requests, seeds = 400, 40
 	most := 0
--- a/internal/upstream/pause_test.go
+++ b/internal/upstream/pause_test.go
@@ -16,8 +16,7 @@
 	t.Done(Result{Shed: true, Failed: true, Took: time.Millisecond, RetryAfter: retryAfter})
 }
 
-// Guards against requests to an upstream that has shed one and asked for a pause: while it
-// runs nothing, it has the lowest load.
+// Guards against requests to an upstream that has shed one and asked for a pause.
 func TestShedRequestPausesItsUpstream(t *testing.T) {
 	g := NewWithT(t)
 	h := NewHandler()
--- a/internal/upstream/probe_test.go
+++ b/internal/upstream/probe_test.go
@@ -109,8 +109,7 @@
 	g.Expect(h.RecordTrial(true, 1, 1, secondDue)).To(BeTrue())
 }
 
-// Guards against a load report that is read only in responses to probes: an upstream that
-// responds to requests is not probed.
+// Guards against load reports that are read only in responses to probes.
 func TestLoadReportInAnyResponseLowersWeight(t *testing.T) {
 	g := NewWithT(t)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
