Report the end of a rate limit for ten seconds only

Nothing was seen by callers; found by reading. The end of a limit is now reported for 10 s after the limit was last in force anywhere, longer than other hosts report the limit itself.

--- a/internal/place/ratelimit.go
+++ b/internal/place/ratelimit.go
@@ -21,6 +21,9 @@
 	// rateLimitTTL is how long an announcement is passed on to other hosts. A host that
 	// has not heard of a limit for longer may probe whether it still applies.
 	rateLimitTTL = 5 * time.Second
+	// endedLimitTTL is how long after a limit its end is passed on. It exceeds rateLimitTTL,
+	// so that hosts which still report the limit learn of its end.
+	endedLimitTTL = 2 * rateLimitTTL
 )
 
 // rateLimit is the rate limit that an upstream has announced.
@@ -30,17 +33,18 @@
 	announcedAt time.Time
 	// firstHand is set if this host received that response.
 	firstHand bool
-	// relevant is set once any limit of the upstream was known, so that its end is passed
-	// on, too.
-	relevant bool
-	bucket   tokenBucket
+	// limitedAt is when a limit was last known to be in force here or at another host.
+	limitedAt time.Time
+	bucket    tokenBucket
 }
 
 // set replaces the announcement and reports whether the limit has changed.
 func (l *rateLimit) set(announced traffic.RateLimit, at time.Time, firstHand bool) bool {
 	changed := l.RateLimit != announced
 	l.RateLimit, l.announcedAt, l.firstHand = announced, at, firstHand
-	l.relevant = l.relevant || announced.Limited
+	if announced.Limited {
+		l.limitedAt = at
+	}
 	return changed
 }
 
@@ -121,7 +125,7 @@
 	for _, w := range t.byID {
 		l := &w.announced.rateLimit
 		age := now.Sub(l.announcedAt)
-		if !l.relevant || !l.firstHand || age > rateLimitTTL {
+		if !l.firstHand || age > rateLimitTTL || now.Sub(l.limitedAt) > endedLimitTTL {
 			continue
 		}
 		if len(out) == maxAnnouncementReports {
@@ -153,9 +157,11 @@
 		if w == nil {
 			continue
 		}
-		l := &w.announced.rateLimit
-		l.relevant = true
-		if at := now.Add(-r.Age); at.After(l.announcedAt) && l.set(r.RateLimit, at, false) {
+		l, at := &w.announced.rateLimit, now.Add(-r.Age)
+		if r.Limited && at.After(l.limitedAt) {
+			l.limitedAt = at
+		}
+		if at.After(l.announcedAt) && l.set(r.RateLimit, at, false) {
 			changes = append(changes, RateLimitChange{w.ID, w.Zone, r.RateLimit})
 		}
 	}
--- a/internal/place/ratelimit_test.go
+++ b/internal/place/ratelimit_test.go
@@ -241,6 +241,29 @@
 	g.Expect(f.tables[0].RateLimited()).To(Equal(0))
 }
 
+// Guards against heartbeats that grow with all limits that ever were.
+func TestEndedRateLimitIsReportedForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	f := newLimitedFleet(t)
+	f.announced = traffic.RateLimit{Limited: true, PerSecond: 2}
+	for _, id := range f.upstreamIDs() {
+		f.limited[id] = true
+	}
+	f.run(3*time.Second, 17)
+	f.limited = map[string]bool{}
+	f.run(2*time.Second, 17)
+	reports := func() int {
+		n := 0
+		for _, table := range f.tables {
+			n += len(table.RateLimitReports(f.now))
+		}
+		return n
+	}
+	g.Expect(reports()).To(BeNumerically(">", 0))
+	f.run(20*time.Second, 17)
+	g.Expect(reports()).To(BeZero())
+}
+
 // Guards against upstreams that are never used again after a limit of zero.
 func TestZeroRateLimitIsProbed(t *testing.T) {
 	g := NewWithT(t)
