Spread the return of callers that are refused because of rate limits

All callers refused for this reason were told to return after 400 ms, those that were refused together at the same moment. A random part is added, as after a pause.

--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -135,18 +135,19 @@
 	switch {
 	case !errors.As(err, &none) || none.Reason == place.NotRegistered:
 	case none.Reason == place.AllPaused:
-		return unavailable(CauseNoUpstream, retryAfterPause(none.RetryAfter)).withReason(err)
+		return unavailable(CauseNoUpstream, spreadRetryAfter(none.RetryAfter+retrySoon)).withReason(err)
+	case none.Reason == place.AllRateLimited:
+		return unavailable(CauseNoUpstream, spreadRetryAfter(retryCold)).withReason(err)
 	default:
 		return unavailable(CauseNoUpstream, retryCold).withReason(err)
 	}
 	return unavailable(CauseNoUpstream, 2*retryCold).withReason(err)
 }
 
-// retryAfterPause returns the retry delay for a request that was refused because the upstreams
-// want no requests for some time. A random delay is added, so that callers refused together do
-// not retry together and the first of them can probe an upstream.
-func retryAfterPause(pause time.Duration) time.Duration {
-	return pause + retrySoon + time.Duration(rand.Int64N(int64(retryCold)))
+// spreadRetryAfter adds a random delay to a retry delay, so that callers refused together do not
+// retry together: upstreams that were paused or limit their rate first take few requests.
+func spreadRetryAfter(d time.Duration) time.Duration {
+	return d + time.Duration(rand.Int64N(int64(retryCold)))
 }
 
 // retryAfterQueue returns the retry delay for a request that was refused because
