More hosts use a rate limit, each a smaller part

What callers saw: upstreams with a limit were used less than they allow, as a request whose object is warm there was served elsewhere unless it arrived at the one host that may send.

Change: a limit has a sender more for each request per second, two at least. The bursts of all stay within the requests of one second and two more.

--- a/internal/place/ratelimit.go
+++ b/internal/place/ratelimit.go
@@ -13,9 +13,10 @@
 // gets an equal part, and all other hosts send the upstream nothing. Hosts that have not
 // received a response of the upstream learn of the limit from heartbeats.
 const (
-	// minSenderRate is the lowest part of a limit, in requests per second, for which a
-	// further sender is added.
-	minSenderRate = 2.0
+	// minSenders is the number of senders of the lowest limit. Each request per second adds
+	// one: more of the requests whose object is warm at the upstream then arrive at a sender,
+	// and the bursts of all senders stay within those of one second and minSenders more.
+	minSenders = 2
 	// rateLimitBurst is the time in which a sender accumulates its largest burst.
 	rateLimitBurst = 500 * time.Millisecond
 	// rateLimitTTL is how long an announcement is passed on to other hosts. A host that
@@ -74,7 +75,7 @@
 // may use; 0 if it is no sender.
 func (t *Table) rateShare(w *upstream) float64 {
 	perSecond := w.announced.rateLimit.PerSecond
-	senders := min(max(math.Floor(perSecond/minSenderRate), 1), float64(len(t.hosts)))
+	senders := min(math.Floor(perSecond)+minSenders, float64(len(t.hosts)))
 	if rank := t.senderRank(w); rank == noSender || float64(rank) >= senders {
 		return 0
 	}
--- a/internal/place/ratelimit_test.go
+++ b/internal/place/ratelimit_test.go
@@ -345,3 +345,25 @@
 	g.Expect(errors.As(err, &none)).To(BeTrue())
 	g.Expect(none.Reason).To(Equal(place.AllRateLimited))
 }
+
+// Guards against a limit that is hardly used because few hosts may use it.
+func TestRateLimitIsUsed(t *testing.T) {
+	f := newLimitedFleet(t)
+	f.run(4*time.Second, 17)
+	f.announced = traffic.RateLimit{Limited: true, PerSecond: 2}
+	for _, id := range f.upstreamIDs() {
+		f.limited[id] = id[1] == '1'
+	}
+	f.run(4*time.Second, 17)
+	settled := f.now
+	f.run(20*time.Second, 17)
+	used, limited := 0, 0
+	for _, id := range f.upstreamIDs() {
+		if f.limited[id] {
+			limited++
+			used += f.received(id, settled)
+		}
+	}
+	t.Logf("%d of %d requests that the limits allow", used, limited*2*20)
+	NewWithT(t).Expect(used).To(BeNumerically(">=", limited*2*20*3/4))
+}
