One host in two seconds reports a rate limit, not each of its senders

Nothing was seen by callers; found when senders became more. An announcement that this host has reported, or received in a report, within 2 s is left out unless it has changed by more than a tenth, and reports go to active hosts only. TestEndedRateLimitIsReportedForAWhile now counts the reports that were sent, where it asked each host for those due at one moment.

--- a/internal/entryhost/heartbeat.go
+++ b/internal/entryhost/heartbeat.go
@@ -74,8 +74,8 @@
 	c.sequence++
 	s, load, capacity := c.d.self, c.d.meter.update(now), c.d.capacity()
 	return &fleet.Heartbeat{
-		RateLimits: encodeRateLimits(c.d.table.RateLimitReports(now)), LeavingUpstreams: c.d.table.LeavingReports(),
-		Instance: s.Instance, Host: s.Name, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Peers: s.Peers,
+		LeavingUpstreams: c.d.table.LeavingReports(),
+		Instance:         s.Instance, Host: s.Name, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Peers: s.Peers,
 		Sequence: c.sequence, Ready: c.ready, Leaving: c.leaving, Version: c.version(),
 		Able: c.canServe(now), Registered: c.holdsShares, SeesStore: !c.storeUnreachable, Digest: c.announcedDigest(),
 		Cores: float32(capacity.Cores), LinkMbps: float32(capacity.LinkMbps),
@@ -83,12 +83,13 @@
 	}
 }
 
-// addLearned adds the demand of customers at this host and the objects that upstreams are warm
-// for.
+// addLearned adds the demand of customers at this host, the rate limits of upstreams and the
+// objects that upstreams are warm for.
 func (c *control) addLearned(now time.Time, b *fleet.Heartbeat) {
 	for customer, rate := range c.d.shares.AnnounceDemand(now) {
 		b.Demand = append(b.Demand, &fleet.Demand{Customer: customer, PerSecond: float32(rate)})
 	}
+	b.RateLimits = encodeRateLimits(c.d.table.RateLimitReports(now))
 	if !c.ready {
 		return
 	}
--- a/internal/place/ratelimit.go
+++ b/internal/place/ratelimit.go
@@ -25,6 +25,10 @@
 	// endedLimitTTL is how long after a limit its end is passed on. It exceeds rateLimitTTL,
 	// so that hosts which still report the limit learn of its end.
 	endedLimitTTL = 2 * rateLimitTTL
+	// rateLimitReportInterval is how long an unchanged announcement is not reported again,
+	// by any host, and rateLimitTolerance the relative change that counts as none.
+	rateLimitReportInterval = 2 * time.Second
+	rateLimitTolerance      = 0.1
 )
 
 // rateLimit is the rate limit that an upstream has announced.
@@ -36,7 +40,19 @@
 	firstHand bool
 	// limitedAt is when a limit was last known to be in force here or at another host.
 	limitedAt time.Time
-	bucket    tokenBucket
+	// reported is the last report that this host has sent or received, at reportedAt.
+	reported   traffic.RateLimit
+	reportedAt time.Time
+	bucket     tokenBucket
+}
+
+// reportDue reports whether the other hosts need a report of the announcement.
+func (l *rateLimit) reportDue(now time.Time) bool {
+	if !l.firstHand || now.Sub(l.announcedAt) > rateLimitTTL || now.Sub(l.limitedAt) > endedLimitTTL {
+		return false
+	}
+	known := l.Limited == l.reported.Limited && math.Abs(l.PerSecond-l.reported.PerSecond) <= rateLimitTolerance*l.reported.PerSecond
+	return !known || now.Sub(l.reportedAt) >= rateLimitReportInterval
 }
 
 // set replaces the announcement and reports whether the limit has changed.
@@ -116,23 +132,23 @@
 	Age time.Duration
 }
 
-// RateLimitReports returns the recent announcements that this host has received itself. Those
-// received from other hosts are left out, so that no announcement outlives its age by being
-// passed on again.
+// RateLimitReports returns the announcements that the other hosts need to be told. Those that
+// this host has received from other hosts are left out, so that no announcement outlives its age
+// by being passed on again.
 func (t *Table) RateLimitReports(now time.Time) []RateLimitReport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []RateLimitReport
 	for _, w := range t.byID {
 		l := &w.announced.rateLimit
-		age := now.Sub(l.announcedAt)
-		if !l.firstHand || age > rateLimitTTL || now.Sub(l.limitedAt) > endedLimitTTL {
+		if !l.reportDue(now) {
 			continue
 		}
 		if len(out) == maxAnnouncementReports {
 			break
 		}
-		out = append(out, RateLimitReport{w.instanceKey(), l.RateLimit, age})
+		l.reported, l.reportedAt = l.RateLimit, now
+		out = append(out, RateLimitReport{w.instanceKey(), l.RateLimit, now.Sub(l.announcedAt)})
 	}
 	return out
 }
@@ -162,6 +178,7 @@
 		if r.Limited && at.After(l.limitedAt) {
 			l.limitedAt = at
 		}
+		l.reported, l.reportedAt = r.RateLimit, now
 		if at.After(l.announcedAt) && l.set(r.RateLimit, at, false) {
 			changes = append(changes, RateLimitChange{w.ID, w.Zone, r.RateLimit})
 		}
--- a/internal/place/ratelimit_test.go
+++ b/internal/place/ratelimit_test.go
@@ -28,7 +28,9 @@
 	// informedAt is when a host first received an announcement of an upstream.
 	informedAt map[string]map[int]time.Time
 	arrivals   []limitedArrival
-	rejected   int
+	// reports counts the reports that hosts have sent to each of the others.
+	reports  int
+	rejected int
 }
 
 type limitedRun struct {
@@ -135,6 +137,7 @@
 func (f *limitedFleet) gossip() {
 	for _, from := range f.tables {
 		reports := from.RateLimitReports(f.now)
+		f.reports += len(reports)
 		for _, to := range f.tables {
 			if to != from {
 				to.ApplyRateLimitReports(f.now, reports)
@@ -250,18 +253,25 @@
 		f.limited[id] = true
 	}
 	f.run(3*time.Second, 17)
-	f.limited = map[string]bool{}
+	f.limited, f.reports = map[string]bool{}, 0
 	f.run(2*time.Second, 17)
-	reports := func() int {
-		n := 0
-		for _, table := range f.tables {
-			n += len(table.RateLimitReports(f.now))
-		}
-		return n
-	}
-	g.Expect(reports()).To(BeNumerically(">", 0))
+	g.Expect(f.reports).To(BeNumerically(">", 0))
+	f.run(18*time.Second, 17)
+	f.reports = 0
+	f.run(2*time.Second, 17)
+	g.Expect(f.reports).To(BeZero())
+}
+
+// Guards against heartbeats in which each sender of a limit repeats it.
+func TestRateLimitIsReportedByFewHosts(t *testing.T) {
+	g := NewWithT(t)
+	f := newLimitedFleet(t)
+	f.limited["a1-0"], f.announced = true, traffic.RateLimit{Limited: true, PerSecond: 2}
+	f.run(4*time.Second, 17)
+	f.reports = 0
 	f.run(20*time.Second, 17)
-	g.Expect(reports()).To(BeZero())
+	g.Expect(f.reports).To(BeNumerically("<=", 20))
+	g.Expect(f.reports).To(BeNumerically(">=", 4))
 }
 
 // Guards against upstreams that are never used again after a limit of zero.
