--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,8 +47,8 @@
 }
 
 // TestSoak sends requests while hosts are stopped, killed, suspended and partitioned from
-// the store, upstreams abort their responses, and operators withdraw API keys and evacuate
-// zones. Faults are injected one after another and may overlap. What callers and upstreams
+// the store, upstreams abort their responses, announce rate limits, reject requests and
+// announce that they leave, and operators withdraw API keys and evacuate zones. Faults are injected one after another and may overlap. What callers and upstreams
 // observe must keep to the guarantees throughout.
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "balsambarrowd")
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -90,8 +90,9 @@
 // so that the better of two random choices would only be worse. An upstream
 // in slow start, in a drain or with a warning takes part in only a fraction
 // of the choices (see trafficFraction) and is otherwise used only if no other
-// upstream is free, and so is an outlier that may not be ejected. An upstream that is due for a trial request is chosen
-// first, and one on which an earlier attempt failed is chosen last.
+// upstream is free, and so is an outlier that may not be ejected. An upstream
+// that is due for a trial request is chosen first, and one on which an earlier
+// attempt failed is chosen last.
 func (p *pool) pick(t *Ticket, now time.Time) *upstreamState {
 	var best *upstreamState
 	bestLoad := math.Inf(1)
