Ignore announcements of upstreams in a heartbeat that arrives late

What callers saw: nothing reported; found by reading. A heartbeat that arrived after a newer one of the same host was dropped for the membership, but what it said about limits was applied, with an age counted from its sending: hosts took the end of an earlier limit for the latest word and sent all they had.

TestLateHeartbeatDoesNotUndoNewerAnnouncements failed before: of two limited upstreams one was left after the late heartbeat. Announcements are now applied under the same condition as the rest of the heartbeat.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -203,11 +203,13 @@
 
 func (c *control) handleHeartbeat(b *fleet.Heartbeat) {
 	now := c.d.now()
-	changes := c.members.ApplyHeartbeat(now, b)
+	changes, newer := c.members.ApplyHeartbeat(now, b)
 	c.logMemberChanges(changes)
 	c.replyToStandby(now, b, changes)
 	c.d.table.ApplyWarmReports(now, b.Warm)
-	c.applyAnnouncements(now, b)
+	if newer {
+		c.applyAnnouncements(now, b)
+	}
 	c.handleDigest(b.Instance, b.Digest)
 }
 
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -84,12 +84,12 @@
 }
 
 // ApplyHeartbeat updates the member that sent a heartbeat, and returns the changes for
-// the log. Heartbeats of this instance, and those older than the last, are ignored.
-func (m *Members) ApplyHeartbeat(now time.Time, b *Heartbeat) []MemberChange {
+// the log. Heartbeats of this instance, and those older than the last, are ignored;
+// newer is false for them.
+func (m *Members) ApplyHeartbeat(now time.Time, b *Heartbeat) (changes []MemberChange, newer bool) {
 	if b.Instance == m.self || b.Instance == "" {
-		return nil
+		return nil, false
 	}
-	var changes []MemberChange
 	known := m.byInstance[b.Instance]
 	if known == nil {
 		changes = m.removeEarlierInstances(b)
@@ -97,7 +97,7 @@
 		m.byInstance[b.Instance] = known
 	}
 	if b.Sequence <= known.sequence {
-		return changes
+		return changes, false
 	}
 	if !known.alive {
 		changes = append(changes, MemberChange{Member{Instance: b.Instance, Host: b.Host, Zone: b.Zone}, "heard"})
@@ -113,7 +113,7 @@
 	}
 	known.applyHeartbeat(now, b)
 	m.applyDemand(known, b)
-	return changes
+	return changes, true
 }
 
 // updateReadyCount updates the number of active hosts after a host became active, or ceased
