A rate limit also ends at hosts that are no senders

What callers saw: nothing reported; found by reading. A standby that a limited upstream had told of its limit never used that upstream again: standbys get no reports of limits, are no senders, and so never probed. Where all upstreams of a service had had a limit, it would have refused all that callers with an older directory asked of it.

TestRateLimitEndsAtHostThatIsNoSender failed before. Such hosts now probe last, one request at a time.

--- a/internal/place/ratelimit.go
+++ b/internal/place/ratelimit.go
@@ -100,13 +100,15 @@
 
 // mayProbe reports whether this host may send one request although its part of the limit
 // does not allow it: no host has had a response for a while, so the limit may have ended.
-// Hosts take turns, the first sender first.
+// Hosts take turns, the first sender first. Hosts that are not ready, such as standbys, get
+// no reports from others and come last.
 func (t *Table) mayProbe(now time.Time, w *upstream) bool {
 	rank := t.senderRank(w)
-	if rank == noSender || w.load.inflight > 0 {
-		return false
+	if rank == noSender {
+		rank = len(t.hosts)
 	}
-	return now.Sub(w.announced.rateLimit.announcedAt) >= time.Duration(rank+1)*rateLimitTTL
+	silence := now.Sub(w.announced.rateLimit.announcedAt)
+	return w.load.inflight == 0 && silence >= time.Duration(rank+1)*rateLimitTTL
 }
 
 // isRateLimitSender reports whether this host may send to an upstream that has a rate limit.
--- a/internal/place/ratelimit_test.go
+++ b/internal/place/ratelimit_test.go
@@ -377,3 +377,22 @@
 	t.Logf("%d of %d requests that the limits allow", used, limited*2*20)
 	NewWithT(t).Expect(used).To(BeNumerically(">=", limited*2*20*3/4))
 }
+
+// Guards against hosts that are no senders, such as standbys, and never learn that a limit ended.
+func TestRateLimitEndsAtHostThatIsNoSender(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(t, "a1")
+	table.PutUpstream(start, upstream("x", "a1"))
+	choice := chooseAt(t, table, start)
+	table.ObserveRateLimit(start, choice, traffic.RateLimit{Limited: true, PerSecond: 2})
+	table.Done(start, choice, place.Report{Result: place.Succeeded})
+	table.SetHosts([]place.Host{{Instance: "other", Zone: "a1", Region: "a"}})
+	_, err := table.Choose(start.Add(time.Second), query("1"))
+	g.Expect(err).To(HaveOccurred())
+	later := start.Add(time.Minute)
+	choice = chooseAt(t, table, later)
+	_, err = table.Choose(later, query("1"))
+	g.Expect(err).To(HaveOccurred(), "one probe at a time")
+	table.ObserveRateLimit(later, choice, traffic.RateLimit{})
+	chooseAt(t, table, later)
+}
