Tell a refused caller when the first pause ends, whatever else was seen

What callers saw: nothing reported; found by reading. If all upstreams of a service ask for a pause, the callers whose attempts met the rejections were told to return after 150 ms, to be refused again; only later ones were told when the first pause ends, and those not if the upstream surveyed last was draining.

Cause: after an attempt the refusal did not ask the table at all; upstreams that the request had tried did not count as paused; and the reason for want of an upstream was that of the last one looked at.

Change: the reasons are ordered by how soon the caller may be served, and the refusal after an attempt asks for the time that is left of the first pause, with the tried upstreams counted.

--- a/internal/entryhost/retryafter_test.go
+++ b/internal/entryhost/retryafter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -43,3 +44,26 @@
 		g.Expect(len(u.Runs())-before[i]).To(BeNumerically("<=", len(hosts)), "one rejection for each host")
 	}
 }
+
+// Guards against callers that are told to return long before any upstream takes requests.
+func TestRefusedCallerIsToldWhenThePauseEnds(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	upstreams := []*standin.PlatformUpstream{
+		s.worker("i-1", "s", "a1", time.Millisecond), s.worker("i-2", "s", "a2", time.Millisecond),
+	}
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	s.awaitServing()
+	for _, u := range upstreams {
+		u.SetHandler(rejectWithRetryAfter("60"))
+	}
+	// The first request reaches both upstreams, the second none.
+	for range 2 {
+		r := s.read(h)
+		g.Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+		seconds, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(seconds).To(BeNumerically(">", 30))
+	}
+}
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -94,28 +94,28 @@
 // checkRetry decides whether the request may be sent to another upstream after an
 // attempt that did not answer it. It returns nil if so, else the refusal to send.
 func (h *Handler) checkRetry(q *request, end outcome, unreachable int) *refusal {
-	refused := q.unservedRefusal()
+	allowed := q.body.replayable()
 	if end == outcomeUnsent {
-		if unreachable > maxUnreachable || !q.body.replayable() {
-			return refused
-		}
-		return nil
-	}
-	if end != outcomeShed && !q.route.Kind.Idempotent() || !q.body.replayable() {
-		return refused
+		allowed = allowed && unreachable <= maxUnreachable
+	} else {
+		allowed = allowed && (end == outcomeShed || q.route.Kind.Idempotent()) &&
+			q.attempts.sends < q.route.MaxAttempts && h.RetryBudget.AllowRetry(h.Now(), q.service)
 	}
-	if q.attempts.sends >= q.route.MaxAttempts || !h.RetryBudget.AllowRetry(h.Now(), q.service) {
-		return refused
+	if allowed {
+		return nil
 	}
-	return nil
+	return h.unservedRefusal(q)
 }
 
 // unservedRefusal returns the refusal that is correct for the attempts so far.
-func (q *request) unservedRefusal() *refusal {
+func (h *Handler) unservedRefusal(q *request) *refusal {
 	switch {
 	case q.attempts.mayHaveRun:
 		return &refusal{status: http.StatusBadGateway, cause: CauseResponseLost}
 	case q.attempts.shed:
+		if pause := h.Table.PauseLeft(h.Now(), h.placementQuery(q)); pause > 0 {
+			return unavailable(CauseUpstreamsShed, spreadRetryAfter(pause))
+		}
 		return unavailable(CauseUpstreamsShed, q.attempts.longestQueueing/2+retrySoon)
 	}
 	return unavailable(CauseUpstreamsUnreachable, retryCold)
@@ -125,7 +125,7 @@
 // be chosen.
 func (h *Handler) placementRefusal(q *request, err error) *refusal {
 	if q.attempts.sends > 0 || len(q.attempts.tried) > 0 {
-		return q.unservedRefusal()
+		return h.unservedRefusal(q)
 	}
 	var full *place.QueueLimitError
 	if errors.As(err, &full) {
@@ -135,7 +135,7 @@
 	switch {
 	case !errors.As(err, &none) || none.Reason == place.NotRegistered:
 	case none.Reason == place.AllPaused:
-		return unavailable(CauseNoUpstream, spreadRetryAfter(none.RetryAfter+retrySoon)).withReason(err)
+		return unavailable(CauseNoUpstream, spreadRetryAfter(max(none.RetryAfter, retrySoon))).withReason(err)
 	case none.Reason == place.AllRateLimited:
 		return unavailable(CauseNoUpstream, spreadRetryAfter(retryCold)).withReason(err)
 	default:
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -104,7 +104,7 @@
 	object := objectOf(q.Route, q.Object)
 	s := t.survey(now, q, object)
 	if len(s.candidates) == 0 {
-		return Choice{}, &NoUpstreamError{q.Service, s.reason, max(s.firstPauseEnd.Sub(now), 0)}
+		return Choice{}, &NoUpstreamError{q.Service, s.reason, s.pauseLeft(now)}
 	}
 	t.estimate(now, q, object, s)
 	t.limitShift(now, s)
--- a/internal/place/pause.go
+++ b/internal/place/pause.go
@@ -35,6 +35,15 @@
 	p.unconfirmed = p.unconfirmed && now.Before(p.until) || retryAfter > 0
 }
 
+// PauseLeft returns the time until the first pause ends if all upstreams that might serve the
+// query, with those that it has tried, are paused; else 0.
+func (t *Table) PauseLeft(now time.Time, q Query) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	q.Excluded = nil
+	return t.survey(now, q, objectOf(q.Route, q.Object)).pauseLeft(now)
+}
+
 // Paused returns the number of upstreams that want no requests from this host at present.
 func (t *Table) Paused(now time.Time) int {
 	t.mu.Lock()
--- a/internal/place/pause_test.go
+++ b/internal/place/pause_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"balsambarrow/internal/catalog"
 	"balsambarrow/internal/place"
 )
 
@@ -108,3 +109,22 @@
 		table.Done(start.Add(time.Minute), c, place.Report{Result: place.Succeeded, TimeToHeader: time.Millisecond})
 	}
 }
+
+// Guards against a reason, and so a retry delay, that depends on the order of the upstreams.
+func TestPauseIsTheReasonBesideClosedUpstreams(t *testing.T) {
+	for _, closed := range []string{"a", "z"} {
+		table := newPausedTable(t)
+		u := upstream(closed, "a1")
+		u.State = catalog.StateDraining
+		table.PutUpstream(start, u)
+		table.PutUpstream(start, upstream("x", "a1"))
+		expectPaused(t, table, start.Add(time.Second), 2*time.Second)
+	}
+	table := newTable(t, "a1")
+	u := upstream("closed", "a1")
+	u.State = catalog.StateDraining
+	table.PutUpstream(start, u)
+	table.PutUpstream(start, upstream("x", "a1"))
+	reject(table, start, chooseAt(t, table, start), 3*time.Second)
+	expectPaused(t, table, start.Add(time.Second), 2*time.Second)
+}
--- a/internal/place/survey.go
+++ b/internal/place/survey.go
@@ -75,7 +75,7 @@
 		if path.local && w.health.ejectedWithin(now, failoverWindow) {
 			s.localFailure = true
 		}
-		if q.RegionRestricted && !slices.Contains(q.AllowedRegions, w.region) || slices.Contains(q.Excluded, w.ID) {
+		if q.RegionRestricted && !slices.Contains(q.AllowedRegions, w.region) {
 			continue
 		}
 		cold := w.isCold(now)
@@ -83,10 +83,13 @@
 			s.exclude(w, reason)
 			continue
 		}
+		if slices.Contains(q.Excluded, w.ID) {
+			continue
+		}
 		c := candidate{upstream: w, path: path, weight: weight(key, w.idHash), cold: cold}
 		if !w.health.usable(now) {
 			ejected = append(ejected, c)
-			s.reason = AllEjected
+			s.exclude(w, AllEjected)
 			continue
 		}
 		path.openSlots += w.Slots
@@ -99,9 +102,13 @@
 	return s
 }
 
+// reasonOrder lists the reasons from the one with which a caller has to wait longest. With the
+// reasons after AllPaused, this host or another one may serve the caller soon.
+var reasonOrder = []Reason{NotRegistered, AllClosed, AllPaused, AllCold, AllRateLimited, AllEjected}
+
 // exclude records why an upstream is no candidate.
 func (s *survey) exclude(w *upstream, reason Reason) {
-	if reason == AllClosed || s.reason != AllEjected {
+	if slices.Index(reasonOrder, reason) > slices.Index(reasonOrder, s.reason) {
 		s.reason = reason
 	}
 	if end := w.announced.pause.until; reason == AllPaused && (s.firstPauseEnd.IsZero() || end.Before(s.firstPauseEnd)) {
@@ -125,6 +132,15 @@
 	return ""
 }
 
+// pauseLeft returns the time until the first pause ends if all upstreams that might serve the
+// request otherwise are paused; else 0.
+func (s *survey) pauseLeft(now time.Time) time.Duration {
+	if len(s.candidates) > 0 || s.reason != AllPaused {
+		return 0
+	}
+	return max(s.firstPauseEnd.Sub(now), 0)
+}
+
 // earliestReturning returns the candidate whose ejection ends first. Cold candidates are
 // left out, so an upstream that was unreachable stays ejected.
 func earliestReturning(ejected []candidate) []candidate {
