--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -4,7 +4,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 )
 
@@ -47,16 +46,6 @@
 	PerSecond float64
 }
 
-// HeaderError reports a response header whose value cannot be used.
-type HeaderError struct {
-	Header string
-	Value  string
-}
-
-func (e *HeaderError) Error() string {
-	return "traffic: header " + e.Header + ": invalid value " + strconv.Quote(e.Value)
-}
-
 // Response is the metadata of an upstream's response, besides status and body.
 type Response struct {
 	// ID of the request that this response belongs to.
@@ -80,16 +69,16 @@
 	Instance string
 	// RateLimit is valid only if RateLimitError is nil.
 	RateLimit RateLimit
-	// RateLimitError is a *HeaderError if the announced rate limit cannot be used.
+	// RateLimitError is a *header.ValueError if the announced rate limit cannot be used.
 	RateLimitError error
 	// Leaving is set if the upstream is about to stop.
 	Leaving bool
-	// LeavingError is a *HeaderError if the announcement cannot be used.
+	// LeavingError is a *header.ValueError if the announcement cannot be used.
 	LeavingError error
 	// RetryAfter is how long the upstream wants no requests from this host after it has
 	// rejected one; 0 if it does not say.
 	RetryAfter time.Duration
-	// RetryAfterError is a *HeaderError if that time cannot be used.
+	// RetryAfterError is a *header.ValueError if that time cannot be used.
 	RetryAfterError error
 }
 
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"math"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"balsambarrow/internal/header"
 	"balsambarrow/internal/wire"
 )
 
@@ -82,34 +80,9 @@
 	return defaultRetryAfter
 }
 
-// HeaderError reports a response header that is no number of at least 0.
-type HeaderError struct {
-	Header string
-	Value  string
-}
-
-func (e *HeaderError) Error() string {
-	return "upstream: header " + e.Header + ": invalid value " + strconv.Quote(e.Value)
-}
-
-// parseNumber returns the value of a header that holds one number; 0 if the header is missing.
-// A number beyond the range of a float64 is infinite. The error is a *HeaderError.
-func parseNumber(h http.Header, name string) (float64, error) {
-	values := h.Values(name)
-	if len(values) == 0 {
-		return 0, nil
-	}
-	x, err := strconv.ParseFloat(values[0], 64)
-	outOfRange := errors.Is(err, strconv.ErrRange)
-	if len(values) > 1 || err != nil && !outOfRange || math.IsInf(x, 0) && !outOfRange || math.IsNaN(x) || x < 0 {
-		return 0, &HeaderError{name, strings.Join(values, ", ")}
-	}
-	return x, nil
-}
-
 // parseRetryAfter returns the delay that an upstream asks for, at most maxRetryAfter; 0 if it
-// asks for none. The error is a *HeaderError.
+// asks for none. The error is a *header.ValueError.
 func parseRetryAfter(h http.Header) (time.Duration, error) {
-	seconds, err := parseNumber(h, "Retry-After")
+	seconds, _, err := header.Number(h, "Retry-After")
 	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second)), err
 }
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"balsambarrow/internal/header"
 )
 
 // Cost of a probe and of a new connection in service time of the upstream.
@@ -163,7 +165,7 @@
 		return ProbeResult{}
 	}
 	_ = resp.Body.Close()
-	load, err := parseNumber(resp.Header, headerLoad)
+	load, _, err := header.Number(resp.Header, headerLoad)
 	if err != nil {
 		load = 0
 	}
--- a/internal/upstream/run.go
+++ b/internal/upstream/run.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"balsambarrow/internal/config"
+	"balsambarrow/internal/header"
 	"balsambarrow/internal/retry"
 	"balsambarrow/internal/telemetry"
 	"balsambarrow/internal/wire"
@@ -103,7 +104,7 @@
 			span.RecordError(err)
 		}
 	}
-	if body.load, err = parseNumber(resp.Header, headerLoad); err != nil {
+	if body.load, _, err = header.Number(resp.Header, headerLoad); err != nil {
 		span.RecordError(err)
 	}
 	body.failed = resp.StatusCode >= http.StatusInternalServerError
