An abandoned request ends its connection with a reset

Cause: connections were closed in the usual way, so the kernel went on delivering what the upstream had not acknowledged.

Change: connections to upstreams are opened so that they end with a reset (SO_LINGER 0), also if the process is killed, and are closed in the orderly way only if all their requests have been answered in full. The same in the client of our own interface, which relays between daemons too. The store's client keeps its way of closing.

Answered requests keep their connection: three requests, one connection, EOF at its end.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"balsambarrow/internal/tcpreset"
 )
 
 // readBuffer is large enough to read a header and a small body in one call.
@@ -30,10 +32,19 @@
 	idleTime time.Duration
 }
 
+// newConn returns a connection that ends with a reset unless closeOrderly is called, so that
+// no part of an abandoned request reaches the upstream later.
 func newConn(c net.Conn, address string) *conn {
+	tcpreset.Enable(c)
 	return &conn{Conn: c, address: address, br: bufio.NewReaderSize(c, readBuffer)}
 }
 
+// closeOrderly closes a connection whose requests have all been answered.
+func (c *conn) closeOrderly() {
+	tcpreset.Disable(c.Conn)
+	_ = c.Close()
+}
+
 // noPendingInput reports whether nothing has arrived on an idle connection: neither
 // a close by the upstream nor data that belongs to no request. A request sent on a
 // closed connection would be lost, and stray data would be taken for its response.
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -65,8 +65,8 @@
 
 // Send sends a request and returns the response as soon as its header has arrived.
 // The error is an *UnsentError or a *NoResponseError. ctx applies to the complete
-// exchange, including the response body: when it ends, the connection is closed, so
-// that the upstream stops its work.
+// exchange, including the response body: when it ends, the connection is reset, so that
+// the upstream stops its work, and receives nothing more of the request.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Response, error) {
 	c, err := p.acquire(ctx, address, r.NonIdempotent)
 	if err != nil {
@@ -209,23 +209,26 @@
 	return n, err
 }
 
-// Close returns the connection to the pool, or closes it if it cannot be reused.
+// Close returns the connection to the pool, or closes it if it cannot be reused. If the
+// exchange is not finished, the connection is reset.
 // keepAlive is the idle timeout that the upstream has announced; 0: unknown.
 func (r *Response) Close(keepAlive time.Duration) {
 	canceled := !r.stop()
-	if canceled || !r.reusable() {
+	switch {
+	case canceled || !r.finished():
 		_ = r.conn.Close()
-		return
+	case r.Response.Close || r.conn.br.Buffered() > 0:
+		r.conn.closeOrderly()
+	default:
+		r.pool.release(r.conn, keepAlive)
 	}
-	r.pool.release(r.conn, keepAlive)
 }
 
-// reusable reports whether another request may use the connection: the response was
-// read completely, no data follows it, and the request body was sent completely. An
-// upstream that responded early continues to read the body, and would take the next
-// request for the rest of that body.
-func (r *Response) reusable() bool {
-	if !r.complete || r.Response.Close || r.conn.br.Buffered() > 0 {
+// finished reports whether the response was read completely and the request body was sent
+// completely. An upstream that responded early continues to read the body, and would take
+// the next request for the rest of that body.
+func (r *Response) finished() bool {
+	if !r.complete {
 		return false
 	}
 	if r.written == nil {
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -48,7 +48,7 @@
 		now := p.now()
 		c.idleTime = now.Sub(c.idleSince)
 		if c.idleTime >= c.idleTimeout || !c.noPendingInput() {
-			_ = c.Close()
+			c.closeOrderly()
 			continue
 		}
 		if nonIdempotent && c.idleTime >= p.idleLimits.maxIdleTime(now, address, c.idleTimeout) {
@@ -92,7 +92,7 @@
 	}
 	// A deadline set for the previous request would interrupt the next one.
 	if err := c.SetDeadline(time.Time{}); err != nil {
-		_ = c.Close()
+		c.closeOrderly()
 		return
 	}
 	p.push(c)
@@ -103,7 +103,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.address]) >= maxIdlePerAddress {
-		_ = c.Close()
+		c.closeOrderly()
 		return
 	}
 	p.idle[c.address] = append(p.idle[c.address], c)
@@ -117,7 +117,7 @@
 	delete(p.idle, address)
 	p.mu.Unlock()
 	for _, c := range list {
-		_ = c.Close()
+		c.closeOrderly()
 	}
 }
 
@@ -155,6 +155,6 @@
 	}
 	p.mu.Unlock()
 	for _, c := range expired {
-		_ = c.Close()
+		c.closeOrderly()
 	}
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -101,6 +101,11 @@
 	if err != nil {
 		return nil, !use.sealIfUnsent(), err
 	}
+	if resp.Body == http.NoBody {
+		use.finish()
+	} else {
+		resp.Body = responseBody{resp.Body, &use}
+	}
 	return resp, true, nil
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"balsambarrow/internal/tcpreset"
 )
 
 // errSealed is the error of a write to a connection that was sealed before
@@ -13,7 +16,8 @@
 var errSealed = errors.New("upstream: connection sealed before the request was written")
 
 // countingConn counts the bytes written to a connection and can be sealed
-// against further writes.
+// against further writes. If it is closed during a request, it ends with a
+// reset, so that no part of the abandoned request reaches the upstream later.
 //
 // It prevents a false not-run outcome: the transport can return an error
 // while its write goroutine is about to write, so a request that is unwritten
@@ -28,6 +32,40 @@
 	pendingWrites int
 	bytesWritten  int64
 	sealed        bool
+	// uses is the number of requests that have used the connection, and inUse is
+	// set until the last of them has received its complete response.
+	uses  int
+	inUse bool
+}
+
+// Close implements net.Conn.
+func (c *countingConn) Close() error {
+	c.mu.Lock()
+	inUse := c.inUse
+	c.mu.Unlock()
+	if !inUse {
+		tcpreset.Disable(c.Conn)
+	}
+	return c.Conn.Close()
+}
+
+// beginUse records that a request uses the connection, and returns its number.
+func (c *countingConn) beginUse() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.uses++
+	c.inUse = true
+	return c.uses
+}
+
+// endUse records that a request has received its complete response. The transport may
+// have passed the connection on to the next request in the meantime.
+func (c *countingConn) endUse(number int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.uses == number {
+		c.inUse = false
+	}
 }
 
 // Write implements net.Conn.
@@ -71,6 +109,7 @@
 		if err != nil {
 			return nil, err
 		}
+		tcpreset.Enable(conn)
 		return &countingConn{Conn: conn}, nil
 	}
 }
@@ -79,6 +118,7 @@
 type connUse struct {
 	obtained    bool
 	conn        *countingConn
+	number      int
 	startOffset int64
 }
 
@@ -92,7 +132,29 @@
 	if !ok {
 		return
 	}
-	u.conn, u.startOffset = counted, counted.written()
+	u.conn, u.startOffset, u.number = counted, counted.written(), counted.beginUse()
+}
+
+// finish is called when the complete response was read.
+func (u *connUse) finish() {
+	if u.conn != nil {
+		u.conn.endUse(u.number)
+	}
+}
+
+// responseBody calls use.finish at the end of the body.
+type responseBody struct {
+	io.ReadCloser
+	use *connUse
+}
+
+// Read implements io.Reader.
+func (b responseBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.use.finish()
+	}
+	return n, err
 }
 
 // sealIfUnsent reports whether no byte of the request was written, and in
