--- a/internal/follow/journal.go
+++ b/internal/follow/journal.go
@@ -6,11 +6,11 @@
 )
 
 const (
-	// maxSteps and maxStepBytes bound a journal. It has room for the registrations
-	// of several hundred hosts that start together, or for the latest few large
-	// values.
-	maxSteps     = 1024
-	maxStepBytes = 2 << 20
+	// maxStepBytes bounds a journal, and stepOverhead is the memory of a step besides
+	// its value. There is room for the changes of some seconds while thousands of
+	// upstreams register, or for the latest few large values.
+	maxStepBytes = 4 << 20
+	stepOverhead = 256
 	// minPatchBytes is the size in bytes from which a value is sent as a patch.
 	minPatchBytes = 4 << 10
 )
@@ -63,9 +63,9 @@
 		j.Reset()
 	}
 	j.steps = append(j.steps, step{before: before, after: after, event: e, base: base})
-	j.bytes += len(e.Value)
-	for len(j.steps) > maxSteps || (j.bytes > maxStepBytes && len(j.steps) > 1) {
-		j.bytes -= len(j.steps[0].event.Value)
+	j.bytes += len(e.Value) + stepOverhead
+	for j.bytes > maxStepBytes && len(j.steps) > 1 {
+		j.bytes -= len(j.steps[0].event.Value) + stepOverhead
 		j.steps = j.steps[1:]
 	}
 }
@@ -114,15 +114,24 @@
 	return c
 }
 
-// maxTrackedKeys bounds the keys whose revisions are kept. It is enough for a site of
-// a thousand upstreams that are all replaced twice.
-const maxTrackedKeys = 4096
+// maxDeletedKeys bounds the deleted keys whose revisions are kept. Peers and the store
+// report a deletion within seconds of each other.
+const maxDeletedKeys = 4096
 
 // KeyRevisions holds the latest known revision of each key. Changes arrive from the
 // store and from peers, so an older change may arrive after a newer one. Applying it
 // could restore an upstream that has left. The zero value is empty. KeyRevisions is
 // not safe for concurrent use.
-type KeyRevisions struct{ revisions map[string]uint64 }
+type KeyRevisions struct {
+	revisions map[string]uint64
+	// deleted holds the latest deletions, oldest first.
+	deleted []deletion
+}
+
+type deletion struct {
+	key      string
+	revision uint64
+}
 
 // IsNewer reports whether a revision of a key is newer than the latest known one.
 func (s *KeyRevisions) IsNewer(key string, revision uint64) bool { return revision > s.revisions[key] }
@@ -130,7 +139,7 @@
 // FilterNewer returns the events that are newer than the known revisions, only the
 // last event of each key, and records their revisions.
 func (s *KeyRevisions) FilterNewer(events []kv.Event) []kv.Event {
-	if s.revisions == nil || len(s.revisions) > maxTrackedKeys {
+	if s.revisions == nil {
 		s.revisions = map[string]uint64{}
 	}
 	last := map[string]uint64{}
@@ -141,6 +150,9 @@
 	for _, e := range events {
 		if e.Revision == last[e.Key] && e.Revision > s.revisions[e.Key] {
 			s.revisions[e.Key] = e.Revision
+			if e.Deleted {
+				s.recordDeletion(e.Key, e.Revision)
+			}
 			out = append(out, e)
 		}
 	}
@@ -149,8 +161,21 @@
 
 // Reset replaces all known revisions by those of a listing.
 func (s *KeyRevisions) Reset(items []kv.Item) {
-	s.revisions = make(map[string]uint64, len(items))
+	s.revisions, s.deleted = make(map[string]uint64, len(items)), nil
 	for _, i := range items {
 		s.revisions[i.Key] = i.Revision
 	}
 }
+
+// recordDeletion forgets the oldest of too many deleted keys, unless it was written again.
+func (s *KeyRevisions) recordDeletion(key string, revision uint64) {
+	s.deleted = append(s.deleted, deletion{key, revision})
+	if len(s.deleted) <= maxDeletedKeys {
+		return
+	}
+	oldest := s.deleted[0]
+	s.deleted = s.deleted[1:]
+	if s.revisions[oldest.key] == oldest.revision {
+		delete(s.revisions, oldest.key)
+	}
+}
--- a/internal/follow/journal_test.go
+++ b/internal/follow/journal_test.go
@@ -67,12 +67,12 @@
 func TestJournalIsBounded(t *testing.T) {
 	g := NewWithT(t)
 	var j follow.Journal
-	for i := range uint64(2000) {
+	for i := range uint64(40_000) {
 		j.Add(i, i+1, event("k", i), nil)
 	}
 	_, known := j.Since(100, 1<<20)
 	g.Expect(known).To(BeFalse())
-	events, known := j.Since(1990, 1<<20)
+	events, known := j.Since(39_990, 1<<20)
 	g.Expect(known).To(BeTrue())
 	g.Expect(events).To(HaveLen(10))
 }
--- a/internal/follow/registry.go
+++ b/internal/follow/registry.go
@@ -42,6 +42,12 @@
 	}
 }
 
+// Clear removes all upstreams.
+func (r *UpstreamRegistry) Clear() {
+	clear(r.entries)
+	clear(r.missing)
+}
+
 // Put adds or updates an upstream. It returns false if the entry is older than the
 // known one.
 func (r *UpstreamRegistry) Put(u catalog.Upstream) bool {
