--- a/internal/entryhost/activation.go
+++ b/internal/entryhost/activation.go
@@ -32,6 +32,10 @@
 	// from the load of the hosts.
 	decidedAt time.Time
 	inputs    activationInputs
+	// needsUpstreams is set if this host is active, or would be if all hosts could serve.
+	needsUpstreams bool
+	// nextSince is since when this host has been one of the next standbys; zero if it is not.
+	nextSince time.Time
 }
 
 type activationInputs struct {
@@ -39,19 +43,23 @@
 	canServe, leaving bool
 }
 
-// canServe reports whether the host could serve callers now.
-func (c *control) canServe(now time.Time) bool {
+// isReady reports whether the host accepts callers. A host that does not hold the upstreams loads
+// them when a caller arrives.
+func (c *control) isReady(now time.Time) bool {
 	loaded := c.catalog != nil && c.listed
 	return loaded && !c.leaving && now.Sub(c.confirmedAt) < maxConfigurationAge
 }
 
+// canServe reports whether the host could serve callers now.
+func (c *control) canServe(now time.Time) bool { return c.isReady(now) && c.upstreamDemand.known }
+
 // updateReady updates the result of the readiness check, and decides whether callers may be
 // directed to this host.
 func (c *control) updateReady(now time.Time, peers []fleet.Member) {
 	c.decideActivation(now, peers)
 	canServe := c.canServe(now)
 	// A standby reports itself ready too, because it serves callers that connect to it anyway.
-	c.d.ready.Store(canServe)
+	c.d.ready.Store(c.isReady(now))
 	ready := c.activation.active && canServe
 	if ready == c.ready {
 		return
@@ -126,10 +134,19 @@
 	}
 	// A host that would be active if all hosts could serve may hold rate shares, so it
 	// registers as a host that holds them.
-	c.d.wantsShares.Store(c.activation.active || standby.Active(all, self.Region)[self.Instance])
+	selected, next := standby.Select(all, self.Region)
+	wantsShares := c.activation.active || selected[self.Instance]
+	c.d.wantsShares.Store(wantsShares)
+	c.activation.needsUpstreams = wantsShares
+	switch {
+	case !next[self.Instance]:
+		c.activation.nextSince = time.Time{}
+	case c.activation.nextSince.IsZero():
+		c.activation.nextSince = now
+	}
 	active := standby.Active(eligible, self.Region)
 	if len(active) == 0 {
-		active = standby.Active(all, self.Region)
+		active = selected
 	}
 	return active[self.Instance]
 }
--- a/internal/entryhost/activehosts.go
+++ b/internal/entryhost/activehosts.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"balsambarrow/internal/fleet"
 	"balsambarrow/internal/kv"
 	"balsambarrow/internal/standby"
 	"balsambarrow/platform"
@@ -45,9 +46,8 @@
 	hintDelay    = 200 * time.Millisecond
 	maxHintDelay = 1500 * time.Millisecond
 	// peerRequestSpread is the interval over which hosts randomly spread their first request to
-	// peers, and peerRequestInterval the time between two requests.
-	peerRequestSpread   = 300 * time.Millisecond
-	peerRequestInterval = 300 * time.Millisecond
+	// peers.
+	peerRequestSpread = 300 * time.Millisecond
 )
 
 // activeHostsHint lists the active hosts by region.
@@ -146,29 +146,29 @@
 	return hint, true
 }
 
-// loadFromPeers requests the full state of the store from peers in turn. It returns the revision
-// of the state, or false if no peer has sent the state in time.
+// loadFromPeers copies the state of the store, apart from the upstreams, from one of the peers. It
+// returns the revision of the state, or false if no peer has sent the state in time.
 func (d *Daemon) loadFromPeers(ctx context.Context, peers []string) (revision uint64, ok bool) {
-	deadline := d.now().Add(peerStateDelay + peerStateWindow)
 	sleep(ctx, peerStateDelay+rand.N(peerRequestSpread))
-	for i := rand.IntN(len(peers)); ctx.Err() == nil && !isClosed(d.listed) && d.now().Before(deadline); i++ {
-		d.control.send(func(c *control) {
-			c.requestConfirmAt(c.d.now(), peers[i%len(peers)], pendingConfirm{full: true})
-		})
-		await(ctx, d.listed, peerRequestInterval)
-	}
-	if !isClosed(d.listed) {
-		return 0, false
-	}
-	d.readWhenRegistered.Store(true)
+	d.control.send(func(c *control) { c.startLoad(c.d.now(), fleet.Scope_SCOPE_BASE, peers) })
+	await(ctx, d.listed, peerStateWindow)
 	revisions := make(chan uint64, 1)
-	d.control.send(func(c *control) { revisions <- c.revision })
+	d.control.send(func(c *control) {
+		if !c.listed {
+			c.load = stateLoad{}
+		}
+		revisions <- c.revision
+	})
 	select {
 	case revision = <-revisions:
-		return revision, true
 	case <-ctx.Done():
 		return 0, false
 	}
+	if !isClosed(d.listed) {
+		return 0, false
+	}
+	d.readWhenRegistered.Store(true)
+	return revision, true
 }
 
 func isClosed(c <-chan struct{}) bool {
--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"balsambarrow/internal/fleet"
-	"balsambarrow/internal/kv"
 	"balsambarrow/internal/rendezvous"
 )
 
@@ -64,9 +63,12 @@
 // pendingConfirm is a confirmation request that was sent to a peer.
 type pendingConfirm struct {
 	sentAt time.Time
-	// referred is set if another peer referred this host to the peer that was queried, and full
-	// if the request is for the full state of the store.
-	referred, full bool
+	// referred is set if another peer referred this host to the peer that was queried.
+	referred bool
+	// withoutUpstreams is that of the request.
+	withoutUpstreams bool
+	// page is set if the request is for a page of a peer's state.
+	page bool
 }
 
 // newConfirmRequests starts at a random id (see randomID).
@@ -175,17 +177,23 @@
 
 // requestConfirmAt sends a confirmation request to an address.
 func (c *control) requestConfirmAt(now time.Time, address string, request pendingConfirm) {
+	digests := c.digests()
+	request.withoutUpstreams = !c.holdsUpstreams
+	c.sendConfirmRequest(now, address, request, &fleet.ConfirmRequest{
+		Base: digests.base, Upstreams: digests.upstreams, Hosts: c.hosts.digest.Sum(), WithoutUpstreams: request.withoutUpstreams,
+	})
+}
+
+// sendConfirmRequest sends q to an address and records it as request.
+func (c *control) sendConfirmRequest(now time.Time, address string, request pendingConfirm, q *fleet.ConfirmRequest) {
 	requests := &c.confirmRequests
 	request.sentAt = now
 	if len(requests.pending) >= maxPendingConfirms {
 		clear(requests.pending)
 	}
-	id := requests.nextID()
-	requests.pending[id] = request
-	p := &fleet.Packet{Content: &fleet.Packet_ConfirmRequest{ConfirmRequest: &fleet.ConfirmRequest{
-		Id: id, Digest: c.digest.Sum(), Hosts: c.hostRegistrationState.digest.Sum(), Whole: request.full,
-	}}}
-	if err := c.d.transport.SendPacket(p, address); err != nil {
+	q.Id = requests.nextID()
+	requests.pending[q.Id] = request
+	if err := c.d.transport.SendPacket(&fleet.Packet{Content: &fleet.Packet_ConfirmRequest{ConfirmRequest: q}}, address); err != nil {
 		c.d.events.Debug("confirmation request not sent", "peer", address, "error", err)
 	}
 }
@@ -200,19 +208,25 @@
 	}
 	delete(c.confirmRequests.pending, a.Id)
 	now := c.d.now()
-	if request.full {
-		c.applyFullState(now, a, request)
+	if request.page {
+		c.applyPage(now, a, request)
+		return
+	}
+	if a.Base == 0 || request.withoutUpstreams != !c.holdsUpstreams {
+		// The peer is of an earlier version, or this host has loaded or dropped the upstreams
+		// since the request.
 		return
 	}
 	c.applyPeerChanges(now, a.HostChanges)
-	if c.hostRegistrationState.digest.Sum() == a.Hosts {
-		c.hostRegistrationState.advanceConfirmedAt(request.sentAt.Add(-time.Duration(a.HostsAgeUs) * time.Microsecond))
+	if c.hosts.digest.Sum() == a.Hosts {
+		c.hosts.advanceConfirmedAt(request.sentAt.Add(-time.Duration(a.HostsAgeUs) * time.Microsecond))
 	}
-	before := c.digest.Sum()
+	before := c.digests()
 	c.applyPeerChanges(now, a.Changes)
-	switch c.digest.Sum() {
-	case a.Digest:
+	switch c.digests() {
+	case stateDigests{a.Base, a.Upstreams}:
 		c.advanceConfirmedAt(request.sentAt.Add(-time.Duration(a.AgeUs) * time.Microsecond))
+		c.upstreamDemand.known = c.holdsUpstreams
 		c.revision = max(c.revision, a.Revision)
 	case before:
 		c.handleMissingChanges(now, a, request)
@@ -250,34 +264,6 @@
 	}
 }
 
-// applyFullState applies a peer's full copy of the store's state, unless this host has already
-// listed the store.
-func (c *control) applyFullState(now time.Time, a *fleet.ConfirmAnswer, request pendingConfirm) {
-	if c.listed || !a.Whole {
-		return
-	}
-	if a.Later {
-		c.requestFromSources(now, a, request)
-		return
-	}
-	items := make([]kv.Item, 0, len(a.Changes))
-	for _, x := range a.Changes {
-		items = append(items, itemOf(x))
-	}
-	c.replaceState(now, items)
-	c.revision = a.Revision
-	// This host is weak compared with the peer, and registers as a standby.
-	close(c.d.listed)
-	if c.digest.Sum() != a.Digest || c.hostRegistrationState.digest.Sum() != a.Hosts {
-		c.d.readStoreNow("peer's items differ from its digest")
-		return
-	}
-	c.advanceConfirmedAt(request.sentAt.Add(-time.Duration(a.AgeUs) * time.Microsecond))
-	c.hostRegistrationState.advanceConfirmedAt(request.sentAt.Add(-time.Duration(a.HostsAgeUs) * time.Microsecond))
-	c.d.events.Info("store taken over from a peer", "items", len(items), "revision", a.Revision, "version", c.version(),
-		"age_us", a.AgeUs)
-}
-
 // applyPeerChanges applies changes that a peer has sent.
 func (c *control) applyPeerChanges(now time.Time, changes []*fleet.Change) {
 	events, err := c.decodeChanges(changes)
@@ -290,6 +276,11 @@
 // refresh gets the state confirmed for a waiting request: by the watcher, which costs nothing,
 // and by a read of the store if the watcher does not confirm it in time.
 func (c *control) refresh(now time.Time) {
+	if !c.upstreamDemand.known {
+		c.upstreamDemand.until = now.Add(upstreamRetention)
+		c.manageUpstreams(now)
+		return
+	}
 	watcher := c.watcher()
 	if c.d.watches.Load() || watcher == "" {
 		c.d.readStoreNow("a request waits")
@@ -313,7 +304,7 @@
 // refreshHostRegistrations triggers a read of the store if the registrations of entry hosts
 // have not been confirmed for a long time.
 func (c *control) refreshHostRegistrations(now time.Time) {
-	h := &c.hostRegistrationState
+	h := &c.hosts
 	if h.confirmedAt.IsZero() || now.Sub(h.confirmedAt) < hostsReadStoreAge || now.Before(h.readDue) {
 		return
 	}
@@ -321,10 +312,14 @@
 	c.d.readStoreNow("hosts not confirmed")
 }
 
-// handleDigest triggers a confirmation request at once if the digest in the watcher's heartbeat
-// differs from this host's digest.
-func (c *control) handleDigest(from string, digest uint64) {
-	if digest != 0 && digest != c.digest.Sum() && from == c.watcher() {
+// handleDigests triggers a confirmation request at once if the digests in the watcher's
+// heartbeat differ from those of this host.
+func (c *control) handleDigests(b *fleet.Heartbeat) {
+	if b.BaseDigest == 0 || b.Instance != c.watcher() {
+		return
+	}
+	own := c.digests()
+	if b.BaseDigest != own.base || c.ready && b.UpstreamsDigest != own.upstreams {
 		c.confirmRequests.due = time.Time{}
 	}
 }
--- a/internal/entryhost/confirmserver.go
+++ b/internal/entryhost/confirmserver.go
@@ -1,11 +1,13 @@
 package entryhost
 
 import (
+	"math/bits"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"balsambarrow/internal/delta"
+	"balsambarrow/internal/fanout"
 	"balsambarrow/internal/fleet"
 	"balsambarrow/internal/follow"
 	"balsambarrow/internal/kv"
@@ -17,121 +19,139 @@
 	maxChangeBytes = 256 << 10
 	// maxHostChangeBytes bounds the changes of entry hosts' registrations in one response.
 	maxHostChangeBytes = 24 << 10
-	// maxFullStateAge is the highest age of the confirmed state at which a host sends it in
-	// full to a peer.
-	maxFullStateAge = 1500 * time.Millisecond
 )
 
-// storeSummary is the digest of the store's state, and when it was confirmed. It is never
+// stateDigests are the digests of the sections on which requests depend. upstreams is 0 if the
+// host holds none.
+type stateDigests struct{ base, upstreams uint64 }
+
+// storeSummary is the digests of the store's state, and when it was confirmed. It is never
 // modified.
 type storeSummary struct {
-	digest      uint64
-	confirmedAt time.Time
+	digests        stateDigests
+	holdsUpstreams bool
+	confirmedAt    time.Time
 	// hostsDigest and hostsConfirmedAt are the same for the registrations of entry hosts.
 	hostsDigest      uint64
 	hostsConfirmedAt time.Time
-	// revision is the store's revision that both digests describe.
+	// revision is the store's revision that the digests describe.
 	revision uint64
 }
 
-// hostRegistrationState is the state of the entry hosts' registrations. They are confirmed
-// separately from the rest of the store's state: two hosts that were partitioned from the store
-// at different times may never agree on the registrations, and must still be able to confirm
-// each other's API keys.
-type hostRegistrationState struct {
-	digest      follow.Digest
-	journal     follow.Journal
+// hostsSection holds the entry hosts' registrations. They are confirmed separately from the
+// rest of the store's state: two hosts that were partitioned from the store at different times
+// may never agree on the registrations, and must still be able to confirm each other's API keys.
+type hostsSection struct {
+	section
 	confirmedAt time.Time
 	// readDue is the earliest time of the next read of the store for these registrations.
 	readDue time.Time
 }
 
 // advanceConfirmedAt records that the registrations matched the store at a time.
-func (h *hostRegistrationState) advanceConfirmedAt(asOf time.Time) {
+func (h *hostsSection) advanceConfirmedAt(asOf time.Time) {
 	if asOf.After(h.confirmedAt) {
 		h.confirmedAt = asOf
 	}
 }
 
-// announcedDigest returns the digest for heartbeats. Only the watcher announces it; other hosts
-// send 0.
-func (c *control) announcedDigest() uint64 {
+// digests returns the digests of the state that this host holds.
+func (c *control) digests() stateDigests {
+	return stateDigests{c.base.digest.Sum(), c.upstreams.digest.Sum()}
+}
+
+// announcedDigests returns the digests for heartbeats. Only the watcher announces them; other
+// hosts send 0.
+func (c *control) announcedDigests() stateDigests {
 	if !c.d.watches.Load() {
-		return 0
+		return stateDigests{}
 	}
-	return c.digest.Sum()
+	return c.digests()
 }
 
 // publishSummary publishes the summary from which confirmation requests are answered. If this
-// host is the watcher and its digest has changed, heartbeats become due at once so that its
-// peers request the change.
+// host is the watcher and its digests have changed, heartbeats become due at once so that its
+// peers request the change. Changes of upstreams concern active hosts; standbys learn of them
+// with their next confirmation request.
 func (c *control) publishSummary(now time.Time, watches bool) {
 	before := c.d.summary.Load()
-	next := storeSummary{c.digest.Sum(), c.confirmedAt, c.hostRegistrationState.digest.Sum(), c.hostRegistrationState.confirmedAt, c.revision}
+	next := storeSummary{c.digests(), c.holdsUpstreams, c.confirmedAt, c.hosts.digest.Sum(), c.hosts.confirmedAt, c.revision}
 	if before != nil && *before == next {
 		return
 	}
 	c.d.summary.Store(&next)
-	if watches && before != nil && before.digest != next.digest {
+	switch {
+	case !watches || before == nil:
+	case before.digests.base != next.digests.base:
 		c.announce(now)
+	case before.digests != next.digests:
+		c.heartbeatDue = now
 	}
 }
 
+// matches reports whether a peer that sent a confirmation request holds the same state.
+func (s *storeSummary) matches(q *fleet.ConfirmRequest) bool {
+	return q.Base == s.digests.base && q.Hosts == s.hostsDigest && (q.WithoutUpstreams || q.Upstreams == s.digests.upstreams)
+}
+
 // handleConfirmRequest responds to a peer's confirmation request.
 func (d *Daemon) handleConfirmRequest(q *fleet.ConfirmRequest, from string) {
 	summary := d.summary.Load()
-	if summary == nil || summary.digest == 0 {
+	if summary == nil || summary.digests.base == 0 {
+		return
+	}
+	if q.Page != nil {
+		d.control.send(func(c *control) { c.respondWithPage(q, from) })
+		return
+	}
+	if !q.WithoutUpstreams && !summary.holdsUpstreams {
 		return
 	}
-	if q.Whole || q.Digest != summary.digest || q.Hosts != summary.hostsDigest {
+	if !summary.matches(q) {
 		d.control.send(func(c *control) { c.respondWithChanges(q, from) })
 		return
 	}
-	d.sendConfirmAnswer(&fleet.ConfirmAnswer{Id: q.Id, Digest: summary.digest, Hosts: summary.hostsDigest, Revision: summary.revision}, summary.confirmedAt, summary.hostsConfirmedAt, from)
+	d.sendConfirmAnswer(&fleet.ConfirmAnswer{
+		Id: q.Id, Base: q.Base, Upstreams: q.Upstreams, Hosts: summary.hostsDigest, Revision: summary.revision,
+	}, summary.confirmedAt, summary.hostsConfirmedAt, from)
 }
 
 // respondWithChanges responds to a peer whose state differs from this host's. The response
 // carries the changes that the peer lacks, if they are known and fit into it, or the addresses
 // of patch sources, if this host has used up its link's send allowance.
 func (c *control) respondWithChanges(q *fleet.ConfirmRequest, from string) {
-	a := &fleet.ConfirmAnswer{
-		Id: q.Id, Digest: c.digest.Sum(), Hosts: c.hostRegistrationState.digest.Sum(), Revision: c.revision,
-	}
-	if q.Whole {
-		c.respondWithFullState(a, from)
-		return
+	a := &fleet.ConfirmAnswer{Id: q.Id, Base: c.base.digest.Sum(), Hosts: c.hosts.digest.Sum(), Revision: c.revision}
+	changes := changesSince(&c.base.journal, q.Base, maxChangeBytes)
+	if !q.WithoutUpstreams {
+		a.Upstreams = c.upstreams.digest.Sum()
+		changes = append(changes, changesSince(&c.upstreams.journal, q.Upstreams, maxChangeBytes)...)
 	}
-	a.HostChanges = changesSince(&c.hostRegistrationState.journal, q.Hosts, maxHostChangeBytes)
-	if changes := changesSince(&c.journal, q.Digest, maxChangeBytes); len(changes) > 0 {
-		c.addChanges(a, changes, from)
+	a.HostChanges = changesSince(&c.hosts.journal, q.Hosts, maxHostChangeBytes)
+	if len(changes) > 0 {
+		c.addChanges(a, changes, q.WithoutUpstreams, from)
 	}
-	c.d.sendConfirmAnswer(a, c.confirmedAt, c.hostRegistrationState.confirmedAt, from)
+	c.d.sendConfirmAnswer(a, c.confirmedAt, c.hosts.confirmedAt, from)
 }
 
-// respondWithFullState responds to a host that has just started. The response carries the full
-// state of the store as known here, or the addresses of other hosts that may have it.
-func (c *control) respondWithFullState(a *fleet.ConfirmAnswer, from string) {
-	if !c.listed || c.d.now().Sub(c.confirmedAt) > maxFullStateAge {
-		return
-	}
-	a.Whole = true
-	all := make([]*fleet.Change, 0, len(c.items))
-	for _, item := range c.items {
-		all = append(all, &fleet.Change{Key: item.Key, Value: item.Value, Revision: item.Revision})
-	}
-	c.addChanges(a, all, from)
-	c.d.sendConfirmAnswer(a, c.confirmedAt, c.hostRegistrationState.confirmedAt, from)
-}
+// patchSources are the hosts that have received the latest changes, separately for hosts that
+// hold upstreams and for hosts that do not.
+type patchSources struct{ complete, withoutUpstreams fanout.Sources }
 
 // addChanges adds changes to a response if the link's send allowance permits it. Otherwise it
 // adds the addresses of patch sources, that is, of peers that are likely to have the changes.
-func (c *control) addChanges(a *fleet.ConfirmAnswer, changes []*fleet.Change, from string) {
-	size := proto.Size(&fleet.ConfirmAnswer{Changes: changes})
-	ok, sources := c.fanout.Allow(c.d.now(), a.Digest, from, size, c.d.capacity().LinkMbps)
-	if ok {
+func (c *control) addChanges(a *fleet.ConfirmAnswer, changes []*fleet.Change, withoutUpstreams bool, from string) {
+	sources := &c.patchSources.complete
+	if withoutUpstreams {
+		sources = &c.patchSources.withoutUpstreams
+	}
+	now := c.d.now()
+	digest := a.Base ^ bits.RotateLeft64(a.Upstreams, 1)
+	if c.fanout.Take(now, proto.Size(&fleet.ConfirmAnswer{Changes: changes}), c.d.capacity().LinkMbps) {
+		sources.Add(now, digest, from)
 		a.Changes = changes
+		return
 	}
-	a.Later, a.Holders = !ok, sources
+	a.Later, a.Holders = true, sources.For(now, digest, from)
 }
 
 func changesSince(j *follow.Journal, digest uint64, maxBytes int) []*fleet.Change {
@@ -158,7 +178,7 @@
 	var out []kv.Event
 	configuration := c.configuration
 	for _, x := range changes {
-		if !c.keyRevisions.IsNewer(x.Key, x.Revision) {
+		if !c.sectionOf(x.Key).revisions.IsNewer(x.Key, x.Revision) {
 			// The change was already applied, for example because the same request was sent
 			// twice.
 			continue
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -56,8 +56,8 @@
 	evacuatedZones map[string]bool
 	// confirmedAt is the latest time as of which the state is known to have matched the store.
 	confirmedAt time.Time
-	// listed is set once the host has received the state of the store, from the store or from a
-	// peer.
+	// listed is set once the host has received the state of the store, apart from the upstreams,
+	// from the store or from a peer.
 	listed           bool
 	leaving          bool
 	storeUnreachable bool
@@ -77,16 +77,23 @@
 	// compactRounds counts the rounds of compact heartbeats to standbys.
 	compactRounds int
 	// ready is set while this host is active and can serve callers.
-	ready                 bool
-	activation            activation
-	published             published
-	digest                follow.Digest
-	journal               follow.Journal
-	fanout                fanout.Limiter
-	keyRevisions          follow.KeyRevisions
-	hostRegistrationState hostRegistrationState
-	confirmRequests       confirmRequests
-	watcherCache          watcherCache
+	ready      bool
+	activation activation
+	published  published
+	// base is the configuration and the evacuated zones, upstreams the registrations of
+	// upstreams, and hosts those of entry hosts.
+	base, upstreams section
+	hosts           hostsSection
+	// holdsUpstreams is set while this host keeps the registrations of upstreams.
+	holdsUpstreams  bool
+	upstreamDemand  upstreamDemand
+	upstreamLog     upstreamLog
+	load            stateLoad
+	sortedKeys      sortedKeys
+	fanout          fanout.Limiter
+	patchSources    patchSources
+	confirmRequests confirmRequests
+	watcherCache    watcherCache
 	// snapshotReadAt is when the snapshot of the fleet's learned state was last read.
 	snapshotReadAt time.Time
 	// storedHint is the active-hosts hint in the store, as last known to this host, and
@@ -171,7 +178,10 @@
 		c.d.fallbackAllowed.Store(true)
 		c.d.shares.SetLease(now, holds)
 	}
+	c.upstreamLog.flush(c.d.events)
 	c.publish(now)
+	c.manageUpstreams(now)
+	c.continueLoad(now)
 	c.confirmState(now)
 	c.sendHeartbeats(now)
 }
@@ -196,7 +206,12 @@
 
 func (c *control) logMemberChanges(changes []fleet.MemberChange) {
 	for _, change := range changes {
-		c.d.events.Info("peer "+change.Event, "peer", change.Member.Host, "instance", change.Member.Instance,
+		log := c.d.events.Info
+		if change.Event == "heard" && !change.Member.Ready {
+			// Each active host hears every standby of the fleet.
+			log = c.d.events.Debug
+		}
+		log("peer "+change.Event, "peer", change.Member.Host, "instance", change.Member.Instance,
 			"zone", change.Member.Zone)
 	}
 }
@@ -210,11 +225,11 @@
 	if newer {
 		c.applyAnnouncements(now, b)
 	}
-	c.handleDigest(b.Instance, b.Digest)
+	c.handleDigests(b)
 }
 
 // removeUpstream stops sending requests to an upstream.
 func (c *control) removeUpstream(id, why string) {
 	c.d.table.RemoveUpstream(c.d.now(), id)
-	c.d.events.Info("upstream gone", "upstream", id, "reason", why)
+	c.upstreamLog.addRemoved(id, why)
 }
--- a/internal/entryhost/directory.go
+++ b/internal/entryhost/directory.go
@@ -62,6 +62,18 @@
 	return out
 }
 
+// activePeers returns the peer addresses of the other active hosts in the regions for which in
+// returns true.
+func (d *directory) activePeers(in func(region string) bool) []string {
+	var out []string
+	for _, m := range d.peers {
+		if m.Ready && !m.Leaving && in(m.Region) {
+			out = append(out, m.PeerAddress)
+		}
+	}
+	return out
+}
+
 func (d *directory) addresses(accept func(region string, ready bool) bool) []string {
 	var out []string
 	if !d.leaving && accept(d.self.Region, d.ready) {
--- a/internal/entryhost/export_test.go
+++ b/internal/entryhost/export_test.go
@@ -4,3 +4,6 @@
 
 // SetStartupWait sets how long callers may wait for a daemon that has just started.
 func (d *Daemon) SetStartupWait(wait time.Duration) { d.startupWait = wait }
+
+// Upstreams returns the number of upstreams that the daemon holds.
+func (d *Daemon) Upstreams() int { return d.table.Size() }
--- a/internal/entryhost/heartbeat.go
+++ b/internal/entryhost/heartbeat.go
@@ -72,11 +72,12 @@
 // heartbeat returns the heartbeat of this host.
 func (c *control) heartbeat(now time.Time) *fleet.Heartbeat {
 	c.sequence++
-	s, load, capacity := c.d.self, c.d.meter.update(now), c.d.capacity()
+	s, load, capacity, digests := c.d.self, c.d.meter.update(now), c.d.capacity(), c.announcedDigests()
 	return &fleet.Heartbeat{
 		Instance: s.Instance, Host: s.Name, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Peers: s.Peers,
 		Sequence: c.sequence, Ready: c.ready, Leaving: c.leaving, Version: c.version(),
-		Able: c.canServe(now), Registered: c.holdsShares, SeesStore: !c.storeUnreachable, Digest: c.announcedDigest(),
+		Able: c.canServe(now), Registered: c.holdsShares, SeesStore: !c.storeUnreachable,
+		BaseDigest: digests.base, UpstreamsDigest: digests.upstreams,
 		Cores: float32(capacity.Cores), LinkMbps: float32(capacity.LinkMbps),
 		RequestsPerSecond: float32(load.RequestsPerSecond), AnswerMbps: float32(load.ResponseMbps),
 		LeavingUpstreams: c.d.table.LeavingReports(),
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -61,7 +61,7 @@
 // every customer.
 func (c *control) mayHoldShares(now time.Time) bool {
 	r := c.ownRegistration
-	return r.holdsShares && !c.hostRegistrationState.confirmedAt.Before(r.writtenAt) && now.Sub(r.renewedAt) < r.lease-leaseMargin
+	return r.holdsShares && !c.hosts.confirmedAt.Before(r.writtenAt) && now.Sub(r.renewedAt) < r.lease-leaseMargin
 }
 
 // registrar maintains this host's registration.
--- a/internal/entryhost/register_test.go
+++ b/internal/entryhost/register_test.go
@@ -26,7 +26,7 @@
 		"lease may have expired":       {active, now, now.Add(activeLeaseTTL - leaseMargin), false},
 		"standby":                      {standby, now, now, false},
 	} {
-		control := &control{ownRegistration: c.registration, hostRegistrationState: hostRegistrationState{confirmedAt: c.hostsConfirmedAt}}
+		control := &control{ownRegistration: c.registration, hosts: hostsSection{confirmedAt: c.hostsConfirmedAt}}
 		NewWithT(t).Expect(control.mayHoldShares(c.checkedAt)).To(Equal(c.want), name)
 	}
 }
--- /dev/null
+++ b/internal/entryhost/stateload.go
@@ -0,0 +1,150 @@
+package entryhost
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"balsambarrow/internal/fleet"
+	"balsambarrow/internal/kv"
+)
+
+// How a host copies a part of the store's state from a peer.
+//
+// The peer sends the items in pages, in the order of their keys. Each page is requested again if
+// it is lost, so the time grows with the number of items alone. Items may change while pages are
+// sent. After the last page, the host therefore requests the changes since the digests of the
+// first page, and its copy then equals the peer's state.
+
+const (
+	// maxLoadSourceAge is the highest age of the confirmed state at which a host sends pages.
+	maxLoadSourceAge = 1500 * time.Millisecond
+	// pageTimeout is how long a peer may take to send a page, and maxPageAttempts the number of
+	// requests for a page after which another peer is tried.
+	pageTimeout     = 300 * time.Millisecond
+	maxPageAttempts = 2
+)
+
+// stateLoad is a copy of a part of the store's state that is in progress.
+type stateLoad struct {
+	active bool
+	scope  fleet.Scope
+	// peers are the addresses of hosts that may have the state; the first one is being asked.
+	peers []string
+	// attempts is the number of requests for the next page, and due when it is requested again.
+	attempts int
+	due      time.Time
+	// after is the last key received. items are the items so far.
+	after string
+	items []kv.Item
+	// base, upstreams and hosts are the digests at the first page.
+	base, upstreams, hosts uint64
+}
+
+// startLoad begins to copy a part of the state from one of the peers.
+func (c *control) startLoad(now time.Time, scope fleet.Scope, peers []string) {
+	peers = slices.Clone(peers)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	c.load = stateLoad{active: len(peers) > 0, scope: scope, peers: peers}
+	c.continueLoad(now)
+}
+
+// continueLoad requests the next page if it is due.
+func (c *control) continueLoad(now time.Time) {
+	l := &c.load
+	if !l.active || now.Before(l.due) {
+		return
+	}
+	if l.attempts >= maxPageAttempts {
+		c.restartLoad(now, append(l.peers[1:], l.peers[0])...)
+	}
+	l.attempts++
+	l.due = now.Add(pageTimeout)
+	c.sendConfirmRequest(now, l.peers[0], pendingConfirm{page: true}, &fleet.ConfirmRequest{
+		Page: &fleet.PageRequest{Scope: l.scope, After: l.after},
+	})
+}
+
+// restartLoad begins again with the first of the given peers.
+func (c *control) restartLoad(now time.Time, peers ...string) {
+	c.load = stateLoad{active: true, scope: c.load.scope, peers: peers, due: now}
+}
+
+// respondWithPage responds to a host that copies the state.
+func (c *control) respondWithPage(q *fleet.ConfirmRequest, from string) {
+	now := c.d.now()
+	if !c.listed || now.Sub(c.confirmedAt) > maxLoadSourceAge || q.Page.Scope == fleet.Scope_SCOPE_UPSTREAMS && !c.holdsUpstreams {
+		return
+	}
+	digests := c.digests()
+	a := &fleet.ConfirmAnswer{
+		Id: q.Id, Base: digests.base, Upstreams: digests.upstreams, Hosts: c.hosts.digest.Sum(), Revision: c.revision, Page: true,
+	}
+	items, more := c.pageOf(q.Page.Scope, q.Page.After)
+	if c.fanout.Take(now, proto.Size(&fleet.ConfirmAnswer{Changes: items}), c.d.capacity().LinkMbps) {
+		a.Changes, a.More = items, more
+	} else {
+		a.Later = true
+	}
+	c.d.sendConfirmAnswer(a, c.confirmedAt, c.hosts.confirmedAt, from)
+}
+
+// applyPage adds a page to the copy.
+func (c *control) applyPage(now time.Time, a *fleet.ConfirmAnswer, request pendingConfirm) {
+	l := &c.load
+	if !l.active || !a.Page {
+		return
+	}
+	if a.Later {
+		l.attempts, l.due = 0, now.Add(deferredRetryDelay)
+		if l.after == "" {
+			c.restartLoad(now.Add(deferredRetryDelay), append(l.peers[1:], l.peers[0])...)
+		}
+		return
+	}
+	if len(a.Changes) > 0 && a.Changes[0].Key <= l.after {
+		return // a page that has arrived before
+	}
+	if l.after == "" {
+		l.base, l.upstreams, l.hosts = a.Base, a.Upstreams, a.Hosts
+	}
+	for _, x := range a.Changes {
+		l.items = append(l.items, itemOf(x))
+		l.after = x.Key
+	}
+	l.attempts, l.due = 0, now
+	if a.More {
+		c.continueLoad(now)
+		return
+	}
+	c.finishLoad(now, a, request)
+}
+
+// finishLoad applies the copy, and requests the changes since its first page.
+func (c *control) finishLoad(now time.Time, a *fleet.ConfirmAnswer, request pendingConfirm) {
+	l := c.load
+	c.load = stateLoad{}
+	switch {
+	case l.scope == fleet.Scope_SCOPE_UPSTREAMS && c.listed && !c.holdsUpstreams:
+		c.addUpstreams(now, l.items)
+	case l.scope == fleet.Scope_SCOPE_BASE && !c.listed:
+		c.replaceState(now, l.items, false)
+		c.revision = a.Revision
+		// This host is weak compared with the peer, and registers as a standby.
+		close(c.d.listed)
+	default:
+		return
+	}
+	c.d.events.Info("state copied from a peer", "scope", l.scope, "peer", l.peers[0], "items", len(l.items),
+		"revision", a.Revision, "version", c.version(), "age_us", a.AgeUs)
+	q := &fleet.ConfirmRequest{
+		Base: c.base.digest.Sum(), Upstreams: l.upstreams, Hosts: c.hosts.digest.Sum(), WithoutUpstreams: !c.holdsUpstreams,
+	}
+	if l.scope == fleet.Scope_SCOPE_BASE {
+		q.Base, q.Hosts = l.base, l.hosts
+	}
+	c.sendConfirmRequest(now, l.peers[0], pendingConfirm{withoutUpstreams: q.WithoutUpstreams}, q)
+	c.confirmRequests.due = now.Add(pageTimeout)
+}
--- /dev/null
+++ b/internal/entryhost/stateload_test.go
@@ -0,0 +1,81 @@
+package entryhost
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"balsambarrow/internal/fleet"
+	"balsambarrow/internal/kv"
+	"balsambarrow/internal/telemetry"
+)
+
+// newTestControl returns the control of a daemon that was not started. Tests run the queued
+// messages themselves.
+func newTestControl(t *testing.T) *control {
+	g := NewWithT(t)
+	settings, err := ParseSettings("test", []byte(`{
+		"host": "h", "zone": "a1", "zones": {"a1": "a"},
+		"listen": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "directory": "127.0.0.1:0", "peers": "127.0.0.1:0", "metrics": "127.0.0.1:0"},
+		"store": "127.0.0.1:1", "bounds": {"grace": "4s", "revoke": "5s"},
+	}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	d, err := New(settings, telemetry.NewEvents(io.Discard, "error", "h"), telemetry.NewMetrics())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() {
+		d.cancel()
+		for _, l := range d.listeners {
+			_ = l.Close()
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		d.transport.Receive(ctx, func(*fleet.Packet, string) {}, func(error) {})
+	})
+	return d.control
+}
+
+// evacuations is a peer's last page of the base state.
+func evacuations(zones ...string) *fleet.ConfirmAnswer {
+	a := &fleet.ConfirmAnswer{Page: true, Base: 7, Hosts: 8, Revision: 50, AgeUs: 1}
+	for i, zone := range zones {
+		a.Changes = append(a.Changes, &fleet.Change{Key: "op/evacuate/" + zone, Value: []byte("{}"), Revision: uint64(40 + i)})
+	}
+	return a
+}
+
+// Guards against a stale first listing that arrives after a peer has sent the state of the
+// store: the host would send requests to an evacuated zone, and consider its state confirmed.
+func TestStaleListingDoesNotReplacePeerState(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestControl(t)
+	now := c.d.now()
+	c.startLoad(now, fleet.Scope_SCOPE_BASE, []string{"127.0.0.1:1"})
+	c.applyPage(now, evacuations("a1"), pendingConfirm{sentAt: now, page: true})
+	g.Expect(c.evacuatedZones).To(HaveKey("a1"))
+	storeSink{c}.OnList(kv.Listing{Revision: 30}, time.Time{})
+	c.handleQueued()
+	g.Expect(c.evacuatedZones).To(HaveKey("a1"))
+	storeSink{c}.OnList(kv.Listing{Revision: 60}, now)
+	c.handleQueued()
+	g.Expect(c.evacuatedZones).NotTo(HaveKey("a1"), "a current listing replaces the state")
+}
+
+// Guards against a peer of an earlier version, which does not know requests for pages and
+// responds with the changes since the given digest, of which there are none.
+func TestResponseThatIsNoPageIsNotAppliedAsOne(t *testing.T) {
+	for i, a := range []*fleet.ConfirmAnswer{{Hosts: 8}, {Changes: evacuations("a1").Changes}} {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			g := NewWithT(t)
+			c := newTestControl(t)
+			now := c.d.now()
+			c.startLoad(now, fleet.Scope_SCOPE_BASE, []string{"127.0.0.1:1"})
+			c.applyPage(now, a, pendingConfirm{sentAt: now, page: true})
+			g.Expect(c.listed).To(BeFalse())
+			g.Expect(isClosed(c.d.listed)).To(BeFalse())
+		})
+	}
+}
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -23,7 +23,7 @@
 		c.upstreamRegistry.StoreReached(now)
 		first := !c.listed
 		if first || !asOf.IsZero() {
-			c.replaceState(now, l.Items)
+			c.replaceState(now, l.Items, true)
 		}
 		if first {
 			// The registration follows, and its type depends on whether the host should hold rate
@@ -40,11 +40,18 @@
 
 // replaceState replaces the state by all items of the store, which a listing or a peer has
 // provided.
-func (c *control) replaceState(now time.Time, items []kv.Item) {
-	c.keyRevisions.Reset(items)
-	c.journal.Reset()
-	c.hostRegistrationState.journal.Reset()
-	clear(c.items)
+// withUpstreams is set if the items include the registrations of upstreams; a host that holds
+// none ignores them.
+func (c *control) replaceState(now time.Time, items []kv.Item, withUpstreams bool) {
+	if !c.listed {
+		c.holdsUpstreams = withUpstreams
+	}
+	for _, s := range c.sections() {
+		if c.keeps(s) {
+			s.reset(c.itemsOf(s, items))
+		}
+	}
+	c.clearItems()
 	upstreams, zones := map[string]bool{}, map[string]bool{}
 	for key := range c.registrations {
 		c.removeHostRegistration(key)
@@ -58,8 +65,10 @@
 		}
 		c.applyWrite(now, item)
 	}
-	for _, id := range c.upstreamRegistry.Unlisted(upstreams) {
-		c.deleteUpstreamEntry(now, id)
+	if c.holdsUpstreams {
+		for _, id := range c.upstreamRegistry.Unlisted(upstreams) {
+			c.deleteUpstreamEntry(now, id)
+		}
 	}
 	for zone := range c.evacuatedZones {
 		if !zones[zone] {
@@ -72,6 +81,9 @@
 	c.updateMembers(now)
 	if !c.listed {
 		c.listed = true
+		if c.holdsUpstreams {
+			c.upstreamDemand.until, c.upstreamDemand.known = now.Add(upstreamRetention), true
+		}
 		c.d.hasPeers.Store(len(c.registrations) > 0)
 	}
 }
@@ -97,27 +109,32 @@
 
 // applyChanges applies changes from the store or from a peer.
 func (c *control) applyChanges(now time.Time, events []kv.Event) {
-	for _, e := range c.keyRevisions.FilterNewer(events) {
-		digestBefore, hostsDigestBefore := c.digest.Sum(), c.hostRegistrationState.digest.Sum()
-		var base []byte
-		if platform.IsConfiguration(e.Key) {
-			base = c.configuration
-		}
-		if e.Deleted {
-			c.applyDelete(now, e.Key)
-		} else {
-			c.applyWrite(now, e.Item)
+	for _, s := range c.sections() {
+		if !c.keeps(s) {
+			continue
 		}
-		c.journal.Add(digestBefore, c.digest.Sum(), e, base)
-		c.hostRegistrationState.journal.Add(hostsDigestBefore, c.hostRegistrationState.digest.Sum(), e, nil)
+		s.apply(c.eventsOf(s, events), func(e kv.Event) (base []byte) {
+			if platform.IsConfiguration(e.Key) {
+				base = c.configuration
+			}
+			if e.Deleted {
+				c.applyDelete(now, e.Key)
+			} else {
+				c.applyWrite(now, e.Item)
+			}
+			return base
+		})
 	}
 	c.updateMembers(now)
 }
 
 // applyWrite applies the write of a key.
 func (c *control) applyWrite(now time.Time, item kv.Item) {
+	if !c.keeps(c.sectionOf(item.Key)) {
+		return
+	}
 	if item.Key != platform.SnapshotKey {
-		c.items[item.Key] = item
+		c.putItem(item)
 	}
 	if platform.IsConfiguration(item.Key) {
 		c.applyConfiguration(item)
@@ -146,7 +163,7 @@
 
 // applyDelete applies the deletion of a key.
 func (c *control) applyDelete(now time.Time, key string) {
-	delete(c.items, key)
+	c.deleteItem(key)
 	if id, ok := platform.UpstreamID(key); ok {
 		c.deleteUpstreamEntry(now, id)
 	}
@@ -164,7 +181,7 @@
 		return
 	}
 	c.registrations[item.Key] = r
-	c.hostRegistrationState.digest.SetHost(item.Key, item.Value)
+	c.hosts.digest.SetHost(item.Key, item.Value)
 	c.hostsChanged = true
 }
 
@@ -174,7 +191,7 @@
 		return
 	}
 	delete(c.registrations, key)
-	c.hostRegistrationState.digest.RemoveHost(key)
+	c.hosts.digest.RemoveHost(key)
 	c.hostsChanged = true
 }
 
@@ -199,7 +216,7 @@
 	}
 	c.d.events.Info("configuration in force", "version", next.Version, "before", c.version(), "revision", item.Revision)
 	c.catalog, c.configuration = next, item.Value
-	c.digest.SetVersion(next.Version)
+	c.base.digest.SetVersion(next.Version)
 	c.d.table.SetCatalog(next)
 }
 
@@ -217,7 +234,7 @@
 		delete(c.evacuatedZones, zone)
 		c.d.events.Info("zone taken back", "zone", zone)
 	}
-	c.digest.SetZone(zone, evacuated)
+	c.base.digest.SetZone(zone, evacuated)
 	c.d.table.SetEvacuatedZones(c.d.now(), c.evacuatedZones)
 }
 
@@ -232,7 +249,10 @@
 // state and the entry hosts' registrations.
 func (c *control) noteStoreReached(asOf time.Time) {
 	c.advanceConfirmedAt(asOf)
-	c.hostRegistrationState.advanceConfirmedAt(asOf)
+	if !asOf.IsZero() {
+		c.upstreamDemand.known = c.holdsUpstreams
+	}
+	c.hosts.advanceConfirmedAt(asOf)
 	if c.storeUnreachable {
 		c.storeUnreachable = false
 		c.announce(c.d.now())
@@ -255,7 +275,7 @@
 	if err != nil {
 		id, _ := platform.UpstreamID(item.Key)
 		c.d.events.Info("upstream entry void", "upstream", id, "revision", item.Revision, "error", err)
-		c.digest.RemoveUpstream(id)
+		c.upstreams.digest.RemoveUpstream(id)
 		if c.upstreamRegistry.Invalidate(id) {
 			c.removeUpstream(id, "entry void")
 		}
@@ -265,15 +285,14 @@
 		c.d.events.Debug("stale upstream entry ignored", "upstream", u.ID, "born", u.StartedMs, "sequence", u.Sequence)
 		return
 	}
-	c.digest.SetUpstream(u)
+	c.upstreams.digest.SetUpstream(u)
 	if c.d.table.PutUpstream(now, u) {
-		c.d.events.Info("upstream", "upstream", u.ID, "service", u.Service, "zone", u.Zone, "address", u.Address,
-			"state", u.State, "cold", u.ColdRemaining, "born", u.StartedMs, "revision", u.Revision)
+		c.upstreamLog.addChanged(u)
 	}
 }
 
 func (c *control) deleteUpstreamEntry(now time.Time, id string) {
-	c.digest.RemoveUpstream(id)
+	c.upstreams.digest.RemoveUpstream(id)
 	if c.upstreamRegistry.EntryRemoved(now, id) {
 		c.removeUpstream(id, "entry removed")
 	}
--- /dev/null
+++ b/internal/entryhost/upstreamstate.go
@@ -0,0 +1,134 @@
+package entryhost
+
+import (
+	"context"
+	"time"
+
+	"balsambarrow/internal/fleet"
+	"balsambarrow/internal/kv"
+	"balsambarrow/platform"
+)
+
+// Which hosts hold the registrations of upstreams.
+//
+// In a large fleet most hosts are standbys that serve no callers, and each copy of the upstreams
+// costs memory and a share of every change. Active hosts and the standbys that are next in line
+// hold a copy; any other host copies the upstreams from a peer when it is selected as an active
+// host, or when a caller arrives.
+
+const (
+	// upstreamRetention is how long a host keeps the upstreams after it last needed them.
+	// Callers cache a response of the directory for less than that.
+	upstreamRetention = 30 * time.Second
+	// nextStandbyDelay is how long a host must have been one of the next standbys before it loads
+	// the upstreams. A host that starts with many others knows few of them at first.
+	nextStandbyDelay = 3 * time.Second
+	// upstreamLoadTimeout is how long peers may take to send the upstreams before the host lists
+	// them in the store.
+	upstreamLoadTimeout = 3 * time.Second
+)
+
+// upstreamDemand is whether this host needs the upstreams.
+type upstreamDemand struct {
+	// until is the time until which the host needs them.
+	until time.Time
+	// loadStartedAt is when the host began to load them; zero if it is not loading them.
+	loadStartedAt time.Time
+	// listing is set while the host lists them in the store.
+	listing bool
+	// known is set once the copy is known to have matched the state of the store.
+	known bool
+}
+
+// manageUpstreams loads or drops the upstreams as needed.
+func (c *control) manageUpstreams(now time.Time) {
+	demand := &c.upstreamDemand
+	if c.activation.needsUpstreams {
+		demand.until = now.Add(upstreamRetention)
+	}
+	if since := c.activation.nextSince; !since.IsZero() && now.Sub(since) >= nextStandbyDelay {
+		demand.until = laterOf(demand.until, now.Add(nextStandbyDelay))
+	}
+	switch needed := now.Before(demand.until); {
+	case !c.listed:
+	case c.holdsUpstreams && !needed:
+		c.dropUpstreams(now)
+	case !c.holdsUpstreams && needed:
+		c.loadUpstreams(now)
+	}
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// loadUpstreams copies the upstreams from an active host. If none sends them in time, they are
+// listed in the store.
+func (c *control) loadUpstreams(now time.Time) {
+	demand := &c.upstreamDemand
+	if demand.listing {
+		return
+	}
+	peers := c.d.directory.Load().activePeers(c.isOwnRegion)
+	if len(peers) == 0 {
+		peers = c.d.directory.Load().activePeers(func(string) bool { return true })
+	}
+	if demand.loadStartedAt.IsZero() {
+		demand.loadStartedAt = now
+		c.startLoad(now, fleet.Scope_SCOPE_UPSTREAMS, peers)
+	}
+	if c.load.active && now.Sub(demand.loadStartedAt) < upstreamLoadTimeout {
+		return
+	}
+	c.load = stateLoad{}
+	demand.listing = true
+	c.d.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+		defer cancel()
+		l, err := c.d.store.List(ctx, platform.UpstreamPrefix, false)
+		c.send(func(c *control) { c.finishUpstreamListing(l, err) })
+	})
+}
+
+// finishUpstreamListing applies the upstreams that were listed in the store.
+func (c *control) finishUpstreamListing(l kv.Listing, err error) {
+	c.upstreamDemand.listing, c.upstreamDemand.loadStartedAt = false, time.Time{}
+	if err != nil {
+		c.d.events.Warn("upstreams not listed", "error", err)
+		return
+	}
+	if !c.holdsUpstreams {
+		c.addUpstreams(c.d.now(), l.Items)
+		c.confirmRequests.due = time.Time{}
+	}
+}
+
+// addUpstreams adds the upstreams that a peer or the store has sent. Requests use them once they
+// are confirmed.
+func (c *control) addUpstreams(now time.Time, items []kv.Item) {
+	c.holdsUpstreams = true
+	c.upstreams.reset(items)
+	for _, item := range items {
+		c.applyWrite(now, item)
+	}
+	c.d.events.Info("upstreams loaded", "upstreams", len(items), "took", now.Sub(c.upstreamDemand.loadStartedAt))
+	c.upstreamDemand.loadStartedAt = time.Time{}
+}
+
+// dropUpstreams removes the upstreams from this host.
+func (c *control) dropUpstreams(now time.Time) {
+	c.d.events.Info("upstreams dropped", "upstreams", c.d.table.Size())
+	c.holdsUpstreams, c.upstreamDemand = false, upstreamDemand{}
+	c.upstreamRegistry.Clear()
+	c.d.table.Clear()
+	c.upstreams = section{}
+	for key := range c.items {
+		if _, ok := platform.UpstreamID(key); ok {
+			c.deleteItem(key)
+		}
+	}
+	c.confirmRequests.due = now
+}
--- a/internal/fanout/limiter.go
+++ b/internal/fanout/limiter.go
@@ -22,16 +22,32 @@
 	maxSources = 256
 )
 
-// Limiter decides which hosts this host sends a patch to. The zero value is ready for
-// use. It is not safe for concurrent use.
+// Limiter limits the bytes that this host sends to peers on request. The zero value is ready
+// for use. It is not safe for concurrent use.
 type Limiter struct {
 	// tokens is the number of bytes that may be sent at refilledAt; it is negative after
-	// a patch that was larger than the tokens left.
+	// a packet that was larger than the tokens left.
 	tokens     float64
 	refilledAt time.Time
-	// digest is the digest of the store state that the patch sources have.
-	digest  uint64
-	sources []source
+}
+
+// Take reports whether a packet of the given size may be sent now. mbps is the rate of this
+// host's link; 0: not known.
+func (l *Limiter) Take(now time.Time, bytes int, mbps float64) bool {
+	l.refill(now, mbps)
+	if l.tokens <= 0 {
+		return false
+	}
+	l.tokens -= float64(bytes)
+	return true
+}
+
+// Sources are the hosts that a patch was sent to. The zero value is empty. It is not safe for
+// concurrent use.
+type Sources struct {
+	// digest is the digest of the store state that the sources have.
+	digest uint64
+	list   []source
 	// referralCount is the number of referrals so far.
 	referralCount uint64
 }
@@ -41,23 +57,39 @@
 	sentAt  time.Time
 }
 
-// Allow reports whether a patch of the given size, which leads to the store state with the
-// given digest, may be sent to a host now. mbps is the rate of this host's link; 0: not
-// known. If the patch may not be sent, Allow returns the addresses of hosts that are likely
-// to have it, if any are known.
-func (l *Limiter) Allow(now time.Time, digest uint64, host string, bytes int, mbps float64) (ok bool, sources []string) {
-	if l.digest != digest {
-		l.digest, l.sources = digest, l.sources[:0]
+// Add records that a host was sent a patch that leads to the store state with the given
+// digest.
+func (s *Sources) Add(now time.Time, digest uint64, host string) {
+	s.setDigest(digest)
+	if len(s.list) < maxSources {
+		s.list = append(s.list, source{host, now})
 	}
-	l.refill(now, mbps)
-	if l.tokens <= 0 {
-		return false, l.sourcesFor(now, host)
+}
+
+// For returns the addresses of hosts that are likely to have the store state with the given
+// digest. They differ from host to host, so that hosts that request the patch at the same
+// time spread over the sources.
+func (s *Sources) For(now time.Time, digest uint64, host string) []string {
+	s.setDigest(digest)
+	var out []string
+	first := xxhash.Sum64String(host) + s.referralCount
+	s.referralCount++
+	for i := range uint64(len(s.list)) {
+		h := s.list[(first+i)%uint64(len(s.list))]
+		if h.address == host || now.Sub(h.sentAt) < referralDelay {
+			continue
+		}
+		if out = append(out, h.address); len(out) == maxReferrals {
+			break
+		}
 	}
-	l.tokens -= float64(bytes)
-	if len(l.sources) < maxSources {
-		l.sources = append(l.sources, source{host, now})
+	return out
+}
+
+func (s *Sources) setDigest(digest uint64) {
+	if s.digest != digest {
+		s.digest, s.list = digest, s.list[:0]
 	}
-	return true, nil
 }
 
 // refill adds the tokens up to now.
@@ -73,21 +105,3 @@
 	}
 	l.refilledAt = now
 }
-
-// sourcesFor returns some patch sources. They differ from host to host, so that hosts that
-// request the patch at the same time spread over the sources.
-func (l *Limiter) sourcesFor(now time.Time, host string) []string {
-	var out []string
-	first := xxhash.Sum64String(host) + l.referralCount
-	l.referralCount++
-	for i := range uint64(len(l.sources)) {
-		h := l.sources[(first+i)%uint64(len(l.sources))]
-		if h.address == host || now.Sub(h.sentAt) < referralDelay {
-			continue
-		}
-		if out = append(out, h.address); len(out) == maxReferrals {
-			break
-		}
-	}
-	return out
-}
--- a/internal/fanout/limiter_test.go
+++ b/internal/fanout/limiter_test.go
@@ -54,7 +54,7 @@
 	var q queue
 	receivedAt := make([]time.Time, s.hosts)
 	sendFreeAt, receiveFreeAt := make([]time.Time, s.hosts), make([]time.Time, s.hosts)
-	limiters := make([]fanout.Limiter, s.hosts)
+	limiters, patchSources := make([]fanout.Limiter, s.hosts), make([]fanout.Sources, s.hosts)
 	transferTime := func(host, bytes int) time.Duration {
 		return time.Duration(float64(bytes) * 8 / s.mbps(host) * float64(time.Microsecond))
 	}
@@ -85,10 +85,14 @@
 		case d.request && !receivedAt[d.from].IsZero():
 		case d.request && receivedAt[d.to].IsZero():
 		case d.request && s.referrals:
-			ok, sources := limiters[d.to].Allow(d.arrivesAt, 1, strconv.Itoa(d.from), s.bytes, s.mbps(d.to))
+			ok := limiters[d.to].Take(d.arrivesAt, s.bytes, s.mbps(d.to))
 			size := 100
+			var sources []string
 			if ok {
 				size = s.bytes
+				patchSources[d.to].Add(d.arrivesAt, 1, strconv.Itoa(d.from))
+			} else {
+				sources = patchSources[d.to].For(d.arrivesAt, 1, strconv.Itoa(d.from))
 			}
 			if d.to == 0 {
 				sent += size
@@ -172,17 +176,14 @@
 func TestReferralsListOnlySourcesOfTheState(t *testing.T) {
 	g := NewWithT(t)
 	var l fanout.Limiter
+	var sources fanout.Sources
 	now := time.Unix(1000, 0)
-	ok, _ := l.Allow(now, 7, "a", 1<<20, 10)
-	g.Expect(ok).To(BeTrue(), "the first patch may be sent, whatever its size")
+	g.Expect(l.Take(now, 1<<20, 10)).To(BeTrue(), "the first patch may be sent, whatever its size")
+	sources.Add(now, 7, "a")
 	later := now.Add(100 * time.Millisecond)
-	ok, sources := l.Allow(later, 7, "b", 1000, 10)
-	g.Expect(ok).To(BeFalse())
-	g.Expect(sources).To(Equal([]string{"a"}))
-	_, sources = l.Allow(later, 7, "a", 1000, 10)
-	g.Expect(sources).To(BeEmpty())
-	_, sources = l.Allow(later, 8, "b", 1000, 10)
-	g.Expect(sources).To(BeEmpty())
-	ok, _ = l.Allow(now.Add(10*time.Second), 8, "b", 1000, 10)
-	g.Expect(ok).To(BeTrue())
+	g.Expect(l.Take(later, 1000, 10)).To(BeFalse())
+	g.Expect(sources.For(later, 7, "b")).To(Equal([]string{"a"}))
+	g.Expect(sources.For(later, 7, "a")).To(BeEmpty())
+	g.Expect(sources.For(later, 8, "b")).To(BeEmpty())
+	g.Expect(l.Take(now.Add(10*time.Second), 1000, 10)).To(BeTrue())
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -100,7 +100,7 @@
 		return changes, false
 	}
 	if !known.alive {
-		changes = append(changes, MemberChange{Member{Instance: b.Instance, Host: b.Host, Zone: b.Zone}, "heard"})
+		changes = append(changes, MemberChange{Member{Instance: b.Instance, Host: b.Host, Zone: b.Zone, Ready: b.Ready}, "heard"})
 	}
 	if b.Leaving && !known.Leaving {
 		changes = append(changes, MemberChange{Member{Instance: b.Instance, Host: b.Host, Zone: b.Zone}, "leaving"})
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -159,8 +159,12 @@
 	if state == nil {
 		return unavailable(CauseNoConfiguration, retrySoon)
 	}
-	if state.Standby && state.age(q.arrived) > standbyMaxAge {
-		state = h.awaitState(q, refreshTimeout, h.Refresh, func(s *State) bool { return s.age(h.Now()) <= standbyMaxAge })
+	if !state.sufficesAt(q.arrived) {
+		timeout := refreshTimeout
+		if !state.UpstreamsKnown {
+			timeout = upstreamsTimeout
+		}
+		state = h.awaitState(q, timeout, h.Refresh, func(s *State) bool { return s.sufficesAt(h.Now()) })
 		if state == nil {
 			return unavailable(CauseStandby, retrySoon)
 		}
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -13,7 +13,7 @@
 	// ConfirmedAt is the latest time at which Catalog was known to be the newest
 	// version.
 	ConfirmedAt time.Time
-	// UpstreamsKnown is set once the list of upstreams is loaded.
+	// UpstreamsKnown is set while the list of upstreams is loaded.
 	UpstreamsKnown bool
 	// Leaving is set once a planned shutdown has begun.
 	Leaving bool
@@ -43,15 +43,22 @@
 	// refreshTimeout limits how long a caller of a standby host waits for a store
 	// read. It allows three round trips to the farthest region.
 	refreshTimeout = 350 * time.Millisecond
+	// upstreamsTimeout limits how long a caller waits for a host that loads the list of
+	// upstreams, which takes longer on a slow link than a retry at an active host.
+	upstreamsTimeout = 700 * time.Millisecond
 	// defaultTimeBudget is the time limit of a request for which neither the
 	// caller nor the route specifies one.
 	defaultTimeBudget = 30 * time.Second
 )
 
-// starting reports whether the state is not yet complete enough to serve any
+// starting reports whether the state is not yet complete enough to admit any
 // request.
-func (s *State) starting() bool {
-	return s.Catalog == nil || !s.UpstreamsKnown || s.ConfirmedAt.IsZero()
+func (s *State) starting() bool { return s.Catalog == nil || s.ConfirmedAt.IsZero() }
+
+// sufficesAt reports whether requests can be sent to upstreams: they are known, and a standby
+// host has confirmed them recently.
+func (s *State) sufficesAt(now time.Time) bool {
+	return s.UpstreamsKnown && (!s.Standby || s.age(now) <= standbyMaxAge)
 }
 
 // age returns the time since the configuration was last confirmed.
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -168,6 +168,18 @@
 	t.keepAnnounced(now, w)
 }
 
+// Clear removes all upstreams and what they have announced.
+func (t *Table) Clear() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clear(t.byID)
+	clear(t.byHash)
+	clear(t.departed)
+	clear(t.services)
+	clear(t.holders)
+	t.scratch = survey{}
+}
+
 func (t *Table) removeFromService(w *upstream) {
 	list := t.services[w.Service]
 	if i := slices.Index(list, w); i >= 0 {
--- a/internal/standby/active.go
+++ b/internal/standby/active.go
@@ -15,6 +15,8 @@
 	// minActive is the least number of active hosts in each region, so that two may fail
 	// at once and one remains.
 	minActive = 3
+	// nextPerZone is the number of standbys in each zone that are next in line to become active.
+	nextPerZone = 2
 	// requestsPerCore is the load that is planned for a core, in requests per second. It
 	// leaves capacity for a burst of three times the usual load together with the loss of
 	// half of the hosts.
@@ -66,23 +68,50 @@
 // as strong as the strongest, then others by strength, until they are enough for the
 // load, cover each zone that has hosts, and are at least minActive.
 func Active(hosts []Host, region string) map[string]bool {
+	active, _ := Select(hosts, region)
+	return active
+}
+
+// Select returns the instances of one region that should be active, as Active does, and the
+// standbys of each zone that are next in line.
+func Select(hosts []Host, region string) (active, next map[string]bool) {
 	list := hostsInRegion(hosts, region)
 	strongest := strongestOf(list)
-	slices.SortFunc(list, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(strength(b, strongest), strength(a, strongest)),
-			cmp.Compare(xxhash.Sum64String(a.Instance), xxhash.Sum64String(b.Instance)))
-	})
-	out, zones := map[string]bool{}, map[string]bool{}
+	ranked := rank(list, strongest)
+	active, next = map[string]bool{}, map[string]bool{}
+	activeZones, nextInZone := map[string]bool{}, map[string]int{}
 	unserved := totalLoad(list)
-	for _, h := range list {
-		enough := len(out) >= minActive && unserved.RequestsPerSecond <= 0 && unserved.ResponseMbps <= 0
-		if enough && strength(h, strongest) < similarStrength && zones[h.Zone] {
+	for _, h := range ranked {
+		enough := len(active) >= minActive && unserved.RequestsPerSecond <= 0 && unserved.ResponseMbps <= 0
+		if enough && h.strength < similarStrength && activeZones[h.Zone] {
+			if nextInZone[h.Zone]++; nextInZone[h.Zone] <= nextPerZone {
+				next[h.Instance] = true
+			}
 			continue
 		}
-		out[h.Instance], zones[h.Zone] = true, true
+		active[h.Instance], activeZones[h.Zone] = true, true
 		unserved.RequestsPerSecond = remaining(unserved.RequestsPerSecond, h.Cores*requestsPerCore)
 		unserved.ResponseMbps = remaining(unserved.ResponseMbps, h.LinkMbps*linkFraction)
 	}
+	return active, next
+}
+
+// rankedHost is a host with what it is ranked by.
+type rankedHost struct {
+	Host
+	strength float64
+	hash     uint64
+}
+
+// rank sorts hosts by strength; equally strong ones have a fixed order.
+func rank(hosts []Host, strongest Capacity) []rankedHost {
+	out := make([]rankedHost, 0, len(hosts))
+	for _, h := range hosts {
+		out = append(out, rankedHost{h, h.FractionOf(strongest), xxhash.Sum64String(h.Instance)})
+	}
+	slices.SortFunc(out, func(a, b rankedHost) int {
+		return cmp.Or(cmp.Compare(b.strength, a.strength), cmp.Compare(a.hash, b.hash))
+	})
 	return out
 }
 
@@ -114,10 +143,6 @@
 	return strongest
 }
 
-// strength returns the capacity of a host as a fraction of the strongest, for the
-// resource where that fraction is smallest.
-func strength(h Host, strongest Capacity) float64 { return h.FractionOf(strongest) }
-
 func totalLoad(hosts []Host) Load {
 	var sum Load
 	for _, h := range hosts {
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -120,6 +120,9 @@
 	}
 }
 
+// Flush writes the queued lines. Run must not be running.
+func (e *Events) Flush() { e.drain() }
+
 func (e *Events) drain() {
 	for {
 		select {
