--- a/internal/entryhost/confirmserver.go
+++ b/internal/entryhost/confirmserver.go
@@ -111,9 +111,11 @@
 		d.control.send(func(c *control) { c.respondWithChanges(q, from) })
 		return
 	}
-	d.sendConfirmAnswer(&fleet.ConfirmAnswer{
-		Id: q.Id, Base: q.Base, Upstreams: q.Upstreams, Hosts: summary.hostsDigest, Revision: summary.revision,
-	}, summary.confirmedAt, summary.hostsConfirmedAt, from)
+	a := &fleet.ConfirmAnswer{Id: q.Id, Base: summary.digests.base, Hosts: summary.hostsDigest, Revision: summary.revision}
+	if !q.WithoutUpstreams {
+		a.Upstreams = summary.digests.upstreams
+	}
+	d.sendConfirmAnswer(a, summary.confirmedAt, summary.hostsConfirmedAt, from)
 }
 
 // respondWithChanges responds to a peer whose state differs from this host's. The response
--- a/internal/entryhost/stateload.go
+++ b/internal/entryhost/stateload.go
@@ -139,11 +139,9 @@
 	}
 	c.d.events.Info("state copied from a peer", "scope", l.scope, "peer", l.peers[0], "items", len(l.items),
 		"revision", a.Revision, "version", c.version(), "age_us", a.AgeUs)
-	q := &fleet.ConfirmRequest{
-		Base: c.base.digest.Sum(), Upstreams: l.upstreams, Hosts: c.hosts.digest.Sum(), WithoutUpstreams: !c.holdsUpstreams,
-	}
-	if l.scope == fleet.Scope_SCOPE_BASE {
-		q.Base, q.Hosts = l.base, l.hosts
+	q := &fleet.ConfirmRequest{Base: l.base, Hosts: l.hosts, WithoutUpstreams: true}
+	if l.scope == fleet.Scope_SCOPE_UPSTREAMS {
+		q = &fleet.ConfirmRequest{Base: c.base.digest.Sum(), Upstreams: l.upstreams, Hosts: c.hosts.digest.Sum()}
 	}
 	c.sendConfirmRequest(now, l.peers[0], pendingConfirm{withoutUpstreams: q.WithoutUpstreams}, q)
 	c.confirmRequests.due = now.Add(pageTimeout)
