A watch whose response is cut short is continued at once, and confirms nothing

Cause: the store limits a response to some 500 events. Withdrawn keys and leaving upstreams that lay behind the cut would have been used although the state counted as confirmed.

Test in simulated time at 10,000 and 20,000 upstreams; before, at 20,000, a confirmed state missed changes.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -31,7 +31,7 @@
 	// time after asOf. The first listing may be arbitrarily old; its asOf is zero.
 	OnList(l kv.Listing, asOf time.Time)
 	// OnChanges adds events, possibly none. They cover the store up to some time
-	// after asOf.
+	// after asOf. asOf is zero if they do not cover the present state.
 	OnChanges(c kv.Changes, asOf time.Time)
 	// OnError reports a failed call. The follower retries until a call succeeds.
 	OnError(err error)
@@ -77,8 +77,10 @@
 	revision, listed := f.initialList(ctx), true
 	for ctx.Err() == nil {
 		sentAt, timing := f.Now(), f.Timing()
-		next, err := f.poll(ctx, revision, listed, sentAt, timing.WatchTimeout)
+		next, more, err := f.poll(ctx, revision, listed, sentAt, timing.WatchTimeout)
 		switch {
+		case err == nil && more:
+			revision, backoff = next, minBackoff
 		case err == nil:
 			revision, listed, backoff = next, true, minBackoff
 			f.sleep(ctx, timing.MinInterval-f.Now().Sub(sentAt), nil)
@@ -145,32 +147,37 @@
 	return f.Store.List(ctx, f.Prefix, stale)
 }
 
-// poll makes one list or watch call and returns the revision to watch from next.
-func (f *Follower) poll(ctx context.Context, revision uint64, listed bool, sentAt time.Time, watchTimeout time.Duration) (uint64, error) {
+// poll makes one list or watch call and returns the revision to watch from next, and whether
+// more changes are known to follow.
+func (f *Follower) poll(ctx context.Context, revision uint64, listed bool, sentAt time.Time, watchTimeout time.Duration) (next uint64, more bool, err error) {
 	if !listed {
 		l, err := f.list(ctx, false)
 		if err != nil {
-			return 0, err
+			return 0, false, err
 		}
 		f.Sink.OnList(l, sentAt)
-		return l.Revision, nil
+		return l.Revision, false, nil
 	}
 	callCtx, cancel := context.WithTimeout(ctx, watchTimeout+responseTimeout)
 	defer cancel()
 	c, err := f.Store.Watch(callCtx, f.Prefix, revision, watchTimeout)
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	f.Sink.OnChanges(c, f.asOf(c, sentAt, watchTimeout))
-	return max(c.Revision, revision), nil
+	next = max(c.Revision, revision)
+	return next, c.More && next > revision, nil
 }
 
 // asOf returns the latest time up to which the response to a watch is known to be
 // complete. A response without events that took the full wait covers at least the
 // wait after sentAt, because the wait began in the store after the call was sent.
 // Any other response, with events or returned early, covers only the time up to
-// sentAt.
+// sentAt. One that left out events confirms nothing.
 func (f *Follower) asOf(c kv.Changes, sentAt time.Time, wait time.Duration) time.Time {
+	if c.More {
+		return time.Time{}
+	}
 	waitEnd := sentAt.Add(wait)
 	if len(c.Events) > 0 || f.Now().Before(waitEnd) {
 		return sentAt
--- a/internal/follow/scale_test.go
+++ b/internal/follow/scale_test.go
@@ -1,8 +1,11 @@
 package follow_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -72,3 +75,63 @@
 		})
 	}
 }
+
+// storeLimit is the number of events in the largest response of a store.
+const storeLimit = 500
+
+// Guards against a host that falls behind a store which limits its responses, and that considers
+// its state confirmed although changes are missing: it would accept withdrawn keys.
+func TestFollowerKeepsUpWithTheRegistrationOfALargeFleet(t *testing.T) {
+	const (
+		changesPerSecond = 570 // of 10,000 upstreams that register
+		interval         = 700 * time.Millisecond
+		roundTrip        = 70 * time.Millisecond
+		span             = 15 * time.Second
+	)
+	for _, upstreams := range fleetSizes {
+		t.Run(fmt.Sprint(upstreams), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				ctx, cancel := context.WithTimeout(context.Background(), span)
+				defer cancel()
+				began := time.Now()
+				writtenAt := func(at time.Time) uint64 {
+					return uint64(at.Sub(began).Seconds() * float64(changesPerSecond*upstreams/fleetSizes[0]))
+				}
+				received, calls := uint64(0), 0
+				store := &fakeStore{
+					list: func() (kv.Listing, error) { return kv.Listing{}, nil },
+					watch: func(after uint64) (kv.Changes, error) {
+						calls++
+						n := min(writtenAt(time.Now())-after, storeLimit)
+						time.Sleep(roundTrip)
+						return kv.Changes{Events: make([]kv.Event, n), Revision: after + n, More: n == storeLimit}, nil
+					},
+				}
+				sink := &lagSink{onChanges: func(c kv.Changes, asOf time.Time) {
+					received = c.Revision
+					if !asOf.IsZero() {
+						g.Expect(received).To(BeNumerically(">=", writtenAt(asOf)), "a confirmed state misses no change")
+					}
+				}}
+				(&follow.Follower{
+					Store: store, Sink: sink, Now: time.Now,
+					Timing: func() follow.Timing {
+						return follow.Timing{WatchTimeout: interval, Interval: interval, MinInterval: interval}
+					},
+				}).Run(ctx)
+				behind := writtenAt(time.Now()) - received
+				g.Expect(behind).To(BeNumerically("<=", 2*writtenAt(began.Add(interval))), "the follower is not behind")
+				g.Expect(calls).To(BeNumerically("<=", int(span/interval)+int(received)/storeLimit+1))
+			})
+		})
+	}
+}
+
+// lagSink passes changes on to a function.
+type lagSink struct {
+	recordingSink
+	onChanges func(c kv.Changes, asOf time.Time)
+}
+
+func (s *lagSink) OnChanges(c kv.Changes, asOf time.Time) { s.onChanges(c, asOf) }
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -80,6 +80,9 @@
 	Events []Event
 	// Revision is where the next watch has to continue.
 	Revision uint64
+	// More is set if there may be further events that were left out because the response
+	// would have become too large.
+	More bool
 }
 
 // Store is the platform's key-value store.
