Standbys follow the active hosts by one summary a second

Cause: active hosts times standbys. Each of 90 active hosts sent heartbeats to the 298 standbys of its region and, less often, to all 894: 14,000 datagrams a second in the fleet, 15.6 to each standby; each standby sent its own to all 90.

Change: an active host sends heartbeats to standbys only when its own state changes. The host that confirms the state of a standby adds the digest of the active hosts, the load of its region and the upstreams that have announced that they leave, and the active hosts themselves if the standby knows others. Standbys send heartbeats to the active hosts of their region alone.

Tests for 90 and 180 active hosts: one summary of less than 64 bytes a second while nothing changes, a dead host is missed at most one summary after the sender, the region's load; an older summary replaces neither a new host nor a restarted one.

--- a/internal/entryhost/activation.go
+++ b/internal/entryhost/activation.go
@@ -139,7 +139,7 @@
 	c.d.wantsShares.Store(wantsShares)
 	c.activation.needsUpstreams = wantsShares
 	switch {
-	case !next[self.Instance]:
+	case !next[self.Instance] || now.Sub(c.hosts.confirmedAt) > hostsReadStoreAge:
 		c.activation.nextSince = time.Time{}
 	case c.activation.nextSince.IsZero():
 		c.activation.nextSince = now
--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -179,9 +179,13 @@
 func (c *control) requestConfirmAt(now time.Time, address string, request pendingConfirm) {
 	digests := c.digests()
 	request.withoutUpstreams = !c.holdsUpstreams
-	c.sendConfirmRequest(now, address, request, &fleet.ConfirmRequest{
+	q := &fleet.ConfirmRequest{
 		Base: digests.base, Upstreams: digests.upstreams, Hosts: c.hosts.digest.Sum(), WithoutUpstreams: request.withoutUpstreams,
-	})
+	}
+	if !c.ready {
+		q.Standby, q.Active = true, c.members.ActiveDigest()
+	}
+	c.sendConfirmRequest(now, address, request, q)
 }
 
 // sendConfirmRequest sends q to an address and records it as request.
@@ -212,6 +216,7 @@
 		c.applyPage(now, a, request)
 		return
 	}
+	c.applyActiveSummary(now, a.Active)
 	if a.Base == 0 || request.withoutUpstreams != !c.holdsUpstreams {
 		// The peer is of an earlier version, or this host has loaded or dropped the upstreams
 		// since the request.
@@ -220,6 +225,8 @@
 	c.applyPeerChanges(now, a.HostChanges)
 	if c.hosts.digest.Sum() == a.Hosts {
 		c.hosts.advanceConfirmedAt(request.sentAt.Add(-time.Duration(a.HostsAgeUs) * time.Microsecond))
+	} else if len(a.HostChanges) > 0 {
+		c.confirmRequests.due = time.Time{}
 	}
 	before := c.digests()
 	c.applyPeerChanges(now, a.Changes)
--- a/internal/entryhost/confirmserver.go
+++ b/internal/entryhost/confirmserver.go
@@ -36,6 +36,8 @@
 	hostsConfirmedAt time.Time
 	// revision is the store's revision that the digests describe.
 	revision uint64
+	// active is the summary for standbys; nil on a standby.
+	active *fleet.ActiveSummary
 }
 
 // hostsSection holds the entry hosts' registrations. They are confirmed separately from the
@@ -75,7 +77,7 @@
 // with their next confirmation request.
 func (c *control) publishSummary(now time.Time, watches bool) {
 	before := c.d.summary.Load()
-	next := storeSummary{c.digests(), c.holdsUpstreams, c.confirmedAt, c.hosts.digest.Sum(), c.hosts.confirmedAt, c.revision}
+	next := storeSummary{c.digests(), c.holdsUpstreams, c.confirmedAt, c.hosts.digest.Sum(), c.hosts.confirmedAt, c.revision, c.published.activeSummary}
 	if before != nil && *before == next {
 		return
 	}
@@ -91,6 +93,9 @@
 
 // matches reports whether a peer that sent a confirmation request holds the same state.
 func (s *storeSummary) matches(q *fleet.ConfirmRequest) bool {
+	if q.Standby && s.active != nil && q.Active != s.active.Digest {
+		return false
+	}
 	return q.Base == s.digests.base && q.Hosts == s.hostsDigest && (q.WithoutUpstreams || q.Upstreams == s.digests.upstreams)
 }
 
@@ -115,6 +120,9 @@
 	if !q.WithoutUpstreams {
 		a.Upstreams = summary.digests.upstreams
 	}
+	if q.Standby {
+		a.Active = summary.active
+	}
 	d.sendConfirmAnswer(a, summary.confirmedAt, summary.hostsConfirmedAt, from)
 }
 
@@ -132,6 +140,12 @@
 	if len(changes) > 0 {
 		c.addChanges(a, changes, q.WithoutUpstreams, from)
 	}
+	if q.Standby && c.ready {
+		a.Active = c.activeSummary()
+		if a.Active.Digest != q.Active {
+			a.Active.Hosts = append(c.members.ActiveHeartbeats(), c.compactHeartbeat(c.d.now()))
+		}
+	}
 	c.d.sendConfirmAnswer(a, c.confirmedAt, c.hosts.confirmedAt, from)
 }
 
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -68,14 +68,10 @@
 	// holdsShares is set while the registration entitles this host to hold rate shares.
 	holdsShares bool
 	sequence    uint64
-	// heartbeatDue is when the next full heartbeat to active hosts is due, and
-	// compactHeartbeatDue when the next compact heartbeat to standbys is due.
-	heartbeatDue, compactHeartbeatDue time.Time
-	// heartbeatToAll is set if the next compact heartbeat goes to all standbys, whether this
-	// host is active or not.
-	heartbeatToAll bool
-	// compactRounds counts the rounds of compact heartbeats to standbys.
-	compactRounds int
+	// heartbeatDue is when the next full heartbeat to active hosts is due.
+	heartbeatDue time.Time
+	// announceToStandbys is set if a compact heartbeat to all standbys is due.
+	announceToStandbys bool
 	// ready is set while this host is active and can serve callers.
 	ready      bool
 	activation activation
--- a/internal/entryhost/heartbeat.go
+++ b/internal/entryhost/heartbeat.go
@@ -9,18 +9,14 @@
 // announce makes heartbeats due at once. Only active hosts send heartbeats to standbys.
 func (c *control) announce(now time.Time) {
 	c.heartbeatDue = now
-	if c.ready {
-		c.compactHeartbeatDue = now
-	}
+	c.announceToStandbys = c.announceToStandbys || c.ready
 }
 
 // announceToAll makes heartbeats to every host due at once.
-func (c *control) announceToAll(now time.Time) {
-	c.heartbeatDue, c.compactHeartbeatDue, c.heartbeatToAll = now, now, true
-}
+func (c *control) announceToAll(now time.Time) { c.heartbeatDue, c.announceToStandbys = now, true }
 
-// sendHeartbeats sends the heartbeats that are due: full ones to active hosts and compact ones
-// to standbys. Standbys send no heartbeats to each other.
+// sendHeartbeats sends the heartbeats that are due: full ones to active hosts, and compact ones
+// to standbys after a change of this host's state. Standbys send no heartbeats to each other.
 func (c *control) sendHeartbeats(now time.Time) {
 	if !now.Before(c.heartbeatDue) {
 		c.heartbeatDue = now.Add(c.members.Interval(c.ready))
@@ -28,39 +24,59 @@
 		c.addLearned(now, b)
 		c.sendHeartbeat(b, c.activePeers())
 	}
-	if now.Before(c.compactHeartbeatDue) {
+	if !c.announceToStandbys {
 		return
 	}
-	c.compactHeartbeatDue = now.Add(c.members.IntervalToStandby())
-	c.compactRounds++
-	all := c.heartbeatToAll || c.compactRounds%fleet.RemoteRegionRounds == 0
-	sendsCompact := c.ready || c.heartbeatToAll
-	c.heartbeatToAll = false
-	if peers := c.members.StandbyPeers(all); sendsCompact && len(peers) > 0 {
-		b := c.heartbeat(now)
-		b.Brief = true
-		c.sendHeartbeat(b, peers)
+	c.announceToStandbys = false
+	if peers := c.members.StandbyPeers(); len(peers) > 0 {
+		c.sendHeartbeat(c.compactHeartbeat(now), peers)
 	}
 }
 
 // activePeers returns the addresses to which full heartbeats are sent: the known active hosts,
-// or the hosts of the active-hosts hint if none is known.
+// for a standby only those of its region, or the hosts of the active-hosts hint if none is known.
 func (c *control) activePeers() []string {
-	if peers := c.members.ReadyPeers(); len(peers) > 0 {
+	peers := c.members.ReadyPeers()
+	if !c.ready && !c.leaving && !c.announceToStandbys {
+		peers = c.members.RegionReadyPeers()
+	}
+	if len(peers) > 0 {
 		return peers
 	}
 	return c.hintedPeers
 }
 
+// activeSummary returns the summary of the active hosts for standbys, without their heartbeats.
+func (c *control) activeSummary() *fleet.ActiveSummary {
+	load, own := c.members.ActiveLoad(), c.d.meter.latest()
+	s := &fleet.ActiveSummary{Digest: c.members.ActiveDigest(), Region: c.d.self.Region, LeavingUpstreams: c.d.table.LeavingReports()}
+	if c.ready {
+		s.Digest = fleet.AddToActiveDigest(s.Digest, c.d.self.Instance, c.leaving)
+		load.RequestsPerSecond += own.RequestsPerSecond
+		load.ResponseMbps += own.ResponseMbps
+	}
+	s.RequestsPerSecond, s.AnswerMbps = float32(load.RequestsPerSecond), float32(load.ResponseMbps)
+	return s
+}
+
+// applyActiveSummary applies the summary that an active host has sent.
+func (c *control) applyActiveSummary(now time.Time, s *fleet.ActiveSummary) {
+	if c.ready || s == nil {
+		return
+	}
+	c.logMemberChanges(c.members.ApplyActiveSummary(now, s))
+	for _, id := range c.d.table.ApplyLeavingReports(s.LeavingUpstreams) {
+		c.d.events.Info("upstream leaving", "upstream", id, "source", "summary")
+	}
+}
+
 // replyToStandby sends a heartbeat to a standby of this region that was not known before. Until
 // a standby receives a heartbeat from an active host, it reads the store itself.
 func (c *control) replyToStandby(now time.Time, b *fleet.Heartbeat, changes []fleet.MemberChange) {
 	if !c.ready || b.Ready || b.Leaving || b.Region != c.d.self.Region || len(changes) == 0 {
 		return
 	}
-	own := c.heartbeat(now)
-	own.Brief = true
-	c.sendHeartbeat(own, []string{b.Peers})
+	c.sendHeartbeat(c.compactHeartbeat(now), []string{b.Peers})
 }
 
 func (c *control) sendHeartbeat(b *fleet.Heartbeat, peers []string) {
@@ -84,6 +100,13 @@
 	}
 }
 
+// compactHeartbeat returns a heartbeat without demand and warm objects.
+func (c *control) compactHeartbeat(now time.Time) *fleet.Heartbeat {
+	b := c.heartbeat(now)
+	b.Brief = true
+	return b
+}
+
 // addLearned adds the demand of customers at this host, the rate limits of upstreams and the
 // objects that upstreams are warm for.
 func (c *control) addLearned(now time.Time, b *fleet.Heartbeat) {
--- a/internal/entryhost/publish.go
+++ b/internal/entryhost/publish.go
@@ -18,8 +18,10 @@
 	generation, demandGeneration uint64
 	// peers are the other hosts that are alive.
 	peers []fleet.Member
-	self  selfState
-	state front.State
+	// activeSummary is the summary for standbys; nil on a standby.
+	activeSummary *fleet.ActiveSummary
+	self          selfState
+	state         front.State
 }
 
 // selfState is the state of this host on which the directory and the bucket hosts depend.
@@ -64,6 +66,10 @@
 	if c.ready {
 		hosts = append(hosts, place.Host{Instance: c.d.self.Instance, Zone: c.d.self.Zone, Region: c.d.self.Region})
 	}
+	c.published.activeSummary = nil
+	if c.ready {
+		c.published.activeSummary = c.activeSummary()
+	}
 	c.d.table.SetHosts(hosts)
 	c.d.bucketHosts.Store(newBucketHosts(c.d.self, c.ready && c.holdsShares, peers, c.members.Count()))
 	c.d.hostsUpdated.fire()
--- a/internal/entryhost/upstreamstate.go
+++ b/internal/entryhost/upstreamstate.go
@@ -22,7 +22,7 @@
 	upstreamRetention = 30 * time.Second
 	// nextStandbyDelay is how long a host must have been one of the next standbys before it loads
 	// the upstreams. A host that starts with many others knows few of them at first.
-	nextStandbyDelay = 3 * time.Second
+	nextStandbyDelay = 5 * time.Second
 	// upstreamLoadTimeout is how long peers may take to send the upstreams before the host lists
 	// them in the store.
 	upstreamLoadTimeout = 3 * time.Second
--- /dev/null
+++ b/internal/fleet/activesummary_test.go
@@ -0,0 +1,100 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"balsambarrow/internal/fleet"
+)
+
+// activeHeartbeat is a heartbeat of an active host.
+func activeHeartbeat(i int, sequence uint64) *fleet.Heartbeat {
+	name := fmt.Sprintf("front-%03d", i)
+	return &fleet.Heartbeat{
+		Instance: name + "-1", Host: name, Zone: "a1", Region: "r", Callers: "c-" + name, Peers: "p-" + name,
+		Sequence: sequence, Ready: true, Able: true, SeesStore: true, RequestsPerSecond: 10,
+	}
+}
+
+// summaryOf is what an active host that knows only others reports of them.
+func summaryOf(m *fleet.Members, known uint64) *fleet.ActiveSummary {
+	s := &fleet.ActiveSummary{Digest: m.ActiveDigest(), Region: "r", RequestsPerSecond: float32(m.ActiveLoad().RequestsPerSecond)}
+	if s.Digest != known {
+		s.Hosts = m.ActiveHeartbeats()
+	}
+	return s
+}
+
+// Guards against heartbeats of each active host to each standby, whose number grows with the
+// product of both. A standby follows the active hosts by one summary a second.
+func TestStandbyFollowsActiveHostsBySummary(t *testing.T) {
+	const (
+		// maxBytes bounds a summary of unchanged hosts.
+		maxBytes = 64
+		seconds  = 60
+	)
+	for _, active := range []int{90, 180} { // of 984 hosts, and of twice as many
+		t.Run(fmt.Sprint(active), func(t *testing.T) {
+			g := NewWithT(t)
+			sender := fleet.NewMembers("sender", "host-sender", "r")
+			sender.SetReady(true)
+			m := fleet.NewMembers("me", "host-me", "r")
+			withHosts := 0
+			exchange := func(now time.Time) {
+				s := summaryOf(sender, m.ActiveDigest())
+				if len(s.Hosts) > 0 {
+					withHosts++
+				} else {
+					g.Expect(proto.Size(s)).To(BeNumerically("<", maxBytes))
+				}
+				m.ApplyActiveSummary(now, s)
+				m.Expire(now)
+			}
+			for second := range seconds {
+				now := start.Add(time.Duration(second) * time.Second)
+				for i := range active {
+					if i == 0 && second >= seconds/2 {
+						continue // the first host has died
+					}
+					sender.ApplyHeartbeat(now, activeHeartbeat(i, uint64(second+1)))
+				}
+				before := len(sender.Alive())
+				sender.Expire(now)
+				exchange(now)
+				g.Expect(len(m.Alive())).To(BeElementOf(before, len(sender.Alive())), "at most one summary behind the sender")
+			}
+			g.Expect(m.Alive()).To(HaveLen(active-1), "the host that died is missed with the sender")
+			g.Expect(withHosts).To(BeNumerically("<=", 3), "at the first summary, and twice after the death of a host")
+			load := 0.0
+			for _, k := range m.Alive() {
+				load += k.Load.RequestsPerSecond
+			}
+			g.Expect(load).To(BeNumerically("~", 10*float64(active-1), 0.01))
+			m.Expire(start.Add((seconds + 10) * time.Second))
+			g.Expect(m.Alive()).To(BeEmpty(), "without summaries no host counts as active")
+		})
+	}
+}
+
+// Guards against a summary that is older than a heartbeat: a host that has just become active
+// must stay known, and one that has restarted must not be replaced by its earlier instance.
+func TestOlderSummaryDoesNotReplaceHeartbeats(t *testing.T) {
+	g := NewWithT(t)
+	sender := fleet.NewMembers("sender", "host-sender", "r")
+	sender.ApplyHeartbeat(start, activeHeartbeat(1, 5))
+	m := fleet.NewMembers("me", "host-me", "r")
+	restarted := activeHeartbeat(1, 1)
+	restarted.Instance = "front-001-2"
+	m.ApplyHeartbeat(start, restarted)
+	m.ApplyHeartbeat(start, activeHeartbeat(2, 1))
+	m.ApplyActiveSummary(start.Add(time.Second), summaryOf(sender, 0))
+	var alive []string
+	for _, k := range m.Alive() {
+		alive = append(alive, k.Instance)
+	}
+	g.Expect(alive).To(ConsistOf("front-001-2", "front-002-1"))
+}
--- a/internal/fleet/interval.go
+++ b/internal/fleet/interval.go
@@ -13,13 +13,10 @@
 	// minAliveTime is the least time for which a host counts as alive after a heartbeat:
 	// four heartbeats at the shortest interval and a lost one.
 	minAliveTime = 1300 * time.Millisecond
-	// standbyInterval is the least time between heartbeats to a standby host. Callers
-	// cache a response of the directory for longer than that.
-	standbyInterval = time.Second
-	// RemoteRegionRounds is the number of heartbeats that an active host sends to the
-	// standby hosts of its region for each one to those of other regions. Standby hosts
-	// need the heartbeats from other regions only if their region has no active host.
-	RemoteRegionRounds = 4
+	// summaryTTL is how long a standby counts an active host as alive after the last
+	// heartbeat or summary that reported it. An active host answers each standby once a
+	// second, and several seconds may pass until the standby asks another one.
+	summaryTTL = 8 * time.Second
 	// missedIntervals is the number of intervals without a heartbeat after which a
 	// host counts as unresponsive.
 	missedIntervals = 4
@@ -39,26 +36,18 @@
 	return Interval(len(m.byInstance) + 1)
 }
 
-// IntervalToStandby returns the time between the heartbeats of an active host to the
-// standby hosts of its region. Standby hosts need to know little more than which hosts
-// are active.
-func (m *Members) IntervalToStandby() time.Duration { return max(standbyInterval, 2*m.Interval(true)) }
-
 // SetReady sets whether this host is active. The other hosts send heartbeats to an
 // active host more often.
 func (m *Members) SetReady(ready bool) { m.selfReady = ready }
 
-// intervalFrom returns the interval between a member's heartbeats to this host.
-func (m *Members) intervalFrom(k *Member) time.Duration {
-	switch {
-	case m.selfReady || !k.Ready:
-		return m.Interval(k.Ready)
-	case k.Region == m.region:
-		return m.IntervalToStandby()
+// aliveTime returns how long a member counts as alive after its last heartbeat.
+func (m *Members) aliveTime(k *Member) time.Duration {
+	if k.Ready && !m.selfReady {
+		return summaryTTL
 	}
-	return RemoteRegionRounds * m.IntervalToStandby()
+	return max(minAliveTime, missedIntervals*m.Interval(k.Ready))
 }
 
-func (k *Member) isAlive(now time.Time, interval time.Duration) bool {
-	return k.sequence > 0 && now.Sub(k.lastHeartbeat) < max(minAliveTime, missedIntervals*interval)
+func (k *Member) isAlive(now time.Time, aliveTime time.Duration) bool {
+	return k.sequence > 0 && now.Sub(k.lastHeartbeat) < aliveTime
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -194,7 +194,7 @@
 			changes = append(changes, MemberChange{*k, "forgotten"})
 			continue
 		}
-		if alive := k.isAlive(now, m.intervalFrom(k)); alive != k.alive {
+		if alive := k.isAlive(now, m.aliveTime(k)); alive != k.alive {
 			k.alive = alive
 			m.generation++
 		}
--- a/internal/fleet/views.go
+++ b/internal/fleet/views.go
@@ -74,10 +74,17 @@
 	return m.peers((*Member).isActive)
 }
 
-// StandbyPeers returns the peer addresses of the other hosts, either of this host's
-// region or of all regions.
-func (m *Members) StandbyPeers(all bool) []string {
-	return m.peers(func(k *Member) bool { return !k.isActive() && (all || k.Region == m.region) })
+// RegionReadyPeers returns the ReadyPeers of this host's region, or all if it has none.
+func (m *Members) RegionReadyPeers() []string {
+	if own := m.peers(func(k *Member) bool { return k.isActive() && k.Region == m.region }); len(own) > 0 {
+		return own
+	}
+	return m.ReadyPeers()
+}
+
+// StandbyPeers returns the peer addresses of the other hosts.
+func (m *Members) StandbyPeers() []string {
+	return m.peers(func(k *Member) bool { return !k.isActive() })
 }
 
 // isActive reports whether the host is active in this host's view. A host that has
