--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -222,10 +222,12 @@
 		// since the request.
 		return
 	}
+	hostsBefore := c.hosts.digest.Sum()
 	c.applyPeerChanges(now, a.HostChanges)
 	if c.hosts.digest.Sum() == a.Hosts {
 		c.hosts.advanceConfirmedAt(request.sentAt.Add(-time.Duration(a.HostsAgeUs) * time.Microsecond))
-	} else if len(a.HostChanges) > 0 {
+	} else if c.hosts.digest.Sum() != hostsBefore {
+		// More registrations are missing than fit into one response.
 		c.confirmRequests.due = time.Time{}
 	}
 	before := c.digests()
