Standbys and active hosts send each other no periodic heartbeats of the whole fleet

Cause: readiness, shares and losses of the store made each of 90 active hosts send to all 894 standbys at once, 88,000 datagrams each time, and each active host answered each standby of its region; standbys sent to all active hosts of their region, four times a second while they knew few others (the interval grew with the known hosts).

Change: changes of active hosts reach standbys with the next summary, whose digest covers readiness, leaving and the reach of the store; an active host announces itself to standbys only while its region has at most two others. A standby sends its heartbeats each 2 s to three active hosts that differ from standby to standby, and says when it seeks one. A watcher that is behind says so, and hosts do not read the store past it.

Tests: three targets for 90 and 180 active hosts, spread evenly.

--- a/internal/entryhost/activehosts.go
+++ b/internal/entryhost/activehosts.go
@@ -29,6 +29,9 @@
 const (
 	// maxHintHosts is the number of hosts of each region in the hint.
 	maxHintHosts = 16
+	// maxHintedPeers is the number of hosts in the hint to which a host sends heartbeats until it
+	// knows an active host.
+	maxHintedPeers = 4
 	// minStrongerHosts is the least number of stronger hosts in its region with which a host
 	// requests the state of the store from them instead of listing the store.
 	minStrongerHosts = 3
@@ -120,8 +123,9 @@
 		}
 		return 0, false
 	}
+	rand.Shuffle(len(stronger), func(i, j int) { stronger[i], stronger[j] = stronger[j], stronger[i] })
 	d.control.send(func(c *control) {
-		c.hintedPeers = stronger
+		c.hintedPeers = stronger[:min(len(stronger), maxHintedPeers)]
 		c.heartbeatDue = time.Time{}
 	})
 	return d.loadFromPeers(ctx, stronger)
--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -56,6 +56,9 @@
 	lastID  uint64
 	due     time.Time
 	pending map[uint64]pendingConfirm
+	// behindUntil is the time until which a peer that reported that it is behind is not bypassed
+	// by reading the store.
+	behindUntil time.Time
 	// refreshedAt is when the last request was sent on behalf of a waiting caller's request.
 	refreshedAt time.Time
 }
@@ -136,7 +139,7 @@
 	if !c.ready {
 		interval, extraAge = standbyConfirmInterval, standbyExtraAge
 	}
-	if !watches && !c.confirmedAt.IsZero() && now.Sub(c.confirmedAt) > readStoreAge+extraAge && c.readsAsFallback() {
+	if !watches && !c.confirmedAt.IsZero() && now.Sub(c.confirmedAt) > readStoreAge+extraAge && c.readsAsFallback() && !now.Before(c.confirmRequests.behindUntil) {
 		c.d.readStoreNow("not confirmed")
 	}
 	c.refreshHostRegistrations(now)
@@ -217,6 +220,9 @@
 		return
 	}
 	c.applyActiveSummary(now, a.Active)
+	if a.Behind {
+		c.confirmRequests.behindUntil = now.Add(readStoreAge)
+	}
 	if a.Base == 0 || request.withoutUpstreams != !c.holdsUpstreams {
 		// The peer is of an earlier version, or this host has loaded or dropped the upstreams
 		// since the request.
@@ -254,7 +260,7 @@
 		c.confirmRequests.due = now.Add(deferredRetryDelay)
 		c.requestFromSources(now, a, request)
 	case request.referred:
-	case a.Revision > 0 && a.Revision < c.revision:
+	case a.Behind || a.Revision > 0 && a.Revision < c.revision:
 		// The peer is behind and catches up with its next read of the store.
 	default:
 		c.d.readStoreNow("changes not known to the peer")
--- a/internal/entryhost/confirmserver.go
+++ b/internal/entryhost/confirmserver.go
@@ -38,6 +38,7 @@
 	revision uint64
 	// active is the summary for standbys; nil on a standby.
 	active *fleet.ActiveSummary
+	behind bool
 }
 
 // hostsSection holds the entry hosts' registrations. They are confirmed separately from the
@@ -77,7 +78,7 @@
 // with their next confirmation request.
 func (c *control) publishSummary(now time.Time, watches bool) {
 	before := c.d.summary.Load()
-	next := storeSummary{c.digests(), c.holdsUpstreams, c.confirmedAt, c.hosts.digest.Sum(), c.hosts.confirmedAt, c.revision, c.published.activeSummary}
+	next := storeSummary{c.digests(), c.holdsUpstreams, c.confirmedAt, c.hosts.digest.Sum(), c.hosts.confirmedAt, c.revision, c.published.activeSummary, c.behind}
 	if before != nil && *before == next {
 		return
 	}
@@ -116,7 +117,7 @@
 		d.control.send(func(c *control) { c.respondWithChanges(q, from) })
 		return
 	}
-	a := &fleet.ConfirmAnswer{Id: q.Id, Base: summary.digests.base, Hosts: summary.hostsDigest, Revision: summary.revision}
+	a := &fleet.ConfirmAnswer{Id: q.Id, Base: summary.digests.base, Hosts: summary.hostsDigest, Revision: summary.revision, Behind: summary.behind}
 	if !q.WithoutUpstreams {
 		a.Upstreams = summary.digests.upstreams
 	}
@@ -130,7 +131,7 @@
 // carries the changes that the peer lacks, if they are known and fit into it, or the addresses
 // of patch sources, if this host has used up its link's send allowance.
 func (c *control) respondWithChanges(q *fleet.ConfirmRequest, from string) {
-	a := &fleet.ConfirmAnswer{Id: q.Id, Base: c.base.digest.Sum(), Hosts: c.hosts.digest.Sum(), Revision: c.revision}
+	a := &fleet.ConfirmAnswer{Id: q.Id, Base: c.base.digest.Sum(), Hosts: c.hosts.digest.Sum(), Revision: c.revision, Behind: c.behind}
 	changes := changesSince(&c.base.journal, q.Base, maxChangeBytes)
 	if !q.WithoutUpstreams {
 		a.Upstreams = c.upstreams.digest.Sum()
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -54,6 +54,8 @@
 	// configuration is the encoded value of catalog.
 	configuration  []byte
 	evacuatedZones map[string]bool
+	// behind is set if the store's last response left out changes because they were many.
+	behind bool
 	// confirmedAt is the latest time as of which the state is known to have matched the store.
 	confirmedAt time.Time
 	// listed is set once the host has received the state of the store, apart from the upstreams,
@@ -216,7 +218,7 @@
 	now := c.d.now()
 	changes, newer := c.members.ApplyHeartbeat(now, b)
 	c.logMemberChanges(changes)
-	c.replyToStandby(now, b, changes)
+	c.replyToStandby(now, b)
 	c.d.table.ApplyWarmReports(now, b.Warm)
 	if newer {
 		c.applyAnnouncements(now, b)
--- a/internal/entryhost/heartbeat.go
+++ b/internal/entryhost/heartbeat.go
@@ -6,21 +6,33 @@
 	"balsambarrow/internal/fleet"
 )
 
-// announce makes heartbeats due at once. Only active hosts send heartbeats to standbys.
-func (c *control) announce(now time.Time) {
+// fewActive is the number of other active hosts of a region up to which an active host announces
+// itself to the standbys, because they may not know one that they could ask for a summary.
+const fewActive = 2
+
+// seekInterval is the time between heartbeats of a host that knows no active host.
+const seekInterval = 500 * time.Millisecond
+
+// announce makes heartbeats to active hosts due at once. Standbys learn of the change with their
+// next summary.
+func (c *control) announce(now time.Time) { c.heartbeatDue = now }
+
+// announceToAll makes heartbeats to active hosts due at once, and to standbys while the region has
+// few active hosts.
+func (c *control) announceToAll(now time.Time) {
 	c.heartbeatDue = now
-	c.announceToStandbys = c.announceToStandbys || c.ready
+	c.announceToStandbys = len(c.d.directory.Load().activePeers(c.isOwnRegion)) <= fewActive
 }
 
-// announceToAll makes heartbeats to every host due at once.
-func (c *control) announceToAll(now time.Time) { c.heartbeatDue, c.announceToStandbys = now, true }
-
 // sendHeartbeats sends the heartbeats that are due: full ones to active hosts, and compact ones
 // to standbys after a change of this host's state. Standbys send no heartbeats to each other.
 func (c *control) sendHeartbeats(now time.Time) {
 	if !now.Before(c.heartbeatDue) {
 		c.heartbeatDue = now.Add(c.members.Interval(c.ready))
 		b := c.heartbeat(now)
+		if b.SeeksActive {
+			c.heartbeatDue = now.Add(seekInterval)
+		}
 		c.addLearned(now, b)
 		c.sendHeartbeat(b, c.activePeers())
 	}
@@ -34,11 +46,11 @@
 }
 
 // activePeers returns the addresses to which full heartbeats are sent: the known active hosts,
-// for a standby only those of its region, or the hosts of the active-hosts hint if none is known.
+// for a standby a few of them, or the hosts of the active-hosts hint if none is known.
 func (c *control) activePeers() []string {
 	peers := c.members.ReadyPeers()
-	if !c.ready && !c.leaving && !c.announceToStandbys {
-		peers = c.members.RegionReadyPeers()
+	if !c.ready && !c.leaving {
+		peers = c.members.StandbyTargets()
 	}
 	if len(peers) > 0 {
 		return peers
@@ -51,7 +63,7 @@
 	load, own := c.members.ActiveLoad(), c.d.meter.latest()
 	s := &fleet.ActiveSummary{Digest: c.members.ActiveDigest(), Region: c.d.self.Region, LeavingUpstreams: c.d.table.LeavingReports()}
 	if c.ready {
-		s.Digest = fleet.AddToActiveDigest(s.Digest, c.d.self.Instance, c.leaving)
+		s.Digest = fleet.AddToActiveDigest(s.Digest, c.d.self.Instance, c.leaving, !c.storeUnreachable)
 		load.RequestsPerSecond += own.RequestsPerSecond
 		load.ResponseMbps += own.ResponseMbps
 	}
@@ -70,10 +82,10 @@
 	}
 }
 
-// replyToStandby sends a heartbeat to a standby of this region that was not known before. Until
+// replyToStandby sends a heartbeat to a standby of this region that knows no active host. Until
 // a standby receives a heartbeat from an active host, it reads the store itself.
-func (c *control) replyToStandby(now time.Time, b *fleet.Heartbeat, changes []fleet.MemberChange) {
-	if !c.ready || b.Ready || b.Leaving || b.Region != c.d.self.Region || len(changes) == 0 {
+func (c *control) replyToStandby(now time.Time, b *fleet.Heartbeat) {
+	if !c.ready || !b.SeeksActive || b.Region != c.d.self.Region {
 		return
 	}
 	c.sendHeartbeat(c.compactHeartbeat(now), []string{b.Peers})
@@ -93,7 +105,8 @@
 		Instance: s.Instance, Host: s.Name, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Peers: s.Peers,
 		Sequence: c.sequence, Ready: c.ready, Leaving: c.leaving, Version: c.version(),
 		Able: c.canServe(now), Registered: c.holdsShares, SeesStore: !c.storeUnreachable,
-		BaseDigest: digests.base, UpstreamsDigest: digests.upstreams,
+		SeeksActive: !c.ready && !c.leaving && !c.d.directory.Load().anyReady(),
+		BaseDigest:  digests.base, UpstreamsDigest: digests.upstreams,
 		Cores: float32(capacity.Cores), LinkMbps: float32(capacity.LinkMbps),
 		RequestsPerSecond: float32(load.RequestsPerSecond), AnswerMbps: float32(load.ResponseMbps),
 		LeavingUpstreams: c.d.table.LeavingReports(),
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -93,6 +93,7 @@
 	s.c.send(func(c *control) {
 		now := c.d.now()
 		c.upstreamRegistry.StoreReached(now)
+		c.behind = changes.More
 		c.applyChanges(now, changes.Events)
 		c.revision = max(c.revision, changes.Revision)
 		c.noteStoreReached(asOf)
--- a/internal/fleet/activesummary.go
+++ b/internal/fleet/activesummary.go
@@ -11,15 +11,18 @@
 // How standbys learn which hosts are active.
 //
 // Heartbeats of each active host to each standby grow with the product of both. An active host
-// sends them to standbys only when its state changes. Otherwise one active host of the region
-// reports the digest of all active hosts to each standby, and the hosts themselves if the standby
-// knows others.
+// therefore sends them to standbys only while its region has few others. Otherwise one active host
+// of the region reports the digest of all active hosts to each standby, and the hosts themselves if
+// the standby knows others.
 
 // activeHash returns the hash by which an active host enters the digest.
-func activeHash(instance string, leaving bool) uint64 {
+func activeHash(instance string, leaving, storeReachable bool) uint64 {
 	if leaving {
 		instance += "/leaving"
 	}
+	if !storeReachable {
+		instance += "/store-lost"
+	}
 	return xxhash.Sum64String(instance)
 }
 
@@ -29,15 +32,15 @@
 	var sum uint64
 	for _, k := range m.byInstance {
 		if k.alive && k.Ready {
-			sum ^= activeHash(k.Instance, k.Leaving)
+			sum ^= activeHash(k.Instance, k.Leaving, k.StoreReachable)
 		}
 	}
 	return sum
 }
 
 // AddToActiveDigest returns a digest of other active hosts with this host added.
-func AddToActiveDigest(digest uint64, instance string, leaving bool) uint64 {
-	return digest ^ activeHash(instance, leaving)
+func AddToActiveDigest(digest uint64, instance string, leaving, storeReachable bool) uint64 {
+	return digest ^ activeHash(instance, leaving, storeReachable)
 }
 
 // ActiveHeartbeats returns compact heartbeats of the other active hosts that are alive, for a
--- a/internal/fleet/activesummary_test.go
+++ b/internal/fleet/activesummary_test.go
@@ -98,3 +98,31 @@
 	}
 	g.Expect(alive).To(ConsistOf("front-001-2", "front-002-1"))
 }
+
+// Guards against heartbeats of standbys whose number grows with active hosts times standbys.
+func TestStandbySendsHeartbeatsToFewActiveHosts(t *testing.T) {
+	const wanted = 3
+	for _, active := range []int{90, 180} { // of 984 hosts, and of twice as many
+		t.Run(fmt.Sprint(active), func(t *testing.T) {
+			g := NewWithT(t)
+			standbys := 10 * active
+			received := map[string]int{}
+			for i := range standbys {
+				m := fleet.NewMembers(fmt.Sprint("standby-", i), fmt.Sprint("host-", i), "r")
+				for a := range active {
+					m.ApplyHeartbeat(start, activeHeartbeat(a, 1))
+				}
+				targets := m.StandbyTargets()
+				g.Expect(targets).To(HaveLen(wanted))
+				for _, target := range targets {
+					received[target]++
+				}
+				g.Expect(m.Interval(false)).To(BeNumerically(">=", time.Second))
+			}
+			mean := wanted * standbys / active
+			for _, n := range received {
+				g.Expect(n).To(BeNumerically("<=", 3*mean), "the heartbeats are spread over the active hosts")
+			}
+		})
+	}
+}
--- a/internal/fleet/interval.go
+++ b/internal/fleet/interval.go
@@ -13,6 +13,8 @@
 	// minAliveTime is the least time for which a host counts as alive after a heartbeat:
 	// four heartbeats at the shortest interval and a lost one.
 	minAliveTime = 1300 * time.Millisecond
+	// standbyInterval is the time between heartbeats of a standby, which go to few hosts.
+	standbyInterval = 2 * time.Second
 	// summaryTTL is how long a standby counts an active host as alive after the last
 	// heartbeat or summary that reported it. An active host answers each standby once a
 	// second, and several seconds may pass until the standby asks another one.
@@ -26,14 +28,12 @@
 func Interval(n int) time.Duration { return max(minInterval, time.Duration(n)*intervalPerHost) }
 
 // Interval returns the time between the heartbeats of a host to the active hosts; ready
-// reports whether the sending host is itself active. In a fleet of different machines
-// the active hosts are few, and what they report of customers and objects is needed
-// sooner than the heartbeats of standby hosts.
+// reports whether the sending host is itself active.
 func (m *Members) Interval(ready bool) time.Duration {
 	if ready {
 		return Interval(m.readyCount + 1)
 	}
-	return Interval(len(m.byInstance) + 1)
+	return standbyInterval
 }
 
 // SetReady sets whether this host is active. The other hosts send heartbeats to an
--- a/internal/fleet/views.go
+++ b/internal/fleet/views.go
@@ -1,8 +1,11 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"sort"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Alive returns the hosts that are alive, sorted by instance.
@@ -74,12 +77,34 @@
 	return m.peers((*Member).isActive)
 }
 
-// RegionReadyPeers returns the ReadyPeers of this host's region, or all if it has none.
-func (m *Members) RegionReadyPeers() []string {
-	if own := m.peers(func(k *Member) bool { return k.isActive() && k.Region == m.region }); len(own) > 0 {
-		return own
+// standbyFanout is the number of active hosts to which a standby sends heartbeats.
+const standbyFanout = 3
+
+// StandbyTargets returns the peer addresses to which this host sends heartbeats while it is a
+// standby: a few of the ReadyPeers of its region, or of all regions if its own has none. They
+// differ from standby to standby.
+func (m *Members) StandbyTargets() []string {
+	var near, all []*Member
+	for _, k := range m.byInstance {
+		if !k.isActive() {
+			continue
+		}
+		all = append(all, k)
+		if k.Region == m.region {
+			near = append(near, k)
+		}
+	}
+	if len(near) > 0 {
+		all = near
 	}
-	return m.ReadyPeers()
+	slices.SortFunc(all, func(a, b *Member) int {
+		return cmp.Compare(xxhash.Sum64String(m.self+a.Instance), xxhash.Sum64String(m.self+b.Instance))
+	})
+	out := make([]string, 0, standbyFanout)
+	for _, k := range all[:min(len(all), standbyFanout)] {
+		out = append(out, k.PeerAddress)
+	}
+	return out
 }
 
 // StandbyPeers returns the peer addresses of the other hosts.
