The digest of active hosts covers whether they hold shares

Cause, found by reading: standbys receive no periodic heartbeats any more, so a change of an active host that the digest leaves out would stay unknown to them; one that begins to hold shares of rates after it became active was no owner of buckets for standbys. The test covers each such change.

--- a/internal/entryhost/heartbeat.go
+++ b/internal/entryhost/heartbeat.go
@@ -63,7 +63,9 @@
 	load, own := c.members.ActiveLoad(), c.d.meter.latest()
 	s := &fleet.ActiveSummary{Digest: c.members.ActiveDigest(), Region: c.d.self.Region, LeavingUpstreams: c.d.table.LeavingReports()}
 	if c.ready {
-		s.Digest = fleet.AddToActiveDigest(s.Digest, c.d.self.Instance, c.leaving, !c.storeUnreachable)
+		s.Digest = fleet.AddToActiveDigest(s.Digest, fleet.ActiveState{
+			Instance: c.d.self.Instance, Leaving: c.leaving, StoreReachable: !c.storeUnreachable, Registered: c.holdsShares,
+		})
 		load.RequestsPerSecond += own.RequestsPerSecond
 		load.ResponseMbps += own.ResponseMbps
 	}
--- a/internal/fleet/activesummary.go
+++ b/internal/fleet/activesummary.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,15 +16,20 @@
 // of the region reports the digest of all active hosts to each standby, and the hosts themselves if
 // the standby knows others.
 
-// activeHash returns the hash by which an active host enters the digest.
-func activeHash(instance string, leaving, storeReachable bool) uint64 {
-	if leaving {
-		instance += "/leaving"
-	}
-	if !storeReachable {
-		instance += "/store-lost"
-	}
-	return xxhash.Sum64String(instance)
+// ActiveState is what standbys have to know of an active host.
+type ActiveState struct {
+	Instance string
+	// Leaving, StoreReachable and Registered are those of Member.
+	Leaving, StoreReachable, Registered bool
+}
+
+// hash returns the hash by which an active host enters the digest.
+func (s ActiveState) hash() uint64 {
+	return xxhash.Sum64String(fmt.Sprint(s.Instance, s.Leaving, s.StoreReachable, s.Registered))
+}
+
+func (k *Member) activeState() ActiveState {
+	return ActiveState{k.Instance, k.Leaving, k.StoreReachable, k.Registered}
 }
 
 // ActiveDigest returns a digest of the active hosts that are alive, without this host. It does
@@ -32,16 +38,14 @@
 	var sum uint64
 	for _, k := range m.byInstance {
 		if k.alive && k.Ready {
-			sum ^= activeHash(k.Instance, k.Leaving, k.StoreReachable)
+			sum ^= k.activeState().hash()
 		}
 	}
 	return sum
 }
 
 // AddToActiveDigest returns a digest of other active hosts with this host added.
-func AddToActiveDigest(digest uint64, instance string, leaving, storeReachable bool) uint64 {
-	return digest ^ activeHash(instance, leaving, storeReachable)
-}
+func AddToActiveDigest(digest uint64, s ActiveState) uint64 { return digest ^ s.hash() }
 
 // ActiveHeartbeats returns compact heartbeats of the other active hosts that are alive, for a
 // standby that knows others.
--- a/internal/fleet/activesummary_test.go
+++ b/internal/fleet/activesummary_test.go
@@ -99,6 +99,47 @@
 	g.Expect(alive).To(ConsistOf("front-001-2", "front-002-1"))
 }
 
+// Guards against a standby that does not learn of a change of an active host, since it receives
+// no heartbeats: it would send callers to a host that leaves, ask one that has lost the store for
+// its state, or request tokens from one that may not grant any.
+func TestSummaryCoversTheStateOfActiveHosts(t *testing.T) {
+	for name, change := range map[string]func(*fleet.Heartbeat){
+		"leaving":       func(b *fleet.Heartbeat) { b.Leaving = true },
+		"store lost":    func(b *fleet.Heartbeat) { b.SeesStore = false },
+		"holds shares":  func(b *fleet.Heartbeat) { b.Registered = true },
+		"standby again": func(b *fleet.Heartbeat) { b.Ready = false },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			sender, m := fleet.NewMembers("sender", "host-sender", "r"), fleet.NewMembers("me", "host-me", "r")
+			for i := range 3 {
+				sender.ApplyHeartbeat(start, activeHeartbeat(i, 1))
+			}
+			m.ApplyActiveSummary(start, summaryOf(sender, m.ActiveDigest()))
+			changed := activeHeartbeat(1, 2)
+			change(changed)
+			later := start.Add(2 * time.Second)
+			sender.ApplyHeartbeat(later, changed)
+			m.ApplyActiveSummary(later, summaryOf(sender, m.ActiveDigest()))
+			g.Expect(m.ActiveDigest()).To(Equal(sender.ActiveDigest()))
+			ready := 0
+			for _, k := range m.Alive() {
+				if k.Ready {
+					ready++
+				}
+				if k.Instance == changed.Instance {
+					g.Expect([]bool{k.Leaving, k.StoreReachable, k.Registered}).To(Equal([]bool{changed.Leaving, changed.SeesStore, changed.Registered}))
+				}
+			}
+			want := 3
+			if !changed.Ready {
+				want = 2
+			}
+			g.Expect(ready).To(Equal(want))
+		})
+	}
+}
+
 // Guards against heartbeats of standbys whose number grows with active hosts times standbys.
 func TestStandbySendsHeartbeatsToFewActiveHosts(t *testing.T) {
 	const wanted = 3
