Activation decisions use the present load of the hosts

Cause, found by reading: the copy of the peers that decides which hosts are active was renewed only when the set of hosts changed, so their loads were as old as the last change. While all hosts sent heartbeats to all, some change came often enough; with summaries none may come for a long time, and standbys would not become active when the load grows. The copy is renewed once a second. The test failed before.

--- a/internal/entryhost/publish.go
+++ b/internal/entryhost/publish.go
@@ -37,11 +37,11 @@
 		c.logMemberChanges(c.members.Expire(now))
 	}
 	changed := p.generation != c.members.Generation()
-	if changed {
+	review := now.Sub(p.reviewedAt) >= reviewInterval
+	if changed || review {
 		p.generation, p.peers = c.members.Generation(), c.members.Alive()
 	}
 	c.updateReady(now, p.peers)
-	review := now.Sub(p.reviewedAt) >= reviewInterval
 	next := selfState{c.ready, c.leaving, !c.storeUnreachable, c.holdsShares}
 	if changed || review || next != p.self {
 		p.self, p.reviewedAt = next, now
