--- a/cmd/balsambarrowd/entry.go
+++ b/cmd/balsambarrowd/entry.go
@@ -49,24 +49,35 @@
 }
 
 const (
-	// gcPercent is the GOGC value: the growth of the heap between two garbage collections.
-	// It is above the default of 100, because most hosts have a small fraction of a core
-	// and far more memory than the live heap needs.
-	gcPercent = 200
+	// activeGCPercent is the GOGC value of an active host: the growth of the heap between two
+	// garbage collections. It is above the default of 100, because most hosts have a small
+	// fraction of a core and far more memory than the live heap needs.
+	activeGCPercent = 200
+	// standbyGCPercent is the GOGC value of a standby. Standbys are many, have a small live heap
+	// and allocate little.
+	standbyGCPercent = 25
 	// memoryLimitFraction is the fraction of the host's memory that is set as the memory
 	// limit of the Go runtime, above which garbage collections become more frequent.
 	memoryLimitFraction = 0.5
 	bytesPerMB          = 1 << 20
 )
 
-// configureGC reduces the processor time of garbage collections at the cost of memory, if
-// the settings declare the memory of the host.
-func configureGC(s *entryhost.Settings) {
+// configureGC reduces the processor time of garbage collections at the cost of memory on an
+// active host, and the opposite on a standby, if the settings declare the memory of the host. It
+// returns a function to call when the host becomes active or a standby.
+func configureGC(s *entryhost.Settings) (onActive func(active bool)) {
 	if s.Capacity.MemoryMB <= 0 {
-		return
+		return nil
 	}
-	debug.SetGCPercent(gcPercent)
+	debug.SetGCPercent(standbyGCPercent)
 	debug.SetMemoryLimit(int64(memoryLimitFraction * s.Capacity.MemoryMB * bytesPerMB))
+	return func(active bool) {
+		if active {
+			debug.SetGCPercent(activeGCPercent)
+			return
+		}
+		debug.SetGCPercent(standbyGCPercent)
+	}
 }
 
 func serveEntry(path string, s *entryhost.Settings) error {
@@ -74,7 +85,7 @@
 	// ends the process, and the platform would restart it.
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	configureGC(s)
+	onActive := configureGC(s)
 	metrics := telemetry.NewMetrics()
 	events := telemetry.NewEvents(os.Stdout, s.LogLevel, s.Host)
 	events.OnDropped = metrics.LinesDropped
@@ -92,6 +103,7 @@
 	if err != nil {
 		return err
 	}
+	d.OnActive = onActive
 	d.Start()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/entryhost/activation.go
+++ b/internal/entryhost/activation.go
@@ -66,6 +66,9 @@
 	}
 	c.ready = ready
 	c.members.SetReady(ready)
+	if c.d.OnActive != nil {
+		c.d.OnActive(ready)
+	}
 	if ready {
 		c.rereadSnapshot(now)
 	}
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -41,6 +41,10 @@
 
 // Daemon is a running entry host.
 type Daemon struct {
+	// OnActive is called when the host becomes active, and when it becomes a standby again.
+	// Optional; it must be set before Start.
+	OnActive func(active bool)
+
 	settings      atomic.Pointer[Settings]
 	self          Self
 	events        *telemetry.Events
