Standbys that start without active hosts do not list all upstreams

Change: such a host lists the operators' keys and the registrations of hosts, and copies the upstreams only when it is selected.

--- a/internal/entryhost/activehosts.go
+++ b/internal/entryhost/activehosts.go
@@ -23,8 +23,8 @@
 // behind all the others. The fleet therefore keeps a small key in the store, the active-hosts
 // hint, which names the active hosts. A host that is much weaker than the hosts in the hint
 // sends them its heartbeats, directs callers to them as soon as it receives their heartbeats,
-// and requests the state of the store from them. It lists the store itself only if they do not
-// send it.
+// and copies the state of the store from them, apart from the upstreams. It lists that part of
+// the store itself only if they do not send it.
 
 const (
 	// maxHintHosts is the number of hosts of each region in the hint.
@@ -104,8 +104,8 @@
 }
 
 // startFromHint reads the active-hosts hint before the first listing. A host that is weak
-// compared with the hosts in the hint sends them its heartbeats and requests the state of the
-// store from them. startFromHint returns the revision of that state, or false if the host has
+// compared with the hosts in the hint sends them its heartbeats and copies the state of the
+// store from them, apart from the upstreams. startFromHint returns the revision of that state, or false if the host has
 // to list the store itself.
 func (d *Daemon) startFromHint(ctx context.Context) (revision uint64, ok bool) {
 	hint, known := d.fetchHint(ctx)
@@ -128,7 +128,42 @@
 		c.hintedPeers = stronger[:min(len(stronger), maxHintedPeers)]
 		c.heartbeatDue = time.Time{}
 	})
-	return d.loadFromPeers(ctx, stronger)
+	if revision, ok := d.loadFromPeers(ctx, stronger); ok {
+		return revision, true
+	}
+	return d.listWithoutUpstreams(ctx)
+}
+
+// listWithoutUpstreams lists the state of the store, apart from the upstreams. After a loss of all
+// hosts the stronger ones take seconds to list thousands of upstreams, and hundreds of standbys
+// that listed them too would delay them further.
+func (d *Daemon) listWithoutUpstreams(ctx context.Context) (revision uint64, ok bool) {
+	sentAt := d.now()
+	bounded, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
+	defer cancel()
+	var items []kv.Item
+	for _, prefix := range []string{platform.OperatorPrefix, platform.HostPrefix} {
+		l, err := d.store.List(bounded, prefix, false)
+		if err != nil {
+			return 0, false
+		}
+		items = append(items, l.Items...)
+		if revision == 0 || l.Revision < revision {
+			revision = l.Revision
+		}
+	}
+	d.control.send(func(c *control) {
+		if c.listed {
+			return
+		}
+		c.replaceState(c.d.now(), items, false)
+		c.revision = revision
+		c.noteStoreReached(sentAt)
+		close(d.listed)
+	})
+	await(ctx, d.listed, storeCallTimeout)
+	d.readWhenRegistered.Store(true)
+	return revision, isClosed(d.listed)
 }
 
 // fetchHint reads the hint, which is empty if the store has none. It returns false if the store
