--- a/internal/entryhost/activation.go
+++ b/internal/entryhost/activation.go
@@ -139,7 +139,7 @@
 	// registers as a host that holds them.
 	selected, next := standby.Select(all, self.Region)
 	wantsShares := c.activation.active || selected[self.Instance]
-	c.d.wantsShares.Store(wantsShares)
+	c.d.setWantsShares(wantsShares)
 	c.activation.needsUpstreams = wantsShares
 	switch {
 	case !next[self.Instance] || now.Sub(c.hosts.confirmedAt) > hostsReadStoreAge:
--- a/internal/entryhost/activehosts.go
+++ b/internal/entryhost/activehosts.go
@@ -118,7 +118,7 @@
 	if len(stronger) == 0 {
 		if len(hint[d.self.Region]) > 0 {
 			// This host is one of the strongest, so it can register before it knows its peers.
-			d.wantsShares.Store(true)
+			d.setWantsShares(true)
 			close(d.willBeActive)
 		}
 		return 0, false
--- a/internal/entryhost/callerconns.go
+++ b/internal/entryhost/callerconns.go
@@ -33,14 +33,24 @@
 	// idleSince holds, for each open connection, since when it has been idle. The zero time
 	// means that the connection is not idle.
 	idleSince map[net.Conn]time.Time
+	// opened receives after a connection was opened.
+	opened chan struct{}
 }
 
-func newCallerConns() *callerConns { return &callerConns{idleSince: map[net.Conn]time.Time{}} }
+func newCallerConns() *callerConns {
+	return &callerConns{idleSince: map[net.Conn]time.Time{}, opened: make(chan struct{}, 1)}
+}
 
 // track is a ConnState hook of http.Server.
 func (c *callerConns) track(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if state == http.StateNew {
+		select {
+		case c.opened <- struct{}{}:
+		default:
+		}
+	}
 	switch state {
 	case http.StateNew, http.StateActive:
 		c.idleSince[conn] = time.Time{}
@@ -74,16 +84,18 @@
 	}
 }
 
-// closeIdleCallers closes callers' idle connections periodically until ctx ends.
+// closeIdleCallers closes callers' idle connections periodically, while there are connections,
+// until ctx ends.
 func (d *Daemon) closeIdleCallers(ctx context.Context) {
-	tick := time.NewTicker(idleCheckInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
+	for ctx.Err() == nil {
+		if d.callerConns.count() == 0 {
+			select {
+			case <-ctx.Done():
+			case <-d.callerConns.opened:
+			}
+			continue
 		}
+		sleep(ctx, idleCheckInterval)
 		if c := d.state.Load().Catalog; c != nil && c.Limits.IdleTimeout > 0 {
 			d.callerConns.closeIdle(d.now(), c.Limits.IdleTimeout)
 		}
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -26,7 +26,7 @@
 	// a tenth of the shortest bound that the control thread enforces.
 	tickInterval = 100 * time.Millisecond
 	// standbyTickInterval is the tickInterval of a standby.
-	standbyTickInterval = 250 * time.Millisecond
+	standbyTickInterval = 500 * time.Millisecond
 	// watchLossDelay is how long a broken watch may go undetected.
 	watchLossDelay = time.Second
 	// keyCheckMargin allows for the network delay from the caller and for the processing time
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -78,6 +78,8 @@
 	readWhenRegistered atomic.Bool
 	// wantsShares is set if this host should hold rate shares.
 	wantsShares atomic.Bool
+	// wakeRegistrar ends the pause before the next renewal of the registration.
+	wakeRegistrar chan struct{}
 	// watches is set while this host watches the store for its region.
 	watches atomic.Bool
 	// summary describes the state of the store that this host knows, for peers that send
@@ -133,6 +135,7 @@
 		retries:       retry.NewWindowBudget(s.Bounds.RetryWindow.Value(), s.Bounds.RetryRatio),
 		errs:          make(chan error, 4),
 		wakeReader:    make(chan struct{}, 1),
+		wakeRegistrar: make(chan struct{}, 1),
 		listed:        make(chan struct{}),
 		willBeActive:  make(chan struct{}),
 
@@ -192,7 +195,6 @@
 	}
 	d.spawn(follower.Run)
 	d.spawn(registrar.run)
-	d.spawn(d.upstreamConns.Run)
 	d.spawn(d.closeIdleCallers)
 	d.events.Info("started", "instance", d.self.Instance, "zone", d.self.Zone, "region", d.self.Region,
 		"callers", d.self.Callers, "peers", d.self.Peers, "store", d.settings.Load().Store)
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -86,20 +86,52 @@
 	r.awaitPeers(ctx)
 	first := true
 	for ctx.Err() == nil {
-		pause := renewInterval
-		if r.due() {
-			if err := r.try(ctx, r.renewOrRegister); err != nil {
-				pause = r.retryPause()
-			} else if first {
-				first = false
-				close(r.registered)
-			}
+		if err := r.try(ctx, r.renewOrRegister); err != nil {
+			sleep(ctx, r.retryPause())
+			continue
 		}
-		sleep(ctx, pause)
+		if first {
+			first = false
+			close(r.registered)
+		}
+		r.awaitRenewal(ctx)
 	}
 	r.endLease()
 }
 
+// awaitRenewal waits until the lease is to be renewed, or replaced because whether the host should
+// hold rate shares has changed.
+func (r *registrar) awaitRenewal(ctx context.Context) {
+	interval := renewInterval
+	if !r.holdsShares {
+		interval = standbyRenewInterval
+	}
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	for r.holdsShares == r.d.wantsShares.Load() {
+		select {
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		case <-r.d.wakeRegistrar:
+		}
+	}
+	// Changes that follow each other closely cause one registration.
+	sleep(ctx, storeRetryDelay)
+}
+
+// setWantsShares sets whether this host should hold rate shares.
+func (d *Daemon) setWantsShares(wants bool) {
+	if d.wantsShares.Swap(wants) == wants {
+		return
+	}
+	select {
+	case d.wakeRegistrar <- struct{}{}:
+	default:
+	}
+}
+
 // awaitPeers waits for the first listing, unless the host will be active in any case. If the
 // listing contains no other host, it lets stronger hosts register first.
 func (r *registrar) awaitPeers(ctx context.Context) {
@@ -152,15 +184,6 @@
 	return storeRetryDelay
 }
 
-// due reports whether the lease is to be renewed, or replaced because whether the host should
-// hold rate shares has changed.
-func (r *registrar) due() bool {
-	if r.lease == 0 || r.holdsShares != r.d.wantsShares.Load() || r.holdsShares {
-		return true
-	}
-	return r.d.now().Sub(r.renewedAt) >= standbyRenewInterval
-}
-
 // try makes one call with a timeout and logs an error.
 func (r *registrar) try(ctx context.Context, call func(context.Context) error) error {
 	bounded, cancel := context.WithTimeout(ctx, storeCallTimeout)
--- a/internal/entryhost/upstreamstate_test.go
+++ b/internal/entryhost/upstreamstate_test.go
@@ -35,6 +35,13 @@
 	return out
 }
 
+// writeQueued writes the queued lines of an event log.
+func writeQueued(events *telemetry.Events) {
+	stop := make(chan struct{})
+	close(stop)
+	events.Run(stop)
+}
+
 // startedStandby returns the control of a standby that has copied the state of the store from a
 // peer, apart from the upstreams.
 func startedStandby(t *testing.T) *control {
@@ -63,7 +70,7 @@
 			g.Expect(c.items).To(HaveLen(items))
 			g.Expect(c.d.table.Size()).To(BeZero())
 			g.Expect(c.digests()).To(Equal(digests))
-			c.d.events.Flush()
+			writeQueued(c.d.events)
 			g.Expect(bytes.Count(lines.Bytes(), []byte("msg=upstream"))).To(BeZero())
 			g.Expect(c.isReady(now)).To(BeFalse(), "the configuration is not known")
 			g.Expect(c.canServe(now)).To(BeFalse())
@@ -82,7 +89,7 @@
 		now := c.d.now()
 		c.replaceState(now, registrations(upstreams), true)
 		c.upstreamLog.flush(c.d.events)
-		c.d.events.Flush()
+		writeQueued(c.d.events)
 		g.Expect(bytes.Count(lines.Bytes(), []byte("\n"))).To(Equal(1))
 		g.Expect(lines.String()).To(ContainSubstring(fmt.Sprint("changed=", upstreams)))
 	}
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -33,6 +33,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// sweeping is set while a sweep is scheduled.
+	sweeping bool
 }
 
 // NewPool returns an empty pool.
@@ -107,6 +109,10 @@
 		return
 	}
 	p.idle[c.address] = append(p.idle[c.address], c)
+	if !p.sweeping {
+		p.sweeping = true
+		time.AfterFunc(sweepInterval, p.sweep)
+	}
 }
 
 // CloseIdle closes the idle connections to an address. It is called when the
@@ -121,20 +127,8 @@
 	}
 }
 
-// Run closes connections whose idle timeout has expired, until ctx ends.
-func (p *Pool) Run(ctx context.Context) {
-	tick := time.NewTicker(sweepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			p.sweep()
-		}
-	}
-}
-
+// sweep closes connections whose idle timeout has expired. It runs as long as there are idle
+// connections.
 func (p *Pool) sweep() {
 	now := p.now()
 	var expired []*conn
@@ -153,6 +147,9 @@
 			delete(p.idle, address)
 		}
 	}
+	if p.sweeping = len(p.idle) > 0; p.sweeping {
+		time.AfterFunc(sweepInterval, p.sweep)
+	}
 	p.mu.Unlock()
 	for _, c := range expired {
 		c.closeOrderly()
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -17,6 +17,8 @@
 	// several hundred requests a second and logs a fraction of them; a line costs
 	// about 10 µs.
 	linesPerSecond = 60
+	// reportInterval is the time between two reports of dropped lines.
+	reportInterval = time.Second
 )
 
 // Events is an event log that writes one key=value line per event and never blocks
@@ -33,12 +35,16 @@
 	second  int64
 	lines   map[string]int
 	dropped map[string]int
+	// reportDue receives when dropped lines are to be reported. reportScheduled is set from the
+	// first dropped line until then.
+	reportDue       chan struct{}
+	reportScheduled bool
 }
 
 // NewEvents returns the event log of an entry host, which writes to w. Lines are
 // written by Run, which has to be started.
 func NewEvents(w io.Writer, level, host string) *Events {
-	e := &Events{queue: make(chan []byte, queuedLines), out: w, lines: map[string]int{}, dropped: map[string]int{}}
+	e := &Events{queue: make(chan []byte, queuedLines), out: w, lines: map[string]int{}, dropped: map[string]int{}, reportDue: make(chan struct{}, 1)}
 	e.logger = NewLogger(queueWriter{e}, level).With("host", host)
 	return e
 }
@@ -89,7 +95,7 @@
 		clear(e.lines)
 	}
 	if e.lines[kind] >= linesPerSecond {
-		e.dropped[kind]++
+		e.addDropped(kind)
 		return false
 	}
 	e.lines[kind]++
@@ -99,19 +105,26 @@
 func (e *Events) countDropped(kind string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.addDropped(kind)
+}
+
+// addDropped counts a dropped line, and schedules a report. The caller must hold e.mu.
+func (e *Events) addDropped(kind string) {
 	e.dropped[kind]++
+	if !e.reportScheduled {
+		e.reportScheduled = true
+		time.AfterFunc(reportInterval, func() { e.reportDue <- struct{}{} })
+	}
 }
 
 // Run writes queued lines until stop is closed, and then the remaining ones. A
 // stalled output blocks only Run.
 func (e *Events) Run(stop <-chan struct{}) {
-	tick := time.NewTicker(time.Second)
-	defer tick.Stop()
 	for {
 		select {
 		case line := <-e.queue:
 			e.writeLine(line)
-		case <-tick.C:
+		case <-e.reportDue:
 			e.reportDropped()
 		case <-stop:
 			e.drain()
@@ -120,9 +133,6 @@
 	}
 }
 
-// Flush writes the queued lines. Run must not be running.
-func (e *Events) Flush() { e.drain() }
-
 func (e *Events) drain() {
 	for {
 		select {
@@ -144,7 +154,7 @@
 func (e *Events) reportDropped() {
 	e.mu.Lock()
 	dropped := e.dropped
-	e.dropped = map[string]int{}
+	e.dropped, e.reportScheduled = map[string]int{}, false
 	e.mu.Unlock()
 	for kind, n := range dropped {
 		if e.OnDropped != nil {
