--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -216,7 +216,7 @@
 	delete(c.confirmRequests.pending, a.Id)
 	now := c.d.now()
 	if request.page {
-		c.applyPage(now, a, request)
+		c.applyPage(now, a)
 		return
 	}
 	c.applyActiveSummary(now, a.Active)
--- a/internal/entryhost/stateload.go
+++ b/internal/entryhost/stateload.go
@@ -92,7 +92,7 @@
 }
 
 // applyPage adds a page to the copy.
-func (c *control) applyPage(now time.Time, a *fleet.ConfirmAnswer, request pendingConfirm) {
+func (c *control) applyPage(now time.Time, a *fleet.ConfirmAnswer) {
 	l := &c.load
 	if !l.active || !a.Page {
 		return
@@ -119,11 +119,11 @@
 		c.continueLoad(now)
 		return
 	}
-	c.finishLoad(now, a, request)
+	c.finishLoad(now, a)
 }
 
 // finishLoad applies the copy, and requests the changes since its first page.
-func (c *control) finishLoad(now time.Time, a *fleet.ConfirmAnswer, request pendingConfirm) {
+func (c *control) finishLoad(now time.Time, a *fleet.ConfirmAnswer) {
 	l := c.load
 	c.load = stateLoad{}
 	switch {
