A single caller does not make a standby copy all upstreams

The requests were refused after 700 ms.

Change: a request at a host without upstreams is refused at once with a short Retry-After, not run, so that its caller goes to an active host; eight requests within two seconds make the host copy the upstreams, and they wait for that.

--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -292,9 +292,7 @@
 // and by a read of the store if the watcher does not confirm it in time.
 func (c *control) refresh(now time.Time) {
 	if !c.upstreamDemand.known {
-		c.upstreamDemand.until = now.Add(upstreamRetention)
-		c.manageUpstreams(now)
-		return
+		return // the upstreams are being loaded
 	}
 	watcher := c.watcher()
 	if c.d.watches.Load() || watcher == "" {
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -95,7 +95,8 @@
 	startupWait time.Duration
 	meter       meter
 
-	callerConns *callerConns
+	callerConns  *callerConns
+	strayCallers strayCallers
 
 	// addresses are the addresses of the listeners. A port 0 in the settings is replaced by the
 	// port that the system assigned.
@@ -164,7 +165,7 @@
 	deps := front.Deps{
 		State: d.state.Load, Codec: platform.Headers{}, Pool: d.upstreamConns, Table: d.table, RateLimiter: d.tokens,
 		RetryBudget: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, Now: d.now,
-		Refresh: d.refresh, Updates: d.stateUpdated.next, StartupTimeLeft: d.remainingStartupWait, DisableKeepAlive: d.nearDescriptorLimit,
+		Refresh: d.refresh, LoadUpstreams: d.loadUpstreamsForCallers, Updates: d.stateUpdated.next, StartupTimeLeft: d.remainingStartupWait, DisableKeepAlive: d.nearDescriptorLimit,
 	}
 	if d.settings.Load().TraceFile != "" {
 		deps.Tracer = d.tracing.Tracer
--- a/internal/entryhost/storetiming.go
+++ b/internal/entryhost/storetiming.go
@@ -48,7 +48,7 @@
 	return timing
 }
 
-// refresh requests a confirmation of the state now, or loads the upstreams, and returns a channel that is closed when a
+// refresh requests a confirmation of the state now, and returns a channel that is closed when a
 // new state is published.
 func (d *Daemon) refresh() <-chan struct{} {
 	updated := d.stateUpdated.next()
--- a/internal/entryhost/upstreamstate.go
+++ b/internal/entryhost/upstreamstate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"balsambarrow/internal/fleet"
@@ -14,7 +15,7 @@
 // In a large fleet most hosts are standbys that serve no callers, and each copy of the upstreams
 // costs memory and a share of every change. Active hosts and the standbys that are next in line
 // hold a copy; any other host copies the upstreams from a peer when it is selected as an active
-// host, or when a caller arrives.
+// host, or when several callers arrive. A single caller is sent to an active host instead.
 
 const (
 	// upstreamRetention is how long a host keeps the upstreams after it last needed them.
@@ -28,6 +29,46 @@
 	upstreamLoadTimeout = 3 * time.Second
 )
 
+const (
+	// loadingCallers is the number of requests within loadingWindow from which a host without
+	// upstreams loads them.
+	loadingCallers = 8
+	loadingWindow  = 2 * time.Second
+)
+
+// strayCallers counts the requests that arrive while the host holds no upstreams. It is safe for
+// concurrent use.
+type strayCallers struct {
+	mu          sync.Mutex
+	windowStart time.Time
+	count       int
+}
+
+// add counts a request, and reports whether there are so many that the host loads the upstreams.
+func (s *strayCallers) add(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.windowStart) >= loadingWindow {
+		s.windowStart, s.count = now, 0
+	}
+	s.count++
+	return s.count >= loadingCallers
+}
+
+// loadUpstreamsForCallers is called for each request while the host holds no upstreams. It reports
+// whether they are being loaded.
+func (d *Daemon) loadUpstreamsForCallers() bool {
+	now := d.now()
+	if !d.strayCallers.add(now) {
+		return false
+	}
+	d.control.send(func(c *control) {
+		c.upstreamDemand.until = now.Add(upstreamRetention)
+		c.manageUpstreams(now)
+	})
+	return true
+}
+
 // upstreamDemand is whether this host needs the upstreams.
 type upstreamDemand struct {
 	// until is the time until which the host needs them.
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -47,6 +47,9 @@
 	// Refresh triggers an immediate store read. The returned channel is closed
 	// when State returns a newer state.
 	Refresh func() <-chan struct{}
+	// LoadUpstreams is called for each request while the upstreams are not known. It reports
+	// whether they are being loaded.
+	LoadUpstreams func() bool
 	// Updates returns a channel that is closed when State returns a newer state.
 	Updates func() <-chan struct{}
 	// StartupTimeLeft is how long the host may still need to load the state that
@@ -162,6 +165,9 @@
 	if !state.sufficesAt(q.arrived) {
 		timeout := refreshTimeout
 		if !state.UpstreamsKnown {
+			if !h.LoadUpstreams() {
+				return unavailable(CauseStandby, retrySoon)
+			}
 			timeout = upstreamsTimeout
 		}
 		state = h.awaitState(q, timeout, h.Refresh, func(s *State) bool { return s.sufficesAt(h.Now()) })
