--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -139,7 +139,7 @@
 	if !c.ready {
 		interval, extraAge = standbyConfirmInterval, standbyExtraAge
 	}
-	if !watches && !c.confirmedAt.IsZero() && now.Sub(c.confirmedAt) > readStoreAge+extraAge && c.readsAsFallback() && !now.Before(c.confirmRequests.behindUntil) {
+	if !watches && c.stateIsOlderThan(now, readStoreAge+extraAge) && c.readsAsFallback() {
 		c.d.readStoreNow("not confirmed")
 	}
 	c.refreshHostRegistrations(now)
@@ -156,6 +156,11 @@
 	}
 }
 
+// stateIsOlderThan reports whether the state was confirmed, but not for the given time.
+func (c *control) stateIsOlderThan(now time.Time, age time.Duration) bool {
+	return !c.confirmedAt.IsZero() && now.Sub(c.confirmedAt) > age
+}
+
 // watchesAsFallback reports whether this host watches the store if it knows of no active host
 // that reaches the store. A standby leaves the watch to active hosts if it knows of any: during
 // a store outage each call of each host costs money and achieves nothing.
@@ -165,8 +170,12 @@
 
 // readsAsFallback reports whether this host reads the store if no peer confirms its state. A
 // standby leaves that to the active hosts while none of them reaches the store: otherwise all
-// hosts would read the store at the same moment when an outage ends.
+// hosts would read the store at the same moment when an outage ends. While the watcher is behind,
+// the store sends the changes to other hosts no sooner.
 func (c *control) readsAsFallback() bool {
+	if c.d.now().Before(c.confirmRequests.behindUntil) {
+		return false
+	}
 	d := c.d.directory.Load()
 	return c.watchesAsFallback() || len(d.storeReaders(func(string) bool { return true })) > 0
 }
--- a/internal/entryhost/upstreamstate_test.go
+++ b/internal/entryhost/upstreamstate_test.go
@@ -99,11 +99,6 @@
 // of a large fleet, or only with the loss of changes that happen meanwhile. The peer's upstreams
 // change between any two pages.
 func TestUpstreamsAreCopiedInPages(t *testing.T) {
-	const (
-		// pageDatagrams is the number of datagrams of a page.
-		pageDatagrams = 2
-		datagramBytes = 32 << 10
-	)
 	for _, upstreams := range fleetSizes {
 		t.Run(fmt.Sprint(upstreams), func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/h1/abandon_test.go
+++ b/internal/h1/abandon_test.go
@@ -112,7 +112,7 @@
 					cancel()
 				}()
 			}
-			resp, err := h1.NewPool((&net.Dialer{}).DialContext, time.Now).Send(ctx, address, &h1.Request{ //nolint:bodyclose // Response.Close ends the connection
+			resp, err := h1.NewPool((&net.Dialer{}).DialContext, time.Now).Send(ctx, address, &h1.Request{
 				Method: http.MethodPost, Target: "/", Host: "x", Header: http.Header{}, Body: io.LimitReader(zeros{}, body), Length: body,
 			})
 			if c.receives {
