--- a/internal/entryhost/activation.go
+++ b/internal/entryhost/activation.go
@@ -43,8 +43,8 @@
 	canServe, leaving bool
 }
 
-// isReady reports whether the host accepts callers. A host that does not hold the upstreams loads
-// them when a caller arrives.
+// isReady reports whether the host accepts callers, also if it holds no upstreams; see
+// upstreamstate.go.
 func (c *control) isReady(now time.Time) bool {
 	loaded := c.catalog != nil && c.listed
 	return loaded && !c.leaving && now.Sub(c.confirmedAt) < maxConfigurationAge
