Hosts that hold shares exchange heartbeats while none of them is ready

Cause, found by reading: since active hosts send standbys no periodic heartbeats, two hosts that become ready at the same time, after an outage of the store in which none was ready, could each take the other for a standby for good. Hosts that are registered to hold shares now count as active for heartbeats whether they are ready or not, and send theirs to all active hosts at the interval of active hosts. The new test fails without the change.

--- a/internal/entryhost/heartbeat.go
+++ b/internal/entryhost/heartbeat.go
@@ -28,7 +28,7 @@
 // to standbys after a change of this host's state. Standbys send no heartbeats to each other.
 func (c *control) sendHeartbeats(now time.Time) {
 	if !now.Before(c.heartbeatDue) {
-		c.heartbeatDue = now.Add(c.members.Interval(c.ready))
+		c.heartbeatDue = now.Add(c.members.Interval(c.amongActive()))
 		b := c.heartbeat(now)
 		if b.SeeksActive {
 			c.heartbeatDue = now.Add(seekInterval)
@@ -45,11 +45,15 @@
 	}
 }
 
+// amongActive reports whether this host exchanges heartbeats with all active hosts: it is active, or
+// registers as a host that holds rate shares.
+func (c *control) amongActive() bool { return c.ready || c.d.wantsShares.Load() }
+
 // activePeers returns the addresses to which full heartbeats are sent: the known active hosts,
 // for a standby a few of them, or the hosts of the active-hosts hint if none is known.
 func (c *control) activePeers() []string {
 	peers := c.members.ReadyPeers()
-	if !c.ready && !c.leaving {
+	if !c.amongActive() && !c.leaving {
 		peers = c.members.StandbyTargets()
 	}
 	if len(peers) > 0 {
--- a/internal/fleet/activesummary_test.go
+++ b/internal/fleet/activesummary_test.go
@@ -140,6 +140,19 @@
 	}
 }
 
+// Guards against hosts that never learn of each other because they become ready at the same time,
+// after an outage of the store in which none was: each sends heartbeats only to active hosts.
+func TestHostsThatHoldSharesExchangeHeartbeatsWhileNoneIsReady(t *testing.T) {
+	g := NewWithT(t)
+	m := fleet.NewMembers("me", "host-me", "r")
+	notReady := activeHeartbeat(1, 1)
+	notReady.Ready = false
+	m.ApplyRegistrations(start, []fleet.Registration{{Instance: notReady.Instance, Host: notReady.Host, Region: "r", Peers: notReady.Peers, HoldsShares: true}})
+	m.ApplyHeartbeat(start, notReady)
+	m.Expire(start.Add(time.Minute))
+	g.Expect(m.ReadyPeers()).To(ConsistOf(notReady.Peers))
+}
+
 // Guards against heartbeats of standbys whose number grows with active hosts times standbys.
 func TestStandbySendsHeartbeatsToFewActiveHosts(t *testing.T) {
 	const wanted = 3
--- a/internal/fleet/views.go
+++ b/internal/fleet/views.go
@@ -113,9 +113,10 @@
 }
 
 // isActive reports whether the host is active in this host's view. A host that has
-// registered to hold rate shares and has not sent a heartbeat yet counts as active: it
-// may not know of this host yet.
-func (k *Member) isActive() bool { return k.Ready || k.holdsShares && k.sequence == 0 }
+// registered to hold rate shares counts as active, whether it is ready or not: two hosts
+// that become ready at the same time, for example after an outage of the store, would
+// otherwise not learn of each other.
+func (k *Member) isActive() bool { return k.Ready || k.holdsShares }
 
 func (m *Members) peers(which func(*Member) bool) []string {
 	out := make([]string, 0, len(m.byInstance))
