A standby without upstreams serves single callers from a sample

Cause: such a standby refused single callers.

Change: for a single caller the standby copies the first page of the upstreams from an active host, all of them in a small fleet and some hundreds of all services in a large one, and uses it for 1.5 s.

Also in this commit: the shift between regions is limited over all regions that grow together.

--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -225,7 +225,7 @@
 	delete(c.confirmRequests.pending, a.Id)
 	now := c.d.now()
 	if request.page {
-		c.applyPage(now, a)
+		c.applyPage(now, a, request.sentAt)
 		return
 	}
 	c.applyActiveSummary(now, a.Active)
@@ -300,7 +300,7 @@
 // refresh gets the state confirmed for a waiting request: by the watcher, which costs nothing,
 // and by a read of the store if the watcher does not confirm it in time.
 func (c *control) refresh(now time.Time) {
-	if !c.upstreamDemand.known {
+	if !c.upstreamsKnown() {
 		return // the upstreams are being loaded
 	}
 	watcher := c.watcher()
--- a/internal/entryhost/stateload.go
+++ b/internal/entryhost/stateload.go
@@ -31,6 +31,8 @@
 type stateLoad struct {
 	active bool
 	scope  fleet.Scope
+	// sample is set if only the first page is wanted.
+	sample bool
 	// peers are the addresses of hosts that may have the state; the first one is being asked.
 	peers []string
 	// attempts is the number of requests for the next page, and due when it is requested again.
@@ -51,6 +53,12 @@
 	c.continueLoad(now)
 }
 
+// startSample begins to copy the first page of the upstreams from one of the peers.
+func (c *control) startSample(now time.Time, peers []string) {
+	c.startLoad(now, fleet.Scope_SCOPE_UPSTREAMS, peers)
+	c.load.sample = true
+}
+
 // continueLoad requests the next page if it is due.
 func (c *control) continueLoad(now time.Time) {
 	l := &c.load
@@ -69,7 +77,7 @@
 
 // restartLoad begins again with the first of the given peers.
 func (c *control) restartLoad(now time.Time, peers ...string) {
-	c.load = stateLoad{active: true, scope: c.load.scope, peers: peers, due: now}
+	c.load = stateLoad{active: true, scope: c.load.scope, sample: c.load.sample, peers: peers, due: now}
 }
 
 // respondWithPage responds to a host that copies the state.
@@ -92,7 +100,7 @@
 }
 
 // applyPage adds a page to the copy.
-func (c *control) applyPage(now time.Time, a *fleet.ConfirmAnswer) {
+func (c *control) applyPage(now time.Time, a *fleet.ConfirmAnswer, sentAt time.Time) {
 	l := &c.load
 	if !l.active || !a.Page {
 		return
@@ -115,6 +123,10 @@
 		l.after = x.Key
 	}
 	l.attempts, l.due = 0, now
+	if l.sample {
+		c.applySample(now, sentAt.Add(-time.Duration(a.AgeUs)*time.Microsecond))
+		return
+	}
 	if a.More {
 		c.continueLoad(now)
 		return
--- a/internal/entryhost/upstreamstate.go
+++ b/internal/entryhost/upstreamstate.go
@@ -15,7 +15,9 @@
 // In a large fleet most hosts are standbys that serve no callers, and each copy of the upstreams
 // costs memory and a share of every change. Active hosts and the standbys that are next in line
 // hold a copy; any other host copies the upstreams from a peer when it is selected as an active
-// host, or when several callers arrive. A single caller is sent to an active host instead.
+// host, or when several callers arrive. For a single caller it copies a sample: the first page,
+// which holds all upstreams of a small fleet and some hundreds, of all services and zones, of a
+// large one.
 
 const (
 	// upstreamRetention is how long a host keeps the upstreams after it last needed them.
@@ -24,6 +26,8 @@
 	// nextStandbyDelay is how long a host must have been one of the next standbys before it loads
 	// the upstreams. A host that starts with many others knows few of them at first.
 	nextStandbyDelay = 5 * time.Second
+	// sampleMaxAge is how long a sample is used. Changes of its upstreams do not reach the host.
+	sampleMaxAge = 1500 * time.Millisecond
 	// upstreamLoadTimeout is how long peers may take to send the upstreams before the host lists
 	// them in the store.
 	upstreamLoadTimeout = 3 * time.Second
@@ -56,17 +60,19 @@
 }
 
 // loadUpstreamsForCallers is called for each request while the host holds no upstreams. It reports
-// whether they are being loaded.
+// whether there is an active host that they, or a sample of them, can be copied from.
 func (d *Daemon) loadUpstreamsForCallers() bool {
 	now := d.now()
-	if !d.strayCallers.add(now) {
-		return false
-	}
+	all := d.strayCallers.add(now)
 	d.control.send(func(c *control) {
-		c.upstreamDemand.until = now.Add(upstreamRetention)
-		c.manageUpstreams(now)
+		if all {
+			c.upstreamDemand.until = now.Add(upstreamRetention)
+			c.manageUpstreams(now)
+		} else if !c.load.active && !c.upstreamsKnown() {
+			c.startSample(now, c.loadSources())
+		}
 	})
-	return true
+	return all || d.directory.Load().anyReady()
 }
 
 // upstreamDemand is whether this host needs the upstreams.
@@ -79,6 +85,9 @@
 	listing bool
 	// known is set once the copy is known to have matched the state of the store.
 	known bool
+	// sampledAt is the time as of which the sample matched the state of the store; zero if the host
+	// has no sample.
+	sampledAt time.Time
 }
 
 // manageUpstreams loads or drops the upstreams as needed.
@@ -90,6 +99,9 @@
 	if since := c.activation.nextSince; !since.IsZero() && now.Sub(since) >= nextStandbyDelay {
 		demand.until = laterOf(demand.until, now.Add(nextStandbyDelay))
 	}
+	if !demand.sampledAt.IsZero() && now.Sub(demand.sampledAt) > sampleMaxAge {
+		c.dropSample()
+	}
 	switch needed := now.Before(demand.until); {
 	case !c.listed:
 	case c.holdsUpstreams && !needed:
@@ -113,13 +125,9 @@
 	if demand.listing {
 		return
 	}
-	peers := c.d.directory.Load().activePeers(c.isOwnRegion)
-	if len(peers) == 0 {
-		peers = c.d.directory.Load().activePeers(func(string) bool { return true })
-	}
 	if demand.loadStartedAt.IsZero() {
 		demand.loadStartedAt = now
-		c.startLoad(now, fleet.Scope_SCOPE_UPSTREAMS, peers)
+		c.startLoad(now, fleet.Scope_SCOPE_UPSTREAMS, c.loadSources())
 	}
 	if c.load.active && now.Sub(demand.loadStartedAt) < upstreamLoadTimeout {
 		return
@@ -134,6 +142,46 @@
 	})
 }
 
+// loadSources returns the addresses of the active hosts from which state can be copied: those of this
+// region, or of all regions if it has none.
+func (c *control) loadSources() []string {
+	d := c.d.directory.Load()
+	if near := d.activePeers(c.isOwnRegion); len(near) > 0 {
+		return near
+	}
+	return d.activePeers(func(string) bool { return true })
+}
+
+// applySample adds the copied page to the table. Its state is that of the store as of asOf.
+func (c *control) applySample(now, asOf time.Time) {
+	items := c.load.items
+	c.load = stateLoad{}
+	if c.holdsUpstreams {
+		return
+	}
+	c.d.table.Clear()
+	for _, item := range items {
+		if u, err := platform.DecodeUpstream(item); err == nil {
+			c.d.table.PutUpstream(now, u)
+		}
+	}
+	c.upstreamDemand.sampledAt = asOf
+	c.d.events.Debug("upstreams sampled", "upstreams", len(items), "age", now.Sub(asOf))
+}
+
+// dropSample removes the sample.
+func (c *control) dropSample() {
+	c.upstreamDemand.sampledAt = time.Time{}
+	if !c.holdsUpstreams {
+		c.d.table.Clear()
+	}
+}
+
+// upstreamsKnown reports whether requests can be sent to upstreams.
+func (c *control) upstreamsKnown() bool {
+	return c.upstreamDemand.known || !c.upstreamDemand.sampledAt.IsZero()
+}
+
 // finishUpstreamListing applies the upstreams that were listed in the store.
 func (c *control) finishUpstreamListing(l kv.Listing, err error) {
 	c.upstreamDemand.listing, c.upstreamDemand.loadStartedAt = false, time.Time{}
@@ -150,6 +198,7 @@
 // addUpstreams adds the upstreams that a peer or the store has sent. Requests use them once they
 // are confirmed.
 func (c *control) addUpstreams(now time.Time, items []kv.Item) {
+	c.dropSample()
 	c.holdsUpstreams = true
 	c.upstreams.reset(items)
 	for _, item := range items {
--- a/internal/place/regionshift.go
+++ b/internal/place/regionshift.go
@@ -7,9 +7,9 @@
 // Callers of one region may move or multiply within a second, and upstreams of a region
 // join or leave. If every host sent all excess requests to other regions at once, the
 // load of these regions would jump from one second to the next while their upstreams are
-// cold, and drop again as quickly. The share of each region in this host's requests may
-// therefore grow only by a bounded part per window. If upstreams of the local region
-// fail, no share is limited.
+// cold, and drop again as quickly. The shares of the regions in this host's requests may
+// therefore grow only by a bounded part per window, all growing regions together. If
+// upstreams of the local region fail, no share is limited.
 const (
 	// shiftWindow is the window over which shares are compared. It is divided into
 	// shiftSlots slots, so that the window slides.
@@ -30,6 +30,8 @@
 // regionShares counts this host's recent requests by the region they were sent to.
 type regionShares struct {
 	slots [2 * shiftSlots]shiftSlot
+	// scratch is the result of growth, which is reused.
+	scratch shareGrowth
 }
 
 type shiftSlot struct {
@@ -50,26 +52,53 @@
 	s.byRegion[region]++
 }
 
-// count sums the slots whose age, in slots, is at least from and less than to.
-func (r *regionShares) count(now time.Time, region string, from, to int64) (part, total float64) {
+// shareGrowth is the shares of the regions in the present window and in the one before.
+type shareGrowth struct {
+	before, present           map[string]float64
+	totalBefore, totalPresent float64
+}
+
+// growth returns the shares of the regions. The result is valid until the next call.
+func (r *regionShares) growth(now time.Time) *shareGrowth {
+	g := &r.scratch
+	if g.before == nil {
+		g.before, g.present = map[string]float64{}, map[string]float64{}
+	}
+	clear(g.before)
+	clear(g.present)
+	g.totalBefore, g.totalPresent = 0, 0
 	n := shiftSlotNumber(now)
 	for i := range r.slots {
-		if age := n - r.slots[i].number; age >= from && age < to {
-			part += r.slots[i].byRegion[region]
-			total += r.slots[i].total
+		s := &r.slots[i]
+		counts, total := g.present, &g.totalPresent
+		switch age := n - s.number; {
+		case age < 0 || age >= 2*shiftSlots:
+			continue
+		case age >= shiftSlots:
+			counts, total = g.before, &g.totalBefore
+		}
+		*total += s.total
+		for region, count := range s.byRegion {
+			counts[region] += count
 		}
 	}
-	return part, total
+	return g
 }
 
-// mayGrow reports whether one more request may be sent to the region.
-func (r *regionShares) mayGrow(now time.Time, region string, maxGrowth float64) bool {
-	before, all := r.count(now, region, shiftSlots, 2*shiftSlots)
-	if all < minShiftSamples {
+// mayGrow reports whether one more request may be sent to the region: its share does not grow, or
+// the shares of all growing regions together grow by at most maxGrowth.
+func (g *shareGrowth) mayGrow(region string, maxGrowth float64) bool {
+	if g.totalBefore < minShiftSamples {
 		return true
 	}
-	part, total := r.count(now, region, 0, shiftSlots)
-	return (part+1)/(total+1) <= before/all+maxGrowth*hostShiftPart
+	sum := 0.0
+	for other, count := range g.present {
+		if other != region {
+			sum += max(count/(g.totalPresent+1)-g.before[other]/g.totalBefore, 0)
+		}
+	}
+	own := (g.present[region]+1)/(g.totalPresent+1) - g.before[region]/g.totalBefore
+	return own <= 0 || sum+own <= maxGrowth*hostShiftPart
 }
 
 // SetMaxRegionShift sets by how much the share of a region may grow from one window of
@@ -86,9 +115,10 @@
 	if t.maxShift <= 0 || s.localFailure {
 		return
 	}
+	growth := t.shares.growth(now)
 	for i := range t.zonePaths {
 		path := &t.zonePaths[i]
-		path.shiftLimited = path.openSlots > 0 && !t.shares.mayGrow(now, path.region, t.maxShift)
+		path.shiftLimited = path.openSlots > 0 && !growth.mayGrow(path.region, t.maxShift)
 	}
 	for i := range s.candidates {
 		if c := &s.candidates[i]; c.path.shiftLimited {
