A host that leaves is announced to standbys at once

Cause: since standbys learn of changes with their next summary, their directories named a host that was leaving up to a second longer.

Change: an active host that leaves sends a heartbeat to every standby, once for a stop.

--- a/internal/entryhost/heartbeat.go
+++ b/internal/entryhost/heartbeat.go
@@ -17,11 +17,13 @@
 // next summary.
 func (c *control) announce(now time.Time) { c.heartbeatDue = now }
 
-// announceToAll makes heartbeats to active hosts due at once, and to standbys while the region has
-// few active hosts.
+// announceToAll makes heartbeats to active hosts due at once, and to standbys if the region has few
+// active hosts or this one leaves. Standbys answer the directory, and a host that leaves accepts
+// callers for a short time only.
 func (c *control) announceToAll(now time.Time) {
 	c.heartbeatDue = now
-	c.announceToStandbys = len(c.d.directory.Load().activePeers(c.isOwnRegion)) <= fewActive
+	few := len(c.d.directory.Load().activePeers(c.isOwnRegion)) <= fewActive
+	c.announceToStandbys = c.announceToStandbys || few || c.ready && c.leaving
 }
 
 // sendHeartbeats sends the heartbeats that are due: full ones to active hosts, and compact ones
