Copies and listings of thousands of upstreams are bounded by progress, not as a whole

After a loss of all hosts, no host far from the store would have got through. Now the copy goes on as long as any peer answers, busy or not, and the store is listed only if none does. - A sample from hosts that had died was waited for without end, and no later caller started another one. It is given up after 3 s without an answer.

--- a/internal/entryhost/activehosts.go
+++ b/internal/entryhost/activehosts.go
@@ -139,7 +139,7 @@
 // that listed them too would delay them further.
 func (d *Daemon) listWithoutUpstreams(ctx context.Context) (revision uint64, ok bool) {
 	sentAt := d.now()
-	bounded, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
+	bounded, cancel := context.WithTimeout(ctx, upstreamListTimeout)
 	defer cancel()
 	var items []kv.Item
 	for _, prefix := range []string{platform.OperatorPrefix, platform.HostPrefix} {
--- a/internal/entryhost/stateload.go
+++ b/internal/entryhost/stateload.go
@@ -25,6 +25,8 @@
 	// requests for a page after which another peer is tried.
 	pageTimeout     = 300 * time.Millisecond
 	maxPageAttempts = 2
+	// loadIdleTimeout is how long a copy goes on without an answer of any peer.
+	loadIdleTimeout = 3 * time.Second
 )
 
 // stateLoad is a copy of a part of the store's state that is in progress.
@@ -38,6 +40,8 @@
 	// attempts is the number of requests for the next page, and due when it is requested again.
 	attempts int
 	due      time.Time
+	// answeredAt is when a peer last answered, or when the copy began.
+	answeredAt time.Time
 	// after is the last key received. items are the items so far.
 	after string
 	items []kv.Item
@@ -49,7 +53,7 @@
 func (c *control) startLoad(now time.Time, scope fleet.Scope, peers []string) {
 	peers = slices.Clone(peers)
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	c.load = stateLoad{active: len(peers) > 0, scope: scope, peers: peers}
+	c.load = stateLoad{active: len(peers) > 0, scope: scope, peers: peers, answeredAt: now}
 	c.continueLoad(now)
 }
 
@@ -65,6 +69,10 @@
 	if !l.active || now.Before(l.due) {
 		return
 	}
+	if now.Sub(l.answeredAt) >= loadIdleTimeout {
+		c.load = stateLoad{}
+		return
+	}
 	if l.attempts >= maxPageAttempts {
 		c.restartLoad(now, append(l.peers[1:], l.peers[0])...)
 	}
@@ -77,7 +85,7 @@
 
 // restartLoad begins again with the first of the given peers.
 func (c *control) restartLoad(now time.Time, peers ...string) {
-	c.load = stateLoad{active: true, scope: c.load.scope, sample: c.load.sample, peers: peers, due: now}
+	c.load = stateLoad{active: true, scope: c.load.scope, sample: c.load.sample, peers: peers, due: now, answeredAt: c.load.answeredAt}
 }
 
 // respondWithPage responds to a host that copies the state.
@@ -105,6 +113,7 @@
 	if !l.active || !a.Page {
 		return
 	}
+	l.answeredAt = now
 	if a.Later {
 		l.attempts, l.due = 0, now.Add(deferredRetryDelay)
 		if l.after == "" {
--- a/internal/entryhost/upstreamstate.go
+++ b/internal/entryhost/upstreamstate.go
@@ -28,9 +28,8 @@
 	nextStandbyDelay = 5 * time.Second
 	// sampleMaxAge is how long a sample is used. Changes of its upstreams do not reach the host.
 	sampleMaxAge = 1500 * time.Millisecond
-	// upstreamLoadTimeout is how long peers may take to send the upstreams before the host lists
-	// them in the store.
-	upstreamLoadTimeout = 3 * time.Second
+	// upstreamListTimeout bounds the listing of all upstreams in the store.
+	upstreamListTimeout = 20 * time.Second
 )
 
 const (
@@ -118,8 +117,9 @@
 	return b
 }
 
-// loadUpstreams copies the upstreams from an active host. If none sends them in time, they are
-// listed in the store.
+// loadUpstreams copies the upstreams from an active host. If none answers, they are listed in the
+// store. Active hosts that are busy do answer: after a loss of all strong hosts, hundreds of others
+// copy the upstreams from the few that have them, and pass them on, instead of all listing them.
 func (c *control) loadUpstreams(now time.Time) {
 	demand := &c.upstreamDemand
 	if demand.listing {
@@ -129,13 +129,12 @@
 		demand.loadStartedAt = now
 		c.startLoad(now, fleet.Scope_SCOPE_UPSTREAMS, c.loadSources())
 	}
-	if c.load.active && now.Sub(demand.loadStartedAt) < upstreamLoadTimeout {
+	if c.load.active {
 		return
 	}
-	c.load = stateLoad{}
 	demand.listing = true
 	c.d.spawn(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+		ctx, cancel := context.WithTimeout(ctx, upstreamListTimeout)
 		defer cancel()
 		l, err := c.d.store.List(ctx, platform.UpstreamPrefix, false)
 		c.send(func(c *control) { c.finishUpstreamListing(l, err) })
--- a/internal/entryhost/upstreamstate_test.go
+++ b/internal/entryhost/upstreamstate_test.go
@@ -158,3 +158,54 @@
 	c.addUpstreams(now, registrations(100))
 	g.Expect(c.d.table.Size()).To(Equal(100), "the upstreams can be loaded again")
 }
+
+// Guards against hundreds of hosts that all list the upstreams in the store after a loss of the strong
+// hosts, because the few that have them are busy sending them.
+func TestBusyPeersAreAskedAgain(t *testing.T) {
+	for name, answers := range map[string]bool{"busy peer": true, "no answer": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := startedStandby(t)
+			now := c.d.now()
+			c.d.directory.Store(&directory{self: c.d.self, peers: []fleet.Member{{PeerAddress: "127.0.0.1:1", Region: "a", Ready: true}}})
+			c.upstreamDemand.until = now.Add(time.Minute)
+			for range 60 {
+				c.manageUpstreams(now)
+				c.continueLoad(now)
+				if answers {
+					c.applyPage(now, &fleet.ConfirmAnswer{Page: true, Base: 7, Later: true}, now)
+				}
+				now = now.Add(200 * time.Millisecond)
+			}
+			g.Expect(c.upstreamDemand.listing).To(Equal(!answers))
+		})
+	}
+}
+
+// Guards against a standby that refuses all later callers because the hosts from which it wanted a
+// sample have died.
+func TestSampleThatNobodySendsIsGivenUp(t *testing.T) {
+	g := NewWithT(t)
+	c := startedStandby(t)
+	now := c.d.now()
+	c.startSample(now, []string{"127.0.0.1:1"})
+	c.continueLoad(now.Add(loadIdleTimeout - time.Millisecond))
+	g.Expect(c.load.active).To(BeTrue())
+	c.continueLoad(now.Add(2 * loadIdleTimeout))
+	g.Expect(c.load.active).To(BeFalse())
+}
+
+// Guards against hosts that all fetch every change from the store while their watcher is behind,
+// although the store sends the changes to them no sooner.
+func TestStoreIsNotReadPastAWatcherThatIsBehind(t *testing.T) {
+	for _, behind := range []bool{true, false} {
+		t.Run(fmt.Sprint("behind ", behind), func(t *testing.T) {
+			g := NewWithT(t)
+			c := startedStandby(t)
+			c.confirmRequests.pending[1] = pendingConfirm{withoutUpstreams: true, sentAt: c.d.now()}
+			c.handleConfirmAnswer(&fleet.ConfirmAnswer{Id: 1, Base: 9, Behind: behind})
+			g.Expect(c.readsAsFallback()).To(Equal(!behind))
+			g.Expect(c.d.wakeReader).To(HaveLen(map[bool]int{true: 0, false: 1}[behind]))
+		})
+	}
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -15,6 +15,9 @@
 	// the store. A slow store responds within a third of a second. A connection
 	// that fails without a notification is detected only by this timeout.
 	responseTimeout = 1200 * time.Millisecond
+	// listTimeout bounds a listing of any number of pages. The store's client bounds each
+	// page.
+	listTimeout = 30 * time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call, before jitter;
 	// Timing.MaxBackoff may raise the upper bound. A pause is needed because the
 	// platform charges for failed calls too, and all hosts reconnect at once after
@@ -142,7 +145,7 @@
 }
 
 func (f *Follower) list(ctx context.Context, stale bool) (kv.Listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*responseTimeout)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	return f.Store.List(ctx, f.Prefix, stale)
 }
--- a/internal/follow/scale_test.go
+++ b/internal/follow/scale_test.go
@@ -135,3 +135,44 @@
 }
 
 func (s *lagSink) OnChanges(c kv.Changes, asOf time.Time) { s.onChanges(c, asOf) }
+
+// slowListingStore lists pages of 500 upstreams, each of which takes pageTime, until the context ends.
+type slowListingStore struct {
+	kv.Store
+	upstreams int
+	pageTime  time.Duration
+}
+
+func (s slowListingStore) List(ctx context.Context, _ string, _ bool) (kv.Listing, error) {
+	for range s.upstreams / storeLimit {
+		select {
+		case <-time.After(s.pageTime):
+		case <-ctx.Done():
+			return kv.Listing{}, ctx.Err()
+		}
+	}
+	return kv.Listing{Revision: 1}, nil
+}
+
+// Guards against a host that never gets through its first listing, because the time allowed for it
+// does not depend on the number of pages: after a loss of all hosts, no host far from the store
+// would serve again.
+func TestFirstListingOfALargeFleetCompletes(t *testing.T) {
+	const pageTime = 300 * time.Millisecond // from a region far from the store
+	for _, upstreams := range fleetSizes {
+		t.Run(fmt.Sprint(upstreams), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+				defer cancel()
+				sink := &recordingSink{}
+				(&follow.Follower{
+					Store: slowListingStore{upstreams: upstreams, pageTime: pageTime}, Now: time.Now, Sink: sink,
+					Timing:           func() follow.Timing { return follow.Timing{} },
+					AfterInitialList: func(context.Context) { cancel() },
+				}).Run(ctx)
+				g.Expect(sink.events).To(Equal([]string{"listed"}))
+			})
+		})
+	}
+}
