--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -164,7 +164,7 @@
 	d.startedAt, d.startedWall = d.now(), time.Now()
 	deps := front.Deps{
 		State: d.state.Load, Codec: platform.Headers{}, Pool: d.upstreamConns, Table: d.table, RateLimiter: d.tokens,
-		RetryBudget: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, Now: d.now,
+		RetryBudget: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, ObserveFailedAttempt: d.observeFailedAttempt, Now: d.now,
 		Refresh: d.refresh, LoadUpstreams: d.loadUpstreamsForCallers, Updates: d.stateUpdated.next, StartupTimeLeft: d.remainingStartupWait, DisableKeepAlive: d.nearDescriptorLimit,
 	}
 	if d.settings.Load().TraceFile != "" {
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -23,6 +23,7 @@
 	d.metrics.Gauge("balsambarrow_upstreams", func() float64 { return float64(d.table.Size()) })
 	d.metrics.Gauge("balsambarrow_upstreams_rate_limited", func() float64 { return float64(d.table.RateLimited()) })
 	d.metrics.Gauge("balsambarrow_upstreams_paused", func() float64 { return float64(d.table.Paused(d.now())) })
+	d.metrics.Gauge("balsambarrow_upstreams_ejected", func() float64 { return float64(d.table.Ejected(d.now())) })
 	d.metrics.Gauge("balsambarrow_ready", func() float64 { return boolGauge(d.ready.Load()) })
 	d.metrics.Gauge("balsambarrow_takes_callers", func() float64 { return boolGauge(!d.state.Load().Standby) })
 	d.metrics.Gauge("balsambarrow_watches_store", func() float64 { return boolGauge(d.watches.Load()) })
@@ -41,6 +42,11 @@
 	return 0
 }
 
+// observeFailedAttempt counts one attempt at an upstream that did not answer the request.
+func (d *Daemon) observeFailedAttempt(outcome, zone string) {
+	d.metrics.Set.GetOrCreateCounter(fmt.Sprintf(`balsambarrow_upstream_failed_attempts_total{outcome=%q,zone=%q}`, outcome, zone)).Inc()
+}
+
 // observe counts one response to a caller.
 func (d *Daemon) observe(o front.Observation) {
 	cause := string(o.Cause)
--- a/internal/entryhost/upstreamlatency_test.go
+++ b/internal/entryhost/upstreamlatency_test.go
@@ -29,3 +29,21 @@
 		g.Expect(metrics).To(ContainSubstring(`balsambarrow_upstream_wait_seconds_count{route="read",of="` + of + `"}`))
 	}
 }
+
+// Guards against hosts whose metrics do not show that they get no responses from upstreams.
+func TestMetricsShowUpstreamsThatDoNotRespond(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	k := s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	s.awaitServing()
+	g.Expect(s.metrics(h)).To(ContainSubstring("balsambarrow_upstreams_ejected 0\n"))
+	k.SetHandler(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	for range 3 {
+		s.post(h)
+	}
+	text := s.metrics(h)
+	g.Expect(text).To(ContainSubstring("balsambarrow_upstreams_ejected 1\n"))
+	g.Expect(text).To(ContainSubstring(`balsambarrow_upstream_failed_attempts_total{outcome="lost",zone="a1"} 3` + "\n"))
+}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -43,7 +43,10 @@
 	Log         Log
 	// Observe is called at the end of each request, except for a streamed response.
 	Observe func(Observation)
-	Now     func() time.Time
+	// ObserveFailedAttempt is called after each attempt that did not answer the request, with
+	// its outcome and the zone of the upstream.
+	ObserveFailedAttempt func(outcome, zone string)
+	Now                  func() time.Time
 	// Refresh triggers an immediate store read. The returned channel is closed
 	// when State returns a newer state.
 	Refresh func() <-chan struct{}
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -58,6 +58,9 @@
 			return h.finishUnserved(w, q, failure, h.placementRefusal(q, err))
 		}
 		end, resp := h.send(ctx, w, q, choice)
+		if end != outcomeAnswered {
+			h.ObserveFailedAttempt(end.String(), choice.Zone)
+		}
 		switch end {
 		case outcomeAnswered:
 			return nil
--- a/internal/place/outlier.go
+++ b/internal/place/outlier.go
@@ -77,6 +77,19 @@
 	h.ejectedUntil = now.Add(h.ejection)
 }
 
+// Ejected returns the number of upstreams that this host has ejected because of failures.
+func (t *Table) Ejected(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, w := range t.byID {
+		if !w.health.usable(now) {
+			n++
+		}
+	}
+	return n
+}
+
 func (h *health) observeServiceTime(took, expected time.Duration) {
 	if expected <= 0 {
 		return
