--- a/internal/entryhost/export_test.go
+++ b/internal/entryhost/export_test.go
@@ -1,9 +1,17 @@
 package entryhost
 
-import "time"
+import (
+	"time"
+
+	"balsambarrow/internal/clock"
+	"balsambarrow/internal/h1"
+)
 
 // SetStartupWait sets how long callers may wait for a daemon that has just started.
 func (d *Daemon) SetStartupWait(wait time.Duration) { d.startupWait = wait }
 
 // Upstreams returns the number of upstreams that the daemon holds.
 func (d *Daemon) Upstreams() int { return d.table.Size() }
+
+// SetUpstreamDialer sets how the daemon connects to upstreams.
+func (d *Daemon) SetUpstreamDialer(dial h1.DialFunc) { d.upstreamConns = h1.NewPool(dial, clock.Now) }
--- a/internal/entryhost/helper_test.go
+++ b/internal/entryhost/helper_test.go
@@ -73,6 +73,8 @@
 	// store is the address at which the host reaches the store; "" means the address that all
 	// hosts use.
 	store string
+	// uplink is the network between the host and all upstreams; nil means one without faults.
+	uplink *standin.Uplink
 }
 
 func (s *site) hostWith(name, zone string, o hostOptions) *host {
@@ -97,6 +99,9 @@
 	if o.startupWait > 0 {
 		d.SetStartupWait(o.startupWait)
 	}
+	if o.uplink != nil {
+		d.SetUpstreamDialer(o.uplink.DialContext)
+	}
 	d.Start()
 	h := &host{daemon: d, listen: d.Addresses()}
 	s.hosts = append(s.hosts, h)
@@ -198,12 +203,17 @@
 
 // call sends a request to a host on a new connection.
 func (s *site) call(h *host, method, path, key, body string) response {
+	return s.callAbout("17", h, method, path, key, body)
+}
+
+// callAbout is call with an affinity key.
+func (s *site) callAbout(object string, h *host, method, path, key, body string) response {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 8 * time.Second}
 	r, err := http.NewRequest(method, "http://"+h.listen.Callers+path, strings.NewReader(body))
 	NewWithT(s.t).Expect(err).NotTo(HaveOccurred())
 	r.Host = "x.example"
 	r.Header.Set("X-Request-Id", fmt.Sprint("id-", s.serial.Add(1)))
-	r.Header.Set("X-Affinity-Key", "17")
+	r.Header.Set("X-Affinity-Key", object)
 	r.Header.Set("X-Deadline-Ms", "3000")
 	if key != "" {
 		r.Header.Set("Authorization", "Bearer "+key)
