--- a/internal/entryhost/partition_test.go
+++ b/internal/entryhost/partition_test.go
@@ -31,9 +31,6 @@
 	}
 	p.awaitServing()
 	NewWithT(t).Eventually(func() []string { return directory(t, p.hosts[0], "a") }, "5s", "20ms").Should(HaveLen(len(zones)))
-	for _, h := range p.hosts {
-		NewWithT(t).Eventually(func() bool { return p.serves(h) }, "4s", "1ms").Should(BeTrue())
-	}
 	return p
 }
 
@@ -89,6 +86,10 @@
 					g.Expect(p.serves(p.hosts[i])).To(BeTrue())
 					g.Expect(p.hosts[i].ready()).To(BeTrue())
 				}
+				for i, h := range p.hosts {
+					p.uplinks[i].SetFault(standin.UplinkWorks)
+					g.Eventually(func() bool { return p.serves(h) }, "4s", "1ms").Should(BeTrue())
+				}
 				p.expectNoDuplicates()
 			})
 		}
