--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -21,6 +21,7 @@
 	"balsambarrow/internal/retry"
 	"balsambarrow/internal/share"
 	"balsambarrow/internal/telemetry"
+	"balsambarrow/internal/tunnel"
 	"balsambarrow/platform"
 )
 
@@ -44,6 +45,9 @@
 	// OnActive is called when the host becomes active, and when it becomes a standby again.
 	// Optional; it must be set before Start.
 	OnActive func(active bool)
+	// DialUpstream opens connections to upstreams. Tests replace it before Start to simulate
+	// network faults.
+	DialUpstream h1.DialFunc
 
 	settings      atomic.Pointer[Settings]
 	self          Self
@@ -53,11 +57,16 @@
 	store         kv.Store
 	transport     *fleet.Transport
 	upstreamConns *h1.Pool
-	table         *place.Table
-	shares        *share.Limiter
-	tokens        *tokens
-	retries       *retry.WindowBudget
-	control       *control
+	// links connects to upstreams, through other hosts if necessary, and tunnels connects other
+	// hosts to upstreams. tunnelPeers are the hosts that do so for this one.
+	links       *tunnel.Dialer
+	tunnels     *tunnel.Server
+	tunnelPeers atomic.Pointer[[]tunnel.Peer]
+	table       *place.Table
+	shares      *share.Limiter
+	tokens      *tokens
+	retries     *retry.WindowBudget
+	control     *control
 
 	state       atomic.Pointer[front.State]
 	directory   atomic.Pointer[directory]
@@ -128,10 +137,10 @@
 	d := &Daemon{
 		self: Self{
 			Host: place.Host{Instance: s.Host + "-" + uuid.NewString()[:8], Zone: s.Zone, Region: region},
-			Name: s.Host, Callers: addresses.Callers, Peers: addresses.Peers,
+			Name: s.Host, Callers: addresses.Callers, Peers: addresses.Peers, Tunnels: addresses.Tunnels,
 		},
 		events: events, metrics: metrics, tracing: tracing, transport: transport, addresses: addresses, listeners: listeners,
-		upstreamConns: h1.NewPool(h1.Dialer(upstreamDialTimeout), clock.Now),
+		DialUpstream:  h1.Dialer(upstreamDialTimeout),
 		shares:        share.New(),
 		retries:       retry.NewWindowBudget(s.Bounds.RetryWindow.Value(), s.Bounds.RetryRatio),
 		errs:          make(chan error, 4),
@@ -145,12 +154,16 @@
 		callerConns: newCallerConns(),
 	}
 	d.table = place.NewTable(d.self.Host, s.Zones)
+	d.tunnelPeers.Store(&[]tunnel.Peer{})
 	d.settings.Store(s)
 	d.state.Store(&front.State{})
 	d.directory.Store(&directory{self: d.self})
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	storeDialer := h1.Preconnect(d.ctx, h1.Dialer(storeDialTimeout), s.Store)
 	d.store = platform.NewStore("http://"+s.Store, storeDialer.Dial, metrics.StoreCall)
+	d.links, d.tunnels = d.newLinks(), d.newTunnelServer()
+	d.upstreamConns = h1.NewPool(d.links.DialContext, clock.Now)
+	d.upstreamConns.Paths = d.links
 	d.control = newControl(d)
 	d.tokens = newTokens(d)
 	d.bucketHosts.Store(&bucketHosts{})
@@ -175,6 +188,7 @@
 		d.addresses.Callers:   callers,
 		d.addresses.Readiness: platform.ReadinessHandler(d.ready.Load),
 		d.addresses.Directory: platform.ResolveHandler(d.resolve),
+		d.addresses.Tunnels:   d.tunnels,
 		d.addresses.Metrics:   d.metricsHandler(),
 	} {
 		if l := d.listeners[address]; l != nil {
@@ -221,7 +235,7 @@
 // listen opens the listeners and returns their addresses.
 func listen(l Listen) (Listen, map[string]net.Listener, error) {
 	listeners := map[string]net.Listener{}
-	for _, address := range []*string{&l.Callers, &l.Readiness, &l.Directory, &l.Metrics} {
+	for _, address := range []*string{&l.Callers, &l.Readiness, &l.Directory, &l.Tunnels, &l.Metrics} {
 		if *address == "" {
 			continue
 		}
--- a/internal/entryhost/directory.go
+++ b/internal/entryhost/directory.go
@@ -9,10 +9,12 @@
 type Self struct {
 	place.Host
 	// Name is the name of the entry host. Callers and Peers are the addresses on which it
-	// serves callers and receives datagrams from peers.
+	// serves callers and receives datagrams from peers. Tunnels is the address on which it
+	// connects peers to upstreams, or "".
 	Name    string
 	Callers string
 	Peers   string
+	Tunnels string
 }
 
 // directory lists the hosts to which callers can be directed. It is never modified.
--- a/internal/entryhost/export_test.go
+++ b/internal/entryhost/export_test.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"balsambarrow/internal/clock"
 	"balsambarrow/internal/h1"
 )
 
@@ -14,4 +13,4 @@
 func (d *Daemon) Upstreams() int { return d.table.Size() }
 
 // SetUpstreamDialer sets how the daemon connects to upstreams.
-func (d *Daemon) SetUpstreamDialer(dial h1.DialFunc) { d.upstreamConns = h1.NewPool(dial, clock.Now) }
+func (d *Daemon) SetUpstreamDialer(dial h1.DialFunc) { d.DialUpstream = dial }
--- a/internal/entryhost/heartbeat.go
+++ b/internal/entryhost/heartbeat.go
@@ -111,6 +111,7 @@
 	s, load, capacity, digests := c.d.self, c.d.meter.update(now), c.d.capacity(), c.announcedDigests()
 	return &fleet.Heartbeat{
 		Instance: s.Instance, Host: s.Name, Zone: s.Zone, Region: s.Region, Callers: s.Callers, Peers: s.Peers,
+		Tunnels: s.Tunnels, LinksDown: c.d.links.LinksDown(),
 		Sequence: c.sequence, Ready: c.ready, Leaving: c.leaving, Version: c.version(),
 		Able: c.canServe(now), Registered: c.holdsShares, SeesStore: !c.storeUnreachable,
 		SeeksActive: !c.ready && !c.leaving && !c.d.directory.Load().anyReady(),
--- a/internal/entryhost/helper_test.go
+++ b/internal/entryhost/helper_test.go
@@ -85,7 +85,7 @@
 	settings, err := entryhost.ParseSettings("test", []byte(fmt.Sprintf(`{
 		// a region of two zones and one of one
 		"host": %q, "zone": %q, "zones": {"a1": "a", "a2": "a", "b1": "b"},
-		"listen": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "directory": "127.0.0.1:0", "peers": "127.0.0.1:0", "metrics": "127.0.0.1:0"},
+		"listen": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "directory": "127.0.0.1:0", "peers": "127.0.0.1:0", "tunnels": "127.0.0.1:0", "metrics": "127.0.0.1:0"},
 		"store": %q, "trace_file": %q, "capacity": {"link_mbps": %g},
 		"bounds": {"grace": "4s", "revoke": "5s", "strict_revocation": true, "retry_ratio": 0.2, "retry_slack": 60, "retry_window": "10s", "max_shift": 0.15},
 	}`, name, zone, o.store, s.traces, o.mbps)))
--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -44,6 +44,9 @@
 	Directory string `json:"directory"`
 	// Peers receives datagrams of peers. Required.
 	Peers string `json:"peers"`
+	// Tunnels connects other entry hosts to upstreams while their own links are down; only other
+	// entry hosts may reach it. Default "": not served.
+	Tunnels string `json:"tunnels"`
 	// Metrics serves counters and histograms. Default "": not served.
 	Metrics string `json:"metrics"`
 }
@@ -155,6 +158,7 @@
 	} {
 		require(settings.IsAddress(a.address), a.path, "want an IP address and a port")
 	}
+	require(s.Listen.Tunnels == "" || settings.IsAddress(s.Listen.Tunnels), "/listen/tunnels", "want an IP address and a port, or nothing")
 	require(s.Listen.Metrics == "" || settings.IsAddress(s.Listen.Metrics), "/listen/metrics", "want an IP address and a port, or nothing")
 	for _, d := range []struct {
 		path string
--- a/internal/entryhost/stop.go
+++ b/internal/entryhost/stop.go
@@ -45,6 +45,7 @@
 		}(server)
 	}
 	shutdowns.Wait()
+	d.tunnels.Wait(ctx)
 	d.events.Info("stopped", "took", d.now().Sub(began))
 	d.cancel()
 	d.tasks.Wait()
@@ -56,6 +57,7 @@
 // Kill ends the daemon at once, as a crash does.
 func (d *Daemon) Kill() {
 	d.cancel()
+	d.tunnels.Close()
 	for _, server := range d.servers {
 		if err := server.Close(); err != nil {
 			d.events.Debug("listener not closed", "error", err)
--- a/internal/fleet/activesummary.go
+++ b/internal/fleet/activesummary.go
@@ -62,6 +62,7 @@
 func (k *Member) heartbeat() *Heartbeat {
 	return &Heartbeat{
 		Instance: k.Instance, Host: k.Host, Zone: k.Zone, Region: k.Region, Callers: k.CallerAddress, Peers: k.PeerAddress,
+		Tunnels: k.TunnelAddress, LinksDown: k.LinksDown,
 		Sequence: k.sequence, Ready: k.Ready, Leaving: k.Leaving, Version: k.Version, Able: k.Eligible, Registered: k.Registered,
 		SeesStore: k.StoreReachable, Cores: float32(k.Capacity.Cores), LinkMbps: float32(k.Capacity.LinkMbps), Brief: true,
 	}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -21,6 +21,10 @@
 	// other entry hosts send packets to.
 	CallerAddress string
 	PeerAddress   string
+	// TunnelAddress is where the host connects other hosts to upstreams; "" if it does not.
+	TunnelAddress string
+	// LinksDown reports whether the host itself reaches no upstreams.
+	LinksDown bool
 	// Ready reports whether the host is active: callers may be sent to it.
 	Ready bool
 	// Leaving reports whether the host has begun a planned stop.
@@ -131,12 +135,13 @@
 func (k *Member) differs(b *Heartbeat) bool {
 	return k.Host != b.Host || k.Zone != b.Zone || k.Region != b.Region || k.CallerAddress != b.Callers || k.PeerAddress != b.Peers ||
 		k.Ready != b.Ready || k.Leaving != b.Leaving || k.Eligible != b.Able || k.Registered != b.Registered ||
-		k.StoreReachable != b.SeesStore
+		k.StoreReachable != b.SeesStore || k.TunnelAddress != b.Tunnels || k.LinksDown != b.LinksDown
 }
 
 func (k *Member) applyHeartbeat(now time.Time, b *Heartbeat) {
 	k.Host, k.Zone, k.Region = b.Host, b.Zone, b.Region
 	k.CallerAddress, k.PeerAddress = b.Callers, b.Peers
+	k.TunnelAddress, k.LinksDown = b.Tunnels, b.LinksDown
 	k.Ready, k.Leaving, k.Version = b.Ready, b.Leaving, b.Version
 	k.Eligible, k.Registered, k.StoreReachable = b.Able, b.Registered, b.SeesStore
 	k.Capacity = standby.Capacity{Cores: float64(b.Cores), LinkMbps: float64(b.LinkMbps)}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -131,6 +131,11 @@
 	// mayHaveRun is set if an upstream may have run the request.
 	mayHaveRun bool
 	shed       bool
+	// pathDown is set if this host had no network path to an upstream.
+	pathDown bool
+	// relay is the address of the host through which the last response came; "" if it came
+	// directly.
+	relay string
 	// longestQueueing is the longest expected queueing delay of the upstreams tried.
 	longestQueueing time.Duration
 	// latency is the comparison for the last response; nil if there was none.
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -25,6 +25,7 @@
 	CauseOverloaded           Cause = "overloaded"
 	CauseUpstreamsShed        Cause = "upstreams-shed"
 	CauseUpstreamsUnreachable Cause = "upstreams-unreachable"
+	CausePathDown             Cause = "path-down"
 	CauseResponseLost         Cause = "answer-lost"
 	CauseTimeout              Cause = "timeout"
 	CauseCallerLeft           Cause = "caller-left"
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -35,8 +35,9 @@
 func (h *Handler) receive(ctx context.Context, w http.ResponseWriter, q *request, c place.Choice, sentAt time.Time, upstream *h1.Response) (outcome, *response) {
 	meta := h.Codec.ParseResponse(upstream.Response)
 	report := place.Report{
-		TimeToHeader: h.Now().Sub(sentAt), ConnectTime: upstream.ConnectTime, Load: meta.Load, HasLoad: meta.HasLoad, ColdFor: meta.ColdFor,
+		TimeToHeader: h.Now().Sub(sentAt), ConnectTime: upstream.ConnectTime, Relayed: upstream.Relay != "", Load: meta.Load, HasLoad: meta.HasLoad, ColdFor: meta.ColdFor,
 	}
+	q.attempts.relay = upstream.Relay
 	h.observeAnnouncements(q, c, meta)
 	if problem := invalidResponse(upstream.Response, meta); problem != "" {
 		upstream.Close(meta.KeepAlive)
@@ -136,9 +137,9 @@
 	took := h.Now().Sub(q.arrived)
 	h.Observe(Observation{Route: q.route.Name, Status: resp.status, Duration: took, Bytes: len(resp.body), Sends: q.attempts.sends, Latency: q.attempts.latency})
 	late := q.route.TargetLatency > 0 && took > q.route.TargetLatency
-	if q.attempts.sends > 1 || late || resp.status >= http.StatusInternalServerError || h.responseCount.Add(1)%responseLogInterval == 0 {
+	if q.attempts.sends > 1 || late || q.attempts.relay != "" || resp.status >= http.StatusInternalServerError || h.responseCount.Add(1)%responseLogInterval == 0 {
 		h.Log.Info("answered", "id", q.ID, "route", q.route.Name, "status", resp.status, "took", took,
-			"target", q.route.TargetLatency, "sends", q.attempts.sends, "tried", q.attempts.tried, "expected", q.attempts.latency.Expected,
+			"target", q.route.TargetLatency, "sends", q.attempts.sends, "tried", q.attempts.tried, "relay", q.attempts.relay, "expected", q.attempts.latency.Expected,
 			"expected_wait", q.attempts.latency.ExpectedQueueing, "upstream_took", q.attempts.latency.Actual, "waited", q.attempts.latency.ActualQueueing)
 	}
 }
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -11,6 +11,7 @@
 	"balsambarrow/internal/h1"
 	"balsambarrow/internal/place"
 	"balsambarrow/internal/traffic"
+	"balsambarrow/internal/tunnel"
 )
 
 // maxUnreachable is the number of unreachable upstreams after which a further
@@ -121,6 +122,10 @@
 		}
 		return unavailable(CauseUpstreamsShed, q.attempts.longestQueueing/2+retrySoon)
 	}
+	if q.attempts.pathDown {
+		// Another host may serve the caller at once.
+		return unavailable(CausePathDown, retrySoon)
+	}
 	return unavailable(CauseUpstreamsUnreachable, retryCold)
 }
 
@@ -233,8 +238,13 @@
 // recordUnsent records an attempt in which nothing reached the upstream.
 func (h *Handler) recordUnsent(ctx context.Context, q *request, c place.Choice, err *h1.UnsentError) (outcome, *response) {
 	report := place.Report{Result: place.Unreachable}
-	if ctx.Err() != nil || !err.DialFailed {
+	var noPeer *tunnel.NoPeerError
+	switch {
+	case ctx.Err() != nil || !err.DialFailed:
 		report.Result = place.Canceled
+	case errors.As(err, &noPeer):
+		report.Result = place.PathDown
+		q.attempts.pathDown = true
 	}
 	h.Table.Done(h.Now(), c, report)
 	if ctx.Err() != nil {
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -17,8 +17,10 @@
 // conn is a connection to an upstream. It carries one request at a time.
 type conn struct {
 	net.Conn
-	address string
-	br      *bufio.Reader
+	// address is that of the upstream, remote that of the peer of the connection.
+	address, remote string
+
+	br *bufio.Reader
 	// reused is set once the connection has served a request.
 	reused bool
 	// The connection may be reused until idleTimeout after idleSince. The upstream keeps
@@ -36,9 +38,12 @@
 // no part of an abandoned request reaches the upstream later.
 func newConn(c net.Conn, address string) *conn {
 	tcpreset.Enable(c)
-	return &conn{Conn: c, address: address, br: bufio.NewReaderSize(c, readBuffer)}
+	return &conn{Conn: c, address: address, remote: c.RemoteAddr().String(), br: bufio.NewReaderSize(c, readBuffer)}
 }
 
+// relayed reports whether the connection leads to the upstream through another host.
+func (c *conn) relayed() bool { return c.remote != c.address }
+
 // closeOrderly closes a connection whose requests have all been answered.
 func (c *conn) closeOrderly() {
 	tcpreset.Disable(c.Conn)
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -50,6 +50,9 @@
 	// ConnectTime is how long establishing the connection took; 0: the connection
 	// was reused.
 	ConnectTime time.Duration
+	// Relay is the address of the host through which the connection leads; "" if it leads to the
+	// upstream directly.
+	Relay string
 
 	pool *Pool
 	conn *conn
@@ -79,12 +82,25 @@
 	if err != nil {
 		stop()
 		_ = c.Close()
+		if p.Paths != nil && ctx.Err() == nil {
+			p.recordLost(ctx, c, r.NonIdempotent)
+		}
 		return nil, err
 	}
 	resp.stop = stop
 	return resp, nil
 }
 
+// recordLost reports a connection that has broken without a response. The caller of a
+// non-idempotent request, which is not sent again, need not wait.
+func (p *Pool) recordLost(ctx context.Context, c *conn, nonIdempotent bool) {
+	if nonIdempotent {
+		go p.Paths.RecordLost(context.WithoutCancel(ctx), c.remote, c.relayed())
+		return
+	}
+	p.Paths.RecordLost(ctx, c.remote, c.relayed())
+}
+
 func (p *Pool) exchange(c *conn, r *Request) (*Response, error) {
 	var head bytes.Buffer
 	writeHead(&head, r)
@@ -103,6 +119,9 @@
 		return nil, &NoResponseError{c.address, c.reused, err}
 	}
 	resp := &Response{pool: p, conn: c}
+	if c.relayed() {
+		resp.Relay = c.remote
+	}
 	if !c.reused {
 		resp.ConnectTime = c.roundTrip
 	}
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -24,8 +24,23 @@
 	sweepInterval = time.Second
 )
 
+// Paths decides which connections of a Pool may be used, if the network paths to upstreams change.
+// A connection is relayed if its remote address differs from that of the upstream.
+type Paths interface {
+	// Reusable reports whether an idle connection may carry a request.
+	Reusable(remote string, relayed bool) bool
+	// Keep reports whether a connection is to be kept after a request.
+	Keep(remote string, relayed bool) bool
+	// RecordLost records that a connection has broken without a response. It may wait, until ctx
+	// ends, so that the request is sent again on a better path.
+	RecordLost(ctx context.Context, remote string, relayed bool)
+}
+
 // Pool is a pool of connections to upstreams. It is safe for concurrent use.
 type Pool struct {
+	// Paths is optional. It must be set before the first request.
+	Paths Paths
+
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	now  func() time.Time
 
@@ -49,7 +64,7 @@
 	for c := p.pop(address); c != nil; c = p.pop(address) {
 		now := p.now()
 		c.idleTime = now.Sub(c.idleSince)
-		if c.idleTime >= c.idleTimeout || !c.noPendingInput() {
+		if c.idleTime >= c.idleTimeout || !c.noPendingInput() || !p.reusable(c) {
 			c.closeOrderly()
 			continue
 		}
@@ -93,7 +108,7 @@
 		c.idleTimeout = max(keepAlive-idleTimeoutMargin, 0)
 	}
 	// A deadline set for the previous request would interrupt the next one.
-	if err := c.SetDeadline(time.Time{}); err != nil {
+	if err := c.SetDeadline(time.Time{}); err != nil || p.Paths != nil && !p.Paths.Keep(c.remote, c.relayed()) {
 		c.closeOrderly()
 		return
 	}
@@ -115,6 +130,13 @@
 	}
 }
 
+func (p *Pool) reusable(c *conn) bool {
+	return p.Paths == nil || p.Paths.Reusable(c.remote, c.relayed())
+}
+
+// CloseUnusable closes the idle connections that may not carry another request; see Paths.
+func (p *Pool) CloseUnusable() { p.closeIdle(func(c *conn) bool { return !p.reusable(c) }) }
+
 // CloseIdle closes the idle connections to an address. It is called when the
 // upstream is unreachable because it was removed or has failed.
 func (p *Pool) CloseIdle(address string) {
@@ -131,15 +153,25 @@
 // connections.
 func (p *Pool) sweep() {
 	now := p.now()
-	var expired []*conn
+	p.closeIdle(func(c *conn) bool { return now.Sub(c.idleSince) >= c.idleTimeout })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.sweeping = len(p.idle) > 0; p.sweeping {
+		time.AfterFunc(sweepInterval, p.sweep)
+	}
+}
+
+// closeIdle closes the idle connections for which unusable returns true.
+func (p *Pool) closeIdle(unusable func(*conn) bool) {
+	var closing []*conn
 	p.mu.Lock()
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.idleSince) < c.idleTimeout {
-				kept = append(kept, c)
+			if unusable(c) {
+				closing = append(closing, c)
 			} else {
-				expired = append(expired, c)
+				kept = append(kept, c)
 			}
 		}
 		p.idle[address] = kept
@@ -147,11 +179,8 @@
 			delete(p.idle, address)
 		}
 	}
-	if p.sweeping = len(p.idle) > 0; p.sweeping {
-		time.AfterFunc(sweepInterval, p.sweep)
-	}
 	p.mu.Unlock()
-	for _, c := range expired {
+	for _, c := range closing {
 		c.closeOrderly()
 	}
 }
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -212,6 +212,9 @@
 	// Canceled: the caller left or the deadline passed. It does not reflect on the
 	// upstream's health.
 	Canceled
+	// PathDown: this host has no network path to the upstream. That does not reflect on the
+	// upstream's health.
+	PathDown
 	// Misdirected: the address now belongs to another upstream.
 	Misdirected
 )
@@ -224,8 +227,10 @@
 	// ConnectTime is the part of TimeToHeader spent connecting; 0 if a connection was
 	// reused.
 	ConnectTime time.Duration
-	Load        traffic.Load
-	HasLoad     bool
+	// Relayed is set if the connection leads through another host.
+	Relayed bool
+	Load    traffic.Load
+	HasLoad bool
 	// ColdFor is how long the upstream stays cold; 0 if not reported.
 	ColdFor time.Duration
 	// ResponseBytes is the size of the response body.
@@ -244,7 +249,7 @@
 	if probed := t.instance(c); c.probe && probed != nil {
 		probed.announced.pause.probing = false
 	}
-	if r.ConnectTime > 0 {
+	if r.ConnectTime > 0 && !r.Relayed {
 		t.links.observeRTT(w.region, r.ConnectTime)
 	}
 	if r.ColdFor > 0 {
@@ -261,6 +266,9 @@
 	case Unreachable:
 		w.health.recordUnreachable(now)
 		t.dropUnanswered(w, c.object)
+	case PathDown:
+		w.health.eject(now)
+		t.dropUnanswered(w, c.object)
 	case Misdirected:
 		t.dropUnanswered(w, c.object)
 		// The registration will be removed; until then, no requests are sent there.
--- a/internal/standin/uplink.go
+++ b/internal/standin/uplink.go
@@ -169,7 +169,7 @@
 		c.mu.Lock()
 		c.broken = err
 		c.mu.Unlock()
-		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		_ = c.SetReadDeadline(time.Unix(1, 0))
 	}()
 	return len(b), nil
 }
