--- a/cmd/balsambarrowd/entry.go
+++ b/cmd/balsambarrowd/entry.go
@@ -80,6 +80,9 @@
 	}
 }
 
+// beforeStart changes a daemon that has not started. Tests replace it to simulate network faults.
+var beforeStart = func(*entryhost.Daemon) {}
+
 func serveEntry(path string, s *entryhost.Settings) error {
 	// The signal handler is installed before anything else: the default action of SIGHUP
 	// ends the process, and the platform would restart it.
@@ -104,6 +107,7 @@
 		return err
 	}
 	d.OnActive = onActive
+	beforeStart(d)
 	d.Start()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/entryhost/export_test.go
+++ b/internal/entryhost/export_test.go
@@ -1,16 +1,9 @@
 package entryhost
 
-import (
-	"time"
-
-	"balsambarrow/internal/h1"
-)
+import "time"
 
 // SetStartupWait sets how long callers may wait for a daemon that has just started.
 func (d *Daemon) SetStartupWait(wait time.Duration) { d.startupWait = wait }
 
 // Upstreams returns the number of upstreams that the daemon holds.
 func (d *Daemon) Upstreams() int { return d.table.Size() }
-
-// SetUpstreamDialer sets how the daemon connects to upstreams.
-func (d *Daemon) SetUpstreamDialer(dial h1.DialFunc) { d.DialUpstream = dial }
--- a/internal/entryhost/helper_test.go
+++ b/internal/entryhost/helper_test.go
@@ -100,7 +100,7 @@
 		d.SetStartupWait(o.startupWait)
 	}
 	if o.uplink != nil {
-		d.SetUpstreamDialer(o.uplink.DialContext)
+		d.DialUpstream = o.uplink.Dialer(d.DialUpstream)
 	}
 	d.Start()
 	h := &host{daemon: d, listen: d.Addresses()}
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -62,6 +62,7 @@
 	c.checkRateLimits(requests)
 	c.checkPauses(requests)
 	c.checkLeaving(requests)
+	c.checkLinkCuts(requests)
 	if c.reporter.Failed() {
 		perSecond := map[string]int{}
 		for _, r := range requests {
@@ -110,19 +111,21 @@
 // unrestrictedUpstreamAt reports whether an upstream existed that the hosts might send any number
 // of requests: not evacuated, not leaving, without a rate limit, and not rejecting requests.
 func (c *cluster) unrestrictedUpstreamAt(at time.Time) bool {
-	return slices.ContainsFunc(c.upstreams, func(u *upstream) bool {
-		evacuated := slices.ContainsFunc(c.endedEvacuations, func(e evacuation) bool {
-			return e.zone == u.zone && at.After(e.start) && at.Before(e.end)
-		})
-		limited := slices.ContainsFunc(c.rateLimits, func(s rateLimitSpan) bool {
-			return s.upstream == u && at.After(s.start) && at.Before(s.end)
-		})
-		rejecting := slices.ContainsFunc(c.rejections, func(s rejectionSpan) bool {
-			return s.upstream == u && at.After(s.start) && at.Before(s.end.Add(rejectionPause))
-		})
-		leaving := !u.leavingSince.IsZero() && at.After(u.leavingSince)
-		return !evacuated && !limited && !rejecting && !leaving
+	return slices.ContainsFunc(c.upstreams, func(u *upstream) bool { return c.unrestricted(u, at) })
+}
+
+func (c *cluster) unrestricted(u *upstream, at time.Time) bool {
+	evacuated := slices.ContainsFunc(c.endedEvacuations, func(e evacuation) bool {
+		return e.zone == u.zone && at.After(e.start) && at.Before(e.end)
+	})
+	limited := slices.ContainsFunc(c.rateLimits, func(s rateLimitSpan) bool {
+		return s.upstream == u && at.After(s.start) && at.Before(s.end)
+	})
+	rejecting := slices.ContainsFunc(c.rejections, func(s rejectionSpan) bool {
+		return s.upstream == u && at.After(s.start) && at.Before(s.end.Add(rejectionPause))
 	})
+	leaving := !u.leavingSince.IsZero() && at.After(u.leavingSince)
+	return !evacuated && !limited && !rejecting && !leaving
 }
 
 // violatedEvacuation returns the evacuation that a run violated: the run was in the
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -31,6 +31,7 @@
 	name          string
 	zone          string
 	settingsFile  string
+	uplinkFile    string
 	callerAddress string
 	proxy         *proxy
 
@@ -86,6 +87,8 @@
 	rateLimits []rateLimitSpan
 	// rejections are the periods in which upstreams rejected all requests.
 	rejections []rejectionSpan
+	// linkCuts are the periods in which hosts were cut off from all upstreams.
+	linkCuts []linkCut
 	// faultLog lists the injected faults. It is logged when a check fails.
 	faultLog []string
 }
@@ -103,22 +106,30 @@
 	linkMbps int
 }
 
-// mixedFleetSeed is the lowest seed that uses mixedFleet.
-const mixedFleetSeed = 1000
+// mixedFleetSeed is the lowest seed that uses mixedFleet, linkFleetSeed the lowest one that uses
+// linkFleet and injects no faults of processes.
+const (
+	mixedFleetSeed = 1000
+	linkFleetSeed  = 5000
+)
 
 // equalFleet has three active hosts. In mixedFleet the last host, which has a slow link,
 // is a standby, and most hosts of region a learn of changes in the store from the host that
 // watches the store for the region.
 var (
 	equalFleet = []hostConfig{{"a1", 0}, {"a2", 0}, {"b1", 0}}
+	linkFleet  = []hostConfig{{"a1", 0}, {"a2", 0}, {"b1", 0}, {"a1", 0}, {"a2", 0}, {"b1", 0}}
 	mixedFleet = []hostConfig{{"a1", 200}, {"a2", 200}, {"b1", 200}, {"a1", 200}, {"a2", 10}}
 )
 
 func fleetForSeed(seed uint64) []hostConfig {
-	if seed < mixedFleetSeed {
+	switch {
+	case seed < mixedFleetSeed:
 		return equalFleet
+	case seed < linkFleetSeed:
+		return mixedFleet
 	}
-	return mixedFleet
+	return linkFleet
 }
 
 func newCluster(t *testing.T, binary string, fleet []hostConfig) *cluster {
@@ -167,7 +178,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	h := &daemonProcess{name: name, zone: host.zone, proxy: p, settingsFile: filepath.Join(c.dir, name+".jsonc"), callerAddress: freeAddress(c.t, len(c.processes))}
+	h := &daemonProcess{name: name, zone: host.zone, proxy: p, settingsFile: filepath.Join(c.dir, name+".jsonc"), uplinkFile: filepath.Join(c.dir, name+".uplink"), callerAddress: freeAddress(c.t, len(c.processes))}
 	text := standin.EntryHostSettings{
 		Name: name, Zone: host.zone, CallerAddress: h.callerAddress, DirectoryAddress: "127.0.0.1:0", StoreAddress: p.address(), LinkMbps: host.linkMbps,
 		GracePeriod: 5 * time.Second, RevocationDelay: revocationDelay,
@@ -200,6 +211,7 @@
 	}
 	cmd := exec.Command(c.binary, "entry", h.settingsFile)
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Env = append(os.Environ(), "BALSAMBARROW_TEST_UPLINK="+h.uplinkFile)
 	if err := cmd.Start(); err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -48,15 +48,15 @@
 }
 
 // TestSoak sends requests while hosts are stopped, killed, suspended and partitioned from
-// the store, upstreams abort their responses, announce rate limits, reject requests and
+// the store or from all upstreams, upstreams abort their responses, announce rate limits, reject requests and
 // announce that they leave, and operators withdraw API keys and evacuate zones. Faults are injected one after another and may overlap. What callers and upstreams
 // observe must keep to the guarantees throughout.
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "balsambarrowd")
-	if out, err := exec.Command("go", "build", "-o", binary, "balsambarrow/cmd/balsambarrowd").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "test", "-c", "-o", binary, "balsambarrow/cmd/balsambarrowd").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	seeds := append([]uint64{mixedFleetSeed}, regressionSeeds...)
+	seeds := append([]uint64{mixedFleetSeed, linkFleetSeed}, regressionSeeds...)
 	for i := range uint64(*seedCount) {
 		seeds = append(seeds, *firstSeed+i)
 	}
@@ -80,9 +80,14 @@
 		}()
 	}
 	spawn(&tasks, func() { c.runHeartbeats(stop) })
-	spawn(&tasks, func() { c.injectFaults(rand.New(rand.NewPCG(seed, 1)), stop) })
+	kinds := allFaults
+	if seed >= linkFleetSeed {
+		kinds = otherFaults
+	}
+	spawn(&tasks, func() { c.injectFaults(rand.New(rand.NewPCG(seed, 1)), kinds, stop) })
 	spawn(&tasks, func() { c.limitUpstreams(rand.New(rand.NewPCG(seed, 2)), stop) })
 	spawn(&tasks, func() { c.rejectAtUpstreams(rand.New(rand.NewPCG(seed, 3)), stop) })
+	spawn(&tasks, func() { c.cutLinks(rand.New(rand.NewPCG(seed, 5)), stop, seed >= linkFleetSeed) })
 	spawn(&tasks, func() { c.announceLeaving(rand.New(rand.NewPCG(seed, 4)), stop) })
 	var mu sync.Mutex
 	var requests []callerRequest
@@ -185,15 +190,21 @@
 // faultNames are the kinds of faults that injectFault knows, by number, as logged.
 var faultNames = []string{"SIGTERM", "SIGKILL", "SIGSTOP", "store link", "SIGHUP", "key withdrawn", "evacuation", "upstream aborts responses"}
 
+// allFaults are the kinds of faults, and otherFaults those that disturb no process.
+var (
+	allFaults   = []int{0, 1, 2, 3, 4, 5, 6, 7}
+	otherFaults = []int{3, 5, 6, 7}
+)
+
 // injectFaults starts one random fault after another until stop is closed. Some are still
 // active when the next ones start.
-func (c *cluster) injectFaults(rng *rand.Rand, stop <-chan struct{}) {
+func (c *cluster) injectFaults(rng *rand.Rand, kinds []int, stop <-chan struct{}) {
 	var activeFaults sync.WaitGroup
 	defer activeFaults.Wait()
 	for {
 		h, u := c.processes[rng.IntN(len(c.processes))], c.upstreams[rng.IntN(len(c.upstreams))]
 		length := time.Duration(300+rng.IntN(3500)) * time.Millisecond
-		kind, key, m := rng.IntN(len(faultNames)), fmt.Sprint("fresh-", rng.IntN(rotatedKeys)), proxyMode(1+rng.IntN(int(modeCount)-1))
+		kind, key, m := kinds[rng.IntN(len(kinds))], fmt.Sprint("fresh-", rng.IntN(rotatedKeys)), proxyMode(1+rng.IntN(int(modeCount)-1))
 		activeFaults.Add(1)
 		go func() {
 			defer activeFaults.Done()
--- a/internal/soak/violations_test.go
+++ b/internal/soak/violations_test.go
@@ -91,6 +91,28 @@
 	return out
 }
 
+// duringLinkCut sends requests to a host that has been cut off from all upstreams, of which served
+// succeed, and as many to another host, which all succeed.
+func duringLinkCut(s *cluster, h *daemonProcess, served, sent int) []callerRequest {
+	now := time.Now()
+	other := &daemonProcess{name: "h1", zone: "a1"}
+	h.zone, s.upstreams[0].zone = "a1", "a1"
+	s.processes = []*daemonProcess{h, other}
+	s.linkCuts = []linkCut{{hosts: []*daemonProcess{h}, start: now.Add(-detectionDelay - time.Second), end: now.Add(time.Second)}}
+	var out []callerRequest
+	for i := range 2 * sent {
+		r := callerRequest{id: fmt.Sprint("k", i), key: "steady", host: h, startedAt: now, endedAt: now, status: http.StatusServiceUnavailable}
+		if i >= sent {
+			r.host = other
+		}
+		if i < served || i >= sent {
+			r.status, r.body = http.StatusOK, "i-0 ran "+r.id
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
 // Guards against checks that cannot fail. Each case simulates what callers and
 // upstreams would observe if the fleet violated one guarantee; the checks must report
 // that violation and nothing else. Cases without a violation must report nothing.
@@ -212,6 +234,12 @@
 		{"a leaving upstream may get requests for a while", func(_ *cluster, u *upstream, r callerRequest) []callerRequest {
 			return runAtLeavingUpstream(u, r.host, leavingDelay-time.Second)
 		}, ""},
+		{"a host without links refuses its callers", func(s *cluster, _ *upstream, r callerRequest) []callerRequest {
+			return duringLinkCut(s, r.host, 8, 30)
+		}, "served 8 of 30, the others 30 of 30"},
+		{"a host without links may fail some requests", func(s *cluster, _ *upstream, r callerRequest) []callerRequest {
+			return duringLinkCut(s, r.host, 22, 30)
+		}, ""},
 		{"a restarted host may exceed a rate limit", func(s *cluster, u *upstream, r callerRequest) []callerRequest {
 			r.host.disturbances = []time.Time{now}
 			return runAtLimitedUpstream(s, u, r.host, 40)
--- a/internal/standin/platformconfig.go
+++ b/internal/standin/platformconfig.go
@@ -86,7 +86,7 @@
 	text, err := json.MarshalIndent(map[string]any{
 		"host": h.Name, "zone": h.Zone, "zones": Zones,
 		"listen": map[string]string{
-			"callers": h.CallerAddress, "readiness": "127.0.0.1:0", "directory": h.DirectoryAddress, "peers": "127.0.0.1:0",
+			"callers": h.CallerAddress, "readiness": "127.0.0.1:0", "directory": h.DirectoryAddress, "peers": "127.0.0.1:0", "tunnels": "127.0.0.1:0",
 		},
 		"store": h.StoreAddress, "capacity": map[string]int{"link_mbps": h.LinkMbps},
 		"bounds": map[string]any{
--- a/internal/standin/uplink.go
+++ b/internal/standin/uplink.go
@@ -33,6 +33,8 @@
 	// uplinkTimeout is how long a silent connection lasts once it has unacknowledged data, like
 	// TCP_USER_TIMEOUT.
 	uplinkTimeout = time.Second
+	// uplinkDialTimeout bounds connection attempts during a silent fault.
+	uplinkDialTimeout = 600 * time.Millisecond
 )
 
 // Uplink stands in for the network between one entry host and all upstreams. It is safe for
@@ -74,8 +76,19 @@
 	}
 }
 
-// DialContext opens a connection through the uplink.
-func (u *Uplink) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+// DialFunc opens a connection.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dialer returns a function that opens connections with dial through the uplink.
+func (u *Uplink) Dialer(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		return u.dial(ctx, dial, network, address)
+	}
+}
+
+func (u *Uplink) dial(ctx context.Context, dial DialFunc, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, uplinkDialTimeout)
+	defer cancel()
 	u.mu.Lock()
 	u.dials++
 	u.mu.Unlock()
@@ -89,7 +102,7 @@
 	if u.current() != UplinkWorks {
 		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 	}
-	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	c, err := dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
