--- a/internal/entryhost/links.go
+++ b/internal/entryhost/links.go
@@ -70,6 +70,7 @@
 // linksChanged discards what was learned on the paths that are not used any more.
 func (d *Daemon) linksChanged() {
 	d.table.ForgetUnreachable()
+	d.upstreamConns.ForgetResets()
 	d.upstreamConns.CloseUnusable()
 	d.control.send(func(c *control) { c.announce(d.now()) })
 }
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -144,7 +144,7 @@
 // a byte of a response, and sooner than the upstream can have processed the request.
 func (p *Pool) recordNoResponse(c *conn, sentAt time.Time, err error) {
 	var netErr net.Error
-	if !c.reused || errors.As(err, &netErr) && netErr.Timeout() {
+	if !c.reused || c.relayed() || errors.As(err, &netErr) && netErr.Timeout() {
 		return
 	}
 	if now := p.now(); now.Sub(sentAt) < c.roundTrip+resetMargin {
--- a/internal/h1/h1_test.go
+++ b/internal/h1/h1_test.go
@@ -409,6 +409,25 @@
 	g.Expect(conns.Load()).To(Equal(int32(3)), "the limit has expired after a minute")
 }
 
+// Guards against postings that open new connections long after the host's own links, not the
+// upstreams, have reset connections.
+func TestForgottenResetsDoNotLimitIdleTime(t *testing.T) {
+	g := NewWithT(t)
+	var droppingConns, conns atomic.Int32
+	clock := &fakeClock{}
+	healthy, p := startKeepAliveUpstream(t, &conns), clock.pool()
+	g.Expect(succeeded(send(t, p, healthy, nonIdempotent("1")))).To(BeTrue())
+	for range 2 {
+		dropping := startDroppingUpstream(t, &droppingConns, func() {})
+		g.Expect(succeeded(send(t, p, dropping, request("2")))).To(BeTrue())
+		clock.advance(time.Second)
+		g.Expect(failed(send(t, p, dropping, request("3")))).To(BeTrue())
+	}
+	p.ForgetResets()
+	g.Expect(succeeded(send(t, p, healthy, nonIdempotent("4")))).To(BeTrue())
+	g.Expect(conns.Load()).To(Equal(int32(1)))
+}
+
 // One upstream drops its connections because it has restarted. Only postings to this
 // upstream must use new connections; those to others reuse idle connections.
 func TestOneDroppingUpstreamDoesNotAffectOthers(t *testing.T) {
--- a/internal/h1/idlelimit.go
+++ b/internal/h1/idlelimit.go
@@ -100,6 +100,13 @@
 	}
 }
 
+// reset removes all limits.
+func (l *idleLimits) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.byAddress, l.global, l.lossyUntil = nil, idleLimit{}, time.Time{}
+}
+
 // othersLimited reports whether a limit is in effect for another upstream, and
 // deletes expired limits.
 func (l *idleLimits) othersLimited(now time.Time, address string) bool {
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -134,6 +134,10 @@
 	return p.Paths == nil || p.Paths.Reusable(c.remote, c.relayed())
 }
 
+// ForgetResets forgets that connections were reset. It is called when that turns out to be, or to
+// have been, the trouble of this host.
+func (p *Pool) ForgetResets() { p.idleLimits.reset() }
+
 // CloseUnusable closes the idle connections that may not carry another request; see Paths.
 func (p *Pool) CloseUnusable() { p.closeIdle(func(c *conn) bool { return !p.reusable(c) }) }
 
