--- a/internal/standin/uplink.go
+++ b/internal/standin/uplink.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // UplinkFault is how an Uplink is interrupted.
@@ -16,7 +18,7 @@
 const (
 	// UplinkWorks: no fault.
 	UplinkWorks UplinkFault = ""
-	// UplinkSilent drops everything on open and new connections.
+	// UplinkSilent holds back everything on open and new connections.
 	UplinkSilent UplinkFault = "silent"
 	// UplinkReset resets open connections when they are used, and refuses new ones.
 	UplinkReset UplinkFault = "reset"
@@ -109,14 +111,20 @@
 	return &uplinkConn{Conn: c, uplink: u}, nil
 }
 
-// uplinkConn is a connection through an Uplink.
+// uplinkConn is a connection through an Uplink. It treats what is written during a silent fault
+// like the send buffer of the operating system: it delivers the bytes when the fault has ended,
+// unless the connection has been reset by then or has timed out.
 type uplinkConn struct {
 	net.Conn
 	uplink *Uplink
 
 	mu       sync.Mutex
 	deadline time.Time
-	// broken is the error of all reads once the connection has failed.
+	// pending is the number of writes that wait for the end of a fault, and closing is set if the
+	// connection is to be closed after them.
+	pending int
+	closing bool
+	// broken is the error of all calls once the connection has failed.
 	broken error
 }
 
@@ -142,47 +150,93 @@
 	return !c.deadline.IsZero() && time.Now().After(c.deadline)
 }
 
-// awaitFailure blocks for as long as a silent fault blocks a call, and returns the error of the
-// connection.
-func (c *uplinkConn) awaitFailure() error {
-	for began := time.Now(); c.uplink.current() == UplinkSilent && time.Since(began) < uplinkTimeout; time.Sleep(uplinkPoll) {
-		if c.pastDeadline() {
-			return os.ErrDeadlineExceeded
-		}
-	}
-	if c.uplink.current() == UplinkReset {
-		return syscall.ECONNRESET
-	}
-	return syscall.ETIMEDOUT
+func (c *uplinkConn) brokenError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken
+}
+
+func (c *uplinkConn) fail(err error) {
+	c.mu.Lock()
+	c.broken = err
+	c.mu.Unlock()
+	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
 
 // Read implements net.Conn. Bytes that arrive during a silent fault are lost.
 func (c *uplinkConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.mu.Lock()
-	broken := c.broken
-	c.mu.Unlock()
-	if broken != nil {
-		return 0, broken
-	}
 	if err == nil && c.uplink.current() == UplinkSilent {
-		return 0, c.awaitFailure()
+		began := time.Now()
+		for c.uplink.current() == UplinkSilent && time.Since(began) < uplinkTimeout && !c.pastDeadline() {
+			time.Sleep(uplinkPoll)
+		}
+		c.fail(syscall.ETIMEDOUT)
+	}
+	if broken := c.brokenError(); broken != nil {
+		return 0, broken
 	}
 	return n, err
 }
 
-// Write implements net.Conn. Bytes that are written during a fault are accepted and lost, and
-// the next read fails.
+// Write implements net.Conn.
 func (c *uplinkConn) Write(b []byte) (int, error) {
-	if f := c.uplink.current(); f != UplinkSilent && f != UplinkReset {
-		return c.Conn.Write(b)
-	}
-	go func() {
-		err := c.awaitFailure()
+	switch c.uplink.current() {
+	case UplinkReset:
+		c.fail(syscall.ECONNRESET)
+		return len(b), nil
+	case UplinkSilent:
 		c.mu.Lock()
-		c.broken = err
+		c.pending++
 		c.mu.Unlock()
-		_ = c.SetReadDeadline(time.Unix(1, 0))
-	}()
-	return len(b), nil
+		go c.deliverLater(append([]byte(nil), b...))
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// deliverLater writes bytes at the end of a silent fault.
+func (c *uplinkConn) deliverLater(b []byte) {
+	began := time.Now()
+	for c.uplink.current() == UplinkSilent && time.Since(began) < uplinkTimeout {
+		time.Sleep(uplinkPoll)
+	}
+	switch c.uplink.current() {
+	case UplinkSilent:
+		c.fail(syscall.ETIMEDOUT)
+	case UplinkReset:
+		c.fail(syscall.ECONNRESET)
+	default:
+		// It fails if the connection has been reset.
+		_, _ = c.Conn.Write(b)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending--; c.pending == 0 && c.closing {
+		_ = c.Conn.Close()
+	}
+}
+
+// Close implements net.Conn. An orderly close waits for pending writes.
+func (c *uplinkConn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending > 0 && c.broken == nil && !c.resetsOnClose() {
+		c.closing = true
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// resetsOnClose reports whether the connection ends with a reset (SO_LINGER).
+func (c *uplinkConn) resetsOnClose() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	linger := 0
+	if err := raw.Control(func(fd uintptr) { linger, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_LINGER) }); err != nil {
+		return true
+	}
+	return linger != 0
 }
