--- a/internal/standin/uplink.go
+++ b/internal/standin/uplink.go
@@ -136,6 +136,9 @@
 	return c.Conn.(syscall.Conn).SyscallConn()
 }
 
+// CloseWrite ends the stream to the upstream.
+func (c *uplinkConn) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
+
 // SetDeadline implements net.Conn.
 func (c *uplinkConn) SetDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"balsambarrow/internal/tcpreset"
@@ -99,18 +100,31 @@
 	tcpreset.Disable(upstream)
 }
 
-// copyStream copies until the end of a stream, and passes on the end.
+// copyStream copies until the end of a stream, and passes on the end. Bytes that arrived before a
+// reset are dropped: they belong to an abandoned request or to a truncated response.
 func copyStream(to, from net.Conn) error {
-	// Without its ReadFrom method the connection is copied to through one small buffer.
-	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, copyBuffer))
-	if err != nil {
-		return err
-	}
-	half, ok := to.(interface{ CloseWrite() error })
-	if !ok {
-		return errors.ErrUnsupported
+	buffer := make([]byte, copyBuffer)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && tcpreset.Received(from) {
+			return syscall.ECONNRESET
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return err
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			half, ok := to.(interface{ CloseWrite() error })
+			if !ok {
+				return errors.ErrUnsupported
+			}
+			return half.CloseWrite()
+		case err != nil:
+			return err
+		}
 	}
-	return half.CloseWrite()
 }
 
 func (s *Server) add(peer, upstream net.Conn) {
