--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -99,6 +99,9 @@
 		c.reporter.Errorf("%s: cut off at %s after it had run, without an unplanned fault: %v", r.id, r.host.name, r.err)
 	}
 	for _, run := range runs {
+		if late := run.At.Sub(r.endedAt); late > abandonDelay && !c.anyDisturbed(r.startedAt, run.At) {
+			c.reporter.Errorf("%s: began to run %v after its caller had been answered", r.id, late)
+		}
 		if e := c.violatedEvacuation(run); e != nil && c.undisturbed(r, runs) {
 			c.reporter.Errorf("%s: ran in %s %v after its evacuation", r.id, e.zone, run.At.Sub(e.start))
 		}
@@ -108,6 +111,14 @@
 	}
 }
 
+// abandonDelay is how long after the end of a request an upstream may still begin to run it.
+const abandonDelay = 500 * time.Millisecond
+
+// anyDisturbed reports whether any host was restarted or suspended in the span or shortly before it.
+func (c *cluster) anyDisturbed(from, to time.Time) bool {
+	return slices.ContainsFunc(c.processes, func(h *daemonProcess) bool { return h.disturbedBetween(from, to) })
+}
+
 // unrestrictedUpstreamAt reports whether an upstream existed that the hosts might send any number
 // of requests: not evacuated, not leaving, without a rate limit, and not rejecting requests.
 func (c *cluster) unrestrictedUpstreamAt(at time.Time) bool {
--- a/internal/soak/linkcut_test.go
+++ b/internal/soak/linkcut_test.go
@@ -107,12 +107,7 @@
 // servable reports whether no host was disturbed near a request, and a host of the region of an
 // unrestricted upstream had its links.
 func (c *cluster) servable(cut linkCut, r callerRequest) bool {
-	for _, h := range c.processes {
-		if h.disturbedBetween(r.startedAt.Add(-detectionDelay), r.endedAt) {
-			return false
-		}
-	}
-	return slices.ContainsFunc(c.upstreams, func(u *upstream) bool {
+	return !c.anyDisturbed(r.startedAt, r.endedAt) && slices.ContainsFunc(c.upstreams, func(u *upstream) bool {
 		return c.unrestricted(u, r.startedAt) && slices.ContainsFunc(c.processes, func(h *daemonProcess) bool {
 			return standin.Zones[h.zone] == standin.Zones[u.zone] && !slices.Contains(cut.hosts, h)
 		})
--- a/internal/soak/violations_test.go
+++ b/internal/soak/violations_test.go
@@ -234,6 +234,11 @@
 		{"a leaving upstream may get requests for a while", func(_ *cluster, u *upstream, r callerRequest) []callerRequest {
 			return runAtLeavingUpstream(u, r.host, leavingDelay-time.Second)
 		}, ""},
+		{"an abandoned request runs later", func(_ *cluster, u *upstream, r callerRequest) []callerRequest {
+			r.status, r.startedAt, r.endedAt = http.StatusBadGateway, now.Add(-2*time.Second), now.Add(-time.Second)
+			runAtUpstream(u, "GET", r.id, standin.UnlimitedCustomer, "")
+			return []callerRequest{r, withResponse(callerRequest{id: "c2", key: "steady", host: r.host, startedAt: now, endedAt: now})}
+		}, "after its caller had been answered"},
 		{"a host without links refuses its callers", func(s *cluster, _ *upstream, r callerRequest) []callerRequest {
 			return duringLinkCut(s, r.host, 8, 30)
 		}, "served 8 of 30, the others 30 of 30"},
