--- a/internal/entryhost/standby_test.go
+++ b/internal/entryhost/standby_test.go
@@ -13,13 +13,27 @@
 	"balsambarrow/platform"
 )
 
-// Guards against a standby without upstreams that refuses its callers, or copies all upstreams for
-// each single one. Many callers make it copy them.
-func TestCallersOfStandbyWithoutUpstreams(t *testing.T) {
-	const upstreams, nextStandbys = 20, 2
+const (
+	// siteUpstreams is the number of upstreams of a siteWithStandbys, and nextStandbys the number of
+	// standbys that hold them.
+	siteUpstreams = 20
+	nextStandbys  = 2
+)
+
+// siteWithStandbys is a site with three active hosts and three standbys.
+type siteWithStandbys struct {
+	*site
+	standbys []*host
+	// cold is the standby that holds no upstreams.
+	cold *host
+}
+
+// newSiteWithStandbys starts a site. storeOf returns the address at which the i-th standby reaches
+// the store; "" means the address that all hosts use.
+func newSiteWithStandbys(t *testing.T, storeOf func(s *site, i int) string) *siteWithStandbys {
 	g := NewWithT(t)
-	s := newSite(t)
-	for i := range upstreams {
+	s := &siteWithStandbys{site: newSite(t)}
+	for i := range siteUpstreams {
 		s.worker(fmt.Sprint("i-", i), "s", "a1", 0)
 	}
 	s.declare(4, "k1")
@@ -28,30 +42,50 @@
 	}
 	s.awaitServing()
 	g.Eventually(s.hintHosts, "15s", "50ms").Should(Equal(3))
-	var standbys []*host
 	for i := range nextStandbys + 1 {
-		standbys = append(standbys, s.hostWith(fmt.Sprint("weak-", i), "a1", hostOptions{mbps: 20}))
+		s.standbys = append(s.standbys, s.hostWith(fmt.Sprint("weak-", i), "a1", hostOptions{mbps: 20, store: storeOf(s.site, i)}))
 	}
-	held := func() map[int]int {
-		out := map[int]int{}
-		for _, h := range standbys {
-			if h.ready() {
-				out[h.daemon.Upstreams()]++
-			}
+	g.Eventually(s.held, "15s", "50ms").Should(Equal(map[int]int{0: 1, siteUpstreams: nextStandbys}))
+	for _, h := range s.standbys {
+		if h.daemon.Upstreams() == 0 {
+			s.cold = h
 		}
-		return out
 	}
-	g.Eventually(held, "15s", "50ms").Should(Equal(map[int]int{0: 1, upstreams: nextStandbys}))
-	var cold *host
-	for _, h := range standbys {
-		if h.daemon.Upstreams() == 0 {
-			cold = h
+	return s
+}
+
+// held returns the numbers of standbys by the number of upstreams that they hold.
+func (s *siteWithStandbys) held() map[int]int {
+	out := map[int]int{}
+	for _, h := range s.standbys {
+		if h.ready() {
+			out[h.daemon.Upstreams()]++
 		}
 	}
+	return out
+}
+
+// Guards against a standby without upstreams that refuses its callers, or copies all upstreams for
+// each single one. Many callers make it copy them.
+func TestCallersOfStandbyWithoutUpstreams(t *testing.T) {
+	g := NewWithT(t)
+	s := newSiteWithStandbys(t, func(*site, int) string { return "" })
+	cold := s.cold
 	g.Expect(s.read(cold).status).To(Equal(http.StatusOK))
 	g.Eventually(func() int { return s.read(cold).status }, "10s", "1ms").Should(Equal(http.StatusOK))
 	g.Consistently(func() int { return s.read(cold).status }, "300ms", "1ms").Should(Equal(http.StatusOK))
-	g.Expect(held()).To(Equal(map[int]int{upstreams: nextStandbys + 1}))
+	g.Expect(s.held()).To(Equal(map[int]int{siteUpstreams: nextStandbys + 1}))
+}
+
+// Guards against a single caller that is refused because it arrives when the sample of a standby
+// expires.
+func TestCallerOfStandbyWhoseSampleExpires(t *testing.T) {
+	g := NewWithT(t)
+	s := newSiteWithStandbys(t, func(*site, int) string { return "" })
+	for range 3 {
+		g.Eventually(s.cold.daemon.Upstreams, "10s", "1ms").Should(BeZero())
+		g.Expect(s.read(s.cold).status).To(Equal(http.StatusOK))
+	}
 }
 
 // countingStore counts the listings of the complete store.
--- a/internal/entryhost/upstreamstate.go
+++ b/internal/entryhost/upstreamstate.go
@@ -171,6 +171,8 @@
 // dropSample removes the sample.
 func (c *control) dropSample() {
 	c.upstreamDemand.sampledAt = time.Time{}
+	// Callers that arrive from now on wait for a new sample.
+	c.publishState()
 	if !c.holdsUpstreams {
 		c.d.table.Clear()
 	}
