--- a/internal/entryhost/standby_test.go
+++ b/internal/entryhost/standby_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -88,14 +89,40 @@
 	}
 }
 
-// countingStore counts the listings of the complete store.
+// Guards against standbys that read the store for each single caller although a peer sends them
+// the upstreams.
+func TestSingleCallersOfStandbyCauseNoReadsOfTheStore(t *testing.T) {
+	g := NewWithT(t)
+	stores := make([]*countingStore, nextStandbys+1)
+	s := newSiteWithStandbys(t, func(s *site, i int) string {
+		stores[i] = &countingStore{Handler: s.store}
+		server := httptest.NewServer(stores[i])
+		t.Cleanup(func() {
+			server.CloseClientConnections()
+			server.Close()
+		})
+		return server.Listener.Addr().String()
+	})
+	store := stores[slices.Index(s.standbys, s.cold)]
+	before := store.reads.Load()
+	for range 3 {
+		g.Eventually(s.cold.daemon.Upstreams, "10s", "10ms").Should(BeZero(), "the sample has expired")
+		g.Expect(s.read(s.cold).status).To(Equal(http.StatusOK))
+	}
+	g.Expect(store.reads.Load()).To(Equal(before))
+}
+
+// countingStore counts the reads of the store, and the listings of the complete store.
 type countingStore struct {
 	http.Handler
-	completeListings atomic.Int64
+	reads, completeListings atomic.Int64
 }
 
 // ServeHTTP implements http.Handler.
 func (c *countingStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		c.reads.Add(1)
+	}
 	if q := r.URL.Query(); strings.HasSuffix(r.URL.Path, "/kv-range") && q.Get("prefix") == platform.AllKeys {
 		c.completeListings.Add(1)
 	}
--- a/internal/entryhost/storetiming.go
+++ b/internal/entryhost/storetiming.go
@@ -48,13 +48,8 @@
 	return timing
 }
 
-// refresh requests a confirmation of the state now, and returns a channel that is closed when a
-// new state is published.
-func (d *Daemon) refresh() <-chan struct{} {
-	updated := d.stateUpdated.next()
-	d.control.send(func(c *control) { c.refresh(c.d.now()) })
-	return updated
-}
+// refresh requests a confirmation of the state now.
+func (d *Daemon) refresh() { d.control.send(func(c *control) { c.refresh(c.d.now()) }) }
 
 // readStoreNow triggers a read of the store without waiting for the next regular one.
 func (d *Daemon) readStoreNow(cause string) {
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -47,9 +47,8 @@
 	// its outcome and the zone of the upstream.
 	ObserveFailedAttempt func(outcome, zone string)
 	Now                  func() time.Time
-	// Refresh triggers an immediate store read. The returned channel is closed
-	// when State returns a newer state.
-	Refresh func() <-chan struct{}
+	// Refresh triggers an immediate confirmation of the state.
+	Refresh func()
 	// LoadUpstreams is called for each request while the upstreams are not known. It reports
 	// whether they are being loaded.
 	LoadUpstreams func() bool
@@ -166,7 +165,7 @@
 // rate, and chooses the service. It returns nil if the request may be sent to an
 // upstream.
 func (h *Handler) admit(w http.ResponseWriter, q *request) *refusal {
-	state := h.awaitState(q, h.StartupTimeLeft(), h.Updates, func(s *State) bool { return !s.starting() })
+	state := h.awaitState(q, h.StartupTimeLeft(), func() {}, func(s *State) bool { return !s.starting() })
 	if state == nil {
 		return unavailable(CauseNoConfiguration, retrySoon)
 	}
@@ -178,7 +177,7 @@
 			}
 			timeout = upstreamsTimeout
 		}
-		state = h.awaitState(q, timeout, h.Refresh, func(s *State) bool { return s.sufficesAt(h.Now()) })
+		state = h.awaitState(q, timeout, h.refreshStale, func(s *State) bool { return s.sufficesAt(h.Now()) })
 		if state == nil {
 			return unavailable(CauseStandby, retrySoon)
 		}
@@ -205,10 +204,18 @@
 	return nil
 }
 
+// refreshStale triggers a confirmation of the state, unless upstreams are missing: peers send those.
+func (h *Handler) refreshStale() {
+	if h.State().UpstreamsKnown {
+		h.Refresh()
+	}
+}
+
 // awaitState waits until the state satisfies sufficient, and returns it; nil if
-// that takes longer than timeout. A standby host must read the store first, and a
-// host that has just started loads its state within some tenths of a second.
-func (h *Handler) awaitState(q *request, timeout time.Duration, next func() <-chan struct{}, sufficient func(*State) bool) *State {
+// that takes longer than timeout. It calls refresh for each state that does not. A
+// standby host must confirm its state first, and a host that has just started loads
+// it within some tenths of a second.
+func (h *Handler) awaitState(q *request, timeout time.Duration, refresh func(), sufficient func(*State) bool) *State {
 	if state := h.State(); sufficient(state) {
 		return state
 	}
@@ -218,10 +225,11 @@
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for {
-		updated := next()
+		updated := h.Updates()
 		if state := h.State(); sufficient(state) {
 			return state
 		}
+		refresh()
 		select {
 		case <-updated:
 		case <-timer.C:
