--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -161,7 +161,8 @@
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	storeDialer := h1.Preconnect(d.ctx, h1.Dialer(storeDialTimeout), s.Store)
 	d.store = platform.NewStore("http://"+s.Store, storeDialer.Dial, metrics.StoreCall)
-	d.links, d.tunnels = d.newLinks(), d.newTunnelServer()
+	d.links = d.newLinks()
+	d.tunnels = d.newTunnelServer()
 	d.upstreamConns = h1.NewPool(d.links.DialContext, clock.Now)
 	d.upstreamConns.Paths = d.links
 	d.control = newControl(d)
--- a/internal/entryhost/links.go
+++ b/internal/entryhost/links.go
@@ -31,7 +31,7 @@
 }
 
 func (d *Daemon) newTunnelServer() *tunnel.Server {
-	return &tunnel.Server{Dial: d.dialUpstream, IsPeer: d.isPeer, Accepts: func(address string) bool {
+	return &tunnel.Server{Dial: d.dialUpstream, IsPeer: d.isPeer, LinksDown: d.links.LinksDown, Accepts: func(address string) bool {
 		_, ok := d.table.Locate(address)
 		return ok
 	}}
@@ -103,10 +103,10 @@
 func (d *Daemon) publishTunnelPeers(members []fleet.Member) {
 	peers := make([]tunnel.Peer, 0, len(members))
 	for _, m := range members {
-		if m.TunnelAddress == "" || !m.Ready || m.Leaving {
+		if m.TunnelAddress == "" || !m.Ready && !m.Eligible || m.Leaving {
 			continue
 		}
-		p := tunnel.Peer{Instance: m.Instance, Zone: m.Zone, Region: m.Region, Address: m.TunnelAddress, LinksDown: m.LinksDown}
+		p := tunnel.Peer{Instance: m.Instance, Zone: m.Zone, Region: m.Region, Address: m.TunnelAddress, Standby: !m.Ready, LinksDown: m.LinksDown}
 		if m.Capacity.LinkMbps > 0 {
 			p.LinkLoad = m.Load.ResponseMbps / m.Capacity.LinkMbps
 		}
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -205,11 +205,12 @@
 // send sends the request to one upstream and handles the response.
 func (h *Handler) send(ctx context.Context, w http.ResponseWriter, q *request, c place.Choice) (end outcome, resp *response) {
 	sentAt := h.Now()
+	q.attempts.relay = ""
 	q.attempts.tried = append(q.attempts.tried, c.ID)
 	q.attempts.longestQueueing = max(q.attempts.longestQueueing, c.ExpectedQueueing)
 	out := h.upstreamRequest(q, c, sentAt)
 	endSpan := hopTracer{h.Tracer}.startUpstream(ctx, out.Header, c)
-	defer func() { endSpan(end) }()
+	defer func() { endSpan(end, q.attempts.relay) }()
 	upstream, err := h.Pool.Send(ctx, c.Address, out)
 	var unsent *h1.UnsentError
 	switch {
--- a/internal/front/spans.go
+++ b/internal/front/spans.go
@@ -27,15 +27,18 @@
 
 // startUpstream starts the span of one attempt and propagates its context to
 // the upstream in the request headers.
-func (t hopTracer) startUpstream(ctx context.Context, h http.Header, c place.Choice) func(outcome) {
+func (t hopTracer) startUpstream(ctx context.Context, h http.Header, c place.Choice) func(end outcome, relay string) {
 	if t.tracer == nil {
-		return func(outcome) {}
+		return func(outcome, string) {}
 	}
 	ctx, span := t.tracer.Start(ctx, "upstream")
 	span.SetAttributes(attribute.String("upstream", c.ID), attribute.String("zone", c.Zone))
 	telemetry.Inject(ctx, h)
-	return func(end outcome) {
+	return func(end outcome, relay string) {
 		span.SetAttributes(attribute.String("outcome", end.String()))
+		if relay != "" {
+			span.SetAttributes(attribute.String("relay", relay))
+		}
 		span.End()
 	}
 }
--- a/internal/tunnel/dialer_test.go
+++ b/internal/tunnel/dialer_test.go
@@ -80,9 +80,10 @@
 func (n *network) addPeer(zone, region string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *atomic.Int32 {
 	asked := &atomic.Int32{}
 	server := &tunnel.Server{
-		Dial:    dial,
-		IsPeer:  func(instance string, from netip.Addr) bool { return instance == "self" && from.IsLoopback() },
-		Accepts: func(string) bool { asked.Add(1); return true },
+		Dial:      dial,
+		LinksDown: func() bool { return false },
+		IsPeer:    func(instance string, from netip.Addr) bool { return instance == "self" && from.IsLoopback() },
+		Accepts:   func(string) bool { asked.Add(1); return true },
 	}
 	l := httptest.NewServer(server)
 	n.t.Cleanup(func() {
@@ -216,10 +217,13 @@
 		Dial: works, IsPeer: func(instance string, _ netip.Addr) bool { return instance == "peer" },
 		Accepts: func(address string) bool { return address == "127.0.0.1:1" },
 	}
+	linksDown := false
+	server.LinksDown = func() bool { return linksDown }
 	for name, c := range map[string]struct {
 		method, host, from string
 		status             int
 	}{
+		"own links down":    {http.MethodConnect, "127.0.0.1:1", "peer", http.StatusServiceUnavailable},
 		"caller":            {http.MethodConnect, "127.0.0.1:1", "", http.StatusForbidden},
 		"other method":      {http.MethodGet, "127.0.0.1:1", "peer", http.StatusMethodNotAllowed},
 		"unknown upstream":  {http.MethodConnect, "127.0.0.1:2", "peer", http.StatusNotFound},
@@ -230,6 +234,7 @@
 			r.Host, r.RemoteAddr = c.host, "127.0.0.1:9"
 			r.Header.Set("Balsam-From", c.from)
 			w := httptest.NewRecorder()
+			linksDown = name == "own links down"
 			server.ServeHTTP(w, r)
 			NewWithT(t).Expect(w.Code).To(Equal(c.status))
 		})
--- a/internal/tunnel/peers.go
+++ b/internal/tunnel/peers.go
@@ -13,6 +13,8 @@
 	Region   string
 	// Address accepts tunnels; "" if the host does not.
 	Address string
+	// Standby is set if the host serves callers only if need be.
+	Standby bool
 	// LinksDown is set while the host itself reaches no upstreams.
 	LinksDown bool
 	// LinkLoad is the part of its link that responses use, 0 to 1; 0: unknown.
@@ -41,8 +43,10 @@
 	rank := func(p Peer) int {
 		switch {
 		case failed(p.Address):
-			return 3
+			return 4
 		case p.LinkLoad > maxLinkLoad:
+			return 3
+		case p.Standby:
 			return 2
 		case p.Zone != upstream.Zone:
 			return 1
--- a/internal/tunnel/peers_internal_test.go
+++ b/internal/tunnel/peers_internal_test.go
@@ -14,6 +14,7 @@
 		{Instance: "links down", Zone: "a1", Region: "a", Address: "3", LinksDown: true},
 		{Instance: "old version", Zone: "a1", Region: "a"},
 		{Instance: "failed", Zone: "a1", Region: "a", Address: "4"},
+		{Instance: "standby", Zone: "a1", Region: "a", Address: "7", Standby: true},
 		{Instance: "busy link", Zone: "a1", Region: "a", Address: "5", LinkLoad: 0.9},
 		{Instance: "near", Zone: "a1", Region: "a", Address: "6", LinkLoad: 0.3},
 	}
@@ -21,7 +22,7 @@
 	for _, p := range candidates(peers, upstream, func(address string) bool { return address == "4" }) {
 		order = append(order, p.Instance)
 	}
-	NewWithT(t).Expect(order).To(Equal([]string{"near", "other zone", "busy link", "failed"}))
+	NewWithT(t).Expect(order).To(Equal([]string{"near", "other zone", "standby", "busy link", "failed"}))
 }
 
 // Guards against hosts that lose their links together and all use one peer.
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -30,6 +30,8 @@
 	// IsPeer reports whether an instance is an entry host with the given IP address. It keeps
 	// callers from reaching upstreams without a key.
 	IsPeer func(instance string, from netip.Addr) bool
+	// LinksDown reports whether this host itself reaches no upstreams.
+	LinksDown func() bool
 	// Accepts reports whether a ready upstream is registered at an address.
 	Accepts func(address string) bool
 
@@ -52,7 +54,7 @@
 	case !s.Accepts(r.Host):
 		w.WriteHeader(http.StatusNotFound)
 		return
-	case s.Count() >= maxTunnels:
+	case s.Count() >= maxTunnels || s.LinksDown():
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
