--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -107,10 +107,13 @@
 }
 
 // mixedFleetSeed is the lowest seed that uses mixedFleet, linkFleetSeed the lowest one that uses
-// linkFleet and injects no faults of processes.
+// linkFleet and injects no faults of processes, and largeFleetSeed the lowest one that uses
+// largeFleetSize hosts.
 const (
 	mixedFleetSeed = 1000
 	linkFleetSeed  = 5000
+	largeFleetSeed = 9000
+	largeFleetSize = 48
 )
 
 // equalFleet has three active hosts. In mixedFleet the last host, which has a slow link,
@@ -128,10 +131,20 @@
 		return equalFleet
 	case seed < linkFleetSeed:
 		return mixedFleet
+	case seed < largeFleetSeed:
+		return linkFleet
 	}
-	return linkFleet
+	zones := []string{"a1", "a2", "b1"}
+	out := make([]hostConfig, largeFleetSize)
+	for i := range out {
+		out[i].zone = zones[i%len(zones)]
+	}
+	return out
 }
 
+// disturbsProcesses reports whether faults of processes are injected.
+func disturbsProcesses(seed uint64) bool { return seed < linkFleetSeed || seed >= largeFleetSeed }
+
 func newCluster(t *testing.T, binary string, fleet []hostConfig) *cluster {
 	c := &cluster{
 		t: t, reporter: t, binary: binary, dir: t.TempDir(), store: standin.NewKVStore(), version: 1,
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -81,13 +81,13 @@
 	}
 	spawn(&tasks, func() { c.runHeartbeats(stop) })
 	kinds := allFaults
-	if seed >= linkFleetSeed {
+	if !disturbsProcesses(seed) {
 		kinds = otherFaults
 	}
 	spawn(&tasks, func() { c.injectFaults(rand.New(rand.NewPCG(seed, 1)), kinds, stop) })
 	spawn(&tasks, func() { c.limitUpstreams(rand.New(rand.NewPCG(seed, 2)), stop) })
 	spawn(&tasks, func() { c.rejectAtUpstreams(rand.New(rand.NewPCG(seed, 3)), stop) })
-	spawn(&tasks, func() { c.cutLinks(rand.New(rand.NewPCG(seed, 5)), stop, seed >= linkFleetSeed) })
+	spawn(&tasks, func() { c.cutLinks(rand.New(rand.NewPCG(seed, 5)), stop, !disturbsProcesses(seed)) })
 	spawn(&tasks, func() { c.announceLeaving(rand.New(rand.NewPCG(seed, 4)), stop) })
 	var mu sync.Mutex
 	var requests []callerRequest
