--- a/internal/entryhost/links.go
+++ b/internal/entryhost/links.go
@@ -113,7 +113,5 @@
 		peers = append(peers, p)
 	}
 	d.tunnelPeers.Store(&peers)
-	if d.links.LinksDown() {
-		d.upstreamConns.CloseUnusable()
-	}
+	d.upstreamConns.CloseUnusable()
 }
--- a/internal/entryhost/partition_test.go
+++ b/internal/entryhost/partition_test.go
@@ -182,6 +182,24 @@
 	p.expectNoDuplicates()
 }
 
+// Guards against a planned stop that waits for idle tunnels of hosts whose links are up again.
+func TestStopDoesNotWaitForIdleTunnels(t *testing.T) {
+	g := NewWithT(t)
+	p := tunnelled(t, "a1", "a2")
+	p.uplinks[0].SetFault(standin.UplinkWorks)
+	g.Eventually(func() string { return p.metrics(p.hosts[0]) }, "5s", "10ms").Should(ContainSubstring("balsambarrow_upstream_links_down 0\n"))
+	g.Expect(p.metrics(p.hosts[1])).NotTo(ContainSubstring("balsambarrow_tunnels_served 0\n"))
+	stopping := p.hosts[1]
+	stopping.stopped.Store(true)
+	stopped := make(chan struct{})
+	go func() {
+		stopping.daemon.Stop()
+		close(stopped)
+	}()
+	g.Eventually(stopping.daemon.Tunnels, "2s", "10ms").Should(BeZero())
+	<-stopped
+}
+
 // Guards against requests that go on at an upstream behind a tunnel after their caller has left.
 func TestCallerDisconnectCancelsRequestInTunnel(t *testing.T) {
 	g := NewWithT(t)
