--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -322,13 +322,13 @@
 		attempt, cancel := context.WithTimeout(ctx, peerTimeout)
 		c, err := open(attempt, d.Peer, d.Self, peer, u.Address)
 		cancel()
+		if err != nil && ctx.Err() != nil {
+			return nil, Peer{}, err
+		}
 		d.OnTunnel(peer, err)
 		if err == nil {
 			return c, peer, nil
 		}
-		if ctx.Err() != nil {
-			return nil, Peer{}, err
-		}
 		var refused *RefusedError
 		if errors.As(err, &refused) && refused.Status == http.StatusBadGateway {
 			unreachable = refused
