--- a/internal/entryhost/links.go
+++ b/internal/entryhost/links.go
@@ -31,10 +31,13 @@
 }
 
 func (d *Daemon) newTunnelServer() *tunnel.Server {
-	return &tunnel.Server{Dial: d.dialUpstream, IsPeer: d.isPeer, LinksDown: d.links.LinksDown, Accepts: func(address string) bool {
-		_, ok := d.table.Locate(address)
-		return ok
-	}}
+	return &tunnel.Server{
+		Dial: d.dialUpstream, IsPeer: d.isPeer, Now: d.now, LinksDown: d.links.LinksDown, CheckLinks: d.links.CheckLinks,
+		Accepts: func(address string) bool {
+			_, ok := d.table.Locate(address)
+			return ok
+		},
+	}
 }
 
 func (d *Daemon) tunnelUpstream(u catalog.Upstream) tunnel.Upstream {
--- a/internal/entryhost/partition_test.go
+++ b/internal/entryhost/partition_test.go
@@ -88,20 +88,23 @@
 // Guards against callers who are refused by a host that has lost its links to all upstreams while
 // other hosts reach them.
 func TestHostWithoutLinksToUpstreamsServesItsCallers(t *testing.T) {
-	for name, zones := range map[string][]string{"one host": {"a1", "a1", "a2"}, "all hosts of a zone": {"a1", "a2", "a1", "a2"}} {
+	for name, c := range map[string]struct {
+		zones       []string
+		partitioned []int
+	}{
+		"one host":            {[]string{"a1", "a1", "a2"}, []int{0}},
+		"all hosts of a zone": {[]string{"a1", "a2", "a1", "a2"}, []int{0, 2}},
+		"all hosts but one":   {[]string{"a1", "a2", "a1", "a2"}, []int{0, 1, 2}},
+	} {
 		for _, fault := range standin.UplinkFaults {
 			t.Run(name+", "+string(fault), func(t *testing.T) {
 				t.Parallel()
 				g := NewWithT(t)
-				p := newPartitionedSite(t, zones...)
-				partitioned := []int{0}
-				if name != "one host" {
-					partitioned = []int{0, 2}
-				}
-				for _, i := range partitioned {
+				p := newPartitionedSite(t, c.zones...)
+				for _, i := range c.partitioned {
 					p.uplinks[i].SetFault(fault)
 				}
-				for _, i := range partitioned {
+				for _, i := range c.partitioned {
 					g.Eventually(func() bool { return p.serves(p.hosts[i]) }, "4s", "1ms").Should(BeTrue())
 					g.Expect(p.serves(p.hosts[i])).To(BeTrue())
 					g.Expect(p.hosts[i].ready()).To(BeTrue())
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -100,7 +100,7 @@
 	if err == nil || ctx.Err() != nil {
 		return c, err
 	}
-	d.checkLinks(ctx, began)
+	d.CheckLinks(ctx, began)
 	if !d.links.isDown() {
 		return nil, err
 	}
@@ -130,7 +130,7 @@
 			}
 			return r.conn, r.err
 		case <-slow.C:
-			go d.checkLinks(d.ctx, d.Now())
+			go d.CheckLinks(d.ctx, d.Now())
 		case <-changed:
 			cancel()
 			if r := <-done; r.err == nil {
@@ -161,14 +161,14 @@
 	case relayed:
 		d.recordFailed(remote)
 	case !d.links.isDown():
-		d.checkLinks(ctx, d.Now())
+		d.CheckLinks(ctx, d.Now())
 	}
 }
 
-// checkLinks finds out whether the links are down, and returns when that is known. It does nothing
+// CheckLinks finds out whether the links are down, and returns when that is known. It does nothing
 // if a direct dial has succeeded, or a check has begun, after the time of the failure. If the last
-// check was a moment ago, the next one is scheduled, and checkLinks does not wait for it.
-func (d *Dialer) checkLinks(ctx context.Context, failure time.Time) {
+// check was a moment ago, the next one is scheduled, and CheckLinks does not wait for it.
+func (d *Dialer) CheckLinks(ctx context.Context, failure time.Time) {
 	if d.links.isDown() || d.links.succeededSince(failure) {
 		return
 	}
@@ -196,7 +196,7 @@
 			d.mu.Lock()
 			d.checkDue = false
 			d.mu.Unlock()
-			d.checkLinks(d.ctx, failure)
+			d.CheckLinks(d.ctx, failure)
 		})
 		return nil
 	}
--- a/internal/tunnel/dialer_test.go
+++ b/internal/tunnel/dialer_test.go
@@ -80,10 +80,10 @@
 func (n *network) addPeer(zone, region string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *atomic.Int32 {
 	asked := &atomic.Int32{}
 	server := &tunnel.Server{
-		Dial:      dial,
-		LinksDown: func() bool { return false },
-		IsPeer:    func(instance string, from netip.Addr) bool { return instance == "self" && from.IsLoopback() },
-		Accepts:   func(string) bool { asked.Add(1); return true },
+		Dial: dial, Now: time.Now,
+		LinksDown: func() bool { return false }, CheckLinks: func(context.Context, time.Time) {},
+		IsPeer:  func(instance string, from netip.Addr) bool { return instance == "self" && from.IsLoopback() },
+		Accepts: func(string) bool { asked.Add(1); return true },
 	}
 	l := httptest.NewServer(server)
 	n.t.Cleanup(func() {
@@ -214,11 +214,11 @@
 // Guards against callers that reach upstreams through a tunnel, without a key and a rate.
 func TestServerRefusesAllButPeers(t *testing.T) {
 	server := &tunnel.Server{
-		Dial: works, IsPeer: func(instance string, _ netip.Addr) bool { return instance == "peer" },
+		Dial: works, Now: time.Now, IsPeer: func(instance string, _ netip.Addr) bool { return instance == "peer" },
 		Accepts: func(address string) bool { return address == "127.0.0.1:1" },
 	}
 	linksDown := false
-	server.LinksDown = func() bool { return linksDown }
+	server.LinksDown, server.CheckLinks = func() bool { return linksDown }, func(context.Context, time.Time) {}
 	for name, c := range map[string]struct {
 		method, host, from string
 		status             int
@@ -241,6 +241,28 @@
 	}
 }
 
+// Guards against an upstream that counts as unreachable, and as cold for seconds, because a peer that
+// does not know yet that its own links are down cannot connect to it.
+func TestServerChecksItsOwnLinksBeforeItReportsAnUpstream(t *testing.T) {
+	for name, c := range map[string]struct {
+		down   bool
+		status int
+	}{"links down": {true, http.StatusServiceUnavailable}, "links up": {false, http.StatusBadGateway}} {
+		t.Run(name, func(t *testing.T) {
+			known := false
+			server := &tunnel.Server{
+				Dial: failed, Now: time.Now, IsPeer: func(string, netip.Addr) bool { return true }, Accepts: func(string) bool { return true },
+				LinksDown: func() bool { return known }, CheckLinks: func(context.Context, time.Time) { known = c.down },
+			}
+			r := httptest.NewRequest(http.MethodConnect, "/", nil)
+			r.Host, r.RemoteAddr = "127.0.0.1:1", "127.0.0.1:9"
+			w := httptest.NewRecorder()
+			server.ServeHTTP(w, r)
+			NewWithT(t).Expect(w.Code).To(Equal(c.status))
+		})
+	}
+}
+
 // Guards against a truncated response that looks complete, and against an abandoned request that
 // goes on, at the other end of a tunnel.
 func TestTunnelPassesOnHowAConnectionEnds(t *testing.T) {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -30,8 +30,11 @@
 	// IsPeer reports whether an instance is an entry host with the given IP address. It keeps
 	// callers from reaching upstreams without a key.
 	IsPeer func(instance string, from netip.Addr) bool
-	// LinksDown reports whether this host itself reaches no upstreams.
-	LinksDown func() bool
+	// LinksDown reports whether this host itself reaches no upstreams. CheckLinks finds that out
+	// after a failure.
+	LinksDown  func() bool
+	CheckLinks func(ctx context.Context, failure time.Time)
+	Now        func() time.Time
 	// Accepts reports whether a ready upstream is registered at an address.
 	Accepts func(address string) bool
 
@@ -58,11 +61,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), serverDialTimeout)
-	defer cancel()
-	upstream, err := s.Dial(ctx, "tcp", r.Host)
-	if err != nil {
-		w.WriteHeader(http.StatusBadGateway)
+	upstream, status := s.connect(r.Context(), r.Host)
+	if upstream == nil {
+		w.WriteHeader(status)
 		return
 	}
 	defer func() { _ = upstream.Close() }()
@@ -87,6 +88,23 @@
 	join(peer, upstream)
 }
 
+// connect connects to an upstream. If that fails, it returns the status of the response:
+// StatusBadGateway only if this host has not lost its own links.
+func (s *Server) connect(ctx context.Context, address string) (net.Conn, int) {
+	began := s.Now()
+	dialCtx, cancel := context.WithTimeout(ctx, serverDialTimeout)
+	defer cancel()
+	upstream, err := s.Dial(dialCtx, "tcp", address)
+	if err == nil {
+		return upstream, http.StatusOK
+	}
+	s.CheckLinks(ctx, began)
+	if s.LinksDown() {
+		return nil, http.StatusServiceUnavailable
+	}
+	return nil, http.StatusBadGateway
+}
+
 // join copies in both directions until both streams have ended, or one of them has failed.
 func join(peer, upstream net.Conn) {
 	failed := make(chan bool, 2)
