--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -18,6 +18,9 @@
 	checkTimeout = 300 * time.Millisecond
 	// checkInterval is the least time between two checks.
 	checkInterval = 250 * time.Millisecond
+	// recheckInterval is the time between two checks while neither this host nor a peer reaches an
+	// upstream.
+	recheckInterval = 500 * time.Millisecond
 	// checkStagger is the time between the dials of a check while none has failed. Mostly the
 	// first one succeeds.
 	checkStagger = 50 * time.Millisecond
@@ -205,7 +208,9 @@
 	return d.check
 }
 
-// runCheck dials a few upstreams, and lets peers dial them if none was reached.
+// runCheck dials a few upstreams, and lets peers dial them if none was reached. While neither
+// succeeds, the check is repeated: this host may have ejected all upstreams meanwhile, so that no
+// request would cause the next one.
 func (d *Dialer) runCheck(done chan struct{}) {
 	defer func() {
 		d.mu.Lock()
@@ -217,33 +222,51 @@
 	if len(sample) == 0 || d.dialAny(sample, 1) {
 		return
 	}
-	type reached struct {
+	peer, upstream, ok := d.reachedByPeer(sample)
+	switch {
+	case !ok:
+		failure := d.Now()
+		time.AfterFunc(recheckInterval, func() { d.CheckLinks(d.ctx, failure) })
+	case d.links.recordDown(d.Now()):
+		d.OnDown(peer, upstream)
+		go d.probe()
+	}
+}
+
+// reachedByPeer lets peers dial upstreams, all at the same time, and returns the first that succeeds.
+// Some of the peers may have lost their links too.
+func (d *Dialer) reachedByPeer(sample []Upstream) (Peer, Upstream, bool) {
+	type attempt struct {
 		peer     Peer
 		upstream Upstream
 	}
+	var attempts []attempt
+	for _, u := range sample {
+		list := candidates(d.Peers(), u, d.failedRecently)
+		for _, p := range list[:min(len(list), maxPeers)] {
+			attempts = append(attempts, attempt{p, u})
+		}
+	}
 	ctx, cancel := context.WithTimeout(d.ctx, peerTimeout)
 	defer cancel()
-	results := make(chan *reached, len(sample))
-	for _, u := range sample {
+	results := make(chan *attempt, len(attempts))
+	for _, a := range attempts {
 		go func() {
-			c, peer, err := d.throughPeer(ctx, u)
+			c, err := open(ctx, d.Peer, d.Self, a.peer, a.upstream.Address)
 			if err != nil {
 				results <- nil
 				return
 			}
 			_ = c.Close()
-			results <- &reached{peer, u}
+			results <- &a
 		}()
 	}
-	for range sample {
-		if r := <-results; r != nil {
-			if d.links.recordDown(d.Now()) {
-				d.OnDown(r.peer, r.upstream)
-				go d.probe()
-			}
-			return
+	for range attempts {
+		if a := <-results; a != nil {
+			return a.peer, a.upstream, true
 		}
 	}
+	return Peer{}, Upstream{}, false
 }
 
 // dialAny dials upstreams directly, and reports whether at least want of them were reached.
@@ -308,13 +331,12 @@
 	if !ok {
 		return nil, &NoPeerError{address}
 	}
-	c, _, err := d.throughPeer(ctx, u)
-	return c, err
+	return d.throughPeer(ctx, u)
 }
 
 // throughPeer opens a connection through one of the peers that can connect to an upstream. The error
 // is a *RefusedError if a peer has found the upstream unreachable.
-func (d *Dialer) throughPeer(ctx context.Context, u Upstream) (net.Conn, Peer, error) {
+func (d *Dialer) throughPeer(ctx context.Context, u Upstream) (net.Conn, error) {
 	var unreachable *RefusedError
 	reports := 0
 	list := candidates(d.Peers(), u, d.failedRecently)
@@ -323,11 +345,11 @@
 		c, err := open(attempt, d.Peer, d.Self, peer, u.Address)
 		cancel()
 		if err != nil && ctx.Err() != nil {
-			return nil, Peer{}, err
+			return nil, err
 		}
 		d.OnTunnel(peer, err)
 		if err == nil {
-			return c, peer, nil
+			return c, nil
 		}
 		var refused *RefusedError
 		if errors.As(err, &refused) && refused.Status == http.StatusBadGateway {
@@ -340,9 +362,9 @@
 		d.recordFailed(peer.Address)
 	}
 	if unreachable != nil {
-		return nil, Peer{}, unreachable
+		return nil, unreachable
 	}
-	return nil, Peer{}, &NoPeerError{u.Address}
+	return nil, &NoPeerError{u.Address}
 }
 
 func (d *Dialer) failedRecently(address string) bool {
--- a/internal/tunnel/dialer_test.go
+++ b/internal/tunnel/dialer_test.go
@@ -317,3 +317,22 @@
 	}
 	return nil
 }
+
+// Guards against hosts that do not find out that their links are down because most peers have lost
+// theirs too, and because no request causes a check once all upstreams are ejected.
+func TestLinksDownAreFoundAmongPeersWithoutLinks(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork(t)
+	n.addUpstream("a1", "a")
+	hangs := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	n.addPeer("a1", "a", hangs)
+	n.addPeer("a1", "a", hangs)
+	n.cut.Store(true)
+	_, err := n.dial(0)
+	g.Expect(err).To(HaveOccurred())
+	n.addPeer("a2", "a", works)
+	g.Eventually(n.changes, "10s").Should(Receive(Equal("down")))
+}
