--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,8 +26,9 @@
 
 // regressionSeeds are seeds that failed before, each with the cause.
 var regressionSeeds = []uint64{
-	2,   // hosts that started at the same time did not know of each other, and each admitted the full rate
-	605, // an evacuation, two rate limits and a leaving upstream left 5 requests per second for all callers
+	2,    // hosts that started at the same time did not know of each other, and each admitted the full rate
+	605,  // an evacuation, two rate limits and a leaving upstream left 5 requests per second for all callers
+	5216, // hosts without links to upstreams told others that these were unreachable
 }
 
 // faultSettleTime is the time after a fault of a host or an upstream during which its
