--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -172,7 +172,7 @@
 // if a direct dial has succeeded, or a check has begun, after the time of the failure. If the last
 // check was a moment ago, the next one is scheduled, and CheckLinks does not wait for it.
 func (d *Dialer) CheckLinks(ctx context.Context, failure time.Time) {
-	if d.links.isDown() || d.links.succeededSince(failure) {
+	if d.ctx.Err() != nil || d.links.isDown() || d.links.succeededSince(failure) {
 		return
 	}
 	running := d.startCheck(d.Now(), failure)
--- a/internal/tunnel/dialer_test.go
+++ b/internal/tunnel/dialer_test.go
@@ -31,12 +31,15 @@
 	directDials atomic.Int32
 	changes     chan string
 	dialer      *tunnel.Dialer
+	// stop ends the background work of the dialer.
+	stop context.CancelFunc
 }
 
 func newNetwork(t *testing.T) *network {
 	n := &network{t: t, changes: make(chan string, 16)}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
+	n.stop = cancel
 	n.dialer = tunnel.NewDialer(ctx, tunnel.Config{
 		Self: "self", Peer: (&net.Dialer{}).DialContext, Now: time.Now,
 		Direct: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -336,3 +339,17 @@
 	n.addPeer("a2", "a", works)
 	g.Eventually(n.changes, "10s").Should(Receive(Equal("down")))
 }
+
+// Guards against checks that go on after the daemon has ended.
+func TestChecksEndWithTheDaemon(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork(t)
+	n.addUpstream("a1", "a")
+	n.cut.Store(true)
+	_, err := n.dial(0)
+	g.Expect(err).To(HaveOccurred())
+	n.stop()
+	time.Sleep(50 * time.Millisecond) // the dials of a check that was running
+	before := n.directDials.Load()
+	g.Consistently(n.directDials.Load, "1200ms", "50ms").Should(Equal(before))
+}
