Logs: what a host knew of an upstream's load, beside what the upstream reports

The load header's fourth figure, how long work takes at that moment, was dropped. It is parsed now (a value that cannot be true is a typed error; the load itself still counts), and the line for a late response shows the known load, the age of the report and both slowdowns, so that late responses can be told apart by cause. No decision uses it yet. The choice of an upstream has a function of its own.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -92,11 +92,29 @@
 	// Actual is the time until the response header, and ActualQueueing the part of
 	// it that exceeds the expected service time and round-trip time.
 	Actual, ActualQueueing time.Duration
+	// Connect is the part of Actual spent connecting.
+	Connect time.Duration
+	// Warm is set if the object was expected to be warm at the upstream. Known is what this host
+	// knew of the upstream's load, and Reported what the upstream reported with the response.
+	Warm     bool
+	Known    place.KnownLoad
+	Reported traffic.Load
 }
 
-func compareLatency(c place.Choice, took time.Duration) *LatencyComparison {
+func compareLatency(c place.Choice, r place.Report) *LatencyComparison {
 	return &LatencyComparison{
-		Expected: c.ExpectedLatency, ExpectedQueueing: c.ExpectedQueueing, Actual: took, ActualQueueing: max(took-(c.ExpectedLatency-c.ExpectedQueueing), 0),
+		Expected: c.ExpectedLatency, ExpectedQueueing: c.ExpectedQueueing, Actual: r.TimeToHeader,
+		ActualQueueing: max(r.TimeToHeader-(c.ExpectedLatency-c.ExpectedQueueing), 0), Connect: r.ConnectTime,
+		Warm: c.Warm, Known: c.Known, Reported: r.Load,
+	}
+}
+
+// logPairs returns the comparison as pairs of a log event.
+func (l *LatencyComparison) logPairs() []any {
+	return []any{
+		"expected", l.Expected, "expected_wait", l.ExpectedQueueing, "upstream_took", l.Actual, "waited", l.ActualQueueing, "connect", l.Connect, "warm", l.Warm,
+		"known_load", l.Known.Requests, "known_own", l.Known.Own, "known_slowdown", l.Known.Slowdown, "known_age", l.Known.ReportAge,
+		"running", l.Reported.Running, "waiting", l.Reported.Waiting, "slots", l.Reported.Slots, "slowdown", l.Reported.Slowdown,
 	}
 }
 
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -65,7 +65,7 @@
 	if meta.Misdirected {
 		return // another upstream has responded
 	}
-	for _, err := range []error{meta.RateLimitError, meta.RetryAfterError, meta.LeavingError} {
+	for _, err := range []error{meta.LoadError, meta.RateLimitError, meta.RetryAfterError, meta.LeavingError} {
 		if err != nil {
 			h.Log.Warn("upstream header invalid", "id", q.ID, "upstream", c.ID, "error", err)
 		}
@@ -95,7 +95,7 @@
 		report.Result, end = place.Failed, outcomeFailed
 	}
 	h.Table.Done(h.Now(), c, report)
-	q.attempts.latency = compareLatency(c, report.TimeToHeader)
+	q.attempts.latency = compareLatency(c, report)
 	h.Log.Debug("upstream answered", "id", q.ID, "route", q.route.Name, "object", q.Object, "upstream", c.ID, "zone", c.Zone,
 		"status", resp.status, "took", report.TimeToHeader, "expected", c.ExpectedLatency, "expected_wait", c.ExpectedQueueing, "warm", c.Warm,
 		"running", meta.Load.Running, "waiting", meta.Load.Waiting, "bytes", report.ResponseBytes)
@@ -138,9 +138,11 @@
 	h.Observe(Observation{Route: q.route.Name, Status: resp.status, Duration: took, Bytes: len(resp.body), Sends: q.attempts.sends, Latency: q.attempts.latency})
 	late := q.route.TargetLatency > 0 && took > q.route.TargetLatency
 	if q.attempts.sends > 1 || late || q.attempts.relay != "" || resp.status >= http.StatusInternalServerError || h.responseCount.Add(1)%responseLogInterval == 0 {
-		h.Log.Info("answered", "id", q.ID, "route", q.route.Name, "status", resp.status, "took", took,
-			"target", q.route.TargetLatency, "sends", q.attempts.sends, "tried", q.attempts.tried, "relay", q.attempts.relay, "expected", q.attempts.latency.Expected,
-			"expected_wait", q.attempts.latency.ExpectedQueueing, "upstream_took", q.attempts.latency.Actual, "waited", q.attempts.latency.ActualQueueing)
+		pairs := []any{
+			"id", q.ID, "route", q.route.Name, "status", resp.status, "took", took,
+			"target", q.route.TargetLatency, "sends", q.attempts.sends, "tried", q.attempts.tried, "relay", q.attempts.relay,
+		}
+		h.Log.Info("answered", append(pairs, q.attempts.latency.logPairs()...)...)
 	}
 }
 
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -60,7 +60,7 @@
 		if refused := h.checkStop(q); refused != nil {
 			return h.finishUnserved(w, q, failure, refused)
 		}
-		choice, err := h.Table.Choose(h.Now(), h.placementQuery(q))
+		choice, err := h.choose(q)
 		if err != nil {
 			return h.finishUnserved(w, q, failure, h.placementRefusal(q, err))
 		}
@@ -90,6 +90,11 @@
 	}
 }
 
+// choose selects the upstream for the next attempt. The errors are those of place.Table.Choose.
+func (h *Handler) choose(q *request) (place.Choice, error) {
+	return h.Table.Choose(h.Now(), h.placementQuery(q))
+}
+
 func (h *Handler) placementQuery(q *request) place.Query {
 	regions, restricted := catalog.AllowedRegions(q.route, q.customer)
 	object := q.Object
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -42,6 +42,8 @@
 	// Warm is set if the upstream is known to have served the object recently, or if the
 	// request has no affinity key.
 	Warm bool
+	// Known is what this host knew of the upstream's load.
+	Known KnownLoad
 
 	upstream *upstream
 	// startedMs is the start time of the chosen instance.
@@ -99,6 +101,8 @@
 	latency  time.Duration
 	cost     time.Duration
 	queueing time.Duration
+	// assumed is the load from other hosts that is assumed until the upstream reports any.
+	assumed float64
 }
 
 // Choose selects the upstream for a request. The error is a *NoUpstreamError or a
@@ -147,12 +151,14 @@
 		if object != 0 {
 			t.recordSent(now, c.upstream, object)
 		}
+		known := c.load.known(now, c.assumed)
 		c.load.inflight++
 		probe := c.announced.pause.unconfirmed
 		c.announced.pause.probing = probe
 		t.recordRegion(now, now, c.region, 1)
 		return Choice{
 			ID: c.ID, Address: c.Address, Zone: c.Zone, Region: c.region, ExpectedLatency: c.latency, ExpectedQueueing: c.queueing,
+			Known:    known,
 			upstream: c.upstream, startedMs: c.StartedMs, object: object, route: q.Route, sentAt: now, Warm: warm, cold: c.cold, probe: probe,
 		}, nil
 	}
--- a/internal/place/estimate.go
+++ b/internal/place/estimate.go
@@ -19,7 +19,8 @@
 	e := t.estimator(q, object)
 	for i := range list {
 		c := &list[i]
-		load := c.load.estimate(now, t.assumedLoad(c.path))
+		c.assumed = t.assumedLoad(c.path)
+		load := c.load.estimate(now, c.assumed)
 		e.estimateLatency(c, load)
 		e.estimateCost(c, load)
 	}
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -26,6 +26,29 @@
 	// background is the moving average of others.
 	background float64
 	reported   bool
+	// slowdown is that of the last report.
+	slowdown float64
+}
+
+// KnownLoad is what a host knew of the load of an upstream when it chose it, for logs and metrics.
+type KnownLoad struct {
+	// Requests is the estimated number of requests at the upstream, and Own the number of those
+	// that this host has sent.
+	Requests float64
+	Own      int
+	// Slowdown is that of the upstream's last report; 0 if there was none.
+	Slowdown float64
+	// ReportAge is the time since the upstream reported its load to this host; -1 if it has not.
+	ReportAge time.Duration
+}
+
+// known returns what is known of the load before a further request is sent.
+func (l *load) known(now time.Time, assumed float64) KnownLoad {
+	k := KnownLoad{Requests: l.estimate(now, assumed), Own: l.inflight, Slowdown: l.slowdown, ReportAge: -1}
+	if l.reported {
+		k.ReportAge = now.Sub(l.reportedAt)
+	}
+	return k
 }
 
 // observe applies a load report. The report and inflight both still count the request
@@ -37,7 +60,7 @@
 	}
 	l.reported = true
 	l.background += backgroundGain * (others - l.background)
-	l.others, l.reportedAt = others, now
+	l.others, l.reportedAt, l.slowdown = others, now, report.Slowdown
 }
 
 // estimate returns the estimated number of requests at the upstream now. assumed is the load from
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -36,6 +36,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowdown is how long work takes at the upstream at present, relative to the usual time; 0 if
+	// not reported.
+	Slowdown float64
 }
 
 // RateLimit is what a response announces about the rate limit of its upstream.
@@ -61,6 +64,8 @@
 	// Load is valid only if HasLoad is set.
 	Load    Load
 	HasLoad bool
+	// LoadError is a *header.ValueError if the reported slowdown cannot be used.
+	LoadError error
 	// ColdFor is how long the upstream stays cold; 0 if not reported.
 	ColdFor time.Duration
 	// KeepAlive is how long the upstream keeps the connection open; 0 if not reported.
