Settings: features for overload, and which deployments they apply to

The list of parts of the platform's service agreement reaches the settings, and overload.{sharing,queue,second_attempts} are auto, on or off. auto applies a feature to services whose upstreams report a slowdown, and to all services where the agreement names overload. Nothing uses them yet. Faulty modes are typed faults that name their place.

--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -27,6 +27,11 @@
 	Capacity Capacity `json:"capacity"`
 	// Bounds are the times and limits that were promised to users.
 	Bounds Bounds `json:"bounds"`
+	// Agreement lists the parts of the platform's service agreement that are in force, by the
+	// platform's names. Unknown names are ignored.
+	Agreement []string `json:"agreement"`
+	// Overload switches the features for deployments with more demand than room.
+	Overload Overload `json:"overload"`
 	// TraceFile receives one JSON span per line; "-" is standard output. Default "": no spans
 	// are written.
 	TraceFile string `json:"trace_file"`
@@ -138,6 +143,7 @@
 	if s.Bounds.RetryWindow == "" {
 		s.Bounds.RetryWindow = defaultRetryWindow
 	}
+	s.Overload.applyDefaults()
 }
 
 func (s *Settings) faults(doc *jsonc.Document) jsonc.Faults {
@@ -181,6 +187,7 @@
 	require(s.Bounds.RateSlack >= 0, "/bounds/rate_slack", "want zero or more")
 	require(s.Bounds.MaxShift >= 0 && s.Bounds.MaxShift <= 1, "/bounds/max_shift", "want a fraction, 0 to 1")
 	require(s.Bounds.RetrySlack >= 0, "/bounds/retry_slack", "want zero or more")
+	faults = append(faults, s.Overload.faults(doc)...)
 	require(settings.IsLogLevel(s.LogLevel), "/log_level", "want debug, info, warn or error")
 	return faults
 }
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -50,6 +50,8 @@
 	scratch      survey
 	regionHash   uint64
 	serviceTimes map[string]*serviceTime
+	// slowdownReported holds the services whose upstreams report a slowdown.
+	slowdownReported map[string]bool
 	// queuedTimes is the mean service time by service, used for requests that wait in
 	// queues.
 	queuedTimes map[string]*mean
@@ -69,7 +71,7 @@
 func NewTable(self Host, zones map[string]string) *Table {
 	return &Table{
 		self: self, zones: zones, byID: map[string]*upstream{}, byHash: map[uint32]*upstream{}, departed: map[string]departed{},
-		services: map[string][]*upstream{}, evacuatedZones: map[string]bool{}, serviceTimes: map[string]*serviceTime{},
+		services: map[string][]*upstream{}, evacuatedZones: map[string]bool{}, serviceTimes: map[string]*serviceTime{}, slowdownReported: map[string]bool{},
 		queuedTimes: map[string]*mean{}, queueLimits: map[string]queueLimits{}, holders: map[Object][]*upstream{},
 		unreported: map[string]int{}, evacuationChangedAt: map[string]time.Time{}, links: newLinkCosts(self), regionHash: hash(self.Region), hostsGeneration: 1, regionHosts: 1, keylessSequence: hash(self.Instance),
 	}
@@ -204,6 +206,14 @@
 	}
 }
 
+// ReportsSlowdown reports whether upstreams of the service have reported how long work takes at
+// present.
+func (t *Table) ReportsSlowdown(service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.slowdownReported[service]
+}
+
 // Size returns the number of upstreams.
 func (t *Table) Size() int {
 	t.mu.Lock()
@@ -261,6 +271,9 @@
 	w := c.upstream
 	if r.HasLoad {
 		w.load.observe(now, r.Load)
+		if r.Load.Slowdown > 0 {
+			t.slowdownReported[w.Service] = true
+		}
 	}
 	w.load.inflight--
 	if probed := t.instance(c); c.probe && probed != nil {
