Entry host: bounded waits of a planned stop

Reading the code found waits that could: the message to a control thread whose queue is full, the wait for background tasks, the flush of a log that nobody reads, and a start that hangs while SIGTERM waits in the signal queue. Each is bounded now, and a timer that starts with the signal ends the process 100 ms before the end of the grace with a line that names the phase and the tasks that still run.

--- a/cmd/balsambarrowd/entry.go
+++ b/cmd/balsambarrowd/entry.go
@@ -19,6 +19,9 @@
 // used if the command line has no path.
 const settingsVariable = "BALSAMBARROW_BOOT"
 
+// flushTimeout bounds how long the process waits at its end until its log lines are written.
+const flushTimeout = time.Second
+
 // settingsPollInterval is the interval between checks of the settings file, which may
 // change without a SIGHUP.
 const settingsPollInterval = time.Second
@@ -88,6 +91,9 @@
 	// ends the process, and the platform would restart it.
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	guard := newStopGuard(s.Bounds.Grace.Value())
+	stopping, reload := make(chan struct{}), make(chan struct{}, 1)
+	go handleSignals(signals, guard, stopping, reload)
 	onActive := configureGC(s)
 	metrics := telemetry.NewMetrics()
 	events := telemetry.NewEvents(os.Stdout, s.LogLevel, s.Host)
@@ -100,12 +106,16 @@
 	}()
 	defer func() {
 		close(stop)
-		<-flushed
+		select {
+		case <-flushed:
+		case <-time.After(flushTimeout):
+		}
 	}()
 	d, err := entryhost.New(s, events, metrics)
 	if err != nil {
 		return err
 	}
+	guard.daemon.Store(d)
 	d.OnActive = onActive
 	beforeStart(d)
 	d.Start()
@@ -117,15 +127,30 @@
 		select {
 		case err := <-d.Failed():
 			return errors.Wrap(err, "listener failed")
-		case sig := <-signals:
-			if sig == syscall.SIGHUP {
-				// A SIGTERM that follows must not wait for the file.
-				go file.reload()
-				continue
-			}
-			// Further signals are ignored, so that they do not interrupt requests.
+		case <-reload:
+			// A SIGTERM that follows must not wait for the file.
+			go file.reload()
+		case <-stopping:
 			d.Stop()
 			return nil
 		}
 	}
 }
+
+// handleSignals passes on signals, also while the daemon starts. Signals that follow the first
+// SIGTERM are ignored, so that they do not interrupt requests.
+func handleSignals(signals <-chan os.Signal, guard *stopGuard, stopping chan<- struct{}, reload chan<- struct{}) {
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			guard.signaled()
+			close(stopping)
+			break
+		}
+		select {
+		case reload <- struct{}{}:
+		default:
+		}
+	}
+	for range signals {
+	}
+}
--- a/cmd/balsambarrowd/uplink_test.go
+++ b/cmd/balsambarrowd/uplink_test.go
@@ -21,5 +21,8 @@
 	uplink := &standin.Uplink{}
 	go uplink.Follow(context.Background(), path)
 	beforeStart = func(d *entryhost.Daemon) { d.DialUpstream = uplink.Dialer(d.DialUpstream) }
+	if os.Getenv(hangVariable) != "" {
+		beforeStart = hang
+	}
 	main()
 }
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -120,7 +119,9 @@
 	errs      chan error
 	ctx       context.Context
 	cancel    context.CancelFunc
-	tasks     sync.WaitGroup
+	tasks     *taskGroup
+	// stopPhase names what a planned stop waits for.
+	stopPhase atomic.Pointer[string]
 }
 
 // New opens the listeners of a daemon. Start begins to serve.
@@ -156,7 +157,7 @@
 
 		startupWait: defaultStartupWait,
 
-		callerConns: newCallerConns(),
+		callerConns: newCallerConns(), tasks: newTaskGroup(),
 	}
 	d.table = place.NewTable(d.self.Host, s.Zones)
 	d.tunnelPeers.Store(&[]tunnel.Peer{})
@@ -288,12 +289,9 @@
 	return platform.Resolution{Addresses: d.awaitDirectory().resolve(region), TTL: directoryTTL}
 }
 
+// spawn runs a task until the daemon ends.
 func (d *Daemon) spawn(task func(context.Context)) {
-	d.tasks.Add(1)
-	go func() {
-		defer d.tasks.Done()
-		task(d.ctx)
-	}()
+	d.tasks.start(d.ctx, task)
 }
 
 // Failed returns a channel that reports listeners that failed.
--- a/internal/entryhost/export_test.go
+++ b/internal/entryhost/export_test.go
@@ -1,6 +1,10 @@
 package entryhost
 
-import "time"
+import (
+	"time"
+
+	"balsambarrow/internal/share"
+)
 
 // SetStartupWait sets how long callers may wait for a daemon that has just started.
 func (d *Daemon) SetStartupWait(wait time.Duration) { d.startupWait = wait }
@@ -10,3 +14,26 @@
 
 // Tunnels returns the number of connections to upstreams that the daemon makes for other hosts.
 func (d *Daemon) Tunnels() int { return d.tunnels.Count() }
+
+// OwnsBucket reports whether the daemon owns the bucket of a customer as far as it knows.
+func (d *Daemon) OwnsBucket(customer string) bool {
+	return share.ShardOwner(customer, d.bucketHosts.Load().instances) == d.self.Instance
+}
+
+// HoldControl stops the control thread, with a full queue, until release is called.
+func (d *Daemon) HoldControl() (release func()) {
+	held := make(chan struct{})
+	started := make(chan struct{})
+	d.control.send(func(*control) {
+		close(started)
+		<-held
+	})
+	<-started
+	for len(d.control.inbox) < cap(d.control.inbox) {
+		select {
+		case d.control.inbox <- func(*control) {}:
+		default:
+		}
+	}
+	return func() { close(held) }
+}
--- a/internal/entryhost/stop.go
+++ b/internal/entryhost/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -20,6 +19,9 @@
 	// responseMargin is the time between the latest time limit of a request that is accepted and
 	// the moment when the daemon stops waiting for requests. Responses are sent in it.
 	responseMargin = 100 * time.Millisecond
+	// exitReserve is the part of the grace period that is left when the daemon stops waiting for
+	// anything. The process exits in it.
+	exitReserve = 100 * time.Millisecond
 )
 
 // Stop ends the daemon within the grace period without interrupting requests. First the
@@ -32,33 +34,65 @@
 	stopsAt := began.Add(grace - exitMargin - responseMargin)
 	d.stopsAt.Store(&stopsAt)
 	d.events.Info("stopping", "grace", grace, "delay", d.now().Sub(began))
-	d.control.send(func(c *control) {
+	end, cancelEnd := context.WithTimeout(context.Background(), began.Add(grace-exitReserve).Sub(d.now()))
+	defer cancelEnd()
+	// The queue of the control thread may be full.
+	go d.control.send(func(c *control) {
 		c.leaving = true
 		c.announceToAll(d.now())
 	})
+	d.setStopPhase("callers")
 	time.Sleep(time.Duration(float64(grace)*acceptFraction) - d.now().Sub(began))
 	remaining := grace - exitMargin - d.now().Sub(began)
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
+	d.setStopPhase("requests")
+	d.shutDownServers(ctx)
+	d.setStopPhase("tunnels")
+	d.tunnels.Wait(ctx)
+	d.logInterrupted(began)
+	d.events.Info("stopped", "took", d.now().Sub(began))
+	d.cancel()
+	d.setStopPhase("tasks")
+	if running := d.tasks.wait(end); len(running) > 0 {
+		d.events.Warn("tasks still run at the end of the grace", "tasks", running)
+	}
+	d.setStopPhase("spans")
+	if err := d.tracing.Close(end); err != nil {
+		d.events.Warn("spans not written", "error", err)
+	}
+	d.setStopPhase("exit")
+}
+
+// shutDownServers closes the listeners and waits until no request runs, or until ctx ends.
+func (d *Daemon) shutDownServers(ctx context.Context) {
 	var shutdowns sync.WaitGroup
 	for _, server := range d.servers {
-		shutdowns.Add(1)
-		go func(server *http.Server) {
-			defer shutdowns.Done()
+		shutdowns.Go(func() {
 			if err := server.Shutdown(ctx); err != nil {
 				d.events.Warn("requests still run at the end of the grace", "error", err)
 			}
-		}(server)
+		})
 	}
 	shutdowns.Wait()
-	d.tunnels.Wait(ctx)
-	d.logInterrupted(began)
-	d.events.Info("stopped", "took", d.now().Sub(began))
-	d.cancel()
-	d.tasks.Wait()
-	if err := d.tracing.Close(ctx); err != nil {
-		d.events.Warn("spans not written", "error", err)
+}
+
+func (d *Daemon) setStopPhase(phase string) { d.stopPhase.Store(&phase) }
+
+// StopState names what a planned stop waits for, "start" if it has not begun, and the tasks that
+// run.
+func (d *Daemon) StopState() (phase string, tasks []string) {
+	phase = "start"
+	if p := d.stopPhase.Load(); p != nil {
+		phase = *p
 	}
+	return phase, d.tasks.names()
+}
+
+// TimeToExit returns the time until the process has to exit after a signal that is handled now.
+func (d *Daemon) TimeToExit() time.Duration {
+	now := d.now()
+	return d.activity.earliestSignal(now).Add(d.settings.Load().Bounds.Grace.Value() - exitReserve).Sub(now)
 }
 
 // logInterrupted logs the requests that the exit of the process interrupts.
@@ -87,5 +121,5 @@
 			d.events.Debug("listener not closed", "error", err)
 		}
 	}
-	d.tasks.Wait()
+	d.tasks.wait(context.Background())
 }
--- a/internal/entryhost/stop_test.go
+++ b/internal/entryhost/stop_test.go
@@ -171,3 +171,23 @@
 	}
 	g.Expect(runs).To(Equal(-1), "the first attempt")
 }
+
+// Guards against a planned stop that waits beyond the grace for a task that hangs: the control
+// thread, whose queue is full.
+func TestStopEndsAlthoughATaskHangs(t *testing.T) {
+	g := NewWithT(t)
+	s, logs := newSite(t), &syncBuffer{}
+	s.logs = logs
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	release := h.daemon.HoldControl()
+	defer release()
+	h.stopped.Store(true)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		h.daemon.Stop()
+	}()
+	g.Eventually(stopped, "30s").Should(BeClosed())
+	g.Eventually(logs.String).Should(MatchRegexp(`tasks still run.*entryhost\.\(\*control\)\.run`))
+}
