Rate limiter: deputies decide while the owner of a bucket is silent

Callers within their rate got 429 when the owner of their customer's bucket had not responded in 40 ms, because the fallback bucket holds one token at each host.

A host that gets no response asks the next two hosts in the order of the rendezvous hash. They admit up to half of the region's rate for the 1.3 s after which heartbeats time out, and charge the owner and themselves. A host that has not responded is silent until it sends something; one request in 250 ms tries it, the others do not wait. A holder that is asked while it knows another owner decides as its deputy. If nobody responds, a host goes on at the rate that the owner granted to it.

--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -224,6 +224,7 @@
 
 // handlePacket dispatches a packet from a peer.
 func (d *Daemon) handlePacket(p *fleet.Packet, from string) {
+	d.tokens.requester.Silence.Heard(from)
 	if b := p.GetHeartbeat(); b != nil {
 		d.control.send(func(c *control) { c.handleHeartbeat(b) })
 		return
--- a/internal/entryhost/ratetokens.go
+++ b/internal/entryhost/ratetokens.go
@@ -17,6 +17,9 @@
 // round-trip time is up to 110 ms.
 const remoteGrantTimeout = 200 * time.Millisecond
 
+// maxGrantWait bounds how long one request waits for the owner of a bucket and its deputies.
+const maxGrantWait = 2 * remoteGrantTimeout
+
 // bucketHosts lists the hosts that hold customers' buckets for this host, by instance. It is
 // never modified.
 type bucketHosts struct {
@@ -32,8 +35,9 @@
 // tokens admits customers' requests by the token bucket of this region, whichever host holds
 // it.
 type tokens struct {
-	d        *Daemon
-	fallback *share.FallbackBuckets
+	d         *Daemon
+	requester *share.Requester
+	deputies  *share.DeputyBuckets
 
 	mu      sync.Mutex
 	lastID  uint64
@@ -41,7 +45,10 @@
 }
 
 func newTokens(d *Daemon) *tokens {
-	return &tokens{d: d, fallback: share.NewFallbackBuckets(), lastID: randomID(), pending: map[uint64]chan *fleet.TokenAnswer{}}
+	return &tokens{
+		d: d, requester: share.NewRequester(), deputies: share.NewDeputyBuckets(),
+		lastID: randomID(), pending: map[uint64]chan *fleet.TokenAnswer{},
+	}
 }
 
 // newRequest registers a token request and returns its id and the channel for its response.
@@ -60,41 +67,67 @@
 		return share.Decision{Admitted: true, Fraction: 1}
 	}
 	holders := t.d.awaitBucketHosts()
-	owner := share.ShardOwner(c.Name, holders.instances)
-	peer := holders.peers[owner]
-	if peer == "" {
+	ranked := share.ShardHolders(c.Name, holders.instances)
+	if len(ranked) == 0 || holders.peers[ranked[0]] == "" {
 		v := t.d.shares.Admit(now, c)
 		if v.NoLease && t.d.fallbackAllowed.Load() {
-			return t.fallback.Admit(now, c, holders.hosts)
+			return t.requester.Fallback(now, c, holders.hosts)
 		}
 		// A host that has just started has no lease until one or two store calls have succeeded,
 		// and awaitBucketHosts has waited for that. The fallback bucket is not used instead,
 		// because it would admit the first request of each customer and refuse the next.
 		return v
 	}
-	a := t.requestToken(peer, c.Name, holders.timeout)
-	if a == nil {
-		t.d.events.Info("bucket owner did not respond", "customer", c.Name, "owner", owner)
-		return t.fallback.Admit(now, c, holders.hosts)
+	list := make([]share.Holder, len(ranked))
+	for i, instance := range ranked {
+		list[i] = share.Holder{Instance: instance, Address: holders.peers[instance]}
+	}
+	return t.requester.Admit(now, c, list, holders.timeout, maxGrantWait, holders.hosts, func(rank int, h share.Holder, fraction float64) (share.Decision, bool) {
+		if h.Address == "" {
+			return t.admitAsDeputy(now, c, fraction, list[0].Address), true
+		}
+		a := t.requestToken(h.Address, &fleet.TokenRequest{Customer: c.Name, Part: float32(fraction)}, holders.timeout)
+		if a == nil {
+			t.d.events.Info("bucket holder did not respond", "customer", c.Name, "holder", h.Instance, "rank", rank)
+			return share.Decision{}, false
+		}
+		return share.Decision{
+			Admitted: a.Granted, RetryAfter: time.Duration(a.BackMs) * time.Millisecond,
+			Fraction: float64(a.Part), Demand: float64(a.Demand),
+		}, true
+	})
+}
+
+// admitAsDeputy decides on one request of a customer in place of the owner of its bucket, at the
+// given address, and takes what is admitted off the owner's bucket and off that of this host.
+func (t *tokens) admitAsDeputy(now time.Time, c *catalog.Customer, fraction float64, owner string) share.Decision {
+	if fraction <= 0 {
+		fraction = t.d.shares.EvenFraction()
 	}
-	return share.Decision{
-		Admitted: a.Granted, RetryAfter: time.Duration(a.BackMs) * time.Millisecond,
-		Fraction: float64(a.Part), Demand: float64(a.Demand),
+	v := t.deputies.Admit(now, c, fraction)
+	if !v.Admitted {
+		return v
+	}
+	t.d.shares.Charge(now, c, 1)
+	charge := &fleet.TokenRequest{Customer: c.Name, Spent: 1}
+	if err := t.d.transport.SendPacket(&fleet.Packet{Content: &fleet.Packet_TokenRequest{TokenRequest: charge}}, owner); err != nil {
+		t.d.events.Debug("bucket owner not charged", "error", err)
 	}
+	return v
 }
 
-// requestToken requests one token from the owner of the bucket. It returns nil if the owner
-// does not respond in time. A later response is dropped and its token is lost: too many requests
+// requestToken requests one token from the owner of the bucket or a deputy. It returns nil if
+// that does not respond in time. A later response is dropped and its token is lost: too many requests
 // are then refused rather than too few.
-func (t *tokens) requestToken(peer, customer string, maxWait time.Duration) *fleet.TokenAnswer {
+func (t *tokens) requestToken(peer string, q *fleet.TokenRequest, maxWait time.Duration) *fleet.TokenAnswer {
 	id, response := t.newRequest()
 	defer func() {
 		t.mu.Lock()
 		delete(t.pending, id)
 		t.mu.Unlock()
 	}()
-	request := &fleet.Packet{Content: &fleet.Packet_TokenRequest{TokenRequest: &fleet.TokenRequest{Id: id, Customer: customer}}}
-	if err := t.d.transport.SendPacket(request, peer); err != nil {
+	q.Id = id
+	if err := t.d.transport.SendPacket(&fleet.Packet{Content: &fleet.Packet_TokenRequest{TokenRequest: q}}, peer); err != nil {
 		return nil
 	}
 	timeout := time.NewTimer(maxWait)
@@ -139,7 +172,12 @@
 	if c == nil {
 		return
 	}
-	v := t.d.shares.Admit(t.d.now(), c)
+	now := t.d.now()
+	if q.Spent > 0 {
+		t.d.shares.Charge(now, c, float64(q.Spent))
+		return
+	}
+	v := t.grantTo(now, c, q)
 	if v.NoLease {
 		// The registration has expired since this host announced it. The peer uses its fallback
 		// bucket.
@@ -153,6 +191,17 @@
 	}
 }
 
+// grantTo decides on a peer's token request: as the owner of the bucket, or as a deputy if this
+// host knows another owner, so that two hosts do not act as the owner for peers that differ in
+// which hosts they hear.
+func (t *tokens) grantTo(now time.Time, c *catalog.Customer, q *fleet.TokenRequest) share.Decision {
+	holders := t.d.bucketHosts.Load()
+	if owner := holders.peers[share.ShardOwner(c.Name, holders.instances)]; owner != "" {
+		return t.admitAsDeputy(now, c, float64(q.Part), owner)
+	}
+	return t.d.shares.Admit(now, c)
+}
+
 // Refund returns the token of a request that certainly did not run, if this host holds the
 // bucket. Otherwise the token is lost: too many requests are then refused rather than too few.
 func (t *tokens) Refund(customer string) {
--- a/internal/share/doc.go
+++ b/internal/share/doc.go
@@ -8,8 +8,9 @@
 // would get its rate once per host.
 //
 // In each region one host, the shard owner, holds a customer's token bucket, and the
-// other hosts of the region query it (see ShardOwner). A host whose owner does not
-// respond admits a few requests from a local bucket (see FallbackBuckets). The owner
+// other hosts of the region query it (see ShardOwner). While the owner does not respond,
+// they query its deputies (see Requester), and admit a few requests from a local bucket if
+// these do not respond either (see FallbackBuckets). The owner
 // announces the demand of the customer in its region to the other owners, and gets the
 // fraction of the rate that this demand has in the total demand. Owners that know the
 // same demands together admit exactly the rate. They learn of each other's demand with
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -278,7 +278,7 @@
 	for range 5000 {
 		now = now.Add(time.Millisecond)
 		for _, s := range fallbacks {
-			if s.Admit(now, c, len(fallbacks)).Admitted {
+			if s.Admit(now, c, len(fallbacks), 0, false).Admitted {
 				admitted++
 			}
 		}
--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -141,9 +141,7 @@
 	}
 	fraction := l.fraction(now, c.Name, b)
 	d := Decision{Fraction: fraction, Demand: b.demand.perSecond}
-	slack := slackFraction * l.slack / float64(l.owners)
-	rate, depth := fraction*c.Rate, max(fraction*c.Burst*burstFraction, minDepth)+slack
-	b.refill(now, l.leaseSince, rate, depth)
+	rate, _ := l.refill(now, c, b, fraction)
 	if l.leaseHeld && b.tokens >= 1 {
 		b.tokens--
 		d.Admitted = true
@@ -153,6 +151,15 @@
 	return d
 }
 
+// refill adds the tokens up to now to a bucket that has a fraction of the customer's rate, and
+// returns the bucket's rate per second and its depth.
+func (l *Limiter) refill(now time.Time, c *catalog.Customer, b *bucket, fraction float64) (rate, depth float64) {
+	slack := slackFraction * l.slack / float64(l.owners)
+	rate, depth = fraction*c.Rate, max(fraction*c.Burst*burstFraction, minDepth)+slack
+	b.refill(now, l.leaseSince, rate, depth)
+	return rate, depth
+}
+
 // Refund returns the token of an admitted request that certainly did not run.
 func (l *Limiter) Refund(customer string) {
 	l.mu.Lock()
