--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -269,12 +269,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := c.upstream
-	if r.HasLoad {
-		w.load.observe(now, r.Load)
-		if r.Load.Slowdown > 0 {
-			t.slowdownReported[w.Service] = true
-		}
-	}
+	t.observeLoad(now, w, r)
 	w.load.inflight--
 	if probed := t.instance(c); c.probe && probed != nil {
 		probed.announced.pause.probing = false
@@ -310,6 +305,17 @@
 	}
 }
 
+// observeLoad applies the load report of a response, if there is one.
+func (t *Table) observeLoad(now time.Time, w *upstream, r Report) {
+	if !r.HasLoad {
+		return
+	}
+	w.load.observe(now, r.Load)
+	if r.Load.Slowdown > 0 {
+		t.slowdownReported[w.Service] = true
+	}
+}
+
 func (t *Table) learn(now time.Time, c Choice, r Report) {
 	w := c.upstream
 	if c.object != 0 {
