Placement: the owner of an upstream's room, and its count as what a host believes

Of the late responses of the two customers with hard load, half and two thirds were expected in time when they were sent: a host learns of other hosts' requests from load reports that come with its own responses. The owner of an upstream's room is the host that ranks first among its senders, so all hosts agree on it without messages. A choice says how many requests may be ahead of it; an owner's count replaces the load that the table believes. Nothing uses it yet.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -44,6 +44,8 @@
 	Warm bool
 	// Known is what this host knew of the upstream's load.
 	Known KnownLoad
+	// Room is what the owner of the upstream's room is asked for.
+	Room Room
 
 	upstream *upstream
 	// startedMs is the start time of the chosen instance.
@@ -135,7 +137,8 @@
 		i := cheapest(list)
 		c := list[i]
 		c.standingQueue.observe(now, c.queueing)
-		if limit := t.queueLimit(now, q, c); c.queueing > limit {
+		limit := t.queueLimit(now, q, c)
+		if c.queueing > limit {
 			return Choice{}, &QueueLimitError{Service: q.Service, ExpectedQueueing: c.queueing, Limit: limit}
 		}
 		if c.announced.rateLimit.Limited && !t.takeRateLimit(now, c.upstream) || c.cold && !t.allowSlowStart(now, c.upstream) {
@@ -158,7 +161,7 @@
 		t.recordRegion(now, now, c.region, 1)
 		return Choice{
 			ID: c.ID, Address: c.Address, Zone: c.Zone, Region: c.region, ExpectedLatency: c.latency, ExpectedQueueing: c.queueing,
-			Known:    known,
+			Known: known, Room: t.newRoom(q, c, limit),
 			upstream: c.upstream, startedMs: c.StartedMs, object: object, route: q.Route, sentAt: now, Warm: warm, cold: c.cold, probe: probe,
 		}, nil
 	}
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -54,13 +54,18 @@
 // observe applies a load report. The report and inflight both still count the request
 // that the report was received with.
 func (l *load) observe(now time.Time, report traffic.Load) {
-	others := max(float64(report.Running+report.Waiting-l.inflight), 0)
+	l.observeOthers(now, max(float64(report.Running+report.Waiting-l.inflight), 0))
+	l.slowdown = report.Slowdown
+}
+
+// observeOthers records the number of requests that other hosts have at the upstream.
+func (l *load) observeOthers(now time.Time, others float64) {
 	if !l.reported {
 		l.background = others
 	}
 	l.reported = true
 	l.background += backgroundGain * (others - l.background)
-	l.others, l.reportedAt, l.slowdown = others, now, report.Slowdown
+	l.others, l.reportedAt = others, now
 }
 
 // estimate returns the estimated number of requests at the upstream now. assumed is the load from
--- a/internal/place/queuelimit.go
+++ b/internal/place/queuelimit.go
@@ -107,10 +107,16 @@
 	// ShiftLimited is set if requests may not go to other regions because too many have moved
 	// there recently.
 	ShiftLimited bool
+	// NoRoom is set if the hosts share the room of the upstreams, and all of it is in use at those
+	// that the request would go to.
+	NoRoom bool
 }
 
 func (e *QueueLimitError) Error() string {
 	text := "place: " + e.Service + ": would wait " + e.ExpectedQueueing.String() + ", may wait " + e.Limit.String()
+	if e.NoRoom {
+		text += ", room of the preferred upstreams in use"
+	}
 	if e.ShiftLimited {
 		text += ", other regions at their shift limit"
 	}
