--- /dev/null
+++ b/internal/room/statement.go
@@ -0,0 +1,51 @@
+package room
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// maxSlots and maxCount are the largest numbers that a statement may hold.
+	maxSlots = 10_000
+	maxCount = 10_000
+)
+
+// Statement is what a holder states about its requests at an upstream with each message.
+type Statement struct {
+	// Upstream identifies an instance of an upstream, and Holder an instance of an entry host.
+	Upstream, Holder uint64
+	// Slots is the number of requests that the upstream runs at once.
+	Slots int
+	// Sequence is higher in each later statement of the holder.
+	Sequence uint64
+	// Settled is the sequence of the oldest reservation that the holder still awaits. Earlier ones
+	// are included in Count or not used.
+	Settled uint64
+	// Count is the number of requests in flight, except for those whose reservation the holder still
+	// awaits.
+	Count int
+	// Until is when the last of the requests ends at the latest.
+	Until time.Time
+}
+
+// StatementError reports a statement that cannot be true.
+type StatementError struct {
+	Field string
+	Value uint64
+}
+
+func (e *StatementError) Error() string { return fmt.Sprintf("room: %s %d", e.Field, e.Value) }
+
+// check returns a *StatementError if the statement cannot be true.
+func (s Statement) check() error {
+	switch {
+	case s.Slots < 1 || s.Slots > maxSlots:
+		return &StatementError{"slots", uint64(s.Slots)}
+	case s.Count < 0 || s.Count > maxCount:
+		return &StatementError{"count", uint64(s.Count)}
+	case s.Sequence == 0 || s.Settled > s.Sequence:
+		return &StatementError{"sequence", s.Settled}
+	}
+	return nil
+}
