Entry host: reserves room with the owner of an upstream before it sends a request

With overload.sharing, a choice is reserved with the owner of the upstream's room, by one datagram each way, and the owner is told of its end. A refusal corrects what the host believes and the table chooses again; if it still prefers an upstream that has refused, the request finds no room. Without the setting no message is sent. With it off, two hosts send 12 requests to an upstream of four slots at once, with it on 8 (TestHostsShareTheRoomOfAnUpstream).

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -179,6 +179,7 @@
 	}
 	c.upstreamLog.flush(c.d.events)
 	c.publish(now)
+	c.d.rooms.sweep(now)
 	c.manageUpstreams(now)
 	c.continueLoad(now)
 	c.confirmState(now)
@@ -222,6 +223,7 @@
 	c.replyToStandby(now, b)
 	c.d.table.ApplyWarmReports(now, b.Warm)
 	if newer {
+		c.d.rooms.owners.Heard(b.Instance)
 		c.applyAnnouncements(now, b)
 		c.applySent(now, b)
 	}
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -65,6 +65,7 @@
 	table       *place.Table
 	shares      *share.Limiter
 	tokens      *tokens
+	rooms       *rooms
 	retries     *retry.WindowBudget
 	control     *control
 
@@ -172,6 +173,7 @@
 	d.upstreamConns.Paths = d.links
 	d.control = newControl(d)
 	d.tokens = newTokens(d)
+	d.rooms = newRooms(d)
 	d.bucketHosts.Store(&bucketHosts{})
 	return d, nil
 }
@@ -182,7 +184,7 @@
 func (d *Daemon) Start() {
 	d.startedAt, d.startedWall = d.now(), time.Now()
 	deps := front.Deps{
-		State: d.state.Load, Codec: platform.Headers{}, Pool: d.upstreamConns, Table: d.table, RateLimiter: d.tokens,
+		State: d.state.Load, Codec: platform.Headers{}, Pool: d.upstreamConns, Table: d.table, Room: d.rooms, RateLimiter: d.tokens,
 		RetryBudget: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, ObserveFailedAttempt: d.observeFailedAttempt, Now: d.now,
 		Refresh: d.refresh, LoadUpstreams: d.loadUpstreamsForCallers, Updates: d.stateUpdated.next, StartupTimeLeft: d.remainingStartupWait, StopsAt: d.stopTime, DisableKeepAlive: d.nearDescriptorLimit,
 	}
@@ -235,6 +237,9 @@
 		d.control.send(func(c *control) { c.handleConfirmAnswer(a) })
 		return
 	}
+	if d.rooms.handlePacket(p, from) {
+		return
+	}
 	d.tokens.handlePacket(p, from)
 }
 
--- a/internal/entryhost/helper_test.go
+++ b/internal/entryhost/helper_test.go
@@ -39,6 +39,8 @@
 	extraRoutes int
 	// traces is the file for spans; "" writes none.
 	traces string
+	// sharing is whether the hosts share the room of upstreams.
+	sharing entryhost.Mode
 }
 
 type host struct {
@@ -48,7 +50,7 @@
 }
 
 func newSite(t testing.TB) *site {
-	s := &site{t: t, store: standin.NewKVStore(), logs: io.Discard, rate: 1000, timeLimit: "3000ms"}
+	s := &site{t: t, store: standin.NewKVStore(), logs: io.Discard, rate: 1000, timeLimit: "3000ms", sharing: entryhost.ModeAuto}
 	s.server = httptest.NewServer(s.store)
 	t.Cleanup(func() {
 		s.store.SetFaultFunc(nil)
@@ -90,7 +92,8 @@
 		"listen": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "directory": "127.0.0.1:0", "peers": "127.0.0.1:0", "tunnels": "127.0.0.1:0", "metrics": "127.0.0.1:0"},
 		"store": %q, "trace_file": %q, "capacity": {"link_mbps": %g},
 		"bounds": {"grace": "4s", "revoke": "5s", "strict_revocation": true, "retry_ratio": 0.2, "retry_slack": 60, "retry_window": "10s", "max_shift": 0.15},
-	}`, name, zone, o.store, s.traces, o.mbps)))
+		"overload": {"sharing": %q},
+	}`, name, zone, o.store, s.traces, o.mbps, s.sharing)))
 	g.Expect(err).NotTo(HaveOccurred())
 	events := telemetry.NewEvents(s.logs, "info", name)
 	stop := make(chan struct{})
--- a/internal/entryhost/publish.go
+++ b/internal/entryhost/publish.go
@@ -71,6 +71,7 @@
 		c.published.activeSummary = c.activeSummary()
 	}
 	c.d.table.SetHosts(hosts)
+	c.d.rooms.setPeers(peers)
 	c.d.publishTunnelPeers(peers)
 	c.d.bucketHosts.Store(newBucketHosts(c.d.self, c.ready && c.holdsShares, peers, c.members.Count()))
 	c.d.hostsUpdated.fire()
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -65,6 +65,8 @@
 	DisableKeepAlive func() bool
 	// Tracer creates a span for each hop; nil disables tracing.
 	Tracer trace.Tracer
+	// Room shares the room of upstreams with the other hosts; nil: each host sends by what it knows.
+	Room Room
 }
 
 // Observation describes the end of a request, for metrics.
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -92,7 +92,7 @@
 
 // choose selects the upstream for the next attempt. The errors are those of place.Table.Choose.
 func (h *Handler) choose(q *request) (place.Choice, error) {
-	return h.Table.Choose(h.Now(), h.placementQuery(q))
+	return h.chooseWithRoom(q, h.placementQuery(q))
 }
 
 func (h *Handler) placementQuery(q *request) place.Query {
@@ -260,7 +260,7 @@
 		report.Result = place.PathDown
 		q.attempts.pathDown = true
 	}
-	h.Table.Done(h.Now(), c, report)
+	h.done(q, c, report)
 	if ctx.Err() != nil {
 		return outcomeTimedOut, nil
 	}
@@ -272,10 +272,10 @@
 // recordLost records an attempt that was sent and received no usable response.
 func (h *Handler) recordLost(ctx context.Context, q *request, c place.Choice, err error) outcome {
 	if ctx.Err() != nil {
-		h.Table.Done(h.Now(), c, place.Report{Result: place.Canceled})
+		h.done(q, c, place.Report{Result: place.Canceled})
 		return outcomeTimedOut
 	}
-	h.Table.Done(h.Now(), c, place.Report{Result: place.NoResponse})
+	h.done(q, c, place.Report{Result: place.NoResponse})
 	h.Log.Info("answer lost", "id", q.ID, "upstream", c.ID, "zone", c.Zone, "took", h.Now().Sub(q.arrived), "error", err)
 	return outcomeLost
 }
