Room of upstreams: the owner passes on the slowdown that an upstream reports

A host hears from one upstream about once a second, and the slowdown of the moment changes many times a second. The owner hears of every response in the upstream's region, so its answers carry the last slowdown with its age. A report that cannot be true is a typed error. The test fails if an older report replaces a later one.

--- a/internal/entryhost/room.go
+++ b/internal/entryhost/room.go
@@ -116,10 +116,16 @@
 		return c, true
 	}
 	r.count(map[bool]string{true: "granted", false: "refused"}[a.Granted])
-	r.d.table.ObserveRoom(r.d.now(), s.Upstream, a.Others)
+	r.observe(r.d.now(), s.Upstream, a)
 	return c.WithRoom(a.Others), sent
 }
 
+// observe corrects what the table knows by an owner's answer.
+func (r *rooms) observe(now time.Time, upstream uint64, a room.Answer) {
+	r.d.table.ObserveSlowdown(now, upstream, a.Slowdown, a.SlowdownAge)
+	r.d.table.ObserveRoom(now, upstream, a.Others)
+}
+
 // ask asks the owner, and waits for its answer for up to roomTimeout.
 func (r *rooms) ask(now time.Time, s room.Statement, maxAhead int, address string) (room.Answer, bool) {
 	answer := make(chan room.Answer, 1)
@@ -159,7 +165,7 @@
 	r.countReleased()
 	var load *room.Report
 	if report.HasLoad && c.Region == r.d.self.Region {
-		load = &room.Report{Requests: report.Load.Running + report.Load.Waiting, Age: c.ReportAge(now, report)}
+		load = &room.Report{Requests: report.Load.Running + report.Load.Waiting, Slowdown: report.Load.Slowdown, Age: c.ReportAge(now, report)}
 	}
 	if owner.Instance == r.d.self.Instance {
 		freed, err := r.ledger.Release(now, s, load)
@@ -169,6 +175,7 @@
 	q := &fleet.RoomRelease{Statement: statementMessage(now, s)}
 	if load != nil {
 		q.Reported, q.Requests, q.ReportAgeMs = true, uint32(load.Requests), uint32(load.Age.Milliseconds())
+		q.Slowdown = float32(load.Slowdown)
 	}
 	r.send(r.peers.Load().byInstance[owner.Instance].address, &fleet.Packet{Content: &fleet.Packet_RoomRelease{RoomRelease: q}})
 }
@@ -183,7 +190,7 @@
 		q := m.RoomRelease
 		var load *room.Report
 		if q.Reported {
-			load = &room.Report{Requests: int(q.Requests), Age: time.Duration(q.ReportAgeMs) * time.Millisecond}
+			load = &room.Report{Requests: int(q.Requests), Slowdown: float64(q.Slowdown), Age: time.Duration(q.ReportAgeMs) * time.Millisecond}
 		}
 		freed, err := r.ledger.Release(now, r.statement(now, q.Statement), load)
 		r.notify(now, freed, err)
@@ -212,7 +219,10 @@
 		r.rejected(err)
 		return
 	}
-	answer := &fleet.RoomAnswer{Upstream: s.Upstream, Sequence: s.Sequence, Granted: a.Granted, Others: uint32(max(a.Others, 0))}
+	answer := &fleet.RoomAnswer{
+		Upstream: s.Upstream, Sequence: s.Sequence, Granted: a.Granted, Others: uint32(max(a.Others, 0)),
+		Slowdown: float32(a.Slowdown), SlowdownAgeMs: uint32(a.SlowdownAge.Milliseconds()),
+	}
 	r.send(from, &fleet.Packet{Content: &fleet.Packet_RoomAnswer{RoomAnswer: answer}})
 }
 
@@ -222,12 +232,15 @@
 	r.mu.Lock()
 	awaited := r.awaited[a.Sequence]
 	r.mu.Unlock()
+	answer := room.Answer{
+		Granted: a.Granted, Others: int(a.Others), Slowdown: float64(a.Slowdown), SlowdownAge: time.Duration(a.SlowdownAgeMs) * time.Millisecond,
+	}
 	if awaited == nil {
-		r.d.table.ObserveRoom(now, a.Upstream, int(a.Others))
+		r.observe(now, a.Upstream, answer)
 		return
 	}
 	select {
-	case awaited <- room.Answer{Granted: a.Granted, Others: int(a.Others)}:
+	case awaited <- answer:
 	default:
 	}
 }
--- a/internal/place/room.go
+++ b/internal/place/room.go
@@ -1,6 +1,9 @@
 package place
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Room is what the owner of an upstream's room is asked for a choice. The owner is the host that
 // ranks first among those that may send to an upstream which takes few requests.
@@ -56,6 +59,18 @@
 	return first
 }
 
+// ObserveSlowdown records the slowdown that an instance of an upstream has reported to another host,
+// unless this host has a later report.
+func (t *Table) ObserveSlowdown(now time.Time, instance uint64, slowdown float64, age time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.byInstanceKey(instance)
+	if w == nil || !(slowdown > 0) || math.IsInf(slowdown, 1) || now.Add(-age).Before(w.load.reportedAt) {
+		return
+	}
+	w.load.slowdown = slowdown
+}
+
 // ObserveRoom records the number of requests that other hosts have at an instance of an upstream, as
 // its owner counts them. It returns the service of the upstream; "" if the instance is not known.
 func (t *Table) ObserveRoom(now time.Time, instance uint64, others int) string {
--- a/internal/room/account.go
+++ b/internal/room/account.go
@@ -14,6 +14,9 @@
 	// had announced.
 	unannounced float64
 	reportedAt  time.Time
+	// slowdown is that of the last report that had one, made at slowdownAt; 0 if there was none.
+	slowdown   float64
+	slowdownAt time.Time
 	// waiting are the holders that were refused, the one that has waited longest first.
 	waiting []waiting
 }
@@ -124,9 +127,21 @@
 	return a.ahead(now, id) - own
 }
 
-// observe applies the upstream's own count of its requests.
-func (a *account) observe(now time.Time, requests int) {
-	a.unannounced, a.reportedAt = float64(max(requests-a.announced(), 0)), now
+// answer returns what is known of the upstream, for a holder.
+func (a *account) answer(now time.Time, id uint64) Answer {
+	x := Answer{Others: a.others(now, id), Slowdown: a.slowdown}
+	if a.slowdown > 0 {
+		x.SlowdownAge = now.Sub(a.slowdownAt)
+	}
+	return x
+}
+
+// observe applies a load report of the upstream.
+func (a *account) observe(now time.Time, r Report) {
+	a.unannounced, a.reportedAt = float64(max(r.Requests-a.announced(), 0)), now
+	if at := now.Add(-r.Age); r.Slowdown > 0 && at.After(a.slowdownAt) {
+		a.slowdown, a.slowdownAt = r.Slowdown, at
+	}
 }
 
 // remember adds a refused holder to those that wait for room.
--- a/internal/room/ledger.go
+++ b/internal/room/ledger.go
@@ -49,6 +49,10 @@
 	Granted bool
 	// Others is the number of requests at the upstream that are not the holder's.
 	Others int
+	// Slowdown is the last that the upstream has reported to any holder of its region, and
+	// SlowdownAge the time since; 0 if it has reported none.
+	Slowdown    float64
+	SlowdownAge time.Duration
 }
 
 // Freed tells a holder that was refused of free room, which is kept for it for a short time.
@@ -57,10 +61,12 @@
 	Others           int
 }
 
-// Report is the upstream's own count of its running and waiting requests. It includes the request
-// with whose response it was received, Age ago.
+// Report is an upstream's load report. Requests is its own count of its running and waiting requests,
+// and includes the request with whose response the report was received, Age ago. Slowdown is how
+// long work takes there, relative to the usual time; 0 if not reported.
 type Report struct {
 	Requests int
+	Slowdown float64
 	Age      time.Duration
 }
 
@@ -76,7 +82,7 @@
 	}
 	h.apply(now, s)
 	h.keptUntil = time.Time{}
-	answer := Answer{Others: a.others(now, s.Holder)}
+	answer := a.answer(now, s.Holder)
 	switch {
 	case s.Sequence < h.settled:
 		// The holder no longer awaits the answer.
@@ -101,7 +107,9 @@
 		return Answer{}, err
 	}
 	h.apply(now, s)
-	return Answer{Granted: true, Others: a.others(now, s.Holder)}, nil
+	answer := a.answer(now, s.Holder)
+	answer.Granted = true
+	return answer, nil
 }
 
 // Release applies the count of a holder after the end of a request, and the upstream's load report
@@ -114,8 +122,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := report.check(); err != nil {
+		return nil, err
+	}
 	if report != nil && report.Age <= maxReportAge {
-		a.observe(now, report.Requests)
+		a.observe(now, *report)
 	}
 	h.apply(now, s)
 	return a.offer(now, s.Upstream), nil
--- a/internal/room/ledger_test.go
+++ b/internal/room/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -242,6 +243,18 @@
 	g.Expect(other.reserve(t, owner.ledger, at(2*time.Second)).Granted).To(BeTrue(), "an old report does not count")
 }
 
+// Guards against hosts that each know the slowdown of an upstream only from their own responses.
+func TestAnswerHasTheLatestSlowdown(t *testing.T) {
+	g := NewWithT(t)
+	owner, a, other := newHost(1), newHost(2), newHost(3)
+	a.take(t, owner.ledger, at(0), 3)
+	a.release(t, owner.ledger, at(100*ms), &room.Report{Requests: 3, Slowdown: 2.5, Age: 10 * ms})
+	a.release(t, owner.ledger, at(101*ms), &room.Report{Requests: 2, Slowdown: 1, Age: 40 * ms})
+	a.release(t, owner.ledger, at(102*ms), &room.Report{Requests: 1})
+	answer := other.reserve(t, owner.ledger, at(120*ms))
+	g.Expect(answer).To(Equal(room.Answer{Granted: true, Slowdown: 2.5, SlowdownAge: 30 * ms}))
+}
+
 // Guards against free room that is not used, or that goes to a request which did not wait.
 func TestFreeRoomIsKeptForTheHolderThatWaitedLongest(t *testing.T) {
 	g := NewWithT(t)
@@ -292,6 +305,10 @@
 		g.Expect(errors.As(err, &untrue)).To(BeTrue())
 		g.Expect(untrue.Field).To(Equal(field))
 	}
+	for _, r := range []room.Report{{Requests: 1 << 20}, {Slowdown: math.NaN()}, {Slowdown: math.Inf(1)}, {Slowdown: -1}} {
+		_, err := owner.ledger.Release(at(0), good, &r)
+		g.Expect(err).To(HaveOccurred())
+	}
 	for i := range uint64(1000) {
 		good.Holder = i
 		if _, err := owner.ledger.Announce(at(0), good); err != nil {
--- a/internal/room/statement.go
+++ b/internal/room/statement.go
@@ -2,13 +2,15 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
 const (
-	// maxSlots and maxCount are the largest numbers that a statement may hold.
-	maxSlots = 10_000
-	maxCount = 10_000
+	// maxSlots, maxCount and maxSlowdown are the largest numbers that a statement or report may hold.
+	maxSlots    = 10_000
+	maxCount    = 10_000
+	maxSlowdown = 1000
 )
 
 // Statement is what a holder states about its requests at an upstream with each message.
@@ -37,6 +39,19 @@
 
 func (e *StatementError) Error() string { return fmt.Sprintf("room: %s %d", e.Field, e.Value) }
 
+// check returns a *StatementError if the report cannot be true.
+func (r *Report) check() error {
+	switch {
+	case r == nil:
+		return nil
+	case r.Requests < 0 || r.Requests > maxCount:
+		return &StatementError{"requests", uint64(r.Requests)}
+	case !(r.Slowdown >= 0 && r.Slowdown <= maxSlowdown): // also not a number
+		return &StatementError{"slowdown", math.Float64bits(r.Slowdown)}
+	}
+	return nil
+}
+
 // check returns a *StatementError if the statement cannot be true.
 func (s Statement) check() error {
 	switch {
