--- a/internal/entryhost/export_test.go
+++ b/internal/entryhost/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"balsambarrow/internal/share"
 )
 
@@ -37,3 +39,9 @@
 	}
 	return func() { close(held) }
 }
+
+// OwnsRoom reports whether the daemon owns the room of an instance of an upstream.
+func (d *Daemon) OwnsRoom(upstream string, startedMs int64) bool {
+	owner, _, ok := d.table.RoomOwner(xxhash.Sum64String(upstream)<<32 | uint64(uint32(startedMs)))
+	return ok && owner.Instance == d.self.Instance
+}
