Memory: a budget of the bytes that callers make a host hold

internal/memory holds a budget for connections, requests, bodies and responses. What does not fit is refused before it is read (503, not run): large bodies before small ones, less urgent and over-rate ones before others, reads last. A response that does not fit is streamed. Callers must keep a pace, which rises with the level of the budget; those that do not are cut off: 408 while nothing was sent, 504 with a reset upstream connection afterwards, a reset for a reader. Bodies in flight are counted for each upstream, and a crash of one that held far more than usual lowers the bound of its service for a while. It applies where the settings give the memory of the host; the memory limit of the Go runtime follows the held bytes.

--- a/cmd/balsambarrowd/entry.go
+++ b/cmd/balsambarrowd/entry.go
@@ -80,6 +80,31 @@
 	}
 }
 
+const (
+	// maxMemoryLimitFraction is the fraction of the host's memory up to which the memory limit of
+	// the Go runtime is raised. The rest is for the program itself and for the kernel's buffers.
+	maxMemoryLimitFraction = 0.7
+	// memoryLimitStep is the change of the held bytes from which on the limit is changed, in bytes.
+	memoryLimitStep = 8 << 20
+)
+
+// raiseMemoryLimit returns a function that raises the memory limit of the Go runtime by the bytes
+// that callers make the process hold: collections cannot free them.
+func raiseMemoryLimit(s *entryhost.Settings) func(held int64) {
+	if s.Capacity.MemoryMB <= 0 {
+		return nil
+	}
+	total := s.Capacity.MemoryMB * bytesPerMB
+	steps := int64(0)
+	return func(held int64) {
+		if held/memoryLimitStep == steps {
+			return
+		}
+		steps = held / memoryLimitStep
+		debug.SetMemoryLimit(int64(min(memoryLimitFraction*total+float64(steps*memoryLimitStep), maxMemoryLimitFraction*total)))
+	}
+}
+
 // beforeStart changes a daemon that has not started. Tests replace it to simulate network faults.
 var beforeStart = func(*entryhost.Daemon) {}
 
@@ -106,7 +131,7 @@
 	if err != nil {
 		return err
 	}
-	d.OnActive = onActive
+	d.OnActive, d.OnMemory = onActive, raiseMemoryLimit(s)
 	beforeStart(d)
 	d.Start()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/entryhost/callerconns.go
+++ b/internal/entryhost/callerconns.go
@@ -25,6 +25,8 @@
 	callerDescriptorFraction = 0.5
 	// idleCheckInterval is the time between two checks for idle connections.
 	idleCheckInterval = time.Second
+	// minIdle is how long a connection must have been idle to be closed in favour of a new one.
+	minIdle = time.Second
 )
 
 // callerConns tracks the connections of callers. It is safe for concurrent use.
@@ -84,6 +86,28 @@
 	}
 }
 
+// closeLongestIdle closes the connection that has been idle for longest, if it has been idle for
+// minIdle, and reports whether there was one.
+func (c *callerConns) closeLongestIdle(now time.Time) bool {
+	c.mu.Lock()
+	var longest net.Conn
+	for conn, since := range c.idleSince {
+		if !since.IsZero() && now.Sub(since) >= minIdle && (longest == nil || since.Before(c.idleSince[longest])) {
+			longest = conn
+		}
+	}
+	if longest != nil {
+		// Its state stays idle until the server notices.
+		c.idleSince[longest] = time.Time{}
+	}
+	c.mu.Unlock()
+	if longest == nil {
+		return false
+	}
+	_ = longest.Close()
+	return true
+}
+
 // closeIdleCallers closes callers' idle connections periodically, while there are connections,
 // until ctx ends.
 func (d *Daemon) closeIdleCallers(ctx context.Context) {
@@ -99,11 +123,19 @@
 		if c := d.state.Load().Catalog; c != nil && c.Limits.IdleTimeout > 0 {
 			d.callerConns.closeIdle(d.now(), c.Limits.IdleTimeout)
 		}
+		if d.OnMemory != nil {
+			d.OnMemory(d.budget.Usage().Total())
+		}
 	}
 }
 
-// nearDescriptorLimit reports whether callers have so many connections open that each response
+// nearConnectionLimit reports whether callers have so many connections open that each response
 // should close its connection.
+func (d *Daemon) nearConnectionLimit() bool {
+	return d.nearDescriptorLimit() || d.budget.ManyConnections()
+}
+
+// nearDescriptorLimit is nearConnectionLimit by the number of descriptors.
 func (d *Daemon) nearDescriptorLimit() bool {
 	descriptors := d.settings.Load().Capacity.Descriptors
 	return descriptors > 0 && float64(d.callerConns.count()) > callerDescriptorFraction*float64(descriptors)
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -17,6 +17,7 @@
 	"balsambarrow/internal/front"
 	"balsambarrow/internal/h1"
 	"balsambarrow/internal/kv"
+	"balsambarrow/internal/memory"
 	"balsambarrow/internal/place"
 	"balsambarrow/internal/retry"
 	"balsambarrow/internal/share"
@@ -45,6 +46,9 @@
 	// OnActive is called when the host becomes active, and when it becomes a standby again.
 	// Optional; it must be set before Start.
 	OnActive func(active bool)
+	// OnMemory is called each second, while callers are connected, with the bytes that callers make
+	// the process hold. Optional; it must be set before Start.
+	OnMemory func(held int64)
 	// DialUpstream opens connections to upstreams. Tests replace it before Start to simulate
 	// network faults.
 	DialUpstream h1.DialFunc
@@ -107,9 +111,11 @@
 	// stopsAt is when this host stops answering requests; nil until a planned stop begins.
 	stopsAt atomic.Pointer[time.Time]
 
-	activity     activity
-	callers      *front.Handler
-	callerConns  *callerConns
+	activity    activity
+	callers     *front.Handler
+	callerConns *callerConns
+	// budget bounds the bytes that callers make the process hold; nil if its memory is unknown.
+	budget       *memory.Budget
 	strayCallers strayCallers
 
 	// addresses are the addresses of the listeners. A port 0 in the settings is replaced by the
@@ -159,6 +165,7 @@
 		callerConns: newCallerConns(),
 	}
 	d.table = place.NewTable(d.self.Host, s.Zones)
+	d.boundMemory(s)
 	d.tunnelPeers.Store(&[]tunnel.Peer{})
 	d.settings.Store(s)
 	d.state.Store(&front.State{})
@@ -184,7 +191,8 @@
 	deps := front.Deps{
 		State: d.state.Load, Codec: platform.Headers{}, Pool: d.upstreamConns, Table: d.table, RateLimiter: d.tokens,
 		RetryBudget: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, ObserveFailedAttempt: d.observeFailedAttempt, Now: d.now,
-		Refresh: d.refresh, LoadUpstreams: d.loadUpstreamsForCallers, Updates: d.stateUpdated.next, StartupTimeLeft: d.remainingStartupWait, StopsAt: d.stopTime, DisableKeepAlive: d.nearDescriptorLimit,
+		Refresh: d.refresh, LoadUpstreams: d.loadUpstreamsForCallers, Updates: d.stateUpdated.next, StartupTimeLeft: d.remainingStartupWait, StopsAt: d.stopTime, DisableKeepAlive: d.nearConnectionLimit,
+		Memory: d.budget, ObserveMemory: d.observeMemory,
 	}
 	if d.settings.Load().TraceFile != "" {
 		deps.Tracer = d.tracing.Tracer
@@ -263,6 +271,7 @@
 	if l == d.listeners[d.addresses.Callers] {
 		server.ConnState = d.callerConns.track
 		server.ConnContext = front.WithCallerConn
+		l = d.limitCallers(l)
 	}
 	d.servers = append(d.servers, server)
 	go func() {
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -31,6 +31,7 @@
 	d.metrics.Gauge("balsambarrow_takes_callers", func() float64 { return boolGauge(!d.state.Load().Standby) })
 	d.metrics.Gauge("balsambarrow_watches_store", func() float64 { return boolGauge(d.watches.Load()) })
 	d.metrics.Gauge("balsambarrow_caller_connections", func() float64 { return float64(d.callerConns.count()) })
+	d.registerMemoryGauges()
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		d.metrics.Set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -32,6 +32,8 @@
 	Agreement []string `json:"agreement"`
 	// Overload switches the features for deployments with more demand than room.
 	Overload Overload `json:"overload"`
+	// Memory bounds what callers make the host and its upstreams hold.
+	Memory Memory `json:"memory"`
 	// TraceFile receives one JSON span per line; "-" is standard output. Default "": no spans
 	// are written.
 	TraceFile string `json:"trace_file"`
@@ -144,6 +146,7 @@
 		s.Bounds.RetryWindow = defaultRetryWindow
 	}
 	s.Overload.applyDefaults()
+	s.Memory.applyDefaults()
 }
 
 func (s *Settings) faults(doc *jsonc.Document) jsonc.Faults {
@@ -188,6 +191,7 @@
 	require(s.Bounds.MaxShift >= 0 && s.Bounds.MaxShift <= 1, "/bounds/max_shift", "want a fraction, 0 to 1")
 	require(s.Bounds.RetrySlack >= 0, "/bounds/retry_slack", "want zero or more")
 	faults = append(faults, s.Overload.faults(doc)...)
+	faults = append(faults, s.Memory.faults(doc)...)
 	require(settings.IsLogLevel(s.LogLevel), "/log_level", "want debug, info, warn or error")
 	return faults
 }
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -11,6 +11,7 @@
 
 	"balsambarrow/internal/catalog"
 	"balsambarrow/internal/h1"
+	"balsambarrow/internal/memory"
 	"balsambarrow/internal/place"
 	"balsambarrow/internal/retry"
 	"balsambarrow/internal/share"
@@ -47,6 +48,10 @@
 	// its outcome and the zone of the upstream.
 	ObserveFailedAttempt func(outcome, zone string)
 	Now                  func() time.Time
+	// Memory bounds the bytes that callers make the host hold; nil: not bounded. ObserveMemory is
+	// called for each event that concerns memory; optional.
+	Memory        *memory.Budget
+	ObserveMemory func(MemoryEvent)
 	// Refresh triggers an immediate confirmation of the state.
 	Refresh func()
 	// LoadUpstreams is called for each request while the upstreams are not known. It reports
@@ -150,6 +155,8 @@
 	// overRate is set if the demand of the customer exceeds its rate.
 	overRate bool
 	body     *body
+	// hold is what the request holds of the host's memory.
+	hold     *memory.Hold
 	attempts attempts
 }
 
@@ -177,6 +184,7 @@
 	var end func()
 	q.http, end = hopTracer{h.Tracer}.startEntry(r, q.ID)
 	defer end()
+	defer func() { q.hold.Release() }()
 	if !h.StopsAt().IsZero() || h.DisableKeepAlive() {
 		// The caller then opens a new connection for its next request, to this host
 		// or to another one.
@@ -220,21 +228,46 @@
 	if refused := h.checkStop(q); refused != nil {
 		return refused
 	}
-	body, refused := readBody(w, q.http, state.Catalog.Limits.MaxBodyBytes)
-	if refused != nil {
+	if refused := h.admitRateAndBody(w, q, state.Catalog); refused != nil {
 		return refused
 	}
-	q.body = body
-	if q.customer != nil {
-		v := h.RateLimiter.Admit(h.Now(), q.customer)
-		if !v.Admitted {
-			h.Log.Info("over rate", "id", q.ID, "customer", q.customer.Name, "rate", q.customer.Rate,
-				"part", v.Fraction, "demand", v.Demand, "version", state.Catalog.Version)
-			return &refusal{status: http.StatusTooManyRequests, cause: CauseOverRate, retryAfter: v.RetryAfter}
+	q.service = h.splitter.service(q.route)
+	return nil
+}
+
+// admitRateAndBody reads the body and checks the rate of the customer. The rate comes first if the
+// host counts its memory and the body is large.
+func (h *Handler) admitRateAndBody(w http.ResponseWriter, q *request, c *catalog.Catalog) *refusal {
+	rateFirst := h.Memory != nil && arrivesLarge(q.http)
+	if rateFirst {
+		if refused := h.admitRate(q, c.Version); refused != nil {
+			return refused
 		}
-		q.overRate = v.OverRate(q.customer.Rate)
 	}
-	q.service = h.splitter.service(q.route)
+	if refused := h.readBody(w, q, c.Limits.MaxBodyBytes); refused != nil {
+		if rateFirst && q.customer != nil {
+			h.RateLimiter.Refund(q.customer.Name)
+		}
+		return refused
+	}
+	if rateFirst {
+		return nil
+	}
+	return h.admitRate(q, c.Version)
+}
+
+// admitRate checks the rate of the customer.
+func (h *Handler) admitRate(q *request, version uint64) *refusal {
+	if q.customer == nil {
+		return nil
+	}
+	v := h.RateLimiter.Admit(h.Now(), q.customer)
+	if !v.Admitted {
+		h.Log.Info("over rate", "id", q.ID, "customer", q.customer.Name, "rate", q.customer.Rate,
+			"part", v.Fraction, "demand", v.Demand, "version", version)
+		return &refusal{status: http.StatusTooManyRequests, cause: CauseOverRate, retryAfter: v.RetryAfter}
+	}
+	q.overRate = v.OverRate(q.customer.Rate)
 	return nil
 }
 
@@ -388,6 +421,7 @@
 	if f.cause == CauseCallerLeft {
 		panic(http.ErrAbortHandler)
 	}
+	h.endBody(w, q)
 	if f.retryAfter > 0 {
 		// The caller retries on a new connection, so this one would stay open unused.
 		w.Header().Set("Connection", "close")
--- /dev/null
+++ b/internal/front/memorylistener.go
@@ -0,0 +1,86 @@
+package front
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"balsambarrow/internal/memory"
+	"balsambarrow/internal/tcpreset"
+)
+
+// SlowReaderError reports that a caller did not read its response. Waited is how long the caller
+// was waited for.
+type SlowReaderError struct{ Waited time.Duration }
+
+func (e *SlowReaderError) Error() string {
+	return "front: caller has not read its response for " + e.Waited.String()
+}
+
+// MemoryListener charges the connections of callers to a budget, and ends those whose callers do
+// not read.
+type MemoryListener struct {
+	net.Listener
+	Budget  *memory.Budget
+	Observe func(MemoryEvent)
+	// MakeRoom closes an idle connection, if there is one, and reports whether it did.
+	MakeRoom func() bool
+}
+
+// Accept implements net.Listener. It closes connections that do not fit the budget: nothing of a
+// request was read from them.
+func (l *MemoryListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := c.(*net.TCPConn)
+		if !ok {
+			return c, nil
+		}
+		if l.Budget.OpenConnection() == nil || l.MakeRoom() && l.Budget.OpenConnection() == nil {
+			return &callerConn{TCPConn: tcp, listener: l}, nil
+		}
+		l.Observe(EventConnectionRefused)
+		_ = tcp.Close()
+	}
+}
+
+// callerConn is a connection of a caller.
+type callerConn struct {
+	*net.TCPConn
+	listener *MemoryListener
+	closing  sync.Once
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.closing.Do(c.listener.Budget.CloseConnection)
+	return c.TCPConn.Close()
+}
+
+// Write implements net.Conn. It returns a *SlowReaderError, and resets the connection, if the caller
+// is slower than the pace of the budget.
+func (c *callerConn) Write(b []byte) (int, error) {
+	var stall memory.Stall
+	written := 0
+	defer func() { _ = c.SetWriteDeadline(time.Time{}) }()
+	for {
+		// An error would also end the write.
+		_ = c.SetWriteDeadline(time.Now().Add(memory.CheckInterval))
+		n, err := c.TCPConn.Write(b[written:])
+		written += n
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+		if stall.Observe(memory.CheckInterval, int64(n), c.listener.Budget.Pace()) {
+			c.listener.Observe(EventReaderStalled)
+			tcpreset.Enable(c.TCPConn)
+			_ = c.Close()
+			return written, &SlowReaderError{stall.Waited()}
+		}
+	}
+}
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -30,6 +30,8 @@
 	CauseResponseLost         Cause = "answer-lost"
 	CauseTimeout              Cause = "timeout"
 	CauseCallerLeft           Cause = "caller-left"
+	CauseMemoryFull           Cause = "memory-full"
+	CauseBodyStalled          Cause = "body-stalled"
 )
 
 // refusal is an error response that the entry host generates itself.
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"balsambarrow/internal/h1"
+	"balsambarrow/internal/memory"
 	"balsambarrow/internal/place"
 	"balsambarrow/internal/traffic"
 )
@@ -43,15 +44,15 @@
 		upstream.Close(meta.KeepAlive)
 		return h.recordLost(ctx, q, c, &h1.InvalidResponseError{Problem: problem}), nil
 	}
-	buffered, err := io.ReadAll(io.LimitReader(upstream, maxBufferedResponse+1))
+	buffered, complete, err := h.readResponse(q, upstream.ContentLength, upstream)
 	if err != nil {
 		upstream.Close(meta.KeepAlive)
 		return h.recordLost(ctx, q, c, err), nil
 	}
 	report.ResponseBytes = len(buffered)
 	resp := &response{status: upstream.StatusCode, header: upstream.Header, body: buffered}
-	if len(buffered) > maxBufferedResponse {
-		err := h.stream(w, resp, upstream)
+	if !complete {
+		err := h.stream(w, q, resp, upstream)
 		upstream.Close(meta.KeepAlive)
 		return h.finishStream(ctx, q, c, report, err), nil
 	}
@@ -127,13 +128,19 @@
 
 // writeResponse writes a buffered response to the caller.
 func (h *Handler) writeResponse(w http.ResponseWriter, q *request, resp *response) {
+	h.endBody(w, q)
+	q.releaseBody()
 	moveHeader(w.Header(), resp.header)
 	if q.http.Method != http.MethodHead {
 		w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
 	}
 	w.WriteHeader(resp.status)
-	// A write error means that the caller has disconnected.
-	_, _ = w.Write(resp.body)
+	_, err := w.Write(resp.body)
+	var slow *SlowReaderError
+	if errors.As(err, &slow) {
+		h.Log.Info("response cut", "id", q.ID, "bytes", len(resp.body), "waited", slow.Waited)
+	}
+	// Other errors mean that the caller has disconnected.
 	took := h.Now().Sub(q.arrived)
 	h.Observe(Observation{Route: q.route.Name, Status: resp.status, Duration: took, Bytes: len(resp.body), Sends: q.attempts.sends, Latency: q.attempts.latency})
 	late := q.route.TargetLatency > 0 && took > q.route.TargetLatency
@@ -147,13 +154,17 @@
 }
 
 // stream forwards a response that exceeds maxBufferedResponse as it arrives.
-func (h *Handler) stream(w http.ResponseWriter, start *response, rest io.Reader) error {
+func (h *Handler) stream(w http.ResponseWriter, q *request, start *response, rest io.Reader) error {
+	h.endBody(w, q)
+	q.releaseBody()
 	moveHeader(w.Header(), start.header)
 	w.WriteHeader(start.status)
 	if _, err := w.Write(start.body); err != nil {
 		return &callerError{err}
 	}
-	_, err := io.Copy(callerWriter{w}, rest)
+	start.body = nil
+	q.hold.ReleaseResponse()
+	_, err := io.CopyBuffer(callerWriter{w}, rest, make([]byte, memory.StreamBytes))
 	return err
 }
 
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -103,7 +103,7 @@
 	}
 	return place.Query{
 		Service: q.service, Route: q.route.Name, Object: object, AllowedRegions: regions, RegionRestricted: restricted,
-		Excluded: q.attempts.tried, BodyBytes: len(q.body.buffered), Priority: catalog.Priority(q.route, q.customer),
+		Excluded: q.attempts.tried, BodyBytes: q.body.bytes(), Priority: catalog.Priority(q.route, q.customer),
 		OverRate: q.overRate, Target: q.route.TargetLatency, Remaining: q.deadline.Sub(h.Now()),
 	}
 }
@@ -200,12 +200,18 @@
 // impliesNotRun reports whether a status guarantees that the request did not run.
 func impliesNotRun(status int) bool {
 	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable ||
-		status == http.StatusUnauthorized
+		status == http.StatusUnauthorized || status == http.StatusRequestTimeout
 }
 
 // timeoutRefusal returns the refusal for a request whose time limit has passed or
 // whose caller has disconnected.
 func (h *Handler) timeoutRefusal(q *request) *refusal {
+	if q.body.guard.stalled() {
+		if q.attempts.mayHaveRun || q.attempts.sends > 0 {
+			return denied(http.StatusGatewayTimeout, CauseBodyStalled)
+		}
+		return denied(http.StatusRequestTimeout, CauseBodyStalled)
+	}
 	if q.http.Context().Err() != nil {
 		return &refusal{cause: CauseCallerLeft}
 	}
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -59,6 +59,9 @@
 // a close that has arrived and that no read has returned yet.
 func ClosedByPeer(c net.Conn) bool { return peek(c) == inputClosed }
 
+// HasPendingInput reports whether bytes have arrived on a connection that no read has returned yet.
+func HasPendingInput(c net.Conn) bool { return peek(c) == inputData }
+
 // pendingInput is what has arrived on a connection and was not read yet.
 type pendingInput int
 
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -54,6 +54,8 @@
 	sentAt time.Time
 	// cold is set if the upstream itself is cold, for any object.
 	cold bool
+	// bodyBytes is the size of the request body.
+	bodyBytes int
 	// probe is set if the request probes whether the upstream accepts requests after a pause.
 	probe bool
 }
@@ -78,6 +80,9 @@
 	// AllRateLimited: the remaining upstreams limit their rate, and this host is no sender of
 	// theirs, or has used its part.
 	AllRateLimited Reason = "all-rate-limited"
+	// AllHoldBytes: the remaining upstreams hold as many bytes of request bodies from this host as
+	// they may.
+	AllHoldBytes Reason = "all-hold-bytes"
 )
 
 // NoUpstreamError reports that no upstream can take the request at present.
@@ -153,13 +158,14 @@
 		}
 		known := c.load.known(now, c.assumed)
 		c.load.inflight++
+		t.addBytes(c.upstream, q.BodyBytes)
 		probe := c.announced.pause.unconfirmed
 		c.announced.pause.probing = probe
 		t.recordRegion(now, now, c.region, 1)
 		return Choice{
 			ID: c.ID, Address: c.Address, Zone: c.Zone, Region: c.region, ExpectedLatency: c.latency, ExpectedQueueing: c.queueing,
 			Known:    known,
-			upstream: c.upstream, startedMs: c.StartedMs, object: object, route: q.Route, sentAt: now, Warm: warm, cold: c.cold, probe: probe,
+			upstream: c.upstream, startedMs: c.StartedMs, object: object, route: q.Route, sentAt: now, Warm: warm, cold: c.cold, bodyBytes: q.BodyBytes, probe: probe,
 		}, nil
 	}
 	return Choice{}, &NoUpstreamError{Service: q.Service, Reason: reason}
--- a/internal/place/survey.go
+++ b/internal/place/survey.go
@@ -118,6 +118,10 @@
 		if slices.Contains(q.Excluded, w.ID) {
 			continue
 		}
+		if !t.bytesFit(now, w, q) {
+			s.exclude(w, AllHoldBytes)
+			continue
+		}
 		c := candidate{upstream: w, path: path, weight: weight(key, w.idHash), cold: cold}
 		if !w.health.usable(now) {
 			ejected = append(ejected, c)
@@ -136,7 +140,7 @@
 
 // reasonOrder lists the reasons from the one with which a caller has to wait longest. With the
 // reasons after AllPaused, this host or another one may serve the caller soon.
-var reasonOrder = []Reason{NotRegistered, AllClosed, AllPaused, AllCold, AllRateLimited, AllEjected}
+var reasonOrder = []Reason{NotRegistered, AllClosed, AllPaused, AllCold, AllRateLimited, AllHoldBytes, AllEjected}
 
 // exclude records why an upstream is no candidate.
 func (s *survey) exclude(w *upstream, reason Reason) {
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"balsambarrow/internal/catalog"
+	"balsambarrow/internal/memory"
 	"balsambarrow/internal/traffic"
 )
 
@@ -64,6 +65,11 @@
 	excess           shiftExcess
 	// maxShift limits how quickly requests move between regions.
 	maxShift float64
+	// bytesBound bounds the bytes that an upstream may hold from this host; 0: not bounded. crashes
+	// holds what was learned of the upstreams of each service.
+	bytesBound int64
+	crashes    map[string]*memory.Crashes
+	onCrash    func(CrashBound)
 }
 
 // NewTable returns an empty table of the entry host self. zones maps each zone to its
@@ -73,7 +79,7 @@
 		self: self, zones: zones, byID: map[string]*upstream{}, byHash: map[uint32]*upstream{}, departed: map[string]departed{},
 		services: map[string][]*upstream{}, evacuatedZones: map[string]bool{}, serviceTimes: map[string]*serviceTime{}, slowdownReported: map[string]bool{},
 		queuedTimes: map[string]*mean{}, queueLimits: map[string]queueLimits{}, holders: map[Object][]*upstream{},
-		unreported: map[string]int{}, evacuationChangedAt: map[string]time.Time{}, links: newLinkCosts(self), regionHash: hash(self.Region), hostsGeneration: 1, regionHosts: 1, keylessSequence: hash(self.Instance),
+		crashes: map[string]*memory.Crashes{}, unreported: map[string]int{}, evacuationChangedAt: map[string]time.Time{}, links: newLinkCosts(self), regionHash: hash(self.Region), hostsGeneration: 1, regionHosts: 1, keylessSequence: hash(self.Instance),
 	}
 }
 
@@ -161,6 +167,7 @@
 func (t *Table) replace(now time.Time, w *upstream, u catalog.Upstream) {
 	if w.StartedMs != u.StartedMs || w.Address != u.Address {
 		t.dropHolders(w)
+		t.recordCrash(now, w)
 		w.reset(now)
 	}
 	if w.Service != u.Service {
@@ -276,6 +283,7 @@
 		}
 	}
 	w.load.inflight--
+	t.removeBytes(now, c, r.Result)
 	if probed := t.instance(c); c.probe && probed != nil {
 		probed.announced.pause.probing = false
 	}
--- a/internal/place/upstream.go
+++ b/internal/place/upstream.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"balsambarrow/internal/catalog"
+	"balsambarrow/internal/memory"
 )
 
 // WarmTTL is how long an object counts as warm after its last request. maxWarmObjects is
@@ -21,6 +22,7 @@
 	region        string
 	health        health
 	load          load
+	bytes         memory.UpstreamBytes
 	slowStart     tokenBucket
 	standingQueue standingQueue
 	announced     announced
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,8 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -54,10 +52,7 @@
 // announce that they leave, and operators withdraw API keys and evacuate zones. Faults are injected one after another and may overlap. What callers and upstreams
 // observe must keep to the guarantees throughout.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "balsambarrowd")
-	if out, err := exec.Command("go", "test", "-c", "-o", binary, "balsambarrow/cmd/balsambarrowd").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	binary := daemonBinary(t)
 	seeds := append([]uint64{mixedFleetSeed, linkFleetSeed}, regressionSeeds...)
 	for i := range uint64(*seedCount) {
 		seeds = append(seeds, *firstSeed+i)
