--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -16,6 +16,7 @@
 	"balsambarrow/internal/front"
 	"balsambarrow/internal/h1"
 	"balsambarrow/internal/kv"
+	"balsambarrow/internal/memory"
 	"balsambarrow/internal/place"
 	"balsambarrow/internal/retry"
 	"balsambarrow/internal/share"
@@ -44,6 +45,9 @@
 	// OnActive is called when the host becomes active, and when it becomes a standby again.
 	// Optional; it must be set before Start.
 	OnActive func(active bool)
+	// OnMemory is called each second, while callers are connected, with the bytes that callers make
+	// the process hold. Optional; it must be set before Start.
+	OnMemory func(held int64)
 	// DialUpstream opens connections to upstreams. Tests replace it before Start to simulate
 	// network faults.
 	DialUpstream h1.DialFunc
@@ -107,9 +111,11 @@
 	// stopsAt is when this host stops answering requests; nil until a planned stop begins.
 	stopsAt atomic.Pointer[time.Time]
 
-	activity     activity
-	callers      *front.Handler
-	callerConns  *callerConns
+	activity    activity
+	callers     *front.Handler
+	callerConns *callerConns
+	// budget bounds the bytes that callers make the process hold; nil if its memory is unknown.
+	budget       *memory.Budget
 	strayCallers strayCallers
 
 	// addresses are the addresses of the listeners. A port 0 in the settings is replaced by the
@@ -155,12 +161,12 @@
 		wakeRegistrar: make(chan struct{}, 1),
 		listed:        make(chan struct{}),
 		willBeActive:  make(chan struct{}),
-
-		startupWait: defaultStartupWait,
-
-		callerConns: newCallerConns(), tasks: newTaskGroup(),
+		startupWait:   defaultStartupWait,
+		callerConns:   newCallerConns(),
+		tasks:         newTaskGroup(),
 	}
 	d.table = place.NewTable(d.self.Host, s.Zones)
+	d.boundMemory(s)
 	d.tunnelPeers.Store(&[]tunnel.Peer{})
 	d.settings.Store(s)
 	d.state.Store(&front.State{})
@@ -187,7 +193,8 @@
 	deps := front.Deps{
 		State: d.state.Load, Codec: platform.Headers{}, Pool: d.upstreamConns, Table: d.table, Room: d.rooms, RateLimiter: d.tokens,
 		RetryBudget: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, ObserveFailedAttempt: d.observeFailedAttempt, Now: d.now,
-		Refresh: d.refresh, LoadUpstreams: d.loadUpstreamsForCallers, Updates: d.stateUpdated.next, StartupTimeLeft: d.remainingStartupWait, StopsAt: d.stopTime, DisableKeepAlive: d.nearDescriptorLimit,
+		Refresh: d.refresh, LoadUpstreams: d.loadUpstreamsForCallers, Updates: d.stateUpdated.next, StartupTimeLeft: d.remainingStartupWait, StopsAt: d.stopTime, DisableKeepAlive: d.nearConnectionLimit,
+		Memory: d.budget, ObserveMemory: d.observeMemory,
 	}
 	if d.settings.Load().TraceFile != "" {
 		deps.Tracer = d.tracing.Tracer
@@ -270,6 +277,7 @@
 	if l == d.listeners[d.addresses.Callers] {
 		server.ConnState = d.callerConns.track
 		server.ConnContext = front.WithCallerConn
+		l = d.limitCallers(l)
 	}
 	d.servers = append(d.servers, server)
 	go func() {
