Place: a limit on what waits at an upstream, for requests that can wait at the host

Cause: the limits let a request wait at an upstream for several times what remains of its target, where it can no longer be reordered, moved or withdrawn. Nothing sets the field yet.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -26,6 +26,12 @@
 	// Target is the latency objective. Remaining is the time until the request times out.
 	Target    time.Duration
 	Remaining time.Duration
+	// WaitsAtHost is set if the request waits at this host for room: it is sent only where it finds
+	// room in the slots and a short pipeline. Waited is how long it has waited.
+	WaitsAtHost bool
+	Waited      time.Duration
+	// LeavesSlots is set if the request must leave some slots of the upstream to short requests.
+	LeavesSlots bool
 }
 
 // Choice is the selected upstream. Each choice must be ended by Table.Done.
@@ -117,7 +123,11 @@
 	}
 	t.estimate(now, q, object, s)
 	t.limitShift(now, s)
-	choice, err := t.chooseCheapest(now, q, object, s.candidates)
+	list, err := withRoom(now, q, s.candidates)
+	var choice Choice
+	if err == nil {
+		choice, err = t.chooseCheapest(now, q, object, list)
+	}
 	var full *QueueLimitError
 	if errors.As(err, &full) {
 		full.ShiftLimited = s.shiftLimited
@@ -135,7 +145,7 @@
 		i := cheapest(list)
 		c := list[i]
 		c.standingQueue.observe(now, c.queueing)
-		if limit := t.queueLimit(now, q, c); c.queueing > limit {
+		if limit := t.queueLimit(now, q, c); c.queueing > limit && !q.WaitsAtHost {
 			return Choice{}, &QueueLimitError{Service: q.Service, ExpectedQueueing: c.queueing, Limit: limit}
 		}
 		if c.announced.rateLimit.Limited && !t.takeRateLimit(now, c.upstream) || c.cold && !t.allowSlowStart(now, c.upstream) {
--- a/internal/place/queuelimit.go
+++ b/internal/place/queuelimit.go
@@ -104,6 +104,11 @@
 	// delay that the request may have.
 	ExpectedQueueing time.Duration
 	Limit            time.Duration
+	// Latency is the sum of the service and round-trip times at the preferred upstream. RoomAfter is
+	// when an upstream is expected to have room for the request. They are set if the request waits at
+	// the host.
+	Latency   time.Duration
+	RoomAfter time.Duration
 	// ShiftLimited is set if requests may not go to other regions because too many have moved
 	// there recently.
 	ShiftLimited bool
