Fair queue: the decisions of a queue at an entry host

Cause: requests that find no room are sent into the queues of upstreams or refused; nobody orders them. It knows no number of slots. The queue of the earlier daemon is unchanged.

--- a/internal/fairqueue/doc.go
+++ b/internal/fairqueue/doc.go
@@ -22,4 +22,7 @@
 //     too late to be useful: the slots are busy and goodput is zero. Here a
 //     request is refused on arrival if the work that fair queueing schedules
 //     before it does not fit its budget, and a standing queue is kept short.
+//
+// Entry hosts, whose capacity is not a fixed number of slots, use HostQueue; the handlers of the
+// earlier daemon use Queue. They share the estimates of service times.
 package fairqueue
