Entry host: requests that find no room wait in a queue of their service

Cause: nothing waited at an entry host, and in overload one response was late for each one in time. Change: with overload.queue on for a service, a request without room waits unsent. One request at a time looks for room, after each end of an attempt, notice of room, or arrival, and at a timer; caller, key and planned stop are checked again. The start of a stop refuses those that cannot be served before it. Each test was seen to fail with its decision switched off.

--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -186,6 +186,7 @@
 		RetryBudget: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, ObserveFailedAttempt: d.observeFailedAttempt, Now: d.now,
 		Refresh: d.refresh, LoadUpstreams: d.loadUpstreamsForCallers, Updates: d.stateUpdated.next, StartupTimeLeft: d.remainingStartupWait, StopsAt: d.stopTime, DisableKeepAlive: d.nearDescriptorLimit,
 	}
+	deps.Queues, deps.ObserveQueue = d.queues, d.observeQueue
 	if d.settings.Load().TraceFile != "" {
 		deps.Tracer = d.tracing.Tracer
 	}
--- a/internal/entryhost/stop.go
+++ b/internal/entryhost/stop.go
@@ -32,6 +32,7 @@
 	stopsAt := began.Add(grace - exitMargin - responseMargin)
 	d.stopsAt.Store(&stopsAt)
 	d.events.Info("stopping", "grace", grace, "delay", d.now().Sub(began))
+	d.callers.StopBegun()
 	d.control.send(func(c *control) {
 		c.leaving = true
 		c.announceToAll(d.now())
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"balsambarrow/internal/catalog"
+	"balsambarrow/internal/fairqueue"
 	"balsambarrow/internal/h1"
 	"balsambarrow/internal/place"
 	"balsambarrow/internal/retry"
@@ -63,6 +64,10 @@
 	// DisableKeepAlive reports whether connections of callers should be closed
 	// after the response.
 	DisableKeepAlive func() bool
+	// Queues reports whether requests of a service that find no room wait at this host; nil: never.
+	Queues func(service string) bool
+	// ObserveQueue is called for each change in a queue; nil: not observed.
+	ObserveQueue func(QueueEvent)
 	// Tracer creates a span for each hop; nil disables tracing.
 	Tracer trace.Tracer
 }
@@ -123,13 +128,16 @@
 	Deps
 	splitter  *splitter
 	latencies *latencies
+	queues    *hostQueues
 	// responseCount counts the responses to callers; see responseLogInterval.
 	responseCount atomic.Uint64
 }
 
 // New returns a handler.
 func New(d Deps) *Handler {
-	return &Handler{Deps: d, splitter: newSplitter(), latencies: newLatencies()}
+	return &Handler{
+		Deps: d, splitter: newSplitter(), latencies: newLatencies(), queues: &hostQueues{services: map[string]*hostQueue{}, now: d.Now},
+	}
 }
 
 // Running returns the requests that were sent to upstreams and have not been answered, oldest first.
@@ -149,6 +157,10 @@
 	service   string
 	// overRate is set if the demand of the customer exceeds its rate.
 	overRate bool
+	// queued is the entry of a request that was sent in the queue of its service; nil if it has none.
+	// waited is how long the request has waited there.
+	queued   *fairqueue.HostRequest
+	waited   time.Duration
 	body     *body
 	attempts attempts
 }
@@ -383,7 +395,7 @@
 	took := h.Now().Sub(q.arrived)
 	h.Observe(Observation{Route: route, Status: f.status, Cause: f.cause, Duration: took, Sends: q.attempts.sends})
 	h.Log.Info("refused", "id", q.ID, "route", route, "service", q.service, "status", f.status, "cause", f.cause,
-		"reason", f.reason, "retry_after", f.retryAfter, "took", took, "sends", q.attempts.sends, "tried", q.attempts.tried,
+		"reason", f.reason, "retry_after", f.retryAfter, "took", took, "waited_at_host", q.waited, "sends", q.attempts.sends, "tried", q.attempts.tried,
 		"age", h.State().age(h.Now()), "version", h.configVersion())
 	if f.cause == CauseCallerLeft {
 		panic(http.ErrAbortHandler)
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -94,7 +94,7 @@
 	case resp.status >= http.StatusInternalServerError:
 		report.Result, end = place.Failed, outcomeFailed
 	}
-	h.Table.Done(h.Now(), c, report)
+	h.done(q, c, report)
 	q.attempts.latency = compareLatency(c, report)
 	h.Log.Debug("upstream answered", "id", q.ID, "route", q.route.Name, "object", q.Object, "upstream", c.ID, "zone", c.Zone,
 		"status", resp.status, "took", report.TimeToHeader, "expected", c.ExpectedLatency, "expected_wait", c.ExpectedQueueing, "warm", c.Warm,
@@ -140,7 +140,7 @@
 	if q.attempts.sends > 1 || late || q.attempts.relay != "" || resp.status >= http.StatusInternalServerError || h.responseCount.Add(1)%responseLogInterval == 0 {
 		pairs := []any{
 			"id", q.ID, "route", q.route.Name, "status", resp.status, "took", took,
-			"target", q.route.TargetLatency, "sends", q.attempts.sends, "tried", q.attempts.tried, "relay", q.attempts.relay,
+			"target", q.route.TargetLatency, "waited_at_host", q.waited, "sends", q.attempts.sends, "tried", q.attempts.tried, "relay", q.attempts.relay,
 		}
 		h.Log.Info("answered", append(pairs, q.attempts.latency.logPairs()...)...)
 	}
@@ -164,12 +164,12 @@
 	var caller *callerError
 	switch {
 	case err == nil:
-		h.Table.Done(h.Now(), c, report)
+		h.done(q, c, report)
 		return outcomeAnswered
 	case errors.As(err, &caller) || ctx.Err() != nil:
-		h.Table.Done(h.Now(), c, place.Report{Result: place.Canceled})
+		h.done(q, c, place.Report{Result: place.Canceled})
 	default:
-		h.Table.Done(h.Now(), c, place.Report{Result: place.NoResponse})
+		h.done(q, c, place.Report{Result: place.NoResponse})
 	}
 	h.Log.Info("response aborted", "id", q.ID, "upstream", c.ID, "error", err)
 	panic(http.ErrAbortHandler)
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -60,7 +60,7 @@
 		if refused := h.checkStop(q); refused != nil {
 			return h.finishUnserved(w, q, failure, refused)
 		}
-		choice, err := h.choose(q)
+		choice, err := h.choose(ctx, q)
 		if err != nil {
 			return h.finishUnserved(w, q, failure, h.placementRefusal(q, err))
 		}
@@ -90,9 +90,9 @@
 	}
 }
 
-// choose selects the upstream for the next attempt. The errors are those of place.Table.Choose.
-func (h *Handler) choose(q *request) (place.Choice, error) {
-	return h.Table.Choose(h.Now(), h.placementQuery(q))
+// tryChoose selects an upstream that has room now. The errors are those of place.Table.Choose.
+func (h *Handler) tryChoose(_ *request, query place.Query) (place.Choice, error) {
+	return h.Table.Choose(h.Now(), query)
 }
 
 func (h *Handler) placementQuery(q *request) place.Query {
@@ -145,6 +145,10 @@
 // placementRefusal returns the refusal for a request for which no upstream could
 // be chosen.
 func (h *Handler) placementRefusal(q *request, err error) *refusal {
+	var waited *waitError
+	if errors.As(err, &waited) {
+		return waited.refusal
+	}
 	if q.attempts.sends > 0 || len(q.attempts.tried) > 0 {
 		return h.unservedRefusal(q)
 	}
@@ -260,7 +264,7 @@
 		report.Result = place.PathDown
 		q.attempts.pathDown = true
 	}
-	h.Table.Done(h.Now(), c, report)
+	h.done(q, c, report)
 	if ctx.Err() != nil {
 		return outcomeTimedOut, nil
 	}
@@ -272,10 +276,10 @@
 // recordLost records an attempt that was sent and received no usable response.
 func (h *Handler) recordLost(ctx context.Context, q *request, c place.Choice, err error) outcome {
 	if ctx.Err() != nil {
-		h.Table.Done(h.Now(), c, place.Report{Result: place.Canceled})
+		h.done(q, c, place.Report{Result: place.Canceled})
 		return outcomeTimedOut
 	}
-	h.Table.Done(h.Now(), c, place.Report{Result: place.NoResponse})
+	h.done(q, c, place.Report{Result: place.NoResponse})
 	h.Log.Info("answer lost", "id", q.ID, "upstream", c.ID, "zone", c.Zone, "took", h.Now().Sub(q.arrived), "error", err)
 	return outcomeLost
 }
