Merge the queue at the entry host

Joined with room that hosts share: a request that waits at its host asks the owner for the slots and the pipeline only, a refusal of the owner says when to look again, and the next request gets its turn while an owner is asked. Without the last, each round trip to an owner would delay the whole queue of a service.

--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -196,6 +196,7 @@
 		Refresh: d.refresh, LoadUpstreams: d.loadUpstreamsForCallers, Updates: d.stateUpdated.next, StartupTimeLeft: d.remainingStartupWait, StopsAt: d.stopTime, DisableKeepAlive: d.nearConnectionLimit,
 		Memory: d.budget, ObserveMemory: d.observeMemory,
 	}
+	deps.Queues, deps.ObserveQueue = d.queues, d.observeQueue
 	if d.settings.Load().TraceFile != "" {
 		deps.Tracer = d.tracing.Tracer
 	}
--- a/internal/front/reserve.go
+++ b/internal/front/reserve.go
@@ -22,8 +22,9 @@
 
 // chooseWithRoom selects an upstream that has room. If the table still prefers an upstream that has
 // just refused, waiting there costs the caller less than any other upstream; the request is then
-// refused as if the queue there exceeded its limit.
-func (h *Handler) chooseWithRoom(q *request, query place.Query) (place.Choice, error) {
+// refused as if the queue there exceeded its limit. asking is called before an owner is asked, which
+// may take a round trip.
+func (h *Handler) chooseWithRoom(q *request, query place.Query, asking func()) (place.Choice, error) {
 	var refused []string
 	full := &place.QueueLimitError{Service: q.service, NoRoom: true}
 	for range maxReservations {
@@ -33,12 +34,14 @@
 		}
 		again := slices.Contains(refused, c.ID)
 		if !again {
+			asking()
 			reserved, ok := h.Room.Reserve(c, q.service, q.deadline)
 			if ok {
 				return reserved, nil
 			}
 			refused = append(refused, c.ID)
 			full.ExpectedQueueing, full.Limit = reserved.ExpectedQueueing, c.Room.Limit
+			full.Latency, full.RoomAfter = reserved.ExpectedLatency-reserved.ExpectedQueueing, reserved.ExpectedQueueing
 		}
 		// Nothing was sent, as if the upstream had rejected the request.
 		h.Table.Done(h.Now(), c, place.Report{Result: place.Shed})
@@ -49,12 +52,6 @@
 	return place.Choice{}, full
 }
 
-// done ends an attempt.
-func (h *Handler) done(_ *request, c place.Choice, r place.Report) {
-	h.Table.Done(h.Now(), c, r)
-	h.releaseRoom(c, r)
-}
-
 // releaseRoom tells the owner of the upstream's room that a request has ended.
 func (h *Handler) releaseRoom(c place.Choice, r place.Report) {
 	if h.Room != nil {
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -147,7 +147,7 @@
 	if q.attempts.sends > 1 || late || q.attempts.relay != "" || resp.status >= http.StatusInternalServerError || h.responseCount.Add(1)%responseLogInterval == 0 {
 		pairs := []any{
 			"id", q.ID, "route", q.route.Name, "status", resp.status, "took", took,
-			"target", q.route.TargetLatency, "sends", q.attempts.sends, "tried", q.attempts.tried, "relay", q.attempts.relay,
+			"target", q.route.TargetLatency, "waited_at_host", q.waited, "sends", q.attempts.sends, "tried", q.attempts.tried, "relay", q.attempts.relay,
 		}
 		h.Log.Info("answered", append(pairs, q.attempts.latency.logPairs()...)...)
 	}
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -60,7 +60,7 @@
 		if refused := h.checkStop(q); refused != nil {
 			return h.finishUnserved(w, q, failure, refused)
 		}
-		choice, err := h.choose(q)
+		choice, err := h.choose(ctx, q)
 		if err != nil {
 			return h.finishUnserved(w, q, failure, h.placementRefusal(q, err))
 		}
@@ -90,11 +90,6 @@
 	}
 }
 
-// choose selects the upstream for the next attempt. The errors are those of place.Table.Choose.
-func (h *Handler) choose(q *request) (place.Choice, error) {
-	return h.chooseWithRoom(q, h.placementQuery(q))
-}
-
 func (h *Handler) placementQuery(q *request) place.Query {
 	regions, restricted := catalog.AllowedRegions(q.route, q.customer)
 	object := q.Object
@@ -145,6 +140,10 @@
 // placementRefusal returns the refusal for a request for which no upstream could
 // be chosen.
 func (h *Handler) placementRefusal(q *request, err error) *refusal {
+	var waited *waitError
+	if errors.As(err, &waited) {
+		return waited.refusal
+	}
 	if q.attempts.sends > 0 || len(q.attempts.tried) > 0 {
 		return h.unservedRefusal(q)
 	}
--- a/internal/place/room.go
+++ b/internal/place/room.go
@@ -26,7 +26,11 @@
 // newRoom returns the room that the request needs at a candidate at which it may wait for limit.
 func (t *Table) newRoom(q Query, c candidate, limit time.Duration) Room {
 	perRequest := time.Duration(float64(t.queuedServiceTime(q.Service, getOrCreate(t.serviceTimes, q.Route))) * c.health.slowness)
-	return Room{Upstream: c.instanceKey(), Slots: c.Slots, MaxAhead: maxAhead(limit, c.Slots, perRequest), Limit: limit, perRequest: perRequest}
+	ahead := maxAhead(limit, c.Slots, perRequest)
+	if q.WaitsAtHost {
+		ahead = roomFor(q, c.Slots) - 1
+	}
+	return Room{Upstream: c.instanceKey(), Slots: c.Slots, MaxAhead: ahead, Limit: limit, perRequest: perRequest}
 }
 
 // maxAhead is the inverse of queueTime: the largest load with which the queueing delay is within the
