The slowdown that an upstream reports counts in its expected latency

Cause: upstreams that share machines are slow for some tenths of a second, again and again, and say so with each response; no decision used the figure. Work went to upstreams that had just said that it takes two and a half times as long.

The expected slowdown multiplies the service time, for the queue ahead and for the request itself. Samples of service times and of slowness are divided by the slowdown during the run. Figures that cannot be true are ignored and counted. Without reports nothing changes. The log line for late responses shows the expected slowdown; metrics balsambarrow_upstream_slowdown and balsambarrow_upstream_slowdowns_invalid.

--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -24,6 +24,7 @@
 	d.metrics.Gauge("balsambarrow_upstreams_rate_limited", func() float64 { return float64(d.table.RateLimited()) })
 	d.metrics.Gauge("balsambarrow_upstreams_paused", func() float64 { return float64(d.table.Paused(d.now())) })
 	d.metrics.Gauge("balsambarrow_upstreams_ejected", func() float64 { return float64(d.table.Ejected(d.now())) })
+	d.metrics.Gauge("balsambarrow_upstream_slowdowns_invalid", func() float64 { return float64(d.table.InvalidSlowdowns()) })
 	d.metrics.Gauge("balsambarrow_upstream_links_down", func() float64 { return boolGauge(d.links.LinksDown()) })
 	d.metrics.Gauge("balsambarrow_tunnel_peers", func() float64 { return float64(len(*d.tunnelPeers.Load())) })
 	d.metrics.Gauge("balsambarrow_tunnels_served", func() float64 { return float64(d.tunnels.Count()) })
@@ -77,4 +78,7 @@
 	update("answer", "actual", p.Actual)
 	update("wait", "expected", p.ExpectedQueueing)
 	update("wait", "actual", p.ActualQueueing)
+	if p.Reported.Slowdown > 0 {
+		d.metrics.Set.GetOrCreateHistogram(fmt.Sprintf(`balsambarrow_upstream_slowdown{route=%q}`, route)).Update(p.Reported.Slowdown)
+	}
 }
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -113,7 +113,7 @@
 func (l *LatencyComparison) logPairs() []any {
 	return []any{
 		"expected", l.Expected, "expected_wait", l.ExpectedQueueing, "upstream_took", l.Actual, "waited", l.ActualQueueing, "connect", l.Connect, "warm", l.Warm,
-		"known_load", l.Known.Requests, "known_own", l.Known.Own, "known_slowdown", l.Known.Slowdown, "known_age", l.Known.ReportAge,
+		"known_load", l.Known.Requests, "known_own", l.Known.Own, "known_slowdown", l.Known.Slowdown, "expected_slowdown", l.Known.ExpectedSlowdown, "known_age", l.Known.ReportAge,
 		"running", l.Reported.Running, "waiting", l.Reported.Waiting, "slots", l.Reported.Slots, "slowdown", l.Reported.Slowdown,
 	}
 }
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -36,6 +36,7 @@
 	meta := h.Codec.ParseResponse(upstream.Response)
 	report := place.Report{
 		TimeToHeader: h.Now().Sub(sentAt), ConnectTime: upstream.ConnectTime, Relayed: upstream.Relay != "", Load: meta.Load, HasLoad: meta.HasLoad, ColdFor: meta.ColdFor,
+		SlowdownInvalid: meta.LoadError != nil,
 	}
 	q.attempts.relay = upstream.Relay
 	h.observeAnnouncements(q, c, meta)
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -103,6 +103,8 @@
 	queueing time.Duration
 	// assumed is the load from other hosts that is assumed until the upstream reports any.
 	assumed float64
+	// expectedSlowdown is the slowdown that is expected when the upstream starts the request.
+	expectedSlowdown float64
 }
 
 // Choose selects the upstream for a request. The error is a *NoUpstreamError or a
@@ -152,6 +154,7 @@
 			t.recordSent(now, c.upstream, object)
 		}
 		known := c.load.known(now, c.assumed)
+		known.Slowdown, known.ExpectedSlowdown = c.slowdown.value, c.expectedSlowdown
 		c.load.inflight++
 		probe := c.announced.pause.unconfirmed
 		c.announced.pause.probing = probe
--- a/internal/place/estimate.go
+++ b/internal/place/estimate.go
@@ -21,7 +21,7 @@
 		c := &list[i]
 		c.assumed = t.assumedLoad(c.path)
 		load := c.load.estimate(now, c.assumed)
-		e.estimateLatency(c, load)
+		e.estimateLatency(now, c, load)
 		e.estimateCost(c, load)
 	}
 	if object == 0 {
@@ -57,6 +57,7 @@
 	route       *serviceTime
 	// queuedServiceTime is the mean service time of requests that wait in a queue.
 	queuedServiceTime time.Duration
+	slowdown          *serviceSlowdown
 	// rankPenalty is added per rank. awayPenalty is added outside the object's home region.
 	rankPenalty, awayPenalty time.Duration
 	// homeIsLocal is set if this host's region counts as the home region of the object.
@@ -68,7 +69,7 @@
 	route := getOrCreate(t.serviceTimes, q.Route)
 	route.setInitial(q.Target)
 	return &estimator{
-		table: t, query: q, hasAffinity: object != 0, route: route, queuedServiceTime: t.queuedServiceTime(q.Service, route),
+		table: t, query: q, hasAffinity: object != 0, route: route, queuedServiceTime: t.queuedServiceTime(q.Service, route), slowdown: t.slowdowns[q.Service],
 		rankPenalty: time.Duration(rankPenaltyPart * float64(route.affinityGain())), awayPenalty: t.awayPenalty(route),
 		homeIsLocal: t.links.isZoneLocal(q.Route) || t.isHomeRegion(object),
 	}
@@ -76,9 +77,14 @@
 
 // estimateLatency computes the queueing delay and the latency of the request at a
 // candidate that has load requests.
-func (e *estimator) estimateLatency(c *candidate, load float64) {
-	c.queueing = queueTime(load, c.Slots, time.Duration(float64(e.queuedServiceTime)*c.health.slowness))
-	work := time.Duration(float64(e.route.estimate(c.warm)) * c.health.slowness)
+func (e *estimator) estimateLatency(now time.Time, c *candidate, load float64) {
+	slowdown := e.slowdown.expected(now, &c.slowdown)
+	c.queueing = queueTime(load, c.Slots, time.Duration(float64(e.queuedServiceTime)*c.health.slowness*slowdown))
+	if c.queueing > 0 {
+		slowdown = e.slowdown.expected(now.Add(c.queueing), &c.slowdown)
+	}
+	c.expectedSlowdown = slowdown
+	work := time.Duration(float64(e.route.estimate(c.warm)) * c.health.slowness * slowdown)
 	c.latency = work + c.queueing + c.path.roundTrip
 }
 
--- a/internal/place/load.go
+++ b/internal/place/load.go
@@ -26,8 +26,6 @@
 	// background is the moving average of others.
 	background float64
 	reported   bool
-	// slowdown is that of the last report.
-	slowdown float64
 }
 
 // KnownLoad is what a host knew of the load of an upstream when it chose it, for logs and metrics.
@@ -36,15 +34,16 @@
 	// that this host has sent.
 	Requests float64
 	Own      int
-	// Slowdown is that of the upstream's last report; 0 if there was none.
-	Slowdown float64
+	// Slowdown is that of the upstream's last report; 0 if there was none. ExpectedSlowdown is the
+	// one that was expected; 1 if upstreams of the service report none.
+	Slowdown, ExpectedSlowdown float64
 	// ReportAge is the time since the upstream reported its load to this host; -1 if it has not.
 	ReportAge time.Duration
 }
 
 // known returns what is known of the load before a further request is sent.
 func (l *load) known(now time.Time, assumed float64) KnownLoad {
-	k := KnownLoad{Requests: l.estimate(now, assumed), Own: l.inflight, Slowdown: l.slowdown, ReportAge: -1}
+	k := KnownLoad{Requests: l.estimate(now, assumed), Own: l.inflight, ReportAge: -1}
 	if l.reported {
 		k.ReportAge = now.Sub(l.reportedAt)
 	}
@@ -60,7 +59,7 @@
 	}
 	l.reported = true
 	l.background += backgroundGain * (others - l.background)
-	l.others, l.reportedAt, l.slowdown = others, now, report.Slowdown
+	l.others, l.reportedAt = others, now
 }
 
 // estimate returns the estimated number of requests at the upstream now. assumed is the load from
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -50,8 +50,9 @@
 	scratch      survey
 	regionHash   uint64
 	serviceTimes map[string]*serviceTime
-	// slowdownReported holds the services whose upstreams report a slowdown.
-	slowdownReported map[string]bool
+	// slowdowns holds what is known of the services whose upstreams report a slowdown.
+	slowdowns        map[string]*serviceSlowdown
+	invalidSlowdowns int
 	// queuedTimes is the mean service time by service, used for requests that wait in
 	// queues.
 	queuedTimes map[string]*mean
@@ -71,7 +72,7 @@
 func NewTable(self Host, zones map[string]string) *Table {
 	return &Table{
 		self: self, zones: zones, byID: map[string]*upstream{}, byHash: map[uint32]*upstream{}, departed: map[string]departed{},
-		services: map[string][]*upstream{}, evacuatedZones: map[string]bool{}, serviceTimes: map[string]*serviceTime{}, slowdownReported: map[string]bool{},
+		services: map[string][]*upstream{}, evacuatedZones: map[string]bool{}, serviceTimes: map[string]*serviceTime{}, slowdowns: map[string]*serviceSlowdown{},
 		queuedTimes: map[string]*mean{}, queueLimits: map[string]queueLimits{}, holders: map[Object][]*upstream{},
 		unreported: map[string]int{}, evacuationChangedAt: map[string]time.Time{}, links: newLinkCosts(self), regionHash: hash(self.Region), hostsGeneration: 1, regionHosts: 1, keylessSequence: hash(self.Instance),
 	}
@@ -206,14 +207,6 @@
 	}
 }
 
-// ReportsSlowdown reports whether upstreams of the service have reported how long work takes at
-// present.
-func (t *Table) ReportsSlowdown(service string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.slowdownReported[service]
-}
-
 // Size returns the number of upstreams.
 func (t *Table) Size() int {
 	t.mu.Lock()
@@ -258,6 +251,8 @@
 	Relayed bool
 	Load    traffic.Load
 	HasLoad bool
+	// SlowdownInvalid is set if the load includes a slowdown that cannot be used.
+	SlowdownInvalid bool
 	// ColdFor is how long the upstream stays cold; 0 if not reported.
 	ColdFor time.Duration
 	// ResponseBytes is the size of the response body.
@@ -271,10 +266,8 @@
 	w := c.upstream
 	if r.HasLoad {
 		w.load.observe(now, r.Load)
-		if r.Load.Slowdown > 0 {
-			t.slowdownReported[w.Service] = true
-		}
 	}
+	t.observeSlowdown(now, w, r)
 	w.load.inflight--
 	if probed := t.instance(c); c.probe && probed != nil {
 		probed.announced.pause.probing = false
@@ -323,6 +316,7 @@
 		return
 	}
 	took := max(r.TimeToHeader-r.ConnectTime-t.links.roundTrip(w.region, w.Zone), time.Millisecond)
+	took = time.Duration(float64(took) / t.slowdowns[w.Service].during(now, &w.slowdown, c.Known.ExpectedSlowdown, took))
 	route := getOrCreate(t.serviceTimes, c.route)
 	if c.Warm || r.HasLoad {
 		// Without a load report, queueing delay cannot be distinguished from cold work.
--- a/internal/place/upstream.go
+++ b/internal/place/upstream.go
@@ -21,6 +21,7 @@
 	region        string
 	health        health
 	load          load
+	slowdown      slowdown
 	slowStart     tokenBucket
 	standingQueue standingQueue
 	announced     announced
@@ -61,7 +62,7 @@
 // reset discards the state of an earlier instance with the same ID.
 func (w *upstream) reset(now time.Time) {
 	inflight := w.load.inflight
-	w.health, w.load, w.announced = newHealth(), load{inflight: inflight}, announced{}
+	w.health, w.load, w.slowdown, w.announced = newHealth(), load{inflight: inflight}, slowdown{}, announced{}
 	w.firstSeen, w.hasReceived = now, false
 }
 
