--- a/internal/place/room_internal_test.go
+++ b/internal/place/room_internal_test.go
@@ -68,7 +68,7 @@
 	table.Done(now, first, Report{Result: Shed})
 	table.ObserveSlowdown(now, first.Room.Upstream, 2, 0)
 	table.ObserveSlowdown(now, first.Room.Upstream, 3, time.Millisecond)
-	g.Expect(table.byInstanceKey(first.Room.Upstream).load.slowdown).To(BeEquivalentTo(2), "a report from before the last one")
+	g.Expect(table.byInstanceKey(first.Room.Upstream).slowdown.value).To(BeEquivalentTo(2), "a report from before the last one")
 	corrected := first.WithRoom(5)
 	g.Expect(corrected.ExpectedQueueing).To(BeNumerically(">", first.ExpectedQueueing))
 	g.Expect(corrected.Known.Requests).To(BeEquivalentTo(5))
