--- a/internal/entryhost/helper_test.go
+++ b/internal/entryhost/helper_test.go
@@ -77,6 +77,8 @@
 	store string
 	// uplink is the network between the host and all upstreams; nil means one without faults.
 	uplink *standin.Uplink
+	// queue is the setting overload.queue; "" means the default.
+	queue string
 }
 
 func (s *site) hostWith(name, zone string, o hostOptions) *host {
@@ -90,7 +92,8 @@
 		"listen": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "directory": "127.0.0.1:0", "peers": "127.0.0.1:0", "tunnels": "127.0.0.1:0", "metrics": "127.0.0.1:0"},
 		"store": %q, "trace_file": %q, "capacity": {"link_mbps": %g},
 		"bounds": {"grace": "4s", "revoke": "5s", "strict_revocation": true, "retry_ratio": 0.2, "retry_slack": 60, "retry_window": "10s", "max_shift": 0.15},
-	}`, name, zone, o.store, s.traces, o.mbps)))
+		"overload": {"queue": %q},
+	}`, name, zone, o.store, s.traces, o.mbps, o.queue)))
 	g.Expect(err).NotTo(HaveOccurred())
 	events := telemetry.NewEvents(s.logs, "info", name)
 	stop := make(chan struct{})
--- a/internal/entryhost/queue.go
+++ b/internal/entryhost/queue.go
@@ -18,7 +18,7 @@
 func (d *Daemon) observeQueue(e front.QueueEvent) {
 	labels := fmt.Sprintf(`service=%q,priority="%d"`, e.Service, min(max(e.Priority, 0), maxQueuePriority))
 	set := d.metrics.Set
-	set.GetOrCreateCounter(fmt.Sprintf(`balsambarrow_queue_events_total{%s,event=%q}`, labels, e.Kind)).Inc()
+	set.GetOrCreateCounter(fmt.Sprintf(`balsambarrow_queue_events_total{%s,event=%q,reason=%q}`, labels, e.Kind, e.Reason)).Inc()
 	waiting := set.GetOrCreateGauge(fmt.Sprintf(`balsambarrow_queue_waiting{%s}`, labels), nil)
 	switch e.Kind {
 	case front.QueueRefused:
--- a/internal/fairqueue/host.go
+++ b/internal/fairqueue/host.go
@@ -65,6 +65,18 @@
 // Waited returns how long the request has waited.
 func (r *HostRequest) Waited(now time.Time) time.Duration { return now.Sub(r.queuedAt) }
 
+// Name returns a short name of the reason, for metrics.
+func (r Reason) Name() string {
+	switch r {
+	case ReasonDeadline:
+		return "deadline"
+	case ReasonWaitTooLong:
+		return "wait"
+	default:
+		return "full"
+	}
+}
+
 // HostRefusal is the error for a request whose turn cannot come in time.
 type HostRefusal struct {
 	Reason Reason
--- a/internal/front/queue.go
+++ b/internal/front/queue.go
@@ -24,8 +24,9 @@
 type QueueEvent struct {
 	Service  string
 	Priority int
-	// Kind is what happened.
-	Kind QueueEventKind
+	// Kind is what happened. Reason is the name of the queue's reason if it refused the request.
+	Kind   QueueEventKind
+	Reason string
 	// Waited is how long the request has waited.
 	Waited time.Duration
 }
@@ -88,14 +89,15 @@
 		entry.Latency, w.roomAt = full.Latency, h.Now().Add(full.RoomAfter)
 	}
 	if refusal := queue.push(entry, w); refusal != nil {
-		h.observeQueue(q, QueueRefused, 0)
-		return place.Choice{}, h.queueRefusal(refusal)
+		err := h.queueRefusal(refusal)
+		h.observeQueue(q, QueueRefused, 0, err)
+		return place.Choice{}, err
 	}
-	h.observeQueue(q, QueuePushed, 0)
+	h.observeQueue(q, QueuePushed, 0, nil)
 	choice, kind, err := h.wait(ctx, q, queue, entry, w)
 	waited := entry.Waited(h.Now())
 	q.waited += waited
-	h.observeQueue(q, kind, waited)
+	h.observeQueue(q, kind, waited, err)
 	return choice, err
 }
 
@@ -107,6 +109,9 @@
 		case <-w.turn:
 		case <-ctx.Done():
 			queue.leave(entry, w)
+			if q.http.Context().Err() == nil {
+				return none, QueueExpired, &waitError{h.timeoutRefusal(q)}
+			}
 			return none, QueueLeft, &waitError{h.timeoutRefusal(q)}
 		}
 		if kind, refused := h.checkWaiting(q, queue, entry, w); refused != nil {
@@ -200,8 +205,15 @@
 	queue.roomFreed()
 }
 
-func (h *Handler) observeQueue(q *request, kind QueueEventKind, waited time.Duration) {
-	if h.ObserveQueue != nil {
-		h.ObserveQueue(QueueEvent{Service: q.service, Priority: catalog.Priority(q.route, q.customer), Kind: kind, Waited: waited})
+func (h *Handler) observeQueue(q *request, kind QueueEventKind, waited time.Duration, err error) {
+	if h.ObserveQueue == nil {
+		return
+	}
+	e := QueueEvent{Service: q.service, Priority: catalog.Priority(q.route, q.customer), Kind: kind, Waited: waited}
+	var refused *waitError
+	var reason *fairqueue.HostRefusal
+	if errors.As(err, &refused) && errors.As(refused.refusal.reason, &reason) {
+		e.Reason = reason.Reason.Name()
 	}
+	h.ObserveQueue(e)
 }
