Entry host: the next request has the turn while another one reserves its room

Cause: a reservation may need a message to the owner of the room; a turn that lasts until the answer would let one request of a service through in each round trip. Change: the turn is passed on once the table has chosen. A refusal without an expected latency or time of room, as a reservation may give, has defaults.

--- a/internal/front/queue.go
+++ b/internal/front/queue.go
@@ -16,6 +16,9 @@
 	// maxTries is the number of waiting requests that are tried after each event. The upstreams
 	// that have room for a request depend on its object, so where the first finds none, another may.
 	maxTries = 8
+	// defaultRoomWait is when a request looks for room again if the table does not say when there may
+	// be some.
+	defaultRoomWait = 100 * time.Millisecond
 	// defaultServiceTime is the service time of routes of which no response was measured.
 	defaultServiceTime = 50 * time.Millisecond
 )
@@ -72,13 +75,13 @@
 // *waitError.
 func (h *Handler) choose(ctx context.Context, q *request) (place.Choice, error) {
 	if h.Queues == nil || !h.Queues(q.service) {
-		return h.tryChoose(q, h.placementQuery(q))
+		return h.tryChoose(q, h.placementQuery(q), func() {})
 	}
 	queue := h.queues.of(q.service)
 	entry := h.hostRequest(q)
 	w := &waiter{turn: make(chan struct{}, 1)}
 	if queue.arrive(entry, w) {
-		choice, err := h.tryWaiting(q, queue, entry)
+		choice, err := h.tryWaiting(q, queue, entry, w)
 		if err == nil {
 			h.started(q, queue, entry, choice)
 		}
@@ -86,7 +89,10 @@
 		if !errors.As(err, &full) {
 			return choice, err
 		}
-		entry.Latency, w.roomAt = full.Latency, h.Now().Add(full.RoomAfter)
+		if full.Latency > 0 {
+			entry.Latency = full.Latency
+		}
+		w.setRoomAt(h.Now(), full)
 	}
 	if refusal := queue.push(entry, w); refusal != nil {
 		err := h.queueRefusal(refusal)
@@ -121,7 +127,7 @@
 		if !queue.isTurn(w) {
 			continue
 		}
-		choice, err := h.tryWaiting(q, queue, entry)
+		choice, err := h.tryWaiting(q, queue, entry, w)
 		var full *place.QueueLimitError
 		switch {
 		case err == nil:
@@ -156,10 +162,10 @@
 }
 
 // tryWaiting looks for an upstream that has room for a request now.
-func (h *Handler) tryWaiting(q *request, queue *hostQueue, entry *fairqueue.HostRequest) (place.Choice, error) {
+func (h *Handler) tryWaiting(q *request, queue *hostQueue, entry *fairqueue.HostRequest, w *waiter) (place.Choice, error) {
 	query := h.placementQuery(q)
 	query.WaitsAtHost, query.Waited, query.LeavesSlots = true, entry.Waited(h.Now()), queue.leavesSlots(entry)
-	return h.tryChoose(q, query)
+	return h.tryChoose(q, query, func() { queue.passTurn(w) })
 }
 
 // started records that a request is sent.
--- a/internal/front/queueturn.go
+++ b/internal/front/queueturn.go
@@ -48,12 +48,22 @@
 	// turn receives a value when the request shall look for room, or has been refused.
 	turn    chan struct{}
 	refused *fairqueue.HostRefusal
-	// triedIn is the event after which the request last looked for room.
+	// triedIn is the event after which the request last looked for room. looking is set while it does.
 	triedIn uint64
+	looking bool
 	// roomAt is when an upstream is expected to have room for the request.
 	roomAt time.Time
 }
 
+// setRoomAt records that the request found no room.
+func (w *waiter) setRoomAt(now time.Time, full *place.QueueLimitError) {
+	after := full.RoomAfter
+	if after <= 0 {
+		after = defaultRoomWait
+	}
+	w.roomAt = now.Add(after)
+}
+
 // hostQueue lets the requests of one service take turns. It is safe for concurrent use.
 type hostQueue struct {
 	now func() time.Time
@@ -137,8 +147,9 @@
 		q.tries++
 	}
 	q.endTurn(w)
-	w.roomAt = now.Add(full.RoomAfter)
-	if full.Latency != r.Latency {
+	w.looking = false
+	w.setRoomAt(now, full)
+	if full.Latency > 0 && full.Latency != r.Latency {
 		q.refuse(w, q.queue.Update(r, full.Latency, r.Deadline, now))
 	}
 	q.proceed()
@@ -178,7 +189,10 @@
 	if q.turn != nil || q.tries >= maxTries {
 		return nil
 	}
-	return q.queue.Next(q.now(), func(r *fairqueue.HostRequest) bool { return r.Value.(*waiter).triedIn == q.event })
+	return q.queue.Next(q.now(), func(r *fairqueue.HostRequest) bool {
+		w := r.Value.(*waiter)
+		return w.looking || w.triedIn == q.event
+	})
 }
 
 // proceed refuses the requests whose turn cannot come in time, gives the turn to the next one, and
@@ -190,12 +204,23 @@
 	}
 	if r := q.next(); r != nil {
 		q.turn = r.Value.(*waiter)
-		q.turn.triedIn = q.event
+		q.turn.triedIn, q.turn.looking = q.event, true
 		q.turn.wake()
 	}
 	q.setTimer(now)
 }
 
+// passTurn gives the turn to the next request while this one reserves the room that it found, which may
+// need a message.
+func (q *hostQueue) passTurn(w *waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.turn == w {
+		q.turn = nil
+		q.proceed()
+	}
+}
+
 // endTurn ends the turn of a request, if it has it.
 func (q *hostQueue) endTurn(w *waiter) {
 	if q.turn == w {
@@ -220,7 +245,7 @@
 		}
 		return
 	}
-	if head := q.queue.Next(now, func(r *fairqueue.HostRequest) bool { return r.Value.(*waiter) == q.turn }); head != nil {
+	if head := q.queue.Next(now, func(r *fairqueue.HostRequest) bool { return r.Value.(*waiter).looking }); head != nil {
 		if room := head.Value.(*waiter).roomAt; room.Before(at) {
 			at = room
 		}
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -90,9 +90,14 @@
 	}
 }
 
-// tryChoose selects an upstream that has room now. The errors are those of place.Table.Choose.
-func (h *Handler) tryChoose(_ *request, query place.Query) (place.Choice, error) {
-	return h.Table.Choose(h.Now(), query)
+// tryChoose selects an upstream that has room now. It calls chosen as soon as the table has chosen one.
+// The errors are those of place.Table.Choose.
+func (h *Handler) tryChoose(_ *request, query place.Query, chosen func()) (place.Choice, error) {
+	choice, err := h.Table.Choose(h.Now(), query)
+	if err == nil {
+		chosen()
+	}
+	return choice, err
 }
 
 func (h *Handler) placementQuery(q *request) place.Query {
