--- a/internal/front/queue.go
+++ b/internal/front/queue.go
@@ -16,6 +16,9 @@
 	// maxTries is the number of waiting requests that are tried after each event. The upstreams
 	// that have room for a request depend on its object, so where the first finds none, another may.
 	maxTries = 8
+	// defaultRoomWait is when a request looks for room again if the table does not say when there may
+	// be some.
+	defaultRoomWait = 100 * time.Millisecond
 	// defaultServiceTime is the service time of routes of which no response was measured.
 	defaultServiceTime = 50 * time.Millisecond
 )
@@ -24,8 +27,9 @@
 type QueueEvent struct {
 	Service  string
 	Priority int
-	// Kind is what happened.
-	Kind QueueEventKind
+	// Kind is what happened. Reason is the name of the queue's reason if it refused the request.
+	Kind   QueueEventKind
+	Reason string
 	// Waited is how long the request has waited.
 	Waited time.Duration
 }
@@ -85,17 +89,21 @@
 		if !errors.As(err, &full) {
 			return choice, err
 		}
-		entry.Latency, w.roomAt = full.Latency, h.Now().Add(full.RoomAfter)
+		if full.Latency > 0 {
+			entry.Latency = full.Latency
+		}
+		w.setRoomAt(h.Now(), full)
 	}
 	if refusal := queue.push(entry, w); refusal != nil {
-		h.observeQueue(q, QueueRefused, 0)
-		return place.Choice{}, h.queueRefusal(refusal)
+		err := h.queueRefusal(refusal)
+		h.observeQueue(q, QueueRefused, 0, err)
+		return place.Choice{}, err
 	}
-	h.observeQueue(q, QueuePushed, 0)
+	h.observeQueue(q, QueuePushed, 0, nil)
 	choice, kind, err := h.wait(ctx, q, queue, entry, w)
 	waited := entry.Waited(h.Now())
 	q.waited += waited
-	h.observeQueue(q, kind, waited)
+	h.observeQueue(q, kind, waited, err)
 	return choice, err
 }
 
@@ -107,6 +115,9 @@
 		case <-w.turn:
 		case <-ctx.Done():
 			queue.leave(entry, w)
+			if q.http.Context().Err() == nil {
+				return none, QueueExpired, &waitError{h.timeoutRefusal(q)}
+			}
 			return none, QueueLeft, &waitError{h.timeoutRefusal(q)}
 		}
 		if kind, refused := h.checkWaiting(q, queue, entry, w); refused != nil {
@@ -150,12 +161,11 @@
 	return "", nil
 }
 
-// tryWaiting looks for an upstream that has room for a request now. The next request gets its turn
-// while the owner of the room is asked.
+// tryWaiting looks for an upstream that has room for a request now.
 func (h *Handler) tryWaiting(q *request, queue *hostQueue, entry *fairqueue.HostRequest, w *waiter) (place.Choice, error) {
 	query := h.placementQuery(q)
 	query.WaitsAtHost, query.Waited, query.LeavesSlots = true, entry.Waited(h.Now()), queue.leavesSlots(entry)
-	return h.chooseWithRoom(q, query, func() { queue.handOver(w) })
+	return h.chooseWithRoom(q, query, func() { queue.passTurn(w) })
 }
 
 // started records that a request is sent.
@@ -202,8 +212,15 @@
 	queue.roomFreed()
 }
 
-func (h *Handler) observeQueue(q *request, kind QueueEventKind, waited time.Duration) {
-	if h.ObserveQueue != nil {
-		h.ObserveQueue(QueueEvent{Service: q.service, Priority: catalog.Priority(q.route, q.customer), Kind: kind, Waited: waited})
+func (h *Handler) observeQueue(q *request, kind QueueEventKind, waited time.Duration, err error) {
+	if h.ObserveQueue == nil {
+		return
+	}
+	e := QueueEvent{Service: q.service, Priority: catalog.Priority(q.route, q.customer), Kind: kind, Waited: waited}
+	var refused *waitError
+	var reason *fairqueue.HostRefusal
+	if errors.As(err, &refused) && errors.As(refused.refusal.reason, &reason) {
+		e.Reason = reason.Reason.Name()
 	}
+	h.ObserveQueue(e)
 }
