Placement: the owner of an upstream's room is computed once for a set of hosts

Cause: RoomOwner compared all ready hosts under the table's lock, two times for each request and once for each message that an owner receives: work per request that grows with the fleet. Change: the index of the owner is kept with the upstream until the hosts or the registration change, as the rank of the sender to a cold upstream is. The test does not build before.

--- a/internal/place/room.go
+++ b/internal/place/room.go
@@ -44,10 +44,13 @@
 	if w == nil || len(t.hosts) == 0 {
 		return Host{}, 0, false
 	}
-	return t.hosts[t.firstSender(w)], w.Slots, true
+	if w.ownerGeneration != t.hostsGeneration {
+		w.ownerGeneration, w.owner = t.hostsGeneration, t.firstSender(w)
+	}
+	return t.hosts[w.owner], w.Slots, true
 }
 
-// firstSender returns the index of the host whose senderRank is 0.
+// firstSender returns the index of the host whose senderRank is 0. It compares all hosts.
 func (t *Table) firstSender(w *upstream) int {
 	first := 0
 	for i, h := range t.hosts {
--- a/internal/place/room_internal_test.go
+++ b/internal/place/room_internal_test.go
@@ -79,3 +79,32 @@
 	}
 	g.Expect(table.ObserveRoom(now, first.Room.Upstream+1, 5)).To(BeEmpty(), "another instance")
 }
+
+// Guards against an owner that stays in force after the hosts or the zone of the upstream have changed, and
+// against a comparison of all hosts for each request.
+func TestOwnerIsComputedOncePerChange(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := NewTable(Host{"h-1", "a1", "a"}, map[string]string{"a1": "a", "b1": "b"})
+	u := catalog.Upstream{ID: "u", Service: "s", Zone: "a1", Slots: 3, State: catalog.StateReady}
+	table.PutUpstream(now, u)
+	owner := func() string {
+		h, _, ok := table.RoomOwner(table.byID["u"].instanceKey())
+		g.Expect(ok).To(BeTrue())
+		return h.Instance
+	}
+	table.SetHosts([]Host{{"h-1", "a1", "a"}, {"h-2", "b1", "b"}})
+	g.Expect(owner()).To(Equal("h-1"))
+	w := table.byID["u"]
+	g.Expect(w.ownerGeneration).To(Equal(table.hostsGeneration))
+	w.owner = 1
+	g.Expect(owner()).To(Equal("h-2"), "not computed again")
+	u.Zone = "b1"
+	table.PutUpstream(now, u)
+	g.Expect(owner()).To(Equal("h-2"))
+	table.SetHosts([]Host{{"h-1", "a1", "a"}})
+	g.Expect(owner()).To(Equal("h-1"))
+	table.SetHosts(nil)
+	_, _, ok := table.RoomOwner(w.instanceKey())
+	g.Expect(ok).To(BeFalse())
+}
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -151,7 +151,7 @@
 	} else {
 		t.replace(now, w, u)
 	}
-	w.pathIndex, w.senderGeneration = t.zonePathIndex(u.Zone), 0
+	w.pathIndex, w.senderGeneration, w.ownerGeneration = t.zonePathIndex(u.Zone), 0, 0
 	w.coldUntil = now.Add(u.ColdRemaining)
 	// The registration shows that the upstream is alive and whether it is cold.
 	w.health.possibleRestartUntil = time.Time{}
--- a/internal/place/upstream.go
+++ b/internal/place/upstream.go
@@ -41,6 +41,10 @@
 	// it is cold or limits its rate. It was computed for the hosts of senderGeneration.
 	senderRank       int
 	senderGeneration uint64
+	// owner is the index in Table.hosts of the owner of the upstream's room, for the hosts of
+	// ownerGeneration.
+	owner           int
+	ownerGeneration uint64
 }
 
 // Object is the hash of an affinity key and its route.
