Room of upstreams: the end of a request counts whatever the upstream reports

Cause: a load report that cannot be true (of more than 10,000 requests, or no number as the slowdown) dropped the whole message, so the room of the ended request stayed taken until the holder's next message or for 2 s, and no holder was told of it. Change: only the report is left out; the error is counted as before. TestEndCountsWhateverTheUpstreamReports failed before: nobody was told of the free room.

--- a/internal/room/ledger.go
+++ b/internal/room/ledger.go
@@ -114,7 +114,7 @@
 
 // Release applies the count of a holder after the end of a request, and the upstream's load report
 // that came with the response, if any. It returns the holders to tell of free room. The errors are
-// those of Reserve.
+// those of Reserve; a *StatementError about the report leaves only the report out.
 func (l *Ledger) Release(now time.Time, s Statement, report *Report) ([]Freed, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -122,14 +122,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := report.check(); err != nil {
-		return nil, err
-	}
-	if report != nil && report.Age <= maxReportAge {
+	// What the holder states does not depend on what the upstream reports.
+	err = report.check()
+	if err == nil && report != nil && report.Age <= maxReportAge {
 		a.observe(now, *report)
 	}
 	h.apply(now, s)
-	return a.offer(now, s.Upstream), nil
+	return a.offer(now, s.Upstream), err
 }
 
 // open returns the account of an upstream and the entry of the holder, both as of now.
--- a/internal/room/ledger_test.go
+++ b/internal/room/ledger_test.go
@@ -319,6 +319,19 @@
 	t.Fatal("the ledger is not bounded")
 }
 
+// Guards against room that stays taken because an upstream reports what cannot be true.
+func TestEndCountsWhateverTheUpstreamReports(t *testing.T) {
+	g := NewWithT(t)
+	owner, a, b := newHost(1), newHost(2), newHost(3)
+	a.take(t, owner.ledger, at(0), bound)
+	g.Expect(b.reserve(t, owner.ledger, at(0)).Granted).To(BeFalse())
+	freed, err := owner.ledger.Release(at(0), a.End(upstream, slots), &room.Report{Requests: 1 << 20})
+	var untrue *room.StatementError
+	g.Expect(errors.As(err, &untrue)).To(BeTrue())
+	g.Expect(freed).To(Equal([]room.Freed{{Upstream: upstream, Holder: 3, Others: bound - 1}}))
+	g.Expect(b.reserve(t, owner.ledger, at(0)).Granted).To(BeTrue())
+}
+
 // Guards against requests that each wait for an owner which does not respond.
 func TestSilentOwnerIsTriedOnceASecond(t *testing.T) {
 	g := NewWithT(t)
