Room of upstreams: the work of an offer does not grow with the square of the holders

Cause: after each end of a request the owner counted all holders again for each holder that waits for room. The results are the same; TestFreeRoomIsKeptForTheHolderThatWaitedLongest and TestEndCountsWhateverTheUpstreamReports check them. There is no test of the time.

--- a/internal/room/account.go
+++ b/internal/room/account.go
@@ -161,19 +161,23 @@
 // offer keeps free room for the holders that have waited longest, and returns them.
 func (a *account) offer(now time.Time, upstream uint64) []Freed {
 	var freed []Freed
-	for i := 0; i < len(a.waiting); {
+	ahead := a.ahead(now, 0)
+	for i := 0; i < len(a.waiting) && ahead < a.bound(); {
 		w := a.waiting[i]
-		h, ahead := a.holders[w.holder], a.ahead(now, 0)
-		if ahead >= a.bound() {
-			break
-		}
+		h := a.holders[w.holder]
 		if h == nil || ahead > w.maxAhead {
 			i++
 			continue
 		}
 		a.waiting = slices.Delete(a.waiting, i, i+1)
-		freed = append(freed, Freed{Upstream: upstream, Holder: w.holder, Others: a.others(now, w.holder)})
+		others := ahead - h.requests()
+		if now.Before(h.keptUntil) {
+			others--
+		} else {
+			ahead++
+		}
 		h.keptUntil = now.Add(keepTime)
+		freed = append(freed, Freed{Upstream: upstream, Holder: w.holder, Others: others})
 	}
 	return freed
 }
