Room of upstreams: late answers do not end the silence of an owner

Cause: any answer made an owner count as responding again. An owner that needs 25 ms for each answer was found silent after 20 ms and not silent 5 ms later, so nearly each request waited for 20 ms, and none was granted. Answers to announced requests, of which no wait is measured, did the same. Change: only an answer that a request still waits for, or a newer heartbeat, ends the silence. One request a second waits, as before.

--- a/internal/entryhost/room.go
+++ b/internal/entryhost/room.go
@@ -195,8 +195,7 @@
 		freed, err := r.ledger.Release(now, r.statement(now, q.Statement), load)
 		r.notify(now, freed, err)
 	case *fleet.Packet_RoomAnswer:
-		r.owners.Heard(r.peers.Load().instances[from])
-		r.receiveAnswer(now, m.RoomAnswer)
+		r.receiveAnswer(now, m.RoomAnswer, from)
 	case *fleet.Packet_RoomFreed:
 		r.freed(now, m.RoomFreed.Upstream, int(m.RoomFreed.Others))
 	default:
@@ -226,9 +225,10 @@
 	r.send(from, &fleet.Packet{Content: &fleet.Packet_RoomAnswer{RoomAnswer: answer}})
 }
 
-// receiveAnswer hands an answer to the request that waits for it. A late one corrects what the table
-// knows.
-func (r *rooms) receiveAnswer(now time.Time, a *fleet.RoomAnswer) {
+// receiveAnswer hands an answer to the request that waits for it. A late one, or one to an announced
+// request, corrects what the table knows. It does not show that the owner answers in time: requests
+// would wait again for an owner that is only slow, each until its timeout.
+func (r *rooms) receiveAnswer(now time.Time, a *fleet.RoomAnswer, from string) {
 	r.mu.Lock()
 	awaited := r.awaited[a.Sequence]
 	r.mu.Unlock()
@@ -239,6 +239,7 @@
 		r.observe(now, a.Upstream, answer)
 		return
 	}
+	r.owners.Heard(r.peers.Load().instances[from])
 	select {
 	case awaited <- answer:
 	default:
--- a/internal/room/owners.go
+++ b/internal/room/owners.go
@@ -44,7 +44,7 @@
 	return !silent
 }
 
-// Heard records that the owner has sent something.
+// Heard records that the owner has answered in time or has sent a newer heartbeat.
 func (o *Owners) Heard(owner string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
