Room of upstreams: answers and notices that cannot be true are rejected

Cause: a holder checked no number that an owner sent. One message with 4,294,967,295 requests of others made a host believe an upstream full until its next load report, which it cannot get while it sends it nothing; a slowdown of 3e38 overflowed the expected time. Change: such answers and notices are a *room.StatementError, counted and dropped, as statements of holders are. TestUntrueAnswersAreRejected failed without the check.

--- a/internal/entryhost/room.go
+++ b/internal/entryhost/room.go
@@ -197,7 +197,12 @@
 	case *fleet.Packet_RoomAnswer:
 		r.receiveAnswer(now, m.RoomAnswer, from)
 	case *fleet.Packet_RoomFreed:
-		r.freed(now, m.RoomFreed.Upstream, int(m.RoomFreed.Others))
+		q := room.Answer{Others: int(m.RoomFreed.Others)}
+		if err := q.Check(); err != nil {
+			r.rejected(err)
+			break
+		}
+		r.freed(now, m.RoomFreed.Upstream, q.Others)
 	default:
 		return false
 	}
@@ -235,6 +240,10 @@
 	answer := room.Answer{
 		Granted: a.Granted, Others: int(a.Others), Slowdown: float64(a.Slowdown), SlowdownAge: time.Duration(a.SlowdownAgeMs) * time.Millisecond,
 	}
+	if err := answer.Check(); err != nil {
+		r.rejected(err)
+		return
+	}
 	if awaited == nil {
 		r.observe(now, a.Upstream, answer)
 		return
--- a/internal/room/ledger_test.go
+++ b/internal/room/ledger_test.go
@@ -309,6 +309,10 @@
 		_, err := owner.ledger.Release(at(0), good, &r)
 		g.Expect(err).To(HaveOccurred())
 	}
+	for _, a := range []room.Answer{{Others: -1}, {Others: math.MaxUint32}, {Slowdown: math.NaN()}, {Slowdown: 1e30}} {
+		g.Expect(a.Check()).To(HaveOccurred())
+	}
+	g.Expect(room.Answer{Others: bound, Slowdown: 2}.Check()).To(Succeed())
 	for i := range uint64(1000) {
 		good.Holder = i
 		if _, err := owner.ledger.Announce(at(0), good); err != nil {
--- a/internal/room/statement.go
+++ b/internal/room/statement.go
@@ -11,6 +11,8 @@
 	maxSlots    = 10_000
 	maxCount    = 10_000
 	maxSlowdown = 1000
+	// maxOthers is the largest Answer.Others: what an owner grants, and what the upstream reports.
+	maxOthers = boundFactor*maxSlots + maxCount
 )
 
 // Statement is what a holder states about its requests at an upstream with each message.
@@ -64,3 +66,14 @@
 	}
 	return nil
 }
+
+// Check returns a *StatementError if the answer cannot be true.
+func (a Answer) Check() error {
+	switch {
+	case a.Others < 0 || a.Others > maxOthers:
+		return &StatementError{"others", uint64(a.Others)}
+	case !(a.Slowdown >= 0 && a.Slowdown <= maxSlowdown): // also not a number
+		return &StatementError{"slowdown", math.Float64bits(a.Slowdown)}
+	}
+	return nil
+}
