Rate limiter: a fraction that is not a number does not spoil a deputy's bucket

Cause: one token request whose fraction is not a number made the tokens of the deputy's bucket not a number for good; from then on the deputy refused all requests of that customer. Change: it counts as not known. TestFractionThatIsNotANumberDoesNotSpoilBuckets failed before.

--- a/internal/entryhost/ratetokens.go
+++ b/internal/entryhost/ratetokens.go
@@ -101,7 +101,7 @@
 // admitAsDeputy decides on one request of a customer in place of the owner of its bucket, at the
 // given address, and takes what is admitted off the owner's bucket and off that of this host.
 func (t *tokens) admitAsDeputy(now time.Time, c *catalog.Customer, fraction float64, owner string) share.Decision {
-	if fraction <= 0 {
+	if !(fraction > 0) { // also not a number
 		fraction = t.d.shares.EvenFraction()
 	}
 	v := t.deputies.Admit(now, c, fraction)
--- a/internal/share/deputy.go
+++ b/internal/share/deputy.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -57,11 +58,12 @@
 func NewDeputyBuckets() *DeputyBuckets { return &DeputyBuckets{buckets: map[string]*bucket{}} }
 
 // Admit decides on one request of a customer. fraction is the fraction of the rate that the
-// owner last had.
+// owner last had; one that is not a number counts as 0.
 func (d *DeputyBuckets) Admit(now time.Time, c *catalog.Customer, fraction float64) Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	rate := min(max(fraction, 0), 1) * c.Rate
+	fraction = validFraction(fraction)
+	rate := fraction * c.Rate
 	depth := rate*deputyFraction*deputyPeriod.Seconds() + deputyMargin
 	b := d.buckets[c.Name]
 	if b == nil {
@@ -88,3 +90,12 @@
 	_, depth := l.refill(now, c, b, l.fraction(now, c.Name, b))
 	b.tokens = max(b.tokens-max(requests, 0), -depth)
 }
+
+// validFraction limits a fraction that a peer has sent. One that is not a number would make the tokens of
+// a bucket not a number for good, and all requests be refused.
+func validFraction(fraction float64) float64 {
+	if math.IsNaN(fraction) {
+		return 0
+	}
+	return min(max(fraction, 0), 1)
+}
--- a/internal/share/deputy_test.go
+++ b/internal/share/deputy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -242,3 +243,15 @@
 		}
 	}
 }
+
+// Guards against callers that are refused for good because of one message with a fraction that is not a number.
+func TestFractionThatIsNotANumberDoesNotSpoilBuckets(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	c := &catalog.Customer{Name: "c", Rate: 100, Burst: 100}
+	deputies := share.NewDeputyBuckets()
+	for _, fraction := range []float64{1, math.NaN(), 1} {
+		g.Expect(deputies.Admit(now, c, fraction).Admitted).To(BeTrue(), "%v", fraction)
+		now = now.Add(time.Second)
+	}
+}
