Planned stop: a signal that comes before the daemon is created leaves it the whole grace

Cause: the guard of the exit ends a process at half the grace if there is no daemon at the signal, which is meant for starts that hang. It kept that time if the daemon was created a moment later, and ended it with exit code 1 while it still accepted requests. Change: once the daemon is created, the guard leaves it what remains of the grace since the signal. A start that hangs afterwards is ended then. TestSignalBeforeTheDaemonLeavesTheWholeGrace failed before.

--- a/cmd/balsambarrowd/entry.go
+++ b/cmd/balsambarrowd/entry.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	guard.daemon.Store(d)
+	guard.created(d)
 	d.OnActive = onActive
 	beforeStart(d)
 	d.Start()
--- a/cmd/balsambarrowd/stopguard.go
+++ b/cmd/balsambarrowd/stopguard.go
@@ -6,15 +6,12 @@
 	"os"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
-
-	"balsambarrow/internal/entryhost"
 )
 
 const (
 	// startGuardFraction is the fraction of the grace after which a process exits that is told to
-	// stop while it starts.
+	// stop before its daemon is created.
 	startGuardFraction = 0.5
 	// lineTimeout bounds how long the exit waits for its last line to be written.
 	lineTimeout = 50 * time.Millisecond
@@ -23,32 +20,60 @@
 // stopGuard ends the process before the end of the grace period, whatever the planned stop still
 // waits for.
 type stopGuard struct {
-	grace  time.Duration
-	daemon atomic.Pointer[entryhost.Daemon]
-	once   sync.Once
-	out    io.Writer
-	exit   func(code int)
+	grace time.Duration
+	out   io.Writer
+	exit  func(code int)
+
+	mu sync.Mutex
+	// daemon is nil until it is created.
+	daemon stoppable
+	// timer is set to the exit at the first signal, at signaledAt.
+	timer      *time.Timer
+	signaledAt time.Time
+}
+
+// stoppable is the part of entryhost.Daemon that the guard uses.
+type stoppable interface {
+	StopState() (phase string, tasks []string)
+	TimeToExit() time.Duration
 }
 
 func newStopGuard(grace time.Duration) *stopGuard {
 	return &stopGuard{grace: grace, out: os.Stderr, exit: os.Exit}
 }
 
+// created sets the daemon. If the signal came before, the daemon has the rest of the grace: it may
+// have accepted requests since.
+func (g *stopGuard) created(d stoppable) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.daemon = d
+	if g.timer != nil {
+		g.timer.Reset(d.TimeToExit() - time.Since(g.signaledAt))
+	}
+}
+
 // signaled starts the guard's timer at the first signal.
 func (g *stopGuard) signaled() {
-	g.once.Do(func() {
-		left := time.Duration(float64(g.grace) * startGuardFraction)
-		if d := g.daemon.Load(); d != nil {
-			left = d.TimeToExit()
-		}
-		time.AfterFunc(left, g.expire)
-	})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.timer != nil {
+		return
+	}
+	left := time.Duration(float64(g.grace) * startGuardFraction)
+	if g.daemon != nil {
+		left = g.daemon.TimeToExit()
+	}
+	g.signaledAt, g.timer = time.Now(), time.AfterFunc(left, g.expire)
 }
 
 // expire writes what the stop waits for, and ends the process.
 func (g *stopGuard) expire() {
+	g.mu.Lock()
+	d := g.daemon
+	g.mu.Unlock()
 	phase, tasks := "start", []string(nil)
-	if d := g.daemon.Load(); d != nil {
+	if d != nil {
 		phase, tasks = d.StopState()
 	}
 	written := make(chan struct{})
--- a/cmd/balsambarrowd/stopguard_test.go
+++ b/cmd/balsambarrowd/stopguard_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -77,3 +80,42 @@
 	g.Expect(process.Signal(syscall.SIGTERM)).To(Succeed())
 	g.Eventually(exited, "20s").Should(Receive())
 }
+
+type fakeStop struct{}
+
+func (fakeStop) StopState() (phase string, tasks []string) { return "requests", nil }
+func (fakeStop) TimeToExit() time.Duration                 { return 9900 * time.Millisecond }
+
+// Guards against requests that are cut in the middle of the grace because the signal came before the daemon
+// was created.
+func TestSignalBeforeTheDaemonLeavesTheWholeGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var exited atomic.Bool
+		guard := newStopGuard(10 * time.Second)
+		guard.out, guard.exit = io.Discard, func(int) { exited.Store(true) }
+		guard.signaled()
+		time.Sleep(time.Second)
+		guard.created(fakeStop{})
+		time.Sleep(8800 * time.Millisecond)
+		synctest.Wait()
+		g.Expect(exited.Load()).To(BeFalse())
+		time.Sleep(200 * time.Millisecond)
+		synctest.Wait()
+		g.Expect(exited.Load()).To(BeTrue())
+	})
+}
+
+// Guards against a process that outlives its grace because its daemon is never created.
+func TestSignalWithoutADaemonEndsTheProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var exited atomic.Bool
+		guard := newStopGuard(10 * time.Second)
+		guard.out, guard.exit = io.Discard, func(int) { exited.Store(true) }
+		guard.signaled()
+		guard.signaled()
+		time.Sleep(5100 * time.Millisecond)
+		synctest.Wait()
+		NewWithT(t).Expect(exited.Load()).To(BeTrue())
+	})
+}
