--- a/internal/entryhost/stop.go
+++ b/internal/entryhost/stop.go
@@ -36,6 +36,7 @@
 	d.events.Info("stopping", "grace", grace, "delay", d.now().Sub(began))
 	end, cancelEnd := context.WithTimeout(context.Background(), began.Add(grace-exitReserve).Sub(d.now()))
 	defer cancelEnd()
+	d.callers.StopBegun()
 	// The queue of the control thread may be full.
 	go d.control.send(func(c *control) {
 		c.leaving = true
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -10,7 +10,9 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"balsambarrow/internal/catalog"
+	"balsambarrow/internal/fairqueue"
 	"balsambarrow/internal/h1"
+	"balsambarrow/internal/memory"
 	"balsambarrow/internal/place"
 	"balsambarrow/internal/retry"
 	"balsambarrow/internal/share"
@@ -47,6 +49,10 @@
 	// its outcome and the zone of the upstream.
 	ObserveFailedAttempt func(outcome, zone string)
 	Now                  func() time.Time
+	// Memory bounds the bytes that callers make the host hold; nil: not bounded. ObserveMemory is
+	// called for each event that concerns memory; optional.
+	Memory        *memory.Budget
+	ObserveMemory func(MemoryEvent)
 	// Refresh triggers an immediate confirmation of the state.
 	Refresh func()
 	// LoadUpstreams is called for each request while the upstreams are not known. It reports
@@ -63,6 +69,10 @@
 	// DisableKeepAlive reports whether connections of callers should be closed
 	// after the response.
 	DisableKeepAlive func() bool
+	// Queues reports whether requests of a service that find no room wait at this host; nil: never.
+	Queues func(service string) bool
+	// ObserveQueue is called for each change in a queue; nil: not observed.
+	ObserveQueue func(QueueEvent)
 	// Tracer creates a span for each hop; nil disables tracing.
 	Tracer trace.Tracer
 	// Room shares the room of upstreams with the other hosts; nil: each host sends by what it knows.
@@ -115,7 +125,7 @@
 func (l *LatencyComparison) logPairs() []any {
 	return []any{
 		"expected", l.Expected, "expected_wait", l.ExpectedQueueing, "upstream_took", l.Actual, "waited", l.ActualQueueing, "connect", l.Connect, "warm", l.Warm,
-		"known_load", l.Known.Requests, "known_own", l.Known.Own, "known_slowdown", l.Known.Slowdown, "known_age", l.Known.ReportAge,
+		"known_load", l.Known.Requests, "known_own", l.Known.Own, "known_slowdown", l.Known.Slowdown, "expected_slowdown", l.Known.ExpectedSlowdown, "known_age", l.Known.ReportAge,
 		"running", l.Reported.Running, "waiting", l.Reported.Waiting, "slots", l.Reported.Slots, "slowdown", l.Reported.Slowdown,
 	}
 }
@@ -125,13 +135,16 @@
 	Deps
 	splitter  *splitter
 	latencies *latencies
+	queues    *hostQueues
 	// responseCount counts the responses to callers; see responseLogInterval.
 	responseCount atomic.Uint64
 }
 
 // New returns a handler.
 func New(d Deps) *Handler {
-	return &Handler{Deps: d, splitter: newSplitter(), latencies: newLatencies()}
+	return &Handler{
+		Deps: d, splitter: newSplitter(), latencies: newLatencies(), queues: &hostQueues{services: map[string]*hostQueue{}, now: d.Now},
+	}
 }
 
 // Running returns the requests that were sent to upstreams and have not been answered, oldest first.
@@ -151,7 +164,13 @@
 	service   string
 	// overRate is set if the demand of the customer exceeds its rate.
 	overRate bool
-	body     *body
+	// queued is the entry of a request that was sent in the queue of its service; nil if it has none.
+	// waited is how long the request has waited there.
+	queued *fairqueue.HostRequest
+	waited time.Duration
+	body   *body
+	// hold is what the request holds of the host's memory.
+	hold     *memory.Hold
 	attempts attempts
 }
 
@@ -179,6 +198,7 @@
 	var end func()
 	q.http, end = hopTracer{h.Tracer}.startEntry(r, q.ID)
 	defer end()
+	defer func() { q.hold.Release() }()
 	if !h.StopsAt().IsZero() || h.DisableKeepAlive() {
 		// The caller then opens a new connection for its next request, to this host
 		// or to another one.
@@ -222,21 +242,46 @@
 	if refused := h.checkStop(q); refused != nil {
 		return refused
 	}
-	body, refused := readBody(w, q.http, state.Catalog.Limits.MaxBodyBytes)
-	if refused != nil {
+	if refused := h.admitRateAndBody(w, q, state.Catalog); refused != nil {
 		return refused
 	}
-	q.body = body
-	if q.customer != nil {
-		v := h.RateLimiter.Admit(h.Now(), q.customer)
-		if !v.Admitted {
-			h.Log.Info("over rate", "id", q.ID, "customer", q.customer.Name, "rate", q.customer.Rate,
-				"part", v.Fraction, "demand", v.Demand, "version", state.Catalog.Version)
-			return &refusal{status: http.StatusTooManyRequests, cause: CauseOverRate, retryAfter: v.RetryAfter}
+	q.service = h.splitter.service(q.route)
+	return nil
+}
+
+// admitRateAndBody reads the body and checks the rate of the customer. The rate comes first if the
+// host counts its memory and the body is large.
+func (h *Handler) admitRateAndBody(w http.ResponseWriter, q *request, c *catalog.Catalog) *refusal {
+	rateFirst := h.Memory != nil && arrivesLarge(q.http)
+	if rateFirst {
+		if refused := h.admitRate(q, c.Version); refused != nil {
+			return refused
 		}
-		q.overRate = v.OverRate(q.customer.Rate)
 	}
-	q.service = h.splitter.service(q.route)
+	if refused := h.readBody(w, q, c.Limits.MaxBodyBytes); refused != nil {
+		if rateFirst && q.customer != nil {
+			h.RateLimiter.Refund(q.customer.Name)
+		}
+		return refused
+	}
+	if rateFirst {
+		return nil
+	}
+	return h.admitRate(q, c.Version)
+}
+
+// admitRate checks the rate of the customer.
+func (h *Handler) admitRate(q *request, version uint64) *refusal {
+	if q.customer == nil {
+		return nil
+	}
+	v := h.RateLimiter.Admit(h.Now(), q.customer)
+	if !v.Admitted {
+		h.Log.Info("over rate", "id", q.ID, "customer", q.customer.Name, "rate", q.customer.Rate,
+			"part", v.Fraction, "demand", v.Demand, "version", version)
+		return &refusal{status: http.StatusTooManyRequests, cause: CauseOverRate, retryAfter: v.RetryAfter}
+	}
+	q.overRate = v.OverRate(q.customer.Rate)
 	return nil
 }
 
@@ -385,11 +430,12 @@
 	took := h.Now().Sub(q.arrived)
 	h.Observe(Observation{Route: route, Status: f.status, Cause: f.cause, Duration: took, Sends: q.attempts.sends})
 	h.Log.Info("refused", "id", q.ID, "route", route, "service", q.service, "status", f.status, "cause", f.cause,
-		"reason", f.reason, "retry_after", f.retryAfter, "took", took, "sends", q.attempts.sends, "tried", q.attempts.tried,
+		"reason", f.reason, "retry_after", f.retryAfter, "took", took, "waited_at_host", q.waited, "sends", q.attempts.sends, "tried", q.attempts.tried,
 		"age", h.State().age(h.Now()), "version", h.configVersion())
 	if f.cause == CauseCallerLeft {
 		panic(http.ErrAbortHandler)
 	}
+	h.endBody(w, q)
 	if f.retryAfter > 0 {
 		// The caller retries on a new connection, so this one would stay open unused.
 		w.Header().Set("Connection", "close")
@@ -399,4 +445,5 @@
 	w.WriteHeader(f.status)
 	// A write error means that the caller has disconnected.
 	_, _ = w.Write([]byte(string(f.cause) + "\n"))
+	h.drainBody(w, q)
 }
--- a/internal/front/reserve_internal_test.go
+++ b/internal/front/reserve_internal_test.go
@@ -58,7 +58,7 @@
 			r := &fakeRoom{table: table, now: now, refuses: c.refuses}
 			h := &Handler{Deps: Deps{Table: table, Room: r, Now: func() time.Time { return now }}}
 			query := place.Query{Service: "s", Route: "r", Target: 4 * time.Second, Remaining: 4 * time.Second}
-			choice, err := h.chooseWithRoom(&request{service: "s", deadline: now.Add(time.Second)}, query)
+			choice, err := h.chooseWithRoom(&request{service: "s", deadline: now.Add(time.Second)}, query, func() {})
 			g.Expect(r.asked).To(HaveLen(c.asked))
 			if c.served {
 				g.Expect(err).NotTo(HaveOccurred())
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -60,7 +60,7 @@
 		if refused := h.checkStop(q); refused != nil {
 			return h.finishUnserved(w, q, failure, refused)
 		}
-		choice, err := h.choose(q)
+		choice, err := h.choose(ctx, q)
 		if err != nil {
 			return h.finishUnserved(w, q, failure, h.placementRefusal(q, err))
 		}
@@ -90,11 +90,6 @@
 	}
 }
 
-// choose selects the upstream for the next attempt. The errors are those of place.Table.Choose.
-func (h *Handler) choose(q *request) (place.Choice, error) {
-	return h.chooseWithRoom(q, h.placementQuery(q))
-}
-
 func (h *Handler) placementQuery(q *request) place.Query {
 	regions, restricted := catalog.AllowedRegions(q.route, q.customer)
 	object := q.Object
@@ -103,7 +98,7 @@
 	}
 	return place.Query{
 		Service: q.service, Route: q.route.Name, Object: object, AllowedRegions: regions, RegionRestricted: restricted,
-		Excluded: q.attempts.tried, BodyBytes: len(q.body.buffered), Priority: catalog.Priority(q.route, q.customer),
+		Excluded: q.attempts.tried, BodyBytes: q.body.bytes(), Priority: catalog.Priority(q.route, q.customer),
 		OverRate: q.overRate, Target: q.route.TargetLatency, Remaining: q.deadline.Sub(h.Now()),
 	}
 }
@@ -145,6 +140,10 @@
 // placementRefusal returns the refusal for a request for which no upstream could
 // be chosen.
 func (h *Handler) placementRefusal(q *request, err error) *refusal {
+	var waited *waitError
+	if errors.As(err, &waited) {
+		return waited.refusal
+	}
 	if q.attempts.sends > 0 || len(q.attempts.tried) > 0 {
 		return h.unservedRefusal(q)
 	}
@@ -200,12 +199,18 @@
 // impliesNotRun reports whether a status guarantees that the request did not run.
 func impliesNotRun(status int) bool {
 	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable ||
-		status == http.StatusUnauthorized
+		status == http.StatusUnauthorized || status == http.StatusRequestTimeout
 }
 
 // timeoutRefusal returns the refusal for a request whose time limit has passed or
 // whose caller has disconnected.
 func (h *Handler) timeoutRefusal(q *request) *refusal {
+	if q.body.guard.stalled() {
+		if q.attempts.mayHaveRun || q.attempts.sends > 0 {
+			return denied(http.StatusGatewayTimeout, CauseBodyStalled)
+		}
+		return denied(http.StatusRequestTimeout, CauseBodyStalled)
+	}
 	if q.http.Context().Err() != nil {
 		return &refusal{cause: CauseCallerLeft}
 	}
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -26,6 +26,12 @@
 	// Target is the latency objective. Remaining is the time until the request times out.
 	Target    time.Duration
 	Remaining time.Duration
+	// WaitsAtHost is set if the request waits at this host for room: it is sent only where it finds
+	// room in the slots and a short pipeline. Waited is how long it has waited.
+	WaitsAtHost bool
+	Waited      time.Duration
+	// LeavesSlots is set if the request must leave some slots of the upstream to short requests.
+	LeavesSlots bool
 }
 
 // Choice is the selected upstream. Each choice must be ended by Table.Done.
@@ -56,6 +62,8 @@
 	sentAt time.Time
 	// cold is set if the upstream itself is cold, for any object.
 	cold bool
+	// bodyBytes is the size of the request body.
+	bodyBytes int
 	// probe is set if the request probes whether the upstream accepts requests after a pause.
 	probe bool
 }
@@ -80,6 +88,9 @@
 	// AllRateLimited: the remaining upstreams limit their rate, and this host is no sender of
 	// theirs, or has used its part.
 	AllRateLimited Reason = "all-rate-limited"
+	// AllHoldBytes: the remaining upstreams hold as many bytes of request bodies from this host as
+	// they may.
+	AllHoldBytes Reason = "all-hold-bytes"
 )
 
 // NoUpstreamError reports that no upstream can take the request at present.
@@ -105,6 +116,8 @@
 	queueing time.Duration
 	// assumed is the load from other hosts that is assumed until the upstream reports any.
 	assumed float64
+	// expectedSlowdown is the slowdown that is expected when the upstream starts the request.
+	expectedSlowdown float64
 }
 
 // Choose selects the upstream for a request. The error is a *NoUpstreamError or a
@@ -119,7 +132,11 @@
 	}
 	t.estimate(now, q, object, s)
 	t.limitShift(now, s)
-	choice, err := t.chooseCheapest(now, q, object, s.candidates)
+	list, err := withRoom(now, q, s.candidates)
+	var choice Choice
+	if err == nil {
+		choice, err = t.chooseCheapest(now, q, object, list)
+	}
 	var full *QueueLimitError
 	if errors.As(err, &full) {
 		full.ShiftLimited = s.shiftLimited
@@ -138,7 +155,7 @@
 		c := list[i]
 		c.standingQueue.observe(now, c.queueing)
 		limit := t.queueLimit(now, q, c)
-		if c.queueing > limit {
+		if c.queueing > limit && !q.WaitsAtHost {
 			return Choice{}, &QueueLimitError{Service: q.Service, ExpectedQueueing: c.queueing, Limit: limit}
 		}
 		if c.announced.rateLimit.Limited && !t.takeRateLimit(now, c.upstream) || c.cold && !t.allowSlowStart(now, c.upstream) {
@@ -155,14 +172,16 @@
 			t.recordSent(now, c.upstream, object)
 		}
 		known := c.load.known(now, c.assumed)
+		known.Slowdown, known.ExpectedSlowdown = c.slowdown.value, c.expectedSlowdown
 		c.load.inflight++
+		t.addBytes(c.upstream, q.BodyBytes)
 		probe := c.announced.pause.unconfirmed
 		c.announced.pause.probing = probe
 		t.recordRegion(now, now, c.region, 1)
 		return Choice{
 			ID: c.ID, Address: c.Address, Zone: c.Zone, Region: c.region, ExpectedLatency: c.latency, ExpectedQueueing: c.queueing,
 			Known: known, Room: t.newRoom(q, c, limit),
-			upstream: c.upstream, startedMs: c.StartedMs, object: object, route: q.Route, sentAt: now, Warm: warm, cold: c.cold, probe: probe,
+			upstream: c.upstream, startedMs: c.StartedMs, object: object, route: q.Route, sentAt: now, Warm: warm, cold: c.cold, bodyBytes: q.BodyBytes, probe: probe,
 		}, nil
 	}
 	return Choice{}, &NoUpstreamError{Service: q.Service, Reason: reason}
--- a/internal/place/room.go
+++ b/internal/place/room.go
@@ -1,9 +1,6 @@
 package place
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Room is what the owner of an upstream's room is asked for a choice. The owner is the host that
 // ranks first among those that may send to an upstream which takes few requests.
@@ -25,8 +22,12 @@
 
 // newRoom returns the room that the request needs at a candidate at which it may wait for limit.
 func (t *Table) newRoom(q Query, c candidate, limit time.Duration) Room {
-	perRequest := time.Duration(float64(t.queuedServiceTime(q.Service, getOrCreate(t.serviceTimes, q.Route))) * c.health.slowness)
-	return Room{Upstream: c.instanceKey(), Slots: c.Slots, MaxAhead: maxAhead(limit, c.Slots, perRequest), Limit: limit, perRequest: perRequest}
+	perRequest := time.Duration(float64(t.queuedServiceTime(q.Service, getOrCreate(t.serviceTimes, q.Route))) * c.health.slowness * c.expectedSlowdown)
+	ahead := maxAhead(limit, c.Slots, perRequest)
+	if q.WaitsAtHost {
+		ahead = roomFor(q, c.Slots) - 1
+	}
+	return Room{Upstream: c.instanceKey(), Slots: c.Slots, MaxAhead: ahead, Limit: limit, perRequest: perRequest}
 }
 
 // maxAhead is the inverse of queueTime: the largest load with which the queueing delay is within the
@@ -62,18 +63,6 @@
 	return first
 }
 
-// ObserveSlowdown records the slowdown that an instance of an upstream has reported to another host,
-// unless this host has a later report.
-func (t *Table) ObserveSlowdown(now time.Time, instance uint64, slowdown float64, age time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	w := t.byInstanceKey(instance)
-	if w == nil || !(slowdown > 0) || math.IsInf(slowdown, 1) || now.Add(-age).Before(w.load.reportedAt) {
-		return
-	}
-	w.load.slowdown = slowdown
-}
-
 // ObserveRoom records the number of requests that other hosts have at an instance of an upstream, as
 // its owner counts them. It returns the service of the upstream; "" if the instance is not known.
 func (t *Table) ObserveRoom(now time.Time, instance uint64, others int) string {
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"balsambarrow/internal/catalog"
+	"balsambarrow/internal/memory"
 	"balsambarrow/internal/traffic"
 )
 
@@ -50,8 +51,9 @@
 	scratch      survey
 	regionHash   uint64
 	serviceTimes map[string]*serviceTime
-	// slowdownReported holds the services whose upstreams report a slowdown.
-	slowdownReported map[string]bool
+	// slowdowns holds what is known of the services whose upstreams report a slowdown.
+	slowdowns        map[string]*serviceSlowdown
+	invalidSlowdowns int
 	// queuedTimes is the mean service time by service, used for requests that wait in
 	// queues.
 	queuedTimes map[string]*mean
@@ -64,6 +66,11 @@
 	excess           shiftExcess
 	// maxShift limits how quickly requests move between regions.
 	maxShift float64
+	// bytesBound bounds the bytes that an upstream may hold from this host; 0: not bounded. crashes
+	// holds what was learned of the upstreams of each service.
+	bytesBound int64
+	crashes    map[string]*memory.Crashes
+	onCrash    func(CrashBound)
 }
 
 // NewTable returns an empty table of the entry host self. zones maps each zone to its
@@ -71,9 +78,9 @@
 func NewTable(self Host, zones map[string]string) *Table {
 	return &Table{
 		self: self, zones: zones, byID: map[string]*upstream{}, byHash: map[uint32]*upstream{}, departed: map[string]departed{},
-		services: map[string][]*upstream{}, evacuatedZones: map[string]bool{}, serviceTimes: map[string]*serviceTime{}, slowdownReported: map[string]bool{},
+		services: map[string][]*upstream{}, evacuatedZones: map[string]bool{}, serviceTimes: map[string]*serviceTime{}, slowdowns: map[string]*serviceSlowdown{},
 		queuedTimes: map[string]*mean{}, queueLimits: map[string]queueLimits{}, holders: map[Object][]*upstream{},
-		unreported: map[string]int{}, evacuationChangedAt: map[string]time.Time{}, links: newLinkCosts(self), regionHash: hash(self.Region), hostsGeneration: 1, regionHosts: 1, keylessSequence: hash(self.Instance),
+		crashes: map[string]*memory.Crashes{}, unreported: map[string]int{}, evacuationChangedAt: map[string]time.Time{}, links: newLinkCosts(self), regionHash: hash(self.Region), hostsGeneration: 1, regionHosts: 1, keylessSequence: hash(self.Instance),
 	}
 }
 
@@ -161,6 +168,7 @@
 func (t *Table) replace(now time.Time, w *upstream, u catalog.Upstream) {
 	if w.StartedMs != u.StartedMs || w.Address != u.Address {
 		t.dropHolders(w)
+		t.recordCrash(now, w)
 		w.reset(now)
 	}
 	if w.Service != u.Service {
@@ -206,14 +214,6 @@
 	}
 }
 
-// ReportsSlowdown reports whether upstreams of the service have reported how long work takes at
-// present.
-func (t *Table) ReportsSlowdown(service string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.slowdownReported[service]
-}
-
 // Size returns the number of upstreams.
 func (t *Table) Size() int {
 	t.mu.Lock()
@@ -258,6 +258,8 @@
 	Relayed bool
 	Load    traffic.Load
 	HasLoad bool
+	// SlowdownInvalid is set if the load includes a slowdown that cannot be used.
+	SlowdownInvalid bool
 	// ColdFor is how long the upstream stays cold; 0 if not reported.
 	ColdFor time.Duration
 	// ResponseBytes is the size of the response body.
@@ -271,6 +273,7 @@
 	w := c.upstream
 	t.observeLoad(now, w, r)
 	w.load.inflight--
+	t.removeBytes(now, c, r.Result)
 	if probed := t.instance(c); c.probe && probed != nil {
 		probed.announced.pause.probing = false
 	}
@@ -307,13 +310,10 @@
 
 // observeLoad applies the load report of a response, if there is one.
 func (t *Table) observeLoad(now time.Time, w *upstream, r Report) {
-	if !r.HasLoad {
-		return
-	}
-	w.load.observe(now, r.Load)
-	if r.Load.Slowdown > 0 {
-		t.slowdownReported[w.Service] = true
+	if r.HasLoad {
+		w.load.observe(now, r.Load)
 	}
+	t.observeSlowdown(now, w, r)
 }
 
 func (t *Table) learn(now time.Time, c Choice, r Report) {
@@ -329,6 +329,7 @@
 		return
 	}
 	took := max(r.TimeToHeader-r.ConnectTime-t.links.roundTrip(w.region, w.Zone), time.Millisecond)
+	took = time.Duration(float64(took) / t.slowdowns[w.Service].during(now, &w.slowdown, c.Known.ExpectedSlowdown, took))
 	route := getOrCreate(t.serviceTimes, c.route)
 	if c.Warm || r.HasLoad {
 		// Without a load report, queueing delay cannot be distinguished from cold work.
--- a/internal/place/upstream.go
+++ b/internal/place/upstream.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"balsambarrow/internal/catalog"
+	"balsambarrow/internal/memory"
 )
 
 // WarmTTL is how long an object counts as warm after its last request. maxWarmObjects is
@@ -21,6 +22,8 @@
 	region        string
 	health        health
 	load          load
+	bytes         memory.UpstreamBytes
+	slowdown      slowdown
 	slowStart     tokenBucket
 	standingQueue standingQueue
 	announced     announced
@@ -65,7 +68,7 @@
 // reset discards the state of an earlier instance with the same ID.
 func (w *upstream) reset(now time.Time) {
 	inflight := w.load.inflight
-	w.health, w.load, w.announced = newHealth(), load{inflight: inflight}, announced{}
+	w.health, w.load, w.slowdown, w.announced = newHealth(), load{inflight: inflight}, slowdown{}, announced{}
 	w.firstSeen, w.hasReceived = now, false
 }
 
