Slowdown: a report that the owner passes on with each answer counts once

Cause: a host takes a report from the owner of an upstream's room as new if its time is later than that of the last one. The time is computed from an age in whole milliseconds and includes the way of the message, so one report came out later up to ten times in the test, and each time moved the usual slowdown towards itself and taught the service that slowdowns last. Change: the same value within 50 ms of the last report is that report. TestSlowdownPassedOnTwiceCountsOnce failed before with 10 reports instead of 1.

--- a/internal/place/room_internal_test.go
+++ b/internal/place/room_internal_test.go
@@ -108,3 +108,23 @@
 	_, _, ok := table.RoomOwner(w.instanceKey())
 	g.Expect(ok).To(BeFalse())
 }
+
+// Guards against one report of a slowdown that counts as many, because the owner passes it on with each
+// answer and its time is known to a few milliseconds only.
+func TestSlowdownPassedOnTwiceCountsOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := NewTable(Host{"h-1", "a1", "a"}, map[string]string{"a1": "a"})
+	table.PutUpstream(now, catalog.Upstream{ID: "u", Service: "s", Zone: "a1", Slots: 3, State: catalog.StateReady})
+	w := table.byID["u"]
+	table.ObserveSlowdown(now, w.instanceKey(), 1.7, 0)
+	for i := range 10 {
+		delay := time.Duration(i) * time.Millisecond
+		table.ObserveSlowdown(now.Add(time.Second+delay), w.instanceKey(), float64(float32(1.7)), time.Second)
+	}
+	g.Expect(table.slowdowns["s"].reports).To(Equal(1))
+	table.ObserveSlowdown(now.Add(time.Second), w.instanceKey(), 1.7, 0)
+	g.Expect(table.slowdowns["s"].reports).To(Equal(2), "a later report with the same value")
+	table.ObserveSlowdown(now.Add(time.Second+time.Millisecond), w.instanceKey(), 2, 0)
+	g.Expect(table.slowdowns["s"].reports).To(Equal(3), "another value")
+}
--- a/internal/place/slowdown.go
+++ b/internal/place/slowdown.go
@@ -21,6 +21,9 @@
 	fadeErrorDecay = 0.998
 	// maxFades is the age of a report, in time constants, after which it has no effect.
 	maxFades = 6
+	// sameReportTime is the difference between the times of two reports with the same value that may
+	// be one report: the time that messages between hosts of a region take.
+	sameReportTime = 50 * time.Millisecond
 )
 
 // fadeTimes are the time constants among which that of a service is selected.
@@ -77,16 +80,24 @@
 }
 
 // ObserveSlowdown records the slowdown that an instance of an upstream has reported to another host,
-// unless this host has a later report.
+// unless this host has a later report. The owner of the upstream's room passes on the same report with
+// each answer; its time differs by the time that the messages took.
 func (t *Table) ObserveSlowdown(now time.Time, instance uint64, value float64, age time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := t.byInstanceKey(instance)
-	if at := now.Add(-age); w != nil && value > 0 && !math.IsInf(value, 1) && at.After(w.slowdown.reportedAt) {
+	if w == nil || !(value > 0) || math.IsInf(value, 1) {
+		return
+	}
+	at, known := now.Add(-age), &w.slowdown
+	same := known.usual != 0 && float32(known.value) == float32(limitSlowdown(value)) && at.Sub(known.reportedAt) < sameReportTime
+	if at.After(known.reportedAt) && !same {
 		t.applySlowdown(at, w, value)
 	}
 }
 
+func limitSlowdown(value float64) float64 { return min(max(value, minSlowdown), maxSlowdown) }
+
 // applySlowdown applies a slowdown that an upstream reported at a time.
 func (t *Table) applySlowdown(at time.Time, w *upstream, value float64) {
 	service := t.slowdowns[w.Service]
@@ -94,7 +105,7 @@
 		service = newServiceSlowdown()
 		t.slowdowns[w.Service] = service
 	}
-	service.observe(at, &w.slowdown, min(max(value, minSlowdown), maxSlowdown))
+	service.observe(at, &w.slowdown, limitSlowdown(value))
 }
 
 func (s *serviceSlowdown) observe(now time.Time, w *slowdown, value float64) {
