--- a/cmd/balsambarrowd/entry.go
+++ b/cmd/balsambarrowd/entry.go
@@ -140,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	guard.daemon.Store(d)
+	guard.created(d)
 	d.OnActive, d.OnMemory = onActive, raiseMemoryLimit(s)
 	beforeStart(d)
 	d.Start()
--- a/internal/entryhost/room.go
+++ b/internal/entryhost/room.go
@@ -195,10 +195,14 @@
 		freed, err := r.ledger.Release(now, r.statement(now, q.Statement), load)
 		r.notify(now, freed, err)
 	case *fleet.Packet_RoomAnswer:
-		r.owners.Heard(r.peers.Load().instances[from])
-		r.receiveAnswer(now, m.RoomAnswer)
+		r.receiveAnswer(now, m.RoomAnswer, from)
 	case *fleet.Packet_RoomFreed:
-		r.freed(now, m.RoomFreed.Upstream, int(m.RoomFreed.Others))
+		q := room.Answer{Others: int(m.RoomFreed.Others)}
+		if err := q.Check(); err != nil {
+			r.rejected(err)
+			break
+		}
+		r.freed(now, m.RoomFreed.Upstream, q.Others)
 	default:
 		return false
 	}
@@ -226,19 +230,25 @@
 	r.send(from, &fleet.Packet{Content: &fleet.Packet_RoomAnswer{RoomAnswer: answer}})
 }
 
-// receiveAnswer hands an answer to the request that waits for it. A late one corrects what the table
-// knows.
-func (r *rooms) receiveAnswer(now time.Time, a *fleet.RoomAnswer) {
+// receiveAnswer hands an answer to the request that waits for it. A late one, or one to an announced
+// request, corrects what the table knows. It does not show that the owner answers in time: requests
+// would wait again for an owner that is only slow, each until its timeout.
+func (r *rooms) receiveAnswer(now time.Time, a *fleet.RoomAnswer, from string) {
 	r.mu.Lock()
 	awaited := r.awaited[a.Sequence]
 	r.mu.Unlock()
 	answer := room.Answer{
 		Granted: a.Granted, Others: int(a.Others), Slowdown: float64(a.Slowdown), SlowdownAge: time.Duration(a.SlowdownAgeMs) * time.Millisecond,
 	}
+	if err := answer.Check(); err != nil {
+		r.rejected(err)
+		return
+	}
 	if awaited == nil {
 		r.observe(now, a.Upstream, answer)
 		return
 	}
+	r.owners.Heard(r.peers.Load().instances[from])
 	select {
 	case awaited <- answer:
 	default:
--- a/internal/place/room_internal_test.go
+++ b/internal/place/room_internal_test.go
@@ -79,3 +79,52 @@
 	}
 	g.Expect(table.ObserveRoom(now, first.Room.Upstream+1, 5)).To(BeEmpty(), "another instance")
 }
+
+// Guards against an owner that stays in force after the hosts or the zone of the upstream have changed, and
+// against a comparison of all hosts for each request.
+func TestOwnerIsComputedOncePerChange(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := NewTable(Host{"h-1", "a1", "a"}, map[string]string{"a1": "a", "b1": "b"})
+	u := catalog.Upstream{ID: "u", Service: "s", Zone: "a1", Slots: 3, State: catalog.StateReady}
+	table.PutUpstream(now, u)
+	owner := func() string {
+		h, _, ok := table.RoomOwner(table.byID["u"].instanceKey())
+		g.Expect(ok).To(BeTrue())
+		return h.Instance
+	}
+	table.SetHosts([]Host{{"h-1", "a1", "a"}, {"h-2", "b1", "b"}})
+	g.Expect(owner()).To(Equal("h-1"))
+	w := table.byID["u"]
+	g.Expect(w.ownerGeneration).To(Equal(table.hostsGeneration))
+	w.owner = 1
+	g.Expect(owner()).To(Equal("h-2"), "not computed again")
+	u.Zone = "b1"
+	table.PutUpstream(now, u)
+	g.Expect(owner()).To(Equal("h-2"))
+	table.SetHosts([]Host{{"h-1", "a1", "a"}})
+	g.Expect(owner()).To(Equal("h-1"))
+	table.SetHosts(nil)
+	_, _, ok := table.RoomOwner(w.instanceKey())
+	g.Expect(ok).To(BeFalse())
+}
+
+// Guards against one report of a slowdown that counts as many, because the owner passes it on with each
+// answer and its time is known to a few milliseconds only.
+func TestSlowdownPassedOnTwiceCountsOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := NewTable(Host{"h-1", "a1", "a"}, map[string]string{"a1": "a"})
+	table.PutUpstream(now, catalog.Upstream{ID: "u", Service: "s", Zone: "a1", Slots: 3, State: catalog.StateReady})
+	w := table.byID["u"]
+	table.ObserveSlowdown(now, w.instanceKey(), 1.7, 0)
+	for i := range 10 {
+		delay := time.Duration(i) * time.Millisecond
+		table.ObserveSlowdown(now.Add(time.Second+delay), w.instanceKey(), float64(float32(1.7)), time.Second)
+	}
+	g.Expect(table.slowdowns["s"].reports).To(Equal(1))
+	table.ObserveSlowdown(now.Add(time.Second), w.instanceKey(), 1.7, 0)
+	g.Expect(table.slowdowns["s"].reports).To(Equal(2), "a later report with the same value")
+	table.ObserveSlowdown(now.Add(time.Second+time.Millisecond), w.instanceKey(), 2, 0)
+	g.Expect(table.slowdowns["s"].reports).To(Equal(3), "another value")
+}
--- a/internal/room/ledger_test.go
+++ b/internal/room/ledger_test.go
@@ -309,6 +309,10 @@
 		_, err := owner.ledger.Release(at(0), good, &r)
 		g.Expect(err).To(HaveOccurred())
 	}
+	for _, a := range []room.Answer{{Others: -1}, {Others: math.MaxUint32}, {Slowdown: math.NaN()}, {Slowdown: 1e30}} {
+		g.Expect(a.Check()).To(HaveOccurred())
+	}
+	g.Expect(room.Answer{Others: bound, Slowdown: 2}.Check()).To(Succeed())
 	for i := range uint64(1000) {
 		good.Holder = i
 		if _, err := owner.ledger.Announce(at(0), good); err != nil {
@@ -319,6 +323,19 @@
 	t.Fatal("the ledger is not bounded")
 }
 
+// Guards against room that stays taken because an upstream reports what cannot be true.
+func TestEndCountsWhateverTheUpstreamReports(t *testing.T) {
+	g := NewWithT(t)
+	owner, a, b := newHost(1), newHost(2), newHost(3)
+	a.take(t, owner.ledger, at(0), bound)
+	g.Expect(b.reserve(t, owner.ledger, at(0)).Granted).To(BeFalse())
+	freed, err := owner.ledger.Release(at(0), a.End(upstream, slots), &room.Report{Requests: 1 << 20})
+	var untrue *room.StatementError
+	g.Expect(errors.As(err, &untrue)).To(BeTrue())
+	g.Expect(freed).To(Equal([]room.Freed{{Upstream: upstream, Holder: 3, Others: bound - 1}}))
+	g.Expect(b.reserve(t, owner.ledger, at(0)).Granted).To(BeTrue())
+}
+
 // Guards against requests that each wait for an owner which does not respond.
 func TestSilentOwnerIsTriedOnceASecond(t *testing.T) {
 	g := NewWithT(t)
