--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -634,12 +634,12 @@
 		"listen": {"callers": "host:1"},
 		"bounds": {"grace": "6", "max_shift": 2},
 		"unknown": 1,
-		"overload": {"sharing": "yes", "queue": "on", "second_attempts": "never"},
+		"overload": {"sharing": "yes", "queue": "never"},
 		"log_level": "loud"
 	}`))
 	var faults jsonc.Faults
 	g.Expect(err).To(BeAssignableToTypeOf(faults))
-	for _, place := range []string{"/host", "/zone", "/listen/callers", "/store", "/bounds/grace", "/bounds/max_shift", "/unknown", "/overload/sharing", "/overload/second_attempts", "/log_level"} {
+	for _, place := range []string{"/host", "/zone", "/listen/callers", "/store", "/bounds/grace", "/bounds/max_shift", "/unknown", "/overload/sharing", "/overload/queue", "/log_level"} {
 		g.Expect(err.Error()).To(ContainSubstring(place))
 	}
 }
--- a/internal/entryhost/overload.go
+++ b/internal/entryhost/overload.go
@@ -11,8 +11,6 @@
 	Sharing Mode `json:"sharing"`
 	// Queue makes requests that find no room wait at the host.
 	Queue Mode `json:"queue"`
-	// SecondAttempts sends a second attempt beside a slow one.
-	SecondAttempts Mode `json:"second_attempts"`
 }
 
 // Mode is whether a feature applies to a service.
@@ -28,7 +26,7 @@
 )
 
 func (o *Overload) applyDefaults() {
-	for _, m := range []*Mode{&o.Sharing, &o.Queue, &o.SecondAttempts} {
+	for _, m := range []*Mode{&o.Sharing, &o.Queue} {
 		if *m == "" {
 			*m = ModeAuto
 		}
@@ -43,7 +41,6 @@
 	}{
 		{"/overload/sharing", o.Sharing},
 		{"/overload/queue", o.Queue},
-		{"/overload/second_attempts", o.SecondAttempts},
 	} {
 		if f.mode != ModeAuto && f.mode != ModeOn && f.mode != ModeOff {
 			faults = append(faults, doc.FaultAt(f.path, "want auto, on or off"))
