--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -89,6 +89,8 @@
 	rejections []rejectionSpan
 	// linkCuts are the periods in which hosts were cut off from all upstreams.
 	linkCuts []linkCut
+	// sharesRoom is set if hosts share the room of upstreams, and queue requests that find none.
+	sharesRoom bool
 	// faultLog lists the injected faults. It is logged when a check fails.
 	faultLog []string
 }
@@ -108,12 +110,14 @@
 
 // mixedFleetSeed is the lowest seed that uses mixedFleet, linkFleetSeed the lowest one that uses
 // linkFleet and injects no faults of processes, and largeFleetSeed the lowest one that uses
-// largeFleetSize hosts.
+// largeFleetSize hosts. From sharedRoomSeed on, mixedFleet is used, upstreams have one slot and are
+// slow now and then, and the hosts share their room and queue.
 const (
 	mixedFleetSeed = 1000
 	linkFleetSeed  = 5000
 	largeFleetSeed = 9000
 	largeFleetSize = 48
+	sharedRoomSeed = 20000
 )
 
 // equalFleet has three active hosts. In mixedFleet the last host, which has a slow link,
@@ -129,7 +133,7 @@
 	switch {
 	case seed < mixedFleetSeed:
 		return equalFleet
-	case seed < linkFleetSeed:
+	case seed < linkFleetSeed, seed >= sharedRoomSeed:
 		return mixedFleet
 	case seed < largeFleetSeed:
 		return linkFleet
@@ -145,10 +149,10 @@
 // disturbsProcesses reports whether faults of processes are injected.
 func disturbsProcesses(seed uint64) bool { return seed < linkFleetSeed || seed >= largeFleetSeed }
 
-func newCluster(t *testing.T, binary string, fleet []hostConfig) *cluster {
+func newCluster(t *testing.T, binary string, fleet []hostConfig, sharesRoom bool) *cluster {
 	c := &cluster{
 		t: t, reporter: t, binary: binary, dir: t.TempDir(), store: standin.NewKVStore(), version: 1,
-		withdrawn: map[string]time.Time{}, activeEvacuations: map[string]time.Time{},
+		withdrawn: map[string]time.Time{}, activeEvacuations: map[string]time.Time{}, sharesRoom: sharesRoom,
 	}
 	c.server = httptest.NewServer(c.store)
 	c.writeConfig()
@@ -176,6 +180,9 @@
 
 func (c *cluster) addUpstream(id, zone string) {
 	u := &upstream{standIn: &standin.PlatformUpstream{ID: id, ServiceTime: 15 * time.Millisecond}, zone: zone}
+	if c.sharesRoom {
+		u.standIn.Slots = 1
+	}
 	u.server = httptest.NewServer(u.standIn)
 	c.upstreams = append(c.upstreams, u)
 	c.writeRegistration(u)
@@ -194,7 +201,7 @@
 	h := &daemonProcess{name: name, zone: host.zone, proxy: p, settingsFile: filepath.Join(c.dir, name+".jsonc"), uplinkFile: filepath.Join(c.dir, name+".uplink"), callerAddress: freeAddress(c.t, len(c.processes))}
 	text := standin.EntryHostSettings{
 		Name: name, Zone: host.zone, CallerAddress: h.callerAddress, DirectoryAddress: "127.0.0.1:0", StoreAddress: p.address(), LinkMbps: host.linkMbps,
-		GracePeriod: 4 * time.Second, RevocationDelay: revocationDelay,
+		GracePeriod: 4 * time.Second, RevocationDelay: revocationDelay, SharesRoom: c.sharesRoom,
 	}.Encode()
 	if err := os.WriteFile(h.settingsFile, text, 0o600); err != nil {
 		c.t.Fatal(err)
--- a/internal/soak/memory_test.go
+++ b/internal/soak/memory_test.go
@@ -44,7 +44,7 @@
 }
 
 func runSlowCallers(t *testing.T, callers, memoryMB int, span time.Duration) {
-	c := newCluster(t, daemonBinary(t), nil)
+	c := newCluster(t, daemonBinary(t), nil, false)
 	defer c.close()
 	c.allowSlowCallers()
 	c.addProcess("h0", hostConfig{zone: "a1"})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -53,7 +53,7 @@
 // observe must keep to the guarantees throughout.
 func TestSoak(t *testing.T) {
 	binary := daemonBinary(t)
-	seeds := append([]uint64{mixedFleetSeed, linkFleetSeed}, regressionSeeds...)
+	seeds := append([]uint64{mixedFleetSeed, linkFleetSeed, sharedRoomSeed}, regressionSeeds...)
 	for i := range uint64(*seedCount) {
 		seeds = append(seeds, *firstSeed+i)
 	}
@@ -64,7 +64,7 @@
 
 func runSoak(t *testing.T, binary string, seed uint64) {
 	t.Logf("seed %d, callers run for %v", seed, *callerDuration)
-	c := newCluster(t, binary, fleetForSeed(seed))
+	c := newCluster(t, binary, fleetForSeed(seed), seed >= sharedRoomSeed)
 	defer c.close()
 	c.awaitServing()
 	stop := make(chan struct{})
@@ -86,7 +86,7 @@
 	spawn(&tasks, func() { c.rejectAtUpstreams(rand.New(rand.NewPCG(seed, 3)), stop) })
 	spawn(&tasks, func() { c.cutLinks(rand.New(rand.NewPCG(seed, 5)), stop, !disturbsProcesses(seed)) })
 	spawn(&tasks, func() { c.announceLeaving(rand.New(rand.NewPCG(seed, 4)), stop) })
-	if *slow {
+	if *slow || seed >= sharedRoomSeed {
 		spawn(&tasks, func() { c.slowUpstreams(rand.New(rand.NewPCG(seed, 6)), stop) })
 	}
 	var mu sync.Mutex
--- a/internal/standin/platformconfig.go
+++ b/internal/standin/platformconfig.go
@@ -79,10 +79,16 @@
 	LinkMbps        int
 	GracePeriod     time.Duration
 	RevocationDelay time.Duration
+	// SharesRoom makes the hosts share the room of upstreams, and queue requests that find none.
+	SharesRoom bool
 }
 
 // Encode returns the text of the settings file.
 func (h EntryHostSettings) Encode() []byte {
+	overload := "auto"
+	if h.SharesRoom {
+		overload = "on"
+	}
 	text, err := json.MarshalIndent(map[string]any{
 		"host": h.Name, "zone": h.Zone, "zones": Zones,
 		"listen": map[string]string{
@@ -93,6 +99,7 @@
 			"grace": h.GracePeriod.String(), "revoke": h.RevocationDelay.String(), "strict_revocation": true,
 			"retry_ratio": 0.2, "retry_slack": 60, "retry_window": "10s",
 		},
+		"overload": map[string]string{"sharing": overload, "queue": overload},
 	}, "", "  ")
 	if err != nil {
 		panic(err) // strings and numbers always encode
--- a/internal/standin/platformupstream.go
+++ b/internal/standin/platformupstream.go
@@ -29,6 +29,9 @@
 	ID string
 	// ServiceTime is the time that each request takes.
 	ServiceTime time.Duration
+	// Slots is the number of slots that the upstream states; 0: platformUpstreamSlots. It runs any
+	// number of requests at once.
+	Slots int
 
 	mu         sync.Mutex
 	instanceID string
@@ -130,10 +133,17 @@
 	return u.ID
 }
 
+func (u *PlatformUpstream) slots() int {
+	if u.Slots > 0 {
+		return u.Slots
+	}
+	return platformUpstreamSlots
+}
+
 // RegistryEntry returns the value that the upstream registers in the store under its ID.
 func (u *PlatformUpstream) RegistryEntry(service, address, zone, state string, sequence int) []byte {
 	entry, err := json.Marshal(map[string]any{
-		"service": service, "address": address, "zone": zone, "version": "v1", "slots": platformUpstreamSlots,
+		"service": service, "address": address, "zone": zone, "version": "v1", "slots": u.slots(),
 		"state": state, "cold-remaining": "0ms", "sequence": sequence, "born": 1_700_000_000_000,
 	})
 	if err != nil {
@@ -181,7 +191,7 @@
 		w.Header().Set("Server-Limit", rateLimit)
 	}
 	w.Header().Set("X-Response-Signature", "signed-by-"+u.ID)
-	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", running, platformUpstreamSlots))
+	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", running, u.slots()))
 	// A write fails only if the client has disconnected.
 	_, _ = fmt.Fprintf(w, "%s ran %s", u.ID, r.Header.Get("X-Request-Id"))
 }
