--- a/internal/entryhost/export_test.go
+++ b/internal/entryhost/export_test.go
@@ -23,3 +23,15 @@
 
 // Tunnels returns the number of connections to upstreams that the daemon makes for other hosts.
 func (d *Daemon) Tunnels() int { return d.tunnels.Count() }
+
+// MaxConnections returns how many connections of callers the budget allows.
+func (d *Daemon) MaxConnections() int {
+	opened := 0
+	for d.budget.OpenConnection() == nil {
+		opened++
+	}
+	for range opened {
+		d.budget.CloseConnection()
+	}
+	return opened
+}
--- a/internal/entryhost/memory_test.go
+++ b/internal/entryhost/memory_test.go
@@ -193,6 +193,8 @@
 		g.Expect(s.call(h, "POST", "/post/1", "k1", small).status).To(Equal(http.StatusOK))
 	}
 	crash, waiting := make(chan struct{}), make(chan struct{}, 8)
+	release := sync.OnceFunc(func() { close(crash) })
+	t.Cleanup(release)
 	k.SetHandler(func(http.ResponseWriter, *http.Request) {
 		waiting <- struct{}{}
 		<-crash
@@ -208,7 +210,7 @@
 		<-waiting
 	}
 	g.Expect(s.metrics(h)).To(ContainSubstring("balsambarrow_upstream_held_bytes 800000"))
-	close(crash)
+	release()
 	callers.Wait()
 	g.Eventually(func() string { return s.metrics(h) }, "5s").Should(And(
 		ContainSubstring("balsambarrow_upstream_held_bytes 0"), ContainSubstring(`event="crash-bound"} 1`)))
@@ -222,3 +224,30 @@
 	_, err := entryhost.ParseSettings("test", []byte(`{"memory": {"callers_fraction": 0.9, "upstream_mb": -1}}`))
 	g.Expect(err).To(MatchError(And(ContainSubstring("/memory/callers_fraction"), ContainSubstring("/memory/upstream_mb"))))
 }
+
+// Guards against connections that are left open and take the memory of new callers: beside idle ones
+// and those that send no complete header, a new caller must be served.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.worker("i-1", "s", "a1", 0)
+	h := s.smallHost(40)
+	limit := h.daemon.MaxConnections()
+	for range limit / 2 {
+		conn := s.open(h, "GET", "/read/1", "", nil)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		_ = resp.Body.Close()
+	}
+	time.Sleep(1100 * time.Millisecond)
+	for range limit - limit/2 {
+		conn, err := net.Dial("tcp", h.listen.Callers)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "GET /read/1 HT")
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	for range 5 {
+		g.Expect(s.read(h).status).To(Equal(http.StatusOK))
+	}
+}
