--- a/internal/entryhost/export_test.go
+++ b/internal/entryhost/export_test.go
@@ -55,3 +55,15 @@
 	owner, _, ok := d.table.RoomOwner(xxhash.Sum64String(upstream)<<32 | uint64(uint32(startedMs)))
 	return ok && owner.Instance == d.self.Instance
 }
+
+// MaxConnections returns how many connections of callers the budget allows.
+func (d *Daemon) MaxConnections() int {
+	opened := 0
+	for d.budget.OpenConnection() == nil {
+		opened++
+	}
+	for range opened {
+		d.budget.CloseConnection()
+	}
+	return opened
+}
