Revert the ejection of upstreams that reject requests with free slots

Each of twelve hosts meets each of some 150 such upstreams a few times, and there the requests are; one host's ejections do not spare the others theirs.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -64,8 +64,6 @@
 	cold bool
 	// bodyBytes is the size of the request body.
 	bodyBytes int
-	// waitedAtHost is that of the query.
-	waitedAtHost bool
 	// probe is set if the request probes whether the upstream accepts requests after a pause.
 	probe bool
 }
@@ -183,7 +181,7 @@
 		return Choice{
 			ID: c.ID, Address: c.Address, Zone: c.Zone, Region: c.region, ExpectedLatency: c.latency, ExpectedQueueing: c.queueing,
 			Known: known, Room: t.newRoom(q, c, limit),
-			upstream: c.upstream, startedMs: c.StartedMs, object: object, route: q.Route, sentAt: now, Warm: warm, cold: c.cold, bodyBytes: q.BodyBytes, waitedAtHost: q.WaitsAtHost, probe: probe,
+			upstream: c.upstream, startedMs: c.StartedMs, object: object, route: q.Route, sentAt: now, Warm: warm, cold: c.cold, bodyBytes: q.BodyBytes, probe: probe,
 		}, nil
 	}
 	return Choice{}, &NoUpstreamError{Service: q.Service, Reason: reason}
--- a/internal/place/outlier.go
+++ b/internal/place/outlier.go
@@ -11,9 +11,6 @@
 	// maxConsecutiveNoResponse is the number of consecutive requests without a response
 	// after which an upstream is ejected.
 	maxConsecutiveNoResponse = 3
-	// maxConsecutiveRejections is the number of consecutive rejections by an upstream that reports
-	// free slots, after which it is ejected. One may be due to requests that have just ended.
-	maxConsecutiveRejections = 2
 	// baseEjection and maxEjection bound the ejection time. A crashed upstream is back
 	// after 3 to 5 s.
 	baseEjection = 500 * time.Millisecond
@@ -32,8 +29,6 @@
 	// failures is the moving average of the failure rate, 0 to 1.
 	failures              float64
 	consecutiveNoResponse int
-	// consecutiveRejections counts rejections by the upstream while it reported free slots.
-	consecutiveRejections int
 	ejectedUntil          time.Time
 	ejection              time.Duration
 	// possibleRestartUntil is set when the upstream was unreachable: until then, it may
@@ -55,7 +50,7 @@
 func (h *health) mayHaveRestarted(now time.Time) bool { return now.Before(h.possibleRestartUntil) }
 
 func (h *health) recordSuccess() {
-	h.consecutiveNoResponse, h.consecutiveRejections, h.ejection = 0, 0, 0
+	h.consecutiveNoResponse, h.ejection = 0, 0
 	h.failures -= failureGain * h.failures
 }
 
@@ -69,15 +64,6 @@
 	}
 }
 
-// recordRejection records that the upstream has rejected a request although it reported free slots.
-// It would look idle, and attract all requests, as long as it rejects them.
-func (h *health) recordRejection(now time.Time) {
-	h.recordFailure()
-	if h.consecutiveRejections++; h.consecutiveRejections >= maxConsecutiveRejections {
-		h.eject(now)
-	}
-}
-
 // recordUnreachable records that no connection could be established. This is stronger
 // evidence than a lost response: the upstream is down or the network path is broken.
 func (h *health) recordUnreachable(now time.Time) {
--- a/internal/place/table.go
+++ b/internal/place/table.go
@@ -303,20 +303,11 @@
 		// The registration will be removed; until then, no requests are sent there.
 		w.health.eject(now)
 	case Shed:
-		t.recordShed(now, c, r)
+		t.dropUnanswered(w, c.object)
 	case Canceled:
 	}
 }
 
-// recordShed applies a rejection. Upstreams whose requests wait at the hosts have no reason to reject
-// one while they have free slots.
-func (t *Table) recordShed(now time.Time, c Choice, r Report) {
-	t.dropUnanswered(c.upstream, c.object)
-	if c.waitedAtHost && r.HasLoad && r.Load.Running+r.Load.Waiting < r.Load.Slots {
-		c.upstream.health.recordRejection(now)
-	}
-}
-
 // observeLoad applies the load report of a response, if there is one.
 func (t *Table) observeLoad(now time.Time, w *upstream, r Report) {
 	if r.HasLoad {
