Fair queue: refused callers are told to return within the time that requests wait

Cause: the retry delay was the predicted wait less what is allowed. Behind more urgent work the prediction assumes a twentieth of the capacity at least, and right after a start it rests on a few requests: 71 s for requests with 4 s left, doubled at random on the way to the caller. Change: at most the time that the request itself had left. TestRefusedCallersReturnWithinTheTimeThatRequestsWait failed before with 70.6 s.

--- a/internal/fairqueue/host.go
+++ b/internal/fairqueue/host.go
@@ -191,7 +191,9 @@
 func (q *HostQueue) refuse(reason Reason, r *HostRequest, band *hostBand, now time.Time) *HostRefusal {
 	wait, position := q.predict(r, band, now)
 	allowed := max(r.latestStart(true).Sub(now), 0)
-	return &HostRefusal{Reason: reason, PredictedWait: wait, Allowed: allowed, Position: position, RetryAfter: max(wait-allowed, r.Latency)}
+	// What waits now is gone by its deadline, however long the wait that is predicted from a few samples.
+	retryAfter := min(wait-allowed, r.Deadline.Sub(now))
+	return &HostRefusal{Reason: reason, PredictedWait: wait, Allowed: allowed, Position: position, RetryAfter: max(retryAfter, r.Latency)}
 }
 
 // predict estimates the wait of a request in a band, and the number of requests served before it.
