Room and queue: answers are matched by upstream too, and no timer below its floor

Sequences start anew with each process, so a late answer to an earlier process at the same address could grant room of another upstream. A waiting request that had not looked for room yet set a timer of one millisecond. Both found by reading.

--- a/internal/entryhost/room.go
+++ b/internal/entryhost/room.go
@@ -35,7 +35,7 @@
 
 	mu sync.Mutex
 	// awaited are the requests that wait for an answer, by the sequence of their statements.
-	awaited map[uint64]chan room.Answer
+	awaited map[uint64]awaitedAnswer
 }
 
 // roomPeers are the other hosts that are alive. It is never modified.
@@ -47,12 +47,19 @@
 	instances map[string]string
 }
 
+// awaitedAnswer is where the answer about an upstream is awaited. Sequences alone do not tell it from a
+// late answer to an earlier process at the same address.
+type awaitedAnswer struct {
+	upstream uint64
+	answer   chan room.Answer
+}
+
 type roomPeer struct{ address, region string }
 
 func newRooms(d *Daemon) *rooms {
 	r := &rooms{
 		d: d, ledger: room.NewLedger(), holdings: room.NewHoldings(xxhash.Sum64String(d.self.Instance)), owners: room.NewOwners(),
-		awaited: map[uint64]chan room.Answer{},
+		awaited: map[uint64]awaitedAnswer{},
 	}
 	r.peers.Store(&roomPeers{})
 	return r
@@ -130,7 +137,7 @@
 func (r *rooms) ask(now time.Time, s room.Statement, maxAhead int, address string) (room.Answer, bool) {
 	answer := make(chan room.Answer, 1)
 	r.mu.Lock()
-	r.awaited[s.Sequence] = answer
+	r.awaited[s.Sequence] = awaitedAnswer{s.Upstream, answer}
 	r.mu.Unlock()
 	defer func() {
 		r.mu.Lock()
@@ -244,13 +251,13 @@
 		r.rejected(err)
 		return
 	}
-	if awaited == nil {
+	if awaited.answer == nil || awaited.upstream != a.Upstream {
 		r.observe(now, a.Upstream, answer)
 		return
 	}
 	r.owners.Heard(r.peers.Load().instances[from])
 	select {
-	case awaited <- answer:
+	case awaited.answer <- answer:
 	default:
 	}
 }
--- a/internal/entryhost/room_internal_test.go
+++ b/internal/entryhost/room_internal_test.go
@@ -21,13 +21,15 @@
 	now := time.Unix(1000, 0)
 	answer := make(chan room.Answer, 1)
 	r := &rooms{
-		d: &Daemon{table: place.NewTable(place.Host{}, nil)}, owners: room.NewOwners(), awaited: map[uint64]chan room.Answer{2: answer},
+		d: &Daemon{table: place.NewTable(place.Host{}, nil)}, owners: room.NewOwners(), awaited: map[uint64]awaitedAnswer{2: {7, answer}},
 	}
 	r.peers.Store(&roomPeers{instances: map[string]string{"127.0.0.1:1": "owner"}})
 	r.owners.NoAnswer(now, "owner")
 	r.receiveAnswer(now, &fleet.RoomAnswer{Sequence: 1, Granted: true}, "127.0.0.1:1")
 	g.Expect(r.owners.MayWait(now, "owner")).To(BeFalse(), "a late answer")
-	r.receiveAnswer(now, &fleet.RoomAnswer{Sequence: 2, Granted: true}, "127.0.0.1:1")
+	r.receiveAnswer(now, &fleet.RoomAnswer{Upstream: 8, Sequence: 2, Granted: true}, "127.0.0.1:1")
+	g.Expect(answer).NotTo(Receive(), "an answer about another upstream")
+	r.receiveAnswer(now, &fleet.RoomAnswer{Upstream: 7, Sequence: 2, Granted: true}, "127.0.0.1:1")
 	g.Expect(r.owners.MayWait(now, "owner")).To(BeTrue())
 	g.Expect(answer).To(Receive(Equal(room.Answer{Granted: true})))
 }
@@ -44,7 +46,7 @@
 	table.Done(now, c, place.Report{Result: place.Shed})
 	r := &rooms{
 		d:      &Daemon{table: table, metrics: telemetry.NewMetrics(), events: telemetry.NewEvents(io.Discard, "info", "h")},
-		owners: room.NewOwners(), awaited: map[uint64]chan room.Answer{},
+		owners: room.NewOwners(), awaited: map[uint64]awaitedAnswer{},
 	}
 	r.peers.Store(&roomPeers{})
 	for _, a := range []*fleet.RoomAnswer{{Others: math.MaxUint32}, {Slowdown: float32(math.NaN())}, {Slowdown: math.MaxFloat32}} {
--- a/internal/front/queueturn.go
+++ b/internal/front/queueturn.go
@@ -246,7 +246,7 @@
 		return
 	}
 	if head := q.queue.Next(now, func(r *fairqueue.HostRequest) bool { return r.Value.(*waiter).looking }); head != nil {
-		if room := head.Value.(*waiter).roomAt; room.Before(at) {
+		if room := later(head.Value.(*waiter).roomAt, now.Add(place.MinRoomWait)); room.Before(at) {
 			at = room
 		}
 	}
@@ -258,6 +258,13 @@
 	q.timer.Reset(wait)
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // refused returns the refusal of a waiting request whose turn cannot come in time; nil if it waits.
 func (q *hostQueue) refused(w *waiter) *fairqueue.HostRefusal {
 	q.mu.Lock()
