Logs say by which state a request was decided, and what confirmed it

The incident of a withdrawn key could not be told apart from its logs: the lines of served requests had neither the age nor the version of the configuration, and no line said whether the store or a peer had confirmed it. answered and refused now end with the state by which the host decided (age, version, confirmed_by, revision); state confirmed names each change of what confirms the state, store listed each listing, and balsambarrow_state_confirmations_total counts them by kind. No logic is changed.

--- a/internal/entryhost/activehosts.go
+++ b/internal/entryhost/activehosts.go
@@ -158,7 +158,7 @@
 		}
 		c.replaceState(c.d.now(), items, false)
 		c.revision = revision
-		c.noteStoreReached(sentAt)
+		c.noteStoreReached(sentAt, confirmedByListing)
 		close(d.listed)
 	})
 	await(ctx, d.listed, storeCallTimeout)
--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -66,6 +66,8 @@
 // pendingConfirm is a confirmation request that was sent to a peer.
 type pendingConfirm struct {
 	sentAt time.Time
+	// peer is the address that the request was sent to.
+	peer string
 	// referred is set if another peer referred this host to the peer that was queried.
 	referred bool
 	// withoutUpstreams is that of the request.
@@ -203,7 +205,7 @@
 // sendConfirmRequest sends q to an address and records it as request.
 func (c *control) sendConfirmRequest(now time.Time, address string, request pendingConfirm, q *fleet.ConfirmRequest) {
 	requests := &c.confirmRequests
-	request.sentAt = now
+	request.sentAt, request.peer = now, address
 	if len(requests.pending) >= maxPendingConfirms {
 		clear(requests.pending)
 	}
@@ -249,7 +251,7 @@
 	c.applyPeerChanges(now, a.Changes)
 	switch c.digests() {
 	case stateDigests{a.Base, a.Upstreams}:
-		c.advanceConfirmedAt(request.sentAt.Add(-time.Duration(a.AgeUs) * time.Microsecond))
+		c.advanceConfirmedAt(request.sentAt.Add(-time.Duration(a.AgeUs)*time.Microsecond), request.peer)
 		c.upstreamDemand.known = c.holdsUpstreams
 		c.revision = max(c.revision, a.Revision)
 	case before:
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -58,6 +58,8 @@
 	behind bool
 	// confirmedAt is the latest time as of which the state is known to have matched the store.
 	confirmedAt time.Time
+	// confirmedBy is what confirmed the state as of confirmedAt; see advanceConfirmedAt.
+	confirmedBy string
 	// listed is set once the host has received the state of the store, apart from the upstreams,
 	// from the store or from a peer.
 	listed           bool
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -51,6 +51,14 @@
 	return 0
 }
 
+// countConfirmation counts one confirmation of the state; by is that of advanceConfirmedAt.
+func (d *Daemon) countConfirmation(by string) {
+	if by != confirmedByWatch && by != confirmedByListing {
+		by = "peer"
+	}
+	d.metrics.Set.GetOrCreateCounter(fmt.Sprintf(`balsambarrow_state_confirmations_total{by=%q}`, by)).Inc()
+}
+
 // observeFailedAttempt counts one attempt at an upstream that did not answer the request.
 func (d *Daemon) observeFailedAttempt(outcome, zone string) {
 	d.metrics.Set.GetOrCreateCounter(fmt.Sprintf(`balsambarrow_upstream_failed_attempts_total{outcome=%q,zone=%q}`, outcome, zone)).Inc()
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -34,7 +34,8 @@
 		if !asOf.IsZero() {
 			c.revision = max(c.revision, l.Revision)
 		}
-		c.noteStoreReached(asOf)
+		c.d.events.Info("store listed", "first", first, "stale", asOf.IsZero(), "items", len(l.Items), "revision", l.Revision, "version", c.version())
+		c.noteStoreReached(asOf, confirmedByListing)
 	})
 }
 
@@ -96,7 +97,8 @@
 		c.behind = changes.More
 		c.applyChanges(now, changes.Events)
 		c.revision = max(c.revision, changes.Revision)
-		c.noteStoreReached(asOf)
+		c.d.events.Debug("store watched", "events", len(changes.Events), "revision", changes.Revision, "more", changes.More, "confirms", !asOf.IsZero(), "age", now.Sub(asOf))
+		c.noteStoreReached(asOf, confirmedByWatch)
 	})
 }
 
@@ -239,17 +241,30 @@
 	c.d.table.SetEvacuatedZones(c.d.now(), c.evacuatedZones)
 }
 
-// advanceConfirmedAt records that the state matched the store at the time asOf.
-func (c *control) advanceConfirmedAt(asOf time.Time) {
-	if asOf.After(c.confirmedAt) {
-		c.confirmedAt = asOf
+// What confirmed the state, in logs and metrics, if no peer did.
+const (
+	confirmedByWatch   = "watch"
+	confirmedByListing = "listing"
+)
+
+// advanceConfirmedAt records that the state matched the store at the time asOf. by is what
+// confirmed it: one of the constants, or the address of a peer.
+func (c *control) advanceConfirmedAt(asOf time.Time, by string) {
+	if !asOf.After(c.confirmedAt) {
+		return
+	}
+	c.d.countConfirmation(by)
+	if c.confirmedBy != by {
+		c.d.events.Info("state confirmed", "by", by, "before", c.confirmedBy, "age", c.d.now().Sub(asOf), "previous_age", c.d.now().Sub(c.confirmedAt),
+			"version", c.version(), "revision", c.revision)
 	}
+	c.confirmedAt, c.confirmedBy = asOf, by
 }
 
 // noteStoreReached records a successful response of the store itself, which confirms both the
 // state and the entry hosts' registrations.
-func (c *control) noteStoreReached(asOf time.Time) {
-	c.advanceConfirmedAt(asOf)
+func (c *control) noteStoreReached(asOf time.Time, by string) {
+	c.advanceConfirmedAt(asOf, by)
 	if !asOf.IsZero() {
 		c.upstreamDemand.known = c.holdsUpstreams
 	}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -155,6 +155,8 @@
 	traffic.Request
 	http    *http.Request
 	arrived time.Time
+	// state is the state by which the request was admitted; nil before.
+	state *State
 	// timeLimit is when the time that the caller and the route allow ends. deadline is when the
 	// request is given up: at the time limit, or at the end of a planned stop.
 	timeLimit time.Time
@@ -324,6 +326,7 @@
 // authorize sets the route and the customer of the request. It denies a request
 // only if the configuration is recent enough; see denyMaxAge.
 func (h *Handler) authorize(state *State, q *request) *refusal {
+	q.state = state
 	age := state.age(q.arrived)
 	deny := func(status int, cause Cause) *refusal {
 		if age > denyMaxAge {
@@ -413,13 +416,6 @@
 	return path
 }
 
-func (h *Handler) configVersion() uint64 {
-	if c := h.State().Catalog; c != nil {
-		return c.Version
-	}
-	return 0
-}
-
 // refuse sends a refusal to the caller, or aborts the connection if the caller has
 // disconnected.
 func (h *Handler) refuse(w http.ResponseWriter, q *request, f *refusal) {
@@ -429,9 +425,11 @@
 	}
 	took := h.Now().Sub(q.arrived)
 	h.Observe(Observation{Route: route, Status: f.status, Cause: f.cause, Duration: took, Sends: q.attempts.sends})
-	h.Log.Info("refused", "id", q.ID, "route", route, "service", q.service, "status", f.status, "cause", f.cause,
+	pairs := []any{
+		"id", q.ID, "route", route, "service", q.service, "status", f.status, "cause", f.cause,
 		"reason", f.reason, "retry_after", f.retryAfter, "took", took, "waited_at_host", q.waited, "sends", q.attempts.sends, "tried", q.attempts.tried,
-		"age", h.State().age(h.Now()), "version", h.configVersion())
+	}
+	h.Log.Info("refused", append(pairs, h.State().logPairs(h.Now())...)...)
 	if f.cause == CauseCallerLeft {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -150,6 +150,7 @@
 			"id", q.ID, "route", q.route.Name, "status", resp.status, "took", took,
 			"target", q.route.TargetLatency, "waited_at_host", q.waited, "sends", q.attempts.sends, "tried", q.attempts.tried, "relay", q.attempts.relay,
 		}
+		pairs = append(pairs, q.state.logPairs(q.arrived)...)
 		h.Log.Info("answered", append(pairs, q.attempts.latency.logPairs()...)...)
 	}
 }
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -13,6 +13,10 @@
 	// ConfirmedAt is the latest time at which Catalog was known to be the newest
 	// version.
 	ConfirmedAt time.Time
+	// ConfirmedBy is what confirmed the state, and Revision the store's revision that it
+	// describes. Both are for the log.
+	ConfirmedBy string
+	Revision    uint64
 	// UpstreamsKnown is set while the list of upstreams is loaded.
 	UpstreamsKnown bool
 	// Standby is set while other hosts serve the callers. The state of a standby
@@ -61,3 +65,16 @@
 
 // age returns the time since the configuration was last confirmed.
 func (s *State) age(now time.Time) time.Duration { return now.Sub(s.ConfirmedAt) }
+
+// version returns the version of the configuration; 0 if there is none.
+func (s *State) version() uint64 {
+	if s.Catalog == nil {
+		return 0
+	}
+	return s.Catalog.Version
+}
+
+// logPairs returns the state at a time as pairs of a log event.
+func (s *State) logPairs(now time.Time) []any {
+	return []any{"age", s.age(now), "version", s.version(), "confirmed_by", s.ConfirmedBy, "revision", s.Revision}
+}
