--- a/internal/entryhost/freshness_test.go
+++ b/internal/entryhost/freshness_test.go
@@ -1,10 +1,17 @@
 package entryhost_test
 
 import (
+	"fmt"
+	"math"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
+
+	"balsambarrow/internal/fleet"
 )
 
 // newLoggedSite returns a site whose logs are printed if the test fails.
@@ -39,3 +46,59 @@
 		ContainSubstring(`balsambarrow_state_confirmations_total{by="watch"}`),
 	))
 }
+
+// unconfirmedPeer responds to confirmation requests at an address like a process of an earlier
+// build that has listed the store, but was never confirmed, and holds the state of the requesting
+// host.
+func unconfirmedPeer(t *testing.T, address string) (answered *atomic.Int64) {
+	const ageOfZeroTimeUs = uint64(math.MaxInt64/time.Microsecond) + 1
+	var transport *fleet.Transport
+	NewWithT(t).Eventually(func() (err error) {
+		transport, err = fleet.Listen(address)
+		return err
+	}, "2s", "1ms").Should(Succeed())
+	answered = &atomic.Int64{}
+	go transport.Receive(t.Context(), func(p *fleet.Packet, from string) {
+		q := p.GetConfirmRequest()
+		if q == nil || q.Page != nil {
+			return
+		}
+		a := &fleet.ConfirmAnswer{
+			Id: q.Id, Base: q.Base, Upstreams: q.Upstreams, Hosts: q.Hosts, AgeUs: ageOfZeroTimeUs, HostsAgeUs: ageOfZeroTimeUs,
+		}
+		if transport.SendPacket(&fleet.Packet{Content: &fleet.Packet_ConfirmAnswer{ConfirmAnswer: a}}, from) == nil {
+			answered.Add(1)
+		}
+	}, func(error) {})
+	return answered
+}
+
+// Guards against a withdrawn key that a host accepts while it reaches neither the store nor its
+// peers, because a process that was restarted at the address of a peer had confirmed its state.
+func TestWithdrawnKeyIsRefusedAfterRestartOfPeer(t *testing.T) {
+	const revoke = 5 * time.Second // as in the settings of the site
+	g := NewWithT(t)
+	s, _ := newLoggedSite(t)
+	s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1")
+	gates := map[*host]*gate{}
+	for i, zone := range []string{"a1", "a2"} {
+		shutter, address := s.gate()
+		gates[s.hostWith(fmt.Sprint("h", i), zone, hostOptions{store: address})] = shutter
+	}
+	s.awaitServing()
+	watches := func(h *host) bool { return strings.Contains(s.metrics(h), "balsambarrow_watches_store 1") }
+	g.Eventually(func() bool { return watches(s.hosts[0]) != watches(s.hosts[1]) }, "10s", "20ms").Should(BeTrue())
+	watcher, other := s.hosts[0], s.hosts[1]
+	if watches(other) {
+		watcher, other = other, watcher
+	}
+	watcher.stopped.Store(true)
+	watcher.daemon.Kill()
+	answered := unconfirmedPeer(t, watcher.listen.Peers)
+	g.Eventually(answered.Load, "5s", "1ms").Should(BeNumerically(">", 0))
+	gates[other].shut.Store(true)
+	s.declare(5)
+	time.Sleep(revoke)
+	g.Expect(s.read(other).status).To(Equal(http.StatusServiceUnavailable))
+}
