A host whose state was never confirmed confirms no peer

Cause: a process that has listed the store has digests, and answered confirmation requests with them, also before the store or a peer had confirmed its state. Peers know a host by its instance but send to its address, and count it as alive for 1.3 to 8 s, so a process that is started again within that time receives the requests meant for its predecessor. The class: a time without evidence (a zero value, an unchecked number of a peer) is used as a time.

Why it works: a host is silent until its own state is confirmed, as it is before it has any state; the requesting host then asks a second peer or reads the store. The requesting host checks ages itself, because peers of earlier builds go on sending them.

--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -5,7 +5,10 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"balsambarrow/internal/fleet"
+	"balsambarrow/internal/freshness"
 	"balsambarrow/internal/rendezvous"
 )
 
@@ -227,7 +230,7 @@
 	delete(c.confirmRequests.pending, a.Id)
 	now := c.d.now()
 	if request.page {
-		c.applyPage(now, a, request.sentAt)
+		c.applyPage(now, a, request)
 		return
 	}
 	c.applyActiveSummary(now, a.Active)
@@ -242,7 +245,9 @@
 	hostsBefore := c.hosts.digest.Sum()
 	c.applyPeerChanges(now, a.HostChanges)
 	if c.hosts.digest.Sum() == a.Hosts {
-		c.hosts.advanceConfirmedAt(request.sentAt.Add(-time.Duration(a.HostsAgeUs) * time.Microsecond))
+		if asOf, ok := c.confirmedByPeer(request, a.HostsAgeUs); ok {
+			c.hosts.advanceConfirmedAt(asOf)
+		}
 	} else if c.hosts.digest.Sum() != hostsBefore {
 		// More registrations are missing than fit into one response.
 		c.confirmRequests.due = time.Time{}
@@ -251,9 +256,11 @@
 	c.applyPeerChanges(now, a.Changes)
 	switch c.digests() {
 	case stateDigests{a.Base, a.Upstreams}:
-		c.advanceConfirmedAt(request.sentAt.Add(-time.Duration(a.AgeUs)*time.Microsecond), request.peer)
-		c.upstreamDemand.known = c.holdsUpstreams
-		c.revision = max(c.revision, a.Revision)
+		if asOf, ok := c.confirmedByPeer(request, a.AgeUs); ok {
+			c.advanceConfirmedAt(asOf, request.peer)
+			c.upstreamDemand.known = c.holdsUpstreams
+			c.revision = max(c.revision, a.Revision)
+		}
 	case before:
 		c.handleMissingChanges(now, a, request)
 	default:
@@ -263,6 +270,18 @@
 	}
 }
 
+// confirmedByPeer returns the time as of which the response to a request confirms the state that
+// this host has in common with the peer. It returns false if the response confirms nothing.
+func (c *control) confirmedByPeer(request pendingConfirm, ageUs uint64) (asOf time.Time, ok bool) {
+	asOf, err := freshness.ConfirmedAt(request.sentAt, ageUs, time.Microsecond)
+	var invalid *freshness.InvalidAgeError
+	if errors.As(err, &invalid) {
+		c.d.metrics.Set.GetOrCreateCounter("balsambarrow_state_confirmations_invalid_total").Inc()
+		c.d.events.Warn("confirmation of a peer not usable", "peer", request.peer, "error", err)
+	}
+	return asOf, err == nil
+}
+
 // handleMissingChanges handles a response whose digest differs but which carried no usable
 // changes.
 func (c *control) handleMissingChanges(now time.Time, a *fleet.ConfirmAnswer, request pendingConfirm) {
--- a/internal/entryhost/confirmserver.go
+++ b/internal/entryhost/confirmserver.go
@@ -10,6 +10,7 @@
 	"balsambarrow/internal/fanout"
 	"balsambarrow/internal/fleet"
 	"balsambarrow/internal/follow"
+	"balsambarrow/internal/freshness"
 	"balsambarrow/internal/kv"
 )
 
@@ -103,7 +104,8 @@
 // handleConfirmRequest responds to a peer's confirmation request.
 func (d *Daemon) handleConfirmRequest(q *fleet.ConfirmRequest, from string) {
 	summary := d.summary.Load()
-	if summary == nil || summary.digests.base == 0 {
+	if summary == nil || summary.digests.base == 0 || summary.confirmedAt.IsZero() {
+		// The request may be meant for an earlier process at this address, whose state was confirmed.
 		return
 	}
 	if q.Page != nil {
@@ -218,8 +220,8 @@
 // registrations. confirmedAt and hostsConfirmedAt are the times as of which these are confirmed.
 func (d *Daemon) sendConfirmAnswer(a *fleet.ConfirmAnswer, confirmedAt, hostsConfirmedAt time.Time, to string) {
 	now := d.now()
-	a.AgeUs = uint64(now.Sub(confirmedAt).Microseconds()) + 1
-	a.HostsAgeUs = uint64(now.Sub(hostsConfirmedAt).Microseconds()) + 1
+	a.AgeUs = freshness.Age(now, confirmedAt, time.Microsecond)
+	a.HostsAgeUs = freshness.Age(now, hostsConfirmedAt, time.Microsecond)
 	if err := d.transport.SendPacket(&fleet.Packet{Content: &fleet.Packet_ConfirmAnswer{ConfirmAnswer: a}}, to); err != nil {
 		d.events.Debug("confirmation response not sent", "error", err)
 	}
--- a/internal/entryhost/stateload.go
+++ b/internal/entryhost/stateload.go
@@ -108,7 +108,7 @@
 }
 
 // applyPage adds a page to the copy.
-func (c *control) applyPage(now time.Time, a *fleet.ConfirmAnswer, sentAt time.Time) {
+func (c *control) applyPage(now time.Time, a *fleet.ConfirmAnswer, request pendingConfirm) {
 	l := &c.load
 	if !l.active || !a.Page {
 		return
@@ -133,7 +133,12 @@
 	}
 	l.attempts, l.due = 0, now
 	if l.sample {
-		c.applySample(now, sentAt.Add(-time.Duration(a.AgeUs)*time.Microsecond))
+		asOf, ok := c.confirmedByPeer(request, a.AgeUs)
+		if !ok {
+			c.load = stateLoad{}
+			return
+		}
+		c.applySample(now, asOf)
 		return
 	}
 	if a.More {
--- a/internal/entryhost/upstreamstate_test.go
+++ b/internal/entryhost/upstreamstate_test.go
@@ -48,7 +48,7 @@
 	c := newTestControl(t)
 	now := c.d.now()
 	c.startLoad(now, fleet.Scope_SCOPE_BASE, []string{"127.0.0.1:1"})
-	c.applyPage(now, evacuations("b1"), now)
+	c.applyPage(now, evacuations("b1"), pendingConfirm{sentAt: now})
 	NewWithT(t).Expect(c.listed).To(BeTrue())
 	return c
 }
@@ -116,8 +116,8 @@
 				a := &fleet.ConfirmAnswer{Page: true, Base: 7, Upstreams: peer.upstreams.digest.Sum(), Revision: revision}
 				a.Changes, a.More = peer.pageOf(fleet.Scope_SCOPE_UPSTREAMS, c.load.after)
 				g.Expect(proto.Size(a)).To(BeNumerically("<", 2*maxPageBytes))
-				c.applyPage(now, a, now)
-				c.applyPage(now, a, now) // a datagram may arrive twice
+				c.applyPage(now, a, pendingConfirm{sentAt: now})
+				c.applyPage(now, a, pendingConfirm{sentAt: now}) // a datagram may arrive twice
 				revision++
 				removed, added := upstreamItem(pages, revision), upstreamItem(upstreams+pages, revision)
 				peer.applyChanges(now, []kv.Event{{Item: removed, Deleted: true}, {Item: added}})
@@ -173,7 +173,7 @@
 				c.manageUpstreams(now)
 				c.continueLoad(now)
 				if answers {
-					c.applyPage(now, &fleet.ConfirmAnswer{Page: true, Base: 7, Later: true}, now)
+					c.applyPage(now, &fleet.ConfirmAnswer{Page: true, Base: 7, Later: true}, pendingConfirm{sentAt: now})
 				}
 				now = now.Add(200 * time.Millisecond)
 			}
--- a/spec/confirm.pml
+++ b/spec/confirm.pml
@@ -6,7 +6,9 @@
  * requests the digest of the watcher's state and the age of that state. If the digest
  * matches the host's own state, the host's state is valid as of the time at which it sent
  * the request, less the age. Messages may be delayed without limit, and the host may be
- * killed and restarted at the same address while a response to it is in flight.
+ * killed and restarted at the same address while a response to it is in flight. The watcher
+ * may be restarted at the same address, too; it then holds a stale listing, and responds
+ * only after its first read.
  *
  * Checked by assertions: a host whose state is valid as of some time has every version
  * that the store had by then.
@@ -15,11 +17,13 @@
  *   AS_OF_ANSWER  the host's state is valid as of the time at which a response arrives;
  *   NO_AGE        the host's state is valid as of the time of the request, without the age;
  *   READ_AT_END   the watcher's state is valid as of the time at which its read completes;
- *   ID_FROM_ONE   each process numbers its requests from one.
+ *   ID_FROM_ONE   each process numbers its requests from one;
+ *   UNCONFIRMED   a restarted watcher responds before its first read; it has no age to state.
  */
 #define LENGTH 4    /* ticks */
 #define VERSIONS 2
 #define PROCESSES 1 /* kills */
+#define RESTARTS 1  /* of the watcher */
 #define QUESTIONS 3 /* requests of all processes together */
 #define NONE 255
 
@@ -29,6 +33,8 @@
 
 byte watcherHas = 1;
 byte watcherAt;
+bool watcherConfirmed = true;
+byte watcherRestarts;
 
 byte hostHas = 1;
 byte hostAt;
@@ -67,8 +73,14 @@
 #else
        watcherAt = began;
 #endif
+       watcherConfirmed = true;
        holds(watcherHas, watcherAt); reading = 0; began = 0
      }
+  :: atomic {
+       watcherRestarts < RESTARTS ->
+       watcherRestarts++;
+       watcherHas = 1; watcherAt = 0; watcherConfirmed = false
+     }
   od
 }
 
@@ -85,7 +97,11 @@
 end:
   do
   :: atomic { asked == NONE && questions < QUESTIONS -> questions++; last++; question = last; asked = now; told = false }
-  :: atomic { asked != NONE && nfull(answers) && !told -> told = true; answers!question, watcherHas, now - watcherAt }
+#ifdef UNCONFIRMED
+  :: atomic { asked != NONE && nfull(answers) && !told -> told = true; answers!question, watcherHas, (watcherConfirmed -> now - watcherAt : 0) }
+#else
+  :: atomic { asked != NONE && nfull(answers) && !told && watcherConfirmed -> told = true; answers!question, watcherHas, now - watcherAt }
+#endif
   :: atomic { asked != NONE && now > asked + 1 -> asked = NONE } /* the request times out */
   :: atomic {
        answers??id, digest, age ->
