An impossible age in a peer's response confirms no configuration

The earlier daemon sends no age for a version that was never confirmed, but multiplied what a peer states unchecked: ages from ms wrapped around and confirmed the version as of 2262, so that max_staleness_ms never applied again. TestImpossibleAgeConfirmsNoVersion failed for two of four ages.

It now uses internal/freshness, like the entry host. The other ages on the wire (load reports, slowdowns, rate limits, room) are 32-bit milliseconds of times that exist, and cannot wrap around.

--- a/internal/daemon/config_confirmation_test.go
+++ b/internal/daemon/config_confirmation_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -44,6 +46,16 @@
 	g.Expect(confirmationTime(time.Unix(1, 0), 0)).To(BeZero())
 }
 
+// Guards against an age in a peer's response that does not fit into a time.Duration: the version
+// would be confirmed as of a time in the future, and never become stale.
+func TestImpossibleAgeConfirmsNoVersion(t *testing.T) {
+	for _, age := range []int64{-1, math.MinInt64, math.MaxInt64, math.MaxInt64/1_000_000 + 1} {
+		t.Run(fmt.Sprint(age), func(t *testing.T) {
+			NewWithT(t).Expect(confirmationTime(time.Unix(1, 0), age)).To(BeZero())
+		})
+	}
+}
+
 // Guards against a wrong confirmation time from a watch that reports no change. It
 // confirms the version until its wait ended, but if the response came before the
 // wait could have ended, only until the call was sent.
--- a/internal/daemon/config_peers.go
+++ b/internal/daemon/config_peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"balsambarrow/internal/config"
+	"balsambarrow/internal/freshness"
 	"balsambarrow/internal/membership"
 	"balsambarrow/internal/peer"
 )
@@ -250,23 +251,22 @@
 	return collected
 }
 
-// ageMs returns the age of a time in milliseconds as it is sent to a peer: 0 if
-// the time is zero, otherwise rounded up, so at least 1.
+// ageMs returns the age of a confirmation in milliseconds as it is sent to a peer;
+// 0 if there was none.
 func ageMs(at, now time.Time) int64 {
-	if at.IsZero() {
-		return 0
-	}
-	return max(now.Sub(at).Milliseconds(), 0) + 1
+	return int64(freshness.Age(now, at, time.Millisecond))
 }
 
 // confirmationTime converts the age in a response to a call sent at sentAt to a
-// time of the local clock. The peer computed the age no earlier than sentAt, so
+// time of the local clock, and returns the zero time if the age confirms nothing.
+// The peer computed the age no earlier than sentAt, so
 // the result is never later than the real time of confirmation, no matter how
 // long the response took. For a message that is not a response to a call, there
 // is no such bound, and its age is not used.
 func confirmationTime(sentAt time.Time, ageMillis int64) time.Time {
-	if ageMillis <= 0 {
+	at, err := freshness.ConfirmedAt(sentAt, uint64(max(ageMillis, 0)), time.Millisecond)
+	if err != nil {
 		return time.Time{}
 	}
-	return sentAt.Add(-time.Duration(ageMillis) * time.Millisecond)
+	return at
 }
