A first listing is complete up to its oldest page, not up to its newest item

Callers would see: a key that was withdrawn before a host started is accepted by that host until the next change of the configuration.

Cause: a first listing may be stale, and its pages may be of different ages. The first watch began at the newest revision of any item. If the page with the configuration was older than the page with the registrations, a version in between lay before the start of the watch, was never delivered, and each watch after that confirmed the state without it. The lowest label of the pages protects only if the store labels a stale page with its own age, which its pages do not promise.

Evidence: the stand-in gives each stale page an age of its own now (SetStalePages).

Why it works: a page contains every change of its keys up to its newest item, whatever its label says; the listing is complete up to the lowest of these, and the watch begins there.

--- a/internal/entryhost/freshness_test.go
+++ b/internal/entryhost/freshness_test.go
@@ -102,3 +102,20 @@
 	time.Sleep(revoke)
 	g.Expect(s.read(other).status).To(Equal(http.StatusServiceUnavailable))
 }
+
+// Guards against a host whose first listing had a page that was older than the others. It never
+// received the withdrawal of a key between the ages of the pages, and went on accepting that key.
+func TestWithdrawnKeyIsRefusedAfterListingOfUnequalPages(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := newLoggedSite(t)
+	s.store.PageItems = 1
+	s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1")
+	old := s.store.Revision("op/config")
+	s.declare(5)
+	s.worker("i-2", "s", "a1", 0)
+	s.store.SetStalePages(old)
+	h := s.host("h0", "a1")
+	g.Eventually(h.ready, "10s", "20ms").Should(BeTrue())
+	g.Expect(s.read(h).status).To(Equal(http.StatusUnauthorized))
+}
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -67,11 +67,12 @@
 	Deleted bool
 }
 
-// Listing holds the keys with a prefix. It is read in pages, so it may lack changes
-// that were made while it was read; a watch from Revision returns them.
+// Listing holds the keys with a prefix. It is read in pages, each of which may show the
+// store at another revision.
 type Listing struct {
 	Items []Item
-	// Revision is the lowest revision of any page.
+	// Revision is the revision up to which all pages are complete. A watch from there
+	// returns the changes that any of them lacks.
 	Revision uint64
 }
 
--- a/internal/standin/kvhandler.go
+++ b/internal/standin/kvhandler.go
@@ -116,11 +116,14 @@
 	respond(w, i)
 }
 
-// visibleItems returns the items that a listing contains. The caller must hold s.mu.
-func (s *KVStore) visibleItems(stale bool) map[string]storeItem {
+// visibleItems returns the items that the page of a listing after a key contains. The caller must hold
+// s.mu.
+func (s *KVStore) visibleItems(stale bool, after string) map[string]storeItem {
 	switch {
 	case !stale:
 		return s.items
+	case s.stalePageAfter[after] < len(s.stalePages):
+		return s.itemsAt(s.stalePages[s.stalePageAfter[after]])
 	case s.staleReadsEmpty:
 		return nil
 	case s.faults.StaleAge == 0:
@@ -135,18 +138,21 @@
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	s.mu.Lock()
 	var page []storeItem
-	for _, i := range s.visibleItems(allowsStale(r)) {
+	for _, i := range s.visibleItems(allowsStale(r), after) {
 		if strings.HasPrefix(i.Key, prefix) && i.Key > after {
 			page = append(page, i)
 		}
 	}
 	revision := s.revision
-	s.mu.Unlock()
 	sort.Slice(page, func(a, b int) bool { return page[a].Key < page[b].Key })
 	more := len(page) > s.PageItems
 	if more {
 		page = page[:s.PageItems]
+		if s.stalePages != nil {
+			s.stalePageAfter[page[len(page)-1].Key] = s.stalePageAfter[after] + 1
+		}
 	}
+	s.mu.Unlock()
 	respond(w, map[string]any{"items": page, "has-more": more, "store-revision": revision})
 }
 
--- a/internal/standin/kvstore.go
+++ b/internal/standin/kvstore.go
@@ -61,8 +61,14 @@
 	// staleItems is the content of listings that allow stale results, as of staleItemsAt.
 	staleItems   map[string]storeItem
 	staleItemsAt time.Time
-	revision     uint64
-	items        map[string]storeItem
+	// stalePages are the revisions that the pages of listings that allow stale results show, and
+	// stalePageAfter is the number of the page that follows a key.
+	stalePages     []uint64
+	stalePageAfter map[string]int
+	revision       uint64
+	items          map[string]storeItem
+	// history is all changes, also those that watches no longer return.
+	history []storeItem
 	// events is the history of changes after compactedRevision.
 	events            []storeItem
 	compactedRevision uint64
@@ -117,6 +123,30 @@
 	s.staleReadsEmpty = empty
 }
 
+// SetStalePages makes each page of listings that allow stale results as old as the page's revision; the
+// pages after those are current. All are labelled with the store's current revision.
+func (s *KVStore) SetStalePages(revisions ...uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stalePages, s.stalePageAfter = revisions, map[string]int{}
+}
+
+// itemsAt returns the content of the store at a revision. The caller must hold s.mu.
+func (s *KVStore) itemsAt(revision uint64) map[string]storeItem {
+	out := map[string]storeItem{}
+	for _, i := range s.history {
+		switch {
+		case i.Revision > revision:
+			return out
+		case i.Deleted:
+			delete(out, i.Key)
+		default:
+			out[i.Key] = i
+		}
+	}
+	return out
+}
+
 // Put writes a key without a lease, as an operator or an upstream does.
 func (s *KVStore) Put(key string, value []byte) uint64 {
 	s.mu.Lock()
@@ -177,8 +207,7 @@
 		i.Created = old.Created
 	}
 	s.items[i.Key] = i
-	s.events = append(s.events, i)
-	s.notifyWatchers()
+	s.record(i)
 	return s.revision
 }
 
@@ -188,7 +217,13 @@
 	}
 	delete(s.items, key)
 	s.revision++
-	s.events = append(s.events, storeItem{Key: key, Revision: s.revision, Deleted: true})
+	s.record(storeItem{Key: key, Revision: s.revision, Deleted: true})
+}
+
+// record adds a change to the history, and notifies the watches.
+func (s *KVStore) record(i storeItem) {
+	s.events = append(s.events, i)
+	s.history = append(s.history, i)
 	s.notifyWatchers()
 }
 
