A listing does not take back later changes that peers have reported

Callers could see: a request sent to an upstream that had left, or into a zone that is evacuated, for up to a second after the store had dropped its history and all hosts listed it again.

Cause: a listing replaced the whole state. While it is on its way, up to a quarter of a second from a far region, peers report later changes.

Evidence: TestListingDoesNotTakeBackLaterChangesOfPeers failed before: a zone that was evacuated after the listing was taken back.

Why it works: a listing of a known state is applied as changes. Registrations that a starting host reads separately take the same way, so that a later listing knows them. UpstreamRegistry.Unlisted has no callers any more; the test that used it to show that an entry is gone shows it by an older entry that is accepted again.

--- a/internal/entryhost/activehosts.go
+++ b/internal/entryhost/activehosts.go
@@ -156,7 +156,7 @@
 		if c.listed {
 			return
 		}
-		c.replaceState(c.d.now(), items, false)
+		c.loadState(c.d.now(), items, false)
 		c.revision = revision
 		c.noteStoreReached(sentAt, confirmedByListing)
 		close(d.listed)
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -165,10 +165,11 @@
 	r.d.control.send(func(c *control) {
 		defer close(applied)
 		now := c.d.now()
+		events := make([]kv.Event, 0, len(l.Items))
 		for _, item := range l.Items {
-			c.setHostRegistration(item)
+			events = append(events, kv.Event{Item: item})
 		}
-		c.updateMembers(now)
+		c.applyChanges(now, events)
 		c.shouldBeActive(now, nil)
 	})
 	await(ctx, applied, registrationTimeout)
--- a/internal/entryhost/stateload.go
+++ b/internal/entryhost/stateload.go
@@ -156,7 +156,7 @@
 	case l.scope == fleet.Scope_SCOPE_UPSTREAMS && c.listed && !c.holdsUpstreams:
 		c.addUpstreams(now, l.items)
 	case l.scope == fleet.Scope_SCOPE_BASE && !c.listed:
-		c.replaceState(now, l.items, false)
+		c.loadState(now, l.items, false)
 		c.revision = a.Revision
 		// This host is weak compared with the peer, and registers as a standby.
 		close(c.d.listed)
--- a/internal/entryhost/stateload_test.go
+++ b/internal/entryhost/stateload_test.go
@@ -79,3 +79,26 @@
 		})
 	}
 }
+
+// Guards against a listing that was on its way while peers reported later changes: the host would go
+// back to the state of the listing, and consider it confirmed as of the time of the changes.
+func TestListingDoesNotTakeBackLaterChangesOfPeers(t *testing.T) {
+	evacuation := func(zone string, revision uint64) kv.Item {
+		return kv.Item{Key: "op/evacuate/" + zone, Value: []byte("{}"), Revision: revision}
+	}
+	g := NewWithT(t)
+	c := newTestControl(t)
+	now := c.d.now()
+	storeSink{c}.OnList(kv.Listing{Items: []kv.Item{evacuation("a1", 41), evacuation("a2", 42)}, Revision: 50}, time.Time{})
+	c.handleQueued()
+	c.applyChanges(now, []kv.Event{{Item: evacuation("b1", 70)}, {Item: evacuation("a1", 71), Deleted: true}})
+	digests := c.digests()
+	storeSink{c}.OnList(kv.Listing{Items: []kv.Item{evacuation("a1", 41)}, Revision: 60}, now)
+	c.handleQueued()
+	g.Expect(c.evacuatedZones).To(HaveKey("b1"), "written after the listing")
+	g.Expect(c.evacuatedZones).NotTo(HaveKey("a1"), "deleted after the listing")
+	g.Expect(c.evacuatedZones).NotTo(HaveKey("a2"), "deleted before the listing")
+	changes, known := c.base.journal.Since(digests.base, maxChangeBytes)
+	g.Expect(known).To(BeTrue(), "peers can still be sent the change")
+	g.Expect(changes).To(HaveLen(1))
+}
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -22,14 +22,14 @@
 		now := c.d.now()
 		c.upstreamRegistry.StoreReached(now)
 		first := !c.listed
-		if first || !asOf.IsZero() {
-			c.replaceState(now, l.Items, true)
-		}
 		if first {
+			c.loadState(now, l.Items, true)
 			// The registration follows, and its type depends on whether the host should hold rate
 			// shares. shouldBeActive updates that.
 			c.shouldBeActive(now, nil)
 			close(c.d.listed)
+		} else if !asOf.IsZero() {
+			c.applyListing(now, l)
 		}
 		if !asOf.IsZero() {
 			c.revision = max(c.revision, l.Revision)
@@ -39,54 +39,46 @@
 	})
 }
 
-// replaceState replaces the state by all items of the store, which a listing or a peer has
-// provided.
-// withUpstreams is set if the items include the registrations of upstreams; a host that holds
-// none ignores them.
-func (c *control) replaceState(now time.Time, items []kv.Item, withUpstreams bool) {
-	if !c.listed {
-		c.holdsUpstreams = withUpstreams
+// applyListing applies a listing to a state that is known. A key keeps its state if a peer has reported
+// a later change of it.
+func (c *control) applyListing(now time.Time, l kv.Listing) {
+	listed := make(map[string]bool, len(l.Items))
+	events := make([]kv.Event, 0, len(l.Items))
+	for _, item := range l.Items {
+		listed[item.Key] = true
+		events = append(events, kv.Event{Item: item})
+	}
+	for key := range c.items {
+		if !listed[key] {
+			events = append(events, kv.Event{Item: kv.Item{Key: key, Revision: l.Revision}, Deleted: true})
+		}
 	}
+	c.applyChanges(now, events)
+}
+
+// loadState sets the first state, which a listing or a peer has provided. withUpstreams is set if the
+// items include the registrations of upstreams.
+func (c *control) loadState(now time.Time, items []kv.Item, withUpstreams bool) {
+	c.holdsUpstreams = withUpstreams
 	for _, s := range c.sections() {
 		if c.keeps(s) {
 			s.reset(c.itemsOf(s, items))
 		}
 	}
 	c.clearItems()
-	upstreams, zones := map[string]bool{}, map[string]bool{}
 	for key := range c.registrations {
 		c.removeHostRegistration(key)
 	}
 	for _, item := range items {
-		if zone, ok := platform.EvacuatedZone(item.Key); ok {
-			zones[zone] = true
-		}
-		if id, ok := platform.UpstreamID(item.Key); ok {
-			upstreams[id] = true
-		}
 		c.applyWrite(now, item)
 	}
-	if c.holdsUpstreams {
-		for _, id := range c.upstreamRegistry.Unlisted(upstreams) {
-			c.deleteUpstreamEntry(now, id)
-		}
-	}
-	for zone := range c.evacuatedZones {
-		if !zones[zone] {
-			c.setEvacuated(zone, false)
-		}
-	}
-	if !c.listed {
-		c.restoreSnapshot(now, items)
-	}
+	c.restoreSnapshot(now, items)
 	c.updateMembers(now)
-	if !c.listed {
-		c.listed = true
-		if c.holdsUpstreams {
-			c.upstreamDemand.until, c.upstreamDemand.known = now.Add(upstreamRetention), true
-		}
-		c.d.hasPeers.Store(len(c.registrations) > 0)
+	c.listed = true
+	if c.holdsUpstreams {
+		c.upstreamDemand.until, c.upstreamDemand.known = now.Add(upstreamRetention), true
 	}
+	c.d.hasPeers.Store(len(c.registrations) > 0)
 }
 
 // OnChanges implements follow.Sink.
--- a/internal/entryhost/upstreamstate_test.go
+++ b/internal/entryhost/upstreamstate_test.go
@@ -87,7 +87,7 @@
 		var lines bytes.Buffer
 		c.d.events = telemetry.NewEvents(&lines, "info", "h")
 		now := c.d.now()
-		c.replaceState(now, registrations(upstreams), true)
+		c.loadState(now, registrations(upstreams), true)
 		c.upstreamLog.flush(c.d.events)
 		writeQueued(c.d.events)
 		g.Expect(bytes.Count(lines.Bytes(), []byte("\n"))).To(Equal(1))
@@ -104,7 +104,7 @@
 			g := NewWithT(t)
 			peer, c := newTestControl(t), startedStandby(t)
 			now := c.d.now()
-			peer.replaceState(now, registrations(upstreams), true)
+			peer.loadState(now, registrations(upstreams), true)
 			c.upstreamDemand.until = now.Add(time.Minute)
 			c.upstreamDemand.loadStartedAt = now
 			c.startLoad(now, fleet.Scope_SCOPE_UPSTREAMS, []string{"127.0.0.1:1"})
@@ -147,7 +147,7 @@
 	g := NewWithT(t)
 	c := newTestControl(t)
 	now := c.d.now()
-	c.replaceState(now, append(registrations(100), kv.Item{Key: "op/evacuate/b1", Value: []byte("{}"), Revision: 200}), true)
+	c.loadState(now, append(registrations(100), kv.Item{Key: "op/evacuate/b1", Value: []byte("{}"), Revision: 200}), true)
 	c.manageUpstreams(now.Add(upstreamRetention - 1))
 	g.Expect(c.d.table.Size()).To(Equal(100))
 	c.manageUpstreams(now.Add(upstreamRetention))
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -48,7 +48,7 @@
 	r.Put(upstreamEntry("a", 1, 1))
 	g.Expect(r.EntryRemoved(start, "a")).To(BeTrue())
 	g.Expect(r.EntryRemoved(start, "a")).To(BeFalse())
-	g.Expect(r.Unlisted(nil)).To(BeEmpty())
+	g.Expect(r.Put(upstreamEntry("a", 0, 0))).To(BeTrue(), "the earlier entry is not remembered")
 }
 
 // A write may take effect late. A late write of an earlier run, or with a lower
--- a/internal/follow/registry.go
+++ b/internal/follow/registry.go
@@ -99,14 +99,3 @@
 	}
 	return out
 }
-
-// Unlisted returns the known upstreams that are not in listed.
-func (r *UpstreamRegistry) Unlisted(listed map[string]bool) []string {
-	var out []string
-	for id := range r.entries {
-		if !listed[id] {
-			out = append(out, id)
-		}
-	}
-	return out
-}
