A state is confirmed only as far as it is complete

Callers would see: a withdrawn key accepted, or a request sent to an upstream that has left, by a host that copied its state from a peer.

Cause: a watch after a revision confirms that nothing has happened since. That was taken for a confirmation of the state, although nothing checked that the state held everything up to that revision. Two ways in which it does not: (1) A copy of several pages from a peer was watched on from the revision of its last page. (2) A host that copied the upstreams from a peer which was behind confirmed them by its own watch from a later revision.

Evidence: TestCopyIsCompleteToItsFirstPage and TestWatchFromALaterRevisionDoesNotConfirmCopiedUpstreams failed before.

Why it works: each section of the state (configuration and zones, upstreams, entry hosts) has the revision up to which it is complete. Only what extends a section without a gap moves it: a listing, a watch from no later than there, a copy (from the revision of its first page), or a confirmed peer with an equal digest. A watch from a later revision confirms nothing, and the follower goes back to where the state is complete, at once; if the store no longer has that history, it lists. The follower waits for the control thread to have applied each response. TestFollowerGoesBackToWhereTheStateIsComplete shows the last.

--- a/internal/entryhost/activehosts.go
+++ b/internal/entryhost/activehosts.go
@@ -157,8 +157,10 @@
 			return
 		}
 		c.loadState(c.d.now(), items, false)
-		c.revision = revision
-		c.noteStoreReached(sentAt, confirmedByListing)
+		c.setCompleteTo(revision, c.sections()...)
+		c.noteStoreReached()
+		c.confirm(sentAt, confirmedByListing)
+		c.hosts.advanceConfirmedAt(sentAt)
 		close(d.listed)
 	})
 	await(ctx, d.listed, storeCallTimeout)
@@ -196,7 +198,7 @@
 		if !c.listed {
 			c.load = stateLoad{}
 		}
-		revisions <- c.revision
+		revisions <- c.completeTo()
 	})
 	select {
 	case revision = <-revisions:
--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -247,6 +247,7 @@
 	if c.hosts.digest.Sum() == a.Hosts {
 		if asOf, ok := c.confirmedByPeer(request, a.HostsAgeUs); ok {
 			c.hosts.advanceConfirmedAt(asOf)
+			c.setCompleteTo(a.Revision, &c.hosts.section)
 		}
 	} else if c.hosts.digest.Sum() != hostsBefore {
 		// More registrations are missing than fit into one response.
@@ -259,7 +260,7 @@
 		if asOf, ok := c.confirmedByPeer(request, a.AgeUs); ok {
 			c.advanceConfirmedAt(asOf, request.peer)
 			c.upstreamDemand.known = c.holdsUpstreams
-			c.revision = max(c.revision, a.Revision)
+			c.setCompleteTo(a.Revision, &c.base, &c.upstreams)
 		}
 	case before:
 		c.handleMissingChanges(now, a, request)
@@ -290,7 +291,7 @@
 		c.confirmRequests.due = now.Add(deferredRetryDelay)
 		c.requestFromSources(now, a, request)
 	case request.referred:
-	case a.Behind || a.Revision > 0 && a.Revision < c.revision:
+	case a.Behind || a.Revision > 0 && a.Revision < c.completeTo():
 		// The peer is behind and catches up with its next read of the store.
 	default:
 		c.d.readStoreNow("changes not known to the peer")
--- a/internal/entryhost/confirm_test.go
+++ b/internal/entryhost/confirm_test.go
@@ -40,8 +40,7 @@
 	if stale {
 		asOf = time.Time{}
 	}
-	storeSink{c}.OnList(kv.Listing{Items: []kv.Item{{Key: "op/evacuate/a1", Value: []byte("{}"), Revision: 7}}, Revision: 7}, asOf)
-	c.handleQueued()
+	c.handleListing(kv.Listing{Items: []kv.Item{{Key: "op/evacuate/a1", Value: []byte("{}"), Revision: 7}}, Revision: 7}, asOf)
 	c.confirmState(c.d.now())
 	return c
 }
--- a/internal/entryhost/confirmserver.go
+++ b/internal/entryhost/confirmserver.go
@@ -35,7 +35,7 @@
 	// hostsDigest and hostsConfirmedAt are the same for the registrations of entry hosts.
 	hostsDigest      uint64
 	hostsConfirmedAt time.Time
-	// revision is the store's revision that the digests describe.
+	// revision is the store's revision up to which the state is complete.
 	revision uint64
 	// active is the summary for standbys; nil on a standby.
 	active *fleet.ActiveSummary
@@ -79,7 +79,7 @@
 // with their next confirmation request.
 func (c *control) publishSummary(now time.Time, watches bool) {
 	before := c.d.summary.Load()
-	next := storeSummary{c.digests(), c.holdsUpstreams, c.confirmedAt, c.hosts.digest.Sum(), c.hosts.confirmedAt, c.revision, c.published.activeSummary, c.behind}
+	next := storeSummary{c.digests(), c.holdsUpstreams, c.confirmedAt, c.hosts.digest.Sum(), c.hosts.confirmedAt, c.completeTo(), c.published.activeSummary, c.behind}
 	if before != nil && *before == next {
 		return
 	}
@@ -133,7 +133,7 @@
 // carries the changes that the peer lacks, if they are known and fit into it, or the addresses
 // of patch sources, if this host has used up its link's send allowance.
 func (c *control) respondWithChanges(q *fleet.ConfirmRequest, from string) {
-	a := &fleet.ConfirmAnswer{Id: q.Id, Base: c.base.digest.Sum(), Hosts: c.hosts.digest.Sum(), Revision: c.revision, Behind: c.behind}
+	a := &fleet.ConfirmAnswer{Id: q.Id, Base: c.base.digest.Sum(), Hosts: c.hosts.digest.Sum(), Revision: c.completeTo(), Behind: c.behind}
 	changes := changesSince(&c.base.journal, q.Base, maxChangeBytes)
 	if !q.WithoutUpstreams {
 		a.Upstreams = c.upstreams.digest.Sum()
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -47,10 +47,8 @@
 	registrations    map[string]fleet.Registration
 	upstreamRegistry *follow.UpstreamRegistry
 	catalog          *catalog.Catalog
-	// items holds the items of the store except snapshots. revision is the store's revision at
-	// the latest read, made by this host or by the peer that confirmed the same state.
-	items    map[string]kv.Item
-	revision uint64
+	// items holds the items of the store except snapshots.
+	items map[string]kv.Item
 	// configuration is the encoded value of catalog.
 	configuration  []byte
 	evacuatedZones map[string]bool
--- a/internal/entryhost/sections.go
+++ b/internal/entryhost/sections.go
@@ -12,6 +12,18 @@
 	digest    follow.Digest
 	journal   follow.Journal
 	revisions follow.KeyRevisions
+	// completeTo is the revision of the store up to which the section has every change.
+	completeTo uint64
+}
+
+// extend records that the section has received all changes after one revision up to another. It
+// returns false if the section lacks changes before those.
+func (s *section) extend(after, to uint64) bool {
+	if after > s.completeTo {
+		return false
+	}
+	s.completeTo = max(s.completeTo, to)
+	return true
 }
 
 // apply applies the events that are newer than the known state of the section and adds those
@@ -47,6 +59,24 @@
 // sections returns all sections.
 func (c *control) sections() []*section { return []*section{&c.base, &c.upstreams, &c.hosts.section} }
 
+// completeTo returns the revision of the store up to which the state has every change.
+func (c *control) completeTo() uint64 {
+	out := min(c.base.completeTo, c.hosts.completeTo)
+	if c.holdsUpstreams {
+		out = min(out, c.upstreams.completeTo)
+	}
+	return out
+}
+
+// setCompleteTo records that sections are complete up to a revision, as far as this host keeps them.
+func (c *control) setCompleteTo(revision uint64, sections ...*section) {
+	for _, s := range sections {
+		if c.keeps(s) {
+			s.completeTo = max(s.completeTo, revision)
+		}
+	}
+}
+
 // eventsOf returns the events of a section, in their order.
 func (c *control) eventsOf(s *section, events []kv.Event) []kv.Event {
 	var out []kv.Event
--- a/internal/entryhost/stateload.go
+++ b/internal/entryhost/stateload.go
@@ -45,8 +45,9 @@
 	// after is the last key received. items are the items so far.
 	after string
 	items []kv.Item
-	// base, upstreams and hosts are the digests at the first page.
-	base, upstreams, hosts uint64
+	// base, upstreams and hosts are the digests at the first page, and revision is the revision up to
+	// which the peer's state was complete then.
+	base, upstreams, hosts, revision uint64
 }
 
 // startLoad begins to copy a part of the state from one of the peers.
@@ -96,7 +97,7 @@
 	}
 	digests := c.digests()
 	a := &fleet.ConfirmAnswer{
-		Id: q.Id, Base: digests.base, Upstreams: digests.upstreams, Hosts: c.hosts.digest.Sum(), Revision: c.revision, Page: true,
+		Id: q.Id, Base: digests.base, Upstreams: digests.upstreams, Hosts: c.hosts.digest.Sum(), Revision: c.completeTo(), Page: true,
 	}
 	items, more := c.pageOf(q.Page.Scope, q.Page.After)
 	if c.fanout.Take(now, proto.Size(&fleet.ConfirmAnswer{Changes: items}), c.d.capacity().LinkMbps) {
@@ -125,7 +126,7 @@
 		return // a page that has arrived before
 	}
 	if l.after == "" {
-		l.base, l.upstreams, l.hosts = a.Base, a.Upstreams, a.Hosts
+		l.base, l.upstreams, l.hosts, l.revision = a.Base, a.Upstreams, a.Hosts, a.Revision
 	}
 	for _, x := range a.Changes {
 		l.items = append(l.items, itemOf(x))
@@ -154,17 +155,17 @@
 	c.load = stateLoad{}
 	switch {
 	case l.scope == fleet.Scope_SCOPE_UPSTREAMS && c.listed && !c.holdsUpstreams:
-		c.addUpstreams(now, l.items)
+		c.addUpstreams(now, l.items, l.revision)
 	case l.scope == fleet.Scope_SCOPE_BASE && !c.listed:
 		c.loadState(now, l.items, false)
-		c.revision = a.Revision
+		c.setCompleteTo(l.revision, c.sections()...)
 		// This host is weak compared with the peer, and registers as a standby.
 		close(c.d.listed)
 	default:
 		return
 	}
 	c.d.events.Info("state copied from a peer", "scope", l.scope, "peer", l.peers[0], "items", len(l.items),
-		"revision", a.Revision, "version", c.version(), "age_us", a.AgeUs)
+		"revision", l.revision, "version", c.version(), "age_us", a.AgeUs)
 	q := &fleet.ConfirmRequest{Base: l.base, Hosts: l.hosts, WithoutUpstreams: true}
 	if l.scope == fleet.Scope_SCOPE_UPSTREAMS {
 		q = &fleet.ConfirmRequest{Base: c.base.digest.Sum(), Upstreams: l.upstreams, Hosts: c.hosts.digest.Sum()}
--- a/internal/entryhost/stateload_test.go
+++ b/internal/entryhost/stateload_test.go
@@ -56,10 +56,10 @@
 	c.startLoad(now, fleet.Scope_SCOPE_BASE, []string{"127.0.0.1:1"})
 	c.applyPage(now, evacuations("a1"), pendingConfirm{sentAt: now})
 	g.Expect(c.evacuatedZones).To(HaveKey("a1"))
-	storeSink{c}.OnList(kv.Listing{Revision: 30}, time.Time{})
+	c.handleListing(kv.Listing{Revision: 30}, time.Time{})
 	c.handleQueued()
 	g.Expect(c.evacuatedZones).To(HaveKey("a1"))
-	storeSink{c}.OnList(kv.Listing{Revision: 60}, now)
+	c.handleListing(kv.Listing{Revision: 60}, now)
 	c.handleQueued()
 	g.Expect(c.evacuatedZones).NotTo(HaveKey("a1"), "a current listing replaces the state")
 }
@@ -80,6 +80,23 @@
 	}
 }
 
+// Guards against a copy that holds an old configuration from its first page, and a host that watches
+// the store from the revision of the last page: it would never learn of a change between the two.
+func TestCopyIsCompleteToItsFirstPage(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestControl(t)
+	now := c.d.now()
+	c.startLoad(now, fleet.Scope_SCOPE_BASE, []string{"127.0.0.1:1"})
+	first, last := evacuations("a1"), evacuations()
+	first.More = true
+	last.Revision = first.Revision + 10
+	for _, page := range []*fleet.ConfirmAnswer{first, last} {
+		c.applyPage(now, page, pendingConfirm{sentAt: now})
+	}
+	g.Expect(c.listed).To(BeTrue())
+	g.Expect(c.completeTo()).To(Equal(first.Revision))
+}
+
 // Guards against a listing that was on its way while peers reported later changes: the host would go
 // back to the state of the listing, and consider it confirmed as of the time of the changes.
 func TestListingDoesNotTakeBackLaterChangesOfPeers(t *testing.T) {
@@ -89,12 +106,10 @@
 	g := NewWithT(t)
 	c := newTestControl(t)
 	now := c.d.now()
-	storeSink{c}.OnList(kv.Listing{Items: []kv.Item{evacuation("a1", 41), evacuation("a2", 42)}, Revision: 50}, time.Time{})
-	c.handleQueued()
+	c.handleListing(kv.Listing{Items: []kv.Item{evacuation("a1", 41), evacuation("a2", 42)}, Revision: 50}, time.Time{})
 	c.applyChanges(now, []kv.Event{{Item: evacuation("b1", 70)}, {Item: evacuation("a1", 71), Deleted: true}})
 	digests := c.digests()
-	storeSink{c}.OnList(kv.Listing{Items: []kv.Item{evacuation("a1", 41)}, Revision: 60}, now)
-	c.handleQueued()
+	c.handleListing(kv.Listing{Items: []kv.Item{evacuation("a1", 41)}, Revision: 60}, now)
 	g.Expect(c.evacuatedZones).To(HaveKey("b1"), "written after the listing")
 	g.Expect(c.evacuatedZones).NotTo(HaveKey("a1"), "deleted after the listing")
 	g.Expect(c.evacuatedZones).NotTo(HaveKey("a2"), "deleted before the listing")
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -17,26 +17,31 @@
 type storeSink struct{ c *control }
 
 // OnList implements follow.Sink.
-func (s storeSink) OnList(l kv.Listing, asOf time.Time) {
-	s.c.send(func(c *control) {
-		now := c.d.now()
-		c.upstreamRegistry.StoreReached(now)
-		first := !c.listed
-		if first {
-			c.loadState(now, l.Items, true)
-			// The registration follows, and its type depends on whether the host should hold rate
-			// shares. shouldBeActive updates that.
-			c.shouldBeActive(now, nil)
-			close(c.d.listed)
-		} else if !asOf.IsZero() {
-			c.applyListing(now, l)
-		}
-		if !asOf.IsZero() {
-			c.revision = max(c.revision, l.Revision)
-		}
-		c.d.events.Info("store listed", "first", first, "stale", asOf.IsZero(), "items", len(l.Items), "revision", l.Revision, "version", c.version())
-		c.noteStoreReached(asOf, confirmedByListing)
-	})
+func (s storeSink) OnList(l kv.Listing, asOf time.Time) (completeTo uint64) {
+	return s.c.await(func(c *control) { c.handleListing(l, asOf) })
+}
+
+// handleListing applies a listing. Its asOf is that of follow.Sink.
+func (c *control) handleListing(l kv.Listing, asOf time.Time) {
+	now := c.d.now()
+	c.upstreamRegistry.StoreReached(now)
+	first := !c.listed
+	switch {
+	case first:
+		c.loadState(now, l.Items, true)
+		c.setCompleteTo(l.Revision, c.sections()...)
+		// The registration follows, and its type depends on whether the host should hold rate
+		// shares. shouldBeActive updates that.
+		c.shouldBeActive(now, nil)
+		close(c.d.listed)
+	case !asOf.IsZero():
+		c.applyListing(now, l)
+		c.setCompleteTo(l.Revision, c.sections()...)
+	}
+	c.d.events.Info("store listed", "first", first, "stale", asOf.IsZero(), "items", len(l.Items), "revision", l.Revision, "version", c.version())
+	c.noteStoreReached()
+	c.confirm(asOf, confirmedByListing)
+	c.hosts.advanceConfirmedAt(asOf)
 }
 
 // applyListing applies a listing to a state that is known. A key keeps its state if a peer has reported
@@ -82,16 +87,47 @@
 }
 
 // OnChanges implements follow.Sink.
-func (s storeSink) OnChanges(changes kv.Changes, asOf time.Time) {
-	s.c.send(func(c *control) {
-		now := c.d.now()
-		c.upstreamRegistry.StoreReached(now)
-		c.behind = changes.More
-		c.applyChanges(now, changes.Events)
-		c.revision = max(c.revision, changes.Revision)
-		c.d.events.Debug("store watched", "events", len(changes.Events), "revision", changes.Revision, "more", changes.More, "confirms", !asOf.IsZero(), "age", now.Sub(asOf))
-		c.noteStoreReached(asOf, confirmedByWatch)
+func (s storeSink) OnChanges(after uint64, changes kv.Changes, asOf time.Time) (completeTo uint64) {
+	return s.c.await(func(c *control) { c.handleChanges(after, changes, asOf) })
+}
+
+// handleChanges applies the response to a watch after a revision. Its asOf is that of follow.Sink. The
+// response confirms only the sections that were complete up to that revision.
+func (c *control) handleChanges(after uint64, changes kv.Changes, asOf time.Time) {
+	now := c.d.now()
+	c.upstreamRegistry.StoreReached(now)
+	c.behind = changes.More
+	c.applyChanges(now, changes.Events)
+	before := c.completeTo()
+	base, hosts := c.base.extend(after, changes.Revision), c.hosts.extend(after, changes.Revision)
+	upstreams := !c.holdsUpstreams || c.upstreams.extend(after, changes.Revision)
+	c.d.events.Debug("store watched", "after", after, "events", len(changes.Events), "revision", changes.Revision, "more", changes.More,
+		"confirms", !asOf.IsZero(), "age", now.Sub(asOf))
+	if !base || !hosts || !upstreams {
+		c.d.events.Info("store watched past missing changes", "after", after, "complete_to", before, "base", base, "hosts", hosts, "upstreams", upstreams)
+	}
+	c.noteStoreReached()
+	if base && upstreams {
+		c.confirm(asOf, confirmedByWatch)
+	}
+	if hosts {
+		c.hosts.advanceConfirmedAt(asOf)
+	}
+}
+
+// await runs a message on the control thread, and returns the revision up to which the state is then
+// complete; 0 when the daemon ends.
+func (c *control) await(m message) (completeTo uint64) {
+	result := make(chan uint64, 1)
+	c.send(func(c *control) {
+		m(c)
+		result <- c.completeTo()
 	})
+	select {
+	case completeTo = <-result:
+	case <-c.d.ctx.Done():
+	}
+	return completeTo
 }
 
 // OnError implements follow.Sink.
@@ -248,19 +284,23 @@
 	c.d.countConfirmation(by)
 	if c.confirmedBy != by {
 		c.d.events.Info("state confirmed", "by", by, "before", c.confirmedBy, "age", c.d.now().Sub(asOf), "previous_age", c.d.now().Sub(c.confirmedAt),
-			"version", c.version(), "revision", c.revision)
+			"version", c.version(), "revision", c.completeTo())
 	}
 	c.confirmedAt, c.confirmedBy = asOf, by
 }
 
-// noteStoreReached records a successful response of the store itself, which confirms both the
-// state and the entry hosts' registrations.
-func (c *control) noteStoreReached(asOf time.Time, by string) {
-	c.advanceConfirmedAt(asOf, by)
-	if !asOf.IsZero() {
-		c.upstreamDemand.known = c.holdsUpstreams
+// confirm records that the store itself has confirmed the state as of a time; the zero time confirms
+// nothing.
+func (c *control) confirm(asOf time.Time, by string) {
+	if asOf.IsZero() {
+		return
 	}
-	c.hosts.advanceConfirmedAt(asOf)
+	c.advanceConfirmedAt(asOf, by)
+	c.upstreamDemand.known = c.holdsUpstreams
+}
+
+// noteStoreReached records a successful response of the store itself.
+func (c *control) noteStoreReached() {
 	if c.storeUnreachable {
 		c.storeUnreachable = false
 		c.announce(c.d.now())
--- a/internal/entryhost/upstreamstate.go
+++ b/internal/entryhost/upstreamstate.go
@@ -191,17 +191,18 @@
 		return
 	}
 	if !c.holdsUpstreams {
-		c.addUpstreams(c.d.now(), l.Items)
+		c.addUpstreams(c.d.now(), l.Items, l.Revision)
 		c.confirmRequests.due = time.Time{}
 	}
 }
 
 // addUpstreams adds the upstreams that a peer or the store has sent. Requests use them once they
-// are confirmed.
-func (c *control) addUpstreams(now time.Time, items []kv.Item) {
+// are confirmed. The items are complete up to a revision of the store.
+func (c *control) addUpstreams(now time.Time, items []kv.Item, revision uint64) {
 	c.dropSample()
 	c.holdsUpstreams = true
 	c.upstreams.reset(items)
+	c.upstreams.completeTo = revision
 	for _, item := range items {
 		c.applyWrite(now, item)
 	}
--- a/internal/entryhost/upstreamstate_test.go
+++ b/internal/entryhost/upstreamstate_test.go
@@ -155,7 +155,7 @@
 	g.Expect(c.items).To(HaveLen(1))
 	g.Expect(c.digests().upstreams).To(BeZero())
 	g.Expect(c.evacuatedZones).To(HaveKey("b1"))
-	c.addUpstreams(now, registrations(100))
+	c.addUpstreams(now, registrations(100), 100)
 	g.Expect(c.d.table.Size()).To(Equal(100), "the upstreams can be loaded again")
 }
 
@@ -209,3 +209,23 @@
 		})
 	}
 }
+
+// Guards against upstreams that a host copied from a peer which was behind, and that the host's own
+// watch confirmed from a later revision: an upstream that had left in between would stay.
+func TestWatchFromALaterRevisionDoesNotConfirmCopiedUpstreams(t *testing.T) {
+	const copied, watched = 80, 100
+	g := NewWithT(t)
+	c := startedStandby(t)
+	c.handleChanges(c.completeTo(), kv.Changes{Revision: watched}, c.d.now())
+	confirmedAt := c.confirmedAt
+	c.addUpstreams(c.d.now(), registrations(10), copied)
+	c.handleChanges(watched, kv.Changes{Revision: watched}, c.d.now())
+	g.Expect(c.upstreamDemand.known).To(BeFalse())
+	g.Expect(c.confirmedAt).To(Equal(confirmedAt))
+	g.Expect(c.completeTo()).To(BeEquivalentTo(copied), "the follower continues from there")
+	left := upstreamItem(0, watched)
+	c.handleChanges(copied, kv.Changes{Events: []kv.Event{{Item: left, Deleted: true}}, Revision: watched}, c.d.now())
+	g.Expect(c.upstreamDemand.known).To(BeTrue())
+	g.Expect(c.confirmedAt).To(BeTemporally(">", confirmedAt))
+	g.Expect(c.d.table.Size()).To(Equal(9))
+}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -83,12 +83,14 @@
 	asOf   []time.Time
 }
 
-func (t *recordingSink) OnList(_ kv.Listing, asOf time.Time) {
+func (t *recordingSink) OnList(l kv.Listing, asOf time.Time) uint64 {
 	t.events, t.asOf = append(t.events, "listed"), append(t.asOf, asOf)
+	return l.Revision
 }
 
-func (t *recordingSink) OnChanges(c kv.Changes, asOf time.Time) {
+func (t *recordingSink) OnChanges(_ uint64, c kv.Changes, asOf time.Time) uint64 {
 	t.events, t.asOf = append(t.events, "changed"), append(t.asOf, asOf)
+	return c.Revision
 }
 
 func (t *recordingSink) OnError(error) { t.events = append(t.events, "failed") }
@@ -186,3 +188,48 @@
 		})
 	}
 }
+
+// incompleteSink knows the state up to a revision only, until it has received the changes after it.
+type incompleteSink struct {
+	recordingSink
+	completeTo uint64
+}
+
+func (s *incompleteSink) OnChanges(after uint64, c kv.Changes, _ time.Time) uint64 {
+	if after <= s.completeTo {
+		s.completeTo = max(s.completeTo, c.Revision)
+	}
+	return s.completeTo
+}
+
+// Guards against a follower that goes on from a revision up to which the state is not complete, and
+// that waits before it fetches the missing changes.
+func TestFollowerGoesBackToWhereTheStateIsComplete(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var watchedFrom []uint64
+	sink := &incompleteSink{completeTo: 50}
+	store := &fakeStore{
+		list: func() (kv.Listing, error) { return kv.Listing{Items: []kv.Item{{Revision: 50}}, Revision: 50}, nil },
+		watch: func(after uint64) (kv.Changes, error) {
+			watchedFrom = append(watchedFrom, after)
+			switch len(watchedFrom) {
+			case 1:
+				sink.completeTo = 30 // part of the state was replaced by an older copy
+			case 3:
+				cancel()
+			}
+			return kv.Changes{Revision: 60}, nil
+		},
+	}
+	(&follow.Follower{
+		Store: store, Now: time.Now, Sink: sink,
+		Timing: func() follow.Timing {
+			if len(watchedFrom) == 0 {
+				return follow.Timing{WatchTimeout: time.Second, Interval: time.Hour}
+			}
+			return follow.Timing{}
+		},
+	}).Run(ctx)
+	g.Expect(watchedFrom).To(Equal([]uint64{50, 30, 60}))
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -28,14 +28,16 @@
 	maxBackoff = 250 * time.Millisecond
 )
 
-// Sink receives the contents of the store. Its methods are called by one goroutine.
+// Sink receives the contents of the store. Its methods are called by one goroutine. They
+// return the revision up to which the known state is complete, from which the follower
+// continues if it is the earlier one.
 type Sink interface {
 	// OnList replaces the entire known state. The listing shows the store at some
 	// time after asOf. The first listing may be arbitrarily old; its asOf is zero.
-	OnList(l kv.Listing, asOf time.Time)
-	// OnChanges adds events, possibly none. They cover the store up to some time
-	// after asOf. asOf is zero if they do not cover the present state.
-	OnChanges(c kv.Changes, asOf time.Time)
+	OnList(l kv.Listing, asOf time.Time) (completeTo uint64)
+	// OnChanges adds the events after a revision, possibly none. They cover the store up
+	// to some time after asOf. asOf is zero if they do not cover the present state.
+	OnChanges(after uint64, c kv.Changes, asOf time.Time) (completeTo uint64)
 	// OnError reports a failed call. The follower retries until a call succeeds.
 	OnError(err error)
 }
@@ -110,11 +112,11 @@
 	for ctx.Err() == nil {
 		l, err := f.list(ctx, true)
 		if err == nil {
-			f.Sink.OnList(l, time.Time{})
+			completeTo := f.Sink.OnList(l, time.Time{})
 			if f.AfterInitialList != nil {
 				f.AfterInitialList(ctx)
 			}
-			return watchStart(l)
+			return min(watchStart(l), completeTo)
 		}
 		backoff = f.backOff(ctx, err, backoff)
 	}
@@ -151,15 +153,15 @@
 }
 
 // poll makes one list or watch call and returns the revision to watch from next, and whether
-// more changes are known to follow.
+// more changes are known to follow. These include changes that the sink lacks although they
+// precede the revision that was watched from.
 func (f *Follower) poll(ctx context.Context, revision uint64, listed bool, sentAt time.Time, watchTimeout time.Duration) (next uint64, more bool, err error) {
 	if !listed {
 		l, err := f.list(ctx, false)
 		if err != nil {
 			return 0, false, err
 		}
-		f.Sink.OnList(l, sentAt)
-		return l.Revision, false, nil
+		return min(l.Revision, f.Sink.OnList(l, sentAt)), false, nil
 	}
 	callCtx, cancel := context.WithTimeout(ctx, watchTimeout+responseTimeout)
 	defer cancel()
@@ -167,8 +169,11 @@
 	if err != nil {
 		return 0, false, err
 	}
-	f.Sink.OnChanges(c, f.asOf(c, sentAt, watchTimeout))
+	completeTo := f.Sink.OnChanges(revision, c, f.asOf(c, sentAt, watchTimeout))
 	next = max(c.Revision, revision)
+	if completeTo < next {
+		return completeTo, true, nil
+	}
 	return next, c.More && next > revision, nil
 }
 
--- a/internal/follow/scale_test.go
+++ b/internal/follow/scale_test.go
@@ -134,7 +134,10 @@
 	onChanges func(c kv.Changes, asOf time.Time)
 }
 
-func (s *lagSink) OnChanges(c kv.Changes, asOf time.Time) { s.onChanges(c, asOf) }
+func (s *lagSink) OnChanges(_ uint64, c kv.Changes, asOf time.Time) uint64 {
+	s.onChanges(c, asOf)
+	return c.Revision
+}
 
 // slowListingStore lists pages of 500 upstreams, each of which takes pageTime, until the context ends.
 type slowListingStore struct {
