Soak: hosts keep their peer address over restarts, and no configuration is confirmed as of the future

Why the soak missed the incident: each process of it, like each host of the tests in one process, got a free port for its peers. A restarted one never received what was meant for its predecessor.

Its hosts now keep that address, as on the users' platform, and the age of each host's configuration is sampled; a negative one is a violation (TestChecksDetectViolations).

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -63,6 +63,7 @@
 	c.checkPauses(requests)
 	c.checkLeaving(requests)
 	c.checkLinkCuts(requests)
+	c.checkAges()
 	if c.reporter.Failed() {
 		perSecond := map[string]int{}
 		for _, r := range requests {
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -33,6 +33,7 @@
 	settingsFile  string
 	uplinkFile    string
 	callerAddress string
+	metrics       string
 	proxy         *proxy
 
 	mu  sync.Mutex
@@ -87,6 +88,9 @@
 	rateLimits []rateLimitSpan
 	// rejections are the periods in which upstreams rejected all requests.
 	rejections []rejectionSpan
+	// futureConfirmations are the hosts that considered their configuration confirmed as of a time
+	// in the future.
+	futureConfirmations []string
 	// linkCuts are the periods in which hosts were cut off from all upstreams.
 	linkCuts []linkCut
 	// sharesRoom is set if hosts share the room of upstreams, and queue requests that find none.
@@ -198,9 +202,10 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	h := &daemonProcess{name: name, zone: host.zone, proxy: p, settingsFile: filepath.Join(c.dir, name+".jsonc"), uplinkFile: filepath.Join(c.dir, name+".uplink"), callerAddress: freeAddress(c.t, len(c.processes))}
+	h := &daemonProcess{name: name, zone: host.zone, proxy: p, settingsFile: filepath.Join(c.dir, name+".jsonc"), uplinkFile: filepath.Join(c.dir, name+".uplink"), callerAddress: freeAddress(c.t, len(c.processes)), metrics: freeAddress(c.t, len(c.processes))}
 	text := standin.EntryHostSettings{
 		Name: name, Zone: host.zone, CallerAddress: h.callerAddress, DirectoryAddress: "127.0.0.1:0", StoreAddress: p.address(), LinkMbps: host.linkMbps,
+		PeerAddress: freePeerAddress(c.t), MetricsAddress: h.metrics,
 		GracePeriod: 4 * time.Second, RevocationDelay: revocationDelay, SharesRoom: c.sharesRoom,
 	}.Encode()
 	if err := os.WriteFile(h.settingsFile, text, 0o600); err != nil {
@@ -223,6 +228,17 @@
 	return l.Addr().String()
 }
 
+// freePeerAddress is freeAddress for datagrams. Peers send to the address of a host also after its
+// process was replaced. They open tunnels only to hosts that connect from the IP of their peer address.
+func freePeerAddress(t *testing.T) string {
+	l, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.LocalAddr().String()
+}
+
 // startProcess starts the daemon once. Its exited channel is closed when the process ends.
 func (c *cluster) startProcess(h *daemonProcess) {
 	out, err := os.OpenFile(filepath.Join(c.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -77,6 +77,7 @@
 		}()
 	}
 	spawn(&tasks, func() { c.runHeartbeats(stop) })
+	spawn(&tasks, func() { c.sampleAges(stop) })
 	kinds := allFaults
 	if !disturbsProcesses(seed) {
 		kinds = otherFaults
--- a/internal/soak/violations_test.go
+++ b/internal/soak/violations_test.go
@@ -167,6 +167,10 @@
 			r.status = http.StatusUnauthorized
 			return []callerRequest{r, withResponse(callerRequest{id: "c2", key: "steady", host: r.host, startedAt: now, endedAt: now})}
 		}, "key steady denied"},
+		{"a configuration is confirmed as of the future", func(s *cluster, _ *upstream, _ callerRequest) []callerRequest {
+			s.futureConfirmations = []string{"h0"}
+			return nil
+		}, "confirmed as of the future, the first at h0"},
 		{"a withdrawn key still works", func(s *cluster, u *upstream, r callerRequest) []callerRequest {
 			s.withdrawn["fresh-0"] = now.Add(-revocationDelay - time.Second)
 			r.key = "fresh-0"
--- a/internal/standin/platformconfig.go
+++ b/internal/standin/platformconfig.go
@@ -69,10 +69,13 @@
 type EntryHostSettings struct {
 	Name string
 	Zone string
-	// CallerAddress and DirectoryAddress are listening addresses; with port 0 the system
-	// picks the port.
+	// CallerAddress, DirectoryAddress and PeerAddress are listening addresses; with port 0 the
+	// system picks the port, which is also the default of PeerAddress.
 	CallerAddress    string
 	DirectoryAddress string
+	PeerAddress      string
+	// MetricsAddress is the listening address for metrics; "" serves none.
+	MetricsAddress string
 	// StoreAddress is the address of the store.
 	StoreAddress string
 	// LinkMbps is the declared speed of the host's link; 0 declares none.
@@ -85,6 +88,9 @@
 
 // Encode returns the text of the settings file.
 func (h EntryHostSettings) Encode() []byte {
+	if h.PeerAddress == "" {
+		h.PeerAddress = "127.0.0.1:0"
+	}
 	overload := "auto"
 	if h.SharesRoom {
 		overload = "on"
@@ -92,7 +98,8 @@
 	text, err := json.MarshalIndent(map[string]any{
 		"host": h.Name, "zone": h.Zone, "zones": Zones,
 		"listen": map[string]string{
-			"callers": h.CallerAddress, "readiness": "127.0.0.1:0", "directory": h.DirectoryAddress, "peers": "127.0.0.1:0", "tunnels": "127.0.0.1:0",
+			"callers": h.CallerAddress, "readiness": "127.0.0.1:0", "directory": h.DirectoryAddress, "peers": h.PeerAddress, "tunnels": "127.0.0.1:0",
+			"metrics": h.MetricsAddress,
 		},
 		"store": h.StoreAddress, "capacity": map[string]int{"link_mbps": h.LinkMbps},
 		"bounds": map[string]any{
