--- a/internal/daemon/config_confirmation_test.go
+++ b/internal/daemon/config_confirmation_test.go
@@ -46,8 +46,7 @@
 	g.Expect(confirmationTime(time.Unix(1, 0), 0)).To(BeZero())
 }
 
-// Guards against an age in a peer's response that does not fit into a time.Duration: the version
-// would be confirmed as of a time in the future, and never become stale.
+// Guards against an age that does not fit into a time.Duration: the version would never become stale.
 func TestImpossibleAgeConfirmsNoVersion(t *testing.T) {
 	for _, age := range []int64{-1, math.MinInt64, math.MaxInt64, math.MaxInt64/1_000_000 + 1} {
 		t.Run(fmt.Sprint(age), func(t *testing.T) {
--- a/internal/entryhost/freshness_test.go
+++ b/internal/entryhost/freshness_test.go
@@ -26,8 +26,7 @@
 	return s, logs
 }
 
-// Guards against a request that was served by an outdated configuration, of which no log line says
-// what had confirmed that configuration.
+// Guards against a request of which no log line says by which state it was decided, and what had confirmed that.
 func TestLogsNameWhatConfirmedTheState(t *testing.T) {
 	g := NewWithT(t)
 	s, logs := newLoggedSite(t)
@@ -47,9 +46,7 @@
 	))
 }
 
-// unconfirmedPeer responds to confirmation requests at an address like a process of an earlier
-// build that has listed the store, but was never confirmed, and holds the state of the requesting
-// host.
+// unconfirmedPeer responds like a process of an earlier build that was never confirmed and has the same state.
 func unconfirmedPeer(t *testing.T, address string) (answered *atomic.Int64) {
 	const ageOfZeroTimeUs = uint64(math.MaxInt64/time.Microsecond) + 1
 	var transport *fleet.Transport
@@ -73,8 +70,7 @@
 	return answered
 }
 
-// Guards against a withdrawn key that a host accepts while it reaches neither the store nor its
-// peers, because a process that was restarted at the address of a peer had confirmed its state.
+// Guards against a withdrawn key that a host without the store accepts, after a peer was restarted.
 func TestWithdrawnKeyIsRefusedAfterRestartOfPeer(t *testing.T) {
 	const revoke = 5 * time.Second // as in the settings of the site
 	g := NewWithT(t)
@@ -103,8 +99,7 @@
 	g.Expect(s.read(other).status).To(Equal(http.StatusServiceUnavailable))
 }
 
-// Guards against a host whose first listing had a page that was older than the others. It never
-// received the withdrawal of a key between the ages of the pages, and went on accepting that key.
+// Guards against a withdrawn key that a host accepts, because one page of its first listing was older than the rest.
 func TestWithdrawnKeyIsRefusedAfterListingOfUnequalPages(t *testing.T) {
 	g := NewWithT(t)
 	s, _ := newLoggedSite(t)
--- a/internal/entryhost/stateload_test.go
+++ b/internal/entryhost/stateload_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -11,7 +13,9 @@
 
 	"balsambarrow/internal/fleet"
 	"balsambarrow/internal/kv"
+	"balsambarrow/internal/standin"
 	"balsambarrow/internal/telemetry"
+	"balsambarrow/platform"
 )
 
 // newTestControl returns the control of a daemon that was not started. Tests run the queued
@@ -80,8 +84,7 @@
 	}
 }
 
-// Guards against a copy that holds an old configuration from its first page, and a host that watches
-// the store from the revision of the last page: it would never learn of a change between the two.
+// Guards against a host that never learns of a change between the first and the last page of its copy.
 func TestCopyIsCompleteToItsFirstPage(t *testing.T) {
 	g := NewWithT(t)
 	c := newTestControl(t)
@@ -97,8 +100,7 @@
 	g.Expect(c.completeTo()).To(Equal(first.Revision))
 }
 
-// Guards against a listing that was on its way while peers reported later changes: the host would go
-// back to the state of the listing, and consider it confirmed as of the time of the changes.
+// Guards against a host that goes back to a listing which was on its way while peers reported later changes.
 func TestListingDoesNotTakeBackLaterChangesOfPeers(t *testing.T) {
 	evacuation := func(zone string, revision uint64) kv.Item {
 		return kv.Item{Key: "op/evacuate/" + zone, Value: []byte("{}"), Revision: revision}
@@ -117,3 +119,22 @@
 	g.Expect(known).To(BeTrue(), "peers can still be sent the change")
 	g.Expect(changes).To(HaveLen(1))
 }
+
+// Guards against a host that keeps a registration which it read separately at its start, after that has ended.
+func TestRegistrationReadAtTheStartEndsWithALaterListing(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestControl(t)
+	store := standin.NewKVStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	c.d.store = platform.NewStore(server.URL, (&net.Dialer{}).DialContext, func(string, error) {})
+	c.handleListing(kv.Listing{Revision: 5}, time.Time{})
+	store.Put(platform.HostPrefix+"peer", []byte(`{"instance":"peer"}`))
+	read := make(chan error, 1)
+	go func() { read <- newRegistrar(c.d).readPeers(t.Context()) }()
+	(<-c.inbox)(c)
+	g.Expect(<-read).To(Succeed())
+	g.Expect(c.registrations).To(HaveLen(1))
+	c.handleListing(kv.Listing{Revision: 60}, c.d.now())
+	g.Expect(c.registrations).To(BeEmpty())
+}
--- a/internal/entryhost/upstreamstate_test.go
+++ b/internal/entryhost/upstreamstate_test.go
@@ -210,8 +210,7 @@
 	}
 }
 
-// Guards against upstreams that a host copied from a peer which was behind, and that the host's own
-// watch confirmed from a later revision: an upstream that had left in between would stay.
+// Guards against an upstream that stays, though it left between a copy from a peer and the host's own watch.
 func TestWatchFromALaterRevisionDoesNotConfirmCopiedUpstreams(t *testing.T) {
 	const copied, watched = 80, 100
 	g := NewWithT(t)
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -116,25 +116,13 @@
 			if f.AfterInitialList != nil {
 				f.AfterInitialList(ctx)
 			}
-			return min(watchStart(l), completeTo)
+			return min(l.Revision, completeTo)
 		}
 		backoff = f.backOff(ctx, err, backoff)
 	}
 	return 0
 }
 
-// watchStart returns the revision from which a watch returns all changes that a
-// possibly stale listing lacks. It does not rely on the listing's own revision: a
-// store may label a stale listing with its current revision, and a watch from there
-// would miss the changes in between.
-func watchStart(l kv.Listing) uint64 {
-	latest := uint64(0)
-	for _, item := range l.Items {
-		latest = max(latest, item.Revision)
-	}
-	return min(latest, l.Revision)
-}
-
 // backOff reports a failed call, sleeps for about backoff, and returns the backoff to use
 // after the next failure.
 func (f *Follower) backOff(ctx context.Context, err error, backoff time.Duration) time.Duration {
--- a/internal/freshness/age_test.go
+++ b/internal/freshness/age_test.go
@@ -33,8 +33,7 @@
 	}
 }
 
-// Guards against an age that confirms a state as of a time after the request for it, whatever a
-// peer states.
+// Guards against an age that confirms a state as of a time after the request, whatever a peer states.
 func TestStatedAgeConfirmsNothingAfterTheRequest(t *testing.T) {
 	ages := []uint64{0, 1, math.MaxInt64, math.MaxInt64 + 1, math.MaxUint64, math.MaxInt64/1000 + 1, math.MaxInt64/1_000_000 + 1}
 	for _, unit := range []time.Duration{time.Microsecond, time.Millisecond} {
@@ -56,8 +55,7 @@
 	}
 }
 
-// Guards against a confirmation that is passed on with a later time than that of the call to the
-// store, over any number of hosts and delays.
+// Guards against a confirmation that gets a later time on its way from host to host.
 func TestConfirmationIsNeverPassedOnWithALaterTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		at := now
