A host states no registrations of hosts that it has not confirmed

The registrations of hosts have a time of confirmation of their own. A host whose state is confirmed, but whose registrations never were, stated an age of 0 for them since. A host of this build ignores that. One of an earlier build, as beside it in a rolling upgrade, takes 0 for the present, and may hold rate shares before it knows all hosts. Before the age was that of the zero time here too, and the registrations were confirmed as of 2262, without any restart of a process.

The digest of such registrations is left out now, so that they equal nobody's. An age beyond MaxAge is stated as MaxAge instead of 0, for the same reason.

--- a/internal/entryhost/confirm_test.go
+++ b/internal/entryhost/confirm_test.go
@@ -10,6 +10,7 @@
 
 	"balsambarrow/internal/fleet"
 	"balsambarrow/internal/kv"
+	"balsambarrow/platform"
 )
 
 // Guards against a delayed response to a previous process. A host sends a confirmation request,
@@ -97,6 +98,32 @@
 	}
 }
 
+// Guards against registrations that an earlier build takes for confirmed, because this host states an age of 0 for them.
+func TestUnconfirmedRegistrationsAreNotStated(t *testing.T) {
+	for name, confirmed := range map[string]bool{"never confirmed": false, "confirmed": true} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := listedControl(t, false)
+			c.setHostRegistration(kv.Item{Key: platform.HostPrefix + "h1", Value: []byte(`{"instance":"h1"}`)})
+			if !confirmed {
+				c.hosts.confirmedAt = time.Time{}
+			}
+			c.confirmState(c.d.now())
+			peer, err := fleet.Listen("127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			received := make(chan *fleet.Packet, 1)
+			go peer.Receive(t.Context(), func(p *fleet.Packet, _ string) { received <- p }, func(error) {})
+			c.d.handleConfirmRequest(&fleet.ConfirmRequest{Id: 1, Base: c.digests().base, Hosts: c.hosts.digest.Sum()}, peer.Address())
+			var p *fleet.Packet
+			g.Eventually(received, "5s").Should(Receive(&p))
+			a := p.GetConfirmAnswer()
+			g.Expect(a.GetAgeUs()).NotTo(BeZero())
+			g.Expect(a.GetHosts() == c.hosts.digest.Sum()).To(Equal(confirmed))
+			g.Expect(a.GetHostsAgeUs() != 0).To(Equal(confirmed))
+		})
+	}
+}
+
 // Guards against a sample of the upstreams that is used for ever, or waited for, because its age is impossible.
 func TestSampleOfImpossibleAgeIsDropped(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/entryhost/confirmserver.go
+++ b/internal/entryhost/confirmserver.go
@@ -222,6 +222,10 @@
 	now := d.now()
 	a.AgeUs = freshness.Age(now, confirmedAt, time.Microsecond)
 	a.HostsAgeUs = freshness.Age(now, hostsConfirmedAt, time.Microsecond)
+	if a.HostsAgeUs == 0 {
+		// Earlier builds take an age of 0 for a confirmation of registrations with this digest.
+		a.Hosts = 0
+	}
 	if err := d.transport.SendPacket(&fleet.Packet{Content: &fleet.Packet_ConfirmAnswer{ConfirmAnswer: a}}, to); err != nil {
 		d.events.Debug("confirmation response not sent", "error", err)
 	}
--- a/internal/freshness/age.go
+++ b/internal/freshness/age.go
@@ -23,13 +23,12 @@
 func (e *InvalidAgeError) Error() string { return fmt.Sprintf("freshness: impossible age %d", e.Age) }
 
 // Age returns the age of a state that was confirmed as of confirmedAt, for a message: in the given
-// unit and rounded up, so at least 1. It is 0 if the state was never confirmed or is older than MaxAge.
+// unit and rounded up, so at least 1, and at most MaxAge. It is 0 if the state was never confirmed.
 func Age(now, confirmedAt time.Time, unit time.Duration) uint64 {
-	age := now.Sub(confirmedAt)
-	if age < 0 || age >= MaxAge {
+	if confirmedAt.IsZero() || confirmedAt.After(now) {
 		return 0
 	}
-	return uint64(age/unit) + 1
+	return uint64(min(now.Sub(confirmedAt), MaxAge-1)/unit) + 1
 }
 
 // ConfirmedAt returns the time as of which a state is confirmed by a peer that holds the same state
