Each response that a state of unusual age decided is logged

From the id of a request like that of the incident nothing could be found: it was served in time, and of such responses one in 64 has a line. A response has its line now if its state had been confirmed more than 1.5 s before the request arrived, which is longer than while the store and the peers respond, or as of the future.

The age in answered was that at the arrival. It is the age at the time of the line now, as in refused; took gives the rest. TestRequestServedByAnOldStateIsLogged and two cases of TestUnusualAgeOfAState fail without the condition.

--- a/internal/entryhost/freshness_test.go
+++ b/internal/entryhost/freshness_test.go
@@ -46,6 +46,21 @@
 	))
 }
 
+// Guards against a request that an outdated state served in time, and of which there is no line.
+func TestRequestServedByAnOldStateIsLogged(t *testing.T) {
+	g := NewWithT(t)
+	s, logs := newLoggedSite(t)
+	s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1")
+	shutter, address := s.gate()
+	h := s.hostWith("h0", "a1", hostOptions{store: address})
+	s.awaitServing()
+	shutter.shut.Store(true)
+	time.Sleep(1700 * time.Millisecond)
+	g.Expect(s.read(h).status).To(Equal(http.StatusOK))
+	g.Eventually(logs.String, "2s", "20ms").Should(MatchRegexp(`msg=answered .* id=id-%d .* age=\d\S+ version=4 confirmed_by=watch revision=\d+`, s.serial.Load()))
+}
+
 // unconfirmedPeer responds like a process of an earlier build that was never confirmed and has the same state.
 func unconfirmedPeer(t *testing.T, address string) (answered *atomic.Int64) {
 	const ageOfZeroTimeUs = uint64(math.MaxInt64/time.Microsecond) + 1
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -66,6 +66,12 @@
 // age returns the time since the configuration was last confirmed.
 func (s *State) age(now time.Time) time.Duration { return now.Sub(s.ConfirmedAt) }
 
+// unusualAge reports whether the state that decided a request was confirmed longer before its arrival
+// than while the store and the peers respond, or as of the future.
+func (s *State) unusualAge(arrived, now time.Time) bool {
+	return s.age(arrived) > standbyMaxAge || s.age(now) < 0
+}
+
 // version returns the version of the configuration; 0 if there is none.
 func (s *State) version() uint64 {
 	if s.Catalog == nil {
--- a/internal/front/state_internal_test.go
+++ b/internal/front/state_internal_test.go
@@ -42,3 +42,25 @@
 		})
 	}
 }
+
+// Guards against an alarm for a state that was confirmed while its request waited, and none for one of the future.
+func TestUnusualAgeOfAState(t *testing.T) {
+	arrived := time.Unix(1000, 0)
+	now := arrived.Add(time.Second)
+	for name, c := range map[string]struct {
+		confirmedAt time.Time
+		want        bool
+	}{
+		"confirmed before the arrival":    {arrived.Add(-standbyMaxAge), false},
+		"confirmed long before":           {arrived.Add(-standbyMaxAge - time.Millisecond), true},
+		"confirmed while it waited":       {arrived.Add(300 * time.Millisecond), false},
+		"confirmed as of the future":      {now.Add(time.Millisecond), true},
+		"confirmed far in the future":     {now.AddDate(236, 0, 0), true},
+		"confirmed at the present moment": {now, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := State{ConfirmedAt: c.confirmedAt}
+			NewWithT(t).Expect(s.unusualAge(arrived, now)).To(Equal(c.want))
+		})
+	}
+}
