--- a/internal/entryhost/confirm_test.go
+++ b/internal/entryhost/confirm_test.go
@@ -130,8 +130,12 @@
 	c := startedStandby(t)
 	now := c.d.now()
 	c.startSample(now, []string{"127.0.0.1:1"})
-	c.applyPage(now, &fleet.ConfirmAnswer{Page: true, AgeUs: math.MaxInt64/1000 + 1}, pendingConfirm{sentAt: now})
+	item := upstreamItem(0, 1)
+	c.applyPage(now, &fleet.ConfirmAnswer{
+		Page: true, AgeUs: math.MaxInt64/1000 + 1, Changes: []*fleet.Change{{Key: item.Key, Value: item.Value, Revision: item.Revision}},
+	}, pendingConfirm{sentAt: now})
 	g.Expect(c.load.active).To(BeFalse())
+	g.Expect(c.d.table.Size()).To(BeZero())
 	g.Expect(c.upstreamsKnown()).To(BeFalse())
 }
 
