Each retry is logged with its reason, the time left and the state of the retry budget

The incident of requests without time and of retries beyond the budget could not be told apart from its logs: no line had the time that an attempt was given, why a further attempt was made, or by how many hosts the slack was divided. After each attempt that did not answer a request there is now a line msg=retry with the decision, the time left and the state of the budget; answered and refused list the time that each attempt had, and balsambarrow_retry_decisions_total counts the decisions.

TestRetryDecisionsAreLogged fails without these lines.

--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -155,7 +155,7 @@
 		events: events, metrics: metrics, tracing: tracing, transport: transport, addresses: addresses, listeners: listeners,
 		DialUpstream:  h1.Dialer(upstreamDialTimeout),
 		shares:        share.New(),
-		retries:       retry.NewWindowBudget(s.Bounds.RetryWindow.Value(), s.Bounds.RetryRatio),
+		retries:       retry.NewWindowBudget(clock.Now(), s.Bounds.RetryWindow.Value(), s.Bounds.RetryRatio),
 		errs:          make(chan error, 4),
 		wakeReader:    make(chan struct{}, 1),
 		wakeRegistrar: make(chan struct{}, 1),
@@ -192,7 +192,7 @@
 	d.startedAt, d.startedWall = d.now(), time.Now()
 	deps := front.Deps{
 		State: d.state.Load, Codec: platform.Headers{}, Pool: d.upstreamConns, Table: d.table, Room: d.rooms, RateLimiter: d.tokens,
-		RetryBudget: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, ObserveFailedAttempt: d.observeFailedAttempt, Now: d.now,
+		RetryBudget: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, ObserveFailedAttempt: d.observeFailedAttempt, ObserveRetry: d.observeRetry, Now: d.now,
 		Refresh: d.refresh, LoadUpstreams: d.loadUpstreamsForCallers, Updates: d.stateUpdated.next, StartupTimeLeft: d.remainingStartupWait, StopsAt: d.stopTime, DisableKeepAlive: d.nearConnectionLimit,
 		Memory: d.budget, ObserveMemory: d.observeMemory,
 	}
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -64,6 +64,11 @@
 	d.metrics.Set.GetOrCreateCounter(fmt.Sprintf(`balsambarrow_upstream_failed_attempts_total{outcome=%q,zone=%q}`, outcome, zone)).Inc()
 }
 
+// observeRetry counts one decision whether a request is sent to another upstream.
+func (d *Daemon) observeRetry(decision front.RetryDecision) {
+	d.metrics.Set.GetOrCreateCounter(fmt.Sprintf(`balsambarrow_retry_decisions_total{decision=%q}`, string(decision))).Inc()
+}
+
 // observe counts one response to a caller.
 func (d *Daemon) observe(o front.Observation) {
 	cause := string(o.Cause)
--- /dev/null
+++ b/internal/entryhost/retry_test.go
@@ -0,0 +1,28 @@
+package entryhost_test
+
+import (
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a retry of which no log line says why it was made, in what time, and what the retry budget stood at.
+func TestRetryDecisionsAreLogged(t *testing.T) {
+	g := NewWithT(t)
+	s, logs := newLoggedSite(t)
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		s.worker(id, "s", "a1", 0).SetHandler(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	}
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	g.Eventually(func() int { return s.read(h).status }, "15s", "50ms").Should(Equal(http.StatusInternalServerError))
+	decision := func(d string) string {
+		return `msg=retry .* after=failed decision=` + d + ` sends=\d time_left=\S+ budget_requests=\d+ budget_retries=\d+ budget_slack=\S+ budget_hosts=1 budget_age=\S+`
+	}
+	g.Eventually(logs.String, "2s", "20ms").Should(And(
+		MatchRegexp(decision("allowed")), MatchRegexp(decision("max-attempts")),
+		MatchRegexp(`msg=answered .* status=500 .* time_left="?\[2\.\d+s 2\.\d+s\]`),
+	))
+	g.Expect(s.metrics(h)).To(ContainSubstring(`balsambarrow_retry_decisions_total{decision="max-attempts"} `))
+}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -48,7 +48,10 @@
 	// ObserveFailedAttempt is called after each attempt that did not answer the request, with
 	// its outcome and the zone of the upstream.
 	ObserveFailedAttempt func(outcome, zone string)
-	Now                  func() time.Time
+	// ObserveRetry is called after each attempt that did not answer the request, with the decision
+	// whether the request is sent to another upstream.
+	ObserveRetry func(RetryDecision)
+	Now          func() time.Time
 	// Memory bounds the bytes that callers make the host hold; nil: not bounded. ObserveMemory is
 	// called for each event that concerns memory; optional.
 	Memory        *memory.Budget
@@ -180,6 +183,8 @@
 type attempts struct {
 	sends int
 	tried []string
+	// timeLeft is the time that was left when each attempt began.
+	timeLeft []time.Duration
 	// mayHaveRun is set if an upstream may have run the request.
 	mayHaveRun bool
 	shed       bool
@@ -428,6 +433,7 @@
 	pairs := []any{
 		"id", q.ID, "route", route, "service", q.service, "status", f.status, "cause", f.cause,
 		"reason", f.reason, "retry_after", f.retryAfter, "took", took, "waited_at_host", q.waited, "sends", q.attempts.sends, "tried", q.attempts.tried,
+		"time_left", q.attempts.timeLeft,
 	}
 	h.Log.Info("refused", append(pairs, h.State().logPairs(h.Now())...)...)
 	if f.cause == CauseCallerLeft {
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -149,7 +149,7 @@
 	if q.attempts.sends > 1 || late || q.state.unusualAge(q.arrived, now) || q.attempts.relay != "" || resp.status >= http.StatusInternalServerError || h.responseCount.Add(1)%responseLogInterval == 0 {
 		pairs := []any{
 			"id", q.ID, "route", q.route.Name, "status", resp.status, "took", took,
-			"target", q.route.TargetLatency, "waited_at_host", q.waited, "sends", q.attempts.sends, "tried", q.attempts.tried, "relay", q.attempts.relay,
+			"target", q.route.TargetLatency, "waited_at_host", q.waited, "sends", q.attempts.sends, "tried", q.attempts.tried, "time_left", q.attempts.timeLeft, "relay", q.attempts.relay,
 		}
 		pairs = append(pairs, q.state.logPairs(now)...)
 		h.Log.Info("answered", append(pairs, q.attempts.latency.logPairs()...)...)
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -14,11 +14,6 @@
 	"balsambarrow/internal/tunnel"
 )
 
-// maxUnreachable is the number of unreachable upstreams after which a further
-// upstream is still tried. Unreachable upstreams do not count as attempts of the
-// route, since they received nothing of the request.
-const maxUnreachable = 2
-
 // outcome is the result of one attempt.
 type outcome int
 
@@ -103,22 +98,6 @@
 	}
 }
 
-// checkRetry decides whether the request may be sent to another upstream after an
-// attempt that did not answer it. It returns nil if so, else the refusal to send.
-func (h *Handler) checkRetry(q *request, end outcome, unreachable int) *refusal {
-	allowed := q.body.replayable()
-	if end == outcomeUnsent {
-		allowed = allowed && unreachable <= maxUnreachable
-	} else {
-		allowed = allowed && (end == outcomeShed || q.route.Kind.Idempotent()) &&
-			q.attempts.sends < q.route.MaxAttempts && h.RetryBudget.AllowRetry(h.Now(), q.service)
-	}
-	if allowed {
-		return nil
-	}
-	return h.unservedRefusal(q)
-}
-
 // unservedRefusal returns the refusal that is correct for the attempts so far.
 func (h *Handler) unservedRefusal(q *request) *refusal {
 	switch {
@@ -225,6 +204,7 @@
 	sentAt := h.Now()
 	q.attempts.relay = ""
 	q.attempts.tried = append(q.attempts.tried, c.ID)
+	q.attempts.timeLeft = append(q.attempts.timeLeft, q.deadline.Sub(sentAt))
 	q.attempts.longestQueueing = max(q.attempts.longestQueueing, c.ExpectedQueueing)
 	out := h.upstreamRequest(q, c, sentAt)
 	endSpan := hopTracer{h.Tracer}.startUpstream(ctx, out.Header, c)
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -15,14 +15,28 @@
 // uses its part of the slack, so that the limit holds for the sum over all hosts
 // without communication between them. It is safe for concurrent use.
 type WindowBudget struct {
-	length time.Duration
-	ratio  float64
+	length    time.Duration
+	ratio     float64
+	startedAt time.Time
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// slack is the part of this host, and hosts the number of hosts among which it is split.
 	slack    float64
+	hosts    int
 	services map[string]*buckets
 }
 
+// WindowState is the state of the budget of one service at this host.
+type WindowState struct {
+	// Requests and Retries are those in the window.
+	Requests, Retries float64
+	// Slack is the part of this host, and Hosts the number of hosts among which it is split.
+	Slack float64
+	Hosts int
+	// Age is the time for which this process has counted.
+	Age time.Duration
+}
+
 const (
 	// bucketsPerWindow is the resolution of the sliding window. The window starts
 	// up to one bucket late, so one additional bucket is counted.
@@ -43,9 +57,10 @@
 
 type buckets [bucketsPerWindow + 1]bucket
 
-// NewWindowBudget returns a budget with a window of the given length.
-func NewWindowBudget(length time.Duration, ratio float64) *WindowBudget {
-	return &WindowBudget{length: length, ratio: ratio, services: map[string]*buckets{}}
+// NewWindowBudget returns the budget of a process that starts at the given time, with a window
+// of the given length.
+func NewWindowBudget(startedAt time.Time, length time.Duration, ratio float64) *WindowBudget {
+	return &WindowBudget{length: length, ratio: ratio, startedAt: startedAt, services: map[string]*buckets{}}
 }
 
 // SetSlack sets the number of retries that all hosts together may make in one
@@ -53,7 +68,8 @@
 func (w *WindowBudget) SetSlack(slack float64, hosts int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.slack = slack * slackFraction / float64(max(hosts, 1))
+	w.hosts = max(hosts, 1)
+	w.slack = slack * slackFraction / float64(w.hosts)
 }
 
 // RecordRequest records the first attempt of a request.
@@ -69,19 +85,36 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	current := w.bucket(now, service)
+	requests, retries := w.counts(now, service)
+	if retries+1 > requests*w.ratio*ratioFraction+w.slack {
+		return false
+	}
+	current.retries++
+	return true
+}
+
+// State returns the state of the budget of a service.
+func (w *WindowBudget) State(now time.Time, service string) WindowState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	requests, retries := w.counts(now, service)
+	return WindowState{Requests: requests, Retries: retries, Slack: w.slack, Hosts: w.hosts, Age: now.Sub(w.startedAt)}
+}
+
+// counts returns the requests and the retries in the window.
+func (w *WindowBudget) counts(now time.Time, service string) (requests, retries float64) {
+	all := w.services[service]
+	if all == nil {
+		return 0, 0
+	}
 	oldest := w.bucketNumber(now) - bucketsPerWindow
-	var requests, retries float64
-	for _, b := range w.services[service] {
+	for _, b := range all {
 		if b.number >= oldest {
 			requests += b.requests
 			retries += b.retries
 		}
 	}
-	if retries+1 > requests*w.ratio*ratioFraction+w.slack {
-		return false
-	}
-	current.retries++
-	return true
+	return requests, retries
 }
 
 func (w *WindowBudget) bucketNumber(now time.Time) int64 {
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -18,8 +18,9 @@
 	const hosts, ratio, slack = 10, 0.2, 60.0
 	rng := rand.New(rand.NewPCG(1, 2))
 	var budgets []*retry.WindowBudget
+	now := time.Unix(1000, 0)
 	for range hosts {
-		w := retry.NewWindowBudget(10*time.Second, ratio)
+		w := retry.NewWindowBudget(now, 10*time.Second, ratio)
 		w.SetSlack(slack, hosts)
 		budgets = append(budgets, w)
 	}
@@ -28,7 +29,6 @@
 		retry bool
 	}
 	var events []event
-	now := time.Unix(1000, 0)
 	for range 8000 {
 		now = now.Add(time.Duration(rng.IntN(10)) * time.Millisecond)
 		if now.Unix()%13 == 0 {
@@ -65,8 +65,8 @@
 // Requests and retries count only as long as they are within the window.
 func TestWindowBudgetDropsOldRequests(t *testing.T) {
 	g := NewWithT(t)
-	w := retry.NewWindowBudget(10*time.Second, 0.2)
 	now := time.Unix(1000, 0)
+	w := retry.NewWindowBudget(now, 10*time.Second, 0.2)
 	g.Expect(w.AllowRetry(now, "s")).To(BeFalse(), "there are no requests and no slack")
 	for range 10 {
 		w.RecordRequest(now, "s")
