--- a/internal/entryhost/retry_test.go
+++ b/internal/entryhost/retry_test.go
@@ -1,8 +1,12 @@
 package entryhost_test
 
 import (
+	"fmt"
 	"net/http"
+	"strconv"
+	"sync"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -26,3 +30,39 @@
 	))
 	g.Expect(s.metrics(h)).To(ContainSubstring(`balsambarrow_retry_decisions_total{decision="max-attempts"} `))
 }
+
+// Guards against a request that is sent to a second upstream when the first has used up its time.
+func TestRequestWithoutTimeLeftIsNotRetried(t *testing.T) {
+	for name, early := range map[string]time.Duration{"at the limit": 0, "shortly before": 3 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSite(t)
+			s.timeLimit = "150ms"
+			var mu sync.Mutex
+			told := map[string][]string{}
+			for i := range 3 {
+				s.worker(fmt.Sprint("i-", i), "s", "a1", 0).SetHandler(func(w http.ResponseWriter, r *http.Request) {
+					limit := r.Header.Get("X-Deadline-Ms")
+					mu.Lock()
+					told[r.Header.Get("X-Request-Id")] = append(told[r.Header.Get("X-Request-Id")], limit)
+					mu.Unlock()
+					ms, _ := strconv.Atoi(limit)
+					time.Sleep(time.Duration(ms)*time.Millisecond - early)
+					w.WriteHeader(http.StatusGatewayTimeout)
+				})
+			}
+			s.declare(4, "k1")
+			h := s.host("h1", "a1")
+			g.Eventually(func() int { return s.read(h).status }, "15s", "50ms").Should(Equal(http.StatusGatewayTimeout))
+			for range 40 {
+				g.Expect(s.read(h).status).To(Equal(http.StatusGatewayTimeout))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for id, limits := range told {
+				g.Expect(limits).To(HaveLen(1), id)
+				g.Expect(strconv.Atoi(limits[0])).To(BeNumerically(">", 0), id)
+			}
+		})
+	}
+}
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -62,6 +63,90 @@
 	}
 }
 
+// simulatedFleet is a fleet of hosts that retry a service as often as their budgets allow.
+type simulatedFleet struct {
+	hosts  []*retry.WindowBudget
+	events []budgetEvent
+}
+
+// budgetEvent is the arrival of a request or of a retry.
+type budgetEvent struct {
+	at    time.Time
+	retry bool
+}
+
+const (
+	simulatedWindow = 10 * time.Second
+	simulatedRatio  = 0.2
+	simulatedSlack  = 60.0
+)
+
+// start starts or restarts a host that knows the number of hosts of the fleet.
+func (f *simulatedFleet) start(now time.Time, host, hosts int) {
+	w := retry.NewWindowBudget(now, simulatedWindow, simulatedRatio)
+	w.SetSlack(simulatedSlack, hosts)
+	f.hosts[host] = w
+}
+
+// request sends a request through a host, and up to three retries.
+func (f *simulatedFleet) request(now time.Time, host int) {
+	f.hosts[host].RecordRequest(now, "s")
+	f.events = append(f.events, budgetEvent{now, false})
+	for range 3 {
+		if f.hosts[host].AllowRetry(now, "s") {
+			f.events = append(f.events, budgetEvent{now, true})
+		}
+	}
+}
+
+// excess returns by how much the retries of a window exceed the budget of the fleet, at most.
+func (f *simulatedFleet) excess() float64 {
+	most, oldest, requests, retries := 0.0, 0, 0.0, 0.0
+	for _, e := range f.events {
+		if e.retry {
+			retries++
+		} else {
+			requests++
+		}
+		for ; e.at.Sub(f.events[oldest].at) > simulatedWindow; oldest++ {
+			if f.events[oldest].retry {
+				retries--
+			} else {
+				requests--
+			}
+		}
+		most = max(most, retries-requests*simulatedRatio-simulatedSlack)
+	}
+	return most
+}
+
+// Guards against retries beyond the budget of the fleet because each restart of the hosts grants the slack again.
+func TestRestartsDoNotRenewTheSlack(t *testing.T) {
+	for restarts := range 5 {
+		t.Run(fmt.Sprint(restarts, " restarts"), func(t *testing.T) {
+			g := NewWithT(t)
+			const hosts = 10
+			f := &simulatedFleet{hosts: make([]*retry.WindowBudget, hosts)}
+			now := time.Unix(1000, 0)
+			for h := range hosts {
+				f.start(now, h, hosts)
+			}
+			for step := range 3000 {
+				now = now.Add(10 * time.Millisecond)
+				if step >= 1500 && step%250 == 0 && step < 1500+restarts*250 {
+					for h := range hosts {
+						f.start(now, h, hosts)
+					}
+				}
+				if step%3 == 0 {
+					f.request(now, step/3%hosts)
+				}
+			}
+			g.Expect(f.excess()).To(BeZero())
+		})
+	}
+}
+
 // Requests and retries count only as long as they are within the window.
 func TestWindowBudgetDropsOldRequests(t *testing.T) {
 	g := NewWithT(t)
