A request is sent to another upstream only if it can still be answered in time

An upstream stops at the time that it was told, which is cut to milliseconds, so its 504 arrives just before the host gives the request up. The decision to retry asked for the number of attempts, the kind of route, the body and the budget, but not for the time, and the second attempt got a limit of 0 or less.

A further attempt now needs as much time as the fastest recent answer to a request of the route took, and at least 10 ms. Less is of no use to the caller, and costs the upstream work and the service a part of its retry budget. A request that reached no upstream, or was shed, is then refused at once.

TestShortestAttemptIsRecent covers what counts as recent.

--- a/internal/front/latencies.go
+++ b/internal/front/latencies.go
@@ -19,34 +19,51 @@
 type latencies struct {
 	mu      sync.Mutex
 	running map[*request]struct{}
-	routes  map[string]*longestLatency
+	routes  map[string]*routeLatency
 }
 
-// longestLatency is the longest latency in the current half of latencyWindow and in the previous
-// one; 0 if there was none. answeredAt is when the last request was answered by an upstream.
-type longestLatency struct {
+// routeLatency is the latency of the requests of a route in the current half of latencyWindow and
+// in the previous one. answeredAt is when the last request was answered by an upstream.
+type routeLatency struct {
 	half              int64
-	current, previous time.Duration
+	current, previous latencyRange
 	answeredAt        time.Time
 }
 
+// latencyRange holds the longest latency of requests, from their arrival, and the shortest one of
+// attempts that were answered; 0 if there was none.
+type latencyRange struct {
+	longest, shortestAttempt time.Duration
+}
+
 func newLatencies() *latencies {
-	return &latencies{running: map[*request]struct{}{}, routes: map[string]*longestLatency{}}
+	return &latencies{running: map[*request]struct{}{}, routes: map[string]*routeLatency{}}
 }
 
-func (l *longestLatency) advance(now time.Time) {
+func (l *routeLatency) advance(now time.Time) {
 	half := now.UnixNano() / int64(latencyWindow/2)
 	switch half - l.half {
 	case 0:
 		return
 	case 1:
-		l.current, l.previous = 0, l.current
+		l.current, l.previous = latencyRange{}, l.current
 	default:
-		l.current, l.previous = 0, 0
+		l.current, l.previous = latencyRange{}, latencyRange{}
 	}
 	l.half = half
 }
 
+// route returns the latency of a route as of now.
+func (l *latencies) route(now time.Time, name string) *routeLatency {
+	r := l.routes[name]
+	if r == nil {
+		r = &routeLatency{}
+		l.routes[name] = r
+	}
+	r.advance(now)
+	return r
+}
+
 // start records that a request is about to be sent to an upstream.
 func (l *latencies) start(q *request) {
 	l.mu.Lock()
@@ -63,30 +80,49 @@
 		return
 	}
 	delete(l.running, q)
-	route := l.routes[q.route.Name]
-	if route == nil {
-		route = &longestLatency{}
-		l.routes[q.route.Name] = route
-	}
-	route.advance(now)
-	route.current = max(route.current, now.Sub(q.arrived))
+	route := l.route(now, q.route.Name)
+	route.current.longest = max(route.current.longest, now.Sub(q.arrived))
 	if answered {
 		route.answeredAt = now
 	}
 }
 
+// attemptAnswered records how long an upstream took to answer a request of a route.
+func (l *latencies) attemptAnswered(now time.Time, route string, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.route(now, route)
+	r.current.shortestAttempt = shorter(r.current.shortestAttempt, took)
+}
+
+// shortestAttempt returns the shortest time in which an upstream has recently answered a request of
+// a route; 0 if none has.
+func (l *latencies) shortestAttempt(now time.Time, route string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.route(now, route)
+	return shorter(r.current.shortestAttempt, r.previous.shortestAttempt)
+}
+
+// shorter returns the shorter of two durations, of which 0 is unknown.
+func shorter(a, b time.Duration) time.Duration {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
+}
+
 // bound returns the latency that the next request of a route is not expected to exceed: a multiple
 // of the longest one of the recent and of the running requests. ok is false if no request of the
 // route was answered recently.
 func (l *latencies) bound(now time.Time, route string) (d time.Duration, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	recent := l.routes[route]
-	if recent == nil || now.Sub(recent.answeredAt) >= latencyWindow {
+	recent := l.route(now, route)
+	if now.Sub(recent.answeredAt) >= latencyWindow {
 		return 0, false
 	}
-	recent.advance(now)
-	longest := max(recent.current, recent.previous)
+	longest := max(recent.current.longest, recent.previous.longest)
 	for q := range l.running {
 		if q.route.Name == route {
 			longest = max(longest, now.Sub(q.arrived))
--- a/internal/front/latencies_internal_test.go
+++ b/internal/front/latencies_internal_test.go
@@ -40,3 +40,18 @@
 	_, known = l.bound(now.Add(3*time.Second+latencyWindow), "read")
 	g.Expect(known).To(BeFalse(), "all of them are too long ago")
 }
+
+// Guards against the use of the shortest latency of long ago, or of another route.
+func TestShortestAttemptIsRecent(t *testing.T) {
+	g := NewWithT(t)
+	l, now := newLatencies(), time.Unix(1000, 0)
+	g.Expect(l.shortestAttempt(now, "read")).To(BeZero())
+	l.attemptAnswered(now, "read", 40*time.Millisecond)
+	l.attemptAnswered(now, "read", 90*time.Millisecond)
+	g.Expect(l.shortestAttempt(now, "read")).To(Equal(40 * time.Millisecond))
+	g.Expect(l.shortestAttempt(now, "other")).To(BeZero())
+	l.attemptAnswered(now.Add(latencyWindow/2), "read", 60*time.Millisecond)
+	g.Expect(l.shortestAttempt(now.Add(latencyWindow/2), "read")).To(Equal(40 * time.Millisecond))
+	g.Expect(l.shortestAttempt(now.Add(latencyWindow), "read")).To(Equal(60 * time.Millisecond))
+	g.Expect(l.shortestAttempt(now.Add(2*latencyWindow), "read")).To(BeZero())
+}
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -103,6 +103,7 @@
 		"running", meta.Load.Running, "waiting", meta.Load.Waiting, "bytes", report.ResponseBytes)
 	switch end {
 	case outcomeAnswered:
+		h.latencies.attemptAnswered(h.Now(), q.route.Name, report.TimeToHeader)
 		h.writeResponse(w, q, resp)
 	case outcomeShed:
 		h.Log.Info("upstream refused", "id", q.ID, "upstream", c.ID, "status", resp.status, "retry_after", meta.RetryAfter, "running", meta.Load.Running,
@@ -179,6 +180,7 @@
 	switch {
 	case err == nil:
 		h.done(q, c, report)
+		h.latencies.attemptAnswered(h.Now(), q.route.Name, report.TimeToHeader)
 		return outcomeAnswered
 	case errors.As(err, &caller) || ctx.Err() != nil:
 		h.done(q, c, place.Report{Result: place.Canceled})
--- a/internal/front/retry.go
+++ b/internal/front/retry.go
@@ -1,5 +1,11 @@
 package front
 
+import "time"
+
+// minRetryTime is the least time that must be left for a further attempt: a round trip to an
+// upstream of the region, and timers that fire a few milliseconds late.
+const minRetryTime = 10 * time.Millisecond
+
 // maxUnreachable is the number of unreachable upstreams after which a further
 // upstream is still tried. Unreachable upstreams do not count as attempts of the
 // route, since they received nothing of the request.
@@ -14,6 +20,8 @@
 	RetryAllowed RetryDecision = "allowed"
 	// RetryBodyGone: the body of the request is not held any more.
 	RetryBodyGone RetryDecision = "body-gone"
+	// RetryNoTime: the time left is shorter than any recent answer to a request of the route.
+	RetryNoTime RetryDecision = "no-time"
 	// RetryUnreachable: too many upstreams were unreachable.
 	RetryUnreachable RetryDecision = "unreachable"
 	// RetryNotIdempotent: the request may have run, and must not run twice.
@@ -44,6 +52,8 @@
 	switch {
 	case !q.body.replayable():
 		return RetryBodyGone
+	case q.deadline.Sub(h.Now()) < max(minRetryTime, h.latencies.shortestAttempt(h.Now(), q.route.Name)):
+		return RetryNoTime
 	case end == outcomeUnsent && unreachable > maxUnreachable:
 		return RetryUnreachable
 	case end == outcomeUnsent:
