Upstreams are told the time that is left when the request is written, and never none

A limit of 0 or less reads as none, and nothing kept the host from writing one: a request that has waited for its body, in the queue or for a connection may have less than a millisecond left. The limit was also computed before there was a connection, so an upstream was told up to the time that a dial or a tunnel takes more than was left, and a request whose time had ended meanwhile was still written.

The limit is now a traffic.TimeLimit, which exists only for a millisecond or more; its zero value is the shortest limit. It is computed again when there is a connection, and a request without time, or whose caller has left, is not written. Nothing has then reached the upstream, so the caller is told that the request has not run.

TestTimeToConnectShortensTheTimeLimit failed before (2996 ms told, 2700 left), and so did TestRequestIsNotSentAfterItsTimeLimit (504 in place of 503: the request was sent after its limit).

--- a/internal/entryhost/helper_test.go
+++ b/internal/entryhost/helper_test.go
@@ -85,6 +85,8 @@
 	store string
 	// uplink is the network between the host and all upstreams; nil means one without faults.
 	uplink *standin.Uplink
+	// connectDelay is how long it takes to connect to an upstream, whatever the context.
+	connectDelay time.Duration
 	// queue is the setting overload.queue; "" means the default.
 	queue string
 }
@@ -115,6 +117,13 @@
 	if o.uplink != nil {
 		d.DialUpstream = o.uplink.Dialer(d.DialUpstream)
 	}
+	if o.connectDelay > 0 {
+		dial := d.DialUpstream
+		d.DialUpstream = func(_ context.Context, network, address string) (net.Conn, error) {
+			time.Sleep(o.connectDelay)
+			return dial(context.Background(), network, address)
+		}
+	}
 	d.Start()
 	h := &host{daemon: d, listen: d.Addresses()}
 	s.hosts = append(s.hosts, h)
--- a/internal/entryhost/retry_test.go
+++ b/internal/entryhost/retry_test.go
@@ -66,3 +66,39 @@
 		})
 	}
 }
+
+// Guards against upstreams that are told the time that was left before a connection was established.
+func TestTimeToConnectShortensTheTimeLimit(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	told := make(chan string, 100)
+	s.worker("i-1", "s", "a1", 0).SetHandler(func(w http.ResponseWriter, r *http.Request) {
+		told <- r.Header.Get("X-Deadline-Ms")
+		w.WriteHeader(http.StatusNoContent)
+	})
+	s.declare(4, "k1")
+	const connectDelay = 300 * time.Millisecond
+	h := s.hostWith("h1", "a1", hostOptions{connectDelay: connectDelay})
+	g.Eventually(func() int {
+		_ = s.read(h)
+		return len(told)
+	}, "15s", "50ms").Should(BeNumerically(">", 0))
+	g.Expect(strconv.Atoi(<-told)).To(BeNumerically("<=", (3*time.Second - connectDelay).Milliseconds()))
+}
+
+// Guards against a request that is sent although its time limit has passed while a connection was established.
+func TestRequestIsNotSentAfterItsTimeLimit(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.timeLimit = "150ms"
+	k := s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1")
+	h := s.hostWith("h1", "a1", hostOptions{connectDelay: 200 * time.Millisecond})
+	g.Eventually(h.ready, "15s", "50ms").Should(BeTrue())
+	for range 5 {
+		a := s.read(h)
+		g.Expect(a.status).To(Equal(http.StatusServiceUnavailable), "the request has not run")
+		g.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+	}
+	g.Expect(k.Runs()).To(BeEmpty())
+}
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -206,7 +206,11 @@
 	q.attempts.tried = append(q.attempts.tried, c.ID)
 	q.attempts.timeLeft = append(q.attempts.timeLeft, q.deadline.Sub(sentAt))
 	q.attempts.longestQueueing = max(q.attempts.longestQueueing, c.ExpectedQueueing)
-	out := h.upstreamRequest(q, c, sentAt)
+	limit, err := traffic.NewTimeLimit(q.deadline.Sub(sentAt))
+	if err != nil {
+		return h.recordUnsent(ctx, q, c, &h1.UnsentError{Address: c.Address, Cause: err})
+	}
+	out := h.upstreamRequest(q, c, limit)
 	endSpan := hopTracer{h.Tracer}.startUpstream(ctx, out.Header, c)
 	defer func() { endSpan(end, q.attempts.relay) }()
 	upstream, err := h.Pool.Send(ctx, c.Address, out)
@@ -222,15 +226,24 @@
 	return h.recordLost(ctx, q, c, err), nil
 }
 
-func (h *Handler) upstreamRequest(q *request, c place.Choice, now time.Time) *h1.Request {
-	f := traffic.Forward{Remaining: q.deadline.Sub(now), ExpectedInstance: c.ID, DropAPIKey: h.State().Catalog.RequiresKeys}
+func (h *Handler) upstreamRequest(q *request, c place.Choice, limit traffic.TimeLimit) *h1.Request {
+	f := traffic.Forward{TimeLimit: limit, ExpectedInstance: c.ID, DropAPIKey: h.State().Catalog.RequiresKeys}
 	if q.customer != nil {
 		f.Customer = q.customer.Name
 	}
+	header := h.Codec.ForwardHeader(q.http.Header, f)
 	return &h1.Request{
 		Method: q.http.Method, Target: requestTarget(q.http), Host: q.http.Host,
-		Header: h.Codec.ForwardHeader(q.http.Header, f), Body: q.body.reader(), Length: q.body.length, NonIdempotent: !q.route.Kind.Idempotent(),
+		Header: header, Body: q.body.reader(), Length: q.body.length, NonIdempotent: !q.route.Kind.Idempotent(),
 		Matches: func(r *http.Response) bool { return h.Codec.ParseResponse(r).ID == q.ID },
+		Prepare: func() error {
+			// Connecting has taken some of the time.
+			limit, err := traffic.NewTimeLimit(q.deadline.Sub(h.Now()))
+			if err == nil {
+				h.Codec.SetTimeLimit(header, limit)
+			}
+			return err
+		},
 	}
 }
 
@@ -238,6 +251,7 @@
 func (h *Handler) recordUnsent(ctx context.Context, q *request, c place.Choice, err *h1.UnsentError) (outcome, *response) {
 	report := place.Report{Result: place.Unreachable}
 	var noPeer *tunnel.NoPeerError
+	var noTime *traffic.NoTimeError
 	switch {
 	case ctx.Err() != nil || !err.DialFailed:
 		report.Result = place.Canceled
@@ -246,7 +260,7 @@
 		q.attempts.pathDown = true
 	}
 	h.done(q, c, report)
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.As(err, &noTime) {
 		return outcomeTimedOut, nil
 	}
 	h.Pool.CloseIdle(c.Address)
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -27,6 +27,9 @@
 	// NonIdempotent marks a request that must not run twice. It is sent on a reused
 	// connection only if the upstream most probably still has that connection open.
 	NonIdempotent bool
+	// Prepare is called once there is a connection, immediately before the request is written. It may
+	// change Header. If it returns an error, nothing is sent. Optional.
+	Prepare func() error
 }
 
 const (
@@ -75,6 +78,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := prepare(ctx, r); err != nil {
+		c.closeOrderly()
+		return nil, &UnsentError{Address: address, Cause: err}
+	}
 	// The callback sets a deadline in the past instead of closing the connection, so
 	// that only this goroutine closes it.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
@@ -91,6 +98,14 @@
 	return resp, nil
 }
 
+// prepare calls Prepare, unless the context ended while a connection was established.
+func prepare(ctx context.Context, r *Request) error {
+	if err := ctx.Err(); err != nil || r.Prepare == nil {
+		return err
+	}
+	return r.Prepare()
+}
+
 // recordLost reports a connection that has broken without a response. The caller of a
 // non-idempotent request, which is not sent again, need not wait.
 func (p *Pool) recordLost(ctx context.Context, c *conn, nonIdempotent bool) {
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -21,8 +21,8 @@
 
 // Forward is the metadata that the entry host adds to a request to an upstream.
 type Forward struct {
-	// Remaining is the time left for the upstream to respond.
-	Remaining time.Duration
+	// TimeLimit is how long the upstream may take to respond.
+	TimeLimit TimeLimit
 	// ExpectedInstance is the intended upstream; any other upstream rejects the request.
 	ExpectedInstance string
 	// Customer is the tenant name; "" for a public route.
@@ -93,6 +93,8 @@
 	ParseRequest(r *http.Request) Request
 	// ForwardHeader derives the header for an upstream from the caller's header.
 	ForwardHeader(from http.Header, f Forward) http.Header
+	// SetTimeLimit replaces the time limit in the header for an upstream.
+	SetTimeLimit(h http.Header, l TimeLimit)
 	// ParseResponse reads the metadata of an upstream's response.
 	ParseResponse(r *http.Response) Response
 	// SetRetryAfter sets the delay after which the caller of a rejected request should
