An upstream's failure is delivered when the second attempt runs out of time

A caller whose first upstream had answered with a failure got a 504 of the host if the second attempt took until the time limit: the response that was ready was dropped, with the upstream's status and signature. serve returned the refusal of the timeout without the kept response; it now ends such a request like all others without an answer.

TestResponseIsDeliveredWhenTheRetryTimesOut failed before (504, want the upstream's 500).

--- a/internal/entryhost/retry_test.go
+++ b/internal/entryhost/retry_test.go
@@ -102,3 +102,35 @@
 	}
 	g.Expect(k.Runs()).To(BeEmpty())
 }
+
+// Guards against the loss of an upstream's response because a second attempt took until the time limit.
+func TestResponseIsDeliveredWhenTheRetryTimesOut(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	s.timeLimit = "400ms"
+	var mu sync.Mutex
+	attempts := map[string]int{}
+	for i := range 2 {
+		s.worker(fmt.Sprint("i-", i), "s", "a1", 0).SetHandler(func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			attempts[r.Header.Get("X-Request-Id")]++
+			first := attempts[r.Header.Get("X-Request-Id")] == 1
+			mu.Unlock()
+			if !first {
+				<-r.Context().Done()
+				return
+			}
+			w.Header().Set("X-Response-Signature", "signed")
+			w.WriteHeader(http.StatusInternalServerError)
+		})
+	}
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	g.Eventually(h.ready, "15s", "50ms").Should(BeTrue())
+	a := s.read(h)
+	g.Expect(a.status).To(Equal(http.StatusInternalServerError))
+	g.Expect(a.header.Get("X-Response-Signature")).To(Equal("signed"))
+	mu.Lock()
+	defer mu.Unlock()
+	g.Expect(attempts).To(HaveKeyWithValue(fmt.Sprint("id-", s.serial.Load()), 2))
+}
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -69,7 +69,7 @@
 			answered = true
 			return nil
 		case outcomeTimedOut:
-			return h.timeoutRefusal(q)
+			return h.finishUnserved(w, q, failure, h.timeoutRefusal(q))
 		case outcomeUnsent:
 			unreachable++
 		case outcomeFailed:
