Hosts use their part of the retry slack only after a full window in which all counted each other

Callers' requests were repeated beyond the budget of the fleet after restarts: upstreams that were already in trouble got the more repeats the more often hosts were restarted. The budget is kept in the process, so a process that starts had a whole part of the slack, whatever its predecessor had used in the last ten seconds, and the slack was split among the hosts known at the moment: one until the first listing, too few while registrations have lapsed, and on both sides of a network partition each side's own.

One restart is enough for a service with few requests.

A host now uses its part once its registration has stood for a full window and while it certainly stands, and the slack is split among the most hosts that it has known in that window. All hosts that use a part within a window then have counted each other at its beginning, so the parts add up to the slack at most, whatever was restarted, added, killed or cut off. The ratio, earned by requests of the same process, is available at once; and the slack, if the first listing shows that no host has run before.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -69,7 +69,11 @@
 	hostsApplied, hostsChanged bool
 	// holdsShares is set while the registration entitles this host to hold rate shares.
 	holdsShares bool
-	sequence    uint64
+	// counted is set while peers count this host; see countedUntil.
+	counted bool
+	// firstStart is set if the first listing shows that no host of the fleet has run before.
+	firstStart bool
+	sequence   uint64
 	// heartbeatDue is when the next full heartbeat to active hosts is due.
 	heartbeatDue time.Time
 	// announceToStandbys is set if a compact heartbeat to all standbys is due.
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -155,7 +155,7 @@
 		events: events, metrics: metrics, tracing: tracing, transport: transport, addresses: addresses, listeners: listeners,
 		DialUpstream:  h1.Dialer(upstreamDialTimeout),
 		shares:        share.New(),
-		retries:       retry.NewWindowBudget(clock.Now(), s.Bounds.RetryWindow.Value(), s.Bounds.RetryRatio),
+		retries:       retry.NewWindowBudget(s.Bounds.RetryWindow.Value(), s.Bounds.RetryRatio),
 		errs:          make(chan error, 4),
 		wakeReader:    make(chan struct{}, 1),
 		wakeRegistrar: make(chan struct{}, 1),
--- a/internal/entryhost/publish.go
+++ b/internal/entryhost/publish.go
@@ -6,6 +6,7 @@
 	"balsambarrow/internal/fleet"
 	"balsambarrow/internal/front"
 	"balsambarrow/internal/place"
+	"balsambarrow/internal/retry"
 )
 
 // published is the state that the control thread has published to the other goroutines.
@@ -26,7 +27,7 @@
 
 // selfState is the state of this host on which the directory and the bucket hosts depend.
 type selfState struct {
-	ready, leaving, reachesStore, holdsShares bool
+	ready, leaving, reachesStore, holdsShares, counted bool
 }
 
 // publish publishes what has changed. Most messages change nothing that other goroutines use.
@@ -42,10 +43,10 @@
 		p.generation, p.peers = c.members.Generation(), c.members.Alive()
 	}
 	c.updateReady(now, p.peers)
-	next := selfState{c.ready, c.leaving, !c.storeUnreachable, c.holdsShares}
+	next := selfState{c.ready, c.leaving, !c.storeUnreachable, c.holdsShares, now.Before(c.countedUntil(now))}
 	if changed || review || next != p.self {
 		p.self, p.reviewedAt = next, now
-		c.publishHosts()
+		c.publishHosts(now)
 	}
 	c.publishState()
 	c.publishDemand(now, changed)
@@ -54,7 +55,7 @@
 // publishHosts publishes the known hosts to the directory, the active ones to the placement
 // table, and the holders of customers' buckets to the callers of awaitBucketHosts. It also
 // applies the bounds of the settings, which may have been reloaded.
-func (c *control) publishHosts() {
+func (c *control) publishHosts(now time.Time) {
 	peers := c.published.peers
 	c.d.directory.Store(&directory{self: c.d.self, ready: c.ready, leaving: c.leaving, reachesStore: !c.storeUnreachable, peers: peers})
 	hosts := make([]place.Host, 0, len(peers)+1)
@@ -76,7 +77,9 @@
 	c.d.bucketHosts.Store(newBucketHosts(c.d.self, c.ready && c.holdsShares, peers, c.members.Count()))
 	c.d.hostsUpdated.fire()
 	bounds := c.d.settings.Load().Bounds
-	c.d.retries.SetSlack(bounds.RetrySlack, c.members.Count())
+	c.d.retries.SetShare(now, retry.Share{
+		Slack: bounds.RetrySlack, Hosts: c.members.Count(), CountedUntil: c.countedUntil(now), Unused: c.firstStart,
+	})
 	c.d.table.SetMaxRegionShift(bounds.MaxShift)
 	c.d.shares.SetSlack(bounds.RateSlack)
 }
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -52,6 +52,20 @@
 	holdsShares bool
 }
 
+// validUntil returns until when the registration is certainly in the store.
+func (r registration) validUntil() time.Time { return r.renewedAt.Add(r.lease - leaseMargin) }
+
+// countedUntil returns until when peers count this host; zero while this host does not know all
+// hosts that registered before it.
+func (c *control) countedUntil(now time.Time) time.Time {
+	r := c.ownRegistration
+	c.counted = now.Before(r.validUntil()) && (c.counted || !c.hosts.confirmedAt.Before(r.writtenAt))
+	if !c.counted {
+		return time.Time{}
+	}
+	return r.validUntil()
+}
+
 // mayHoldShares reports whether peers count this host as one that holds rate shares, and this
 // host knows all hosts that registered before it. A standby may not hold shares: during a
 // network partition it would go on granting tokens until the end of its long lease.
@@ -61,7 +75,7 @@
 // every customer.
 func (c *control) mayHoldShares(now time.Time) bool {
 	r := c.ownRegistration
-	return r.holdsShares && !c.hosts.confirmedAt.Before(r.writtenAt) && now.Sub(r.renewedAt) < r.lease-leaseMargin
+	return r.holdsShares && !c.hosts.confirmedAt.Before(r.writtenAt) && now.Before(r.validUntil())
 }
 
 // registrar maintains this host's registration.
--- a/internal/entryhost/retry_test.go
+++ b/internal/entryhost/retry_test.go
@@ -22,7 +22,7 @@
 	h := s.host("h1", "a1")
 	g.Eventually(func() int { return s.read(h).status }, "15s", "50ms").Should(Equal(http.StatusInternalServerError))
 	decision := func(d string) string {
-		return `msg=retry .* after=failed decision=` + d + ` sends=\d time_left=\S+ budget_requests=\d+ budget_retries=\d+ budget_slack=\S+ budget_hosts=1 budget_age=\S+`
+		return `msg=retry .* after=failed decision=` + d + ` sends=\d time_left=\S+ budget_requests=\d+ budget_retries=\d+ budget_slack=\S+ budget_hosts=1 budget_wait=\S+`
 	}
 	g.Eventually(logs.String, "2s", "20ms").Should(And(
 		MatchRegexp(decision("allowed")), MatchRegexp(decision("max-attempts")),
@@ -31,6 +31,26 @@
 	g.Expect(s.metrics(h)).To(ContainSubstring(`balsambarrow_retry_decisions_total{decision="max-attempts"} `))
 }
 
+// Guards against a process that uses the slack of the retry budget again after its predecessor.
+func TestRestartedHostWaitsForTheSlack(t *testing.T) {
+	g := NewWithT(t)
+	s, logs := newLoggedSite(t)
+	for _, id := range []string{"i-1", "i-2"} {
+		s.worker(id, "s", "a1", 0).SetHandler(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	}
+	s.declare(4, "k1")
+	first := s.host("h1", "a1")
+	g.Eventually(func() int { return s.read(first).status }, "15s", "50ms").Should(Equal(http.StatusInternalServerError))
+	g.Eventually(logs.String, "2s", "20ms").Should(MatchRegexp(`msg=retry host=h1 .* decision=allowed .* budget_slack=42 budget_hosts=1 budget_wait=0s`), "the fleet starts for the first time")
+	g.Eventually(s.hintHosts, "5s", "20ms").Should(Equal(1))
+	first.stopped.Store(true)
+	first.daemon.Kill()
+	second := s.host("h2", "a1")
+	g.Eventually(func() int { return s.read(second).status }, "15s", "50ms").Should(Equal(http.StatusInternalServerError))
+	g.Eventually(logs.String, "2s", "20ms").Should(MatchRegexp(`msg=retry host=h2 .* decision=no-budget .* budget_slack=0 budget_hosts=\d budget_wait=\d`))
+	g.Expect(logs.String()).NotTo(MatchRegexp(`msg=retry host=h2 .* decision=allowed`))
+}
+
 // Guards against a request that is sent to a second upstream when the first has used up its time.
 func TestRequestWithoutTimeLeftIsNotRetried(t *testing.T) {
 	for name, early := range map[string]time.Duration{"at the limit": 0, "shortly before": 3 * time.Millisecond} {
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -30,6 +30,7 @@
 	case first:
 		c.loadState(now, l.Items, true)
 		c.setCompleteTo(l.Revision, c.sections()...)
+		c.firstStart = len(c.registrations) == 0 && c.storedHintRevision == 0
 		// The registration follows, and its type depends on whether the host should hold rate
 		// shares. shouldBeActive updates that.
 		c.shouldBeActive(now, nil)
--- a/internal/front/retry.go
+++ b/internal/front/retry.go
@@ -41,7 +41,7 @@
 	budget := h.RetryBudget.State(now, q.service)
 	h.Log.Info("retry", "id", q.ID, "service", q.service, "after", end.String(), "decision", string(decision), "sends", q.attempts.sends,
 		"time_left", q.deadline.Sub(now), "budget_requests", budget.Requests, "budget_retries", budget.Retries,
-		"budget_slack", budget.Slack, "budget_hosts", budget.Hosts, "budget_age", budget.Age)
+		"budget_slack", budget.Slack, "budget_hosts", budget.Hosts, "budget_wait", budget.Wait)
 	if decision == RetryAllowed {
 		return nil
 	}
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -13,28 +14,57 @@
 // upstreams shed requests or lose responses, and overloaded upstreams stay
 // overloaded. Each host applies the ratio to the requests that it sent itself and
 // uses its part of the slack, so that the limit holds for the sum over all hosts
-// without communication between them. It is safe for concurrent use.
+// without communication between them.
+//
+// A process does not know what its predecessor has used, and hosts that do not know of
+// each other would use more than the slack. A host therefore uses its part only after it
+// has been counted by the others for a full window, and splits the slack among the
+// highest number of hosts that it has known in that window. All hosts that use their
+// parts within a window then have been counted by each other at its beginning. It is safe for
+// concurrent use.
 type WindowBudget struct {
-	length    time.Duration
-	ratio     float64
-	startedAt time.Time
-
-	mu sync.Mutex
-	// slack is the part of this host, and hosts the number of hosts among which it is split.
-	slack    float64
-	hosts    int
+	length time.Duration
+	ratio  float64
+
+	mu    sync.Mutex
+	share Share
+	// shareFrom is when this host may begin to use its part of the slack.
+	shareFrom time.Time
+	// earlier are the numbers of hosts before that of share, oldest first.
+	earlier  []hostCount
 	services map[string]*buckets
 }
 
+// Share describes the part of a host in the slack of the fleet.
+type Share struct {
+	// Slack is the number of retries that all hosts together may make in one window beyond
+	// the ratio.
+	Slack float64
+	// Hosts is the number of hosts that may use it, this one included.
+	Hosts int
+	// CountedUntil is until when the other hosts certainly count this one.
+	CountedUntil time.Time
+	// Unused is set if the fleet starts for the first time: no earlier process has used the
+	// slack.
+	Unused bool
+}
+
+// hostCount is a number of hosts that was known until a time.
+type hostCount struct {
+	hosts int
+	until time.Time
+}
+
 // WindowState is the state of the budget of one service at this host.
 type WindowState struct {
 	// Requests and Retries are those in the window.
 	Requests, Retries float64
-	// Slack is the part of this host, and Hosts the number of hosts among which it is split.
+	// Slack is the part that this host may use now, and Hosts the number of hosts among
+	// which the slack is split.
 	Slack float64
 	Hosts int
-	// Age is the time for which this process has counted.
-	Age time.Duration
+	// Wait is how long this host must still wait before it may use its part.
+	Wait time.Duration
 }
 
 const (
@@ -57,19 +87,48 @@
 
 type buckets [bucketsPerWindow + 1]bucket
 
-// NewWindowBudget returns the budget of a process that starts at the given time, with a window
-// of the given length.
-func NewWindowBudget(startedAt time.Time, length time.Duration, ratio float64) *WindowBudget {
-	return &WindowBudget{length: length, ratio: ratio, startedAt: startedAt, services: map[string]*buckets{}}
+// NewWindowBudget returns a budget with a window of the given length. It has no slack until
+// SetShare is called.
+func NewWindowBudget(length time.Duration, ratio float64) *WindowBudget {
+	return &WindowBudget{length: length, ratio: ratio, services: map[string]*buckets{}}
 }
 
-// SetSlack sets the number of retries that all hosts together may make in one
-// window beyond the ratio, and the number of hosts among which it is split.
-func (w *WindowBudget) SetSlack(slack float64, hosts int) {
+// SetShare sets the share of this host as it knows it now.
+func (w *WindowBudget) SetShare(now time.Time, s Share) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.hosts = max(hosts, 1)
-	w.slack = slack * slackFraction / float64(w.hosts)
+	s.Hosts = max(s.Hosts, 1)
+	if !now.Before(w.share.CountedUntil) && now.Before(s.CountedUntil) {
+		w.shareFrom = now
+		if !s.Unused {
+			w.shareFrom = now.Add(w.counted())
+		}
+	}
+	if w.share.Hosts != s.Hosts && w.share.Hosts > 0 {
+		w.earlier = append(w.earlier, hostCount{w.share.Hosts, now})
+	}
+	w.share = s
+}
+
+// counted returns the time that the counts of a window span.
+func (w *WindowBudget) counted() time.Duration { return w.length + w.length/bucketsPerWindow }
+
+// hosts returns the highest number of hosts that this host has known in the window.
+func (w *WindowBudget) hosts(now time.Time) int {
+	w.earlier = slices.DeleteFunc(w.earlier, func(c hostCount) bool { return now.Sub(c.until) > w.counted() })
+	most := w.share.Hosts
+	for _, c := range w.earlier {
+		most = max(most, c.hosts)
+	}
+	return most
+}
+
+// slack returns the part of the slack that this host may use.
+func (w *WindowBudget) slack(now time.Time) float64 {
+	if now.Before(w.shareFrom) || !now.Before(w.share.CountedUntil) {
+		return 0
+	}
+	return w.share.Slack * slackFraction / float64(w.hosts(now))
 }
 
 // RecordRequest records the first attempt of a request.
@@ -86,7 +145,7 @@
 	defer w.mu.Unlock()
 	current := w.bucket(now, service)
 	requests, retries := w.counts(now, service)
-	if retries+1 > requests*w.ratio*ratioFraction+w.slack {
+	if retries+1 > requests*w.ratio*ratioFraction+w.slack(now) {
 		return false
 	}
 	current.retries++
@@ -98,7 +157,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	requests, retries := w.counts(now, service)
-	return WindowState{Requests: requests, Retries: retries, Slack: w.slack, Hosts: w.hosts, Age: now.Sub(w.startedAt)}
+	return WindowState{
+		Requests: requests, Retries: retries, Slack: w.slack(now), Hosts: w.hosts(now), Wait: max(w.shareFrom.Sub(now), 0),
+	}
 }
 
 // counts returns the requests and the retries in the window.
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -21,8 +21,8 @@
 	var budgets []*retry.WindowBudget
 	now := time.Unix(1000, 0)
 	for range hosts {
-		w := retry.NewWindowBudget(now, 10*time.Second, ratio)
-		w.SetSlack(slack, hosts)
+		w := retry.NewWindowBudget(10*time.Second, ratio)
+		w.SetShare(now, retry.Share{Slack: slack, Hosts: hosts, CountedUntil: now.Add(time.Hour), Unused: true})
 		budgets = append(budgets, w)
 	}
 	type event struct {
@@ -82,9 +82,9 @@
 )
 
 // start starts or restarts a host that knows the number of hosts of the fleet.
-func (f *simulatedFleet) start(now time.Time, host, hosts int) {
-	w := retry.NewWindowBudget(now, simulatedWindow, simulatedRatio)
-	w.SetSlack(simulatedSlack, hosts)
+func (f *simulatedFleet) start(now time.Time, host, hosts int, first bool) {
+	w := retry.NewWindowBudget(simulatedWindow, simulatedRatio)
+	w.SetShare(now, retry.Share{Slack: simulatedSlack, Hosts: hosts, CountedUntil: now.Add(time.Hour), Unused: first})
 	f.hosts[host] = w
 }
 
@@ -129,13 +129,13 @@
 			f := &simulatedFleet{hosts: make([]*retry.WindowBudget, hosts)}
 			now := time.Unix(1000, 0)
 			for h := range hosts {
-				f.start(now, h, hosts)
+				f.start(now, h, hosts, true)
 			}
 			for step := range 3000 {
 				now = now.Add(10 * time.Millisecond)
 				if step >= 1500 && step%250 == 0 && step < 1500+restarts*250 {
 					for h := range hosts {
-						f.start(now, h, hosts)
+						f.start(now, h, hosts, false)
 					}
 				}
 				if step%3 == 0 {
@@ -147,11 +147,39 @@
 	}
 }
 
+// Guards against parts of the slack that grow or are used again while others may have used them within the window.
+func TestPartOfTheSlackNeedsAFullWindow(t *testing.T) {
+	g := NewWithT(t)
+	w := retry.NewWindowBudget(10*time.Second, 0.2)
+	at := func(seconds float64) time.Time {
+		return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
+	}
+	set := func(now float64, hosts int, countedUntil float64) {
+		w.SetShare(at(now), retry.Share{Slack: 100, Hosts: hosts, CountedUntil: at(countedUntil)})
+	}
+	part := func(now float64) float64 { return w.State(at(now), "s").Slack }
+	g.Expect(part(0)).To(BeZero())
+	set(0, 10, 30)
+	g.Expect(part(10)).To(BeZero(), "a predecessor may have used it")
+	g.Expect(part(11)).To(BeNumerically("~", 7))
+	set(12, 5, 30)
+	g.Expect(part(22)).To(BeNumerically("~", 7), "ten hosts were known within the window")
+	g.Expect(part(23)).To(BeNumerically("~", 14))
+	set(24, 20, 30)
+	g.Expect(part(24)).To(BeNumerically("~", 3.5))
+	g.Expect(part(30)).To(BeZero(), "the others may not count this host any more")
+	set(31, 20, 60)
+	g.Expect(part(41)).To(BeZero())
+	g.Expect(part(42)).To(BeNumerically("~", 3.5))
+	w.SetShare(at(43), retry.Share{Slack: 100, Hosts: 20, CountedUntil: at(60), Unused: true})
+	g.Expect(part(43)).To(BeNumerically("~", 3.5))
+}
+
 // Requests and retries count only as long as they are within the window.
 func TestWindowBudgetDropsOldRequests(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	w := retry.NewWindowBudget(now, 10*time.Second, 0.2)
+	w := retry.NewWindowBudget(10*time.Second, 0.2)
 	g.Expect(w.AllowRetry(now, "s")).To(BeFalse(), "there are no requests and no slack")
 	for range 10 {
 		w.RecordRequest(now, "s")
