A retry counts from when it is sent, not from when it was decided

Upstreams count it when it arrives, so the retries of up to one and a half windows could arrive within one. The decision now only asks whether the budget is exhausted, so that a request that cannot be retried is still refused at once, and the retry is taken when it is sent. A retry for which the budget is exhausted by then is refused, and its place at the upstream is given back.

--- a/internal/front/retry.go
+++ b/internal/front/retry.go
@@ -62,8 +62,18 @@
 		return RetryNotIdempotent
 	case q.attempts.sends >= q.route.MaxAttempts:
 		return RetryMaxAttempts
-	case !h.RetryBudget.AllowRetry(h.Now(), q.service):
+	case h.RetryBudget.Exhausted(h.Now(), q.service):
 		return RetryNoBudget
 	}
 	return RetryAllowed
 }
+
+// allowSend takes the retry from the budget if an upstream has already received the request. The
+// request may have waited for room since checkRetry.
+func (h *Handler) allowSend(q *request) bool {
+	if q.attempts.sends == 0 || h.RetryBudget.AllowRetry(h.Now(), q.service) {
+		return true
+	}
+	h.ObserveRetry(RetryNoBudget)
+	return false
+}
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -59,6 +59,10 @@
 		if err != nil {
 			return h.finishUnserved(w, q, failure, h.placementRefusal(q, err))
 		}
+		if !h.allowSend(q) {
+			h.done(q, choice, place.Report{Result: place.Canceled})
+			return h.finishUnserved(w, q, failure, h.unservedRefusal(q))
+		}
 		h.latencies.start(q)
 		end, resp := h.send(ctx, w, q, choice)
 		if end != outcomeAnswered {
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -139,19 +139,31 @@
 }
 
 // AllowRetry takes one retry from the budget of the service. It returns false if
-// the budget is exhausted.
+// the budget is exhausted. It is called when the retry is sent, since upstreams count
+// it when it arrives.
 func (w *WindowBudget) AllowRetry(now time.Time, service string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	current := w.bucket(now, service)
-	requests, retries := w.counts(now, service)
-	if retries+1 > requests*w.ratio*ratioFraction+w.slack(now) {
+	if w.exhausted(now, service) {
 		return false
 	}
 	current.retries++
 	return true
 }
 
+// Exhausted reports whether the budget of the service allows no retry now.
+func (w *WindowBudget) Exhausted(now time.Time, service string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.exhausted(now, service)
+}
+
+func (w *WindowBudget) exhausted(now time.Time, service string) bool {
+	requests, retries := w.counts(now, service)
+	return retries+1 > requests*w.ratio*ratioFraction+w.slack(now)
+}
+
 // State returns the state of the budget of a service.
 func (w *WindowBudget) State(now time.Time, service string) WindowState {
 	w.mu.Lock()
