Soak: retries per window and told time limits, over restarts of all hosts while responses are lost

Its checks now count the arrivals at all upstreams in each window of the retry budget, over all hosts and their restarts, and reject a limit of 0 or less or beyond the route's; the stand-in stops its work with 504 at the limit.

TestChecksDetectViolations has the cases of both checks.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -60,6 +60,8 @@
 	}
 	c.checkRate(limitedRuns)
 	c.checkRateLimits(requests)
+	c.checkRetryBudget(requests)
+	c.checkTimeLimits()
 	c.checkPauses(requests)
 	c.checkLeaving(requests)
 	c.checkLinkCuts(requests)
--- a/internal/soak/violations_test.go
+++ b/internal/soak/violations_test.go
@@ -28,6 +28,7 @@
 	r := httptest.NewRequest(method, standin.ReadPath, nil)
 	r.Header.Set("X-Request-Id", id)
 	r.Header.Set("X-Tenant-Id", customer)
+	r.Header.Set("X-Deadline-Ms", "1990")
 	if key != "" {
 		r.Header.Set("Authorization", "Bearer "+key)
 	}
@@ -43,6 +44,22 @@
 	return out
 }
 
+// retriedRequests returns eighty requests, of which the first n arrived twice at the upstream.
+func retriedRequests(u *upstream, like callerRequest, n int) []callerRequest {
+	var out []callerRequest
+	for i := range 80 {
+		r := like
+		r.id, r.endedAt, r.status = fmt.Sprint("r", i), time.Now().Add(time.Second), http.StatusOK
+		r.body = "i-0 ran " + r.id
+		runAtUpstream(u, "GET", r.id, standin.UnlimitedCustomer, "")
+		if i < n {
+			runAtUpstream(u, "GET", r.id, standin.UnlimitedCustomer, "")
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
 // runAtLimitedUpstream sends n requests at once to an upstream that has announced a limit of two
 // requests per second five seconds ago.
 func runAtLimitedUpstream(s *cluster, u *upstream, h *daemonProcess, n int) []callerRequest {
@@ -222,6 +239,18 @@
 		{"an upstream gets as much as its rate limit", func(s *cluster, u *upstream, r callerRequest) []callerRequest {
 			return runAtLimitedUpstream(s, u, r.host, 10)
 		}, ""},
+		{"retries exceed the budget", func(_ *cluster, u *upstream, r callerRequest) []callerRequest {
+			return retriedRequests(u, r, 77)
+		}, "77 retries in 10s, allowed 76"},
+		{"retries use up the budget", func(_ *cluster, u *upstream, r callerRequest) []callerRequest {
+			return retriedRequests(u, r, 76)
+		}, ""},
+		{"an upstream is told no time limit", func(_ *cluster, u *upstream, r callerRequest) []callerRequest {
+			q := httptest.NewRequest("GET", standin.ReadPath, nil)
+			q.Header = http.Header{"X-Request-Id": {r.id}, "X-Tenant-Id": {standin.UnlimitedCustomer}, "X-Deadline-Ms": {"0"}}
+			u.standIn.ServeHTTP(httptest.NewRecorder(), q)
+			return []callerRequest{withResponse(r)}
+		}, `told the time limit "0"`},
 		{"an upstream gets requests during its pause", func(_ *cluster, u *upstream, r callerRequest) []callerRequest {
 			return runDuringPause(u, r.host, 3)
 		}, "got 3 requests from it during the pause"},
--- a/internal/standin/platformconfig.go
+++ b/internal/standin/platformconfig.go
@@ -25,6 +25,9 @@
 	RateBurst           = 30
 )
 
+// RouteTimeout is the time limit of the routes of a PlatformConfig.
+const RouteTimeout = 2 * time.Second
+
 // PlatformConfig is a configuration in the format of the users' platform: a route for
 // reads and one for postings, a customer without a rate limit and one with RateLimit.
 type PlatformConfig struct {
@@ -46,8 +49,8 @@
 		"routes": platformTable{
 			[]string{"name", "host", "prefix", "kind", "timeout", "target-latency", "max-attempts", "session-affinity", "service"},
 			[][]any{
-				{"read", CallerHost, ReadPath, "safe", "2000ms", "300ms", 2, true, Service},
-				{"post", CallerHost, PostPath, "unsafe", "2000ms", "300ms", 2, true, Service},
+				{"read", CallerHost, ReadPath, "safe", RouteTimeout.String(), "300ms", 2, true, Service},
+				{"post", CallerHost, PostPath, "unsafe", RouteTimeout.String(), "300ms", 2, true, Service},
 			},
 		},
 		"services": platformTable{[]string{"name", "health-check-path", "cold-start", "cold-per-s"}, [][]any{{Service, "/health", "1s", 50}}},
--- a/internal/standin/platformupstream.go
+++ b/internal/standin/platformupstream.go
@@ -18,12 +18,14 @@
 	Customer string
 	Key      string
 	Body     string
-	At       time.Time
+	// TimeLimit is the time limit that the request states, as it was received.
+	TimeLimit string
+	At        time.Time
 }
 
 // PlatformUpstream stands in for an upstream of the users' platform. It echoes the request
-// ID, signs its responses, reports its load, and rejects requests for another instance
-// with 421. It is safe for concurrent use.
+// ID, signs its responses, reports its load, rejects requests for another instance
+// with 421, and stops its work with 504 at the time limit of a request. It is safe for concurrent use.
 type PlatformUpstream struct {
 	// ID is the initial instance ID.
 	ID string
@@ -50,6 +52,21 @@
 // platformUpstreamSlots is the concurrency that a PlatformUpstream reports.
 const platformUpstreamSlots = 4
 
+const timeLimitHeader = "X-Deadline-Ms"
+
+// work takes the time of the work, at most the time limit of the request. It returns false if that was
+// not enough.
+func work(r *http.Request, takes time.Duration) bool {
+	ms, err := strconv.ParseInt(r.Header.Get(timeLimitHeader), 10, 64)
+	limit := time.Duration(ms) * time.Millisecond
+	if err != nil || limit <= 0 || takes <= limit {
+		time.Sleep(takes)
+		return true
+	}
+	time.Sleep(limit)
+	return false
+}
+
 // Runs returns the requests that the upstream has run.
 func (u *PlatformUpstream) Runs() []PlatformRun {
 	u.mu.Lock()
@@ -109,7 +126,7 @@
 	if u.rejection == 0 {
 		return false
 	}
-	u.rejected = append(u.rejected, PlatformRun{ID: r.Header.Get("X-Request-Id"), Method: r.Method, Target: r.RequestURI, At: time.Now()})
+	u.rejected = append(u.rejected, PlatformRun{ID: r.Header.Get("X-Request-Id"), Method: r.Method, Target: r.RequestURI, TimeLimit: r.Header.Get(timeLimitHeader), At: time.Now()})
 	w.Header().Set("X-Not-Executed", "1")
 	w.Header().Set("Retry-After", strconv.FormatFloat(u.rejection.Seconds(), 'f', -1, 64))
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -167,7 +184,7 @@
 	u.running++
 	u.runs = append(u.runs, PlatformRun{
 		ID: r.Header.Get("X-Request-Id"), Method: r.Method, Target: r.RequestURI, Body: string(body), At: time.Now(),
-		Customer: r.Header.Get("X-Tenant-Id"), Key: r.Header.Get("Authorization"),
+		Customer: r.Header.Get("X-Tenant-Id"), Key: r.Header.Get("Authorization"), TimeLimit: r.Header.Get(timeLimitHeader),
 	})
 	handler, delay := u.handler, u.delay
 	u.mu.Unlock()
@@ -180,7 +197,7 @@
 		handler(w, r)
 		return
 	}
-	time.Sleep(u.ServiceTime + delay)
+	inTime := work(r, u.ServiceTime+delay)
 	u.mu.Lock()
 	running, rateLimit, leaving := u.running, u.rateLimit, u.leaving
 	u.mu.Unlock()
@@ -192,6 +209,9 @@
 	}
 	w.Header().Set("X-Response-Signature", "signed-by-"+u.ID)
 	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", running, u.slots()))
+	if !inTime {
+		w.WriteHeader(http.StatusGatewayTimeout)
+	}
 	// A write fails only if the client has disconnected.
 	_, _ = fmt.Fprintf(w, "%s ran %s", u.ID, r.Header.Get("X-Request-Id"))
 }
