--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -69,8 +69,8 @@
 	hostsApplied, hostsChanged bool
 	// holdsShares is set while the registration entitles this host to hold rate shares.
 	holdsShares bool
-	// counted is set while peers count this host; see countedUntil.
-	counted bool
+	// countedUntil is until when peers certainly count this host; zero if they may not.
+	countedUntil time.Time
 	// firstStart is set if the first listing shows that no host of the fleet has run before.
 	firstStart bool
 	sequence   uint64
--- a/internal/entryhost/publish.go
+++ b/internal/entryhost/publish.go
@@ -25,7 +25,8 @@
 	state         front.State
 }
 
-// selfState is the state of this host on which the directory and the bucket hosts depend.
+// selfState is the state of this host on which the directory, the bucket hosts and the retry budget
+// depend.
 type selfState struct {
 	ready, leaving, reachesStore, holdsShares, counted bool
 }
@@ -43,7 +44,8 @@
 		p.generation, p.peers = c.members.Generation(), c.members.Alive()
 	}
 	c.updateReady(now, p.peers)
-	next := selfState{c.ready, c.leaving, !c.storeUnreachable, c.holdsShares, now.Before(c.countedUntil(now))}
+	c.updateCounted(now)
+	next := selfState{c.ready, c.leaving, !c.storeUnreachable, c.holdsShares, !c.countedUntil.IsZero()}
 	if changed || review || next != p.self {
 		p.self, p.reviewedAt = next, now
 		c.publishHosts(now)
@@ -78,7 +80,7 @@
 	c.d.hostsUpdated.fire()
 	bounds := c.d.settings.Load().Bounds
 	c.d.retries.SetShare(now, retry.Share{
-		Slack: bounds.RetrySlack, Hosts: c.members.Count(), CountedUntil: c.countedUntil(now), Unused: c.firstStart,
+		Slack: bounds.RetrySlack, Hosts: c.members.Count(), CountedUntil: c.countedUntil, Unused: c.firstStart,
 	})
 	c.d.table.SetMaxRegionShift(bounds.MaxShift)
 	c.d.shares.SetSlack(bounds.RateSlack)
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -55,15 +55,15 @@
 // validUntil returns until when the registration is certainly in the store.
 func (r registration) validUntil() time.Time { return r.renewedAt.Add(r.lease - leaseMargin) }
 
-// countedUntil returns until when peers count this host; zero while this host does not know all
-// hosts that registered before it.
-func (c *control) countedUntil(now time.Time) time.Time {
+// updateCounted updates until when peers count this host. It begins when this host knows all hosts
+// that registered before it.
+func (c *control) updateCounted(now time.Time) {
 	r := c.ownRegistration
-	c.counted = now.Before(r.validUntil()) && (c.counted || !c.hosts.confirmedAt.Before(r.writtenAt))
-	if !c.counted {
-		return time.Time{}
+	known := !c.countedUntil.IsZero() || !c.hosts.confirmedAt.Before(r.writtenAt)
+	c.countedUntil = time.Time{}
+	if known && now.Before(r.validUntil()) {
+		c.countedUntil = r.validUntil()
 	}
-	return r.validUntil()
 }
 
 // mayHoldShares reports whether peers count this host as one that holds rate shares, and this
--- a/internal/front/retry.go
+++ b/internal/front/retry.go
@@ -36,16 +36,21 @@
 // attempt that did not answer it. It returns nil if so, else the refusal to send.
 func (h *Handler) checkRetry(q *request, end outcome, unreachable int) *refusal {
 	decision := h.decideRetry(q, end, unreachable)
+	h.recordRetry(q, end.String(), decision)
+	if decision == RetryAllowed {
+		return nil
+	}
+	return h.unservedRefusal(q)
+}
+
+// recordRetry logs and counts a decision; after is what it follows.
+func (h *Handler) recordRetry(q *request, after string, decision RetryDecision) {
 	h.ObserveRetry(decision)
 	now := h.Now()
 	budget := h.RetryBudget.State(now, q.service)
-	h.Log.Info("retry", "id", q.ID, "service", q.service, "after", end.String(), "decision", string(decision), "sends", q.attempts.sends,
+	h.Log.Info("retry", "id", q.ID, "service", q.service, "after", after, "decision", string(decision), "sends", q.attempts.sends,
 		"time_left", q.deadline.Sub(now), "budget_requests", budget.Requests, "budget_retries", budget.Retries,
 		"budget_slack", budget.Slack, "budget_hosts", budget.Hosts, "budget_wait", budget.Wait)
-	if decision == RetryAllowed {
-		return nil
-	}
-	return h.unservedRefusal(q)
 }
 
 func (h *Handler) decideRetry(q *request, end outcome, unreachable int) RetryDecision {
@@ -74,6 +79,6 @@
 	if q.attempts.sends == 0 || h.RetryBudget.AllowRetry(h.Now(), q.service) {
 		return true
 	}
-	h.ObserveRetry(RetryNoBudget)
+	h.recordRetry(q, "wait", RetryNoBudget)
 	return false
 }
--- a/internal/front/retry_internal_test.go
+++ b/internal/front/retry_internal_test.go
@@ -19,7 +19,7 @@
 	now := time.Unix(1000, 0)
 	const window = 10 * time.Second
 	h := &Handler{latencies: newLatencies(), Deps: Deps{
-		RetryBudget: retry.NewWindowBudget(window, 0.2), Now: func() time.Time { return now }, ObserveRetry: func(RetryDecision) {},
+		RetryBudget: retry.NewWindowBudget(window, 0.2), Now: func() time.Time { return now }, ObserveRetry: func(RetryDecision) {}, Log: noLog{},
 		Table: place.NewTable(place.Host{Instance: "h", Zone: "a1", Region: "a"}, map[string]string{"a1": "a"}),
 	}}
 	for range 12 {
@@ -45,3 +45,15 @@
 	now = now.Add(window)
 	g.Expect(h.RetryBudget.State(now, "s").Retries).To(Equal(2.0), "they count from when they were sent")
 }
+
+// noLog discards all events.
+type noLog struct{}
+
+// Debug implements Log.
+func (noLog) Debug(string, ...any) {}
+
+// Info implements Log.
+func (noLog) Info(string, ...any) {}
+
+// Warn implements Log.
+func (noLog) Warn(string, ...any) {}
