--- a/internal/front/retry_internal_test.go
+++ b/internal/front/retry_internal_test.go
@@ -1,48 +1,69 @@
 package front
 
 import (
-	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"balsambarrow/internal/catalog"
-	"balsambarrow/internal/place"
 	"balsambarrow/internal/retry"
 )
 
-// Guards against retries that wait for room and arrive in a window that does not count them.
-func TestRetryIsCountedWhenItIsSent(t *testing.T) {
-	g := NewWithT(t)
-	now := time.Unix(1000, 0)
-	const window = 10 * time.Second
+// retryHandler is a handler with a retry budget for twelve requests.
+func retryHandler(now func() time.Time) *Handler {
 	h := &Handler{latencies: newLatencies(), Deps: Deps{
-		RetryBudget: retry.NewWindowBudget(window, 0.2), Now: func() time.Time { return now }, ObserveRetry: func(RetryDecision) {}, Log: noLog{},
-		Table: place.NewTable(place.Host{Instance: "h", Zone: "a1", Region: "a"}, map[string]string{"a1": "a"}),
+		RetryBudget: retry.NewWindowBudget(retryWindow, 0.2), Now: now, ObserveRetry: func(RetryDecision) {}, Log: noLog{},
 	}}
 	for range 12 {
-		h.RetryBudget.RecordRequest(now, "s")
+		h.RetryBudget.RecordRequest(now(), "s")
 	}
-	failed := func() *request {
-		r := httptest.NewRequest(http.MethodGet, "/", http.NoBody)
-		return &request{
-			service: "s", http: r, body: &body{}, route: &catalog.Route{Name: "read", Kind: catalog.KindSafe, MaxAttempts: 2},
-			deadline: now.Add(time.Minute), attempts: attempts{sends: 1},
-		}
+	return h
+}
+
+const retryWindow = 10 * time.Second
+
+// failedRequest returns a request that one upstream has received.
+func failedRequest(deadline time.Time) *request {
+	return &request{
+		service: "s", body: &body{}, route: &catalog.Route{Name: "read", Kind: catalog.KindSafe, MaxAttempts: 2},
+		deadline: deadline, attempts: attempts{sends: 1},
+	}
+}
+
+// Guards against a retry that cannot be answered in time, as far as recent answers show.
+func TestRetryNeedsTheTimeOfTheFastestAnswer(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	h := retryHandler(func() time.Time { return now })
+	within := func(left time.Duration) RetryDecision {
+		return h.decideRetry(failedRequest(now.Add(left)), outcomeFailed, 0)
 	}
+	g.Expect(within(minRetryTime - 1)).To(Equal(RetryNoTime))
+	g.Expect(within(minRetryTime)).To(Equal(RetryAllowed))
+	h.latencies.attemptAnswered(now, "read", 80*time.Millisecond)
+	g.Expect(within(80*time.Millisecond - 1)).To(Equal(RetryNoTime))
+	g.Expect(within(80 * time.Millisecond)).To(Equal(RetryAllowed))
+	g.Expect(h.decideRetry(failedRequest(now), outcomeUnsent, 1)).To(Equal(RetryNoTime))
+}
+
+// Guards against retries that wait for room and arrive in a window that does not count them.
+func TestRetryIsCountedWhenItIsSent(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	h := retryHandler(func() time.Time { return now })
+	failed := func() *request { return failedRequest(now.Add(time.Minute)) }
 	waiting := []*request{failed(), failed(), failed()}
 	for _, q := range waiting {
 		g.Expect(h.decideRetry(q, outcomeFailed, 0)).To(Equal(RetryAllowed))
 	}
-	now = now.Add(window / 2)
+	now = now.Add(retryWindow / 2)
 	g.Expect(h.allowSend(waiting[0])).To(BeTrue())
 	g.Expect(h.allowSend(waiting[1])).To(BeTrue())
 	g.Expect(h.allowSend(waiting[2])).To(BeFalse(), "the budget is exhausted when it is to be sent")
 	g.Expect(h.decideRetry(failed(), outcomeFailed, 0)).To(Equal(RetryNoBudget))
 	g.Expect(h.allowSend(&request{service: "s"})).To(BeTrue(), "no upstream has received it yet")
-	now = now.Add(window)
+	now = now.Add(retryWindow)
 	g.Expect(h.RetryBudget.State(now, "s").Retries).To(Equal(2.0), "they count from when they were sent")
 }
 
