Tests of which registrations entitle a host to its part of the retry slack

Taking out two pieces of the retry budget's change was noticed by no test: that the part ends when the registration may have lapsed, as the host knows it, and that the hosts which registered earlier must be known first.

--- a/internal/entryhost/retry_test.go
+++ b/internal/entryhost/retry_test.go
@@ -51,6 +51,26 @@
 	g.Expect(logs.String()).NotTo(MatchRegexp(`msg=retry host=h2 .* decision=allowed`))
 }
 
+// Guards against a host that has lost the store and uses a part of the slack that the others may have taken over.
+func TestHostWithoutStoreUsesNoSlack(t *testing.T) {
+	g := NewWithT(t)
+	s, logs := newLoggedSite(t)
+	for _, id := range []string{"i-1", "i-2"} {
+		s.worker(id, "s", "a1", 0).SetHandler(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	}
+	s.declare(4, "k1")
+	shutter, address := s.gate()
+	h := s.hostWith("h1", "a1", hostOptions{store: address})
+	open := func() int { return s.call(h, "GET", "/open/1", "", "").status }
+	g.Eventually(open, "15s", "50ms").Should(Equal(http.StatusInternalServerError))
+	g.Eventually(logs.String, "2s", "20ms").Should(MatchRegexp(`msg=retry .* budget_slack=42 `))
+	shutter.shut.Store(true)
+	g.Eventually(func() string {
+		_ = open()
+		return logs.String()
+	}, "10s", "200ms").Should(MatchRegexp(`msg=retry .* budget_slack=0 `))
+}
+
 // Guards against a request that is sent to a second upstream when the first has used up its time.
 func TestRequestWithoutTimeLeftIsNotRetried(t *testing.T) {
 	for name, early := range map[string]time.Duration{"at the limit": 0, "shortly before": 3 * time.Millisecond} {
