A host of a fleet's first start waits for the slack again after its registration has lapsed

Found by reading: the first start of a fleet spares a host the wait before it uses its part of the retry slack, and that held for the life of the process. A host whose registration lapsed and was written again used its part at once, although the others may have split the slack without it meanwhile. The exemption now holds only for the first time that a host is counted.

TestPartOfTheSlackNeedsAFullWindow failed before (3.5 at 71 s, want 0); the property did not meet it in 5000 cases.

--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -44,8 +44,8 @@
 	Hosts int
 	// CountedUntil is until when the other hosts certainly count this one.
 	CountedUntil time.Time
-	// Unused is set if the fleet starts for the first time: no earlier process has used the
-	// slack.
+	// Unused is set if the fleet started for the first time: no earlier process has used the
+	// slack. It matters only when this host is first counted.
 	Unused bool
 }
 
@@ -99,10 +99,11 @@
 	defer w.mu.Unlock()
 	s.Hosts = max(s.Hosts, 1)
 	if !now.Before(w.share.CountedUntil) && now.Before(s.CountedUntil) {
-		w.shareFrom = now
-		if !s.Unused {
-			w.shareFrom = now.Add(w.counted())
+		wait := w.counted()
+		if s.Unused && w.shareFrom.IsZero() {
+			wait = 0
 		}
+		w.shareFrom = now.Add(wait)
 	}
 	if w.share.Hosts != s.Hosts && w.share.Hosts > 0 {
 		w.earlier = append(w.earlier, hostCount{w.share.Hosts, now})
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -173,6 +173,9 @@
 	g.Expect(part(42)).To(BeNumerically("~", 3.5))
 	w.SetShare(at(43), retry.Share{Slack: 100, Hosts: 20, CountedUntil: at(60), Unused: true})
 	g.Expect(part(43)).To(BeNumerically("~", 3.5))
+	w.SetShare(at(61), retry.Share{Slack: 100, Hosts: 20, CountedUntil: at(90), Unused: true})
+	g.Expect(part(71)).To(BeZero(), "the others may have taken the part over")
+	g.Expect(part(72)).To(BeNumerically("~", 3.5))
 }
 
 // Requests and retries count only as long as they are within the window.
