Only a host that knows no other is spared the wait for its part of the retry slack

Of two hosts that list at the same time each found none, and one that was cut off in between was still exempt when it registered later; both then used what was one slack.

A host is exempt only while it knows no other, and for 4 s after its first listing: another one that registers after that listing is known at least that long, dead or alive. All other hosts wait a full window.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -71,8 +71,9 @@
 	holdsShares bool
 	// countedUntil is until when peers certainly count this host; zero if they may not.
 	countedUntil time.Time
-	// firstStart is set if the first listing shows that no host of the fleet has run before.
-	firstStart bool
+	// firstUntil is until when this host may take itself for the first of the fleet; zero if the first
+	// listing shows a trace of another.
+	firstUntil time.Time
 	sequence   uint64
 	// heartbeatDue is when the next full heartbeat to active hosts is due.
 	heartbeatDue time.Time
--- a/internal/entryhost/publish.go
+++ b/internal/entryhost/publish.go
@@ -80,7 +80,7 @@
 	c.d.hostsUpdated.fire()
 	bounds := c.d.settings.Load().Bounds
 	c.d.retries.SetShare(now, retry.Share{
-		Slack: bounds.RetrySlack, Hosts: c.members.Count(), CountedUntil: c.countedUntil, Unused: c.firstStart,
+		Slack: bounds.RetrySlack, Hosts: c.members.Count(), CountedUntil: c.countedUntil, Unused: c.slackUnused(now),
 	})
 	c.d.table.SetMaxRegionShift(bounds.MaxShift)
 	c.d.shares.SetSlack(bounds.RateSlack)
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -66,6 +66,11 @@
 	}
 }
 
+// slackUnused reports whether no other process can have used the slack of the retry budget.
+func (c *control) slackUnused(now time.Time) bool {
+	return now.Before(c.firstUntil) && c.members.Count() == 1
+}
+
 // mayHoldShares reports whether peers count this host as one that holds rate shares, and this
 // host knows all hosts that registered before it. A standby may not hold shares: during a
 // network partition it would go on granting tokens until the end of its long lease.
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -30,7 +30,10 @@
 	case first:
 		c.loadState(now, l.Items, true)
 		c.setCompleteTo(l.Revision, c.sections()...)
-		c.firstStart = len(c.registrations) == 0 && c.storedHintRevision == 0
+		if len(c.registrations) == 0 && c.storedHintRevision == 0 {
+			// A host that registers later is known at least that long.
+			c.firstUntil = now.Add(activeLeaseTTL - leaseMargin)
+		}
 		// The registration follows, and its type depends on whether the host should hold rate
 		// shares. shouldBeActive updates that.
 		c.shouldBeActive(now, nil)
--- a/internal/retry/fleet_test.go
+++ b/internal/retry/fleet_test.go
@@ -24,8 +24,10 @@
 	simulatedFleet
 	now     time.Time
 	members []modelHost
-	// registered holds until when the registration of each process lasts in the store.
+	// registered holds until when the registration of each process lasts in the store, and hint is
+	// set once a host was registered.
 	registered map[int]time.Time
+	hint       bool
 	processes  int
 }
 
@@ -36,21 +38,36 @@
 	renewedAt time.Time
 	// known are the registrations that the process knows.
 	known map[int]time.Time
-	first bool
+	// listed is set once the process has listed the store, and firstUntil is until when it may take
+	// itself for the first.
+	listed     bool
+	firstUntil time.Time
 }
 
-func (f *fleetModel) start(host int, first bool) {
+func (f *fleetModel) start(host int) {
 	f.processes++
-	f.members[host] = modelHost{process: f.processes, cut: f.members[host].cut, first: first}
+	f.members[host] = modelHost{process: f.processes, cut: f.members[host].cut}
 	f.hosts[host] = retry.NewWindowBudget(simulatedWindow, simulatedRatio)
 }
 
-// step renews the registrations of the hosts that reach the store, and lets each host send requests.
+// reach lists the store or, after that, renews the registration of a host.
+func (f *fleetModel) reach(m *modelHost) {
+	if !m.listed {
+		m.listed = true
+		if len(f.registered) == 0 && !f.hint {
+			m.firstUntil = f.now.Add(simulatedValidity)
+		}
+		return
+	}
+	f.registered[m.process], m.renewedAt, f.hint = f.now.Add(simulatedLease), f.now, true
+}
+
+// step lets the hosts that are not cut off reach the store, and each host send requests.
 func (f *fleetModel) step(requests []int) {
 	f.now = f.now.Add(simulatedStep)
 	for i := range f.members {
 		if m := &f.members[i]; m.process > 0 && !m.cut {
-			f.registered[m.process], m.renewedAt = f.now.Add(simulatedLease), f.now
+			f.reach(m)
 		}
 	}
 	for process, until := range f.registered {
@@ -69,7 +86,7 @@
 				m.known[process] = until
 			}
 		}
-		share := retry.Share{Slack: simulatedSlack, Hosts: max(len(m.known), 1), Unused: m.first}
+		share := retry.Share{Slack: simulatedSlack, Hosts: max(len(m.known), 1), Unused: len(m.known) == 1 && f.now.Before(m.firstUntil)}
 		if !m.renewedAt.IsZero() {
 			share.CountedUntil = m.renewedAt.Add(simulatedValidity)
 		}
@@ -80,8 +97,7 @@
 	}
 }
 
-// Guards against retries beyond the budget of the fleet while hosts are killed, restarted, added, and cut off from the
-// store and from each other, in any order.
+// Guards against retries beyond the budget of the fleet while hosts are killed, started, and cut off from the store.
 func TestBudgetHoldsOverRestartsCutsAndJoins(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		hosts := rapid.IntRange(1, 8).Draw(t, "hosts")
@@ -91,7 +107,7 @@
 		}
 		present := rapid.IntRange(1, hosts).Draw(t, "present at first")
 		for i := range present {
-			f.start(i, true)
+			f.start(i)
 		}
 		for range rapid.IntRange(1, 30).Draw(t, "rounds") {
 			requests := make([]int, hosts)
@@ -104,10 +120,10 @@
 			host := rapid.IntRange(0, hosts-1).Draw(t, "host")
 			switch m := &f.members[host]; rapid.SampledFrom([]string{"start", "start all", "kill", "cut", "heal"}).Draw(t, "event") {
 			case "start":
-				f.start(host, false)
+				f.start(host)
 			case "start all":
 				for i := range hosts {
-					f.start(i, false)
+					f.start(i)
 				}
 			case "kill":
 				*m = modelHost{cut: m.cut}
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -44,8 +44,8 @@
 	Hosts int
 	// CountedUntil is until when the other hosts certainly count this one.
 	CountedUntil time.Time
-	// Unused is set if the fleet started for the first time: no earlier process has used the
-	// slack. It matters only when this host is first counted.
+	// Unused is set if no other process can have used the slack. It matters only when this
+	// host is first counted.
 	Unused bool
 }
 
