Logs name the time limit that each upstream was told

From the id of a request, answered and refused told the time that was left when an upstream was chosen, not the limit that it was told once there was a connection: the difference that the incident was about. time_left now lists the limits as written; a value with microseconds is of an attempt that was not sent.

TestTimeToConnectShortensTheTimeLimit compares the line with the header, and fails without the change.

--- a/internal/entryhost/retry_test.go
+++ b/internal/entryhost/retry_test.go
@@ -120,11 +120,13 @@
 // Guards against upstreams that are told the time that was left before a connection was established.
 func TestTimeToConnectShortensTheTimeLimit(t *testing.T) {
 	g := NewWithT(t)
-	s := newSite(t)
+	s, logs := newLoggedSite(t)
 	told := make(chan string, 100)
 	s.worker("i-1", "s", "a1", 0).SetHandler(func(w http.ResponseWriter, r *http.Request) {
 		told <- r.Header.Get("X-Deadline-Ms")
-		w.WriteHeader(http.StatusNoContent)
+		w.Header().Set("X-Response-Signature", "signed")
+		time.Sleep(600 * time.Millisecond) // so that the response is late, and logged
+		w.WriteHeader(http.StatusOK)
 	})
 	s.declare(4, "k1")
 	const connectDelay = 300 * time.Millisecond
@@ -133,7 +135,10 @@
 		_ = s.read(h)
 		return len(told)
 	}, "15s", "50ms").Should(BeNumerically(">", 0))
-	g.Expect(strconv.Atoi(<-told)).To(BeNumerically("<=", (3*time.Second - connectDelay).Milliseconds()))
+	ms, err := strconv.Atoi(<-told)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(ms).To(BeNumerically("<=", (3*time.Second - connectDelay).Milliseconds()))
+	g.Eventually(logs.String, "5s", "20ms").Should(ContainSubstring(fmt.Sprintf("time_left=[%v]", time.Duration(ms)*time.Millisecond)))
 }
 
 // Guards against a request that is sent although its time limit has passed while a connection was established.
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -183,7 +183,7 @@
 type attempts struct {
 	sends int
 	tried []string
-	// timeLeft is the time that was left when each attempt began.
+	// timeLeft is the time limit that each upstream was told, or the time that was left if nothing was sent.
 	timeLeft []time.Duration
 	// mayHaveRun is set if an upstream may have run the request.
 	mayHaveRun bool
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -245,6 +245,7 @@
 			limit, err := traffic.NewTimeLimit(q.deadline.Sub(h.Now()))
 			if err == nil {
 				h.Codec.SetTimeLimit(header, limit)
+				q.attempts.timeLeft[len(q.attempts.timeLeft)-1] = limit.Duration()
 			}
 			return err
 		},
