The earlier daemon sends a request again only if it can still be answered in time

The cause of the incident, looked for elsewhere: the handler and the entry of the earlier daemon decided on a further attempt without the time as well. An upstream that shed a request 5 ms before its deadline was followed by a second one that could not answer; it worked for nobody, and the retry was taken from the budget. Callers got the answer of the first attempt later, or none. Both now ask for retry.MinTime, which the entry host shares.

--- a/internal/entry/steer.go
+++ b/internal/entry/steer.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"balsambarrow/internal/retry"
 	"balsambarrow/internal/steer"
 	"balsambarrow/internal/wire"
 )
@@ -39,7 +40,7 @@
 			s.refundCapTokens(target, time.Now())
 		}
 		problem = attemptProblem.MergeEarlier(problem)
-		if !mayRetry(call, attemptProblem) || !s.RetryBudgets.AllowRetryOn(call.Service, attemptProblem) {
+		if !mayRetry(call, attemptProblem, time.Now()) || !s.RetryBudgets.AllowRetryOn(call.Service, attemptProblem) {
 			break
 		}
 	}
@@ -74,8 +75,8 @@
 }
 
 // mayRetry reports whether a call may be sent to another handler after a problem.
-func mayRetry(call *wire.Call, problem *wire.Problem) bool {
-	if !call.Body.CanSend() {
+func mayRetry(call *wire.Call, problem *wire.Problem, now time.Time) bool {
+	if !call.Body.CanSend() || !retry.HasTime(now, call.Deadline) {
 		return false
 	}
 	switch problem.Type {
--- a/internal/front/retry.go
+++ b/internal/front/retry.go
@@ -1,10 +1,6 @@
 package front
 
-import "time"
-
-// minRetryTime is the least time that must be left for a further attempt: a round trip to an
-// upstream of the region, and timers that fire a few milliseconds late.
-const minRetryTime = 10 * time.Millisecond
+import "balsambarrow/internal/retry"
 
 // maxUnreachable is the number of unreachable upstreams after which a further
 // upstream is still tried. Unreachable upstreams do not count as attempts of the
@@ -57,7 +53,7 @@
 	switch {
 	case !q.body.replayable():
 		return RetryBodyGone
-	case q.deadline.Sub(h.Now()) < max(minRetryTime, h.latencies.shortestAttempt(h.Now(), q.route.Name)):
+	case q.deadline.Sub(h.Now()) < max(retry.MinTime, h.latencies.shortestAttempt(h.Now(), q.route.Name)):
 		return RetryNoTime
 	case end == outcomeUnsent && unreachable > maxUnreachable:
 		return RetryUnreachable
--- a/internal/front/retry_internal_test.go
+++ b/internal/front/retry_internal_test.go
@@ -39,8 +39,8 @@
 	within := func(left time.Duration) RetryDecision {
 		return h.decideRetry(failedRequest(now.Add(left)), outcomeFailed, 0)
 	}
-	g.Expect(within(minRetryTime - 1)).To(Equal(RetryNoTime))
-	g.Expect(within(minRetryTime)).To(Equal(RetryAllowed))
+	g.Expect(within(retry.MinTime - 1)).To(Equal(RetryNoTime))
+	g.Expect(within(retry.MinTime)).To(Equal(RetryAllowed))
 	h.latencies.attemptAnswered(now, "read", 80*time.Millisecond)
 	g.Expect(within(80*time.Millisecond - 1)).To(Equal(RetryNoTime))
 	g.Expect(within(80 * time.Millisecond)).To(Equal(RetryAllowed))
--- a/internal/upstream/run.go
+++ b/internal/upstream/run.go
@@ -57,7 +57,7 @@
 			return nil, problem
 		}
 		problem = attemptProblem.MergeEarlier(problem)
-		if !canRetry(call, attemptProblem) || !r.RetryBudgets.AllowRetryOn(call.Service, attemptProblem) {
+		if !canRetry(call, attemptProblem, time.Now()) || !r.RetryBudgets.AllowRetryOn(call.Service, attemptProblem) {
 			break
 		}
 	}
@@ -66,11 +66,11 @@
 
 // canRetry reports whether a call may be sent to another upstream after the
 // given problem of an attempt.
-func canRetry(call *wire.Call, p *wire.Problem) bool {
+func canRetry(call *wire.Call, p *wire.Problem, now time.Time) bool {
 	if p.Type != wire.TypeUpstreamFailed && p.Type != wire.TypeUpstreamShed {
 		return false
 	}
-	return call.Body.CanSend() && (p.Outcome == wire.OutcomeNotRun || call.Safe())
+	return call.Body.CanSend() && retry.HasTime(now, call.Deadline) && (p.Outcome == wire.OutcomeNotRun || call.Safe())
 }
 
 // attempt sends the call to one upstream and returns the name of that upstream.
