--- a/internal/entryhost/retry_test.go
+++ b/internal/entryhost/retry_test.go
@@ -11,8 +11,15 @@
 	. "github.com/onsi/gomega"
 )
 
-// failing is a handler of upstreams that fail every request.
-func failing(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+// newFailingSite returns a logged site whose three upstreams fail every request.
+func newFailingSite(t *testing.T) (*site, *syncBuffer) {
+	s, logs := newLoggedSite(t)
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		s.worker(id, "s", "a1", 0).SetHandler(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	}
+	s.declare(4, "k1")
+	return s, logs
+}
 
 // readUntilLogged sends reads until the logs match.
 func readUntilLogged(g *WithT, s *site, h *host, path string, logs fmt.Stringer, pattern string) {
@@ -25,11 +32,7 @@
 // Guards against a retry of which no log line says why it was made, in what time, and what the retry budget stood at.
 func TestRetryDecisionsAreLogged(t *testing.T) {
 	g := NewWithT(t)
-	s, logs := newLoggedSite(t)
-	for _, id := range []string{"i-1", "i-2", "i-3"} {
-		s.worker(id, "s", "a1", 0).SetHandler(failing)
-	}
-	s.declare(4, "k1")
+	s, logs := newFailingSite(t)
 	h := s.host("h1", "a1")
 	decision := func(d string) string {
 		return `msg=retry .* after=failed decision=` + d + ` sends=\d time_left=\S+ budget_requests=\d+ budget_retries=\d+ budget_slack=\S+ budget_hosts=1 budget_wait=\S+`
@@ -43,11 +46,7 @@
 // Guards against a process that uses the slack of the retry budget again after its predecessor.
 func TestRestartedHostWaitsForTheSlack(t *testing.T) {
 	g := NewWithT(t)
-	s, logs := newLoggedSite(t)
-	for _, id := range []string{"i-1", "i-2"} {
-		s.worker(id, "s", "a1", 0).SetHandler(failing)
-	}
-	s.declare(4, "k1")
+	s, logs := newFailingSite(t)
 	first := s.host("h1", "a1")
 	readUntilLogged(g, s, first, "/read/1", logs, `msg=retry host=h1 .* decision=allowed .* budget_slack=42 budget_hosts=1 budget_wait=0s`)
 	g.Eventually(s.hintHosts, "5s", "20ms").Should(Equal(1))
@@ -61,11 +60,7 @@
 // Guards against a host that has lost the store and uses a part of the slack that the others may have taken over.
 func TestHostWithoutStoreUsesNoSlack(t *testing.T) {
 	g := NewWithT(t)
-	s, logs := newLoggedSite(t)
-	for _, id := range []string{"i-1", "i-2"} {
-		s.worker(id, "s", "a1", 0).SetHandler(failing)
-	}
-	s.declare(4, "k1")
+	s, logs := newFailingSite(t)
 	shutter, address := s.gate()
 	h := s.hostWith("h1", "a1", hostOptions{store: address})
 	// The route needs no key, which the host would soon refuse.
--- a/internal/traffic/timelimit.go
+++ b/internal/traffic/timelimit.go
@@ -30,4 +30,6 @@
 func (l TimeLimit) Milliseconds() int64 { return l.beyondFirst + 1 }
 
 // Duration returns the limit.
-func (l TimeLimit) Duration() time.Duration { return time.Duration(l.Milliseconds()) * time.Millisecond }
+func (l TimeLimit) Duration() time.Duration {
+	return time.Duration(l.Milliseconds()) * time.Millisecond
+}
