--- /dev/null
+++ b/review/standins/endlessheader.go
@@ -0,0 +1,211 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"balsambarrow/internal/standin"
+)
+
+const (
+	// spoiledFraction is the fraction of the answers of the faulty upstream that are spoiled.
+	spoiledFraction = 0.05
+	// spoiledRate bounds the bytes per second of a spoiled answer to the declared speed of a host's link.
+	spoiledRate = linkMbps * 1_000_000 / 8
+	// keptConnections is the number of connections that callers keep to each host, and serviceTime what an
+	// upstream takes for a request.
+	keptConnections = 12
+	serviceTime     = 150 * time.Millisecond
+	loadTime        = 25 * time.Second
+	// allowedLosses is the number of requests that the rule allows a host to lose.
+	allowedLosses = 3
+)
+
+// playEndlessHeader sends reads on kept connections. The disruption is that one of four upstreams now
+// and then sends bytes that are no answer: a status line without an end.
+func playEndlessHeader(f *fleet, trouble bool) (broken int, err error) {
+	f.store.Put(configurationKey, configuration(1, nil, keptKey))
+	faulty, err := f.addUpstream("i-faulty", "vt-burlington", serviceTime)
+	if err != nil {
+		return 0, err
+	}
+	for _, zone := range []string{"vt-burlington", "me-orono", "ma-amherst"} {
+		if _, err := f.addUpstream("i-"+zone, zone, serviceTime); err != nil {
+			return 0, err
+		}
+	}
+	if err := f.addHosts("vt-burlington", "me-orono", "ma-amherst"); err != nil {
+		return 0, err
+	}
+	if trouble {
+		faulty.SetHandler(spoil(f, faulty))
+	}
+	var wait sync.WaitGroup
+	for _, h := range f.hosts {
+		wait.Go(func() { f.superviseMemory(h, loadTime+2*time.Second) })
+	}
+	losses := f.load(loadTime)
+	wait.Wait()
+	return f.countLosses(losses, faulty), nil
+}
+
+// spoil returns a handler that spoils some of the answers.
+func spoil(f *fleet, u *upstream) func(w http.ResponseWriter, r *http.Request) {
+	var requests atomic.Int64
+	return func(w http.ResponseWriter, r *http.Request) {
+		if requests.Add(1)%int64(1/spoiledFraction) != 0 {
+			time.Sleep(serviceTime)
+			w.Header().Set("X-Response-Signature", "signed-by-"+u.ID)
+			_, _ = fmt.Fprintf(w, "%s ran %s", u.ID, r.Header.Get("X-Request-Id"))
+			return
+		}
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		f.record("%s spoils the answer to %s", u.ID, r.Header.Get("X-Request-Id"))
+		sent := writeEndless(c)
+		f.record("%s has sent %d bytes for %s", u.ID, sent, r.Header.Get("X-Request-Id"))
+	}
+}
+
+// writeEndless writes bytes without a line end, at the speed of the link, until the connection ends.
+func writeEndless(c net.Conn) (sent int) {
+	part := bytes.Repeat([]byte{'x'}, 64<<10)
+	for began := time.Now(); ; {
+		n, err := c.Write(part)
+		if sent += n; err != nil {
+			return sent
+		}
+		time.Sleep(time.Until(began.Add(time.Duration(float64(sent) / spoiledRate * float64(time.Second)))))
+	}
+}
+
+// superviseMemory kills and restarts a host whose process uses more memory than it may, as the platform
+// does.
+func (f *fleet) superviseMemory(h *host, during time.Duration) {
+	peak := 0.0
+	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		used := residentMB(h.cmd.Process.Pid)
+		peak = max(peak, used)
+		if used <= memoryMB {
+			continue
+		}
+		f.record("%s holds %.0f MB of %d MB: the platform kills it", h.name, used, memoryMB)
+		_ = h.cmd.Process.Kill()
+		<-h.ended
+		time.Sleep(500 * time.Millisecond)
+		if err := f.start(h); err != nil {
+			f.record("%s does not start: %v", h.name, err)
+			return
+		}
+	}
+	f.record("%s held %.0f MB at most", h.name, peak)
+}
+
+// residentMB returns the resident memory of a process.
+func residentMB(pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	fields := strings.Fields(string(text))
+	if err != nil || len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.Atoi(fields[1]) // the kernel writes a number
+	return float64(pages) * float64(os.Getpagesize()) / (1 << 20)
+}
+
+// loss is a request that was sent on a kept connection and got no answer.
+type loss struct{ id, host string }
+
+// load sends reads on kept connections, and returns those that got no answer although their time had
+// not passed.
+func (f *fleet) load(during time.Duration) []loss {
+	var mu sync.Mutex
+	var losses []loss
+	var callers sync.WaitGroup
+	counts := map[string]int{}
+	end := time.Now().Add(during)
+	for _, h := range f.hosts {
+		for i := range keptConnections {
+			callers.Go(func() {
+				f.keepAsking(h, i, end, func(id string, kept bool, a answer) {
+					mu.Lock()
+					defer mu.Unlock()
+					counts[a.String()]++
+					if a.status == 0 && kept && a.took < readLimit-100*time.Millisecond {
+						f.record("%s on a kept connection to %s: %v after %v", id, h.name, a, a.took)
+						losses = append(losses, loss{id, h.name})
+					}
+				})
+			})
+		}
+	}
+	callers.Wait()
+	for result, n := range counts {
+		f.record("%d requests: %s", n, result)
+	}
+	return losses
+}
+
+const readLimit = 2 * time.Second
+
+// keepAsking sends one request after another on a connection, and opens a new one if it has ended.
+func (f *fleet) keepAsking(h *host, caller int, end time.Time, observe func(id string, kept bool, a answer)) {
+	var c *connection
+	for n := 0; time.Now().Before(end); n++ {
+		if c == nil {
+			var err error
+			if c, err = connect(h.callers); err != nil {
+				time.Sleep(100 * time.Millisecond)
+				continue
+			}
+		}
+		id := fmt.Sprintf("r-%s-%d-%d", h.name, caller, n)
+		kept := c.served > 0
+		a := c.send(request{id: id, method: http.MethodGet, path: standin.ReadPath + id, key: keptKey, limit: readLimit})
+		observe(id, kept, a)
+		if a.status != http.StatusOK || c.closing {
+			_ = c.Close()
+			c = nil
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	if c != nil {
+		_ = c.Close()
+	}
+}
+
+// countLosses returns the number of losses beyond the allowed ones, of requests that a host had passed on to
+// sound upstreams only.
+func (f *fleet) countLosses(losses []loss, faulty *upstream) int {
+	ranAt := map[string][]string{}
+	for _, u := range f.upstreams {
+		for _, run := range u.Runs() {
+			ranAt[run.ID] = append(ranAt[run.ID], u.ID)
+		}
+	}
+	perHost := map[string]int{}
+	for _, l := range losses {
+		at := ranAt[l.id]
+		if len(at) == 0 || at[len(at)-1] == faulty.ID {
+			continue
+		}
+		f.record("%s was passed on by %s to %s, which is sound", l.id, l.host, at[len(at)-1])
+		perHost[l.host]++
+	}
+	broken := 0
+	for host, n := range perHost {
+		f.record("%s has lost %d requests", host, n)
+		broken += max(n-allowedLosses, 0)
+	}
+	return broken
+}
--- /dev/null
+++ b/review/standins/laterequest.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"balsambarrow/internal/standin"
+)
+
+const (
+	// usualTime is what an upstream takes for a posting, and longTime for a long one.
+	usualTime = 100 * time.Millisecond
+	longTime  = 2700 * time.Millisecond
+	longID    = "long-"
+	postLimit = 4 * time.Second
+	// usualInterval is the time between two usual postings.
+	usualInterval = 50 * time.Millisecond
+	// excusedAfter is the time after SIGTERM up to which a request whose work lasts until the last part of
+	// the grace may be broken off.
+	excusedAfter = 3 * time.Second
+)
+
+// longSentAfter are the times after SIGTERM at which the long postings are sent.
+var longSentAfter = []time.Duration{3050 * time.Millisecond, 3100 * time.Millisecond, 3150 * time.Millisecond, 3200 * time.Millisecond}
+
+// postingConfiguration has one route for postings, whose timeout exceeds the long work.
+func postingConfiguration() []byte {
+	text := string(configuration(1, nil, keptKey))
+	text = strings.Replace(text, `"`+standin.ReadPath+`","safe","2000ms"`, `"`+standin.PostPath+`","unsafe","4000ms"`, 1)
+	return []byte(text)
+}
+
+// playLateRequest sends postings to a host, a few of which take longer. The disruption is a planned stop
+// of that host. A caller that keeps the answer of the directory for three times its time still sends to
+// it for six seconds.
+func playLateRequest(f *fleet, trouble bool) (broken int, err error) {
+	f.store.Put(configurationKey, postingConfiguration())
+	for _, zone := range []string{"vt-burlington", "me-orono", "ma-amherst"} {
+		u, err := f.addUpstream("i-"+zone, zone, usualTime)
+		if err != nil {
+			return 0, err
+		}
+		u.SetHandler(workByID(f, u))
+	}
+	if err := f.addHosts("vt-burlington", "me-orono", "ma-amherst"); err != nil {
+		return 0, err
+	}
+	h := f.hosts[0]
+	for i := range 100 {
+		f.post(h, fmt.Sprint("usual-", i))
+		time.Sleep(usualInterval)
+	}
+	stoppedAt := time.Now()
+	if trouble {
+		stoppedAt = f.terminate(h)
+	}
+	var wait sync.WaitGroup
+	for i := 0; time.Since(stoppedAt) < excusedAfter; i++ {
+		wait.Go(func() { f.post(h, fmt.Sprint("late-", i)) })
+		time.Sleep(usualInterval)
+	}
+	results := make([]answer, len(longSentAfter))
+	for i, after := range longSentAfter {
+		wait.Go(func() {
+			time.Sleep(time.Until(stoppedAt.Add(after)))
+			results[i] = f.post(h, fmt.Sprint(longID, i))
+			f.record("%s%d was sent %v after the stop began; the answer came %v after the stop began", longID, i, results[i].sentAt.Sub(stoppedAt),
+				results[i].sentAt.Add(results[i].took).Sub(stoppedAt))
+		})
+	}
+	wait.Wait()
+	return f.countBrokenOff(stoppedAt, results), nil
+}
+
+// workByID returns a handler that takes longer for long postings, and records what it did.
+func workByID(f *fleet, u *upstream) func(w http.ResponseWriter, r *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id, takes := r.Header.Get("X-Request-Id"), usualTime
+		if strings.HasPrefix(id, longID) {
+			takes = longTime
+			f.record("%s begins to work on %s, time limit %s ms", u.ID, id, r.Header.Get("X-Deadline-Ms"))
+		}
+		select {
+		case <-time.After(takes):
+		case <-r.Context().Done():
+			f.record("%s: the connection of %s ends during the work", u.ID, id)
+			return
+		}
+		w.Header().Set("X-Response-Signature", "signed-by-"+u.ID)
+		_, _ = fmt.Fprintf(w, "%s ran %s", u.ID, id)
+	}
+}
+
+// post sends one posting on a connection of its own.
+func (f *fleet) post(h *host, id string) answer {
+	a := sendOnce(h.callers, request{id: id, method: http.MethodPost, path: standin.PostPath + id, key: keptKey, limit: postLimit, body: "weight=1"})
+	if a.status != http.StatusOK || strings.HasPrefix(id, longID) {
+		f.record("%s to %s: %v after %v %s", id, h.name, a, a.took, strings.TrimSpace(a.body))
+	}
+	return a
+}
+
+// countBrokenOff returns the number of long postings that an upstream had begun to work on and that got no
+// answer of it, although they were sent too late to be excused, and their time had not passed.
+func (f *fleet) countBrokenOff(stoppedAt time.Time, results []answer) int {
+	began := map[string]bool{}
+	for _, u := range f.upstreams {
+		for _, run := range u.Runs() {
+			began[run.ID] = true
+		}
+	}
+	broken := 0
+	for i, a := range results {
+		late := a.sentAt.Sub(stoppedAt) > excusedAfter
+		if began[fmt.Sprint(longID, i)] && late && a.status != http.StatusOK && a.took < postLimit-100*time.Millisecond {
+			f.record("%s%d was broken off while its upstream was at work", longID, i)
+			broken++
+		}
+	}
+	return broken
+}
