--- a/review/standins/caller.go
+++ b/review/standins/caller.go
@@ -97,3 +97,11 @@
 	}
 	return fmt.Sprint(a.status)
 }
+
+// result returns the status, or "no answer".
+func (a answer) result() string {
+	if a.err != nil {
+		return "no answer"
+	}
+	return fmt.Sprint(a.status)
+}
--- a/review/standins/endlessheader.go
+++ b/review/standins/endlessheader.go
@@ -18,27 +18,31 @@
 const (
 	// spoiledFraction is the fraction of the answers of the faulty upstream that are spoiled.
 	spoiledFraction = 0.05
-	// spoiledRate bounds the bytes per second of a spoiled answer to the declared speed of a host's link.
+	// spoiledRate bounds the bytes per second of all spoiled answers to one host to the declared speed of
+	// its link.
 	spoiledRate = linkMbps * 1_000_000 / 8
 	// keptConnections is the number of connections that callers keep to each host, and serviceTime what an
 	// upstream takes for a request.
-	keptConnections = 12
-	serviceTime     = 150 * time.Millisecond
-	loadTime        = 25 * time.Second
+	keptConnections = 20
+	serviceTime     = 200 * time.Millisecond
+	loadTime        = 15 * time.Second
+	// pauseTime is the time between two requests of a connection.
+	pauseTime = 150 * time.Millisecond
 	// allowedLosses is the number of requests that the rule allows a host to lose.
 	allowedLosses = 3
 )
 
-// playEndlessHeader sends reads on kept connections. The disruption is that one of four upstreams now
+// playEndlessHeader sends reads on kept connections. The disruption is that one of six upstreams now
 // and then sends bytes that are no answer: a status line without an end.
 func playEndlessHeader(f *fleet, trouble bool) (broken int, err error) {
-	f.store.Put(configurationKey, configuration(1, nil, keptKey))
+	text := strings.Replace(string(configuration(1, nil, keptKey)), `"2000ms"`, strconv.Quote(strconv.FormatInt(readLimit.Milliseconds(), 10)+"ms"), 1)
+	f.store.Put(configurationKey, []byte(text))
 	faulty, err := f.addUpstream("i-faulty", "vt-burlington", serviceTime)
 	if err != nil {
 		return 0, err
 	}
-	for _, zone := range []string{"vt-burlington", "me-orono", "ma-amherst"} {
-		if _, err := f.addUpstream("i-"+zone, zone, serviceTime); err != nil {
+	for i, zone := range []string{"vt-burlington", "vt-burlington", "vt-burlington", "me-orono", "ma-amherst"} {
+		if _, err := f.addUpstream(fmt.Sprintf("i-%s-%d", zone, i), zone, serviceTime); err != nil {
 			return 0, err
 		}
 	}
@@ -60,6 +64,10 @@
 // spoil returns a handler that spoils some of the answers.
 func spoil(f *fleet, u *upstream) func(w http.ResponseWriter, r *http.Request) {
 	var requests atomic.Int64
+	links := map[string]*pacer{}
+	for _, h := range f.hosts {
+		links[h.name] = &pacer{free: time.Now()}
+	}
 	return func(w http.ResponseWriter, r *http.Request) {
 		if requests.Add(1)%int64(1/spoiledFraction) != 0 {
 			time.Sleep(serviceTime)
@@ -73,20 +81,39 @@
 		}
 		defer func() { _ = c.Close() }()
 		f.record("%s spoils the answer to %s", u.ID, r.Header.Get("X-Request-Id"))
-		sent := writeEndless(c)
+		sent := writeEndless(c, links[hostOf(r.Header.Get("X-Request-Id"))])
 		f.record("%s has sent %d bytes for %s", u.ID, sent, r.Header.Get("X-Request-Id"))
 	}
 }
 
-// writeEndless writes bytes without a line end, at the speed of the link, until the connection ends.
-func writeEndless(c net.Conn) (sent int) {
-	part := bytes.Repeat([]byte{'x'}, 64<<10)
-	for began := time.Now(); ; {
+// pacer delays bytes as a link of spoiledRate does.
+type pacer struct {
+	mu sync.Mutex
+	// free is when the link has sent what was given to it.
+	free time.Time
+}
+
+// pass waits until the link has sent n more bytes.
+func (p *pacer) pass(n int) {
+	p.mu.Lock()
+	if now := time.Now(); p.free.Before(now) {
+		p.free = now
+	}
+	p.free = p.free.Add(time.Duration(float64(n) / spoiledRate * float64(time.Second)))
+	until := p.free
+	p.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
+// writeEndless writes bytes without a line end until the connection ends.
+func writeEndless(c net.Conn, link *pacer) (sent int) {
+	part := bytes.Repeat([]byte{'x'}, 256<<10)
+	for {
+		link.pass(len(part))
 		n, err := c.Write(part)
 		if sent += n; err != nil {
 			return sent
 		}
-		time.Sleep(time.Until(began.Add(time.Duration(float64(sent) / spoiledRate * float64(time.Second)))))
 	}
 }
 
@@ -140,9 +167,9 @@
 				f.keepAsking(h, i, end, func(id string, kept bool, a answer) {
 					mu.Lock()
 					defer mu.Unlock()
-					counts[a.String()]++
+					counts[a.result()]++
+					f.record("%s to %s, kept connection %v: %v after %v", id, h.name, kept, a, a.took)
 					if a.status == 0 && kept && a.took < readLimit-100*time.Millisecond {
-						f.record("%s on a kept connection to %s: %v after %v", id, h.name, a, a.took)
 						losses = append(losses, loss{id, h.name})
 					}
 				})
@@ -156,7 +183,17 @@
 	return losses
 }
 
-const readLimit = 2 * time.Second
+// readLimit is how long callers wait; the timeout of the route is the same.
+const readLimit = 3 * time.Second
+
+// hostMark stands before the name of the host in the id of a request.
+const hostMark = "@"
+
+// hostOf returns the host to which a request was sent.
+func hostOf(id string) string {
+	_, name, _ := strings.Cut(id, hostMark)
+	return name
+}
 
 // keepAsking sends one request after another on a connection, and opens a new one if it has ended.
 func (f *fleet) keepAsking(h *host, caller int, end time.Time, observe func(id string, kept bool, a answer)) {
@@ -169,7 +206,7 @@
 				continue
 			}
 		}
-		id := fmt.Sprintf("r-%s-%d-%d", h.name, caller, n)
+		id := fmt.Sprintf("r-%d-%d%s%s", caller, n, hostMark, h.name)
 		kept := c.served > 0
 		a := c.send(request{id: id, method: http.MethodGet, path: standin.ReadPath + id, key: keptKey, limit: readLimit})
 		observe(id, kept, a)
@@ -177,7 +214,7 @@
 			_ = c.Close()
 			c = nil
 		}
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(pauseTime)
 	}
 	if c != nil {
 		_ = c.Close()
@@ -190,6 +227,7 @@
 	ranAt := map[string][]string{}
 	for _, u := range f.upstreams {
 		for _, run := range u.Runs() {
+			f.record("%s ran %s at %.3f", u.ID, run.ID, run.At.Sub(f.began).Seconds())
 			ranAt[run.ID] = append(ranAt[run.ID], u.ID)
 		}
 	}
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -31,6 +32,7 @@
 	startTimeout      = 20 * time.Second
 	memoryMB          = 284
 	linkMbps          = 1000
+	upstreamSlots     = 4
 	grace             = 6 * time.Second
 	revoke            = 5 * time.Second
 )
@@ -121,7 +123,7 @@
 
 // addUpstream starts an upstream that registers itself periodically.
 func (f *fleet) addUpstream(id, zone string, takes time.Duration) (*upstream, error) {
-	u := &upstream{PlatformUpstream: &standin.PlatformUpstream{ID: id, ServiceTime: takes, Slots: 64}, zone: zone}
+	u := &upstream{PlatformUpstream: &standin.PlatformUpstream{ID: id, ServiceTime: takes, Slots: upstreamSlots}, zone: zone}
 	var err error
 	if u.address, err = serve(u); err != nil {
 		return nil, err
@@ -212,21 +214,32 @@
 	return os.WriteFile(h.settings, []byte(text), 0o600)
 }
 
+// Ports of entry hosts are below those that the system assigns to connections.
+const (
+	firstPort = 15000
+	lastPort  = 30000
+)
+
 // freePorts returns ports of 127.0.0.1 that are free for TCP and UDP.
 func freePorts(n int) ([]int, error) {
 	var ports []int
-	for len(ports) < n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+	for tries := 0; len(ports) < n; tries++ {
+		if tries > lastPort-firstPort {
+			return nil, errors.New("no free ports")
+		}
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		l, err := net.Listen("tcp4", address)
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer func() { _ = l.Close() }()
-		p, err := net.ListenPacket("udp4", l.Addr().String())
+		p, err := net.ListenPacket("udp4", address)
 		if err != nil {
 			continue
 		}
 		defer func() { _ = p.Close() }()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+		ports = append(ports, port)
 	}
 	return ports, nil
 }
--- a/review/standins/laterequest.go
+++ b/review/standins/laterequest.go
@@ -97,9 +97,7 @@
 // post sends one posting on a connection of its own.
 func (f *fleet) post(h *host, id string) answer {
 	a := sendOnce(h.callers, request{id: id, method: http.MethodPost, path: standin.PostPath + id, key: keptKey, limit: postLimit, body: "weight=1"})
-	if a.status != http.StatusOK || strings.HasPrefix(id, longID) {
-		f.record("%s to %s: %v after %v %s", id, h.name, a, a.took, strings.TrimSpace(a.body))
-	}
+	f.record("%s to %s: %v after %v: %s", id, h.name, a, a.took, strings.TrimSpace(a.body))
 	return a
 }
 
@@ -109,6 +107,7 @@
 	began := map[string]bool{}
 	for _, u := range f.upstreams {
 		for _, run := range u.Runs() {
+			f.record("%s began %s at %.3f", u.ID, run.ID, run.At.Sub(f.began).Seconds())
 			began[run.ID] = true
 		}
 	}
--- a/review/standins/omittedfield.go
+++ b/review/standins/omittedfield.go
@@ -33,7 +33,7 @@
 		"routes":   table{[]string{"name", "host", "prefix", "kind", "timeout", "target-latency", "priority", "max-attempts", "service", "traffic-split"}, routes},
 		"services": table{[]string{"name", "health-check-path", "max-connections", "cold-start", "cold-per-s"}, [][]any{{standin.Service, "/health", 360, "3s", 5.9}}},
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout": "3000ms", "idle-timeout": "15000ms"},
-		"tenants":  table{[]string{"name", "api-keys", "priority", "rate-per-s", "burst", "allowed-regions"}, [][]any{{"sese880", keys, 1, 141, 141, []string{}}}},
+		"tenants":  table{[]string{"name", "api-keys", "priority", "rate-per-s", "burst", "allowed-regions"}, [][]any{{"sese880", keys, 1, 0, 0, []string{}}}},
 	})
 	if err != nil {
 		panic(err) // strings and numbers always encode
