Review case 3: the work of its postings is that of the site

Evidence: usual postings take 0.5 s and long ones 2.5 s, within the figures of the site (840 ms in the mean, 2520 ms at most).

--- a/review/standins/laterequest.go
+++ b/review/standins/laterequest.go
@@ -11,20 +11,22 @@
 )
 
 const (
-	// usualTime is what an upstream takes for a posting, and longTime for a long one.
-	usualTime = 100 * time.Millisecond
-	longTime  = 2700 * time.Millisecond
+	// usualTime is what an upstream takes for a posting, and longTime for a long one. In the site, the
+	// work of a posting takes 840 ms in the mean and 2520 ms at most.
+	usualTime = 500 * time.Millisecond
+	longTime  = 2500 * time.Millisecond
 	longID    = "long-"
 	postLimit = 4 * time.Second
 	// usualInterval is the time between two usual postings.
-	usualInterval = 50 * time.Millisecond
+	usualInterval = 250 * time.Millisecond
+	usualSpan     = 8 * time.Second
 	// excusedAfter is the time after SIGTERM up to which a request whose work lasts until the last part of
 	// the grace may be broken off.
 	excusedAfter = 3 * time.Second
 )
 
 // longSentAfter are the times after SIGTERM at which the long postings are sent.
-var longSentAfter = []time.Duration{3050 * time.Millisecond, 3100 * time.Millisecond, 3150 * time.Millisecond, 3200 * time.Millisecond}
+var longSentAfter = []time.Duration{3100 * time.Millisecond, 3150 * time.Millisecond, 3200 * time.Millisecond, 3250 * time.Millisecond}
 
 // postingConfiguration has one route for postings, whose timeout exceeds the long work.
 func postingConfiguration() []byte {
@@ -49,15 +51,15 @@
 		return 0, err
 	}
 	h := f.hosts[0]
-	for i := range 100 {
-		f.post(h, fmt.Sprint("usual-", i))
+	var wait sync.WaitGroup
+	for i := range int(usualSpan / usualInterval) {
+		wait.Go(func() { f.post(h, fmt.Sprint("usual-", i)) })
 		time.Sleep(usualInterval)
 	}
 	stoppedAt := time.Now()
 	if trouble {
 		stoppedAt = f.terminate(h)
 	}
-	var wait sync.WaitGroup
 	for i := 0; time.Since(stoppedAt) < excusedAfter; i++ {
 		wait.Go(func() { f.post(h, fmt.Sprint("late-", i)) })
 		time.Sleep(usualInterval)
