--- a/review/standins/omittedfield.go
+++ b/review/standins/omittedfield.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"balsambarrow/internal/standin"
@@ -84,9 +85,9 @@
 	n := 0
 	for _, u := range f.upstreams {
 		for _, run := range u.Runs() {
-			if run.At.After(at) && len(run.ID) >= len(prefix) && run.ID[:len(prefix)] == prefix {
+			f.record("upstream %s ran %s for %s at %.3f", u.ID, run.ID, run.Customer, run.At.Sub(f.began).Seconds())
+			if run.At.After(at) && strings.HasPrefix(run.ID, prefix) {
 				n++
-				f.record("upstream %s ran %s for %s", u.ID, run.ID, run.Customer)
 			}
 		}
 	}
