Logs name the source of each version and what a standby lacked

Needed to tell the hypotheses of the incident apart: "configuration in force" now has by (watch, listing or the peer), the size, the time of decoding and the age of the state before; "refused cause=standing-by" has a reason (upstreams not loaded, state not confirmed, no active host). Versions that the host could not use are counted. No decision changes.

Tests of internal/front and platform pass.

--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -233,6 +233,7 @@
 		c.applyPage(now, a, request)
 		return
 	}
+	c.source = request.peer
 	c.applyActiveSummary(now, a.Active)
 	if a.Behind {
 		c.confirmRequests.behindUntil = now.Add(readStoreAge)
--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -50,7 +50,10 @@
 	// items holds the items of the store except snapshots.
 	items map[string]kv.Item
 	// configuration is the encoded value of catalog.
-	configuration  []byte
+	configuration []byte
+	// source is what sent the changes that are being applied: a constant of advanceConfirmedAt, or
+	// the address of a peer. It is for the log.
+	source         string
 	evacuatedZones map[string]bool
 	// behind is set if the store's last response left out changes because they were many.
 	behind bool
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -59,6 +59,11 @@
 	d.metrics.Set.GetOrCreateCounter(fmt.Sprintf(`balsambarrow_state_confirmations_total{by=%q}`, by)).Inc()
 }
 
+// countConfigurationRefused counts one version of the configuration that could not be used.
+func (d *Daemon) countConfigurationRefused() {
+	d.metrics.Set.GetOrCreateCounter("balsambarrow_configurations_refused_total").Inc()
+}
+
 // observeFailedAttempt counts one attempt at an upstream that did not answer the request.
 func (d *Daemon) observeFailedAttempt(outcome, zone string) {
 	d.metrics.Set.GetOrCreateCounter(fmt.Sprintf(`balsambarrow_upstream_failed_attempts_total{outcome=%q,zone=%q}`, outcome, zone)).Inc()
--- a/internal/entryhost/stateload.go
+++ b/internal/entryhost/stateload.go
@@ -153,6 +153,7 @@
 func (c *control) finishLoad(now time.Time, a *fleet.ConfirmAnswer) {
 	l := c.load
 	c.load = stateLoad{}
+	c.source = l.peers[0]
 	switch {
 	case l.scope == fleet.Scope_SCOPE_UPSTREAMS && c.listed && !c.holdsUpstreams:
 		c.addUpstreams(now, l.items, l.revision)
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -24,6 +24,7 @@
 // handleListing applies a listing. Its asOf is that of follow.Sink.
 func (c *control) handleListing(l kv.Listing, asOf time.Time) {
 	now := c.d.now()
+	c.source = confirmedByListing
 	c.upstreamRegistry.StoreReached(now)
 	first := !c.listed
 	switch {
@@ -100,7 +101,7 @@
 func (c *control) handleChanges(after uint64, changes kv.Changes, asOf time.Time) {
 	now := c.d.now()
 	c.upstreamRegistry.StoreReached(now)
-	c.behind = changes.More
+	c.behind, c.source = changes.More, confirmedByWatch
 	c.applyChanges(now, changes.Events)
 	before := c.completeTo()
 	base, hosts := c.base.extend(after, changes.Revision), c.hosts.extend(after, changes.Revision)
@@ -241,15 +242,18 @@
 
 // applyConfiguration puts a configuration into force if it is newer.
 func (c *control) applyConfiguration(item kv.Item) {
+	began := c.d.now()
 	next, err := platform.DecodeConfiguration(item.Value)
 	if err != nil {
-		c.d.events.Warn("configuration refused", "revision", item.Revision, "in_force", c.version(), "error", err)
+		c.d.countConfigurationRefused()
+		c.d.events.Warn("configuration refused", "revision", item.Revision, "in_force", c.version(), "by", c.source, "error", err)
 		return
 	}
 	if c.catalog != nil && next.Version <= c.catalog.Version {
 		return
 	}
-	c.d.events.Info("configuration in force", "version", next.Version, "before", c.version(), "revision", item.Revision)
+	c.d.events.Info("configuration in force", "version", next.Version, "before", c.version(), "revision", item.Revision, "by", c.source,
+		"bytes", len(item.Value), "decoding_took", c.d.now().Sub(began), "confirmed_age", began.Sub(c.confirmedAt))
 	c.catalog, c.configuration = next, item.Value
 	c.base.digest.SetVersion(next.Version)
 	c.d.table.SetCatalog(next)
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -232,13 +232,13 @@
 		timeout := refreshTimeout
 		if !state.UpstreamsKnown {
 			if !h.LoadUpstreams() {
-				return unavailable(CauseStandby, retrySoon)
+				return unavailable(CauseStandby, retrySoon).withReason(errNoActiveHost)
 			}
 			timeout = upstreamsTimeout
 		}
 		state = h.awaitState(q, timeout, h.refreshStale, func(s *State) bool { return s.sufficesAt(h.Now()) })
 		if state == nil {
-			return unavailable(CauseStandby, retrySoon)
+			return unavailable(CauseStandby, retrySoon).withReason(h.State().insufficiency())
 		}
 	}
 	if refused := h.authorize(state, q); refused != nil {
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"errors"
 	"time"
 
 	"balsambarrow/internal/catalog"
@@ -63,6 +64,21 @@
 	return s.UpstreamsKnown && (!s.Standby || s.age(now) <= standbyMaxAge)
 }
 
+// Reasons for CauseStandby.
+var (
+	errNoActiveHost       = errors.New("no active host to copy upstreams from")
+	errUpstreamsNotLoaded = errors.New("upstreams not loaded")
+	errStateNotConfirmed  = errors.New("state not confirmed")
+)
+
+// insufficiency returns what keeps a state from sufficing; see sufficesAt.
+func (s *State) insufficiency() error {
+	if !s.UpstreamsKnown {
+		return errUpstreamsNotLoaded
+	}
+	return errStateNotConfirmed
+}
+
 // age returns the time since the configuration was last confirmed.
 func (s *State) age(now time.Time) time.Duration { return now.Sub(s.ConfirmedAt) }
 
