An upstream that sends bytes without an end no longer exhausts a host

Callers saw: all requests that a host served were lost when one upstream answered with bytes without a line end.

Cause: http.ReadResponse reads the status line and the fields of a header without a bound; interim responses were skipped without a count. The class is a read from the network without a bound.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -20,7 +20,9 @@
 	// address is that of the upstream, remote that of the peer of the connection.
 	address, remote string
 
-	br *bufio.Reader
+	// header is what br reads from.
+	header *headerReader
+	br     *bufio.Reader
 	// reused is set once the connection has served a request.
 	reused bool
 	// The connection may be reused until idleTimeout after idleSince. The upstream keeps
@@ -38,7 +40,8 @@
 // no part of an abandoned request reaches the upstream later.
 func newConn(c net.Conn, address string) *conn {
 	tcpreset.Enable(c)
-	return &conn{Conn: c, address: address, remote: c.RemoteAddr().String(), br: bufio.NewReaderSize(c, readBuffer)}
+	header := &headerReader{conn: c}
+	return &conn{Conn: c, address: address, remote: c.RemoteAddr().String(), header: header, br: bufio.NewReaderSize(header, readBuffer)}
 }
 
 // relayed reports whether the connection leads to the upstream through another host.
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -208,16 +208,10 @@
 func readResponse(c *conn, r *Request) (*http.Response, error) {
 	httpRequest := &http.Request{Method: r.Method}
 	for stray := 0; ; {
-		resp, err := http.ReadResponse(c.br, httpRequest)
+		resp, err := readHeader(c, httpRequest)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
-			if resp.StatusCode == http.StatusSwitchingProtocols {
-				return nil, &InvalidResponseError{"unexpected protocol switch"}
-			}
-			continue
-		}
 		if r.Matches == nil || r.Matches(resp) {
 			return resp, nil
 		}
@@ -234,6 +228,23 @@
 	}
 }
 
+// readHeader reads the header of a response, and skips interim responses before it.
+func readHeader(c *conn, r *http.Request) (*http.Response, error) {
+	c.header.begin(c.br.Buffered())
+	defer c.header.end()
+	for {
+		resp, err := http.ReadResponse(c.br, r)
+		switch {
+		case err != nil:
+			return nil, err
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, &InvalidResponseError{"unexpected protocol switch"}
+		case resp.StatusCode >= http.StatusOK:
+			return resp, nil
+		}
+	}
+}
+
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.Body.Read(b)
--- a/internal/tunnel/handshake.go
+++ b/internal/tunnel/handshake.go
@@ -16,6 +16,9 @@
 // pastDeadline is a deadline that ends all reads and writes immediately.
 var pastDeadline = time.Unix(1, 0)
 
+// maxHandshakeBytes bounds the response of a peer to the request for a tunnel.
+const maxHandshakeBytes = 8 << 10
+
 // errEarlyBytes reports bytes on a tunnel before the first request.
 var errEarlyBytes = errors.New("tunnel: bytes before the first request")
 
@@ -43,7 +46,7 @@
 	if _, err := io.WriteString(c, head); err != nil {
 		return err
 	}
-	br := bufio.NewReader(c)
+	br := bufio.NewReader(io.LimitReader(c, maxHandshakeBytes))
 	resp, err := http.ReadResponse(br, &http.Request{Method: http.MethodConnect})
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/tunnel/handshake_internal_test.go
@@ -0,0 +1,38 @@
+package tunnel
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a host that runs out of memory because a peer answers the request for a tunnel
+// with bytes without an end.
+func TestHandshakeWithoutEndIsGivenUp(t *testing.T) {
+	for _, start := range []string{"", "HTTP/1.1 200 OK\r\nA: "} {
+		g := NewWithT(t)
+		host, peer := net.Pipe()
+		written := make(chan int64, 1)
+		go func() {
+			_, _ = io.ReadFull(peer, make([]byte, len("CONNECT")))
+			go func() { _, _ = io.Copy(io.Discard, peer) }()
+			_, _ = io.WriteString(peer, start)
+			n, _ := io.Copy(peer, endless{})
+			written <- n
+		}()
+		g.Expect(requestTunnel(host, "h", Peer{}, "127.0.0.1:1")).NotTo(Succeed())
+		_ = host.Close()
+		g.Expect(<-written).To(BeNumerically("<=", 2*maxHandshakeBytes))
+	}
+}
+
+// endless is a reader without an end.
+type endless struct{}
+
+// Read implements io.Reader.
+func (endless) Read(b []byte) (int, error) {
+	return copy(b, bytes.Repeat([]byte("x"), min(len(b), 512))), nil
+}
