Standbys get what a waiting caller lacks, from one peer and again if it is lost

Cause: in 33 of the first 49 refusals that were logged, the configuration was confirmed and the upstreams were missing. A standby holds a sample of the upstreams only while callers come. It was dropped while a caller waited for the confirmation of the state, and nothing copied it again for one that waited already; sample and confirmation came from different hosts, and each counted only for 1.5 s from the state of the peer, which is up to 1.3 s old; a lost page was asked for again with the next tick, up to half a second later.

The age from which requests are logged stays 1.5 s.

--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -320,11 +320,13 @@
 	c.applyChanges(now, events)
 }
 
-// refresh gets the state confirmed for a waiting request: by the watcher, which costs nothing,
-// and by a read of the store if the watcher does not confirm it in time.
+// refresh gets for a waiting request what the state lacks. Peers send upstreams. The state is
+// confirmed by the watcher, which costs nothing, and by a read of the store if the watcher does not
+// confirm it in time.
 func (c *control) refresh(now time.Time) {
 	if !c.upstreamsKnown() {
-		return // the upstreams are being loaded
+		c.copySample(now)
+		return
 	}
 	watcher := c.watcher()
 	if c.d.watches.Load() || watcher == "" {
--- a/internal/entryhost/stateload.go
+++ b/internal/entryhost/stateload.go
@@ -25,6 +25,9 @@
 	// requests for a page after which another peer is tried.
 	pageTimeout     = 300 * time.Millisecond
 	maxPageAttempts = 2
+	// sampleTimeout is how long a peer may take to send a sample before another one is tried. Callers
+	// wait for it.
+	sampleTimeout = refreshTimeout
 	// loadIdleTimeout is how long a copy goes on without an answer of any peer.
 	loadIdleTimeout = 3 * time.Second
 )
@@ -52,16 +55,20 @@
 
 // startLoad begins to copy a part of the state from one of the peers.
 func (c *control) startLoad(now time.Time, scope fleet.Scope, peers []string) {
-	peers = slices.Clone(peers)
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	c.load = stateLoad{active: len(peers) > 0, scope: scope, peers: peers, answeredAt: now}
-	c.continueLoad(now)
+	c.start(now, stateLoad{scope: scope}, peers)
 }
 
 // startSample begins to copy the first page of the upstreams from one of the peers.
 func (c *control) startSample(now time.Time, peers []string) {
-	c.startLoad(now, fleet.Scope_SCOPE_UPSTREAMS, peers)
-	c.load.sample = true
+	c.start(now, stateLoad{scope: fleet.Scope_SCOPE_UPSTREAMS, sample: true}, peers)
+}
+
+// start begins a copy from one of the peers, in a random order.
+func (c *control) start(now time.Time, l stateLoad, peers []string) {
+	l.peers, l.answeredAt, l.active = slices.Clone(peers), now, len(peers) > 0
+	rand.Shuffle(len(peers), func(i, j int) { l.peers[i], l.peers[j] = l.peers[j], l.peers[i] })
+	c.load = l
+	c.continueLoad(now)
 }
 
 // continueLoad requests the next page if it is due.
@@ -74,11 +81,17 @@
 		c.load = stateLoad{}
 		return
 	}
-	if l.attempts >= maxPageAttempts {
+	timeout, maxAttempts := pageTimeout, maxPageAttempts
+	if l.sample {
+		timeout, maxAttempts = sampleTimeout, 1
+	}
+	if l.attempts >= maxAttempts {
 		c.restartLoad(now, append(l.peers[1:], l.peers[0])...)
 	}
 	l.attempts++
-	l.due = now.Add(pageTimeout)
+	l.due = now.Add(timeout)
+	// The ticks of a standby are too far apart for a caller that waits.
+	time.AfterFunc(timeout, func() { c.send(func(c *control) { c.continueLoad(c.d.now()) }) })
 	c.sendConfirmRequest(now, l.peers[0], pendingConfirm{page: true}, &fleet.ConfirmRequest{
 		Page: &fleet.PageRequest{Scope: l.scope, After: l.after},
 	})
@@ -134,12 +147,7 @@
 	}
 	l.attempts, l.due = 0, now
 	if l.sample {
-		asOf, ok := c.confirmedByPeer(request, a.AgeUs)
-		if !ok {
-			c.load = stateLoad{}
-			return
-		}
-		c.applySample(now, asOf)
+		c.finishSample(now, a, request)
 		return
 	}
 	if a.More {
@@ -149,6 +157,23 @@
 	c.finishLoad(now, a)
 }
 
+// finishSample applies a sample. It also confirms the rest of the state, if the peer has the same.
+func (c *control) finishSample(now time.Time, a *fleet.ConfirmAnswer, request pendingConfirm) {
+	items := c.load.items
+	c.load = stateLoad{}
+	asOf, ok := c.confirmedByPeer(request, a.AgeUs)
+	if !ok || c.holdsUpstreams {
+		return
+	}
+	if a.Base == c.digests().base {
+		c.advanceConfirmedAt(asOf, request.peer)
+		c.setCompleteTo(a.Revision, &c.base)
+	} else {
+		c.confirmRequests.due = time.Time{}
+	}
+	c.applySample(now, asOf, items)
+}
+
 // finishLoad applies the copy, and requests the changes since its first page.
 func (c *control) finishLoad(now time.Time, a *fleet.ConfirmAnswer) {
 	l := c.load
--- a/internal/entryhost/upstreamstate.go
+++ b/internal/entryhost/upstreamstate.go
@@ -26,8 +26,9 @@
 	// nextStandbyDelay is how long a host must have been one of the next standbys before it loads
 	// the upstreams. A host that starts with many others knows few of them at first.
 	nextStandbyDelay = 5 * time.Second
-	// sampleMaxAge is how long a sample is used. Changes of its upstreams do not reach the host.
-	sampleMaxAge = 1500 * time.Millisecond
+	// sampleMaxAge is the highest age of the state that a sample shows. Changes of its upstreams do
+	// not reach the host. The peer that sends the sample has a state of up to maxLoadSourceAge.
+	sampleMaxAge = 2 * time.Second
 	// upstreamListTimeout bounds the listing of all upstreams in the store.
 	upstreamListTimeout = 20 * time.Second
 )
@@ -67,13 +68,21 @@
 		if all {
 			c.upstreamDemand.until = now.Add(upstreamRetention)
 			c.manageUpstreams(now)
-		} else if !c.load.active && !c.upstreamsKnown() {
-			c.startSample(now, c.loadSources())
+		} else {
+			c.copySample(now)
 		}
 	})
 	return all || d.directory.Load().anyReady()
 }
 
+// copySample begins to copy a sample for a waiting caller, unless a copy is in progress or there is
+// nothing to wait for.
+func (c *control) copySample(now time.Time) {
+	if !c.load.active && !c.upstreamsKnown() {
+		c.startSample(now, c.loadSources())
+	}
+}
+
 // upstreamDemand is whether this host needs the upstreams.
 type upstreamDemand struct {
 	// until is the time until which the host needs them.
@@ -151,13 +160,8 @@
 	return d.activePeers(func(string) bool { return true })
 }
 
-// applySample adds the copied page to the table. Its state is that of the store as of asOf.
-func (c *control) applySample(now, asOf time.Time) {
-	items := c.load.items
-	c.load = stateLoad{}
-	if c.holdsUpstreams {
-		return
-	}
+// applySample adds a copied page to the table. Its state is that of the store as of asOf.
+func (c *control) applySample(now, asOf time.Time, items []kv.Item) {
 	c.d.table.Clear()
 	for _, item := range items {
 		if u, err := platform.DecodeUpstream(item); err == nil {
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -56,7 +56,8 @@
 	// called for each event that concerns memory; optional.
 	Memory        *memory.Budget
 	ObserveMemory func(MemoryEvent)
-	// Refresh triggers an immediate confirmation of the state.
+	// Refresh triggers what a waiting request needs: an immediate confirmation of the state, or a copy
+	// of upstreams if they are not known.
 	Refresh func()
 	// LoadUpstreams is called for each request while the upstreams are not known. It reports
 	// whether they are being loaded.
@@ -236,7 +237,7 @@
 			}
 			timeout = upstreamsTimeout
 		}
-		state = h.awaitState(q, timeout, h.refreshStale, func(s *State) bool { return s.sufficesAt(h.Now()) })
+		state = h.awaitState(q, timeout, h.Refresh, func(s *State) bool { return s.sufficesAt(h.Now()) })
 		if state == nil {
 			return unavailable(CauseStandby, retrySoon).withReason(h.State().insufficiency())
 		}
@@ -292,13 +293,6 @@
 	return nil
 }
 
-// refreshStale triggers a confirmation of the state, unless upstreams are missing: peers send those.
-func (h *Handler) refreshStale() {
-	if h.State().UpstreamsKnown {
-		h.Refresh()
-	}
-}
-
 // awaitState waits until the state satisfies sufficient, and returns it; nil if
 // that takes longer than timeout. It calls refresh for each state that does not. A
 // standby host must confirm its state first, and a host that has just started loads
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -39,10 +39,14 @@
 	// pointless, whereas the caller should retry later.
 	denyMaxAge = 3200 * time.Millisecond
 	// standbyMaxAge is the maximum age of the configuration with which a standby
-	// host serves a caller that uses an outdated directory response. It equals the
-	// longest interval between two store reads of an active host: with an older
-	// list of upstreams, the request might go to an upstream that was removed.
-	standbyMaxAge = 1500 * time.Millisecond
+	// host serves a caller that uses an outdated directory response. It covers one
+	// interval between its confirmations and the age of a peer's state, and stays
+	// below the age at which an active host reads the store: with an older list of
+	// upstreams, the request might go to an upstream that was removed.
+	standbyMaxAge = 2 * time.Second
+	// unusualAge is the age of the configuration from which requests that it decided are logged. It
+	// is the longest interval between two store reads of an active host.
+	unusualAge = 1500 * time.Millisecond
 	// refreshTimeout limits how long a caller of a standby host waits for a store
 	// read. It allows three round trips to the farthest region.
 	refreshTimeout = 350 * time.Millisecond
@@ -85,7 +89,7 @@
 // unusualAge reports whether the state that decided a request was confirmed longer before its arrival
 // than while the store and the peers respond, or as of the future.
 func (s *State) unusualAge(arrived, now time.Time) bool {
-	return s.age(arrived) > standbyMaxAge || s.age(now) < 0
+	return s.age(arrived) > unusualAge || s.age(now) < 0
 }
 
 // version returns the version of the configuration; 0 if there is none.
