A stopping host trusts forecasts only for callers that cannot know of the stop

Cause: a request whose time limit ends after the stop was accepted if three times the longest recent latency of its route fitted, until the listener closed. The forecast is needed for callers that cannot know of the stop; later ones can be served elsewhere at once.

Change: the forecast holds for requests that arrive within the time for which responses of the directory are cached (2 s). Later ones need their whole time limit, or are refused as not run.

Cost: callers with an outdated response of the directory and a long time limit retry elsewhere from 2 s on; not measured apart.

--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -108,8 +108,8 @@
 	startupWait time.Duration
 	meter       meter
 
-	// stopsAt is when this host stops answering requests; nil until a planned stop begins.
-	stopsAt atomic.Pointer[time.Time]
+	// plannedStop is nil until a planned stop begins.
+	plannedStop atomic.Pointer[front.Stop]
 
 	activity    activity
 	callers     *front.Handler
@@ -193,7 +193,7 @@
 	deps := front.Deps{
 		State: d.state.Load, Codec: platform.Headers{}, Pool: d.upstreamConns, Table: d.table, Room: d.rooms, RateLimiter: d.tokens,
 		RetryBudget: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, ObserveFailedAttempt: d.observeFailedAttempt, ObserveRetry: d.observeRetry, Now: d.now,
-		Refresh: d.refresh, LoadUpstreams: d.loadUpstreamsForCallers, Updates: d.stateUpdated.next, StartupTimeLeft: d.remainingStartupWait, StopsAt: d.stopTime, DisableKeepAlive: d.nearConnectionLimit,
+		Refresh: d.refresh, LoadUpstreams: d.loadUpstreamsForCallers, Updates: d.stateUpdated.next, StartupTimeLeft: d.remainingStartupWait, Stop: d.currentStop, DisableKeepAlive: d.nearConnectionLimit,
 		Memory: d.budget, ObserveMemory: d.observeMemory,
 	}
 	deps.Queues, deps.ObserveQueue = d.queues, d.observeQueue
--- a/internal/entryhost/links.go
+++ b/internal/entryhost/links.go
@@ -33,7 +33,7 @@
 func (d *Daemon) newTunnelServer() *tunnel.Server {
 	return &tunnel.Server{
 		Dial: d.dialUpstream, IsPeer: d.isPeer, Now: d.now, LinksDown: d.links.LinksDown, CheckLinks: d.links.CheckLinks,
-		Stopping: func() bool { return !d.stopTime().IsZero() },
+		Stopping: func() bool { return d.currentStop().Begun() },
 		Accepts: func(address string) bool {
 			_, ok := d.table.Locate(address)
 			return ok
--- a/internal/entryhost/stop.go
+++ b/internal/entryhost/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"balsambarrow/internal/front"
 )
 
 const (
@@ -31,8 +33,7 @@
 func (d *Daemon) Stop() {
 	began := d.activity.earliestSignal(d.now())
 	grace := d.settings.Load().Bounds.Grace.Value()
-	stopsAt := began.Add(grace - exitMargin - responseMargin)
-	d.stopsAt.Store(&stopsAt)
+	d.plannedStop.Store(&front.Stop{At: began.Add(grace - exitMargin - responseMargin), LearnedBy: began.Add(directoryTTL)})
 	d.events.Info("stopping", "grace", grace, "delay", d.now().Sub(began))
 	end, cancelEnd := context.WithTimeout(context.Background(), began.Add(grace-exitReserve).Sub(d.now()))
 	defer cancelEnd()
@@ -105,12 +106,12 @@
 	}
 }
 
-// stopTime returns when this host stops answering requests; zero while no planned stop has begun.
-func (d *Daemon) stopTime() time.Time {
-	if at := d.stopsAt.Load(); at != nil {
-		return *at
+// currentStop returns the planned stop; the zero value while none has begun.
+func (d *Daemon) currentStop() front.Stop {
+	if stop := d.plannedStop.Load(); stop != nil {
+		return *stop
 	}
-	return time.Time{}
+	return front.Stop{}
 }
 
 // Kill ends the daemon at once, as a crash does.
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -67,9 +67,8 @@
 	// StartupTimeLeft is how long the host may still need to load the state that
 	// its first requests require; 0 or less: the startup period is over.
 	StartupTimeLeft func() time.Duration
-	// StopsAt returns when the host stops answering requests because of a planned stop; zero while
-	// none has begun.
-	StopsAt func() time.Time
+	// Stop returns the planned stop of the host; the zero value while none has begun.
+	Stop func() Stop
 	// DisableKeepAlive reports whether connections of callers should be closed
 	// after the response.
 	DisableKeepAlive func() bool
@@ -83,6 +82,18 @@
 	Room Room
 }
 
+// Stop is a planned stop of the host.
+type Stop struct {
+	// At is when the host stops answering requests.
+	At time.Time
+	// LearnedBy is when callers have learned of the stop, unless they keep an outdated response of the
+	// directory.
+	LearnedBy time.Time
+}
+
+// Begun reports whether the stop has begun.
+func (s Stop) Begun() bool { return !s.At.IsZero() }
+
 // Observation describes the end of a request, for metrics.
 type Observation struct {
 	Route  string
@@ -207,7 +218,7 @@
 	q.http, end = hopTracer{h.Tracer}.startEntry(r, q.ID)
 	defer end()
 	defer func() { q.hold.Release() }()
-	if !h.StopsAt().IsZero() || h.DisableKeepAlive() {
+	if h.Stop().Begun() || h.DisableKeepAlive() {
 		// The caller then opens a new connection for its next request, to this host
 		// or to another one.
 		w.Header().Set("Connection", "close")
@@ -370,16 +381,16 @@
 }
 
 // checkStop refuses a request whose response might be cut off by a planned stop: its time limit ends
-// after the stop, and recent requests of the route do not show that it needs far less. Another host
-// can serve it.
+// after the stop. Another host can serve it. A caller that cannot know of the stop yet is served if
+// recent requests of the route show that it needs far less.
 func (h *Handler) checkStop(q *request) *refusal {
-	end := h.StopsAt()
-	if end.IsZero() || !q.timeLimit.After(end) {
+	stop := h.Stop()
+	if !stop.Begun() || !q.timeLimit.After(stop.At) {
 		return nil
 	}
 	now := h.Now()
-	if bound, ok := h.latencies.bound(now, q.route.Name); ok && bound <= end.Sub(now) {
-		q.deadline = end
+	if bound, ok := h.latencies.bound(now, q.route.Name); ok && bound <= stop.At.Sub(now) && !q.arrived.After(stop.LearnedBy) {
+		q.deadline = stop.At
 		return nil
 	}
 	return unavailable(CauseStopping, retryElsewhere)
--- a/internal/front/queue_load_internal_test.go
+++ b/internal/front/queue_load_internal_test.go
@@ -118,7 +118,7 @@
 		}
 		f.hosts = append(f.hosts, New(Deps{
 			State: func() *State { return state }, Table: table, Now: time.Now, Bounds: func() Bounds { return Bounds{} },
-			StopsAt: func() time.Time { return f.stopsAt }, Queues: func(string) bool { return queue },
+			Stop: func() Stop { return Stop{At: f.stopsAt, LearnedBy: f.stopsAt} }, Queues: func(string) bool { return queue },
 			ObserveQueue: func(e QueueEvent) {
 				f.mu.Lock()
 				defer f.mu.Unlock()
