A refused configuration no longer counts as the newest one in force

Callers could use a key that the newest version withdraws, for good, if hosts could not use that version: they kept the old one and went on confirming it. Hosts that do not watch the store never saw the refused item, since it changed no digest.

Cause: "the state is as new as the store" was taken for "the newest version is in force".

Change: from the moment at which a newer version was refused, the age of the version in force counts on. Keys are then accepted for as long as without the store, and an unknown route or key is answered 503 instead of a denial; public routes are served on. The refused revision is part of the digest, so peers fetch it, and the next patch builds on it. A metric has the seconds since then.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -49,8 +49,11 @@
 	catalog          *catalog.Catalog
 	// items holds the items of the store except snapshots.
 	items map[string]kv.Item
-	// configuration is the encoded value of catalog.
+	// configuration is the encoded value of the latest version: that of catalog, unless it was refused.
 	configuration []byte
+	// outdatedSince is since when a newer configuration than catalog is known that this host cannot
+	// use; zero if there is none.
+	outdatedSince time.Time
 	// source is what sent the changes that are being applied: a constant of advanceConfirmedAt, or
 	// the address of a peer. It is for the log.
 	source         string
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -20,6 +20,12 @@
 	d.metrics.Gauge("balsambarrow_configuration_age_seconds", func() float64 {
 		return d.now().Sub(d.state.Load().ConfirmedAt).Seconds()
 	})
+	d.metrics.Gauge("balsambarrow_configuration_outdated_seconds", func() float64 {
+		if since := d.state.Load().OutdatedSince; !since.IsZero() {
+			return d.now().Sub(since).Seconds()
+		}
+		return 0
+	})
 	d.metrics.Gauge("balsambarrow_upstreams", func() float64 { return float64(d.table.Size()) })
 	d.metrics.Gauge("balsambarrow_upstreams_rate_limited", func() float64 { return float64(d.table.RateLimited()) })
 	d.metrics.Gauge("balsambarrow_upstreams_paused", func() float64 { return float64(d.table.Paused(d.now())) })
--- a/internal/entryhost/publish.go
+++ b/internal/entryhost/publish.go
@@ -89,7 +89,7 @@
 // publishState publishes the state by which requests are served.
 func (c *control) publishState() {
 	next := front.State{
-		Catalog: c.catalog, ConfirmedAt: c.confirmedAt, ConfirmedBy: c.confirmedBy, Revision: c.completeTo(), UpstreamsKnown: c.upstreamsKnown(), Standby: !c.activation.active,
+		Catalog: c.catalog, OutdatedSince: c.outdatedSince, ConfirmedAt: c.confirmedAt, ConfirmedBy: c.confirmedBy, Revision: c.completeTo(), UpstreamsKnown: c.upstreamsKnown(), Standby: !c.activation.active,
 	}
 	if next == c.published.state {
 		return
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -245,7 +245,7 @@
 	began := c.d.now()
 	next, err := platform.DecodeConfiguration(item.Value)
 	if err != nil {
-		c.d.countConfigurationRefused()
+		c.refuseConfiguration(began, item)
 		c.d.events.Warn("configuration refused", "revision", item.Revision, "in_force", c.version(), "by", c.source, "error", err)
 		return
 	}
@@ -254,11 +254,23 @@
 	}
 	c.d.events.Info("configuration in force", "version", next.Version, "before", c.version(), "revision", item.Revision, "by", c.source,
 		"bytes", len(item.Value), "decoding_took", c.d.now().Sub(began), "confirmed_age", began.Sub(c.confirmedAt))
-	c.catalog, c.configuration = next, item.Value
+	c.catalog, c.configuration, c.outdatedSince = next, item.Value, time.Time{}
+	c.base.digest.SetRefused(0)
 	c.base.digest.SetVersion(next.Version)
 	c.d.table.SetCatalog(next)
 }
 
+// refuseConfiguration records that a version cannot be used. Peers must learn of it too, because a key
+// that it withdraws must not be accepted for long.
+func (c *control) refuseConfiguration(now time.Time, item kv.Item) {
+	c.d.countConfigurationRefused()
+	c.configuration = item.Value
+	c.base.digest.SetRefused(item.Revision)
+	if c.outdatedSince.IsZero() {
+		c.outdatedSince = now
+	}
+}
+
 // setEvacuated starts or ends the evacuation of a zone.
 func (c *control) setEvacuated(zone string, evacuated bool) {
 	if c.evacuatedZones[zone] == evacuated {
--- a/internal/follow/digest.go
+++ b/internal/follow/digest.go
@@ -33,6 +33,16 @@
 // SetVersion records the version of the active configuration.
 func (d *Digest) SetVersion(version uint64) { d.set("version", fmt.Sprint(version)) }
 
+// SetRefused records the revision of a newer configuration that this host could not use; 0 if there is
+// none.
+func (d *Digest) SetRefused(revision uint64) {
+	if revision == 0 {
+		d.remove("refused")
+		return
+	}
+	d.set("refused", fmt.Sprint(revision))
+}
+
 // SetZone records whether a zone is evacuated.
 func (d *Digest) SetZone(zone string, evacuated bool) {
 	if evacuated {
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -337,7 +337,7 @@
 // only if the configuration is recent enough; see denyMaxAge.
 func (h *Handler) authorize(state *State, q *request) *refusal {
 	q.state = state
-	age := state.age(q.arrived)
+	age := state.configurationAge(q.arrived)
 	deny := func(status int, cause Cause) *refusal {
 		if age > denyMaxAge {
 			return unavailable(CauseConfigurationStale, retrySoon)
@@ -371,7 +371,7 @@
 		return nil
 	}
 	state := h.State()
-	if maxAge := h.Bounds().KeyMaxAge; maxAge > 0 && state.age(h.Now()) > maxAge {
+	if maxAge := h.Bounds().KeyMaxAge; maxAge > 0 && state.configurationAge(h.Now()) > maxAge {
 		return unavailable(CauseKeysStale, retrySoon)
 	}
 	if owner := state.Catalog.CustomerByKey(q.APIKey); owner == nil || owner.Name != q.customer.Name {
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -11,6 +11,9 @@
 type State struct {
 	// Catalog is the configuration in force; nil until one is loaded.
 	Catalog *catalog.Catalog
+	// OutdatedSince is since when a newer version than Catalog is known that the host could not use;
+	// zero if there is none.
+	OutdatedSince time.Time
 	// ConfirmedAt is the latest time at which Catalog was known to be the newest
 	// version.
 	ConfirmedAt time.Time
@@ -86,6 +89,14 @@
 // age returns the time since the configuration was last confirmed.
 func (s *State) age(now time.Time) time.Duration { return now.Sub(s.ConfirmedAt) }
 
+// configurationAge returns the time since Catalog was last known to be the newest version.
+func (s *State) configurationAge(now time.Time) time.Duration {
+	if s.OutdatedSince.IsZero() {
+		return s.age(now)
+	}
+	return max(s.age(now), now.Sub(s.OutdatedSince))
+}
+
 // unusualAge reports whether the state that decided a request was confirmed longer before its arrival
 // than while the store and the peers respond, or as of the future.
 func (s *State) unusualAge(arrived, now time.Time) bool {
