--- a/internal/front/outdated_internal_test.go
+++ b/internal/front/outdated_internal_test.go
@@ -56,6 +56,7 @@
 				g.Expect(h.revalidateKey(q)).To(BeNil())
 				return
 			}
+			g.Expect(refused).NotTo(BeNil())
 			g.Expect(refused.cause).To(Equal(r.want))
 		})
 	}
