The age of an outdated configuration counts from its last confirmation

A host that had been cut off, and then read a version that it could not use, accepted the keys that this version withdraws for another 3.6 s, since their age counted from the moment of the refusal.

The age now counts from the last time at which the version in force was known to be the newest. TestRefusedConfigurationAgesFromTheLastConfirmation failed before.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -51,8 +51,8 @@
 	items map[string]kv.Item
 	// configuration is the encoded value of the latest version: that of catalog, unless it was refused.
 	configuration []byte
-	// outdatedSince is since when a newer configuration than catalog is known that this host cannot
-	// use; zero if there is none.
+	// outdatedSince is when catalog was last known to be the newest version, if this host cannot use a
+	// newer one; zero otherwise.
 	outdatedSince time.Time
 	// source is what sent the changes that are being applied: a constant of advanceConfirmedAt, or
 	// the address of a peer. It is for the log.
--- a/internal/entryhost/outdated_internal_test.go
+++ b/internal/entryhost/outdated_internal_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -54,3 +55,24 @@
 	copied.loadState(copied.d.now(), []kv.Item{itemOf(items[0])}, false)
 	g.Expect(copied.digests().base).To(Equal(c.digests().base))
 }
+
+// Guards against a host that accepts withdrawn keys anew because it reads the version that withdraws
+// them late, and cannot use it.
+func TestRefusedConfigurationAgesFromTheLastConfirmation(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestControl(t)
+	now := c.d.now()
+	c.loadState(now, []kv.Item{version(1, true)}, true)
+	confirmedAt := now.Add(-10 * time.Second)
+	c.confirm(confirmedAt, confirmedByWatch)
+	for _, number := range []int{2, 3} {
+		c.handleChanges(c.completeTo(), kv.Changes{Revision: uint64(100 + number), Events: []kv.Event{{Item: version(number, false)}}}, now)
+		c.publishState()
+		g.Expect(c.d.state.Load().OutdatedSince).To(Equal(confirmedAt))
+	}
+	unconfirmed := newTestControl(t)
+	unconfirmed.loadState(now, []kv.Item{version(1, true)}, true)
+	unconfirmed.applyChanges(now, []kv.Event{{Item: version(2, false)}})
+	unconfirmed.publishState()
+	g.Expect(now.Sub(unconfirmed.d.state.Load().OutdatedSince)).To(BeNumerically(">", time.Hour))
+}
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -245,7 +245,7 @@
 	began := c.d.now()
 	next, err := platform.DecodeConfiguration(item.Value)
 	if err != nil {
-		c.refuseConfiguration(began, item)
+		c.refuseConfiguration(item)
 		c.d.events.Warn("configuration refused", "revision", item.Revision, "in_force", c.version(), "by", c.source, "error", err)
 		return
 	}
@@ -261,13 +261,14 @@
 }
 
 // refuseConfiguration records that a version cannot be used. Peers must learn of it too, because a key
-// that it withdraws must not be accepted for long.
-func (c *control) refuseConfiguration(now time.Time, item kv.Item) {
+// that it withdraws must not be accepted for long. It may have been written right after the last
+// confirmation.
+func (c *control) refuseConfiguration(item kv.Item) {
 	c.d.countConfigurationRefused()
 	c.configuration = item.Value
 	c.base.digest.SetRefused(item.Revision)
 	if c.outdatedSince.IsZero() {
-		c.outdatedSince = now
+		c.outdatedSince = laterOf(c.confirmedAt, time.Unix(0, 0))
 	}
 }
 
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -11,8 +11,8 @@
 type State struct {
 	// Catalog is the configuration in force; nil until one is loaded.
 	Catalog *catalog.Catalog
-	// OutdatedSince is since when a newer version than Catalog is known that the host could not use;
-	// zero if there is none.
+	// OutdatedSince is when Catalog was last known to be the newest version, if the host cannot use a
+	// newer one; zero otherwise.
 	OutdatedSince time.Time
 	// ConfirmedAt is the latest time at which Catalog was known to be the newest
 	// version.
