--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -260,6 +260,9 @@
 	c.d.table.SetCatalog(next)
 }
 
+// longAgo is the earliest time that is not the zero time.
+var longAgo = time.Time{}.Add(1)
+
 // refuseConfiguration records that a version cannot be used. Peers must learn of it too, because a key
 // that it withdraws must not be accepted for long. It may have been written right after the last
 // confirmation.
@@ -268,7 +271,7 @@
 	c.configuration = item.Value
 	c.base.digest.SetRefused(item.Revision)
 	if c.outdatedSince.IsZero() {
-		c.outdatedSince = laterOf(c.confirmedAt, time.Unix(0, 0))
+		c.outdatedSince = laterOf(c.confirmedAt, longAgo)
 	}
 }
 
