--- a/internal/entryhost/stateload.go
+++ b/internal/entryhost/stateload.go
@@ -55,16 +55,16 @@
 
 // startLoad begins to copy a part of the state from one of the peers.
 func (c *control) startLoad(now time.Time, scope fleet.Scope, peers []string) {
-	c.start(now, stateLoad{scope: scope}, peers)
+	c.beginLoad(now, stateLoad{scope: scope}, peers)
 }
 
 // startSample begins to copy the first page of the upstreams from one of the peers.
 func (c *control) startSample(now time.Time, peers []string) {
-	c.start(now, stateLoad{scope: fleet.Scope_SCOPE_UPSTREAMS, sample: true}, peers)
+	c.beginLoad(now, stateLoad{scope: fleet.Scope_SCOPE_UPSTREAMS, sample: true}, peers)
 }
 
-// start begins a copy from one of the peers, in a random order.
-func (c *control) start(now time.Time, l stateLoad, peers []string) {
+// beginLoad begins a copy from one of the peers, in a random order.
+func (c *control) beginLoad(now time.Time, l stateLoad, peers []string) {
 	l.peers, l.answeredAt, l.active = slices.Clone(peers), now, len(peers) > 0
 	rand.Shuffle(len(peers), func(i, j int) { l.peers[i], l.peers[j] = l.peers[j], l.peers[i] })
 	c.load = l
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -47,9 +47,9 @@
 	// below the age at which an active host reads the store: with an older list of
 	// upstreams, the request might go to an upstream that was removed.
 	standbyMaxAge = 2 * time.Second
-	// unusualAge is the age of the configuration from which requests that it decided are logged. It
+	// loggedAge is the age of the configuration from which requests that it decided are logged. It
 	// is the longest interval between two store reads of an active host.
-	unusualAge = 1500 * time.Millisecond
+	loggedAge = 1500 * time.Millisecond
 	// refreshTimeout limits how long a caller of a standby host waits for a store
 	// read. It allows three round trips to the farthest region.
 	refreshTimeout = 350 * time.Millisecond
@@ -100,7 +100,7 @@
 // unusualAge reports whether the state that decided a request was confirmed longer before its arrival
 // than while the store and the peers respond, or as of the future.
 func (s *State) unusualAge(arrived, now time.Time) bool {
-	return s.age(arrived) > unusualAge || s.age(now) < 0
+	return s.age(arrived) > loggedAge || s.age(now) < 0
 }
 
 // version returns the version of the configuration; 0 if there is none.
--- a/internal/front/state_internal_test.go
+++ b/internal/front/state_internal_test.go
@@ -49,8 +49,8 @@
 		confirmedAt time.Time
 		want        bool
 	}{
-		"confirmed before the arrival":    {arrived.Add(-unusualAge), false},
-		"confirmed long before":           {arrived.Add(-unusualAge - time.Millisecond), true},
+		"confirmed before the arrival":    {arrived.Add(-loggedAge), false},
+		"confirmed long before":           {arrived.Add(-loggedAge - time.Millisecond), true},
 		"confirmed while it waited":       {arrived.Add(300 * time.Millisecond), false},
 		"confirmed as of the future":      {now.Add(time.Millisecond), true},
 		"confirmed far in the future":     {now.AddDate(236, 0, 0), true},
