A host that holds the upstreams copies no sample while they are not confirmed

A refresh for a waiting caller asked a peer for a page that the host would have dropped. Found by reading; TestHostThatHoldsTheUpstreamsCopiesNoSample failed before.

--- a/internal/entryhost/sample_internal_test.go
+++ b/internal/entryhost/sample_internal_test.go
@@ -86,3 +86,14 @@
 	g.Expect(c.load.peers[0]).NotTo(Equal(first))
 	g.Expect(c.load.attempts).To(Equal(1), "the request was sent")
 }
+
+// Guards against a host that copies a sample although it holds all upstreams and only their confirmation
+// is missing.
+func TestHostThatHoldsTheUpstreamsCopiesNoSample(t *testing.T) {
+	g := NewWithT(t)
+	c, now := sampledStandby(t)
+	c.addUpstreams(now, registrations(10), 100)
+	g.Expect(c.upstreamsKnown()).To(BeFalse())
+	c.refresh(now)
+	g.Expect(c.load.active).To(BeFalse())
+}
--- a/internal/entryhost/upstreamstate.go
+++ b/internal/entryhost/upstreamstate.go
@@ -75,10 +75,10 @@
 	return all || d.directory.Load().anyReady()
 }
 
-// copySample begins to copy a sample for a waiting caller, unless a copy is in progress or there is
-// nothing to wait for.
+// copySample begins to copy a sample for a waiting caller, unless a copy is in progress or was made
+// and is not confirmed yet.
 func (c *control) copySample(now time.Time) {
-	if !c.load.active && !c.upstreamsKnown() {
+	if !c.load.active && !c.holdsUpstreams && !c.upstreamsKnown() {
 		c.startSample(now, c.loadSources())
 	}
 }
