Test of log lines: its three hosts have three names

Traced: it started two hosts of one name. Of two processes of one name the last one heard replaces the other, here 34 times in five seconds ("peer replaced"), and with it the selected watcher changes before a confirmation arrives. Two live processes of one name do not occur on the platform. The checks are the same.

--- a/internal/entryhost/freshness_test.go
+++ b/internal/entryhost/freshness_test.go
@@ -32,8 +32,8 @@
 	s, logs := newLoggedSite(t)
 	s.worker("i-1", "s", "a1", 0)
 	s.declare(4, "k1")
-	for _, zone := range []string{"a1", "a2", "a1"} {
-		s.host("h-"+zone, zone)
+	for i, zone := range []string{"a1", "a2", "a1"} {
+		s.host(fmt.Sprint("h-", i), zone)
 	}
 	s.awaitServing()
 	g.Eventually(logs.String, "5s", "20ms").Should(MatchRegexp(`msg="state confirmed" .* by=127\.0\.0\.1:\d+ .* version=4 revision=\d+`))
