--- a/internal/entryhost/outdated_internal_test.go
+++ b/internal/entryhost/outdated_internal_test.go
@@ -23,8 +23,7 @@
 		"services":{"columns":["name","health-check-path"],"rows":[["s",%q]]},"limits":{}}`, number, service, strings.Repeat("/x", 4000))}
 }
 
-// Guards against hosts that go on by an old version because the watcher, which could not use the newest
-// one either, confirms their state.
+// Guards against hosts that go on by an old version because a watcher that refused the newest one confirms them.
 func TestPeersLearnOfARefusedConfiguration(t *testing.T) {
 	g := NewWithT(t)
 	watcher, c := newTestControl(t), newTestControl(t)
@@ -56,8 +55,7 @@
 	g.Expect(copied.digests().base).To(Equal(c.digests().base))
 }
 
-// Guards against a host that accepts withdrawn keys anew because it reads the version that withdraws
-// them late, and cannot use it.
+// Guards against withdrawn keys that work anew at a host which reads late, and refuses, the version without them.
 func TestRefusedConfigurationAgesFromTheLastConfirmation(t *testing.T) {
 	g := NewWithT(t)
 	c := newTestControl(t)
--- a/internal/entryhost/sample_internal_test.go
+++ b/internal/entryhost/sample_internal_test.go
@@ -34,8 +34,7 @@
 	return a
 }
 
-// Guards against a standby that refuses a caller because its sample of the upstreams expires while
-// the caller waits for the confirmation of the state.
+// Guards against a standby that refuses a caller because its sample expires while the caller waits.
 func TestExpiredSampleIsCopiedAgainForWaitingCallers(t *testing.T) {
 	g := NewWithT(t)
 	c, now := sampledStandby(t)
@@ -50,8 +49,7 @@
 	g.Expect(c.d.wakeReader).To(BeEmpty(), "peers send the upstreams")
 }
 
-// Guards against a standby that refuses a caller because, after it has copied a sample of the
-// upstreams, it still lacks a confirmation of the configuration that the same peer could give.
+// Guards against callers of a standby that wait for a second answer, which confirms the configuration.
 func TestSampleConfirmsTheConfiguration(t *testing.T) {
 	const age = 300 * time.Millisecond
 	for name, sameBase := range map[string]bool{"the peer's configuration": true, "another configuration": false} {
@@ -75,8 +73,7 @@
 	}
 }
 
-// Guards against callers of a standby that are refused because one datagram was lost: the next host
-// must be asked while they wait.
+// Guards against callers of a standby that are refused because one datagram was lost.
 func TestLostSampleIsRequestedFromAnotherHost(t *testing.T) {
 	g := NewWithT(t)
 	c, now := sampledStandby(t)
@@ -87,8 +84,7 @@
 	g.Expect(c.load.attempts).To(Equal(1), "the request was sent")
 }
 
-// Guards against a host that copies a sample although it holds all upstreams and only their confirmation
-// is missing.
+// Guards against a copy of upstreams that the host holds and that only lack their confirmation.
 func TestHostThatHoldsTheUpstreamsCopiesNoSample(t *testing.T) {
 	g := NewWithT(t)
 	c, now := sampledStandby(t)
--- a/internal/front/outdated_internal_test.go
+++ b/internal/front/outdated_internal_test.go
@@ -11,8 +11,7 @@
 	"balsambarrow/internal/traffic"
 )
 
-// Guards against keys that are accepted, and routes that are denied, for good by a host that cannot
-// use the newest version.
+// Guards against keys that are accepted, and routes that are denied, for good by an outdated version.
 func TestOutdatedConfigurationAcceptsNoKeysForLong(t *testing.T) {
 	const keyMaxAge = 3600 * time.Millisecond
 	known := time.Unix(1000, 0)
--- a/internal/front/standby_internal_test.go
+++ b/internal/front/standby_internal_test.go
@@ -7,8 +7,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against a standby that refuses callers between two of its confirmations although its state
-// is as recent as those by which active hosts serve.
+// Guards against a standby that refuses callers between two of its confirmations.
 func TestStandbyServesBetweenConfirmations(t *testing.T) {
 	const (
 		confirmInterval = time.Second             // of a standby
--- a/internal/front/state_internal_test.go
+++ b/internal/front/state_internal_test.go
@@ -9,8 +9,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against a caller that waits in vain, because nothing gets what the state lacks or has come
-// to lack meanwhile.
+// Guards against a caller that waits in vain, because nothing gets what the state lacks.
 func TestWaitingRequestRefreshesEachStateThatDoesNotSuffice(t *testing.T) {
 	now := time.Unix(100, 0)
 	for name, first := range map[string]State{
--- a/internal/front/stop_internal_test.go
+++ b/internal/front/stop_internal_test.go
@@ -9,8 +9,7 @@
 	"balsambarrow/internal/catalog"
 )
 
-// Guards against a request that a stopping host accepts because recent ones were short, and breaks
-// off at its end although the caller could have known of the stop.
+// Guards against late requests that a stopping host accepts because recent ones were short, and breaks off.
 func TestStoppingHostTrustsForecastsOnlyForCallersThatCannotKnow(t *testing.T) {
 	began := time.Unix(1000, 0)
 	stop := Stop{At: began.Add(5500 * time.Millisecond), LearnedBy: began.Add(2 * time.Second)}
--- a/internal/h1/endless_test.go
+++ b/internal/h1/endless_test.go
@@ -28,8 +28,7 @@
 	return n, err
 }
 
-// Guards against a host that runs out of memory because an upstream sends bytes without an end where
-// a header, or a response to another request, is due.
+// Guards against a host that runs out of memory because an upstream sends bytes without an end.
 func TestBytesWithoutEndEndTheExchange(t *testing.T) {
 	const maxRead = 2 << 20 // the longest response to another request that is skipped, and as much again
 	for name, response := range map[string]struct{ start, repeated string }{
@@ -72,8 +71,7 @@
 	}
 }
 
-// Guards against a bound of headers that fails long bodies, or upstreams that send many interim
-// responses or long headers.
+// Guards against a bound of headers that fails long bodies, long headers or interim responses.
 func TestLongResponsesAreRead(t *testing.T) {
 	body := strings.Repeat("x", 4<<20)
 	for name, header := range map[string]string{
--- a/internal/tunnel/handshake_internal_test.go
+++ b/internal/tunnel/handshake_internal_test.go
@@ -9,8 +9,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against a host that runs out of memory because a peer answers the request for a tunnel
-// with bytes without an end.
+// Guards against a host that runs out of memory because a peer answers with bytes without an end.
 func TestHandshakeWithoutEndIsGivenUp(t *testing.T) {
 	for _, start := range []string{"", "HTTP/1.1 200 OK\r\nA: "} {
 		g := NewWithT(t)
