Soak: daemons have ports that no other socket is assigned

A host opens that listener before anything else that can take time, so its process had ended, and of what it does until then only opening an address depends on chance. Its peer address was a port that the system had just assigned and released on 127.0.0.1, where the other packages' tests open sockets all the time. A daemon started with that port taken ends with exit code 1, "listen udp4: address already in use", and its callers see the same refusals. The log of the failed run was lost with its directory, so that this is what happened there is concluded, not seen.

Ports now lie below the ephemeral range, as in the tests of the other daemon, are tried for connections and datagrams, and no two of a run are the same. A host that does not start to serve shows its log.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -202,10 +203,13 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	h := &daemonProcess{name: name, zone: host.zone, proxy: p, settingsFile: filepath.Join(c.dir, name+".jsonc"), uplinkFile: filepath.Join(c.dir, name+".uplink"), callerAddress: freeAddress(c.t, len(c.processes)), metrics: freeAddress(c.t, len(c.processes))}
+	h := &daemonProcess{
+		name: name, zone: host.zone, proxy: p, settingsFile: filepath.Join(c.dir, name+".jsonc"), uplinkFile: filepath.Join(c.dir, name+".uplink"),
+		callerAddress: freeAddress(c.t), metrics: freeAddress(c.t),
+	}
 	text := standin.EntryHostSettings{
 		Name: name, Zone: host.zone, CallerAddress: h.callerAddress, DirectoryAddress: "127.0.0.1:0", StoreAddress: p.address(), LinkMbps: host.linkMbps,
-		PeerAddress: freePeerAddress(c.t), MetricsAddress: h.metrics,
+		PeerAddress: freeAddress(c.t), MetricsAddress: h.metrics,
 		GracePeriod: 4 * time.Second, RevocationDelay: revocationDelay, SharesRoom: c.sharesRoom,
 	}.Encode()
 	if err := os.WriteFile(h.settingsFile, text, 0o600); err != nil {
@@ -215,33 +219,58 @@
 	c.startProcess(h)
 }
 
-// freeAddress returns an address whose port the system has just assigned and released.
-// A daemon keeps its address over restarts, so it cannot listen on port 0. Each host has a
-// loopback IP of its own: on 127.0.0.1, another daemon's listener was assigned the same
-// port before this daemon had started, and answered its requests with 404 from then on.
-func freeAddress(t *testing.T, host int) string {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.0.1.%d:0", host+1))
+// The daemons' ports lie below the ephemeral range: a daemon keeps its addresses over restarts, and no
+// socket whose port the system picks may take one of them meanwhile. Processes of tests that run at the
+// same time begin portsPerProcess apart.
+const (
+	firstPort       = 10000
+	portCount       = 10000
+	portsPerProcess = 500
+)
+
+// triedPorts counts the ports that freeAddress has tried.
+var triedPorts atomic.Int64
+
+// freeAddress returns a loopback address that is free for connections and for datagrams.
+func freeAddress(t *testing.T) string {
+	for range portCount {
+		address := fmt.Sprint("127.0.0.1:", firstPort+(int64(os.Getpid())*portsPerProcess+triedPorts.Add(1))%portCount)
+		if isFree(address) {
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+func isFree(address string) bool {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
-		t.Fatal(err)
+		return false
 	}
 	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	datagrams, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return false
+	}
+	return datagrams.Close() == nil
 }
 
-// freePeerAddress is freeAddress for datagrams. Peers send to the address of a host also after its
-// process was replaced. They open tunnels only to hosts that connect from the IP of their peer address.
-func freePeerAddress(t *testing.T) string {
-	l, err := net.ListenPacket("udp4", "127.0.0.1:0")
+func (c *cluster) logFile(h *daemonProcess) string { return filepath.Join(c.dir, h.name+".log") }
+
+// lastLog returns the last bytes that the processes of a host have logged.
+func (c *cluster) lastLog(h *daemonProcess) string {
+	const limit = 4 << 10
+	text, err := os.ReadFile(c.logFile(h))
 	if err != nil {
-		t.Fatal(err)
+		return err.Error()
 	}
-	defer func() { _ = l.Close() }()
-	return l.LocalAddr().String()
+	return string(text[max(len(text)-limit, 0):])
 }
 
 // startProcess starts the daemon once. Its exited channel is closed when the process ends.
 func (c *cluster) startProcess(h *daemonProcess) {
-	out, err := os.OpenFile(filepath.Join(c.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	out, err := os.OpenFile(c.logFile(h), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -118,7 +118,7 @@
 				break
 			}
 			if time.Now().After(end) {
-				c.t.Fatalf("%s did not start to serve: status %d, error %v", h.name, r.status, r.err)
+				c.t.Fatalf("%s did not start to serve: status %d, error %v, log:\n%s", h.name, r.status, r.err, c.lastLog(h))
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
