A late page of one peer no longer counts as the first page of another

A host that starts copies the configuration and the registered hosts from a peer, in pages, and turns to another peer if one does not answer in time. An answer of the first peer that arrived after that was taken for whatever page was awaited next: its second page became the first page of the new copy. The host then had no configuration and no declared evacuations, took its state for complete up to the revision of that page, and from then on only learned of changes. With upstreams it was the same: the first part of them was missing. Its callers were refused until the next version.

TestLatePageOfAnEarlierCopyIsNotApplied failed: the host counted as listed without the first page.

Each request for a page is remembered with its part of the state and the key after which it begins, and an answer is applied only if the copy lacks that page and the peer is the one that is being asked. A sample consists of one page, so any peer's will do.

--- a/internal/entryhost/confirm.go
+++ b/internal/entryhost/confirm.go
@@ -75,8 +75,8 @@
 	referred bool
 	// withoutUpstreams is that of the request.
 	withoutUpstreams bool
-	// page is set if the request is for a page of a peer's state.
-	page bool
+	// page is set if the request is for a page of a peer's state; nil otherwise.
+	page *fleet.PageRequest
 }
 
 // newConfirmRequests starts at a random id (see randomID).
@@ -229,8 +229,10 @@
 	}
 	delete(c.confirmRequests.pending, a.Id)
 	now := c.d.now()
-	if request.page {
-		c.applyPage(now, a, request)
+	if request.page != nil {
+		if c.load.awaits(request) {
+			c.applyPage(now, a, request)
+		}
 		return
 	}
 	c.source = request.peer
--- a/internal/entryhost/sample_internal_test.go
+++ b/internal/entryhost/sample_internal_test.go
@@ -39,7 +39,7 @@
 	g := NewWithT(t)
 	c, now := sampledStandby(t)
 	c.startSample(now, c.loadSources())
-	c.applyPage(now, samplePage(c.digests().base, time.Microsecond), pendingConfirm{page: true, sentAt: now})
+	c.applyPage(now, samplePage(c.digests().base, time.Microsecond), pendingConfirm{sentAt: now})
 	g.Expect(c.upstreamsKnown()).To(BeTrue())
 	now = now.Add(sampleMaxAge + time.Millisecond)
 	c.manageUpstreams(now)
@@ -62,7 +62,7 @@
 				base++
 			}
 			c.startSample(now, c.loadSources())
-			c.applyPage(now, samplePage(base, age), pendingConfirm{page: true, sentAt: now})
+			c.applyPage(now, samplePage(base, age), pendingConfirm{sentAt: now})
 			g.Expect(c.upstreamsKnown()).To(BeTrue())
 			if sameBase {
 				g.Expect(c.confirmedAt).To(BeTemporally("~", now.Add(-age), time.Millisecond))
--- a/internal/entryhost/stateload.go
+++ b/internal/entryhost/stateload.go
@@ -92,9 +92,14 @@
 	l.due = now.Add(timeout)
 	// The ticks of a standby are too far apart for a caller that waits.
 	time.AfterFunc(timeout, func() { c.send(func(c *control) { c.continueLoad(c.d.now()) }) })
-	c.sendConfirmRequest(now, l.peers[0], pendingConfirm{page: true}, &fleet.ConfirmRequest{
-		Page: &fleet.PageRequest{Scope: l.scope, After: l.after},
-	})
+	page := &fleet.PageRequest{Scope: l.scope, After: l.after}
+	c.sendConfirmRequest(now, l.peers[0], pendingConfirm{page: page}, &fleet.ConfirmRequest{Page: page})
+}
+
+// awaits reports whether the copy lacks the page that was requested. A late page of the peer that was
+// asked before belongs to another state, of which the copy has no first page. A sample is a first page.
+func (l *stateLoad) awaits(request pendingConfirm) bool {
+	return l.active && request.page.Scope == l.scope && request.page.After == l.after && (l.sample || request.peer == l.peers[0])
 }
 
 // restartLoad begins again with the first of the given peers.
--- a/internal/entryhost/stateload_test.go
+++ b/internal/entryhost/stateload_test.go
@@ -138,3 +138,35 @@
 	c.handleListing(kv.Listing{Revision: 60}, c.d.now())
 	g.Expect(c.registrations).To(BeEmpty())
 }
+
+// Guards against a host without a configuration: a late page of the peer asked before counted as the first one of the next.
+func TestLatePageOfAnEarlierCopyIsNotApplied(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestControl(t)
+	now := c.d.now()
+	receive := func(a *fleet.ConfirmAnswer, of func(pendingConfirm) bool) {
+		for id, request := range c.confirmRequests.pending {
+			if of(request) {
+				a.Id = id
+				c.handleConfirmAnswer(a)
+				return
+			}
+		}
+		t.Fatal("no such request")
+	}
+	c.startLoad(now, fleet.Scope_SCOPE_BASE, []string{"127.0.0.1:1", "127.0.0.1:2"})
+	slow := c.load.peers[0]
+	first := evacuations("a1")
+	first.More = true
+	receive(first, func(pendingConfirm) bool { return true })
+	for range maxPageAttempts {
+		now = now.Add(2 * pageTimeout)
+		c.continueLoad(now)
+	}
+	g.Expect(c.load.peers[0]).NotTo(Equal(slow))
+	receive(evacuations("b1"), func(request pendingConfirm) bool { return request.peer == slow })
+	g.Expect(c.listed).To(BeFalse(), "the first page of the other peer is missing")
+	receive(evacuations("a1", "b1"), func(request pendingConfirm) bool { return request.peer != slow })
+	g.Expect(c.listed).To(BeTrue())
+	g.Expect(c.evacuatedZones).To(HaveLen(2))
+}
