A deferred sample is requested again by a timer

A peer that has used up its link's allowance defers the sample of upstreams that a standby copies for a caller. The standby asked another peer with its next tick, up to 500 ms later; the caller waits for 700 ms at most, and was answered 503.

TestDeferredSampleIsRequestedAgainBetweenTicks failed: without a tick no request was sent within 10 s. The request is now due by the same timer as the one after a lost page.

--- a/internal/entryhost/stateload.go
+++ b/internal/entryhost/stateload.go
@@ -89,13 +89,18 @@
 		c.restartLoad(now, append(l.peers[1:], l.peers[0])...)
 	}
 	l.attempts++
-	l.due = now.Add(timeout)
-	// The ticks of a standby are too far apart for a caller that waits.
-	time.AfterFunc(timeout, func() { c.send(func(c *control) { c.continueLoad(c.d.now()) }) })
+	c.continueLoadAfter(now, timeout)
 	page := &fleet.PageRequest{Scope: l.scope, After: l.after}
 	c.sendConfirmRequest(now, l.peers[0], pendingConfirm{page: page}, &fleet.ConfirmRequest{Page: page})
 }
 
+// continueLoadAfter makes the next page due after a delay. The ticks of a standby are too far apart for
+// a caller that waits.
+func (c *control) continueLoadAfter(now time.Time, delay time.Duration) {
+	c.load.due = now.Add(delay)
+	time.AfterFunc(delay, func() { c.send(func(c *control) { c.continueLoad(c.d.now()) }) })
+}
+
 // awaits reports whether the copy lacks the page that was requested. A late page of the peer that was
 // asked before belongs to another state, of which the copy has no first page. A sample is a first page.
 func (l *stateLoad) awaits(request pendingConfirm) bool {
@@ -134,10 +139,11 @@
 	}
 	l.answeredAt = now
 	if a.Later {
-		l.attempts, l.due = 0, now.Add(deferredRetryDelay)
+		l.attempts = 0
 		if l.after == "" {
-			c.restartLoad(now.Add(deferredRetryDelay), append(l.peers[1:], l.peers[0])...)
+			c.restartLoad(now, append(l.peers[1:], l.peers[0])...)
 		}
+		c.continueLoadAfter(now, deferredRetryDelay)
 		return
 	}
 	if len(a.Changes) > 0 && a.Changes[0].Key <= l.after {
--- a/internal/entryhost/stateload_test.go
+++ b/internal/entryhost/stateload_test.go
@@ -170,3 +170,19 @@
 	g.Expect(c.listed).To(BeTrue())
 	g.Expect(c.evacuatedZones).To(HaveLen(2))
 }
+
+// Guards against callers of a standby that are refused because a peer deferred its sample: they wait less than two ticks.
+func TestDeferredSampleIsRequestedAgainBetweenTicks(t *testing.T) {
+	g := NewWithT(t)
+	c, _ := sampledStandby(t)
+	(<-c.inbox)(c) // the timer of the copied base state
+	now := c.d.now()
+	c.startSample(now, c.loadSources())
+	first := c.load.peers[0]
+	c.applyPage(now, &fleet.ConfirmAnswer{Page: true, Base: 7, Later: true}, pendingConfirm{sentAt: now})
+	g.Expect(c.load.peers[0]).NotTo(Equal(first))
+	g.Eventually(func() int {
+		c.handleQueued()
+		return c.load.attempts
+	}, "10s", "5ms").Should(Equal(1), "no tick runs in this test")
+}
