A host with an old state leaves callers to hosts that can serve

Cause: a selected host reports that it is not ready once its state is 3.3 s old, and is deselected 4 s after it was last able to serve. In between it was no standby, and only standbys checked the age of the state; for keys and denials there are checks of their own. So for 4 s and longer (a host that knows no peers is not deselected) it decided by a state of 3.3 to 7.3 s and more, while other hosts had the newest version.

A selected host that is not ready now counts as a standby for its callers as long as another host is ready: it asks for a confirmation, waits for it as briefly as a standby does, and otherwise refuses, so that the caller turns to a host that can serve. If no host is ready, as while the store is down, it serves by the state that it has. Readings of the store and the metric balsambarrow_takes_callers depend on the selection as before.

--- a/internal/entryhost/activation.go
+++ b/internal/entryhost/activation.go
@@ -100,6 +100,7 @@
 		c.d.events.Info("activation", "takes_callers", stayActive, "hosts", c.members.Count())
 	}
 	d.active = stayActive
+	c.d.takesCallers.Store(stayActive)
 }
 
 // knowsPeers reports whether the host knows enough peers to decide whether it must be active.
--- a/internal/entryhost/publish.go
+++ b/internal/entryhost/publish.go
@@ -89,7 +89,7 @@
 // publishState publishes the state by which requests are served.
 func (c *control) publishState() {
 	next := front.State{
-		Catalog: c.catalog, OutdatedSince: c.outdatedSince, ConfirmedAt: c.confirmedAt, ConfirmedBy: c.confirmedBy, Revision: c.completeTo(), UpstreamsKnown: c.upstreamsKnown(), Standby: !c.activation.active,
+		Catalog: c.catalog, OutdatedSince: c.outdatedSince, ConfirmedAt: c.confirmedAt, ConfirmedBy: c.confirmedBy, Revision: c.completeTo(), UpstreamsKnown: c.upstreamsKnown(), Standby: c.othersServe(),
 	}
 	if next == c.published.state {
 		return
@@ -99,6 +99,12 @@
 	c.d.stateUpdated.fire()
 }
 
+// othersServe reports whether other hosts serve the callers. A selected host leaves them to the others
+// while it cannot serve, but serves them by the state it has if no host can.
+func (c *control) othersServe() bool {
+	return !c.activation.active || !c.ready && c.d.directory.Load().otherReady()
+}
+
 // publishDemand publishes the customers' demand at the other hosts.
 func (c *control) publishDemand(now time.Time, changed bool) {
 	p := &c.published
--- a/internal/entryhost/startup.go
+++ b/internal/entryhost/startup.go
@@ -1,6 +1,11 @@
 package entryhost
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"balsambarrow/internal/fleet"
+)
 
 // How a host that has just started handles callers before it knows the active hosts.
 //
@@ -58,13 +63,10 @@
 
 // anyReady reports whether any known host is active.
 func (d *directory) anyReady() bool {
-	if d.ready {
-		return true
-	}
-	for _, m := range d.peers {
-		if m.Ready {
-			return true
-		}
-	}
-	return false
+	return d.ready || d.otherReady()
+}
+
+// otherReady reports whether any other known host is active.
+func (d *directory) otherReady() bool {
+	return slices.ContainsFunc(d.peers, func(m fleet.Member) bool { return m.Ready && !m.Leaving })
 }
