A request that waited runs in the regions of the version in force

A request is admitted by one version of the configuration and may then wait for its body, in the queue, or for the end of an earlier attempt. Its upstream was chosen among the regions that its route and customer had when it was admitted, up to its time limit after a version had moved them: it ran where it may not run any more. Only the key was checked again.

The regions are now taken from the version in force for each attempt; a route that is gone keeps those it had.

--- a/internal/front/queue_load_internal_test.go
+++ b/internal/front/queue_load_internal_test.go
@@ -132,7 +132,7 @@
 // request returns a request that has arrived now, and its context.
 func (f *simFleet) request(ctx context.Context, k loadKind) *request {
 	q := &request{
-		http: httptest.NewRequest("GET", "/", nil).WithContext(ctx), arrived: time.Now(), service: "s", overRate: k.overRate, body: &body{},
+		http: httptest.NewRequest("GET", "/", nil).WithContext(ctx), arrived: time.Now(), state: f.hosts[0].State(), service: "s", overRate: k.overRate, body: &body{},
 		route: &catalog.Route{Name: k.name, TargetLatency: k.target, Priority: k.priority, MaxAttempts: 1},
 	}
 	q.timeLimit = q.arrived.Add(loadTimeout)
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -90,7 +90,7 @@
 }
 
 func (h *Handler) placementQuery(q *request) place.Query {
-	regions, restricted := catalog.AllowedRegions(q.route, q.customer)
+	regions, restricted := h.allowedRegions(q)
 	object := q.Object
 	if !q.route.Affinity {
 		object = ""
@@ -102,6 +102,21 @@
 	}
 }
 
+// allowedRegions returns the regions that may run the request by the version that is in force now. The
+// request may have waited for its body, in the queue or for another upstream since it was admitted.
+func (h *Handler) allowedRegions(q *request) (regions []string, restricted bool) {
+	route, customer := q.route, q.customer
+	if c := h.State().Catalog; c != q.state.Catalog {
+		if r := c.Route(q.http.Host, requestPath(q.http)); r != nil {
+			route = r
+		}
+		if customer != nil {
+			customer = c.CustomerByName(customer.Name)
+		}
+	}
+	return catalog.AllowedRegions(route, customer)
+}
+
 // unservedRefusal returns the refusal that is correct for the attempts so far.
 func (h *Handler) unservedRefusal(q *request) *refusal {
 	switch {
