--- a/internal/entryhost/publish.go
+++ b/internal/entryhost/publish.go
@@ -1,15 +1,12 @@
 package entryhost
 
 import (
-	"slices"
 	"time"
 
-	"balsambarrow/internal/catalog"
 	"balsambarrow/internal/fleet"
 	"balsambarrow/internal/front"
 	"balsambarrow/internal/place"
 	"balsambarrow/internal/retry"
-	"balsambarrow/internal/share"
 )
 
 // published is the state that the control thread has published to the other goroutines.
@@ -26,10 +23,6 @@
 	activeSummary *fleet.ActiveSummary
 	self          selfState
 	state         front.State
-	// bucketInstances are the hosts that hold customers' buckets, and ownedOf is the configuration with
-	// whose customers the ones that this host owns were last published.
-	bucketInstances []string
-	ownedOf         *catalog.Catalog
 }
 
 // selfState is the state of this host on which the directory, the bucket hosts and the retry budget
@@ -83,7 +76,7 @@
 	c.d.table.SetHosts(hosts)
 	c.d.rooms.setPeers(peers)
 	c.d.publishTunnelPeers(peers)
-	c.publishBucketHosts(now)
+	c.d.bucketHosts.Store(newBucketHosts(c.d.self, c.ready && c.holdsShares, peers, c.members.Count()))
 	c.d.hostsUpdated.fire()
 	bounds := c.d.settings.Load().Bounds
 	c.d.retries.SetShare(now, retry.Share{
@@ -93,22 +86,6 @@
 	c.d.shares.SetSlack(bounds.RateSlack)
 }
 
-// publishBucketHosts publishes the hosts that hold customers' buckets, and which of these this host owns.
-func (c *control) publishBucketHosts(now time.Time) {
-	hosts, p := newBucketHosts(c.d.self, c.ready && c.holdsShares, c.published.peers, c.members.Count()), &c.published
-	if c.catalog != nil && (c.catalog != p.ownedOf || !slices.Equal(hosts.instances, p.bucketInstances)) {
-		p.ownedOf, p.bucketInstances = c.catalog, hosts.instances
-		var owned []string
-		for _, u := range c.catalog.Customers() {
-			if u.Rate > 0 && share.ShardOwner(u.Name, hosts.instances) == c.d.self.Instance {
-				owned = append(owned, u.Name)
-			}
-		}
-		c.d.shares.SetOwned(now, owned)
-	}
-	c.d.bucketHosts.Store(hosts)
-}
-
 // publishState publishes the state by which requests are served.
 func (c *control) publishState() {
 	next := front.State{
--- a/internal/front/regions_internal_test.go
+++ b/internal/front/regions_internal_test.go
@@ -11,8 +11,7 @@
 	"balsambarrow/internal/traffic"
 )
 
-// Guards against a request that waits while a version moves its route or its customer to other regions, and then runs in
-// one that may not run it.
+// Guards against a request that runs where it may not, because its regions changed while it waited.
 func TestWaitingRequestRunsInTheRegionsOfTheVersionInForce(t *testing.T) {
 	now := time.Unix(1000, 0)
 	version := func(route, customer []string) *State {
--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -17,6 +17,9 @@
 	// learn of the move, stays within the tolerance that operators were promised (see
 	// the tests).
 	burstFraction = 1.0
+	// initialFraction is the fraction of its depth that a bucket holds when a host begins to
+	// hold rate shares: the host may have spent the rest before it restarted.
+	initialFraction = 0.35
 	// minDepth is the minimum depth of a bucket, in requests, so that one request can
 	// pass where the host's fraction of the burst is less than one request.
 	minDepth = 1.0
@@ -24,8 +27,6 @@
 	// of all owners together. Each owner sees only some of the customer's callers, and a
 	// few requests that arrive together would find a bucket of a few tokens empty. The
 	// rest of the slack covers demand that moves between owners before they learn of it.
-	// A bucket holds nothing else when a host begins to own it: the earlier owner, or this host
-	// before it restarted, may have granted the burst.
 	slackFraction = 0.5
 	// announceDelay is the time until the other hosts apply announced demand: the
 	// network delay between regions and one pass of the control thread.
@@ -54,8 +55,6 @@
 	// sent a request yet.
 	leaseHeld  bool
 	leaseSince time.Time
-	// ownedSince is since when this host owns the bucket of each customer that it owns; see SetOwned.
-	ownedSince map[string]time.Time
 }
 
 type bucket struct {
@@ -106,23 +105,6 @@
 	}
 }
 
-// SetOwned sets the customers whose buckets this host owns. Until it is first called, this host owns
-// all of them. The bucket of a customer that it did not own before holds at most what it holds at the
-// start, because the earlier owner may have granted the burst.
-func (l *Limiter) SetOwned(now time.Time, customers []string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	next := make(map[string]time.Time, len(customers))
-	for _, name := range customers {
-		since, owned := l.ownedSince[name]
-		if !owned {
-			since = now
-		}
-		next[name] = since
-	}
-	l.ownedSince = next
-}
-
 // Decision is the result of admission control for one request.
 type Decision struct {
 	Admitted bool
@@ -170,22 +152,11 @@
 }
 
 // refill adds the tokens up to now to a bucket that has a fraction of the customer's rate, and
-// returns the bucket's rate per second and its depth. A bucket that has not been used before has
-// been filling since this host began to hold rate shares.
+// returns the bucket's rate per second and its depth.
 func (l *Limiter) refill(now time.Time, c *catalog.Customer, b *bucket, fraction float64) (rate, depth float64) {
 	slack := slackFraction * l.slack / float64(l.owners)
 	rate, depth = fraction*c.Rate, max(fraction*c.Burst*burstFraction, minDepth)+slack
-	initial := max(slack, minDepth)
-	if b.refilledAt.IsZero() {
-		b.tokens, b.refilledAt = initial, now
-		if !l.leaseSince.IsZero() {
-			b.refilledAt = l.leaseSince
-		}
-	}
-	if since := l.ownedSince[c.Name]; b.refilledAt.Before(since) {
-		b.refill(since, rate, initial)
-	}
-	b.refill(now, rate, depth)
+	b.refill(now, l.leaseSince, rate, depth)
 	return rate, depth
 }
 
@@ -198,8 +169,15 @@
 	}
 }
 
-// refill adds the tokens up to now.
-func (b *bucket) refill(now time.Time, rate, depth float64) {
+// refill adds the tokens up to now. A bucket that has not been used before has been
+// filling since the given time.
+func (b *bucket) refill(now, since time.Time, rate, depth float64) {
+	if b.refilledAt.IsZero() {
+		b.tokens, b.refilledAt = max(depth*initialFraction, 1), now
+		if !since.IsZero() {
+			b.refilledAt = since
+		}
+	}
 	b.tokens = min(b.tokens+now.Sub(b.refilledAt).Seconds()*rate, depth)
 	b.refilledAt = now
 }
