The age of the state is checked when a request arrives

A route without keys is served whatever the age.

The handler now compares the age itself, at arrival: with 3.3 s, from which a host is not ready, if other hosts are known to be ready. It then asks for a confirmation and waits for it, as a standby does. Without others that are ready it serves by what it has, as before.

TestHostWithOldStateLeavesCallersToOthers: two of five cases are served without the check. A stand-in for the suspension itself was not written.

--- a/internal/entryhost/activation.go
+++ b/internal/entryhost/activation.go
@@ -4,14 +4,14 @@
 	"time"
 
 	"balsambarrow/internal/fleet"
+	"balsambarrow/internal/front"
 	"balsambarrow/internal/standby"
 )
 
 const (
 	// maxConfigurationAge is the highest age of the confirmed configuration at which the host
-	// is ready. It allows for one watch and one slow response of the store, and is below the
-	// age up to which API keys are accepted.
-	maxConfigurationAge = 3300 * time.Millisecond
+	// is ready.
+	maxConfigurationAge = front.MaxStateAge
 	// deactivateAfter is how long this host stays active after it was last selected as an
 	// active host. After a start or a network partition, the heartbeats of all hosts arrive
 	// within one or two seconds.
@@ -100,7 +100,6 @@
 		c.d.events.Info("activation", "takes_callers", stayActive, "hosts", c.members.Count())
 	}
 	d.active = stayActive
-	c.d.takesCallers.Store(stayActive)
 }
 
 // knowsPeers reports whether the host knows enough peers to decide whether it must be active.
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -77,8 +77,6 @@
 	bucketHosts atomic.Pointer[bucketHosts]
 	// ready is the result of the readiness check. A standby that can serve is ready too.
 	ready atomic.Bool
-	// takesCallers is set while this host is selected as an active host, whether or not it can serve.
-	takesCallers atomic.Bool
 	// fallbackAllowed is set once this host has held rate shares, or is a standby and will not
 	// hold any. Only then does it use its fallback bucket when no owner of a bucket responds.
 	fallbackAllowed atomic.Bool
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -35,7 +35,7 @@
 	d.metrics.Gauge("balsambarrow_tunnel_peers", func() float64 { return float64(len(*d.tunnelPeers.Load())) })
 	d.metrics.Gauge("balsambarrow_tunnels_served", func() float64 { return float64(d.tunnels.Count()) })
 	d.metrics.Gauge("balsambarrow_ready", func() float64 { return boolGauge(d.ready.Load()) })
-	d.metrics.Gauge("balsambarrow_takes_callers", func() float64 { return boolGauge(d.takesCallers.Load()) })
+	d.metrics.Gauge("balsambarrow_takes_callers", func() float64 { return boolGauge(!d.state.Load().Standby) })
 	d.metrics.Gauge("balsambarrow_watches_store", func() float64 { return boolGauge(d.watches.Load()) })
 	d.metrics.Gauge("balsambarrow_caller_connections", func() float64 { return float64(d.callerConns.count()) })
 	d.metrics.Gauge("balsambarrow_room_reserved", func() float64 { return float64(d.rooms.ledger.Stats().Reserved) })
--- a/internal/entryhost/publish.go
+++ b/internal/entryhost/publish.go
@@ -17,8 +17,9 @@
 	// generation and demandGeneration are the generations of the members and of their demand
 	// that were last published.
 	generation, demandGeneration uint64
-	// peers are the other hosts that are alive.
-	peers []fleet.Member
+	// peers are the other hosts that are alive, and othersReady is whether any of them is active.
+	peers       []fleet.Member
+	othersReady bool
 	// activeSummary is the summary for standbys; nil on a standby.
 	activeSummary *fleet.ActiveSummary
 	self          selfState
@@ -59,7 +60,9 @@
 // applies the bounds of the settings, which may have been reloaded.
 func (c *control) publishHosts(now time.Time) {
 	peers := c.published.peers
-	c.d.directory.Store(&directory{self: c.d.self, ready: c.ready, leaving: c.leaving, reachesStore: !c.storeUnreachable, peers: peers})
+	d := &directory{self: c.d.self, ready: c.ready, leaving: c.leaving, reachesStore: !c.storeUnreachable, peers: peers}
+	c.d.directory.Store(d)
+	c.published.othersReady = d.otherReady()
 	hosts := make([]place.Host, 0, len(peers)+1)
 	for _, m := range peers {
 		if m.Ready {
@@ -89,7 +92,8 @@
 // publishState publishes the state by which requests are served.
 func (c *control) publishState() {
 	next := front.State{
-		Catalog: c.catalog, OutdatedSince: c.outdatedSince, ConfirmedAt: c.confirmedAt, ConfirmedBy: c.confirmedBy, Revision: c.completeTo(), UpstreamsKnown: c.upstreamsKnown(), Standby: c.othersServe(),
+		Catalog: c.catalog, OutdatedSince: c.outdatedSince, ConfirmedAt: c.confirmedAt, ConfirmedBy: c.confirmedBy, Revision: c.completeTo(), UpstreamsKnown: c.upstreamsKnown(),
+		Standby: !c.activation.active, OthersReady: c.published.othersReady,
 	}
 	if next == c.published.state {
 		return
@@ -99,12 +103,6 @@
 	c.d.stateUpdated.fire()
 }
 
-// othersServe reports whether other hosts serve the callers. A selected host leaves them to the others
-// while it cannot serve, but serves them by the state it has if no host can.
-func (c *control) othersServe() bool {
-	return !c.activation.active || !c.ready && c.d.directory.Load().otherReady()
-}
-
 // publishDemand publishes the customers' demand at the other hosts.
 func (c *control) publishDemand(now time.Time, changed bool) {
 	p := &c.published
--- a/internal/entryhost/publish_internal_test.go
+++ b/internal/entryhost/publish_internal_test.go
@@ -2,39 +2,29 @@
 
 import (
 	"testing"
-	"time"
 
 	. "github.com/onsi/gomega"
 
 	"balsambarrow/internal/fleet"
-	"balsambarrow/internal/kv"
 )
 
-// Guards against a host that serves routes without keys by an old version while others have the newest one.
-func TestHostWithOldStateLeavesCallersToOthers(t *testing.T) {
+// Guards against requests that are decided as if no other host could serve them, or the other way round.
+func TestPublishedStateTellsWhetherOthersAreReady(t *testing.T) {
 	for name, test := range map[string]struct {
-		age           time.Duration
-		otherIsReady  bool
-		othersServing bool
+		peers []fleet.Member
+		want  bool
 	}{
-		"recent state":                {maxConfigurationAge - time.Millisecond, true, false},
-		"old state":                   {maxConfigurationAge, true, true},
-		"old state at all hosts":      {maxConfigurationAge, false, false},
-		"old state after an outage":   {time.Hour, true, true},
-		"old state during an outage":  {time.Hour, false, false},
-		"recent state, no other host": {0, false, false},
+		"no host":                {nil, false},
+		"a host that is ready":   {[]fleet.Member{{Instance: "x"}, {Instance: "y", Ready: true}}, true},
+		"a host that is leaving": {[]fleet.Member{{Instance: "x", Ready: true, Leaving: true}}, false},
+		"a standby":              {[]fleet.Member{{Instance: "x"}}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			g := NewWithT(t)
 			c := newTestControl(t)
-			now := c.d.now()
-			c.loadState(now, []kv.Item{version(1, true)}, true)
-			c.confirm(now, confirmedByWatch)
-			c.activation.active = true
-			c.d.directory.Store(&directory{self: c.d.self, peers: []fleet.Member{{Instance: "other", Region: "a", Ready: test.otherIsReady}}})
-			c.updateReady(now.Add(test.age), nil)
+			c.ready, c.published.peers = true, test.peers
+			c.publishHosts(c.d.now())
 			c.publishState()
-			g.Expect(c.d.state.Load().Standby).To(Equal(test.othersServing))
+			NewWithT(t).Expect(c.d.state.Load().OthersReady).To(Equal(test.want))
 		})
 	}
 }
--- a/internal/entryhost/storetiming.go
+++ b/internal/entryhost/storetiming.go
@@ -41,7 +41,8 @@
 		return follow.Timing{WatchTimeout: storeWatchTimeout, Interval: watcherReadInterval, MinInterval: watcherReadInterval}
 	}
 	timing := follow.Timing{WatchTimeout: storeWatchTimeout, Interval: confirmedReadInterval, MinInterval: minReadInterval}
-	if !d.takesCallers.Load() || d.now().Sub(d.state.Load().ConfirmedAt) < readStoreAge {
+	state := d.state.Load()
+	if state.Standby || d.now().Sub(state.ConfirmedAt) < readStoreAge {
 		timing.MaxBackoff = maxRejectedBackoff
 	}
 	return timing
--- a/internal/front/standby_internal_test.go
+++ b/internal/front/standby_internal_test.go
@@ -22,3 +22,24 @@
 	g.Expect(standby(confirmInterval + peerAge).sufficesAt(now)).To(BeTrue())
 	g.Expect(standby(activeMaxAge).sufficesAt(now)).To(BeFalse())
 }
+
+// Guards against a host that serves by an old version, as after a suspension, while others have the newest one.
+func TestHostWithOldStateLeavesCallersToOthers(t *testing.T) {
+	now := time.Unix(100, 0)
+	for name, test := range map[string]struct {
+		age         time.Duration
+		othersReady bool
+		suffices    bool
+	}{
+		"recent state":               {MaxStateAge - 1, true, true},
+		"old state":                  {MaxStateAge, true, false},
+		"after a long suspension":    {time.Hour, true, false},
+		"old state, no host ready":   {MaxStateAge, false, true},
+		"long outage, no host ready": {time.Hour, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := &State{UpstreamsKnown: true, OthersReady: test.othersReady, ConfirmedAt: now.Add(-test.age)}
+			NewWithT(t).Expect(state.sufficesAt(now)).To(Equal(test.suffices))
+		})
+	}
+}
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -26,6 +26,8 @@
 	// Standby is set while other hosts serve the callers. The state of a standby
 	// host may be older than that of the active hosts.
 	Standby bool
+	// OthersReady is set while other hosts are known to be ready to serve callers.
+	OthersReady bool
 }
 
 // Bounds are the configurable time limits of the handler.
@@ -35,6 +37,11 @@
 	KeyMaxAge time.Duration
 }
 
+// MaxStateAge is the age of the confirmed state from which a host leaves callers to other hosts
+// that are ready. It allows for one watch and one slow response of the store, and is below the age
+// up to which API keys are accepted.
+const MaxStateAge = 3300 * time.Millisecond
+
 const (
 	// denyMaxAge is how long after ConfirmedAt a request may be denied because
 	// its route or key is unknown. A host with an older configuration would deny
@@ -65,10 +72,17 @@
 // request.
 func (s *State) starting() bool { return s.Catalog == nil || s.ConfirmedAt.IsZero() }
 
-// sufficesAt reports whether requests can be sent to upstreams: they are known, and a standby
-// host has confirmed them recently.
+// sufficesAt reports whether requests can be sent to upstreams: they are known and were confirmed
+// recently, or no other host can serve the callers. A process that was suspended finds the state
+// from before.
 func (s *State) sufficesAt(now time.Time) bool {
-	return s.UpstreamsKnown && (!s.Standby || s.age(now) <= standbyMaxAge)
+	switch {
+	case !s.UpstreamsKnown:
+		return false
+	case s.Standby:
+		return s.age(now) <= standbyMaxAge
+	}
+	return !s.OthersReady || s.age(now) < MaxStateAge
 }
 
 // Reasons for CauseStandby.
