--- a/internal/operator/ctl/ctl_test.go
+++ b/internal/operator/ctl/ctl_test.go
@@ -63,6 +63,9 @@
 	}
 }
 
+// storeTimeout bounds a call to the stand-in store. No test waits for it.
+const storeTimeout = 10 * time.Second
+
 // testServer is the operators' API of one daemon with a stand-in store. The test
 // sets the rest of the fleet with setFleet.
 type testServer struct {
@@ -82,7 +85,7 @@
 	s.fleet.ListedAt = time.Now()
 	storeServer := httptest.NewServer(s.platform)
 	client := platform.NewStore(storeServer.URL, (&net.Dialer{}).DialContext, func(string, error) {})
-	s.store = &delayedWriteStore{Store: kv.WithTimeout(client, time.Second)}
+	s.store = &delayedWriteStore{Store: kv.WithTimeout(client, storeTimeout)}
 	server := httptest.NewServer(operator.New(operator.Deps{
 		View: &s.published, Repository: config.NewRepository(s.store, time.Now), Metrics: metrics.NewSet(), ApplyRecord: s.applyRecord,
 	}))
