A stop with a short grace uses five sixths of it for requests

Callers saw (in theory; no deployment has such a grace): with a grace under 3 s, a planned stop cut off requests that ran, .5 s before its end, although the process has nothing else to do then; with .5 s it answered nothing at all.

Cause: the margins at the end of a stop (lease, exit, responses) are constants, whatever the grace.

Change: the phases of a stop are computed in one place from the grace. Below 3 s the margins shrink in proportion; from 3 s on nothing changes. A grace of zero or less, with which a host would exit at once, and a negative bound on withdrawn keys, with which it would refuse all of them, are faults of the settings.

A request that ends with the stop is logged with that reason: before, "refused cause=timeout" was the same line as for a request that used up its time limit, and only the arithmetic of "took" told them apart.

--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -186,6 +186,8 @@
 	require(s.Capacity.MemoryMB >= 0, "/capacity/memory_mb", "want zero or more")
 	require(s.Capacity.Descriptors >= 0, "/capacity/descriptors", "want zero or more")
 	require(s.Bounds.RetryWindow.Value() > 0, "/bounds/retry_window", "want more than zero")
+	require(s.Bounds.Grace.Value() > 0, "/bounds/grace", "want more than zero")
+	require(s.Bounds.Revoke.Value() >= 0, "/bounds/revoke", "want zero or more")
 	require(s.Bounds.RetryRatio >= 0, "/bounds/retry_ratio", "want zero or more")
 	require(s.Bounds.RateSlack >= 0, "/bounds/rate_slack", "want zero or more")
 	require(s.Bounds.MaxShift >= 0 && s.Bounds.MaxShift <= 1, "/bounds/max_shift", "want a fraction, 0 to 1")
--- a/internal/entryhost/stop.go
+++ b/internal/entryhost/stop.go
@@ -24,8 +24,29 @@
 	// exitReserve is the part of the grace period that is left when the daemon stops waiting for
 	// anything. The process exits in it.
 	exitReserve = 100 * time.Millisecond
+	// shortestUnscaledGrace is the grace period below which the margins shrink in proportion, so that
+	// requests have five sixths of any grace.
+	shortestUnscaledGrace = 6 * (exitMargin + responseMargin)
 )
 
+// stopSchedule is when the phases of a planned stop end, as times since its signal.
+type stopSchedule struct {
+	// accept is until when requests are accepted, answer until when they are answered, and wait
+	// until when the daemon waits for those that still run. The process exits at exit.
+	accept, answer, wait, exit time.Duration
+}
+
+func newStopSchedule(grace time.Duration) stopSchedule {
+	scale := min(float64(grace)/float64(shortestUnscaledGrace), 1)
+	margin := func(d time.Duration) time.Duration { return time.Duration(float64(d) * scale) }
+	return stopSchedule{
+		accept: time.Duration(float64(grace) * acceptFraction),
+		answer: grace - margin(exitMargin+responseMargin),
+		wait:   grace - margin(exitMargin),
+		exit:   grace - margin(exitReserve),
+	}
+}
+
 // Stop ends the daemon within the grace period without interrupting requests. First the
 // directory stops naming the host, responses close their connections, and requests are refused
 // whose time limit ends after the stop; then the host accepts no new requests and waits for those
@@ -33,9 +54,10 @@
 func (d *Daemon) Stop() {
 	began := d.activity.earliestSignal(d.now())
 	grace := d.settings.Load().Bounds.Grace.Value()
-	d.plannedStop.Store(&front.Stop{At: began.Add(grace - exitMargin - responseMargin), LearnedBy: began.Add(directoryTTL)})
+	schedule := newStopSchedule(grace)
+	d.plannedStop.Store(&front.Stop{At: began.Add(schedule.answer), LearnedBy: began.Add(directoryTTL)})
 	d.events.Info("stopping", "grace", grace, "delay", d.now().Sub(began))
-	end, cancelEnd := context.WithTimeout(context.Background(), began.Add(grace-exitReserve).Sub(d.now()))
+	end, cancelEnd := context.WithTimeout(context.Background(), began.Add(schedule.exit).Sub(d.now()))
 	defer cancelEnd()
 	d.callers.StopBegun()
 	// The queue of the control thread may be full.
@@ -44,9 +66,8 @@
 		c.announceToAll(d.now())
 	})
 	d.setStopPhase("callers")
-	time.Sleep(time.Duration(float64(grace)*acceptFraction) - d.now().Sub(began))
-	remaining := grace - exitMargin - d.now().Sub(began)
-	ctx, cancel := context.WithTimeout(context.Background(), remaining)
+	time.Sleep(began.Add(schedule.accept).Sub(d.now()))
+	ctx, cancel := context.WithTimeout(context.Background(), began.Add(schedule.wait).Sub(d.now()))
 	defer cancel()
 	d.setStopPhase("requests")
 	d.shutDownServers(ctx)
@@ -94,7 +115,7 @@
 // TimeToExit returns the time until the process has to exit after a signal that is handled now.
 func (d *Daemon) TimeToExit() time.Duration {
 	now := d.now()
-	return d.activity.earliestSignal(now).Add(d.settings.Load().Bounds.Grace.Value() - exitReserve).Sub(now)
+	return d.activity.earliestSignal(now).Add(newStopSchedule(d.settings.Load().Bounds.Grace.Value()).exit).Sub(now)
 }
 
 // logInterrupted logs the requests that the exit of the process interrupts.
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -212,12 +212,19 @@
 	if q.http.Context().Err() != nil {
 		return &refusal{cause: CauseCallerLeft}
 	}
+	refused := unavailable(CauseTimeout, retrySoon)
 	if q.attempts.sends > 0 {
-		return &refusal{status: http.StatusGatewayTimeout, cause: CauseTimeout}
+		refused = &refusal{status: http.StatusGatewayTimeout, cause: CauseTimeout}
 	}
-	return unavailable(CauseTimeout, retrySoon)
+	if q.deadline.Before(q.timeLimit) {
+		return refused.withReason(errEndOfStop)
+	}
+	return refused
 }
 
+// errEndOfStop is the reason for CauseTimeout if the request ended before its time limit.
+var errEndOfStop = errors.New("the planned stop has ended before the time limit")
+
 // send sends the request to one upstream and handles the response.
 func (h *Handler) send(ctx context.Context, w http.ResponseWriter, q *request, c place.Choice) (end outcome, resp *response) {
 	sentAt := h.Now()
--- a/internal/front/stop_internal_test.go
+++ b/internal/front/stop_internal_test.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -40,3 +42,19 @@
 		})
 	}
 }
+
+// Guards against a request that a planned stop has ended and the log shows as one that was too slow.
+func TestTimeoutNamesThePlannedStop(t *testing.T) {
+	g := NewWithT(t)
+	limit := time.Unix(1000, 0)
+	h := New(Deps{})
+	for _, sends := range []int{0, 1} {
+		q := &request{
+			http: httptest.NewRequest(http.MethodGet, "/", nil), body: &body{}, attempts: attempts{sends: sends},
+			timeLimit: limit, deadline: limit,
+		}
+		g.Expect(h.timeoutRefusal(q).reason).To(Succeed())
+		q.deadline = limit.Add(-time.Millisecond)
+		g.Expect(h.timeoutRefusal(q).reason).To(MatchError(errEndOfStop))
+	}
+}
