The earlier daemon refuses calls that its planned stop might abort

Callers would see: a request that a daemon accepted after SIGTERM and whose time limit ends after the stop was aborted (EOF) while its upstream worked.

Cause: nothing compared a call's deadline with the end of the stop. The bound of 60 s hides it unless a call may take 48 s; a shorter shutdown_bound_ms shows it with any call.

Change: when a stop begins, the time until which running requests are waited for is published. A call whose deadline is later is refused as not run, before it takes a token, both from callers and from peers (which ask another handler). Postings with an id are refused before they run, so a repeat may run elsewhere.

TestPlannedStopAcceptsOnlyWhatItCanAnswer failed before (EOF after 2.3 s of a call of 8 s, bound 4 s) and passes; the other tests of stops and postings of the package pass.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -78,7 +79,10 @@
 	cancel         context.CancelFunc
 	tasks          sync.WaitGroup
 	servers        []*http.Server
-	listenerErrs   chan error
+	// answersUntil is when a planned stop ends the requests that still run; nil
+	// before, or if the stop has no limit.
+	answersUntil atomic.Pointer[time.Time]
+	listenerErrs chan error
 }
 
 // New creates a daemon. Start opens its listeners and begins to serve.
@@ -172,12 +176,13 @@
 		View: &d.view, Ledger: d.ledger, Postings: d.postings, LocalHandler: limiter,
 		Relay:        relay.NewClient(d.relayClient, d.fleetTLS.scheme(), d.identity.Instance),
 		MaxBodyBytes: d.settings.Limits.MaxBodyBytes, Tracer: d.tracing.Tracer, Log: d.log, RetryBudgets: retry.NewBudgets(),
+		CheckStop: d.checkStop,
 	})
 	operators := operator.New(operator.Deps{
 		View: &d.view, Repository: config.NewRepository(d.store, time.Now), Metrics: d.metrics.Set,
 		ApplyRecord: func(r *config.Record, sentAt time.Time) { d.control.send(recordWritten{activateRecord(r), sentAt}) },
 	})
-	relayServer := &relay.Server{HandleRunner: limiter, PostingRunner: entry.PostingRunner{Server: entryServer}, MaxBodyBytes: d.settings.Limits.MaxBodyBytes, PaceResponse: d.paceResponse}
+	relayServer := &relay.Server{HandleRunner: &stopGuard{limiter, d.checkStop}, PostingRunner: entry.PostingRunner{Server: entryServer}, MaxBodyBytes: d.settings.Limits.MaxBodyBytes, PaceResponse: d.paceResponse}
 	var err error
 	if d.identity.CallerAddress, err = d.serveHTTP(d.settings.Listen.Callers, &http.Server{
 		Handler: &requestMetrics{next: d.requestLimiter.Wrap(entryServer), metrics: d.metrics, isKnownService: d.hasService},
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -8,6 +8,8 @@
 	"github.com/pkg/errors"
 
 	"balsambarrow/internal/membership"
+	"balsambarrow/internal/relay"
+	"balsambarrow/internal/wire"
 )
 
 // leaveNoticeDelay is how long other daemons may still name this daemon in
@@ -25,7 +27,8 @@
 // Stop leaves the fleet and stops the daemon without aborting a request. The
 // daemon removes itself from the lookup responses at once, waits until callers
 // have looked up other hosts, lets the running requests finish, and transfers
-// its postings and slots. ctx limits the total time.
+// its postings and slots. ctx limits the total time. Requests whose deadline is
+// after the stop are refused.
 //
 // If the server closed a keep-alive connection while a request was in transit,
 // that request would be lost. While callers look up other hosts, every response
@@ -37,8 +40,14 @@
 	leaving := make(chan struct{})
 	d.control.send(leaveRequest{leaving})
 	<-leaving
-	sleep(ctx, leaveNoticeDelay+d.options.LookupTTL)
-	err := d.drainRequests(ctx)
+	notice := leaveNoticeDelay + d.options.LookupTTL
+	drainCtx, cancel := drainContext(ctx, time.Now().Add(notice))
+	defer cancel()
+	if end, limited := drainCtx.Deadline(); limited {
+		d.answersUntil.Store(&end)
+	}
+	sleep(ctx, notice)
+	err := d.shutDownServers(drainCtx)
 	d.transferPostings(ctx)
 	d.releaseSlots(ctx)
 	d.Kill()
@@ -53,17 +62,43 @@
 // unknown permanently.
 const transferReserve = 10 * time.Second
 
-// drainRequests waits for the running requests until only transferReserve
-// remains.
-func (d *Daemon) drainRequests(ctx context.Context) error {
-	deadline, hasDeadline := ctx.Deadline()
-	if !hasDeadline {
-		return d.shutDownServers(ctx)
+// drainContext returns the context of the requests that still run during a stop. It
+// ends when only transferReserve remains, or half of the time from the end of the
+// notice to the callers if that is shorter.
+func drainContext(ctx context.Context, noticeEnd time.Time) (context.Context, context.CancelFunc) {
+	deadline, limited := ctx.Deadline()
+	if !limited {
+		return context.WithCancel(ctx)
 	}
-	reserve := min(transferReserve, time.Until(deadline)/2)
-	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-reserve))
-	defer cancel()
-	return d.shutDownServers(ctx)
+	reserve := min(transferReserve, deadline.Sub(noticeEnd)/2)
+	return context.WithDeadline(ctx, deadline.Add(-reserve))
+}
+
+// stopRetryAfter is the Retry-After time of calls that a stopping daemon refuses.
+// Other daemons can run them at once.
+const stopRetryAfter = 10 * time.Millisecond
+
+// checkStop refuses a call whose deadline is after the end of the planned stop: the
+// stop might abort it while an upstream works on it.
+func (d *Daemon) checkStop(call *wire.Call) *wire.Problem {
+	if end := d.answersUntil.Load(); end == nil || !call.Deadline.After(*end) {
+		return nil
+	}
+	return wire.NotRunProblem(wire.TypeNoRoom, "this daemon stops before the time limit of the request", stopRetryAfter)
+}
+
+// stopGuard refuses the calls of peers that a planned stop might abort.
+type stopGuard struct {
+	next  relay.Runner
+	check func(call *wire.Call) *wire.Problem
+}
+
+// Run implements relay.Runner.
+func (s *stopGuard) Run(ctx context.Context, call *wire.Call) (*wire.Response, *wire.Problem) {
+	if problem := s.check(call); problem != nil {
+		return nil, problem
+	}
+	return s.next.Run(ctx, call)
 }
 
 // shutDownServers waits for the requests of all listeners. The callers'
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -237,3 +237,36 @@
 	c.Rate, c.Burst = rate, 40
 	return c
 }
+
+// Guards against requests that a stopping daemon accepts although it exits before their time limit:
+// they are aborted while an upstream works on them.
+func TestPlannedStopAcceptsOnlyWhatItCanAnswer(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	f := newFleet(t)
+	f.start("vt-1", "vt-a")
+	f.start("vt-2", "vt-a")
+	c := oneZoneConfig()
+	c.Upstreams["lookup-1"] = f.upstream("lookup-1", "lookup", "vt-a", fastUpstream)
+	c.Services["slow"] = config.Service{TimeoutMs: 8000}
+	c.Upstreams["slow-1"] = f.upstream("slow-1", "slow", "vt-a", standin.UpstreamOptions{Slots: 64, ServiceTime: 12 * time.Second})
+	f.awaitReady(f.apply("vt-1", c))
+	for _, service := range []string{"lookup", "slow"} {
+		f.awaitHandlers("vt-1", service)
+	}
+	address := f.daemons["vt-1"].Identity().CallerAddress
+	g.Eventually(func() wire.Outcome { return f.callAt(address, http.MethodGet, "lookup/x", "secret", nil).Outcome }, settleTimeout).Should(Equal(wire.OutcomeRan))
+	stopping := f.daemons["vt-1"]
+	delete(f.daemons, "vt-1")
+	stopped := make(chan error, 1)
+	go func() { stopped <- stopWithin(stopping, 4*time.Second) }()
+	g.Eventually(func() membership.State { return stopping.View().Self.State }, settleTimeout, time.Millisecond).Should(Equal(membership.StateLeaving))
+	long := f.callAt(address, http.MethodPost, "slow/x", "secret", nil)
+	short := f.callAt(address, http.MethodPost, "lookup/x", "secret", map[string]string{wire.HeaderTimeoutMs: "500"})
+	g.Expect(long.Err).NotTo(HaveOccurred())
+	g.Expect(long.Outcome).To(Equal(wire.OutcomeNotRun))
+	g.Expect(long.Problem.RetryAfterMs).To(BeNumerically(">", 0))
+	g.Expect(f.upstreams["slow-1"].Arrivals()).To(BeEmpty())
+	g.Expect(short.Outcome).To(Equal(wire.OutcomeRan))
+	g.Expect(<-stopped).To(Succeed())
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,6 +39,9 @@
 	RetryBudgets *retry.Budgets
 	Tracer       trace.Tracer
 	Log          *log.Logger
+	// CheckStop refuses calls that a planned stop might abort. None is refused if it
+	// is nil.
+	CheckStop func(call *wire.Call) *wire.Problem
 }
 
 // Server handles the requests of the callers' listener.
@@ -115,6 +118,11 @@
 // admit takes a token of the customer's quota and runs the call. It refunds the
 // token if the call certainly did not run.
 func (s *Server) admit(ctx context.Context, call *wire.Call) (*wire.Response, *wire.Problem) {
+	if s.CheckStop != nil {
+		if problem := s.CheckStop(call); problem != nil {
+			return nil, problem
+		}
+	}
 	if problem := s.takeQuota(ctx, call); problem != nil {
 		return nil, problem
 	}
