Headers of callers count as held memory, and are bounded

Callers would see: all requests that a host serves are lost, because a few hundred callers (without a key) send it headers without an end, and the platform kills it.

The budget of memory counted connections and requests, not what is read before there is a request. The operators' max-header-bytes was decoded and never used.

Evidence: 200 callers and a host of 96 MB as a process: 254 MB with one long field, 1,306 MB with many fields, and its usual caller got 10 answers in 5 s.

Change: a header of a caller is 64 kB at most. Its bytes beyond 2 kB are charged to the budget while they arrive (kind "headers"), up to half of it; beyond that the connection is closed before anything was handled, so that requests without long headers go on. A header beyond the operators' limit is answered 431. The host's other listeners read 8 kB.

TestHeadersOfCallersDoNotExhaustMemory failed before with the figures above; now 29 and 47 MB, and the usual caller is served 132 of 132 and 131 of 131 times.

--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -36,6 +36,9 @@
 	// that operators set for callers.
 	headerTimeout     = 10 * time.Second
 	callerIdleTimeout = 60 * time.Second
+	// maxOwnHeaderBytes bounds the header of requests to the host itself: for the directory, readiness,
+	// metrics and tunnels.
+	maxOwnHeaderBytes = 8 << 10
 	// directoryTTL is how long callers may cache a response of the directory.
 	directoryTTL = 2 * time.Second
 )
@@ -273,10 +276,14 @@
 func (d *Daemon) serve(l net.Listener, handler http.Handler) {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
-		DisableGeneralOptionsHandler: true, ErrorLog: d.events.StdLogger(),
+		DisableGeneralOptionsHandler: true, ErrorLog: d.events.StdLogger(), MaxHeaderBytes: maxOwnHeaderBytes,
 	}
 	if l == d.listeners[d.addresses.Callers] {
-		server.ConnState = d.callerConns.track
+		server.MaxHeaderBytes = front.MaxHeaderBytes
+		server.ConnState = func(c net.Conn, state http.ConnState) {
+			d.callerConns.track(c, state)
+			front.TrackHeader(c, state)
+		}
 		server.ConnContext = front.WithCallerConn
 		l = d.limitCallers(l)
 	}
--- a/internal/entryhost/memory.go
+++ b/internal/entryhost/memory.go
@@ -81,7 +81,7 @@
 	if d.budget == nil {
 		return
 	}
-	for _, kind := range []memory.Kind{memory.Connections, memory.Requests, memory.Bodies, memory.Responses} {
+	for _, kind := range []memory.Kind{memory.Connections, memory.Requests, memory.Headers, memory.Bodies, memory.Responses} {
 		d.metrics.Gauge(fmt.Sprintf(`balsambarrow_memory_held_bytes{kind=%q}`, kind), func() float64 {
 			return float64(d.budget.Usage().Held[kind])
 		})
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -253,6 +253,9 @@
 			return unavailable(CauseStandby, retrySoon).withReason(h.State().insufficiency())
 		}
 	}
+	if refused := checkHeader(q.http, state.Catalog.Limits); refused != nil {
+		return refused
+	}
 	if refused := h.authorize(state, q); refused != nil {
 		return refused
 	}
--- a/internal/front/memory.go
+++ b/internal/front/memory.go
@@ -30,6 +30,9 @@
 	EventResponseStreamed MemoryEvent = "response-streamed"
 	// EventConnectionRefused: a connection was closed because connections hold too much.
 	EventConnectionRefused MemoryEvent = "connection-refused"
+	// EventHeaderRefused: a connection was closed because the header that its caller sends did not fit
+	// the budget.
+	EventHeaderRefused MemoryEvent = "header-refused"
 	// EventCrashBound: the bound of the bytes at the upstreams of a service was lowered.
 	EventCrashBound MemoryEvent = "crash-bound"
 )
--- a/internal/front/memorylistener.go
+++ b/internal/front/memorylistener.go
@@ -42,7 +42,7 @@
 			return c, nil
 		}
 		if l.Budget.OpenConnection() == nil || l.MakeRoom() && l.Budget.OpenConnection() == nil {
-			return &callerConn{TCPConn: tcp, listener: l}, nil
+			return newCallerConn(tcp, l), nil
 		}
 		l.Observe(EventConnectionRefused)
 		_ = tcp.Close()
@@ -55,15 +55,34 @@
 	listener *MemoryListener
 	closing  sync.Once
 	// stall is that of the caller as a reader. Only one write is made at a time.
-	stall memory.Stall
+	stall  memory.Stall
+	header headerReading
+}
+
+func newCallerConn(c *net.TCPConn, l *MemoryListener) *callerConn {
+	return &callerConn{TCPConn: c, listener: l, header: headerReading{active: true, charge: memory.Header{Budget: l.Budget}}}
 }
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
-	c.closing.Do(c.listener.Budget.CloseConnection)
+	c.closing.Do(func() {
+		c.listener.Budget.CloseConnection()
+		c.header.end()
+	})
 	return c.TCPConn.Close()
 }
 
+// Read implements net.Conn. It returns a *net.OpError, upon which the server closes the connection
+// without a response, if a header does not fit the budget: nothing of its request was handled.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if full := c.header.received(n); full != nil {
+		c.listener.Observe(EventHeaderRefused)
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: full}
+	}
+	return n, err
+}
+
 // Write implements net.Conn. It returns a *SlowReaderError, and resets the connection, if the caller
 // is slower than the pace of the budget.
 func (c *callerConn) Write(b []byte) (int, error) {
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -20,6 +20,7 @@
 	CauseUnknownKey           Cause = "unknown-key"
 	CauseKeysStale            Cause = "keys-not-confirmed"
 	CauseTooLarge             Cause = "body-too-large"
+	CauseHeaderTooLarge       Cause = "header-too-large"
 	CauseBadBody              Cause = "body-broken"
 	CauseOverRate             Cause = "over-rate"
 	CauseNoUpstream           Cause = "no-upstream"
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -15,6 +15,11 @@
 	RequestBytes = 32 << 10
 	// StreamBytes are the bytes of a response that a request may hold without a further charge.
 	StreamBytes = 8 << 10
+
+	// includedHeaderBytes are the bytes of a caller's header that RequestBytes covers.
+	includedHeaderBytes = 2 << 10
+	// headerFactor is how many bytes a header with many short fields takes for each byte received.
+	headerFactor = 16
 )
 
 const (
@@ -35,6 +40,7 @@
 	bodyFraction       = 0.6
 	responseFraction   = 0.85
 	connectionFraction = 0.7
+	headerFraction     = 0.5
 	// closingFraction is the fraction above which connections are closed after each response.
 	closingFraction = 0.5
 	// overRatePart is the part of its fraction that a customer over its rate gets.
@@ -52,6 +58,7 @@
 const (
 	Connections Kind = iota
 	Requests
+	Headers
 	Bodies
 	Responses
 	kinds
@@ -59,7 +66,7 @@
 
 // String returns the name of the kind in logs and metrics.
 func (k Kind) String() string {
-	return [...]string{"connections", "requests", "bodies", "responses"}[k]
+	return [...]string{"connections", "requests", "headers", "bodies", "responses"}[k]
 }
 
 // FullError reports that bytes do not fit the budget. Bytes, Held and Limit are in bytes; Limit is
@@ -157,6 +164,35 @@
 	}
 }
 
+// Header is what the header of one request holds while it is read and served. It is used by one
+// goroutine at a time. A Header without a budget has no limit.
+type Header struct {
+	Budget         *Budget
+	received, held int64
+}
+
+// Grow charges further bytes that were received. The error is a *FullError.
+func (h *Header) Grow(bytes int64) error {
+	h.received += bytes
+	more := headerFactor*max(h.received-includedHeaderBytes, 0) - h.held
+	if h.Budget == nil || more <= 0 {
+		return nil
+	}
+	if err := h.Budget.charge(Headers, more, 0, headerFraction); err != nil {
+		return err
+	}
+	h.held += more
+	return nil
+}
+
+// Release ends the charge. Another header may follow.
+func (h *Header) Release() {
+	if h.held > 0 {
+		h.Budget.release(Headers, h.held)
+	}
+	h.received, h.held = 0, 0
+}
+
 // ManyConnections reports whether connections hold so much that each response should close its
 // connection.
 func (b *Budget) ManyConnections() bool {
--- a/internal/soak/memory_test.go
+++ b/internal/soak/memory_test.go
@@ -47,13 +47,7 @@
 	c := newCluster(t, daemonBinary(t), nil, false)
 	defer c.close()
 	c.allowSlowCallers()
-	c.addProcess("h0", hostConfig{zone: "a1"})
-	h := c.processes[0]
-	h.signal(9)
-	h.awaitExit()
-	limitMemory(t, h.settingsFile, memoryMB)
-	c.startProcess(h)
-	c.awaitServing()
+	h := c.addSmallHost(memoryMB)
 	s := &slowCallers{address: h.callerAddress, stop: make(chan struct{}), statuses: map[int]int{}, notRun: map[string]bool{}}
 	var tasks sync.WaitGroup
 	for i := range callers {
@@ -63,34 +57,52 @@
 			s.run(fmt.Sprint("slow-", i), i%2 == 0)
 		}()
 	}
+	checkUsualCaller(t, h, memoryMB, span)
+	close(s.stop)
+	tasks.Wait()
+	t.Logf("%d slow callers: statuses %v, %d complete, %d cut", callers, s.statuses, s.complete.Load(), s.cut.Load())
+	for _, u := range c.upstreams {
+		for _, run := range u.standIn.Runs() {
+			if s.notRun[run.ID] {
+				t.Errorf("%s ran although its caller was told that it did not", run.ID)
+			}
+		}
+	}
+	if wrong := s.wrong.Load(); wrong != nil {
+		t.Error(*wrong)
+	}
+}
+
+// addSmallHost adds a host with little memory, and waits until it serves callers.
+func (c *cluster) addSmallHost(memoryMB int) *daemonProcess {
+	c.addProcess("h0", hostConfig{zone: "a1"})
+	h := c.processes[0]
+	h.signal(9)
+	h.awaitExit()
+	limitMemory(c.t, h.settingsFile, memoryMB)
+	c.startProcess(h)
+	c.awaitServing()
+	return h
+}
+
+// checkUsualCaller sends requests as a usual caller does, and checks that they are served and that the host
+// has stayed within its memory.
+func checkUsualCaller(t *testing.T, h *daemonProcess, memoryMB int, span time.Duration) {
 	served, asked := 0, 0
 	for end := time.Now().Add(span); time.Now().Before(end); asked++ {
-		if status, _ := s.get(fmt.Sprint("usual-", asked), "/read/1"); status == http.StatusOK {
+		if status, _ := get(h.callerAddress, fmt.Sprint("usual-", asked), "/read/1"); status == http.StatusOK {
 			served++
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 	peak := peakMemoryMB(t, h)
-	close(s.stop)
-	tasks.Wait()
-	t.Logf("%d callers, %d MB: peak %.1f MB, usual caller served %d of %d, slow callers' statuses %v, %d complete, %d cut",
-		callers, memoryMB, peak, served, asked, s.statuses, s.complete.Load(), s.cut.Load())
+	t.Logf("%d MB: peak %.1f MB, usual caller served %d of %d", memoryMB, peak, served, asked)
 	if peak > float64(memoryMB) {
 		t.Errorf("the process has used %.1f MB of %d", peak, memoryMB)
 	}
 	if served < asked*9/10 {
 		t.Errorf("a usual caller was served %d of %d times", served, asked)
 	}
-	for _, u := range c.upstreams {
-		for _, run := range u.standIn.Runs() {
-			if s.notRun[run.ID] {
-				t.Errorf("%s ran although its caller was told that it did not", run.ID)
-			}
-		}
-	}
-	if wrong := s.wrong.Load(); wrong != nil {
-		t.Error(*wrong)
-	}
 }
 
 // allowSlowCallers makes the upstreams return long responses, have room for all callers, and gives
@@ -259,8 +271,8 @@
 }
 
 // get sends one request as a usual caller does.
-func (s *slowCallers) get(id, path string) (status int, err error) {
-	conn, err := net.DialTimeout("tcp", s.address, 2*time.Second)
+func get(address, id, path string) (status int, err error) {
+	conn, err := net.DialTimeout("tcp", address, 2*time.Second)
 	if err != nil {
 		return 0, err
 	}
