--- a/internal/h1/endless_test.go
+++ b/internal/h1/endless_test.go
@@ -35,6 +35,7 @@
 		"no line end":                  {"", strings.Repeat("x", 1000)},
 		"status line":                  {"HTTP/1.1 200 ", strings.Repeat("x", 1000)},
 		"header fields":                {"HTTP/1.1 200 OK\r\n", "A: " + strings.Repeat("x", 1000) + "\r\n"},
+		"short header fields":          {"HTTP/1.1 200 OK\r\n", "a:\r\n"},
 		"one header field":             {"HTTP/1.1 200 OK\r\nA: ", strings.Repeat("x", 1000)},
 		"continued header field":       {"HTTP/1.1 200 OK\r\nA: x\r\n", " " + strings.Repeat("x", 1000) + "\r\n"},
 		"interim responses":            {"", "HTTP/1.1 103 Early Hints\r\nA: " + strings.Repeat("x", 1000) + "\r\n\r\n"},
@@ -71,10 +72,25 @@
 	}
 }
 
+// Guards against headers with many short fields that an upstream does not end, which hold far more
+// memory than their bytes.
+func TestHeaderWithManyFieldsIsGivenUp(t *testing.T) {
+	g := NewWithT(t)
+	address := startUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if readRequest(r) != nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+strings.Repeat("a:\r\n", 10_000))
+			_, _ = io.Copy(io.Discard, c)
+		}
+	})
+	_, err := send(t, newPool(), address, request("1"))
+	g.Expect(err).To(MatchError(ContainSubstring("header is too long")))
+}
+
 // Guards against a bound of headers that fails long bodies, long headers or interim responses.
 func TestLongResponsesAreRead(t *testing.T) {
-	body := strings.Repeat("x", 4<<20)
+	body := strings.Repeat("x\n", 2<<20)
 	for name, header := range map[string]string{
+		"many fields":       "HTTP/1.1 200 OK\r\nId: 1\r\n" + strings.Repeat("A: x\r\n", 300) + "\r\n",
 		"long header":       "HTTP/1.1 200 OK\r\nId: 1\r\nA: " + strings.Repeat("x", 20<<10) + "\r\n\r\n",
 		"interim responses": strings.Repeat("HTTP/1.1 103 Early Hints\r\nA: x\r\n\r\n", 20) + "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
 		"another response":  "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 100000\r\n\r\n" + body[:100000] + "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
