Values in log lines are cut after 512 bytes

Callers and upstreams choose some of what a host logs: the id of a request, and the bytes of a response that cannot be read, which the error of net/http quotes.

--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"fmt"
 	"io"
 	stdlog "log"
 	"sync"
@@ -17,6 +18,8 @@
 	// several hundred requests a second and logs a fraction of them; a line costs
 	// about 10 µs.
 	linesPerSecond = 60
+	// maxValueBytes bounds a value in a line: callers and upstreams choose some of them.
+	maxValueBytes = 512
 	// reportInterval is the time between two reports of dropped lines.
 	reportInterval = time.Second
 )
@@ -83,7 +86,29 @@
 	if level < e.logger.GetLevel() || !e.allow(kind) {
 		return
 	}
-	e.logger.Log(level, kind, pairs...)
+	e.logger.Log(level, kind, cutValues(pairs)...)
+}
+
+// cutValues returns pairs in which texts of more than maxValueBytes are cut.
+func cutValues(pairs []any) []any {
+	out := make([]any, len(pairs))
+	for i, value := range pairs {
+		out[i] = value
+		switch v := value.(type) {
+		case string:
+			out[i] = cutText(v)
+		case error:
+			out[i] = cutText(v.Error())
+		}
+	}
+	return out
+}
+
+func cutText(text string) string {
+	if len(text) <= maxValueBytes {
+		return text
+	}
+	return fmt.Sprintf("%s (%d more bytes)", text[:maxValueBytes], len(text)-maxValueBytes)
 }
 
 func (e *Events) allow(kind string) bool {
--- a/internal/telemetry/events_test.go
+++ b/internal/telemetry/events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"sync"
 	"testing"
@@ -72,3 +73,21 @@
 		e.Info("refused", "id", "9c41d07be2a35f68", "route", "r-1", "status", 503, "took", 12*time.Millisecond)
 	}
 }
+
+// Guards against log lines that hold as many bytes as an upstream or a caller sends: a thousand of them wait
+// for the output.
+func TestLongValuesAreCut(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	e := telemetry.NewEvents(&out, "info", "h1")
+	e.Info("answer lost", "id", strings.Repeat("i", 64<<10), "upstream", "i-1", "error", errors.New(strings.Repeat("\x01", 64<<10)))
+	e.Info("short", "upstream", "i-2")
+	stop := make(chan struct{})
+	close(stop)
+	e.Run(stop)
+	lines := strings.SplitAfter(out.String(), "\n")
+	g.Expect(lines).To(HaveLen(3))
+	g.Expect(len(lines[0])).To(BeNumerically("<", 8<<10))
+	g.Expect(lines[0]).To(And(ContainSubstring("upstream=i-1"), ContainSubstring("i (65024 more bytes)"), ContainSubstring("01 (65024 more bytes)")))
+	g.Expect(lines[1]).To(And(ContainSubstring("upstream=i-2"), Not(ContainSubstring("more bytes"))))
+}
