--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -1,11 +1,8 @@
 package entryhost
 
 import (
-	"os"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"balsambarrow/internal/jsonc"
 	"balsambarrow/internal/settings"
 )
@@ -120,9 +117,9 @@
 // LoadSettings reads and validates a settings file. An invalid file gives an error of type
 // jsonc.Faults.
 func LoadSettings(path string) (*Settings, error) {
-	text, err := os.ReadFile(path)
+	text, err := jsonc.ReadFile(path)
 	if err != nil {
-		return nil, errors.Wrap(err, "read settings")
+		return nil, err
 	}
 	return ParseSettings(path, text)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,11 +3,8 @@
 import (
 	"net/netip"
 	"net/url"
-	"os"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"balsambarrow/internal/jsonc"
 )
 
@@ -112,9 +109,9 @@
 // Load reads and validates a settings file. The error of an invalid file is a
 // jsonc.Faults value.
 func Load(path string) (*Settings, error) {
-	text, err := os.ReadFile(path)
+	text, err := jsonc.ReadFile(path)
 	if err != nil {
-		return nil, errors.Wrap(err, "read settings")
+		return nil, err
 	}
 	return Parse(path, text)
 }
