--- a/internal/daemon/config_store.go
+++ b/internal/daemon/config_store.go
@@ -55,6 +55,9 @@
 	// the record that was read last.
 	watchRevision uint64
 	latestVersion uint64
+	// unreadable is set while the store holds a record that cannot be read. It may be
+	// newer than the version in force, so nothing is confirmed meanwhile.
+	unreadable bool
 }
 
 // readStore starts the next call to the store if one is due. The watcher of the
@@ -208,9 +211,13 @@
 		return
 	}
 	if m.parsed.record != nil {
-		s.latestVersion = m.parsed.record.Version
+		s.latestVersion, s.unreadable = m.parsed.record.Version, false
 		c.applyRecord(m.parsed)
 	}
+	if s.unreadable {
+		c.retryStore(time.Now())
+		return
+	}
 	if s.latestVersion < c.config.version() && m.parsed.record != nil {
 		c.d.log.Warn("store_behind", "store_version", s.latestVersion, "in_force", c.config.version())
 	}
@@ -222,20 +229,27 @@
 }
 
 func (m storeReadResult) handleError(c *control) {
-	now := time.Now()
 	s := &c.config.store
-	s.nextCallAt = maxTime(s.nextCallAt, now.Add(watchRetryDelay))
 	switch {
 	case errors.Is(m.err, kv.ErrNotFound):
 		// The store is reachable and contains no configuration.
 		c.markVerified(m.validAt)
 	case errors.Is(m.err, config.ErrInvalidRecord):
-		c.d.log.Error("config_unreadable", "err", m.err)
+		s.unreadable = true
+		c.d.log.Error("config_unreadable", "err", m.err, "in_force", c.config.version(), "revision", m.watchRevision)
 	default:
 		c.d.log.Debug("config_not_read", "err", m.err)
-		if !c.config.verified {
-			c.startPeerPoll(now)
-		}
+	}
+	c.retryStore(time.Now())
+}
+
+// retryStore delays the next call to the store, which has not verified the version in
+// force. A daemon that needs a version asks its peers meanwhile.
+func (c *control) retryStore(now time.Time) {
+	s := &c.config.store
+	s.nextCallAt = maxTime(s.nextCallAt, now.Add(watchRetryDelay))
+	if !c.config.verified {
+		c.startPeerPoll(now)
 	}
 }
 
