Logs and alarms of a version that cannot be used

"configuration refused" names the version, not only the store's revision, so that an operator finds the cause from the version alone; "configuration in force" says whether keys are required, since a version without customers makes all routes public.

--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -246,14 +246,14 @@
 	next, err := platform.DecodeConfiguration(item.Value)
 	if err != nil {
 		c.refuseConfiguration(item)
-		c.d.events.Warn("configuration refused", "revision", item.Revision, "in_force", c.version(), "by", c.source, "error", err)
+		c.d.events.Warn("configuration refused", "version", platform.ConfigurationVersion(item.Value), "revision", item.Revision, "in_force", c.version(), "by", c.source, "error", err)
 		return
 	}
 	if c.catalog != nil && next.Version <= c.catalog.Version {
 		return
 	}
 	c.d.events.Info("configuration in force", "version", next.Version, "before", c.version(), "revision", item.Revision, "by", c.source,
-		"bytes", len(item.Value), "decoding_took", c.d.now().Sub(began), "confirmed_age", began.Sub(c.confirmedAt))
+		"bytes", len(item.Value), "keys_required", next.RequiresKeys, "decoding_took", c.d.now().Sub(began), "confirmed_age", began.Sub(c.confirmedAt))
 	c.catalog, c.configuration, c.outdatedSince = next, item.Value, time.Time{}
 	c.base.digest.SetRefused(0)
 	c.base.digest.SetVersion(next.Version)
