A body that arrives with its header is not charged as header

Callers would see: a connection that is reset without an answer, for a request whose body came with the header while callers hold half of what they may.

Cause: all bytes of a read were charged, and the first read has up to 4 kB of header and body. The server asks for more only while the header is incomplete, so what was read before is charged at the next read.

TestBodyThatArrivesWithTheHeaderIsNotCharged failed before (connection reset).

--- a/internal/front/callerheader.go
+++ b/internal/front/callerheader.go
@@ -19,16 +19,30 @@
 	// active is set while the server reads a header, and ended once the connection is closed.
 	active, ended bool
 	charge        memory.Header
+	// uncharged is the number of bytes that were received and not charged yet.
+	uncharged int64
 }
 
-// received charges bytes that were read. The error is a *memory.FullError.
-func (h *headerReading) received(bytes int) error {
+// admitMore charges the bytes that were received, all of which belong to the header if the server asks
+// for more. The error is a *memory.FullError.
+func (h *headerReading) admitMore() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	bytes := h.uncharged
+	h.uncharged = 0
 	if !h.active || h.ended {
 		return nil
 	}
-	return h.charge.Grow(int64(bytes))
+	return h.charge.Grow(bytes)
+}
+
+// received records that bytes were read. They may be the end of the header and a part of the body.
+func (h *headerReading) received(bytes int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.active {
+		h.uncharged += int64(bytes)
+	}
 }
 
 // setActive begins or ends the reading of a header. The charge of one that was read ends when the next
@@ -36,7 +50,7 @@
 func (h *headerReading) setActive(active bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.active = active
+	h.active, h.uncharged = active, 0
 	if active {
 		h.charge.Release()
 	}
--- a/internal/front/memorylistener.go
+++ b/internal/front/memorylistener.go
@@ -75,11 +75,12 @@
 // Read implements net.Conn. It returns a *net.OpError, upon which the server closes the connection
 // without a response, if a header does not fit the budget: nothing of its request was handled.
 func (c *callerConn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
-	if full := c.header.received(n); full != nil {
+	if full := c.header.admitMore(); full != nil {
 		c.listener.Observe(EventHeaderRefused)
 		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: full}
 	}
+	n, err := c.TCPConn.Read(b)
+	c.header.received(n)
 	return n, err
 }
 
