The tokens of a bucket move to its next owner

Customers got more than their rate and burst: each host that became the owner of a customer's bucket, because the one before was stopped, killed or not heard, had a bucket of its own, full or a third full, and granted the burst again.

Cause: a bucket lived in the process of its owner, and nothing told the next owner what had been granted.

Change: an owner that sees another one transfers the tokens that it has left, and keeps none; the next owner begins with the slack, once for each process, and what it receives. A bucket is full only where no owner can have been before: at the first start of a fleet, and for a customer that is declared while the hosts stay the same.

--- a/internal/entryhost/publish.go
+++ b/internal/entryhost/publish.go
@@ -24,6 +24,7 @@
 	activeSummary *fleet.ActiveSummary
 	self          selfState
 	state         front.State
+	buckets       ownedBuckets
 }
 
 // selfState is the state of this host on which the directory, the bucket hosts and the retry budget
@@ -79,7 +80,7 @@
 	c.d.table.SetHosts(hosts)
 	c.d.rooms.setPeers(peers)
 	c.d.publishTunnelPeers(peers)
-	c.d.bucketHosts.Store(newBucketHosts(c.d.self, c.ready && c.holdsShares, peers, c.members.Count()))
+	c.publishBucketHosts(now)
 	c.d.hostsUpdated.fire()
 	bounds := c.d.settings.Load().Bounds
 	c.d.retries.SetShare(now, retry.Share{
--- a/internal/entryhost/ratetokens.go
+++ b/internal/entryhost/ratetokens.go
@@ -146,6 +146,10 @@
 		t.grant(q, from)
 		return
 	}
+	if transfer := p.GetTokenTransfer(); transfer != nil {
+		t.receive(transfer, from)
+		return
+	}
 	a := p.GetTokenAnswer()
 	if a == nil {
 		return
--- a/internal/share/deputy.go
+++ b/internal/share/deputy.go
@@ -70,7 +70,7 @@
 		b = &bucket{tokens: depth, refilledAt: now}
 		d.buckets[c.Name] = b
 	}
-	b.refill(now, now, deputyRefill*rate, depth)
+	b.refill(now, deputyRefill*rate, depth)
 	v := Decision{Fraction: fraction}
 	if b.tokens >= 1 {
 		b.tokens--
--- a/internal/share/pool.go
+++ b/internal/share/pool.go
@@ -60,7 +60,7 @@
 		f.buckets[c.Name] = b
 	}
 	fraction := fallbackFraction / float64(max(hosts, 1))
-	b.refill(now, now, fraction*c.Rate+recent*fallbackRenewal, depth)
+	b.refill(now, fraction*c.Rate+recent*fallbackRenewal, depth)
 	d := Decision{Fraction: fraction}
 	if b.tokens >= 1 {
 		b.tokens--
--- a/internal/share/restart_test.go
+++ b/internal/share/restart_test.go
@@ -51,7 +51,8 @@
 	}
 }
 
-// Guards against a burst that each host grants again when it becomes the owner of the customer's bucket.
+// Guards against a customer that gets more than its rate and burst because each host that becomes the owner of its
+// bucket has a full one.
 func TestMovesOfTheOwnerDoNotRenewTheBurst(t *testing.T) {
 	const (
 		window         = 5 * time.Second
@@ -65,15 +66,26 @@
 			g := NewWithT(t)
 			began := time.Unix(1000, 0)
 			hosts := []*share.Limiter{share.New(), share.New()}
+			setOwner := func(now time.Time, owner int) {
+				for i, l := range hosts {
+					owned := map[string]bool{}
+					if i == owner {
+						owned[c.Name] = false
+					}
+					l.SetOwned(now, owned)
+				}
+			}
 			for _, l := range hosts {
 				l.SetSlack(slack)
 				l.SetRemoteDemand(nil, 1, true)
 				l.SetLease(began.Add(-time.Minute), true)
+				setOwner(began.Add(-time.Minute), 0)
 			}
 			owner, admitted := 0, 0.0
 			for at := time.Duration(0); at < window; at += step {
 				if n := at / moveInterval; at > 0 && at%moveInterval == 0 && int(n) <= moves {
 					owner = 1 - owner
+					setOwner(began.Add(at), owner)
 				}
 				for hosts[owner].Admit(began.Add(at), c).Admitted {
 					admitted++
--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -17,9 +17,6 @@
 	// learn of the move, stays within the tolerance that operators were promised (see
 	// the tests).
 	burstFraction = 1.0
-	// initialFraction is the fraction of its depth that a bucket holds when a host begins to
-	// hold rate shares: the host may have spent the rest before it restarted.
-	initialFraction = 0.35
 	// minDepth is the minimum depth of a bucket, in requests, so that one request can
 	// pass where the host's fraction of the burst is less than one request.
 	minDepth = 1.0
@@ -27,6 +24,8 @@
 	// of all owners together. Each owner sees only some of the customer's callers, and a
 	// few requests that arrive together would find a bucket of a few tokens empty. The
 	// rest of the slack covers demand that moves between owners before they learn of it.
+	// A bucket holds nothing else when a host begins to own it: the earlier owner, or this host
+	// before it restarted, may have granted the burst.
 	slackFraction = 0.5
 	// announceDelay is the time until the other hosts apply announced demand: the
 	// network delay between regions and one pass of the control thread.
@@ -55,12 +54,23 @@
 	// sent a request yet.
 	leaseHeld  bool
 	leaseSince time.Time
+	// owned holds the customers whose buckets this host owns; see SetOwned. nil: all of them.
+	owned map[string]ownership
+}
+
+// ownership is the ownership of a customer's bucket.
+type ownership struct {
+	since time.Time
+	// unused is set if no other host can have granted anything of the bucket before.
+	unused bool
 }
 
 type bucket struct {
 	demand     demand
 	tokens     float64
 	refilledAt time.Time
+	// received are the tokens that were transferred before this host owned the bucket.
+	received float64
 	// announced is the demand that was last announced to the other hosts, at
 	// announcedAt, and previouslyAnnounced the demand that they knew until then.
 	announced, previouslyAnnounced float64
@@ -105,6 +115,56 @@
 	}
 }
 
+// SetOwned sets the customers whose buckets this host owns, by name. Until it is first called, this host
+// owns all of them. The bucket of a customer that it did not own before holds at most what it holds at
+// the start, because the earlier owner may have granted the burst, and what that one transfers. A value
+// of true means that there can have been no earlier owner; such a bucket is full.
+func (l *Limiter) SetOwned(now time.Time, unused map[string]bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next := make(map[string]ownership, len(unused))
+	for name, isUnused := range unused {
+		o, owned := l.owned[name]
+		if !owned {
+			o = ownership{now, isUnused}
+		}
+		next[name] = o
+	}
+	l.owned = next
+}
+
+// Release takes the tokens of a customer's bucket, which the next owner gets. It is called while this
+// host still owns the bucket.
+func (l *Limiter) Release(now time.Time, c *catalog.Customer) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.leaseHeld {
+		return 0
+	}
+	b := l.bucket(c.Name)
+	l.refill(now, c, b, l.fraction(now, c.Name, b))
+	released := max(b.tokens, 0)
+	b.tokens -= released
+	return released
+}
+
+// Receive adds the tokens that the earlier owner of a customer's bucket has released. This host may not
+// know yet that it is the next owner.
+func (l *Limiter) Receive(now time.Time, c *catalog.Customer, tokens float64) {
+	if !(tokens > 0) { // also not a number
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.bucket(c.Name)
+	_, depth := l.refill(now, c, b, l.fraction(now, c.Name, b))
+	if _, owned := l.owned[c.Name]; !owned && l.owned != nil {
+		b.received = min(b.received+tokens, depth)
+		return
+	}
+	b.tokens = min(b.tokens+tokens, depth)
+}
+
 // Decision is the result of admission control for one request.
 type Decision struct {
 	Admitted bool
@@ -152,11 +212,28 @@
 }
 
 // refill adds the tokens up to now to a bucket that has a fraction of the customer's rate, and
-// returns the bucket's rate per second and its depth.
+// returns the bucket's rate per second and its depth. A bucket that has not been used before has
+// been filling since this host began to hold rate shares.
 func (l *Limiter) refill(now time.Time, c *catalog.Customer, b *bucket, fraction float64) (rate, depth float64) {
 	slack := slackFraction * l.slack / float64(l.owners)
 	rate, depth = fraction*c.Rate, max(fraction*c.Burst*burstFraction, minDepth)+slack
-	b.refill(now, l.leaseSince, rate, depth)
+	o := l.owned[c.Name]
+	initial := max(slack, minDepth)
+	if b.refilledAt.IsZero() {
+		b.tokens, b.refilledAt = initial, now
+		if !l.leaseSince.IsZero() {
+			b.refilledAt = l.leaseSince
+		}
+		if o.unused {
+			b.tokens = depth
+		}
+	}
+	if b.refilledAt.Before(o.since) && !o.unused {
+		// The other owner has had the rate until then.
+		b.refill(o.since, rate, max(b.tokens, 0))
+		b.tokens, b.received = min(min(b.tokens, initial)+b.received, depth), 0
+	}
+	b.refill(now, rate, depth)
 	return rate, depth
 }
 
@@ -169,15 +246,8 @@
 	}
 }
 
-// refill adds the tokens up to now. A bucket that has not been used before has been
-// filling since the given time.
-func (b *bucket) refill(now, since time.Time, rate, depth float64) {
-	if b.refilledAt.IsZero() {
-		b.tokens, b.refilledAt = max(depth*initialFraction, 1), now
-		if !since.IsZero() {
-			b.refilledAt = since
-		}
-	}
+// refill adds the tokens up to now.
+func (b *bucket) refill(now time.Time, rate, depth float64) {
 	b.tokens = min(b.tokens+now.Sub(b.refilledAt).Seconds()*rate, depth)
 	b.refilledAt = now
 }
