Both sides of a split region share its part of an even split

Customers got more than their rate while the zones of a region could not reach each other: each side had an owner of the same bucket, and both granted the region's whole part of the even split (three tenths of the rate).

Cause: the even split counts regions. Nothing said that a region may have two owners.

Change: the part shrinks to the fraction of the region's hosts with rate shares that the host hears, of those that it has heard and that are still registered; the fractions of the two sides add up to one, and both change when the heartbeats time out.

TestHeardFractionsOfTwoSidesAddUpToOne is new with its function.

--- a/internal/entryhost/publish.go
+++ b/internal/entryhost/publish.go
@@ -111,5 +111,6 @@
 		return
 	}
 	p.demandGeneration, p.demandAt = c.members.DemandGeneration(), now
+	c.d.shares.SetRegionFraction(c.members.HeardFraction())
 	c.d.shares.SetRemoteDemand(c.members.Demand(), c.bucketCount(), c.members.DemandComplete())
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -178,3 +178,34 @@
 		})
 	}
 }
+
+// Guards against the two sides of a split region that each grant the region's whole part of a rate.
+func TestHeardFractionsOfTwoSidesAddUpToOne(t *testing.T) {
+	const hosts = 5
+	for cut := range hosts + 1 {
+		g := NewWithT(t)
+		sum := map[bool]float64{}
+		for self := range hosts {
+			m := fleet.NewMembers(fmt.Sprint(self), fmt.Sprint("host-", self), "r")
+			list := []fleet.Registration{{Instance: "far", Host: "far", Region: "other", HoldsShares: true}, {Instance: "standby", Host: "standby", Region: "r"}, {Instance: "left", Host: "left", Region: "r", HoldsShares: true}}
+			for other := range hosts {
+				list = append(list, fleet.Registration{Instance: fmt.Sprint(other), Host: fmt.Sprint("host-", other), Region: "r", HoldsShares: true})
+			}
+			m.ApplyRegistrations(start, list)
+			later := start.Add(10 * time.Second)
+			for other := range hosts {
+				if other == self {
+					continue
+				}
+				m.ApplyHeartbeat(start, heartbeat(fmt.Sprint(other), fmt.Sprint("host-", other), 1))
+				if (other < cut) == (self < cut) {
+					m.ApplyHeartbeat(later, heartbeat(fmt.Sprint(other), fmt.Sprint("host-", other), 2))
+				}
+			}
+			m.Expire(later)
+			// All hosts of a side agree, and one of them owns the bucket.
+			sum[self < cut] = m.HeardFraction()
+		}
+		g.Expect(sum[true] + sum[false]).To(BeNumerically("~", 1, 1e-9))
+	}
+}
--- a/internal/fleet/views.go
+++ b/internal/fleet/views.go
@@ -37,6 +37,25 @@
 // host included.
 func (m *Members) Count() int { return len(m.byInstance) + 1 }
 
+// HeardFraction returns the fraction of the hosts of this region that hold rate shares whose heartbeats
+// arrive, this host included. The others may be on the other side of a network partition, where a host
+// of theirs owns the region's buckets: the fractions of the two sides add up to one. Hosts that were
+// never heard do not count: after a loss of all hosts, registrations of earlier instances are left.
+func (m *Members) HeardFraction() float64 {
+	heard, all := 1, 1
+	for _, k := range m.byInstance {
+		switch {
+		case k.Region != m.region:
+		case k.alive && (k.holdsShares || k.Registered):
+			heard++
+			all++
+		case k.registered && k.holdsShares && k.sequence > 0:
+			all++
+		}
+	}
+	return float64(heard) / float64(all)
+}
+
 // Demand returns the total demand of each customer at all other hosts that may be
 // serving it, in requests per second.
 func (m *Members) Demand() map[string]float64 {
--- a/internal/share/deputy.go
+++ b/internal/share/deputy.go
@@ -39,7 +39,7 @@
 func (l *Limiter) EvenFraction() float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return 1 / float64(l.owners)
+	return l.even()
 }
 
 // ShardHolders returns the owner of a customer's bucket and its deputies, in this order.
--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -45,6 +45,9 @@
 	remoteDemand map[string]float64
 	// owners is the number of hosts that hold a bucket of the same customer.
 	owners int
+	// regionFraction is the fraction of the region's hosts to which this host grants; see
+	// SetRegionFraction.
+	regionFraction float64
 	// remoteComplete reports whether the demand at all other hosts is known.
 	remoteComplete bool
 	// slack is the number of requests that a customer may get beyond its rate and burst.
@@ -82,7 +85,7 @@
 // New returns a limiter that rejects all requests of customers with a rate until
 // SetLease reports that the lease is held.
 func New() *Limiter {
-	return &Limiter{buckets: map[string]*bucket{}, remoteDemand: map[string]float64{}, owners: 1}
+	return &Limiter{buckets: map[string]*bucket{}, remoteDemand: map[string]float64{}, owners: 1, regionFraction: 1}
 }
 
 // SetRemoteDemand sets the demand at the other hosts, by customer, and the number of
@@ -96,6 +99,15 @@
 	l.remoteDemand, l.owners, l.remoteComplete = perSecond, max(owners, 1), complete
 }
 
+// SetRegionFraction sets the fraction of the hosts of this region that this host hears. If the region is
+// split, each side has an owner of the same bucket, and a part of the region's even split that is in
+// proportion to its hosts.
+func (l *Limiter) SetRegionFraction(f float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.regionFraction = f
+}
+
 // SetSlack sets the number of requests that operators grant each customer beyond its
 // rate and burst.
 func (l *Limiter) SetSlack(requests float64) {
@@ -275,7 +287,7 @@
 // appeared at all hosts at once, each host would otherwise claim the full rate for the
 // length of a heartbeat interval, and together they would admit more than the rate.
 func (l *Limiter) fraction(now time.Time, customer string, b *bucket) float64 {
-	even := 1 / float64(l.owners)
+	even := l.even()
 	own, others := b.announcedDemand(now), l.remoteDemand[customer]
 	if own+others <= 0 || !l.remoteComplete {
 		return even
@@ -283,6 +295,9 @@
 	return evenFraction*even + (1-evenFraction)*own/(own+others)
 }
 
+// even returns this host's fraction of each rate if the rates are split evenly.
+func (l *Limiter) even() float64 { return l.regionFraction / float64(l.owners) }
+
 // announcedDemand returns the demand at this host that the other hosts know by now.
 func (b *bucket) announcedDemand(now time.Time) float64 {
 	if now.Sub(b.announcedAt) < announceDelay {
