A host that does not own a bucket lets it not fill

A host could get some of the slack again each time it became the owner of a bucket: a transfer that arrived while it did not own the bucket, or the charge of a deputy, filled the bucket at the rate, which the owner has at that time.

A bucket without an owner elsewhere stays with its host, as before.

--- a/internal/entryhost/bucketmoves.go
+++ b/internal/entryhost/bucketmoves.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		owner := share.ShardOwner(u.Name, hosts.instances)
-		if owner == c.d.self.Instance {
+		if owner == c.d.self.Instance || owner == "" {
 			next.names[u.Name] = true
 			declared := before.catalog != nil && before.catalog.CustomerByName(u.Name) == nil
 			unused[u.Name] = first || sameHosts && declared
--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -229,7 +229,7 @@
 func (l *Limiter) refill(now time.Time, c *catalog.Customer, b *bucket, fraction float64) (rate, depth float64) {
 	slack := slackFraction * l.slack / float64(l.owners)
 	rate, depth = fraction*c.Rate, max(fraction*c.Burst*burstFraction, minDepth)+slack
-	o := l.owned[c.Name]
+	o, owned := l.owned[c.Name]
 	initial := max(slack, minDepth)
 	if b.refilledAt.IsZero() {
 		b.tokens, b.refilledAt = initial, now
@@ -240,11 +240,16 @@
 			b.tokens = depth
 		}
 	}
+	if !owned && l.owned != nil {
+		// The owner has the rate. What deputies have granted is repaid.
+		b.refill(now, rate, max(b.tokens, 0))
+		return rate, depth
+	}
 	if b.refilledAt.Before(o.since) && !o.unused {
-		// The other owner has had the rate until then.
 		b.refill(o.since, rate, max(b.tokens, 0))
-		b.tokens, b.received = min(min(b.tokens, initial)+b.received, depth), 0
+		b.tokens = min(b.tokens, initial)
 	}
+	b.tokens, b.received = min(b.tokens+b.received, depth), 0
 	b.refill(now, rate, depth)
 	return rate, depth
 }
