A short stop of the earlier daemon leaves more of its limit to requests

With a limit of 20 s, half of what follows the notice to callers was reserved for the transfer of postings and slots, so a call with the usual time limit of 10 s was refused from the second second on.

Change: the reserve is a quarter of that time, 10 s at most as before. With the default limit of 60 s nothing changes. TestDrainContextLeavesTimeForTransfers has the case.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -63,14 +63,14 @@
 const transferReserve = 10 * time.Second
 
 // drainContext returns the context of the requests that still run during a stop. It
-// ends when only transferReserve remains, or half of the time from the end of the
+// ends when only transferReserve remains, or a quarter of the time from the end of the
 // notice to the callers if that is shorter.
 func drainContext(ctx context.Context, noticeEnd time.Time) (context.Context, context.CancelFunc) {
 	deadline, limited := ctx.Deadline()
 	if !limited {
 		return context.WithCancel(ctx)
 	}
-	reserve := min(transferReserve, deadline.Sub(noticeEnd)/2)
+	reserve := min(transferReserve, deadline.Sub(noticeEnd)/4)
 	return context.WithDeadline(ctx, deadline.Add(-reserve))
 }
 
--- a/internal/daemon/stop_internal_test.go
+++ b/internal/daemon/stop_internal_test.go
@@ -43,7 +43,8 @@
 	began := time.Now()
 	for _, c := range []struct{ limit, notice, drained time.Duration }{
 		{time.Minute, 5 * time.Second, 50 * time.Second},
-		{9 * time.Second, 5 * time.Second, 7 * time.Second},
+		{9 * time.Second, 5 * time.Second, 8 * time.Second},
+		{20 * time.Second, time.Second, 15250 * time.Millisecond},
 		{5 * time.Second, 6 * time.Second, 5 * time.Second},
 	} {
 		ctx, cancel := context.WithDeadline(context.Background(), began.Add(c.limit))
