--- a/internal/share/transfer_test.go
+++ b/internal/share/transfer_test.go
@@ -127,3 +127,20 @@
 		g.Expect(admitted).To(Equal(want))
 	}
 }
+
+// Guards against a burst that is lost in a transfer because the demand still counts for the earlier owner.
+func TestTransferredBurstIsNotCutByTheDemandOfTheEarlierOwner(t *testing.T) {
+	g := NewWithT(t)
+	c := &catalog.Customer{Name: "c", Rate: 20, Burst: 100}
+	now := time.Unix(1000, 0)
+	next := share.New()
+	next.SetLease(now, true)
+	next.SetRemoteDemand(map[string]float64{c.Name: 10}, 1, true)
+	next.SetOwned(now, map[string]bool{c.Name: false})
+	next.Receive(now, c, 100)
+	admitted := 0
+	for next.Admit(now, c).Admitted {
+		admitted++
+	}
+	g.Expect(admitted).To(BeNumerically(">=", 100))
+}
