--- a/internal/share/restart_test.go
+++ b/internal/share/restart_test.go
@@ -51,8 +51,7 @@
 	}
 }
 
-// Guards against a customer that gets more than its rate and burst because each host that becomes the owner of its
-// bucket has a full one.
+// Guards against a burst that each host grants again when it becomes the owner of the customer's bucket.
 func TestMovesOfTheOwnerDoNotRenewTheBurst(t *testing.T) {
 	const (
 		window         = 5 * time.Second
