A lost answer says which request it was and whether its upstream ended

Lines 'answer lost' and 'upstream ended' carry the fingerprint of the request: method, host, target, customer, affinity key and body. An upstream has ended if it refuses a new connection while this host reaches others, or if another instance is registered in its place; a stop that was announced does not count. No decision depends on it yet. balsambarrow_requests_at_upstream_end_total counts them.

--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -65,15 +65,16 @@
 	upstreamConns *h1.Pool
 	// links connects to upstreams, through other hosts if necessary, and tunnels connects other
 	// hosts to upstreams. tunnelPeers are the hosts that do so for this one.
-	links       *tunnel.Dialer
-	tunnels     *tunnel.Server
-	tunnelPeers atomic.Pointer[[]tunnel.Peer]
-	table       *place.Table
-	shares      *share.Limiter
-	tokens      *tokens
-	rooms       *rooms
-	retries     *retry.WindowBudget
-	control     *control
+	links        *tunnel.Dialer
+	tunnels      *tunnel.Server
+	tunnelPeers  atomic.Pointer[[]tunnel.Peer]
+	table        *place.Table
+	shares       *share.Limiter
+	tokens       *tokens
+	upstreamEnds *upstreamEnds
+	rooms        *rooms
+	retries      *retry.WindowBudget
+	control      *control
 
 	state       atomic.Pointer[front.State]
 	directory   atomic.Pointer[directory]
@@ -184,6 +185,7 @@
 	d.control = newControl(d)
 	d.tokens = newTokens(d)
 	d.rooms = newRooms(d)
+	d.upstreamEnds = newUpstreamEnds(d)
 	d.bucketHosts.Store(&bucketHosts{})
 	return d, nil
 }
@@ -195,7 +197,7 @@
 	d.startedAt, d.startedWall = d.now(), time.Now()
 	deps := front.Deps{
 		State: d.state.Load, Codec: platform.Headers{}, Pool: d.upstreamConns, Table: d.table, Room: d.rooms, RateLimiter: d.tokens,
-		RetryBudget: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, ObserveFailedAttempt: d.observeFailedAttempt, ObserveRetry: d.observeRetry, Now: d.now,
+		RetryBudget: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, ObserveFailedAttempt: d.observeFailedAttempt, ObserveRetry: d.observeRetry, ObserveLost: d.upstreamEnds.observeLost, ObserveUpstreamEnd: d.observeUpstreamEnd, Now: d.now,
 		Refresh: d.refresh, LoadUpstreams: d.loadUpstreamsForCallers, Updates: d.stateUpdated.next, StartupTimeLeft: d.remainingStartupWait, Stop: d.currentStop, DisableKeepAlive: d.nearConnectionLimit,
 		Memory: d.budget, ObserveMemory: d.observeMemory,
 	}
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -75,6 +75,11 @@
 	d.metrics.Set.GetOrCreateCounter(fmt.Sprintf(`balsambarrow_upstream_failed_attempts_total{outcome=%q,zone=%q}`, outcome, zone)).Inc()
 }
 
+// observeUpstreamEnd counts one request that was in flight at an upstream when that ended.
+func (d *Daemon) observeUpstreamEnd(service string) {
+	d.metrics.Set.GetOrCreateCounter(fmt.Sprintf(`balsambarrow_requests_at_upstream_end_total{service=%q}`, service)).Inc()
+}
+
 // observeRetry counts one decision whether a request is sent to another upstream.
 func (d *Daemon) observeRetry(decision front.RetryDecision) {
 	d.metrics.Set.GetOrCreateCounter(fmt.Sprintf(`balsambarrow_retry_decisions_total{decision=%q}`, string(decision))).Inc()
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -360,6 +360,7 @@
 	c.upstreams.digest.SetUpstream(u)
 	if c.d.table.PutUpstream(now, u) {
 		c.upstreamLog.addChanged(u)
+		c.d.upstreamEnds.registrationsChanged(now)
 	}
 }
 
--- /dev/null
+++ b/internal/entryhost/suspect_test.go
@@ -0,0 +1,70 @@
+package entryhost_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"balsambarrow/internal/standin"
+)
+
+// fragileUpstreams end when they get a request whose target contains "ends".
+type fragileUpstreams struct {
+	s     *site
+	ended atomic.Int64
+	// takes is the time from the request to the end.
+	takes time.Duration
+}
+
+// add starts a fragile upstream and registers it.
+func (f *fragileUpstreams) add(id, zone string) {
+	k := &standin.PlatformUpstream{ID: id}
+	server := httptest.NewServer(k)
+	f.s.t.Cleanup(server.Close)
+	var gone atomic.Bool
+	k.SetHandler(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.RequestURI, "ends") {
+			w.Header().Set("X-Response-Signature", "signed")
+			_, _ = w.Write([]byte("ok"))
+			return
+		}
+		time.Sleep(f.takes)
+		if gone.CompareAndSwap(false, true) {
+			f.ended.Add(1)
+			_ = server.Listener.Close()
+			go server.CloseClientConnections()
+		}
+		panic(http.ErrAbortHandler)
+	})
+	f.s.register(k, "s", server.Listener.Addr().String(), zone, "ready", 1)
+}
+
+// newFragileSite returns a site with twelve fragile upstreams in zone a1 and hosts in the given zones.
+func newFragileSite(t *testing.T, zones ...string) (*site, *fragileUpstreams, *syncBuffer) {
+	s, logs := newLoggedSite(t)
+	f := &fragileUpstreams{s: s}
+	for i := range 12 {
+		f.add(fmt.Sprint("i-", i), "a1")
+	}
+	s.declare(4, "k1")
+	for i, zone := range zones {
+		s.host(fmt.Sprint("h", i), zone)
+	}
+	s.awaitServing()
+	return s, f, logs
+}
+
+// Guards against an end of an upstream of which no line says which request was in flight.
+func TestUpstreamEndIsLoggedWithTheRequest(t *testing.T) {
+	g := NewWithT(t)
+	s, _, logs := newFragileSite(t, "a1")
+	_ = s.call(s.hosts[0], "GET", "/read/ends", "k1", "")
+	g.Eventually(logs.String, "5s", "20ms").Should(MatchRegexp(`msg="upstream ended" .* request=[0-9a-f]{16} route=read service=s upstream=i-\d+ zone=a1`))
+	g.Expect(s.metrics(s.hosts[0])).To(MatchRegexp(`balsambarrow_requests_at_upstream_end_total\{service="s"\} [12]`))
+}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net/http"
 	"net/url"
 	"strings"
@@ -16,6 +17,7 @@
 	"balsambarrow/internal/place"
 	"balsambarrow/internal/retry"
 	"balsambarrow/internal/share"
+	"balsambarrow/internal/suspect"
 	"balsambarrow/internal/traffic"
 )
 
@@ -51,7 +53,12 @@
 	// ObserveRetry is called after each attempt that did not answer the request, with the decision
 	// whether the request is sent to another upstream.
 	ObserveRetry func(RetryDecision)
-	Now          func() time.Time
+	// ObserveLost is called for each response that did not arrive. It calls ended, with the instance of the
+	// upstream, if that turns out to have ended, and returns once this is known or ctx has ended.
+	// ObserveUpstreamEnd is called for each such end with the service. Optional.
+	ObserveLost        func(ctx context.Context, c place.Choice, ended func(instance uint64))
+	ObserveUpstreamEnd func(service string)
+	Now                func() time.Time
 	// Memory bounds the bytes that callers make the host hold; nil: not bounded. ObserveMemory is
 	// called for each event that concerns memory; optional.
 	Memory        *memory.Budget
@@ -179,6 +186,8 @@
 	route     *catalog.Route
 	customer  *catalog.Customer
 	service   string
+	// fingerprint identifies equal requests; 0 until the request is sent.
+	fingerprint suspect.Fingerprint
 	// overRate is set if the demand of the customer exceeds its rate.
 	overRate bool
 	// queued is the entry of a request that was sent in the queue of its service; nil if it has none.
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -186,6 +186,7 @@
 		h.done(q, c, place.Report{Result: place.Canceled})
 	default:
 		h.done(q, c, place.Report{Result: place.NoResponse})
+		h.observeLost(ctx, q, c, err)
 	}
 	h.Log.Info("response aborted", "id", q.ID, "upstream", c.ID, "error", err)
 	panic(http.ErrAbortHandler)
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -41,6 +41,7 @@
 	ctx, cancel := context.WithTimeout(q.http.Context(), q.deadline.Sub(h.Now()))
 	defer cancel()
 	h.RetryBudget.RecordRequest(h.Now(), q.service)
+	q.identify()
 	answered := false
 	defer func() { h.latencies.end(h.Now(), q, answered) }()
 	var failure *response
@@ -302,6 +303,7 @@
 		return outcomeTimedOut
 	}
 	h.done(q, c, place.Report{Result: place.NoResponse})
-	h.Log.Info("answer lost", "id", q.ID, "upstream", c.ID, "zone", c.Zone, "took", h.Now().Sub(q.arrived), "error", err)
+	h.Log.Info("answer lost", "id", q.ID, "request", q.fingerprint, "upstream", c.ID, "zone", c.Zone, "took", h.Now().Sub(q.arrived), "error", err)
+	h.observeLost(ctx, q, c, err)
 	return outcomeLost
 }
--- a/internal/place/announced.go
+++ b/internal/place/announced.go
@@ -20,7 +20,11 @@
 
 // instanceKey identifies an instance of an upstream in messages between hosts: it holds the low
 // bits of the hash of the upstream's ID, and below these the low bits of its start time.
-func (w *upstream) instanceKey() uint64 { return w.idHash<<32 | uint64(uint32(w.StartedMs)) }
+func (w *upstream) instanceKey() uint64 { return instanceKey(w.idHash, w.StartedMs) }
+
+func instanceKey(idHash uint64, startedMs int64) uint64 {
+	return idHash<<32 | uint64(uint32(startedMs))
+}
 
 // byInstanceKey returns the registered instance with the key; nil if there is none.
 func (t *Table) byInstanceKey(key uint64) *upstream {
--- /dev/null
+++ b/internal/suspect/doc.go
@@ -0,0 +1,2 @@
+// Package suspect recognises equal requests, under which upstreams may end.
+package suspect
