Known red: a repeated request ends all upstreams

Two hosts, twelve upstreams that end when they get a certain request; its caller repeats it 20 times, each time with another ID, 50 ms apart. On this code 12 of 12 upstreams end, for GET and for POST, and 8 and 11 of 20 other requests are served.

--- a/internal/entryhost/suspect_test.go
+++ b/internal/entryhost/suspect_test.go
@@ -14,6 +14,9 @@
 	"balsambarrow/internal/standin"
 )
 
+// maxEnds is the number of upstreams that may end under one request before all hosts refuse it.
+const maxEnds = 3
+
 // fragileUpstreams end when they get a request whose target contains "ends".
 type fragileUpstreams struct {
 	s     *site
@@ -60,6 +63,31 @@
 	return s, f, logs
 }
 
+// Guards against a request that callers repeat at all hosts, each time with another ID, until no upstream runs.
+func TestRepeatedRequestEndsThreeUpstreamsAtMost(t *testing.T) {
+	for _, c := range []struct{ method, path, body string }{{"GET", "/read/ends", ""}, {"POST", "/post/ends", "weight=200"}} {
+		t.Run(c.method, func(t *testing.T) {
+			g := NewWithT(t)
+			s, f, _ := newFragileSite(t, "a1", "a1")
+			refused, others := 0, 0
+			for i := range 20 {
+				a := s.call(s.hosts[i%2], c.method, c.path, "k1", c.body)
+				g.Expect(a.status).To(BeElementOf(http.StatusBadGateway, http.StatusServiceUnavailable))
+				if a.status == http.StatusServiceUnavailable {
+					g.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+					refused++
+				}
+				if s.read(s.hosts[i%2]).status == http.StatusOK {
+					others++
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			g.Expect([]int{int(f.ended.Load()), others}).To(Equal([]int{maxEnds, 20}), "ended upstreams, other requests that were served")
+			g.Expect(refused).To(BeNumerically(">", 0))
+		})
+	}
+}
+
 // Guards against an end of an upstream of which no line says which request was in flight.
 func TestUpstreamEndIsLoggedWithTheRequest(t *testing.T) {
 	g := NewWithT(t)
