A request under which three upstreams have ended is refused by all hosts

Cause: each attempt of a caller was a new request to the hosts. The retry budget and max-attempts bound what one attempt causes, and ejection steered the repeat to an upstream that still ran.

Change: hosts recognise equal requests by a fingerprint. What was in flight at an upstream when it ended is suspect until it is answered. A suspect may be in flight at as many upstreams as may still end, over all hosts; after three ends, one of them under a repeat, it is refused with 503 and a Retry-After, for a minute first and twice as long after each further end, and then tried once. Ends that come at one moment, as in the failure of a zone, allow one more attempt. Hosts send changes to active peers at once; heartbeats and summaries carry what is refused or about to be, for hosts that start. States are sets of ended and cleared instances, so messages may be lost or come twice.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -237,6 +237,7 @@
 		c.d.rooms.owners.Heard(b.Instance)
 		c.applyAnnouncements(now, b)
 		c.applySent(now, b)
+		c.d.suspects.apply(b.Suspects, b.Peers)
 	}
 	c.handleDigests(b)
 }
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -72,6 +72,7 @@
 	shares       *share.Limiter
 	tokens       *tokens
 	upstreamEnds *upstreamEnds
+	suspects     *suspects
 	rooms        *rooms
 	retries      *retry.WindowBudget
 	control      *control
@@ -183,9 +184,8 @@
 	d.upstreamConns = h1.NewPool(d.links.DialContext, clock.Now)
 	d.upstreamConns.Paths = d.links
 	d.control = newControl(d)
-	d.tokens = newTokens(d)
-	d.rooms = newRooms(d)
-	d.upstreamEnds = newUpstreamEnds(d)
+	d.tokens, d.rooms = newTokens(d), newRooms(d)
+	d.upstreamEnds, d.suspects = newUpstreamEnds(d), newSuspects(d)
 	d.bucketHosts.Store(&bucketHosts{})
 	return d, nil
 }
@@ -197,7 +197,7 @@
 	d.startedAt, d.startedWall = d.now(), time.Now()
 	deps := front.Deps{
 		State: d.state.Load, Codec: platform.Headers{}, Pool: d.upstreamConns, Table: d.table, Room: d.rooms, RateLimiter: d.tokens,
-		RetryBudget: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, ObserveFailedAttempt: d.observeFailedAttempt, ObserveRetry: d.observeRetry, ObserveLost: d.upstreamEnds.observeLost, ObserveUpstreamEnd: d.observeUpstreamEnd, Now: d.now,
+		RetryBudget: d.retries, Bounds: d.bounds, Log: d.events, Observe: d.observe, ObserveFailedAttempt: d.observeFailedAttempt, ObserveRetry: d.observeRetry, ObserveLost: d.upstreamEnds.observeLost, ObserveUpstreamEnd: d.observeUpstreamEnd, Suspects: d.suspects.tracker, Now: d.now,
 		Refresh: d.refresh, LoadUpstreams: d.loadUpstreamsForCallers, Updates: d.stateUpdated.next, StartupTimeLeft: d.remainingStartupWait, Stop: d.currentStop, DisableKeepAlive: d.nearConnectionLimit,
 		Memory: d.budget, ObserveMemory: d.observeMemory,
 	}
@@ -218,6 +218,7 @@
 		}
 	}
 	d.spawn(d.control.run)
+	d.spawn(d.suspects.announce)
 	d.spawn(func(ctx context.Context) {
 		d.transport.Receive(ctx, d.handlePacket, func(err error) { d.events.Debug("packet not readable", "error", err) })
 	})
@@ -252,7 +253,7 @@
 		d.control.send(func(c *control) { c.handleConfirmAnswer(a) })
 		return
 	}
-	if d.rooms.handlePacket(p, from) {
+	if d.rooms.handlePacket(p, from) || d.suspects.handlePacket(p, from) {
 		return
 	}
 	d.tokens.handlePacket(p, from)
--- a/internal/entryhost/heartbeat.go
+++ b/internal/entryhost/heartbeat.go
@@ -68,6 +68,10 @@
 func (c *control) activeSummary() *fleet.ActiveSummary {
 	load, own := c.members.ActiveLoad(), c.d.meter.latest()
 	s := &fleet.ActiveSummary{Digest: c.members.ActiveDigest(), Region: c.d.self.Region, LeavingUpstreams: c.d.table.LeavingReports()}
+	for _, r := range encodeSuspects(c.d.suspects.tracker.Reports(c.d.now())) {
+		r.InFlight = 0
+		s.Suspects = append(s.Suspects, r)
+	}
 	if c.ready {
 		s.Digest = fleet.AddToActiveDigest(s.Digest, fleet.ActiveState{
 			Instance: c.d.self.Instance, Leaving: c.leaving, StoreReachable: !c.storeUnreachable, Registered: c.holdsShares,
@@ -85,6 +89,7 @@
 		return
 	}
 	c.logMemberChanges(c.members.ApplyActiveSummary(now, s))
+	c.d.suspects.apply(s.Suspects, "summary")
 	for _, id := range c.d.table.ApplyLeavingReports(s.LeavingUpstreams) {
 		c.d.events.Info("upstream leaving", "upstream", id, "source", "summary")
 	}
@@ -135,6 +140,7 @@
 	for customer, rate := range c.d.shares.AnnounceDemand(now) {
 		b.Demand = append(b.Demand, &fleet.Demand{Customer: customer, PerSecond: float32(rate)})
 	}
+	b.Suspects = encodeSuspects(c.d.suspects.tracker.Reports(now))
 	b.Sent = encodeSent(c.d.table.SentReports())
 	b.RateLimits = encodeRateLimits(c.d.table.RateLimitReports(now))
 	if !c.ready {
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -42,6 +42,8 @@
 	d.metrics.Gauge("balsambarrow_room_slots", func() float64 { return float64(d.rooms.ledger.Stats().Slots) })
 	d.metrics.Gauge("balsambarrow_room_expired", func() float64 { return float64(d.rooms.ledger.Stats().Expired) })
 	d.metrics.Gauge("balsambarrow_room_owners_silent", func() float64 { return float64(d.rooms.owners.Silent()) })
+	d.metrics.Gauge("balsambarrow_suspect_requests", func() float64 { return float64(d.suspects.tracker.Stats(d.now()).Suspects) })
+	d.metrics.Gauge("balsambarrow_suspect_requests_refused", func() float64 { return float64(d.suspects.tracker.Stats(d.now()).Refused) })
 	d.registerMemoryGauges()
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		d.metrics.Set.WritePrometheus(w)
--- a/internal/entryhost/suspect_test.go
+++ b/internal/entryhost/suspect_test.go
@@ -1,6 +1,7 @@
 package entryhost_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -60,9 +61,34 @@
 		s.host(fmt.Sprint("h", i), zone)
 	}
 	s.awaitServing()
+	for _, h := range s.hosts {
+		g := NewWithT(t)
+		g.Eventually(func() int { return s.activeHosts(h) }, "15s", "20ms").Should(Equal(len(zones)), "active hosts that a host knows")
+	}
 	return s, f, logs
 }
 
+// activeHosts returns the number of active hosts that a host knows in all regions.
+func (s *site) activeHosts(h *host) int {
+	active := map[string]bool{}
+	for _, region := range []string{"a", "b"} {
+		resp, err := http.Get("http://" + h.listen.Directory + "/-/resolve?name=x.example&region=" + region)
+		if err != nil {
+			return 0
+		}
+		var answer struct{ Addresses []string }
+		err = json.NewDecoder(resp.Body).Decode(&answer)
+		_ = resp.Body.Close()
+		if err != nil {
+			return 0
+		}
+		for _, a := range answer.Addresses {
+			active[a] = true
+		}
+	}
+	return len(active)
+}
+
 // Guards against a request that callers repeat at all hosts, each time with another ID, until no upstream runs.
 func TestRepeatedRequestEndsThreeUpstreamsAtMost(t *testing.T) {
 	for _, c := range []struct{ method, path, body string }{{"GET", "/read/ends", ""}, {"POST", "/post/ends", "weight=200"}} {
@@ -93,6 +119,6 @@
 	g := NewWithT(t)
 	s, _, logs := newFragileSite(t, "a1")
 	_ = s.call(s.hosts[0], "GET", "/read/ends", "k1", "")
-	g.Eventually(logs.String, "5s", "20ms").Should(MatchRegexp(`msg="upstream ended" .* request=[0-9a-f]{16} route=read service=s upstream=i-\d+ zone=a1`))
+	g.Eventually(logs.String, "5s", "20ms").Should(MatchRegexp(`msg="upstream ended" .* request=[0-9a-f]{16} route=read service=s customer=t1 upstream=i-\d+ zone=a1`))
 	g.Expect(s.metrics(s.hosts[0])).To(MatchRegexp(`balsambarrow_requests_at_upstream_end_total\{service="s"\} [12]`))
 }
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -55,7 +55,7 @@
 	ObserveRetry func(RetryDecision)
 	// ObserveLost is called for each response that did not arrive. It calls ended, with the instance of the
 	// upstream, if that turns out to have ended, and returns once this is known or ctx has ended.
-	// ObserveUpstreamEnd is called for each such end with the service. Optional.
+	// ObserveUpstreamEnd is called for each such end with the service. Both require Suspects; optional.
 	ObserveLost        func(ctx context.Context, c place.Choice, ended func(instance uint64))
 	ObserveUpstreamEnd func(service string)
 	Now                func() time.Time
@@ -87,6 +87,8 @@
 	Tracer trace.Tracer
 	// Room shares the room of upstreams with the other hosts; nil: each host sends by what it knows.
 	Room Room
+	// Suspects bounds the number of upstreams that end under one request; nil: not bounded.
+	Suspects *suspect.Tracker
 }
 
 // Stop is a planned stop of the host.
@@ -214,6 +216,8 @@
 	// relay is the address of the host through which the last response came; "" if it came
 	// directly.
 	relay string
+	// current is the current attempt, and the last one after its end.
+	current suspect.Attempt
 	// longestQueueing is the longest expected queueing delay of the upstreams tried.
 	longestQueueing time.Duration
 	// latency is the comparison for the last response; nil if there was none.
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -33,6 +33,7 @@
 	CauseCallerLeft           Cause = "caller-left"
 	CauseMemoryFull           Cause = "memory-full"
 	CauseBodyStalled          Cause = "body-stalled"
+	CauseEndsUpstreams        Cause = "ends-upstreams"
 )
 
 // refusal is an error response that the entry host generates itself.
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -56,18 +56,9 @@
 		if refused := h.checkStop(q); refused != nil {
 			return h.finishUnserved(w, q, failure, refused)
 		}
-		choice, err := h.choose(ctx, q)
-		if err != nil {
-			return h.finishUnserved(w, q, failure, h.placementRefusal(q, err))
-		}
-		if !h.allowSend(q) {
-			h.done(q, choice, place.Report{Result: place.Canceled})
-			return h.finishUnserved(w, q, failure, h.unservedRefusal(q))
-		}
-		h.latencies.start(q)
-		end, resp := h.send(ctx, w, q, choice)
-		if end != outcomeAnswered {
-			h.ObserveFailedAttempt(end.String(), choice.Zone)
+		end, resp, refused := h.attempt(ctx, w, q)
+		if refused != nil {
+			return h.finishUnserved(w, q, failure, refused)
 		}
 		switch end {
 		case outcomeAnswered:
@@ -90,6 +81,33 @@
 	}
 }
 
+// attempt sends the request to one upstream. A refusal means that it was not sent.
+func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, q *request) (end outcome, resp *response, refused *refusal) {
+	attempt, refused := h.beginAttempt(ctx, q)
+	if refused != nil {
+		return end, nil, refused
+	}
+	q.attempts.current = attempt
+	answered := false
+	// A response that is cut off ends with a panic.
+	defer func() { h.endAttempt(attempt, answered) }()
+	choice, err := h.choose(ctx, q)
+	if err != nil {
+		return end, nil, h.placementRefusal(q, err)
+	}
+	if !h.allowSend(q) {
+		h.done(q, choice, place.Report{Result: place.Canceled})
+		return end, nil, h.unservedRefusal(q)
+	}
+	h.latencies.start(q)
+	end, resp = h.send(ctx, w, q, choice)
+	answered = end == outcomeAnswered || end == outcomeFailed
+	if end != outcomeAnswered {
+		h.ObserveFailedAttempt(end.String(), choice.Zone)
+	}
+	return end, resp, nil
+}
+
 func (h *Handler) placementQuery(q *request) place.Query {
 	regions, restricted := h.allowedRegions(q)
 	object := q.Object
