Suspects are sent to different upstreams

Cause: all requests in flight at an ended upstream share the suspicion, and placement sends the next attempts of both to the same upstream again. Hosts now tell each other where suspects are in flight, and another suspect goes there only if there is no other upstream.

--- a/internal/entryhost/suspect_test.go
+++ b/internal/entryhost/suspect_test.go
@@ -1,11 +1,13 @@
 package entryhost_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -22,7 +24,8 @@
 type fragileUpstreams struct {
 	s     *site
 	ended atomic.Int64
-	// takes is the time from the request to the end.
+	// takes is the time from the request to the end. A request whose target contains "slow" takes three
+	// times as long.
 	takes time.Duration
 }
 
@@ -34,6 +37,9 @@
 	var gone atomic.Bool
 	k.SetHandler(func(w http.ResponseWriter, r *http.Request) {
 		if !strings.Contains(r.RequestURI, "ends") {
+			if strings.Contains(r.RequestURI, "slow") {
+				time.Sleep(3 * f.takes)
+			}
 			w.Header().Set("X-Response-Signature", "signed")
 			_, _ = w.Write([]byte("ok"))
 			return
@@ -122,3 +128,60 @@
 	g.Eventually(logs.String, "5s", "20ms").Should(MatchRegexp(`msg="upstream ended" .* request=[0-9a-f]{16} route=read service=s customer=t1 upstream=i-\d+ zone=a1`))
 	g.Expect(s.metrics(s.hosts[0])).To(MatchRegexp(`balsambarrow_requests_at_upstream_end_total\{service="s"\} [12]`))
 }
+
+// Guards against a harmless request that is refused because it was in flight at upstreams that ended under another one.
+func TestRequestBesideOneThatEndsUpstreamsIsServed(t *testing.T) {
+	g := NewWithT(t)
+	s, f, _ := newFragileSite(t, "a1", "a1")
+	f.takes = 60 * time.Millisecond
+	var harmful sync.WaitGroup
+	for i := range 2 {
+		harmful.Go(func() {
+			for range 10 {
+				_ = s.call(s.hosts[i], "GET", "/read/ends", "k1", "")
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	for i := range 10 {
+		a := s.call(s.hosts[i%2], "GET", "/read/slow", "k1", "")
+		g.Expect(a.status).To(BeElementOf(http.StatusOK, http.StatusBadGateway))
+	}
+	harmful.Wait()
+	g.Expect(f.ended.Load()).To(BeNumerically(">=", maxEnds))
+	g.Expect(s.call(s.hosts[0], "GET", "/read/slow", "k1", "").status).To(Equal(http.StatusOK))
+	g.Expect(s.call(s.hosts[1], "GET", "/read/ends", "k1", "").body).To(ContainSubstring("ends-upstreams"))
+}
+
+// Guards against a host that has just started and sends a request that all others refuse.
+func TestStartedHostRefusesARequestThatEndsUpstreams(t *testing.T) {
+	g := NewWithT(t)
+	s, f, _ := newFragileSite(t, "a1", "a1")
+	for i := range 5 {
+		_ = s.call(s.hosts[i%2], "GET", "/read/ends", "k1", "")
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.Expect(f.ended.Load()).To(BeEquivalentTo(maxEnds))
+	started := s.host("h2", "a1")
+	g.Eventually(func() string { return s.metrics(started) }, "15s", "50ms").Should(ContainSubstring("balsambarrow_suspect_requests_refused 1"))
+	g.Expect(s.call(started, "GET", "/read/ends", "k1", "").status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(f.ended.Load()).To(BeEquivalentTo(maxEnds))
+}
+
+// Guards against a restart within milliseconds that hides that the upstream has ended.
+func TestUpstreamThatRestartsAtOnceHasEnded(t *testing.T) {
+	g := NewWithT(t)
+	s, logs := newLoggedSite(t)
+	k := &standin.PlatformUpstream{ID: "i-1"}
+	server := httptest.NewServer(k)
+	t.Cleanup(server.Close)
+	k.SetHandler(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	address := server.Listener.Addr().String()
+	s.register(k, "s", address, "a1", "ready", 1)
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	g.Eventually(func() int { return s.read(h).status }, "15s", "50ms").Should(Equal(http.StatusBadGateway))
+	g.Expect(logs.String()).NotTo(ContainSubstring("upstream ended"))
+	s.store.Put("servers/i-1", bytes.Replace(k.RegistryEntry("s", address, "a1", "ready", 1), []byte("1700000000000"), []byte("1700000000001"), 1))
+	g.Eventually(logs.String, "5s", "20ms").Should(MatchRegexp(`msg="upstream ended" .* upstream=i-1 zone=a1 ends=1`))
+}
--- a/internal/entryhost/suspects.go
+++ b/internal/entryhost/suspects.go
@@ -80,6 +80,7 @@
 		out = append(out, &fleet.SuspectReport{
 			Fingerprint: uint64(r.Fingerprint), Ended: r.Ended, Cleared: r.Cleared, LastEndAgeMs: uint32(r.LastEndAge.Milliseconds()),
 			Repeated: r.Repeated, InFlight: uint32(r.InFlight), InFlightMs: uint32(max(r.InFlightFor, 0).Milliseconds()),
+			InFlightAt: r.InFlightAt,
 		})
 	}
 	return out
@@ -92,6 +93,7 @@
 			Fingerprint: suspect.Fingerprint(r.Fingerprint), Ended: r.Ended, Cleared: r.Cleared,
 			LastEndAge: time.Duration(r.LastEndAgeMs) * time.Millisecond, Repeated: r.Repeated,
 			InFlight: int(r.InFlight), InFlightFor: time.Duration(r.InFlightMs) * time.Millisecond,
+			InFlightAt: r.InFlightAt,
 		})
 	}
 	return out
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -216,8 +216,10 @@
 	// relay is the address of the host through which the last response came; "" if it came
 	// directly.
 	relay string
-	// current is the current attempt, and the last one after its end.
+	// current is the current attempt, and the last one after its end. avoided are the upstreams that it
+	// should not be sent to.
 	current suspect.Attempt
+	avoided []uint64
 	// longestQueueing is the longest expected queueing delay of the upstreams tried.
 	longestQueueing time.Duration
 	// latency is the comparison for the last response; nil if there was none.
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -83,14 +83,12 @@
 
 // attempt sends the request to one upstream. A refusal means that it was not sent.
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, q *request) (end outcome, resp *response, refused *refusal) {
-	attempt, refused := h.beginAttempt(ctx, q)
-	if refused != nil {
+	if refused = h.beginAttempt(ctx, q); refused != nil {
 		return end, nil, refused
 	}
-	q.attempts.current = attempt
 	answered := false
 	// A response that is cut off ends with a panic.
-	defer func() { h.endAttempt(attempt, answered) }()
+	defer func() { h.endAttempt(q, answered) }()
 	choice, err := h.choose(ctx, q)
 	if err != nil {
 		return end, nil, h.placementRefusal(q, err)
@@ -100,6 +98,7 @@
 		return end, nil, h.unservedRefusal(q)
 	}
 	h.latencies.start(q)
+	h.placeAttempt(q, choice)
 	end, resp = h.send(ctx, w, q, choice)
 	answered = end == outcomeAnswered || end == outcomeFailed
 	if end != outcomeAnswered {
@@ -116,7 +115,7 @@
 	}
 	return place.Query{
 		Service: q.service, Route: q.route.Name, Object: object, AllowedRegions: regions, RegionRestricted: restricted,
-		Excluded: q.attempts.tried, BodyBytes: q.body.bytes(), Priority: catalog.Priority(q.route, q.customer),
+		Excluded: q.attempts.tried, Avoided: q.attempts.avoided, BodyBytes: q.body.bytes(), Priority: catalog.Priority(q.route, q.customer),
 		OverRate: q.overRate, Target: q.route.TargetLatency, Remaining: q.deadline.Sub(h.Now()),
 	}
 }
--- a/internal/front/suspect.go
+++ b/internal/front/suspect.go
@@ -26,21 +26,30 @@
 	q.fingerprint = identity.Fingerprint()
 }
 
-// beginAttempt begins an attempt of the request, unless too many upstreams have ended under it. While
-// equal requests are in flight at as many upstreams as may end, it waits until one of them is answered.
-func (h *Handler) beginAttempt(ctx context.Context, q *request) (suspect.Attempt, *refusal) {
+// beginAttempt begins an attempt of the request, unless too many upstreams have ended under it.
+func (h *Handler) beginAttempt(ctx context.Context, q *request) *refusal {
 	if h.Suspects == nil {
-		return suspect.Attempt{}, nil
+		return nil
 	}
 	a, err := h.Suspects.Begin(h.Now(), q.fingerprint, q.deadline)
-	if err == nil {
-		return a, nil
+	if err != nil {
+		var refused *refusal
+		if a, refused = h.awaitVerdict(ctx, q); refused != nil {
+			return refused
+		}
 	}
+	q.attempts.current, q.attempts.avoided = a, h.Suspects.Occupied(h.Now(), a)
+	return nil
+}
+
+// awaitVerdict begins an attempt of a suspect. While equal requests are in flight at as many upstreams
+// as may end, it waits until one of them is answered.
+func (h *Handler) awaitVerdict(ctx context.Context, q *request) (suspect.Attempt, *refusal) {
 	timeout := time.NewTimer(min(maxVerdictWait, q.deadline.Sub(h.Now())/4))
 	defer timeout.Stop()
 	for {
 		updated := h.Suspects.Updated()
-		a, err = h.Suspects.Begin(h.Now(), q.fingerprint, q.deadline)
+		a, err := h.Suspects.Begin(h.Now(), q.fingerprint, q.deadline)
 		if err == nil {
 			return a, nil
 		}
@@ -58,10 +67,18 @@
 	}
 }
 
-// endAttempt ends an attempt of the request.
-func (h *Handler) endAttempt(a suspect.Attempt, answered bool) {
+// placeAttempt records the upstream that was chosen for the current attempt.
+func (h *Handler) placeAttempt(q *request, c place.Choice) {
+	if h.Suspects != nil {
+		_, instance := h.Table.Instance(c)
+		h.Suspects.Placed(&q.attempts.current, instance)
+	}
+}
+
+// endAttempt ends the current attempt of the request.
+func (h *Handler) endAttempt(q *request, answered bool) {
 	if h.Suspects != nil {
-		h.Suspects.Done(h.Now(), a, answered)
+		h.Suspects.Done(h.Now(), q.attempts.current, answered)
 	}
 }
 
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -17,6 +17,9 @@
 	RegionRestricted bool
 	// Excluded are the IDs of upstreams that have already been tried.
 	Excluded []string
+	// Avoided are instances of upstreams that are selected only if there are no others; see
+	// RateLimitReport.Instance.
+	Avoided []uint64
 	// BodyBytes is the size of the request body.
 	BodyBytes int
 	// Priority ranks the request; 0 is the most urgent.
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -544,3 +544,27 @@
 	g.Expect(longestQueueing(900*time.Millisecond, true)).To(BeNumerically(">", 0), "affinity justifies queueing")
 	g.Expect(longestQueueing(300*time.Millisecond, false)).To(BeNumerically(">", 0), "without load reports, equal times may include queueing")
 }
+
+// Guards against a request that is refused because all upstreams are to be avoided, or sent to one that is although there are others.
+func TestAvoidedUpstreamsAreSelectedLast(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := place.NewTable(place.Host{Instance: "h", Zone: "a1", Region: "a"}, map[string]string{"a1": "a"})
+	query := place.Query{Service: "s", Route: "r", Target: 4 * time.Second, Remaining: 4 * time.Second}
+	for i := range 3 {
+		table.PutUpstream(now, catalog.Upstream{ID: fmt.Sprint("u-", i), Service: "s", Zone: "a1", Slots: 3, State: catalog.StateReady})
+	}
+	seen := map[string]bool{}
+	for range 3 {
+		c, err := table.Choose(now, query)
+		g.Expect(err).NotTo(HaveOccurred())
+		table.Done(now, c, place.Report{Result: place.Canceled})
+		g.Expect(seen).NotTo(HaveKey(c.ID))
+		seen[c.ID] = true
+		_, instance := table.Instance(c)
+		query.Avoided = append(query.Avoided, instance)
+	}
+	c, err := table.Choose(now, query)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(seen).To(HaveKey(c.ID))
+}
--- a/internal/place/survey.go
+++ b/internal/place/survey.go
@@ -101,7 +101,7 @@
 		t.keylessSequence++
 		key = t.keylessSequence
 	}
-	var ejected []candidate
+	var ejected, avoided []candidate
 	for _, w := range t.services[q.Service] {
 		path := &t.zonePaths[w.pathIndex]
 		if path.local {
@@ -128,9 +128,16 @@
 			s.exclude(w, AllEjected)
 			continue
 		}
+		if len(q.Avoided) > 0 && slices.Contains(q.Avoided, w.instanceKey()) {
+			avoided = append(avoided, c)
+			continue
+		}
 		path.add(w)
 		s.candidates = append(s.candidates, c)
 	}
+	if len(s.candidates) == 0 {
+		s.addAll(avoided)
+	}
 	if len(s.candidates) == 0 {
 		// If all candidates are ejected, the one whose ejection ends first may have recovered.
 		s.candidates = append(s.candidates, earliestReturning(ejected)...)
@@ -138,6 +145,13 @@
 	return s
 }
 
+func (s *survey) addAll(candidates []candidate) {
+	for _, c := range candidates {
+		c.path.add(c.upstream)
+	}
+	s.candidates = append(s.candidates, candidates...)
+}
+
 // reasonOrder lists the reasons from the one with which a caller has to wait longest. With the
 // reasons after AllPaused, this host or another one may serve the caller soon.
 var reasonOrder = []Reason{NotRegistered, AllClosed, AllPaused, AllCold, AllRateLimited, AllHoldBytes, AllEjected}
--- a/internal/suspect/record.go
+++ b/internal/suspect/record.go
@@ -36,6 +36,8 @@
 type attempts struct {
 	count int
 	until time.Time
+	// at are the upstreams that were chosen for them, as far as known. It is never modified.
+	at []uint64
 }
 
 // ends returns the number of upstreams that have ended since the request was last answered.
--- a/internal/suspect/report.go
+++ b/internal/suspect/report.go
@@ -19,9 +19,11 @@
 	LastEndAge time.Duration
 	// Repeated is set if an upstream ended under an attempt that began after an earlier end was known.
 	Repeated bool
-	// InFlight is the number of attempts of the host, which end after InFlightFor at the latest.
+	// InFlight is the number of attempts of the host, which end after InFlightFor at the latest, and
+	// InFlightAt are the upstreams that were chosen for them, as far as known.
 	InFlight    int
 	InFlightFor time.Duration
+	InFlightAt  []uint64
 }
 
 // Changes returns the suspects that have changed since the last call, at most as many as fit into a
@@ -70,7 +72,7 @@
 		Fingerprint: f, Ended: slices.Clone(r.ended), Cleared: slices.Clone(r.cleared), LastEndAge: now.Sub(r.lastEnd), Repeated: r.repeated,
 	}
 	if own := t.inFlight[f]; own.count > 0 {
-		out.InFlight, out.InFlightFor = own.count, own.until.Sub(now)
+		out.InFlight, out.InFlightFor, out.InFlightAt = own.count, own.until.Sub(now), own.at[:min(len(own.at), maxInstances)]
 	}
 	return out
 }
@@ -96,7 +98,7 @@
 		r.repeated = (r.repeated || report.Repeated) && r.ends() > 0
 		delete(r.peers, from)
 		if report.InFlight > 0 && report.InFlightFor > 0 && len(r.peers) < maxPeers {
-			r.peers[from] = attempts{report.InFlight, now.Add(report.InFlightFor)}
+			r.peers[from] = attempts{report.InFlight, now.Add(report.InFlightFor), report.InFlightAt}
 		}
 		after := r.ends()
 		if after != before {
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -37,6 +38,8 @@
 	fingerprint Fingerprint
 	// repeat is set if the request was a suspect when the attempt began.
 	repeat bool
+	// instance is the upstream of a repeat; 0 until it is chosen.
+	instance uint64
 }
 
 // Tracker tracks the suspects of all hosts. It is safe for concurrent use.
@@ -103,6 +106,52 @@
 	return Attempt{fingerprint: f, repeat: suspect}, nil
 }
 
+// Occupied returns the upstreams at which other suspects are in flight, if the request is a suspect.
+// If one of them ends, that would count against both.
+func (t *Tracker) Occupied(now time.Time, a Attempt) []uint64 {
+	if !a.repeat {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []uint64
+	for f, r := range t.records {
+		if f == a.fingerprint || r.ends() == 0 {
+			continue
+		}
+		out = append(out, t.inFlight[f].at...)
+		for _, p := range r.peers {
+			if now.Before(p.until) {
+				out = append(out, p.at...)
+			}
+		}
+	}
+	return out
+}
+
+// Placed records the upstream that was chosen for an attempt.
+func (t *Tracker) Placed(a *Attempt, instance uint64) {
+	if !a.repeat {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a.instance = instance
+	own := t.inFlight[a.fingerprint]
+	own.at = append(slices.Clone(own.at), instance)
+	t.inFlight[a.fingerprint] = own
+	t.changed(a.fingerprint)
+}
+
+// without returns a copy of a list without one occurrence of an element.
+func without(list []uint64, element uint64) []uint64 {
+	i := slices.Index(list, element)
+	if i < 0 {
+		return list
+	}
+	return slices.Delete(slices.Clone(list), i, i+1)
+}
+
 // UpstreamEnded records that an upstream ended during an attempt, which may have been ended already. It
 // returns the number of upstreams that have ended under the request, and for how long it is refused.
 func (t *Tracker) UpstreamEnded(now time.Time, a Attempt, instance uint64) (ends int, refusedFor time.Duration) {
@@ -123,6 +172,7 @@
 	f := a.fingerprint
 	own := t.inFlight[f]
 	if own.count--; own.count > 0 {
+		own.at = without(own.at, a.instance)
 		t.inFlight[f] = own
 	} else {
 		delete(t.inFlight, f)
--- a/internal/suspect/tracker_test.go
+++ b/internal/suspect/tracker_test.go
@@ -215,3 +215,32 @@
 	}
 	g.Expect(seen).To(HaveLen(10))
 }
+
+// Guards against two suspects at one upstream, whose end would count against the harmless one too.
+func TestSuspectsKeepApart(t *testing.T) {
+	g := NewWithT(t)
+	hosts := []*suspect.Tracker{newTracker(), newTracker()}
+	other := suspect.Fingerprint(8)
+	for _, f := range []suspect.Fingerprint{request, other} {
+		a, err := hosts[0].Begin(start, f, start.Add(time.Second))
+		g.Expect(err).NotTo(HaveOccurred())
+		hosts[0].UpstreamEnded(start, a, 1)
+		hosts[0].Done(start, a, false)
+	}
+	exchange(start, hosts...)
+	a, err := begin(hosts[0], start)
+	g.Expect(err).NotTo(HaveOccurred())
+	hosts[0].Placed(&a, 2)
+	exchange(start, hosts...)
+	for _, h := range hosts {
+		b, err := h.Begin(start, other, start.Add(time.Second))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(h.Occupied(start, b)).To(Equal([]uint64{2}))
+		h.Done(start, b, false)
+	}
+	hosts[0].Done(start, a, true)
+	exchange(start, hosts...)
+	b, err := hosts[1].Begin(start, other, start.Add(time.Second))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(hosts[1].Occupied(start, b)).To(BeEmpty())
+}
