--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -325,6 +325,7 @@
 // Reload applies new settings. Listeners that are already open keep their addresses.
 func (d *Daemon) Reload(s *Settings) {
 	d.settings.Store(s)
+	d.suspects.trust(s)
 	d.events.SetLevel(s.LogLevel)
 	d.events.Info("settings reloaded", "log_level", s.LogLevel, "grace", s.Bounds.Grace, "revoke", s.Bounds.Revoke)
 }
--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -635,11 +635,12 @@
 		"bounds": {"grace": "6", "max_shift": 2},
 		"unknown": 1,
 		"overload": {"sharing": "yes", "queue": "never"},
+		"trusted_requests": ["00ff00ff00ff00ff", "ff"],
 		"log_level": "loud"
 	}`))
 	var faults jsonc.Faults
 	g.Expect(err).To(BeAssignableToTypeOf(faults))
-	for _, place := range []string{"/host", "/zone", "/listen/callers", "/store", "/bounds/grace", "/bounds/max_shift", "/unknown", "/overload/sharing", "/overload/queue", "/log_level"} {
+	for _, place := range []string{"/host", "/zone", "/listen/callers", "/store", "/bounds/grace", "/bounds/max_shift", "/unknown", "/overload/sharing", "/overload/queue", "/trusted_requests/1", "/log_level"} {
 		g.Expect(err.Error()).To(ContainSubstring(place))
 	}
 }
--- a/internal/entryhost/export_test.go
+++ b/internal/entryhost/export_test.go
@@ -67,3 +67,6 @@
 	}
 	return opened
 }
+
+// Settings returns the settings in force.
+func (d *Daemon) Settings() *Settings { return d.settings.Load() }
--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -1,10 +1,12 @@
 package entryhost
 
 import (
+	"fmt"
 	"time"
 
 	"balsambarrow/internal/jsonc"
 	"balsambarrow/internal/settings"
+	"balsambarrow/internal/suspect"
 )
 
 // Settings is the daemon's settings file, in JSON with comments.
@@ -31,6 +33,9 @@
 	Overload Overload `json:"overload"`
 	// Memory bounds what callers make the host and its upstreams hold.
 	Memory Memory `json:"memory"`
+	// TrustedRequests are the fingerprints of requests that are not refused although upstreams have
+	// ended under them. Default none.
+	TrustedRequests []string `json:"trusted_requests"`
 	// TraceFile receives one JSON span per line; "-" is standard output. Default "": no spans
 	// are written.
 	TraceFile string `json:"trace_file"`
@@ -191,6 +196,10 @@
 	require(s.Bounds.RetrySlack >= 0, "/bounds/retry_slack", "want zero or more")
 	faults = append(faults, s.Overload.faults(doc)...)
 	faults = append(faults, s.Memory.faults(doc)...)
+	for i, text := range s.TrustedRequests {
+		_, err := suspect.ParseFingerprint(text)
+		require(err == nil, fmt.Sprint("/trusted_requests/", i), "want the 16 hexadecimal digits of a request in the log")
+	}
 	require(settings.IsLogLevel(s.LogLevel), "/log_level", "want debug, info, warn or error")
 	return faults
 }
--- a/internal/entryhost/suspect_test.go
+++ b/internal/entryhost/suspect_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,6 +28,8 @@
 	// takes is the time from the request to the end. A request whose target contains "slow" takes three
 	// times as long.
 	takes time.Duration
+	// mended upstreams answer each request.
+	mended atomic.Bool
 }
 
 // add starts a fragile upstream and registers it.
@@ -36,7 +39,7 @@
 	f.s.t.Cleanup(server.Close)
 	var gone atomic.Bool
 	k.SetHandler(func(w http.ResponseWriter, r *http.Request) {
-		if !strings.Contains(r.RequestURI, "ends") {
+		if f.mended.Load() || !strings.Contains(r.RequestURI, "ends") {
 			if strings.Contains(r.RequestURI, "slow") {
 				time.Sleep(3 * f.takes)
 			}
@@ -185,3 +188,28 @@
 	s.store.Put("servers/i-1", bytes.Replace(k.RegistryEntry("s", address, "a1", "ready", 1), []byte("1700000000000"), []byte("1700000000001"), 1))
 	g.Eventually(logs.String, "5s", "20ms").Should(MatchRegexp(`msg="upstream ended" .* upstream=i-1 zone=a1 ends=1`))
 }
+
+// Guards against operators who cannot let a refused request pass.
+func TestTrustedRequestIsSentAgain(t *testing.T) {
+	g := NewWithT(t)
+	s, f, logs := newFragileSite(t, "a1")
+	h := s.hosts[0]
+	for range 5 {
+		_ = s.call(h, "GET", "/read/ends", "k1", "")
+	}
+	g.Expect(f.ended.Load()).To(BeEquivalentTo(maxEnds))
+	var line []string
+	g.Eventually(func() []string {
+		line = regexp.MustCompile(`msg="request refused by all hosts" .* request=([0-9a-f]{16}) .* ends=3 refused_for=1m0s`).FindStringSubmatch(logs.String())
+		return line
+	}, "5s", "20ms").Should(HaveLen(2))
+	f.mended.Store(true)
+	g.Expect(s.call(h, "GET", "/read/ends", "k1", "").status).To(Equal(http.StatusServiceUnavailable))
+	settings := *h.daemon.Settings()
+	settings.TrustedRequests = line[1:]
+	h.daemon.Reload(&settings)
+	g.Expect(s.call(h, "GET", "/read/ends", "k1", "").status).To(Equal(http.StatusOK))
+	settings.TrustedRequests = nil
+	h.daemon.Reload(&settings)
+	g.Expect(s.call(h, "GET", "/read/ends", "k1", "").status).To(Equal(http.StatusOK), "the answer has cleared it")
+}
--- a/internal/entryhost/suspects.go
+++ b/internal/entryhost/suspects.go
@@ -24,9 +24,22 @@
 		default:
 		}
 	})
+	s.trust(d.settings.Load())
 	return s
 }
 
+// trust lets the requests pass that the settings exempt.
+func (s *suspects) trust(settings *Settings) {
+	trusted := make([]suspect.Fingerprint, 0, len(settings.TrustedRequests))
+	for _, text := range settings.TrustedRequests {
+		// The settings have been validated.
+		if f, err := suspect.ParseFingerprint(text); err == nil {
+			trusted = append(trusted, f)
+		}
+	}
+	s.tracker.SetTrusted(trusted)
+}
+
 // announce sends each change to the other active hosts at once: callers repeat a request within some
 // tens of milliseconds, at any host.
 func (s *suspects) announce(ctx context.Context) {
--- a/internal/suspect/fingerprint.go
+++ b/internal/suspect/fingerprint.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -14,6 +15,25 @@
 // String returns the fingerprint as 16 hexadecimal digits.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
+// fingerprintDigits is the number of digits of a fingerprint in logs and settings.
+const fingerprintDigits = 16
+
+// FingerprintError reports a text that is no fingerprint.
+type FingerprintError struct{ Text string }
+
+func (e *FingerprintError) Error() string {
+	return fmt.Sprintf("suspect: %q is no fingerprint of %d hexadecimal digits", e.Text, fingerprintDigits)
+}
+
+// ParseFingerprint parses the result of String. The error is a *FingerprintError.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	f, err := strconv.ParseUint(text, 16, 64)
+	if err != nil || len(text) != fingerprintDigits {
+		return 0, &FingerprintError{text}
+	}
+	return Fingerprint(f), nil
+}
+
 // Identity is what equal requests have in common.
 type Identity struct {
 	Service string
