An upstream that keeps open connections has not ended

A lost answer there counted as an end of the upstream. TestUpstreamWithOpenConnectionsHasNotEnded failed before.

--- a/internal/entryhost/suspect_test.go
+++ b/internal/entryhost/suspect_test.go
@@ -213,3 +213,30 @@
 	h.daemon.Reload(&settings)
 	g.Expect(s.call(h, "GET", "/read/ends", "k1", "").status).To(Equal(http.StatusOK), "the answer has cleared it")
 }
+
+// Guards against an upstream that counts as ended because it takes no more connections, or a path to it refuses them.
+func TestUpstreamWithOpenConnectionsHasNotEnded(t *testing.T) {
+	g := NewWithT(t)
+	s, logs := newLoggedSite(t)
+	s.worker("i-1", "s", "a1", 0).SetHandler(func(w http.ResponseWriter, r *http.Request) {
+		if strings.Contains(r.RequestURI, "lost") {
+			panic(http.ErrAbortHandler)
+		}
+		time.Sleep(100 * time.Millisecond)
+		w.Header().Set("X-Response-Signature", "signed")
+	})
+	s.declare(4, "k1")
+	uplink := &standin.Uplink{}
+	h := s.hostWith("h1", "a1", hostOptions{uplink: uplink})
+	s.awaitServing()
+	var reads sync.WaitGroup
+	for range 4 {
+		reads.Go(func() { _ = s.read(h) })
+	}
+	reads.Wait()
+	uplink.SetFault(standin.UplinkRefusesNew)
+	g.Expect(s.call(h, "POST", "/post/lost", "k1", "weight=200").status).To(Equal(http.StatusBadGateway))
+	g.Expect(logs.String()).To(ContainSubstring(`msg="answer lost"`))
+	g.Expect(logs.String()).NotTo(ContainSubstring(`msg="upstream ended"`))
+	g.Expect(s.metrics(h)).To(ContainSubstring("balsambarrow_suspect_requests 0"))
+}
--- a/internal/entryhost/upstreamend.go
+++ b/internal/entryhost/upstreamend.go
@@ -98,7 +98,8 @@
 }
 
 // refusesConnections reports whether an upstream refuses new connections, unless this host has lost
-// its links to all upstreams.
+// its links to all upstreams. An upstream with too many connections refuses new ones, too, but keeps
+// those that are open.
 func (e *upstreamEnds) refusesConnections(ctx context.Context, lost lostResponse) bool {
 	dialCtx, cancel := context.WithTimeout(ctx, endDialTimeout)
 	defer cancel()
@@ -107,7 +108,7 @@
 		_ = conn.Close()
 		return false
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	if !errors.Is(err, syscall.ECONNREFUSED) || e.d.upstreamConns.HasOpenIdle(lost.choice.Address) {
 		return false
 	}
 	e.d.links.CheckLinks(dialCtx, lost.at)
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -141,6 +142,13 @@
 // CloseUnusable closes the idle connections that may not carry another request; see Paths.
 func (p *Pool) CloseUnusable() { p.closeIdle(func(c *conn) bool { return !p.reusable(c) }) }
 
+// HasOpenIdle reports whether an idle connection to an address is still open.
+func (p *Pool) HasOpenIdle(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle[address], (*conn).noPendingInput)
+}
+
 // CloseIdle closes the idle connections to an address. It is called when the
 // upstream is unreachable because it was removed or has failed.
 func (p *Pool) CloseIdle(address string) {
