A restart long after a lost answer is not an end of its upstream

An upstream that takes new connections after a lost answer may have restarted, and is registered again within 3 s.

The age is checked first. TestOnlyARestartSoonAfterALostResponseIsAnEnd failed before (case 'late'). TestAnnouncedStopAndSpoiledResponseAreNoEnds is new: it holds, and fails with each condition taken out.

--- a/internal/entryhost/suspect_test.go
+++ b/internal/entryhost/suspect_test.go
@@ -240,3 +240,50 @@
 	g.Expect(logs.String()).NotTo(ContainSubstring(`msg="upstream ended"`))
 	g.Expect(s.metrics(h)).To(ContainSubstring("balsambarrow_suspect_requests 0"))
 }
+
+// Guards against an upstream that counts as ended because it stops as announced, or spoils a response.
+func TestAnnouncedStopAndSpoiledResponseAreNoEnds(t *testing.T) {
+	for _, state := range []string{"draining", "removed", "spoils"} {
+		t.Run(state, func(t *testing.T) {
+			g := NewWithT(t)
+			s, logs := newLoggedSite(t)
+			k := &standin.PlatformUpstream{ID: "i-1"}
+			server := httptest.NewServer(k)
+			t.Cleanup(server.Close)
+			started, finish := make(chan struct{}, 1), make(chan struct{})
+			k.SetHandler(func(w http.ResponseWriter, r *http.Request) {
+				if !strings.Contains(r.RequestURI, "last") {
+					w.Header().Set("X-Response-Signature", "signed")
+					return
+				}
+				started <- struct{}{}
+				<-finish
+				_ = server.Listener.Close()
+				if state != "spoils" {
+					panic(http.ErrAbortHandler)
+				}
+				// A success without a signature.
+			})
+			address := server.Listener.Addr().String()
+			s.register(k, "s", address, "a1", "ready", 1)
+			s.declare(4, "k1")
+			h := s.host("h1", "a1")
+			s.awaitServing()
+			answer := make(chan response, 1)
+			go func() { answer <- s.call(h, "POST", "/post/last", "k1", "weight=200") }()
+			<-started
+			switch state {
+			case "draining":
+				s.register(k, "s", address, "a1", "draining", 2)
+				g.Eventually(logs.String, "5s", "20ms").Should(MatchRegexp(`upstream=i-1 .*state=draining|draining.*i-1`))
+			case "removed":
+				s.store.Delete("servers/i-1")
+				g.Eventually(h.daemon.Upstreams, "5s", "20ms").Should(BeZero())
+			}
+			close(finish)
+			g.Expect((<-answer).status).To(Equal(http.StatusBadGateway))
+			g.Expect(logs.String()).To(ContainSubstring(`msg="answer lost"`))
+			g.Consistently(logs.String, "300ms", "50ms").ShouldNot(ContainSubstring(`msg="upstream ended"`))
+		})
+	}
+}
--- a/internal/entryhost/upstreamend.go
+++ b/internal/entryhost/upstreamend.go
@@ -130,14 +130,16 @@
 	defer e.mu.Unlock()
 	kept := e.unclear[:0]
 	for _, lost := range e.unclear {
+		if now.Sub(lost.at) >= restartRegistered {
+			continue
+		}
 		state, instance := e.d.table.Instance(lost.choice)
 		successor, found := e.d.table.Locate(lost.choice.Address)
-		switch {
-		case state == place.InstanceReplaced || found && successor.ID != lost.choice.ID:
+		if state == place.InstanceReplaced || found && successor.ID != lost.choice.ID {
 			go lost.ended(instance)
-		case now.Sub(lost.at) < restartRegistered:
-			kept = append(kept, lost)
+			continue
 		}
+		kept = append(kept, lost)
 	}
 	clear(e.unclear[len(kept):])
 	e.unclear = kept
