Logs and metrics show what a promise of a status rests on

A status of 408, 421, 429 or 503 promises that the request has not run. No line had how each attempt ended, and a 429 or 408 of an upstream was not logged at all. The lines of a refused or answered request now have the end of each attempt and what is known of the execution, and balsambarrow_not_run_promises_total counts such responses by execution, so that the three hypotheses can be told apart. No decision changes.

--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -96,6 +96,9 @@
 	d.meter.add(o.Bytes)
 	set := d.metrics.Set
 	set.GetOrCreateCounter(fmt.Sprintf(`balsambarrow_answers_total{route=%q,status="%d",cause=%q}`, o.Route, o.Status, cause)).Inc()
+	if o.PromisesNotRun() {
+		set.GetOrCreateCounter(fmt.Sprintf(`balsambarrow_not_run_promises_total{execution=%q,idempotent="%t",cause=%q}`, o.Execution, o.Idempotent, cause)).Inc()
+	}
 	set.GetOrCreateHistogram(fmt.Sprintf(`balsambarrow_answer_seconds{route=%q}`, o.Route)).Update(o.Duration.Seconds())
 	d.observeUpstreamLatency(o.Route, o.Latency)
 }
--- /dev/null
+++ b/internal/front/execution.go
@@ -0,0 +1,42 @@
+package front
+
+import "net/http"
+
+// Execution is what the host knows about whether a request has run, over all attempts at upstreams.
+type Execution int
+
+const (
+	// NotSent: no upstream has received any part of the request.
+	NotSent Execution = iota
+	// NotRun: each upstream that has received the request has stated that it did not run it.
+	NotRun
+	// MayHaveRun: an upstream has run the request, may have run it, or may still run it.
+	MayHaveRun
+)
+
+// String returns the value for logs and metrics.
+func (e Execution) String() string {
+	return [...]string{NotSent: "not-sent", NotRun: "not-run", MayHaveRun: "may-have-run"}[e]
+}
+
+// PromisesNotRun reports whether the status of the response promises that the request has not run. The promise is
+// true unless Execution is MayHaveRun.
+func (o Observation) PromisesNotRun() bool { return promisesNotRun(o.Status) }
+
+// executionAfter returns what the end of an attempt that was sent says about the execution.
+func executionAfter(end outcome) Execution {
+	if end == outcomeShed {
+		return NotRun
+	}
+	return MayHaveRun
+}
+
+// promisesNotRun reports whether a status tells the caller that its request has not run and never will, so
+// that it may be sent again even if it must not run twice.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -112,8 +112,12 @@
 	Duration time.Duration
 	// Bytes is the size of the response body.
 	Bytes int
-	// Sends is the number of upstreams that the request was sent to.
-	Sends int
+	// Sends is the number of upstreams that the request was sent to, and Execution what the host knows about
+	// whether one of them ran it.
+	Sends     int
+	Execution Execution
+	// Idempotent is set if the request may run more than once.
+	Idempotent bool
 	// Latency compares the expected and the actual latency of the upstream that
 	// answered; nil if none did.
 	Latency *LatencyComparison
@@ -208,6 +212,10 @@
 	tried []string
 	// timeLeft is the time limit that each upstream was told, or the time that was left if nothing was sent.
 	timeLeft []time.Duration
+	// ends are the outcomes of all attempts.
+	ends []string
+	// execution is what is known after all attempts so far.
+	execution Execution
 	// mayHaveRun is set if an upstream may have run the request.
 	mayHaveRun bool
 	shed       bool
@@ -226,6 +234,9 @@
 	latency *LatencyComparison
 }
 
+// idempotent reports whether the request may run more than once.
+func (q *request) idempotent() bool { return q.route != nil && q.route.Kind.Idempotent() }
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{Request: h.Codec.ParseRequest(r), arrived: h.Now()}
@@ -452,11 +463,13 @@
 		route = q.route.Name
 	}
 	took := h.Now().Sub(q.arrived)
-	h.Observe(Observation{Route: route, Status: f.status, Cause: f.cause, Duration: took, Sends: q.attempts.sends})
+	h.Observe(Observation{
+		Route: route, Status: f.status, Cause: f.cause, Duration: took, Sends: q.attempts.sends, Execution: q.attempts.execution, Idempotent: q.idempotent(),
+	})
 	pairs := []any{
 		"id", q.ID, "route", route, "service", q.service, "status", f.status, "cause", f.cause,
 		"reason", f.reason, "retry_after", f.retryAfter, "took", took, "waited_at_host", q.waited, "sends", q.attempts.sends, "tried", q.attempts.tried,
-		"time_left", q.attempts.timeLeft,
+		"time_left", q.attempts.timeLeft, "ends", q.attempts.ends, "execution", q.attempts.execution,
 	}
 	h.Log.Info("refused", append(pairs, h.State().logPairs(h.Now())...)...)
 	if f.cause == CauseCallerLeft {
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -145,12 +145,16 @@
 	// Other errors mean that the caller has disconnected.
 	now := h.Now()
 	took := now.Sub(q.arrived)
-	h.Observe(Observation{Route: q.route.Name, Status: resp.status, Duration: took, Bytes: len(resp.body), Sends: q.attempts.sends, Latency: q.attempts.latency})
+	h.Observe(Observation{
+		Route: q.route.Name, Status: resp.status, Duration: took, Bytes: len(resp.body), Sends: q.attempts.sends, Execution: MayHaveRun, Idempotent: q.idempotent(),
+		Latency: q.attempts.latency,
+	})
 	late := q.route.TargetLatency > 0 && took > q.route.TargetLatency
-	if q.attempts.sends > 1 || late || q.state.unusualAge(q.arrived, now) || q.attempts.relay != "" || resp.status >= http.StatusInternalServerError || h.responseCount.Add(1)%responseLogInterval == 0 {
+	if q.attempts.sends > 1 || late || q.state.unusualAge(q.arrived, now) || q.attempts.relay != "" || resp.status >= http.StatusInternalServerError || promisesNotRun(resp.status) || h.responseCount.Add(1)%responseLogInterval == 0 {
 		pairs := []any{
 			"id", q.ID, "route", q.route.Name, "status", resp.status, "took", took,
 			"target", q.route.TargetLatency, "waited_at_host", q.waited, "sends", q.attempts.sends, "tried", q.attempts.tried, "time_left", q.attempts.timeLeft, "relay", q.attempts.relay,
+			"ends", q.attempts.ends,
 		}
 		pairs = append(pairs, q.state.logPairs(now)...)
 		h.Log.Info("answered", append(pairs, q.attempts.latency.logPairs()...)...)
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -100,6 +100,7 @@
 	h.latencies.start(q)
 	h.placeAttempt(q, choice)
 	end, resp = h.send(ctx, w, q, choice)
+	q.attempts.ends = append(q.attempts.ends, end.String())
 	answered = end == outcomeAnswered || end == outcomeFailed
 	if end != outcomeAnswered {
 		h.ObserveFailedAttempt(end.String(), choice.Zone)
@@ -262,11 +263,13 @@
 	switch {
 	case err == nil:
 		q.attempts.sends++
+		defer func() { q.attempts.execution = max(q.attempts.execution, executionAfter(end)) }()
 		return h.receive(ctx, w, q, c, sentAt, upstream)
 	case errors.As(err, &unsent):
 		return h.recordUnsent(ctx, q, c, unsent)
 	}
 	q.attempts.sends++
+	q.attempts.execution = MayHaveRun
 	return h.recordLost(ctx, q, c, err), nil
 }
 
