Known red: an upstream that ran a request makes the host promise that it did not

TestRefusedRequestsDoNotRun is a soak of real processes: upstreams are processes that record what they run before they work, hosts and upstreams are killed, suspended, stopped and replaced at the same address, links and the store are cut, and callers send postings that are short or long, slow, in chunks, with time limits of 20 to 1,220 ms. Each status that promises is compared with what ran.

--- a/internal/soak/binary_test.go
+++ b/internal/soak/binary_test.go
@@ -11,8 +11,11 @@
 // binaryDir is the directory of the daemon's binary; "" until it is built.
 var binaryDir string
 
-// TestMain removes the daemon's binary after all tests.
+// TestMain removes the daemon's binary after all tests. The process is an upstream instead if upstreamEnv is set.
 func TestMain(m *testing.M) {
+	if spec := os.Getenv(upstreamEnv); spec != "" {
+		serveAsUpstream(spec)
+	}
 	code := m.Run()
 	_ = os.RemoveAll(binaryDir)
 	os.Exit(code)
