A request that may have run is not answered with a status that promises that it has not

Callers of postings got 408, 429 or 503 and repeated them, although an upstream had run them. An upstream that has run a request may answer so: only its statement that it did not run the request is a promise. The host passed the response on unchanged, and its status became the promise of the host. Beside it, four places decided what is known of the attempts, by mayHaveRun, shed, sends and a kept response.

What is known over all attempts is one value now (execution.go), which only rises. All refusals of the host pass one check; responses of upstreams to requests that must not run twice pass another before their first byte, short and streamed ones: 502, the body as it is, without the signature, which covers the status, and without Retry-After. A request that ran out of time after upstreams had only declined it is told so (503, was 504).

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -216,9 +216,6 @@
 	ends []string
 	// execution is what is known after all attempts so far.
 	execution Execution
-	// mayHaveRun is set if an upstream may have run the request.
-	mayHaveRun bool
-	shed       bool
 	// pathDown is set if this host had no network path to an upstream.
 	pathDown bool
 	// relay is the address of the host through which the last response came; "" if it came
@@ -254,7 +251,7 @@
 		refused = h.serve(w, q)
 	}
 	if refused != nil {
-		h.refuse(w, q, refused)
+		h.refuse(w, q, q.attempts.truthful(refused))
 	}
 }
 
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -24,9 +24,11 @@
 // sample shows what is normal at the time of a failure.
 const responseLogInterval = 64
 
-// response is a completely buffered upstream response.
+// response is a completely buffered upstream response, or the buffered start of one. notRun is set if it states
+// that the upstream did not run the request.
 type response struct {
 	status int
+	notRun bool
 	header http.Header
 	body   []byte
 }
@@ -51,7 +53,7 @@
 		return h.recordLost(ctx, q, c, err), nil
 	}
 	report.ResponseBytes = len(buffered)
-	resp := &response{status: upstream.StatusCode, header: upstream.Header, body: buffered}
+	resp := &response{status: upstream.StatusCode, notRun: meta.NotRun, header: upstream.Header, body: buffered}
 	if !complete {
 		err := h.stream(w, q, resp, upstream)
 		upstream.Close(meta.KeepAlive)
@@ -130,6 +132,7 @@
 
 // writeResponse writes a buffered response to the caller.
 func (h *Handler) writeResponse(w http.ResponseWriter, q *request, resp *response) {
+	h.withdrawPromise(q, resp)
 	h.endBody(w, q)
 	q.releaseBody()
 	moveHeader(w.Header(), resp.header)
@@ -163,6 +166,7 @@
 
 // stream forwards a response that exceeds maxBufferedResponse as it arrives.
 func (h *Handler) stream(w http.ResponseWriter, q *request, start *response, rest io.Reader) error {
+	h.withdrawPromise(q, start)
 	h.endBody(w, q)
 	q.releaseBody()
 	moveHeader(w.Header(), start.header)
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -70,10 +70,6 @@
 			unreachable++
 		case outcomeFailed:
 			failure = resp
-		case outcomeLost:
-			q.attempts.mayHaveRun = true
-		case outcomeShed:
-			q.attempts.shed = true
 		}
 		if refused := h.checkRetry(q, end, unreachable); refused != nil {
 			return h.finishUnserved(w, q, failure, refused)
@@ -138,10 +134,10 @@
 
 // unservedRefusal returns the refusal that is correct for the attempts so far.
 func (h *Handler) unservedRefusal(q *request) *refusal {
-	switch {
-	case q.attempts.mayHaveRun:
+	switch q.attempts.execution {
+	case MayHaveRun:
 		return &refusal{status: http.StatusBadGateway, cause: CauseResponseLost}
-	case q.attempts.shed:
+	case NotRun:
 		if pause := h.Table.PauseLeft(h.Now(), h.placementQuery(q)); pause > 0 {
 			return unavailable(CauseUpstreamsShed, spreadRetryAfter(pause))
 		}
@@ -197,33 +193,24 @@
 }
 
 // finishUnserved ends a request that no upstream answered and that is not tried
-// again. A 5xx response of an upstream takes precedence over a refusal. If the
-// request may have run, a status that denies this is replaced by 502.
+// again. A 5xx response of an upstream takes precedence over a refusal.
 func (h *Handler) finishUnserved(w http.ResponseWriter, q *request, failure *response, refused *refusal) *refusal {
 	if failure != nil {
 		h.writeResponse(w, q, failure)
 		return nil
 	}
-	if q.attempts.mayHaveRun && impliesNotRun(refused.status) {
-		refused = &refusal{status: http.StatusBadGateway, cause: refused.cause}
-	}
-	if q.customer != nil && impliesNotRun(refused.status) {
+	if q.customer != nil && q.attempts.execution != MayHaveRun && impliesNotRun(refused.status) {
 		h.RateLimiter.Refund(q.customer.Name)
 	}
 	return refused
 }
 
-// impliesNotRun reports whether a status guarantees that the request did not run.
-func impliesNotRun(status int) bool {
-	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable ||
-		status == http.StatusUnauthorized || status == http.StatusRequestTimeout
-}
-
 // timeoutRefusal returns the refusal for a request whose time limit has passed or
 // whose caller has disconnected.
 func (h *Handler) timeoutRefusal(q *request) *refusal {
+	mayHaveRun := q.attempts.execution == MayHaveRun
 	if q.body.guard.stalled() {
-		if q.attempts.mayHaveRun || q.attempts.sends > 0 {
+		if mayHaveRun {
 			return denied(http.StatusGatewayTimeout, CauseBodyStalled)
 		}
 		return denied(http.StatusRequestTimeout, CauseBodyStalled)
@@ -232,7 +219,7 @@
 		return &refusal{cause: CauseCallerLeft}
 	}
 	refused := unavailable(CauseTimeout, retrySoon)
-	if q.attempts.sends > 0 {
+	if mayHaveRun {
 		refused = &refusal{status: http.StatusGatewayTimeout, cause: CauseTimeout}
 	}
 	if q.deadline.Before(q.timeLimit) {
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -97,6 +97,8 @@
 	SetTimeLimit(h http.Header, l TimeLimit)
 	// ParseResponse reads the metadata of an upstream's response.
 	ParseResponse(r *http.Response) Response
+	// ReplaceStatus removes from the header of an upstream's response what is true only with its own status.
+	ReplaceStatus(h http.Header)
 	// SetRetryAfter sets the delay after which the caller of a rejected request should
 	// retry.
 	SetRetryAfter(h http.Header, retryAfter time.Duration)
