A success that states that it did not run is no answer

The header that states that a request was not run was believed with any status. A posting whose upstream sent it with a 200 was sent to a second upstream, which ran it too, and its caller got 503. Only a refusal can state that; a success that does is invalid, as one without a signature is: the posting is answered 502 and not sent again.

TestSuccessThatStatesItDidNotRunIsNotSentAgain failed before (503, want 502; two runs).

--- a/internal/entryhost/execution_test.go
+++ b/internal/entryhost/execution_test.go
@@ -69,3 +69,22 @@
 		g.Expect(got.header).To(HaveKey("X-Response-Signature"))
 	}
 }
+
+// Guards against a success whose request is sent again, since the same response states that it did not run.
+func TestSuccessThatStatesItDidNotRunIsNotSentAgain(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	one, two := s.worker("i-1", "s", "a1", 0), s.worker("i-2", "s", "a1", 0)
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	s.awaitServing()
+	before := len(one.Runs()) + len(two.Runs())
+	contradict := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Not-Executed", "1")
+		respondWith(http.StatusOK, 100)(w, r)
+	}
+	one.SetHandler(contradict)
+	two.SetHandler(contradict)
+	g.Expect(s.post(h).status).To(Equal(http.StatusBadGateway))
+	g.Expect(len(one.Runs()) + len(two.Runs()) - before).To(Equal(1))
+}
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -126,6 +126,8 @@
 		return "success without signature"
 	case r.StatusCode/100 == 3:
 		return "redirection"
+	case r.StatusCode < http.StatusBadRequest && meta.NotRun:
+		return "success that states it did not run"
 	}
 	return ""
 }
