A response that breaks off does not look whole to callers of HTTP/1.0

Each kind of response was cut at each byte (15 kinds, an orderly close and a reset), on the way to the host, behind a tunnel and up to the caller, in HTTP/1.1 and 1.0. A header that breaks off is no response on any hop, and callers get 502: the report itself is not reproduced. The same class was found at the other end: a long response is streamed, and to a caller of HTTP/1.0 only the end of the connection ends it if the upstream sent no length. The host closed that connection in order when the upstream had broken off, so the caller took a part for the whole.

The connection of such a caller now ends with a reset unless the response is complete, also if the process dies.

--- a/internal/front/memorylistener.go
+++ b/internal/front/memorylistener.go
@@ -63,6 +63,9 @@
 	return &callerConn{TCPConn: c, listener: l, header: headerReading{active: true, charge: memory.Header{Budget: l.Budget}}}
 }
 
+// NetConn returns the underlying connection.
+func (c *callerConn) NetConn() net.Conn { return c.TCPConn }
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.closing.Do(func() {
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +13,7 @@
 	"balsambarrow/internal/h1"
 	"balsambarrow/internal/memory"
 	"balsambarrow/internal/place"
+	"balsambarrow/internal/tcpreset"
 	"balsambarrow/internal/traffic"
 )
 
@@ -172,6 +174,10 @@
 	h.endBody(w, q)
 	q.releaseBody()
 	moveHeader(w.Header(), start.header)
+	conn := q.closeDelimited(w.Header())
+	if conn != nil {
+		tcpreset.Enable(conn)
+	}
 	w.WriteHeader(start.status)
 	if _, err := w.Write(start.body); err != nil {
 		return &callerError{err}
@@ -179,9 +185,22 @@
 	start.body = nil
 	q.hold.ReleaseResponse()
 	_, err := io.CopyBuffer(callerWriter{w}, rest, make([]byte, memory.StreamBytes))
+	if err == nil && conn != nil {
+		tcpreset.Disable(conn)
+	}
 	return err
 }
 
+// closeDelimited returns the connection of the caller if the orderly end of the connection is what tells the caller that
+// the response is complete; else nil.
+func (q *request) closeDelimited(header http.Header) net.Conn {
+	if q.http.ProtoAtLeast(1, 1) || header.Get("Content-Length") != "" {
+		return nil
+	}
+	c, _ := q.http.Context().Value(callerConnKey{}).(net.Conn)
+	return c
+}
+
 // finishStream records the outcome of a streamed response. If the response was
 // interrupted, finishStream aborts the connection to the caller, so that the
 // caller cannot take the truncated response for a complete one.
