The earlier daemon's status promises nothing that its outcome denies

A call that may have run was answered 503 with Retry-After if its upstream had answered 503 without stating that it did not run it, or if a later attempt found no room: the outcome said may-have-run, and the status, which generic clients go by, invited them to repeat it.

Calls that are not safe get 502 without Retry-After then; the problem's type and outcome stay. Which statuses promise is in one place for both daemons (traffic.PromisesNotRun). A response of an upstream is passed on as it is, with the outcome 'ran'.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -100,6 +100,9 @@
 			response.Write(w)
 			return
 		}
+		if !call.Safe() {
+			problem = problem.Truthful()
+		}
 	}
 	span.SetAttributes(attribute.String("problem", problem.Type))
 	problem.Write(w)
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -1,6 +1,10 @@
 package front
 
-import "net/http"
+import (
+	"net/http"
+
+	"balsambarrow/internal/traffic"
+)
 
 // Execution is what the host knows about whether a request has run, over all attempts at upstreams.
 type Execution int
@@ -21,11 +25,11 @@
 
 // PromisesNotRun reports whether the status of the response promises that the request has not run. The promise is
 // true unless Execution is MayHaveRun.
-func (o Observation) PromisesNotRun() bool { return promisesNotRun(o.Status) }
+func (o Observation) PromisesNotRun() bool { return traffic.PromisesNotRun(o.Status) }
 
 // impliesNotRun reports whether a status of the host itself says that the request did not run.
 func impliesNotRun(status int) bool {
-	return promisesNotRun(status) || status == http.StatusUnauthorized
+	return traffic.PromisesNotRun(status) || status == http.StatusUnauthorized
 }
 
 // truthful returns the refusal with a status that agrees with the attempts: 502 in place of one that denies that
@@ -41,7 +45,7 @@
 // upstream does not state that: the caller may repeat a request that must not run twice. Requests that may
 // run twice keep the response as it is.
 func (h *Handler) withdrawPromise(q *request, resp *response) {
-	if resp.notRun || q.idempotent() || !promisesNotRun(resp.status) {
+	if resp.notRun || q.idempotent() || !traffic.PromisesNotRun(resp.status) {
 		return
 	}
 	h.Log.Info("promise of upstream withdrawn", "id", q.ID, "status", resp.status, "tried", q.attempts.tried)
@@ -56,13 +60,3 @@
 	}
 	return MayHaveRun
 }
-
-// promisesNotRun reports whether a status tells the caller that its request has not run and never will, so
-// that it may be sent again even if it must not run twice.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -157,7 +157,7 @@
 		Latency: q.attempts.latency,
 	})
 	late := q.route.TargetLatency > 0 && took > q.route.TargetLatency
-	if q.attempts.sends > 1 || late || q.state.unusualAge(q.arrived, now) || q.attempts.relay != "" || resp.status >= http.StatusInternalServerError || promisesNotRun(resp.status) || h.responseCount.Add(1)%responseLogInterval == 0 {
+	if q.attempts.sends > 1 || late || q.state.unusualAge(q.arrived, now) || q.attempts.relay != "" || resp.status >= http.StatusInternalServerError || traffic.PromisesNotRun(resp.status) || h.responseCount.Add(1)%responseLogInterval == 0 {
 		pairs := []any{
 			"id", q.ID, "route", q.route.Name, "status", resp.status, "took", took,
 			"target", q.route.TargetLatency, "waited_at_host", q.waited, "sends", q.attempts.sends, "tried", q.attempts.tried, "time_left", q.attempts.timeLeft, "relay", q.attempts.relay,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"balsambarrow/internal/traffic"
 )
 
 // Headers that callers send or receive.
@@ -97,6 +99,17 @@
 	return &merged
 }
 
+// Truthful returns the problem with a status that agrees with its outcome: 502, without a retry delay, in place of
+// one that promises that a request has not run which may have.
+func (p *Problem) Truthful() *Problem {
+	if p.Outcome == OutcomeNotRun || !traffic.PromisesNotRun(p.Status) {
+		return p
+	}
+	out := *p
+	out.Status, out.RetryAfterMs = http.StatusBadGateway, 0
+	return &out
+}
+
 // Error implements the error interface.
 func (p *Problem) Error() string { return p.Type + ": " + p.Detail }
 
