--- a/internal/soak/refusal_test.go
+++ b/internal/soak/refusal_test.go
@@ -185,6 +185,9 @@
 	var out []callerRequest
 	for end := time.Now().Add(*callerDuration); time.Now().Before(end); {
 		r := callerRequest{id: fmt.Sprintf("c%d-%d-", number, len(out)), post: rng.IntN(4) > 0, host: c.processes[rng.IntN(len(c.processes))], key: "steady"}
+		if number%4 == 0 {
+			r.key = standin.RateLimitedKey
+		}
 		out = append(out, c.sendImpatiently(rng, client, r))
 		time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
 	}
