A transferred burst is not cut to the depth of its next owner

The depth of a bucket follows its part of the demand, and the demand of callers that moved with the bucket counts for the earlier owner until the next heartbeats.

Transferred tokens beyond the depth are kept for two seconds, in which nothing is added to them; at most a whole bucket is taken in. They existed once at the earlier owner, so the sum over the hosts does not grow by the move.

--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -30,6 +30,9 @@
 	// announceDelay is the time until the other hosts apply announced demand: the
 	// network delay between regions and one pass of the control thread.
 	announceDelay = 180 * time.Millisecond
+	// transferGrace is how long transferred tokens may exceed the depth of the bucket: until the demand that moved
+	// with it counts for this host. It covers the time constant of the demand and a heartbeat.
+	transferGrace = 2 * time.Second
 	// minRetryAfter and maxRetryAfter bound the time after which a rejected caller should
 	// retry.
 	minRetryAfter = 100 * time.Millisecond
@@ -72,8 +75,10 @@
 	demand     demand
 	tokens     float64
 	refilledAt time.Time
-	// received are the tokens that were transferred before this host owned the bucket.
-	received float64
+	// received are the tokens that were transferred before this host owned the bucket, and receivedAt is when
+	// the last ones were transferred; see transferGrace.
+	received   float64
+	receivedAt time.Time
 	// announced is the demand that was last announced to the other hosts, at
 	// announcedAt, and previouslyAnnounced the demand that they knew until then.
 	announced, previouslyAnnounced float64
@@ -169,7 +174,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucket(c.Name)
-	_, depth := l.refill(now, c, b, l.fraction(now, c.Name, b))
+	l.refill(now, c, b, l.fraction(now, c.Name, b))
+	_, depth := l.bounds(c, 1)
+	b.receivedAt = now
 	if _, owned := l.owned[c.Name]; !owned && l.owned != nil {
 		b.received = min(b.received+tokens, depth)
 		return
@@ -177,6 +184,12 @@
 	b.tokens = min(b.tokens+tokens, depth)
 }
 
+// bounds returns the rate per second and the depth of a bucket that has a fraction of the customer's rate.
+func (l *Limiter) bounds(c *catalog.Customer, fraction float64) (rate, depth float64) {
+	slack := slackFraction * l.slack / float64(l.owners)
+	return fraction * c.Rate, max(fraction*c.Burst*burstFraction, minDepth) + slack
+}
+
 // Decision is the result of admission control for one request.
 type Decision struct {
 	Admitted bool
@@ -227,10 +240,9 @@
 // returns the bucket's rate per second and its depth. A bucket that has not been used before has
 // been filling since this host began to hold rate shares.
 func (l *Limiter) refill(now time.Time, c *catalog.Customer, b *bucket, fraction float64) (rate, depth float64) {
-	slack := slackFraction * l.slack / float64(l.owners)
-	rate, depth = fraction*c.Rate, max(fraction*c.Burst*burstFraction, minDepth)+slack
+	rate, depth = l.bounds(c, fraction)
 	o, owned := l.owned[c.Name]
-	initial := max(slack, minDepth)
+	initial := max(slackFraction*l.slack/float64(l.owners), minDepth)
 	if b.refilledAt.IsZero() {
 		b.tokens, b.refilledAt = initial, now
 		if !l.leaseSince.IsZero() {
@@ -249,8 +261,11 @@
 		b.refill(o.since, rate, max(b.tokens, 0))
 		b.tokens = min(b.tokens, initial)
 	}
-	b.tokens, b.received = min(b.tokens+b.received, depth), 0
-	b.refill(now, rate, depth)
+	b.tokens, b.received = b.tokens+b.received, 0
+	if b.receivedAt.IsZero() || now.Sub(b.receivedAt) >= transferGrace {
+		b.tokens = min(b.tokens, depth)
+	}
+	b.refill(now, rate, max(b.tokens, depth))
 	return rate, depth
 }
 
