An upstream that resets connections and accepts new ones has not ended

Such an upstream runs, and cannot be told from one with too many connections; a request under which upstreams get into that state is not refused.

--- a/internal/entryhost/suspect_test.go
+++ b/internal/entryhost/suspect_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"regexp"
@@ -16,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"balsambarrow/internal/standin"
+	"balsambarrow/internal/tcpreset"
 )
 
 // maxEnds is the number of upstreams that may end under one request before all hosts refuse it.
@@ -241,6 +243,26 @@
 	g.Expect(s.metrics(h)).To(ContainSubstring("balsambarrow_suspect_requests 0"))
 }
 
+// Guards against an upstream that counts as ended because it resets connections while it accepts new ones.
+func TestUpstreamThatAcceptsConnectionsHasNotEnded(t *testing.T) {
+	g := NewWithT(t)
+	s, logs := newLoggedSite(t)
+	var resets atomic.Int64
+	s.rawUpstream("i-1", func(c net.Conn, _ string) {
+		resets.Add(1)
+		tcpreset.Enable(c)
+	})
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	g.Eventually(func() int64 {
+		_ = s.read(h)
+		return resets.Load()
+	}, "15s", "50ms").Should(BeNumerically(">=", 2*maxEnds))
+	g.Expect(logs.String()).To(ContainSubstring(`msg="answer lost"`))
+	g.Expect(logs.String()).NotTo(ContainSubstring(`msg="upstream ended"`))
+	g.Expect(s.metrics(h)).To(ContainSubstring("balsambarrow_suspect_requests 0"))
+}
+
 // Guards against an upstream that counts as ended because it stops as announced, or spoils a response.
 func TestAnnouncedStopAndSpoiledResponseAreNoEnds(t *testing.T) {
 	for _, state := range []string{"draining", "removed", "spoils"} {
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -9,6 +9,7 @@
 // Execution is what the host knows about whether a request has run, over all attempts at upstreams.
 type Execution int
 
+// Values of Execution.
 const (
 	// NotSent: no upstream has received any part of the request.
 	NotSent Execution = iota
