Regions that do not hear each other do not grow their parts of a rate

Two regions were cut off from each other half a second before a customer sent seven times its usual in all of them.

While a host of another region that holds shares is registered and not heard, the part of a customer whose demand exceeds the region's usual part is bounded by that usual part, an average of the time before the cut. Regions that are heard by all follow the demand as before, so the sum is one.

TestRegionsThatDoNotHearEachOtherStayWithinTheRate failed before (951 of 944).

--- a/internal/entryhost/publish.go
+++ b/internal/entryhost/publish.go
@@ -112,5 +112,6 @@
 	}
 	p.demandGeneration, p.demandAt = c.members.DemandGeneration(), now
 	c.d.shares.SetRegionFraction(c.members.HeardFraction())
+	c.d.shares.SetOwnersUnheard(c.members.OwnersUnheard())
 	c.d.shares.SetRemoteDemand(c.members.Demand(), c.bucketCount(), c.members.DemandComplete())
 }
--- a/internal/fleet/views.go
+++ b/internal/fleet/views.go
@@ -56,6 +56,17 @@
 	return float64(heard) / float64(all)
 }
 
+// OwnersUnheard reports whether hosts of other regions that hold rate shares are registered whose heartbeats no longer
+// arrive.
+func (m *Members) OwnersUnheard() bool {
+	for _, k := range m.byInstance {
+		if k.Region != m.region && k.registered && k.holdsShares && k.sequence > 0 && !k.alive {
+			return true
+		}
+	}
+	return false
+}
+
 // Demand returns the total demand of each customer at all other hosts that may be
 // serving it, in requests per second.
 func (m *Members) Demand() map[string]float64 {
--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -53,6 +53,9 @@
 	regionFraction float64
 	// remoteComplete reports whether the demand at all other hosts is known.
 	remoteComplete bool
+	// ownersUnheard is set while owners of other regions may grant without hearing of this host, nor it of
+	// them; see SetOwnersUnheard.
+	ownersUnheard bool
 	// slack is the number of requests that a customer may get beyond its rate and burst.
 	slack float64
 	// leaseHeld reports whether this host may admit requests, and leaseSince is when it
@@ -83,6 +86,8 @@
 	// announcedAt, and previouslyAnnounced the demand that they knew until then.
 	announced, previouslyAnnounced float64
 	announcedAt                    time.Time
+	// usual is the fraction while all owners are heard.
+	usual usualFraction
 	// lastRetryAt is the latest retry time that was assigned to a rejected caller.
 	lastRetryAt time.Time
 }
@@ -113,6 +118,15 @@
 	l.regionFraction = f
 }
 
+// SetOwnersUnheard sets whether hosts of other regions are registered whose heartbeats do not arrive. Their
+// demand may have changed, and they may not know of the demand here. The fraction of a rate that this host has
+// may then shrink, but does not grow beyond what it was before.
+func (l *Limiter) SetOwnersUnheard(unheard bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ownersUnheard = unheard
+}
+
 // SetSlack sets the number of requests that operators grant each customer beyond its
 // rate and burst.
 func (l *Limiter) SetSlack(requests float64) {
@@ -241,6 +255,9 @@
 // been filling since this host began to hold rate shares.
 func (l *Limiter) refill(now time.Time, c *catalog.Customer, b *bucket, fraction float64) (rate, depth float64) {
 	rate, depth = l.bounds(c, fraction)
+	if usual := b.usual.known(l.even()) * c.Rate; l.ownersUnheard && b.demand.rate(now) > usual {
+		rate = min(rate, usual)
+	}
 	o, owned := l.owned[c.Name]
 	initial := max(slackFraction*l.slack/float64(l.owners), minDepth)
 	if b.refilledAt.IsZero() {
@@ -308,11 +325,14 @@
 // length of a heartbeat interval, and together they would admit more than the rate.
 func (l *Limiter) fraction(now time.Time, customer string, b *bucket) float64 {
 	even := l.even()
-	own, others := b.announcedDemand(now), l.remoteDemand[customer]
-	if own+others <= 0 || !l.remoteComplete {
-		return even
+	fraction := even
+	if own, others := b.announcedDemand(now), l.remoteDemand[customer]; own+others > 0 && l.remoteComplete {
+		fraction = evenFraction*even + (1-evenFraction)*own/(own+others)
+	}
+	if !l.ownersUnheard {
+		b.usual.observe(now, fraction)
 	}
-	return evenFraction*even + (1-evenFraction)*own/(own+others)
+	return fraction
 }
 
 // even returns this host's fraction of each rate if the rates are split evenly.
