--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -119,8 +119,8 @@
 }
 
 // SetOwnersUnheard sets whether hosts of other regions are registered whose heartbeats do not arrive. Their
-// demand may have changed, and they may not know of the demand here. The fraction of a rate that this host has
-// may then shrink, but does not grow beyond what it was before.
+// demand may have changed, and they may not know of the demand here. A customer whose demand exceeds the part of
+// its rate that this host usually has then gets that part at most.
 func (l *Limiter) SetOwnersUnheard(unheard bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -200,10 +200,12 @@
 
 // bounds returns the rate per second and the depth of a bucket that has a fraction of the customer's rate.
 func (l *Limiter) bounds(c *catalog.Customer, fraction float64) (rate, depth float64) {
-	slack := slackFraction * l.slack / float64(l.owners)
-	return fraction * c.Rate, max(fraction*c.Burst*burstFraction, minDepth) + slack
+	return fraction * c.Rate, max(fraction*c.Burst*burstFraction, minDepth) + l.ownSlack()
 }
 
+// ownSlack returns the part of the slack that is added to the buckets of this host.
+func (l *Limiter) ownSlack() float64 { return slackFraction * l.slack / float64(l.owners) }
+
 // Decision is the result of admission control for one request.
 type Decision struct {
 	Admitted bool
@@ -259,7 +261,7 @@
 		rate = min(rate, usual)
 	}
 	o, owned := l.owned[c.Name]
-	initial := max(slackFraction*l.slack/float64(l.owners), minDepth)
+	initial := max(l.ownSlack(), minDepth)
 	if b.refilledAt.IsZero() {
 		b.tokens, b.refilledAt = initial, now
 		if !l.leaseSince.IsZero() {
