Test of peers that cannot help: late requests of a check do not count as a tunnel

The check of the links asks all peers at the same time and returns with the first that reaches the upstream; the request to the other one may arrive after it. The daemon is not changed.

The test now looks at which peers were asked for each connection, which is stricter: in this order, and no others.

--- a/internal/tunnel/dialer_test.go
+++ b/internal/tunnel/dialer_test.go
@@ -178,19 +178,22 @@
 	g := NewWithT(t)
 	n := newNetwork(t)
 	n.addUpstream("a1", "a")
-	asked := n.addPeer("a1", "a", failed)
+	n.addPeer("a1", "a", failed)
 	n.addPeer("a2", "a", works)
+	// The peers that are asked for a connection; checks of the links ask all of them, and may do so late.
+	var asked []string
+	n.dialer.OnTunnel = func(p tunnel.Peer, _ error) { asked = append(asked, p.Instance) }
 	n.cut.Store(true)
 	_, err := n.dial(0)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(asked.Load()).To(BeNumerically(">", 0))
-	before := asked.Load()
+	g.Expect(asked).To(Equal([]string{"peer-0", "peer-1"}))
+	asked = nil
 	n.mu.Lock()
 	n.peers[0].LinksDown = true
 	n.mu.Unlock()
 	_, err = n.dial(0)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(asked.Load()).To(Equal(before))
+	g.Expect(asked).To(Equal([]string{"peer-1"}))
 	n.mu.Lock()
 	n.peers = n.peers[:1]
 	n.mu.Unlock()
