A host that begins to watch the store during its first call does not pause for minutes

Its log: 'store watch watches=true', then 'state confirmed by=watch', and no further call to the store; not ready after 3.3 s. The follower took its timing before the first watch, when the host was not the watcher yet, and slept for five minutes by it. The host that becomes the watcher wakes the follower only if its state has been confirmed before, and the fallback by age is for hosts that do not watch. A request that waits ends the pause, so callers see it only as a first request that is late.

The timing is taken again after the call. TestIntervalOfAHostThatBecomesTheWatcherDuringACall failed before (1h, want 1s).

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -236,3 +236,29 @@
 		})
 	}
 }
+
+// Guards against a host that begins to watch the store during its first call, and then pauses as long as one whose state a
+// peer confirms.
+func TestIntervalOfAHostThatBecomesTheWatcherDuringACall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		interval := time.Hour
+		var watchedAt []time.Time
+		store := &fakeStore{
+			list: func() (kv.Listing, error) { return kv.Listing{Revision: 1}, nil },
+			watch: func(uint64) (kv.Changes, error) {
+				interval = time.Second
+				if watchedAt = append(watchedAt, time.Now()); len(watchedAt) == 2 {
+					cancel()
+				}
+				return kv.Changes{Revision: 2}, nil
+			},
+		}
+		(&follow.Follower{
+			Store: store, Timing: func() follow.Timing { return follow.Timing{WatchTimeout: time.Millisecond, Interval: interval} },
+			Now: time.Now, Sink: &recordingSink{},
+		}).Run(ctx)
+		g.Expect(watchedAt[1].Sub(watchedAt[0])).To(Equal(time.Second))
+	})
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -88,6 +88,8 @@
 			revision, backoff = next, minBackoff
 		case err == nil:
 			revision, listed, backoff = next, true, minBackoff
+			// The role of the host may have changed during the call.
+			timing = f.Timing()
 			f.sleep(ctx, timing.MinInterval-f.Now().Sub(sentAt), nil)
 			f.sleep(ctx, timing.Interval-f.Now().Sub(sentAt), f.Wake)
 		case errors.Is(err, kv.ErrCompacted):
