Soak: no two processes of tests share ports

The ports of a process began at its process id times 500, within 20 blocks, and went on into the next block, and a port is free while its daemon restarts.

A process now holds its block by listening on the first port of it, and stays within it. TestPortBlockIsHeldByOneProcess is new. The daemon is not changed.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -220,21 +220,40 @@
 }
 
 // The daemons' ports lie below the ephemeral range: a daemon keeps its addresses over restarts, and no
-// socket whose port the system picks may take one of them meanwhile. Processes of tests that run at the
-// same time begin portsPerProcess apart.
+// socket whose port the system picks may take one of them meanwhile. Each process of tests has a block of
+// portsPerProcess ports.
 const (
 	firstPort       = 10000
-	portCount       = 10000
+	portBlocks      = 20
 	portsPerProcess = 500
 )
 
 // triedPorts counts the ports that freeAddress has tried.
 var triedPorts atomic.Int64
 
+// portLock holds the block of this process until it ends: it listens on the first port of the block.
+var portLock net.Listener
+
+// portBlock returns the first port of the block of this process.
+var portBlock = sync.OnceValues(func() (int64, error) {
+	var err error
+	for i := range int64(portBlocks) {
+		first := firstPort + (int64(os.Getpid())+i)%portBlocks*portsPerProcess
+		if portLock, err = net.Listen("tcp", fmt.Sprint("127.0.0.1:", first)); err == nil {
+			return first, nil
+		}
+	}
+	return 0, err
+})
+
 // freeAddress returns a loopback address that is free for connections and for datagrams.
 func freeAddress(t *testing.T) string {
-	for range portCount {
-		address := fmt.Sprint("127.0.0.1:", firstPort+(int64(os.Getpid())*portsPerProcess+triedPorts.Add(1))%portCount)
+	first, err := portBlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range portsPerProcess {
+		address := fmt.Sprint("127.0.0.1:", first+1+triedPorts.Add(1)%(portsPerProcess-1))
 		if isFree(address) {
 			return address
 		}
--- a/internal/soak/ports_test.go
+++ b/internal/soak/ports_test.go
@@ -1,15 +1,31 @@
 package soak
 
 import (
+	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 
 	. "github.com/onsi/gomega"
 )
 
+// Guards against two processes of tests whose daemons take each other's ports while they restart.
+func TestPortBlockIsHeldByOneProcess(t *testing.T) {
+	g := NewWithT(t)
+	first, err := portBlock()
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = net.Listen("tcp", fmt.Sprint("127.0.0.1:", first))
+	g.Expect(err).To(MatchError(syscall.EADDRINUSE))
+	for range 3 * portsPerProcess {
+		port := int64(netip.MustParseAddrPort(freeAddress(t)).Port())
+		g.Expect(port).To(And(BeNumerically(">", first), BeNumerically("<", first+portsPerProcess)))
+	}
+}
+
 // Guards against a daemon that does not start because a socket of another process was assigned its port.
 func TestDaemonsHaveNoEphemeralPorts(t *testing.T) {
 	g := NewWithT(t)
