--- a/internal/soak/refusal_test.go
+++ b/internal/soak/refusal_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"balsambarrow/internal/standin"
+	"balsambarrow/internal/traffic"
 )
 
 const (
@@ -29,15 +30,6 @@
 	settleTime = 2 * time.Second
 )
 
-// promisesNotRun reports whether a status tells the caller that its request has not run and will not.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
 // Guards against requests that run although their callers were told that they did not, while processes of hosts
 // and upstreams are killed, suspended and stopped, and upstreams answer wrongly.
 func TestRefusedRequestsDoNotRun(t *testing.T) {
@@ -112,7 +104,7 @@
 		if r.post && len(ran) > 1 {
 			c.reporter.Errorf("%s: a posting ran %d times: %v", r.id, len(ran), ran)
 		}
-		if r.post && r.err == nil && promisesNotRun(r.status) && len(ran) > 0 {
+		if r.post && r.err == nil && traffic.PromisesNotRun(r.status) && len(ran) > 0 {
 			c.reporter.Errorf("%s: refused with %d (%.60q) at %s, but it ran: %v", r.id, r.status, r.body, r.host.name, ran)
 		}
 		if r.err == nil && r.status == http.StatusOK && (!strings.Contains(r.body, " ran "+r.id+".") && !strings.Contains(r.body, " ran "+r.id+" ") || !strings.HasSuffix(r.body, responseEnd)) {
--- a/internal/soak/upstreamprocess_test.go
+++ b/internal/soak/upstreamprocess_test.go
@@ -247,31 +247,31 @@
 	s.lastID = id
 	s.mu.Unlock()
 	switch {
-	case how < 3:
+	case how < 3: // closes without a response
 		return false
-	case how < 6:
+	case how < 6: // resets
 		tcpreset.Enable(c)
 		return false
-	case how < 10:
+	case how < 10: // breaks off in the header
 		_, _ = io.WriteString(c, head[:s.intN(len(head))])
 		return false
-	case how < 13:
+	case how < 13: // breaks off in the body
 		_, _ = io.WriteString(c, head+body[:s.intN(len(body))])
 		if s.intN(2) == 0 {
 			tcpreset.Enable(c)
 		}
 		return false
-	case how < 16:
+	case how < 16: // sends a second response, to an earlier request
 		_, _ = io.WriteString(c, head+body)
 		time.Sleep(time.Duration(s.intN(3)) * time.Millisecond)
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 x\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", last)
 		return true
-	case how < 18:
+	case how < 18: // sends bytes that are no response
 		_, _ = io.WriteString(c, "\x00\x01garbage\r\n\r\n"+head+body)
 		return false
-	case how < 20:
+	case how < 20: // fails
 		head, body = s.response(r, []int{http.StatusInternalServerError, http.StatusGatewayTimeout}[s.intN(2)])
-	case how < 20+ownRefusals:
+	case how < 20+ownRefusals: // refuses what it has run
 		head, body = s.response(r, []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}[s.intN(3)])
 	}
 	_, err := io.WriteString(c, head+body)
