--- a/internal/entryhost/execution_test.go
+++ b/internal/entryhost/execution_test.go
@@ -20,8 +20,7 @@
 	}
 }
 
-// Guards against a request that ran although its caller was told that it did not: an upstream that ran it answered
-// with a status that promises this.
+// Guards against a request that ran although the status of its upstream told the caller that it did not.
 func TestStatusOfARequestThatRanPromisesNothing(t *testing.T) {
 	const long = 3 << 20 // not buffered by the host
 	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -237,8 +237,7 @@
 	}
 }
 
-// Guards against a host that begins to watch the store during its first call, and then pauses as long as one whose state a
-// peer confirms.
+// Guards against a host that becomes the watcher during its first call and pauses as long as hosts that do not watch.
 func TestIntervalOfAHostThatBecomesTheWatcherDuringACall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/internal/share/unheard_test.go
+++ b/internal/share/unheard_test.go
@@ -10,8 +10,7 @@
 	"balsambarrow/internal/share"
 )
 
-// Guards against regions that are cut off from each other and each take the demand of the other for unchanged, while a customer
-// sends many times its rate in all of them.
+// Guards against regions that are cut off from each other and together grant a customer more than its rate.
 func TestRegionsThatDoNotHearEachOtherStayWithinTheRate(t *testing.T) {
 	const (
 		step, heartbeat, timeout = 10 * time.Millisecond, 250 * time.Millisecond, 1300 * time.Millisecond
--- a/internal/soak/refusal_test.go
+++ b/internal/soak/refusal_test.go
@@ -30,8 +30,7 @@
 	settleTime = 2 * time.Second
 )
 
-// Guards against requests that run although their callers were told that they did not, while processes of hosts
-// and upstreams are killed, suspended and stopped, and upstreams answer wrongly.
+// Guards against requests that run although their callers were told that they did not.
 func TestRefusedRequestsDoNotRun(t *testing.T) {
 	binary := daemonBinary(t)
 	for i := range uint64(*seedCount) {
