--- a/internal/soak/refusal_test.go
+++ b/internal/soak/refusal_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -19,11 +20,25 @@
 	"balsambarrow/internal/traffic"
 )
 
+// refusalScale is the size of a run of TestRefusedRequestsDoNotRun.
+type refusalScale struct {
+	hosts, upstreams, callers int
+	// faultGap is the longest time between two faults of processes.
+	faultGap time.Duration
+}
+
+// From deploymentSeed on, a run has the size of a deployment.
+const deploymentSeed = 40000
+
+func refusalScaleOf(seed uint64) refusalScale {
+	if seed >= deploymentSeed {
+		return refusalScale{hosts: 10, upstreams: 38, callers: 90, faultGap: 120 * time.Millisecond}
+	}
+	return refusalScale{hosts: 4, upstreams: 6, callers: 24, faultGap: 450 * time.Millisecond}
+}
+
 const (
 	deadlineHeader = "X-Deadline-Ms"
-	// refusalCallers is the number of callers, and refusalHosts the number of hosts.
-	refusalCallers = 24
-	refusalHosts   = 4
 	// longBody exceeds what a host holds of a body before it forwards it.
 	longBody = 300 << 10
 	// settleTime is how long suspended processes and kernel buffers may still deliver requests.
@@ -48,30 +63,40 @@
 	defer c.close()
 	c.writeConfig()
 	var upstreams []*upstreamProcess
-	for i, zone := range []string{"a1", "a2", "b1", "b1", "a1", "a2"} {
-		u := startUpstreamProcess(t, c.dir, i, zone)
+	scale := refusalScaleOf(seed)
+	zones := []string{"a1", "a2", "b1", "b1", "a1", "a2"}
+	for i := range scale.upstreams {
+		u := startUpstreamProcess(t, c.dir, i, zones[i%len(zones)])
 		defer u.close()
 		u.register(c.store)
 		upstreams = append(upstreams, u)
 	}
-	for i := range refusalHosts {
+	for i := range scale.hosts {
 		c.addProcess(fmt.Sprint("h", i), hostConfig{zone: []string{"a1", "a2", "b1"}[i%3], linkMbps: 200})
 	}
 	c.awaitServing()
+	var addresses []string
+	for _, h := range c.processes {
+		addresses = append(addresses, h.callerAddress)
+	}
+	if err := os.WriteFile(filepath.Join(c.dir, hostsFile), []byte(strings.Join(addresses, "\n")), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	stop := make(chan struct{})
 	var tasks, callers sync.WaitGroup
 	tasks.Go(func() {
 		for !sleepUntil(stop, time.Second) {
 			for _, u := range upstreams {
-				u.register(c.store)
+				u.supervise(t, c.store)
 			}
 		}
 	})
+	tasks.Go(func() { c.changeConfigurations(rand.New(rand.NewPCG(seed, 2)), stop) })
 	tasks.Go(func() { c.cutLinks(rand.New(rand.NewPCG(seed, 5)), stop, false) })
-	tasks.Go(func() { c.disturbProcesses(rand.New(rand.NewPCG(seed, 1)), upstreams, stop) })
+	tasks.Go(func() { c.disturbProcesses(rand.New(rand.NewPCG(seed, 1)), upstreams, scale.faultGap, stop) })
 	var mu sync.Mutex
 	var requests []callerRequest
-	for i := range refusalCallers {
+	for i := range scale.callers {
 		callers.Go(func() {
 			sent := c.runImpatientCaller(rand.New(rand.NewPCG(seed, uint64(100+i))), i)
 			mu.Lock()
@@ -88,6 +113,7 @@
 		for id, hows := range u.recordedRuns(t) {
 			runs[id] = append(runs[id], hows...)
 		}
+		requests = append(requests, u.nestedRequests(t)...)
 	}
 	checkPromises(c, requests, runs)
 }
@@ -106,7 +132,7 @@
 		if r.post && r.err == nil && traffic.PromisesNotRun(r.status) && len(ran) > 0 {
 			c.reporter.Errorf("%s: refused with %d (%.60q) at %s, but it ran: %v", r.id, r.status, r.body, r.host.name, ran)
 		}
-		if r.err == nil && r.status == http.StatusOK && (!strings.Contains(r.body, " ran "+r.id+".") && !strings.Contains(r.body, " ran "+r.id+" ") || !strings.HasSuffix(r.body, responseEnd)) {
+		if r.err == nil && r.status == http.StatusOK && !strings.HasPrefix(r.id, nestedID) && (!strings.Contains(r.body, " ran "+r.id+".") && !strings.Contains(r.body, " ran "+r.id+" ") || !strings.HasSuffix(r.body, responseEnd)) {
 			c.reporter.Errorf("%s: got the response %.80q of %d bytes", r.id, r.body, len(r.body))
 		}
 	}
@@ -132,15 +158,16 @@
 	return f.Name()
 }
 
-// disturbProcesses kills, suspends and stops processes of hosts and upstreams until stop is closed. The faults overlap.
-func (c *cluster) disturbProcesses(rng *rand.Rand, upstreams []*upstreamProcess, stop <-chan struct{}) {
+// disturbProcesses kills, suspends, slows and stops processes of hosts and upstreams until stop is closed. The faults
+// overlap.
+func (c *cluster) disturbProcesses(rng *rand.Rand, upstreams []*upstreamProcess, gap time.Duration, stop <-chan struct{}) {
 	var active sync.WaitGroup
 	defer active.Wait()
-	for !sleepUntil(stop, time.Duration(50+rng.IntN(400))*time.Millisecond) {
+	for !sleepUntil(stop, gap/9+time.Duration(rng.Int64N(int64(gap)))) {
 		h, u := c.processes[rng.IntN(len(c.processes))], upstreams[rng.IntN(len(upstreams))]
 		length := time.Duration(20+rng.IntN(1500)) * time.Millisecond
-		kind, same, mode := rng.IntN(9), rng.IntN(2) == 0, proxyMode(1+rng.IntN(int(modeCount)-1))
-		c.logFault("kind %d: host %s, upstream %s, same %v, mode %d, for %v", kind, h.name, u.address, same, mode, length)
+		kind, by, mode := rng.IntN(14), replacement(rng.IntN(int(replacements))), proxyMode(1+rng.IntN(int(modeCount)-1))
+		c.logFault("kind %d: host %s, upstream %s, replacement %d, mode %d, for %v", kind, h.name, u.address, by, mode, length)
 		active.Go(func() {
 			switch kind {
 			case 0:
@@ -158,7 +185,15 @@
 				time.Sleep(length)
 				h.proxy.setMode(modePass)
 			case 5, 6:
-				u.replace(c.t, c.store, same)
+				u.replace(c.t, c.store, by)
+			case 7:
+				h.slowDown(length)
+			case 8:
+				h.signal(syscall.SIGHUP)
+			case 9, 10:
+				u.succeed(c.store)
+			case 11:
+				u.leave(c.t, c.store, by == sameInstance)
 			default:
 				u.signal(syscall.SIGSTOP)
 				time.Sleep(length)
@@ -168,6 +203,32 @@
 	}
 }
 
+// slowDown leaves the process a third of each tenth of a second.
+func (h *daemonProcess) slowDown(length time.Duration) {
+	const period, share = 100 * time.Millisecond, 3
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		h.signal(syscall.SIGSTOP)
+		time.Sleep(period - period/share)
+		h.signal(syscall.SIGCONT)
+		time.Sleep(period / share)
+	}
+}
+
+// changeConfigurations writes new versions and evacuates zones until stop is closed.
+func (c *cluster) changeConfigurations(rng *rand.Rand, stop <-chan struct{}) {
+	var active sync.WaitGroup
+	defer active.Wait()
+	for !sleepUntil(stop, time.Duration(100+rng.IntN(1500))*time.Millisecond) {
+		if rng.IntN(6) == 0 {
+			active.Go(func() { c.evacuateZone("a2", time.Second) })
+			continue
+		}
+		c.mu.Lock()
+		c.writeConfig()
+		c.mu.Unlock()
+	}
+}
+
 // runImpatientCaller sends requests with bodies of many kinds and short time limits.
 func (c *cluster) runImpatientCaller(rng *rand.Rand, number int) []callerRequest {
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
@@ -180,6 +241,9 @@
 			r.key = standin.RateLimitedKey
 		}
 		out = append(out, c.sendImpatiently(rng, client, r))
+		if last := out[len(out)-1]; number%3 == 0 && last.err == nil && traffic.PromisesNotRun(last.status) && rng.IntN(4) > 0 {
+			continue // repeats at once, whatever Retry-After says
+		}
 		time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
 	}
 	return out
--- a/internal/soak/upstreamprocess_test.go
+++ b/internal/soak/upstreamprocess_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -23,7 +25,7 @@
 )
 
 // upstreamEnv is set in the environment of a process that is an upstream: its address, its instance, the file in
-// which it records what it runs, and its seed.
+// which it records what it runs, the file that lists the addresses of the hosts, and its seed.
 const upstreamEnv = "BALSAMBARROW_SOAK_UPSTREAM"
 
 const (
@@ -31,34 +33,57 @@
 	// that wait for a slot.
 	upstreamSlots = 4
 	upstreamQueue = 4
+	// upstreamConnections is the number of connections that it accepts, and busyConnections the number while its queue
+	// is full. It resets others.
+	upstreamConnections = 40
+	busyConnections     = 12
+	// coldTime is how long it is slow after its start. It crashes if it gets more than coldRate requests in a second then.
+	coldTime = time.Second
+	coldRate = 100
+	// drainTime is how long it serves after it has announced that it leaves.
+	drainTime = 600 * time.Millisecond
+	// successorMark is added to the instance of an upstream when another one takes over its address and its connections.
+	successorMark = "+"
+	// nestedID begins the IDs of requests that upstreams send to hosts.
+	nestedID = "nested-"
 	// responseEnd ends each body of an upstream process.
 	responseEnd = " end"
 )
 
 // upstreamProcess is an upstream that runs as a process of its own, and is restarted at the same address.
 type upstreamProcess struct {
-	address, zone, runs string
+	address, zone, runs, hosts string
 
 	mu       sync.Mutex
 	id       string
 	starts   int
 	sequence int
-	cmd      *exec.Cmd
-	exited   chan struct{}
+	state    string
+	// foreign is set while the process belongs to another service.
+	foreign bool
+	cmd     *exec.Cmd
+	exited  chan struct{}
 }
 
 func startUpstreamProcess(t *testing.T, dir string, number int, zone string) *upstreamProcess {
-	u := &upstreamProcess{address: freeAddress(t), zone: zone, runs: filepath.Join(dir, fmt.Sprint("runs-", number)), id: fmt.Sprint("i-", number)}
+	u := &upstreamProcess{
+		address: freeAddress(t), zone: zone, runs: filepath.Join(dir, fmt.Sprint("runs-", number)), hosts: filepath.Join(dir, hostsFile),
+		id: fmt.Sprint("i-", number), state: "ready",
+	}
 	u.start(t)
 	return u
 }
 
+// hostsFile lists the addresses at which hosts accept callers.
+const hostsFile = "hosts"
+
 func (u *upstreamProcess) start(t *testing.T) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.starts++
+	u.state, u.sequence = "ready", 0
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), fmt.Sprintf("%s=%s %s %s %d", upstreamEnv, u.address, u.id, u.runs, u.starts))
+	cmd.Env = append(os.Environ(), fmt.Sprintf("%s=%s %s %s %s %d", upstreamEnv, u.address, u.id, u.runs, u.hosts, u.starts))
 	cmd.Stderr = os.Stderr
 	if err := cmd.Start(); err != nil {
 		t.Error(err)
@@ -81,31 +106,104 @@
 	}
 }
 
-// replace kills the process and starts the next one at its address, as the same instance or as another one.
-func (u *upstreamProcess) replace(t *testing.T, store *standin.KVStore, sameInstance bool) {
+// replacement is what takes the place of an upstream at its address.
+type replacement int
+
+const (
+	sameInstance replacement = iota
+	otherInstance
+	// otherService is an upstream of another service, whose requests it rejects.
+	otherService
+	replacements
+)
+
+// replace kills the process and starts the next one at its address.
+func (u *upstreamProcess) replace(t *testing.T, store *standin.KVStore, by replacement) {
 	u.signal(syscall.SIGCONT)
 	u.signal(syscall.SIGKILL)
+	u.restart(t, store, by)
+}
+
+// restart waits for the end of the process and starts the next one at its address.
+func (u *upstreamProcess) restart(t *testing.T, store *standin.KVStore, by replacement) {
 	u.mu.Lock()
 	exited, old := u.exited, u.id
 	u.mu.Unlock()
 	<-exited
-	if !sameInstance {
-		u.mu.Lock()
-		name, _, _ := strings.Cut(u.id, ".")
-		u.id = fmt.Sprint(name, ".", u.starts)
+	u.mu.Lock()
+	if u.exited != exited {
 		u.mu.Unlock()
+		return // another goroutine has started the next one
+	}
+	u.foreign = by == otherService
+	if by != sameInstance {
+		name, _, _ := strings.Cut(strings.TrimRight(u.id, successorMark), ".")
+		u.id = fmt.Sprint(name, ".", u.starts)
+	}
+	u.mu.Unlock()
+	if by != sameInstance {
 		store.Delete("servers/" + old)
 	}
 	u.start(t)
 	u.register(store)
 }
 
+// leave makes the upstream stop as planned, announced by its registration or by the removal of it.
+func (u *upstreamProcess) leave(t *testing.T, store *standin.KVStore, announced bool) {
+	u.mu.Lock()
+	u.state = "draining"
+	id := u.id
+	u.mu.Unlock()
+	if announced {
+		u.register(store)
+	} else {
+		store.Delete("servers/" + id)
+	}
+	u.signal(syscall.SIGTERM)
+	u.restart(t, store, otherInstance)
+}
+
+// succeed puts another instance in the place of the upstream, which keeps its address and its connections.
+func (u *upstreamProcess) succeed(store *standin.KVStore) {
+	u.mu.Lock()
+	old := u.id
+	u.id += successorMark
+	u.mu.Unlock()
+	u.signal(syscall.SIGUSR1)
+	store.Delete("servers/" + old)
+	u.register(store)
+}
+
+// register writes the registration, unless the upstream leaves without announcing it.
 func (u *upstreamProcess) register(store *standin.KVStore) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.sequence++
-	p := standin.PlatformUpstream{ID: u.id, Slots: upstreamSlots}
-	store.Put("servers/"+u.id, p.RegistryEntry(standin.Service, u.address, u.zone, "ready", u.sequence))
+	service := standin.Service
+	if u.foreign {
+		service = "other"
+	}
+	p := standin.PlatformUpstream{ID: u.id, Slots: upstreamSlots, StartedMs: firstStartMs + int64(u.starts)}
+	store.Put("servers/"+u.id, p.RegistryEntry(service, u.address, u.zone, u.state, u.sequence))
+}
+
+// firstStartMs is the start time of the first process of an upstream.
+const firstStartMs = 1_700_000_000_000
+
+// supervise registers the upstream, and starts it again if it has crashed.
+func (u *upstreamProcess) supervise(t *testing.T, store *standin.KVStore) {
+	u.mu.Lock()
+	exited, leaving := u.exited, u.state != "ready"
+	u.mu.Unlock()
+	if leaving {
+		return
+	}
+	select {
+	case <-exited:
+		u.restart(t, store, sameInstance)
+	default:
+		u.register(store)
+	}
 }
 
 func (u *upstreamProcess) close() {
@@ -117,6 +215,25 @@
 	<-exited
 }
 
+// nestedRequests returns the requests that the upstream has sent to hosts.
+func (u *upstreamProcess) nestedRequests(t *testing.T) []callerRequest {
+	var out []callerRequest
+	text, err := os.ReadFile(u.runs + nestedSuffix)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		t.Error(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		r := callerRequest{post: true, host: &daemonProcess{}}
+		if _, err := fmt.Sscan(line, &r.id, &r.status, &r.host.name); err == nil {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// nestedSuffix is added to the name of the file of runs.
+const nestedSuffix = "-nested"
+
 // recordedRuns returns how often the upstream has begun to run each request, over all its processes.
 func (u *upstreamProcess) recordedRuns(t *testing.T) map[string][]string {
 	text, err := os.ReadFile(u.runs)
@@ -133,26 +250,28 @@
 
 // upstreamServer is what an upstreamProcess runs.
 type upstreamServer struct {
-	instance string
-	runs     *os.File
-	slots    chan struct{}
-	queue    chan struct{}
+	runs, nested *os.File
+	hosts        string
+	slots        chan struct{}
+	queue        chan struct{}
+	startedAt    time.Time
 
-	mu  sync.Mutex
-	rng *rand.Rand
+	mu       sync.Mutex
+	instance string
+	leaving  bool
+	conns    int
+	// coldRequests is the number of requests since the start.
+	coldRequests int
+	rng          *rand.Rand
 	// lastID is the ID of the request that was answered last.
 	lastID string
 }
 
-// serveAsUpstream runs an upstream until it is killed.
+// serveAsUpstream runs an upstream until it is killed or stopped.
 func serveAsUpstream(spec string) {
-	var address, instance, file string
+	var address, instance, file, hosts string
 	var seed uint64
-	if _, err := fmt.Sscan(spec, &address, &instance, &file, &seed); err != nil {
-		panic(err)
-	}
-	runs, err := os.OpenFile(file, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
+	if _, err := fmt.Sscan(spec, &address, &instance, &file, &hosts, &seed); err != nil {
 		panic(err)
 	}
 	l, err := net.Listen("tcp", address)
@@ -160,9 +279,11 @@
 		panic(err)
 	}
 	s := &upstreamServer{
-		instance: instance, runs: runs, slots: make(chan struct{}, upstreamSlots), queue: make(chan struct{}, upstreamQueue+upstreamSlots),
+		instance: instance, runs: openForAppend(file), nested: openForAppend(file + nestedSuffix), hosts: hosts, startedAt: time.Now(),
+		slots: make(chan struct{}, upstreamSlots), queue: make(chan struct{}, upstreamQueue+upstreamSlots),
 		rng: rand.New(rand.NewPCG(seed, uint64(len(file)))),
 	}
+	go s.handleSignals()
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -172,38 +293,129 @@
 	}
 }
 
+func openForAppend(name string) *os.File {
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		panic(err)
+	}
+	return f
+}
+
+func (s *upstreamServer) handleSignals() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGUSR1)
+	for sig := range signals {
+		s.mu.Lock()
+		if sig == syscall.SIGUSR1 {
+			s.instance += successorMark
+		} else {
+			s.leaving = true
+			time.AfterFunc(drainTime, func() { os.Exit(0) })
+		}
+		s.mu.Unlock()
+	}
+}
+
 func (s *upstreamServer) intN(n int) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.rng.IntN(n)
 }
 
+func (s *upstreamServer) currentInstance() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.instance
+}
+
+// connectionHeader announces the end of the connection while the upstream leaves, and now and then.
+func (s *upstreamServer) connectionHeader() (header string, closes bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving || s.rng.IntN(50) == 0 {
+		return "Connection: close\r\n", true
+	}
+	return "", false
+}
+
+// accepts counts a connection, and reports whether it is within the limit.
+func (s *upstreamServer) accepts(change int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns += change
+	return s.conns <= busyConnections || s.conns <= upstreamConnections && len(s.queue) < cap(s.queue)
+}
+
 func (s *upstreamServer) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
+	defer s.accepts(-1)
+	if !s.accepts(1) {
+		tcpreset.Enable(c)
+		return
+	}
+	// late is a response that is sent again, ahead of the next one on the connection.
+	late := ""
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
-		if err != nil || !s.respond(c, r) {
+		if err != nil {
+			return
+		}
+		if _, err := io.WriteString(c, late); err != nil {
+			return
+		}
+		late = ""
+		if !s.respond(c, r, &late) {
 			return
 		}
 	}
 }
 
-// reject answers a request that is not run.
-func (s *upstreamServer) reject(c net.Conn, r *http.Request, status int) {
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d x\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, r.Header.Get("X-Request-Id"))
+// reject answers a request that is not run, and reports whether the connection may be used again. Some
+// rejections are sent twice.
+func (s *upstreamServer) reject(c net.Conn, r *http.Request, status int, late *string) bool {
+	connection, closes := s.connectionHeader()
+	text := fmt.Sprintf("HTTP/1.1 %d x\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n%s\r\n", status, r.Header.Get("X-Request-Id"), connection)
+	_, _ = io.WriteString(c, text)
+	switch s.intN(9) {
+	case 0:
+		time.Sleep(time.Duration(s.intN(8)) * time.Millisecond)
+		_, _ = io.WriteString(c, text)
+	case 1, 2:
+		*late = text
+	}
+	return !closes
+}
+
+// crowded reports whether the upstream gets more requests after its start than it can take.
+func (s *upstreamServer) crowded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldRequests++
+	return time.Since(s.startedAt) < coldTime && s.coldRequests > coldRate
 }
 
 // respond answers a request, and reports whether the connection may be used again.
-func (s *upstreamServer) respond(c net.Conn, r *http.Request) bool {
-	if r.Header.Get("X-Expected-Instance") != s.instance {
+func (s *upstreamServer) respond(c net.Conn, r *http.Request, late *string) bool {
+	if r.Header.Get("X-Request-Id") == "" {
 		_, _ = io.Copy(io.Discard, r.Body)
-		s.reject(c, r, http.StatusMisdirectedRequest)
-		return true
+		return s.reject(c, r, http.StatusBadRequest, late)
 	}
-	if s.intN(100) < 2 {
-		s.reject(c, r, http.StatusServiceUnavailable)
+	if r.Header.Get("X-Expected-Instance") != s.currentInstance() {
+		_, _ = io.Copy(io.Discard, r.Body)
+		return s.reject(c, r, http.StatusMisdirectedRequest, late)
+	}
+	if s.crowded() {
+		os.Exit(1)
+	}
+	switch early := s.intN(100); {
+	case early < 2:
+		s.reject(c, r, http.StatusServiceUnavailable, late)
 		return false
+	case early < 4: // reads on
+		kept := s.reject(c, r, http.StatusServiceUnavailable, late)
+		_, err := io.Copy(io.Discard, r.Body)
+		return kept && err == nil
 	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return false
@@ -212,20 +424,17 @@
 	case s.queue <- struct{}{}:
 		defer func() { <-s.queue }()
 	default:
-		s.reject(c, r, http.StatusServiceUnavailable)
-		return true
+		return s.reject(c, r, http.StatusServiceUnavailable, late)
 	}
 	limit, _ := strconv.Atoi(r.Header.Get(deadlineHeader))
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
 	case <-time.After(time.Duration(limit) * time.Millisecond):
-		s.reject(c, r, http.StatusServiceUnavailable)
-		return true
+		return s.reject(c, r, http.StatusServiceUnavailable, late)
 	}
 	if s.intN(100) < 4 {
-		s.reject(c, r, []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[s.intN(2)])
-		return true
+		return s.reject(c, r, []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[s.intN(2)], late)
 	}
 	return s.run(c, r)
 }
@@ -233,10 +442,16 @@
 // run records and runs a request, and answers it in one of many ways.
 func (s *upstreamServer) run(c net.Conn, r *http.Request) bool {
 	id, how := r.Header.Get("X-Request-Id"), s.intN(100)
-	if _, err := fmt.Fprintf(s.runs, "%s way=%d at=%s by=%s\n", id, how, time.Now().Format("05.000"), s.instance); err != nil {
+	if _, err := fmt.Fprintf(s.runs, "%s way=%d at=%s by=%s\n", id, how, time.Now().Format("05.000"), s.currentInstance()); err != nil {
 		panic(err)
 	}
+	if s.intN(10) == 0 && !strings.HasPrefix(id, nestedID) {
+		s.sendNested(id)
+	}
 	work := time.Duration(s.intN(30)) * time.Millisecond
+	if time.Since(s.startedAt) < coldTime {
+		work *= 2
+	}
 	if s.intN(20) == 0 {
 		work += time.Duration(s.intN(1500)) * time.Millisecond
 	}
@@ -278,6 +493,35 @@
 	return err == nil
 }
 
+// sendNested sends a request to a host on behalf of a run of a request, and records the response. A request that may run
+// twice sends two.
+func (s *upstreamServer) sendNested(id string) {
+	id = fmt.Sprint(nestedID, id, s.currentInstance(), "-", time.Now().UnixNano())
+	text, err := os.ReadFile(s.hosts)
+	addresses := strings.Fields(string(text))
+	if err != nil || len(addresses) == 0 {
+		return
+	}
+	limit := time.Duration(50+s.intN(300)) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), limit+500*time.Millisecond)
+	defer cancel()
+	address := addresses[s.intN(len(addresses))]
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+standin.PostPath+"2", strings.NewReader("w"))
+	if err != nil {
+		panic(err)
+	}
+	r.Host, r.Close = standin.CallerHost, true
+	r.Header = http.Header{"X-Request-Id": {id}, deadlineHeader: {fmt.Sprint(limit.Milliseconds())}, "Authorization": {"Bearer steady"}}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return
+	}
+	_ = resp.Body.Close()
+	if _, err := fmt.Fprintln(s.nested, id, resp.StatusCode, address); err != nil {
+		panic(err)
+	}
+}
+
 // ownRefusals is how many in a hundred requests an upstream answers with a status that promises that a request has not run,
 // after it has run it.
 const ownRefusals = 3
@@ -285,7 +529,7 @@
 // response returns the head and the body of a response, with a length or in chunks.
 func (s *upstreamServer) response(r *http.Request, status int) (head, body string) {
 	id := r.Header.Get("X-Request-Id")
-	text := s.instance + " ran " + id + strings.Repeat(".", s.intN(3000)) + responseEnd
+	text := s.currentInstance() + " ran " + id + strings.Repeat(".", s.intN(3000)) + responseEnd
 	head = fmt.Sprintf("HTTP/1.1 %d x\r\nX-Request-Id: %s\r\nX-Response-Signature: signed\r\nKeep-Alive: timeout=3\r\nX-Server-Load: %d,0,%d\r\n",
 		status, id, len(s.slots), upstreamSlots)
 	if s.intN(2) == 0 {
--- a/internal/standin/platformupstream.go
+++ b/internal/standin/platformupstream.go
@@ -31,6 +31,8 @@
 	ID string
 	// ServiceTime is the time that each request takes.
 	ServiceTime time.Duration
+	// StartedMs is the start time that the upstream states, in Unix milliseconds; 0: defaultStartedMs.
+	StartedMs int64
 	// Slots is the number of slots that the upstream states; 0: platformUpstreamSlots. It runs any
 	// number of requests at once.
 	Slots int
@@ -157,11 +159,21 @@
 	return platformUpstreamSlots
 }
 
+// defaultStartedMs is the start time of a PlatformUpstream that states none.
+const defaultStartedMs = 1_700_000_000_000
+
+func (u *PlatformUpstream) startedMs() int64 {
+	if u.StartedMs > 0 {
+		return u.StartedMs
+	}
+	return defaultStartedMs
+}
+
 // RegistryEntry returns the value that the upstream registers in the store under its ID.
 func (u *PlatformUpstream) RegistryEntry(service, address, zone, state string, sequence int) []byte {
 	entry, err := json.Marshal(map[string]any{
 		"service": service, "address": address, "zone": zone, "version": "v1", "slots": u.slots(),
-		"state": state, "cold-remaining": "0ms", "sequence": sequence, "born": 1_700_000_000_000,
+		"state": state, "cold-remaining": "0ms", "sequence": sequence, "born": u.startedMs(),
 	})
 	if err != nil {
 		panic(err)
