--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -110,7 +110,7 @@
 		h.latencies.attemptAnswered(h.Now(), q.route.Name, report.TimeToHeader)
 		h.writeResponse(w, q, resp)
 	case outcomeShed:
-		h.Log.Info("upstream refused", "id", q.ID, "upstream", c.ID, "status", resp.status, "retry_after", meta.RetryAfter, "running", meta.Load.Running,
+		h.Log.Info("upstream refused", "id", q.ID, "upstream", c.ID, "address", c.Address, "reused", report.ConnectTime == 0, "status", resp.status, "retry_after", meta.RetryAfter, "running", meta.Load.Running,
 			"waiting", meta.Load.Waiting, "slots", meta.Load.Slots, "expected_wait", c.ExpectedQueueing)
 	case outcomeFailed:
 		h.Log.Info("upstream failed", "id", q.ID, "upstream", c.ID, "status", resp.status)
