A second attempt at an address uses a connection of its own

What callers saw: a request that must not run twice was answered 503 with Retry-After, and an upstream ran it.

Cause: the id that upstreams echo names the attempt of the caller; all attempts of the host carry the same one. When an address passed on to another instance with its open connections, the first attempt was rejected with 421, the connection went back to the pool, the second attempt took it again, and a second copy of the 421 was read as its response. Class: a statement that does not name what it is about is taken for one about what is in hand.

Change: a request that was sent to an address before opens a new connection there. A new connection carries responses to nothing else. Attempts at other addresses, which are nearly all, reuse connections as before.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -209,7 +209,8 @@
 // attempts records the attempts of a request at upstreams.
 type attempts struct {
 	sends int
-	tried []string
+	// tried are the IDs of the upstreams tried, and addresses their addresses.
+	tried, addresses []string
 	// timeLeft is the time limit that each upstream was told, or the time that was left if nothing was sent.
 	timeLeft []time.Duration
 	// ends are the outcomes of all attempts.
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"balsambarrow/internal/catalog"
@@ -235,7 +236,7 @@
 func (h *Handler) send(ctx context.Context, w http.ResponseWriter, q *request, c place.Choice) (end outcome, resp *response) {
 	sentAt := h.Now()
 	q.attempts.relay = ""
-	q.attempts.tried = append(q.attempts.tried, c.ID)
+	q.attempts.tried, q.attempts.addresses = append(q.attempts.tried, c.ID), append(q.attempts.addresses, c.Address)
 	q.attempts.timeLeft = append(q.attempts.timeLeft, q.deadline.Sub(sentAt))
 	q.attempts.longestQueueing = max(q.attempts.longestQueueing, c.ExpectedQueueing)
 	limit, err := traffic.NewTimeLimit(q.deadline.Sub(sentAt))
@@ -269,7 +270,8 @@
 	return &h1.Request{
 		Method: q.http.Method, Target: requestTarget(q.http), Host: q.http.Host,
 		Header: header, Body: q.body.reader(), Length: q.body.length, NonIdempotent: !q.route.Kind.Idempotent(),
-		Matches: func(r *http.Response) bool { return h.Codec.ParseResponse(r).ID == q.ID },
+		NewConnection: slices.Contains(q.attempts.addresses[:len(q.attempts.addresses)-1], c.Address),
+		Matches:       func(r *http.Response) bool { return h.Codec.ParseResponse(r).ID == q.ID },
 		Prepare: func() error {
 			// Connecting has taken some of the time.
 			limit, err := traffic.NewTimeLimit(q.deadline.Sub(h.Now()))
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -27,6 +27,9 @@
 	// NonIdempotent marks a request that must not run twice. It is sent on a reused
 	// connection only if the upstream most probably still has that connection open.
 	NonIdempotent bool
+	// NewConnection requires a connection that has carried no other request: Matches may also accept a late second
+	// response to an earlier attempt of the same request.
+	NewConnection bool
 	// Prepare is called once there is a connection, immediately before the request is written. It may
 	// change Header. If it returns an error, nothing is sent. Optional.
 	Prepare func() error
@@ -74,7 +77,7 @@
 // exchange, including the response body: when it ends, the connection is reset, so that
 // the upstream stops its work, and receives nothing more of the request.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Response, error) {
-	c, err := p.acquire(ctx, address, r.NonIdempotent)
+	c, err := p.acquire(ctx, address, r)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -59,9 +59,11 @@
 }
 
 // acquire returns the idle connection that was used last, since the upstream is the
-// least likely to have closed that one, or else a new connection. nonIdempotent is
-// that of the Request.
-func (p *Pool) acquire(ctx context.Context, address string, nonIdempotent bool) (*conn, error) {
+// least likely to have closed that one, or else a new connection.
+func (p *Pool) acquire(ctx context.Context, address string, r *Request) (*conn, error) {
+	if r.NewConnection {
+		return p.open(ctx, address)
+	}
 	for c := p.pop(address); c != nil; c = p.pop(address) {
 		now := p.now()
 		c.idleTime = now.Sub(c.idleSince)
@@ -69,7 +71,7 @@
 			c.closeOrderly()
 			continue
 		}
-		if nonIdempotent && c.idleTime >= p.idleLimits.maxIdleTime(now, address, c.idleTimeout) {
+		if r.NonIdempotent && c.idleTime >= p.idleLimits.maxIdleTime(now, address, c.idleTimeout) {
 			// Idempotent requests can still use this connection. The remaining
 			// connections have been idle for longer.
 			p.push(c)
@@ -77,6 +79,11 @@
 		}
 		return c, nil
 	}
+	return p.open(ctx, address)
+}
+
+// open opens a new connection.
+func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
 	dialStart := p.now()
 	raw, err := p.dial(ctx, "tcp", address)
 	if err != nil {
