A 500 or 504 of an upstream is not the statement that it did not run the request

What callers saw: a request that must not run twice ran, was sent to a second upstream, ran there too, and was answered 503.

Cause: any status with the header of a refusal counted as not run, whatever the value of the header. By the platform's protocol the 500 of an upstream and its 504 at the time limit count as run; a value of 0 or false denies what the header states.

Evidence: TestFailureThatCountsAsRunIsNoStatement failed for both statuses (503 in place of the upstream's own, 2 of 2), TestStatementThatARequestDidNotRun for 5 of 15 responses.

The line 'upstream failed' says so (contradicts).

--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -113,7 +113,7 @@
 		h.Log.Info("upstream refused", "id", q.ID, "upstream", c.ID, "address", c.Address, "reused", report.ConnectTime == 0, "status", resp.status, "retry_after", meta.RetryAfter, "running", meta.Load.Running,
 			"waiting", meta.Load.Waiting, "slots", meta.Load.Slots, "expected_wait", c.ExpectedQueueing)
 	case outcomeFailed:
-		h.Log.Info("upstream failed", "id", q.ID, "upstream", c.ID, "status", resp.status)
+		h.Log.Info("upstream failed", "id", q.ID, "upstream", c.ID, "status", resp.status, "contradicts", meta.Contradicts)
 	}
 	return end, resp
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -57,6 +57,8 @@
 	Signed bool
 	// NotRun is set if the upstream certainly did not run the request.
 	NotRun bool
+	// Contradicts is set if the upstream states that it did not run the request, with a status that says that it did.
+	Contradicts bool
 	// Misdirected is set if the address now belongs to another upstream.
 	Misdirected bool
 	// Encoded is set if the body has a content encoding that the upstream did not apply.
