An entry that nothing confirms does not keep out later ones of its upstream

What callers saw: an upstream that was alive got no requests any more, or they went to an address that another writer had named, until its registration was removed. Hosts that started later had another state than the others, so that none of them could confirm the other's, and each read the store by itself.

Cause: an entry with a lower start time or sequence than the known one is ignored, because a write may take effect late. Nothing bounded that: one odd entry with too large a number under the key of a live upstream kept out all of its own. So did a restart under the same id while the clock was set back. Class: what is derived from an entry outlives the entry.

Change: an older entry that the store holds is used once the known one has not been confirmed for three heartbeats. An upstream that is alive confirms its own with each heartbeat, so a late write still changes nothing.

--- a/internal/entryhost/control.go
+++ b/internal/entryhost/control.go
@@ -178,9 +178,7 @@
 
 func (c *control) tick(now time.Time) {
 	c.d.activity.observe(now)
-	for _, id := range c.upstreamRegistry.RemoveExpired(now) {
-		c.removeUpstream(id, "missing since the store is back")
-	}
+	c.expireUpstreamEntries(now)
 	if holds := c.mayHoldShares(now); holds != c.holdsShares {
 		// Peers must send token requests for customers to another host, or to this one again.
 		c.holdsShares = holds
--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -97,6 +97,8 @@
 	// MaxShift bounds the fraction of a region's requests that may run in another region than
 	// before, from one two-second interval to the next. Default 0: not bounded.
 	MaxShift float64 `json:"max_shift"`
+	// UpstreamHeartbeat is how often an upstream writes its registration. Default 1.5s.
+	UpstreamHeartbeat Duration `json:"upstream_heartbeat"`
 }
 
 // Duration is a duration such as "1500ms" or "2.5s".
@@ -117,6 +119,7 @@
 	defaultGrace       = "6s"
 	defaultRetryRatio  = 0.1
 	defaultRetryWindow = "10s"
+	defaultHeartbeat   = "1.5s"
 )
 
 // LoadSettings reads and validates a settings file. An invalid file gives an error of type
@@ -147,6 +150,9 @@
 	if s.Bounds.RetryWindow == "" {
 		s.Bounds.RetryWindow = defaultRetryWindow
 	}
+	if s.Bounds.UpstreamHeartbeat == "" {
+		s.Bounds.UpstreamHeartbeat = defaultHeartbeat
+	}
 	s.Overload.applyDefaults()
 	s.Memory.applyDefaults()
 }
@@ -178,6 +184,7 @@
 		{"/bounds/grace", s.Bounds.Grace},
 		{"/bounds/revoke", s.Bounds.Revoke},
 		{"/bounds/retry_window", s.Bounds.RetryWindow},
+		{"/bounds/upstream_heartbeat", s.Bounds.UpstreamHeartbeat},
 	} {
 		_, err := time.ParseDuration(string(d.text))
 		require(d.text == "" || err == nil, d.path, `want a time such as "2.5s"`)
@@ -188,6 +195,7 @@
 	require(s.Capacity.MemoryMB >= 0, "/capacity/memory_mb", "want zero or more")
 	require(s.Capacity.Descriptors >= 0, "/capacity/descriptors", "want zero or more")
 	require(s.Bounds.RetryWindow.Value() > 0, "/bounds/retry_window", "want more than zero")
+	require(s.Bounds.UpstreamHeartbeat.Value() > 0, "/bounds/upstream_heartbeat", "want more than zero")
 	require(s.Bounds.Grace.Value() > 0, "/bounds/grace", "want more than zero")
 	require(s.Bounds.Revoke.Value() >= 0, "/bounds/revoke", "want zero or more")
 	require(s.Bounds.RetryRatio >= 0, "/bounds/retry_ratio", "want zero or more")
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"balsambarrow/internal/catalog"
 	"balsambarrow/internal/fleet"
 	"balsambarrow/internal/kv"
 	"balsambarrow/platform"
@@ -353,10 +354,15 @@
 		}
 		return
 	}
-	if !c.upstreamRegistry.Put(u) {
+	if !c.upstreamRegistry.Put(now, u) {
 		c.d.events.Debug("stale upstream entry ignored", "upstream", u.ID, "born", u.StartedMs, "sequence", u.Sequence)
 		return
 	}
+	c.useUpstreamEntry(now, u)
+}
+
+// useUpstreamEntry puts an entry into force.
+func (c *control) useUpstreamEntry(now time.Time, u catalog.Upstream) {
 	c.upstreams.digest.SetUpstream(u)
 	if c.d.table.PutUpstream(now, u) {
 		c.upstreamLog.addChanged(u)
@@ -364,6 +370,23 @@
 	}
 }
 
+// unconfirmedHeartbeats is the number of heartbeats after which an upstream that has written none is gone.
+const unconfirmedHeartbeats = 3
+
+// expireUpstreamEntries removes the upstreams that are still missing after an outage of the store, and puts entries into
+// force that were ignored for longer than a late write can explain.
+func (c *control) expireUpstreamEntries(now time.Time) {
+	for _, id := range c.upstreamRegistry.RemoveExpired(now) {
+		c.removeUpstream(id, "missing since the store is back")
+	}
+	heartbeat := c.d.settings.Load().Bounds.UpstreamHeartbeat.Value()
+	for _, u := range c.upstreamRegistry.TakeOverdue(now, unconfirmedHeartbeats*heartbeat) {
+		c.d.events.Warn("upstream entry behind its predecessor", "upstream", u.ID, "born", u.StartedMs, "sequence", u.Sequence, "revision", u.Revision)
+		c.upstreamRegistry.Put(now, u)
+		c.useUpstreamEntry(now, u)
+	}
+}
+
 func (c *control) deleteUpstreamEntry(now time.Time, id string) {
 	c.upstreams.digest.RemoveUpstream(id)
 	if c.upstreamRegistry.EntryRemoved(now, id) {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -28,15 +28,15 @@
 	g := NewWithT(t)
 	r := follow.NewUpstreamRegistry()
 	r.StoreReached(start)
-	r.Put(upstreamEntry("a", 1, 1))
-	r.Put(upstreamEntry("b", 1, 1))
+	r.Put(start, upstreamEntry("a", 1, 1))
+	r.Put(start, upstreamEntry("b", 1, 1))
 	r.StoreFailed()
 	recoveredAt := start.Add(6 * time.Second)
 	r.StoreReached(recoveredAt)
 	g.Expect(r.EntryRemoved(recoveredAt, "a")).To(BeFalse())
 	g.Expect(r.EntryRemoved(recoveredAt.Add(time.Second), "b")).To(BeFalse())
 	g.Expect(r.RemoveExpired(recoveredAt.Add(2 * time.Second))).To(BeEmpty())
-	g.Expect(r.Put(upstreamEntry("a", 1, 2))).To(BeTrue())
+	g.Expect(r.Put(start, upstreamEntry("a", 1, 2))).To(BeTrue())
 	g.Expect(r.RemoveExpired(recoveredAt.Add(2300 * time.Millisecond))).To(Equal([]string{"b"}))
 	g.Expect(r.EntryRemoved(recoveredAt.Add(3*time.Second), "a")).To(BeTrue(), "the grace period has ended")
 }
@@ -46,10 +46,10 @@
 	g := NewWithT(t)
 	r := follow.NewUpstreamRegistry()
 	r.StoreReached(start)
-	r.Put(upstreamEntry("a", 1, 1))
+	r.Put(start, upstreamEntry("a", 1, 1))
 	g.Expect(r.EntryRemoved(start, "a")).To(BeTrue())
 	g.Expect(r.EntryRemoved(start, "a")).To(BeFalse())
-	g.Expect(r.Put(upstreamEntry("a", 0, 0))).To(BeTrue(), "the earlier entry is not remembered")
+	g.Expect(r.Put(start, upstreamEntry("a", 0, 0))).To(BeTrue(), "the earlier entry is not remembered")
 }
 
 // A write may take effect late. A late write of an earlier run, or with a lower
@@ -57,12 +57,31 @@
 func TestOlderEntryIsIgnored(t *testing.T) {
 	g := NewWithT(t)
 	r := follow.NewUpstreamRegistry()
-	g.Expect(r.Put(upstreamEntry("a", 5, 7))).To(BeTrue())
-	g.Expect(r.Put(upstreamEntry("a", 4, 99))).To(BeFalse(), "entry of an earlier run")
-	g.Expect(r.Put(upstreamEntry("a", 5, 6))).To(BeFalse(), "entry with a lower sequence number")
-	g.Expect(r.Put(upstreamEntry("a", 6, 1))).To(BeTrue(), "a new run starts its sequence numbers again")
+	g.Expect(r.Put(start, upstreamEntry("a", 5, 7))).To(BeTrue())
+	g.Expect(r.Put(start, upstreamEntry("a", 4, 99))).To(BeFalse(), "entry of an earlier run")
+	g.Expect(r.Put(start, upstreamEntry("a", 5, 6))).To(BeFalse(), "entry with a lower sequence number")
+	g.Expect(r.Put(start, upstreamEntry("a", 6, 1))).To(BeTrue(), "a new run starts its sequence numbers again")
 	g.Expect(r.Invalidate("a")).To(BeTrue())
-	g.Expect(r.Put(upstreamEntry("a", 6, 1))).To(BeTrue(), "the upstream registers again after its entry became invalid")
+	g.Expect(r.Put(start, upstreamEntry("a", 6, 1))).To(BeTrue(), "the upstream registers again after its entry became invalid")
+}
+
+// Guards against an outdated write that replaces the entry of an upstream which is alive.
+func TestOutdatedEntryIsTakenOnlyIfNothingConfirmsTheOther(t *testing.T) {
+	g := NewWithT(t)
+	const unconfirmed = 4500 * time.Millisecond
+	r, at := follow.NewUpstreamRegistry(), func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	r.Put(at(0), upstreamEntry("a", 5, 7))
+	r.Put(at(100), upstreamEntry("a", 5, 6))
+	r.Put(at(1500), upstreamEntry("a", 5, 8))
+	r.Put(at(1600), upstreamEntry("a", 4, 90))
+	g.Expect(r.TakeOverdue(at(4600), unconfirmed)).To(BeEmpty(), "the entry was confirmed after the first outdated write")
+	r.Put(at(5000), upstreamEntry("a", 4, 91))
+	g.Expect(r.TakeOverdue(at(6100), unconfirmed)).To(Equal([]catalog.Upstream{upstreamEntry("a", 4, 91)}))
+	g.Expect(r.TakeOverdue(at(9999), unconfirmed)).To(BeEmpty())
+	g.Expect(r.Put(at(9999), upstreamEntry("a", 4, 91))).To(BeTrue())
+	r.Put(at(10_000), upstreamEntry("a", 4, 90))
+	r.EntryRemoved(at(10_001), "a")
+	g.Expect(r.TakeOverdue(at(20_000), unconfirmed)).To(BeEmpty(), "the entry was removed")
 }
 
 // fakeStore responds to calls with functions that the test sets.
