Void registrations of upstreams are not passed on to other hosts

What callers saw: nothing yet. A standby that copies the upstreams from an active host gets them in pages, and each void entry of another writer, of up to 1 MB, took a page of its own.

Cause: hosts kept the value of a void entry, which names no upstream. Evidence: TestVoidEntriesAreNotPassedOn got a first page with such an entry alone. Change: a void entry is forgotten, as if its key had been deleted. The digest never covered it, so hosts that keep one and hosts that do not confirm each other.

--- a/internal/entryhost/oddentries_internal_test.go
+++ b/internal/entryhost/oddentries_internal_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"balsambarrow/internal/fleet"
 	"balsambarrow/internal/kv"
 )
 
@@ -146,6 +147,21 @@
 	}
 }
 
+// Guards against entries of another writer that crowd out the upstreams which other hosts copy from this one.
+func TestVoidEntriesAreNotPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	w := &entryWriters{c: newTestControl(t), sequence: map[string]int{}, stored: map[string]kv.Item{}}
+	w.now = w.c.d.now()
+	w.c.loadState(w.now, []kv.Item{{Key: "servers/a", Value: []byte(strings.Repeat("[", kv.MaxValueBytes)), Revision: 1}}, true)
+	w.revision = 1
+	w.heartbeat("i-1")
+	w.put("i-2", strings.Repeat("x", kv.MaxValueBytes))
+	w.heartbeat("i-3")
+	page, more := w.c.pageOf(fleet.Scope_SCOPE_UPSTREAMS, "")
+	g.Expect(more).To(BeFalse())
+	g.Expect(page).To(HaveLen(2))
+}
+
 // settle lets the upstreams write valid entries for as long as an outdated write may take effect.
 func (w *entryWriters) settle() {
 	for range 5 {
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -349,6 +349,8 @@
 		id, _ := platform.UpstreamID(item.Key)
 		c.d.events.Info("upstream entry void", "upstream", id, "revision", item.Revision, "error", err)
 		c.upstreams.digest.RemoveUpstream(id)
+		// Hosts that copy the upstreams from this one do not need it.
+		c.deleteItem(item.Key)
 		if c.upstreamRegistry.Invalidate(id) {
 			c.removeUpstream(id, "entry void")
 		}
