--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -177,31 +177,12 @@
 	}
 	require(s.Listen.Tunnels == "" || settings.IsAddress(s.Listen.Tunnels), "/listen/tunnels", "want an IP address and a port, or nothing")
 	require(s.Listen.Metrics == "" || settings.IsAddress(s.Listen.Metrics), "/listen/metrics", "want an IP address and a port, or nothing")
-	for _, d := range []struct {
-		path string
-		text Duration
-	}{
-		{"/bounds/grace", s.Bounds.Grace},
-		{"/bounds/revoke", s.Bounds.Revoke},
-		{"/bounds/retry_window", s.Bounds.RetryWindow},
-		{"/bounds/upstream_heartbeat", s.Bounds.UpstreamHeartbeat},
-	} {
-		_, err := time.ParseDuration(string(d.text))
-		require(d.text == "" || err == nil, d.path, `want a time such as "2.5s"`)
-	}
 	require(s.Capacity.CPUShare >= 0, "/capacity/cpu_share", "want zero or more")
 	require(s.Capacity.CPUCores >= 0, "/capacity/cpu_cores", "want zero or more")
 	require(s.Capacity.LinkMbps >= 0, "/capacity/link_mbps", "want zero or more")
 	require(s.Capacity.MemoryMB >= 0, "/capacity/memory_mb", "want zero or more")
 	require(s.Capacity.Descriptors >= 0, "/capacity/descriptors", "want zero or more")
-	require(s.Bounds.RetryWindow.Value() > 0, "/bounds/retry_window", "want more than zero")
-	require(s.Bounds.UpstreamHeartbeat.Value() > 0, "/bounds/upstream_heartbeat", "want more than zero")
-	require(s.Bounds.Grace.Value() > 0, "/bounds/grace", "want more than zero")
-	require(s.Bounds.Revoke.Value() >= 0, "/bounds/revoke", "want zero or more")
-	require(s.Bounds.RetryRatio >= 0, "/bounds/retry_ratio", "want zero or more")
-	require(s.Bounds.RateSlack >= 0, "/bounds/rate_slack", "want zero or more")
-	require(s.Bounds.MaxShift >= 0 && s.Bounds.MaxShift <= 1, "/bounds/max_shift", "want a fraction, 0 to 1")
-	require(s.Bounds.RetrySlack >= 0, "/bounds/retry_slack", "want zero or more")
+	faults = append(faults, s.Bounds.faults(doc)...)
 	faults = append(faults, s.Overload.faults(doc)...)
 	faults = append(faults, s.Memory.faults(doc)...)
 	for i, text := range s.TrustedRequests {
@@ -211,3 +192,33 @@
 	require(settings.IsLogLevel(s.LogLevel), "/log_level", "want debug, info, warn or error")
 	return faults
 }
+
+func (b *Bounds) faults(doc *jsonc.Document) jsonc.Faults {
+	var faults jsonc.Faults
+	require := func(ok bool, path, problem string) {
+		if !ok {
+			faults = append(faults, doc.FaultAt(path, problem))
+		}
+	}
+	for _, d := range []struct {
+		path string
+		text Duration
+	}{
+		{"/bounds/grace", b.Grace},
+		{"/bounds/revoke", b.Revoke},
+		{"/bounds/retry_window", b.RetryWindow},
+		{"/bounds/upstream_heartbeat", b.UpstreamHeartbeat},
+	} {
+		_, err := time.ParseDuration(string(d.text))
+		require(d.text == "" || err == nil, d.path, `want a time such as "2.5s"`)
+	}
+	require(b.RetryWindow.Value() > 0, "/bounds/retry_window", "want more than zero")
+	require(b.UpstreamHeartbeat.Value() > 0, "/bounds/upstream_heartbeat", "want more than zero")
+	require(b.Grace.Value() > 0, "/bounds/grace", "want more than zero")
+	require(b.Revoke.Value() >= 0, "/bounds/revoke", "want zero or more")
+	require(b.RetryRatio >= 0, "/bounds/retry_ratio", "want zero or more")
+	require(b.RateSlack >= 0, "/bounds/rate_slack", "want zero or more")
+	require(b.MaxShift >= 0 && b.MaxShift <= 1, "/bounds/max_shift", "want a fraction, 0 to 1")
+	require(b.RetrySlack >= 0, "/bounds/retry_slack", "want zero or more")
+	return faults
+}
