A host whose registration another writer has overwritten registers again

What callers saw: nothing directly. Hosts that knew the host kept its earlier registration, hosts that started later never learned of it, and the two confirmed each other's registered hosts no more, so that each read the store for them.

Cause: an entry that cannot be read was ignored, and what had been derived from the entry before outlived it; the host renewed its lease without a look at the entry. The same class as entries of upstreams that nothing confirms.

Change: an entry that cannot be read, names another instance, or holds a capacity, start time or address that no host has, ends the registration; the host that finds this of itself registers again. The error has a type and names the instance.

--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -98,6 +98,8 @@
 	wantsShares atomic.Bool
 	// wakeRegistrar ends the pause before the next renewal of the registration.
 	wakeRegistrar chan struct{}
+	// overwritten is set if another writer has overwritten the registration.
+	overwritten atomic.Bool
 	// watches is set while this host watches the store for its region.
 	watches atomic.Bool
 	// summary describes the state of the store that this host knows, for peers that send
--- a/internal/entryhost/register.go
+++ b/internal/entryhost/register.go
@@ -127,7 +127,7 @@
 	}
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
-	for r.holdsShares == r.d.wantsShares.Load() {
+	for r.holdsShares == r.d.wantsShares.Load() && !r.d.overwritten.Load() {
 		select {
 		case <-timer.C:
 			return
@@ -151,6 +151,15 @@
 	}
 }
 
+// registerAgain makes the host register again after its registration was overwritten.
+func (d *Daemon) registerAgain() {
+	d.overwritten.Store(true)
+	select {
+	case d.wakeRegistrar <- struct{}{}:
+	default:
+	}
+}
+
 // awaitPeers waits for the first listing, unless the host will be active in any case. If the
 // listing contains no other host, it lets stronger hosts register first.
 func (r *registrar) awaitPeers(ctx context.Context) {
@@ -218,7 +227,7 @@
 // renewOrRegister renews the lease, or obtains a lease and writes the entry under it.
 func (r *registrar) renewOrRegister(ctx context.Context) error {
 	sentAt, wantsShares := r.d.now(), r.d.wantsShares.Load()
-	if r.lease != 0 && r.holdsShares == wantsShares {
+	if overwritten := r.d.overwritten.Swap(false); r.lease != 0 && r.holdsShares == wantsShares && !overwritten {
 		err := r.d.store.Renew(ctx, r.lease)
 		if err == nil {
 			r.noteRenewed(sentAt)
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -1,7 +1,6 @@
 package entryhost
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 	"time"
@@ -212,9 +211,14 @@
 
 // setHostRegistration records the registration of an entry host.
 func (c *control) setHostRegistration(item kv.Item) {
-	var r fleet.Registration
-	if err := json.Unmarshal(item.Value, &r); err != nil || r.Instance == "" {
+	instance, _ := platform.HostInstance(item.Key)
+	r, err := fleet.DecodeRegistration(instance, item.Value)
+	if err != nil {
 		c.d.events.Warn("host registration not readable", "key", item.Key, "error", err)
+		c.removeHostRegistration(item.Key)
+		if instance == c.d.self.Instance {
+			c.d.registerAgain()
+		}
 		return
 	}
 	c.registrations[item.Key] = r
--- a/internal/fleet/registration.go
+++ b/internal/fleet/registration.go
@@ -1,8 +1,13 @@
 package fleet
 
 import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"balsambarrow/internal/standby"
 )
 
@@ -22,6 +27,55 @@
 	HoldsShares bool `json:"spends,omitempty"`
 }
 
+const (
+	// maxCores and maxLinkMbps are the largest capacities that are accepted.
+	maxCores    = 1e5
+	maxLinkMbps = 1e8
+	// maxStartedMs is the latest start time that is accepted: the largest number that JSON encodes exactly.
+	maxStartedMs = 1<<53 - 1
+)
+
+// RegistrationError means that the registration of a host cannot be used.
+type RegistrationError struct {
+	Instance string
+	Cause    error
+}
+
+func (e *RegistrationError) Error() string {
+	return fmt.Sprintf("fleet: registration of %s: %v", e.Instance, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *RegistrationError) Unwrap() error { return e.Cause }
+
+// DecodeRegistration decodes the registration of an instance. The error is a *RegistrationError.
+func DecodeRegistration(instance string, value []byte) (Registration, error) {
+	var r Registration
+	err := json.Unmarshal(value, &r)
+	if err == nil {
+		err = r.check(instance)
+	}
+	if err != nil {
+		return Registration{}, &RegistrationError{instance, err}
+	}
+	return r, nil
+}
+
+func (r Registration) check(instance string) error {
+	address, err := netip.ParseAddrPort(r.Peers)
+	switch {
+	case r.Instance == "" || r.Instance != instance:
+		return errors.Errorf("names the instance %q", r.Instance)
+	case r.Peers != "" && (err != nil || address.Port() == 0 || address.Addr().IsUnspecified()):
+		return errors.Errorf("address %q names no host", r.Peers)
+	case r.Cores < 0 || r.Cores > maxCores || r.LinkMbps < 0 || r.LinkMbps > maxLinkMbps:
+		return errors.Errorf("invalid capacity: %g cores, %g Mbit/s", r.Cores, r.LinkMbps)
+	case r.StartedMs < 0 || r.StartedMs > maxStartedMs:
+		return errors.Errorf("invalid start time %d", r.StartedMs)
+	}
+	return nil
+}
+
 func (r Registration) capacity() standby.Capacity {
 	return standby.Capacity{Cores: r.Cores, LinkMbps: r.LinkMbps}
 }
