A request without an id uses a connection of its own

What callers saw: a request without an id, which must not run twice, was answered 503, and an upstream ran it.

Cause: the response to a request is recognised by its id, and an empty id matches any response without one, also a late one to an earlier request on the same connection. The class of 'a second attempt at an address': a statement is matched with what it is not about.

Change: what cannot be recognised by its id goes over a new connection, on which no other response can arrive.

--- a/internal/entryhost/statement_test.go
+++ b/internal/entryhost/statement_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -136,3 +138,52 @@
 		})
 	}
 }
+
+// Guards against a late response without an ID that is taken for the response to a request without one.
+func TestRequestWithoutIDIsNotMatchedWithAnEarlierResponse(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = l.Close() })
+	var ran atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveWithLateRefusals(c, &ran)
+		}
+	}()
+	s.register(&standin.PlatformUpstream{ID: "i-1"}, "s", l.Addr().String(), "a1", "ready", 1)
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	s.awaitServing()
+	r, err := http.NewRequest(http.MethodPost, "http://"+h.listen.Callers+"/post/1", strings.NewReader("weight=200"))
+	g.Expect(err).NotTo(HaveOccurred())
+	r.Host = "x.example"
+	r.Header.Set("Authorization", "Bearer k1")
+	before := ran.Load()
+	resp, err := http.DefaultClient.Do(r)
+	g.Expect(err).NotTo(HaveOccurred())
+	_ = resp.Body.Close()
+	g.Expect(ran.Load()).To(Equal(before+1), "the posting ran")
+	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+}
+
+// serveWithLateRefusals serves requests, and sends a refusal without an ID ahead of each response but the first.
+func serveWithLateRefusals(c net.Conn, ran *atomic.Int64) {
+	defer func() { _ = c.Close() }()
+	br, late := bufio.NewReader(c), ""
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		ran.Add(1)
+		_, _ = fmt.Fprintf(c, "%sHTTP/1.1 200 x\r\nX-Request-Id: %s\r\nX-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok", late, r.Header.Get("X-Request-Id"))
+		late = "HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	}
+}
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -270,7 +270,7 @@
 	return &h1.Request{
 		Method: q.http.Method, Target: requestTarget(q.http), Host: q.http.Host,
 		Header: header, Body: q.body.reader(), Length: q.body.length, NonIdempotent: !q.route.Kind.Idempotent(),
-		NewConnection: slices.Contains(q.attempts.addresses[:len(q.attempts.addresses)-1], c.Address),
+		NewConnection: q.ID == "" || slices.Contains(q.attempts.addresses[:len(q.attempts.addresses)-1], c.Address),
 		Matches:       func(r *http.Response) bool { return h.Codec.ParseResponse(r).ID == q.ID },
 		Prepare: func() error {
 			// Connecting has taken some of the time.
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -27,8 +27,8 @@
 	// NonIdempotent marks a request that must not run twice. It is sent on a reused
 	// connection only if the upstream most probably still has that connection open.
 	NonIdempotent bool
-	// NewConnection requires a connection that has carried no other request: Matches may also accept a late second
-	// response to an earlier attempt of the same request.
+	// NewConnection requires a connection that has carried no other request. It is for requests whose Matches may also
+	// accept a late response to another one, such as an earlier attempt of the same request.
 	NewConnection bool
 	// Prepare is called once there is a connection, immediately before the request is written. It may
 	// change Header. If it returns an error, nothing is sent. Optional.
