--- a/internal/soak/upstreamprocess_test.go
+++ b/internal/soak/upstreamprocess_test.go
@@ -77,14 +77,18 @@
 // hostsFile lists the addresses at which hosts accept callers.
 const hostsFile = "hosts"
 
+// start starts the process. The caller holds mu, or is the only user.
 func (u *upstreamProcess) start(t *testing.T) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
 	u.starts++
 	u.state, u.sequence = "ready", 0
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), fmt.Sprintf("%s=%s %s %s %s %d", upstreamEnv, u.address, u.id, u.runs, u.hosts, u.starts))
 	cmd.Stderr = os.Stderr
+	// The process ends with the one of the test, which closes the pipe.
+	if _, err := cmd.StdinPipe(); err != nil {
+		t.Error(err)
+		return
+	}
 	if err := cmd.Start(); err != nil {
 		t.Error(err)
 		return
@@ -127,25 +131,23 @@
 // restart waits for the end of the process and starts the next one at its address.
 func (u *upstreamProcess) restart(t *testing.T, store *standin.KVStore, by replacement) {
 	u.mu.Lock()
-	exited, old := u.exited, u.id
+	exited := u.exited
 	u.mu.Unlock()
 	<-exited
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	if u.exited != exited {
-		u.mu.Unlock()
 		return // another goroutine has started the next one
 	}
+	old := u.id
 	u.foreign = by == otherService
 	if by != sameInstance {
 		name, _, _ := strings.Cut(strings.TrimRight(u.id, successorMark), ".")
 		u.id = fmt.Sprint(name, ".", u.starts)
-	}
-	u.mu.Unlock()
-	if by != sameInstance {
 		store.Delete("servers/" + old)
 	}
 	u.start(t)
-	u.register(store)
+	u.writeRegistration(store)
 }
 
 // leave makes the upstream stop as planned, announced by its registration or by the removal of it.
@@ -174,10 +176,15 @@
 	u.register(store)
 }
 
-// register writes the registration, unless the upstream leaves without announcing it.
+// register writes the registration.
 func (u *upstreamProcess) register(store *standin.KVStore) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.writeRegistration(store)
+}
+
+// writeRegistration writes the registration. The caller holds mu.
+func (u *upstreamProcess) writeRegistration(store *standin.KVStore) {
 	u.sequence++
 	service := standin.Service
 	if u.foreign {
@@ -283,6 +290,10 @@
 		slots: make(chan struct{}, upstreamSlots), queue: make(chan struct{}, upstreamQueue+upstreamSlots),
 		rng: rand.New(rand.NewPCG(seed, uint64(len(file)))),
 	}
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		os.Exit(0)
+	}()
 	go s.handleSignals()
 	for {
 		c, err := l.Accept()
