--- a/spec/promises.pml
+++ b/spec/promises.pml
@@ -4,7 +4,7 @@
  * A host sends a request to upstreams, one after another, and answers its caller. Of each attempt nothing,
  * a part or all is written; an upstream may run what it has at any later time, also after the host has given
  * up. It states that it did not run the request only if it never will, and may answer with a refusal that
- * states nothing after it has run it. A request that must not run twice is sent again only if that is safe.
+ * states nothing after it has run it, or state that it did not run it with a status that says that it failed. A request that must not run twice is sent again only if that is safe.
  * The host may refuse at any time between two attempts, as at a stop or for lack of room.
  *
  * Checked by assertions: no request runs, before or after, whose caller got such a status. For requests that
@@ -14,7 +14,9 @@
  *   PASS_STATUS      the status of an upstream is passed on although it states nothing;
  *   LAST_ATTEMPT     only the last attempt counts;
  *   PART_IS_UNSENT   an attempt of which a part was written counts as one that sent nothing;
- *   GAVE_UP_UNSENT   an attempt that was given up counts as one that sent nothing.
+ *   GAVE_UP_UNSENT   an attempt that was given up counts as one that sent nothing;
+ *   SAME_CONNECTION  a second copy of a statement is read as the response to the next attempt, which uses the same connection;
+ *   ANY_STATUS       a statement counts whatever the status that it comes with.
  */
 #define ATTEMPTS 3
 #define NOTHING 0
@@ -30,6 +32,7 @@
 #define SUCCESS 1
 #define REFUSAL 2
 #define STATED 3
+#define CONTRADICTION 4
 
 byte written[ATTEMPTS], response[ATTEMPTS];
 bool ran[ATTEMPTS], declined[ATTEMPTS];
@@ -55,6 +58,7 @@
        if
        :: response[a] = SUCCESS
        :: response[a] = REFUSAL
+       :: response[a] = CONTRADICTION
        fi
      }
   :: atomic { declined[a] && response[a] == NO_RESPONSE -> response[a] = STATED }
@@ -94,6 +98,15 @@
 #endif
   :: written[a] == ALL && response[a] == STATED -> learn(NOT_RUN)
   :: written[a] == ALL && (response[a] == SUCCESS || response[a] == REFUSAL) -> learn(MAY_HAVE_RUN); passOn(a)
+  :: written[a] == ALL && response[a] == CONTRADICTION ->
+#ifdef ANY_STATUS
+     learn(NOT_RUN)
+#else
+     learn(MAY_HAVE_RUN); passOn(a)
+#endif
+#ifdef SAME_CONNECTION
+  :: written[a] == ALL && a > 0 && response[(a + ATTEMPTS - 1) % ATTEMPTS] == STATED -> learn(NOT_RUN)
+#endif
   :: written[a] == ALL -> /* given up, whatever follows */
 #ifdef GAVE_UP_UNSENT
      learn(NOT_SENT)
