A refusal that mentions no rate limit does not end the one in force

Cause: a response without the header ended the limit, also a refusal. One host got such a refusal and reported the end to all others, which then sent to the upstream as to any other. The same class as a statement that is read into a response that does not make it.

TestRefusalDoesNotEndARateLimit failed before.

Change: only a response to a request that ran ends a limit by leaving it out.

--- a/internal/entryhost/announcements_test.go
+++ b/internal/entryhost/announcements_test.go
@@ -1,6 +1,7 @@
 package entryhost_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"balsambarrow/internal/fleet"
+	"balsambarrow/internal/standin"
 )
 
 // Guards against a late heartbeat that undoes what a newer one has reported.
@@ -38,3 +40,22 @@
 	report(11, "i-2", true)
 	g.Eventually(limited, "5s", "10ms").Should(ContainSubstring("balsambarrow_upstreams_rate_limited 2\n"))
 }
+
+// Guards against a rate limit that a refusal, which does not mention it, ends at all hosts.
+func TestRefusalDoesNotEndARateLimit(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	u := s.worker("i-1", "s", "a1", 0)
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	s.awaitServing()
+	u.SetRateLimit("50")
+	g.Expect(s.read(h).status).To(Equal(http.StatusOK))
+	g.Expect(s.metrics(h)).To(ContainSubstring("balsambarrow_upstreams_rate_limited 1"))
+	u.Reject(time.Millisecond)
+	g.Eventually(func() []standin.PlatformRun { s.read(h); return u.Rejected() }, "5s", "50ms").ShouldNot(BeEmpty())
+	g.Expect(s.metrics(h)).To(ContainSubstring("balsambarrow_upstreams_rate_limited 1"))
+	u.Reject(0)
+	u.SetRateLimit("")
+	g.Eventually(func() string { s.read(h); return s.metrics(h) }, "5s", "20ms").Should(ContainSubstring("balsambarrow_upstreams_rate_limited 0"), "a response to a request that ran ends it")
+}
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -82,7 +82,8 @@
 	if meta.RetryAfterError == nil {
 		h.Table.ObserveRetryAfter(h.Now(), c, meta.RetryAfter)
 	}
-	if meta.RateLimitError == nil && h.Table.ObserveRateLimit(h.Now(), c, meta.RateLimit) {
+	// A refusal without a limit does not say that the limit has ended.
+	if meta.RateLimitError == nil && (meta.RateLimit.Limited || !meta.NotRun) && h.Table.ObserveRateLimit(h.Now(), c, meta.RateLimit) {
 		h.Log.Info("upstream rate limit", "id", q.ID, "upstream", c.ID, "zone", c.Zone,
 			"limited", meta.RateLimit.Limited, "per_second", meta.RateLimit.PerSecond, "source", "response")
 	}
