--- a/internal/entryhost/statement_test.go
+++ b/internal/entryhost/statement_test.go
@@ -29,20 +29,26 @@
 }
 
 func (s *site) takenOver() *takenOver {
+	u := &takenOver{arrived: make(chan struct{}), released: make(chan struct{}), instance: "i-1"}
+	u.address = s.listen(u.serve)
+	return u
+}
+
+// listen serves each connection to an address of its own, which it returns.
+func (s *site) listen(serve func(net.Conn)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(s.t).Expect(err).NotTo(HaveOccurred())
 	s.t.Cleanup(func() { _ = l.Close() })
-	u := &takenOver{address: l.Addr().String(), arrived: make(chan struct{}), released: make(chan struct{}), instance: "i-1"}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go u.serve(c)
+			go serve(c)
 		}
 	}()
-	return u
+	return l.Addr().String()
 }
 
 func (u *takenOver) serve(c net.Conn) {
@@ -143,20 +149,9 @@
 func TestRequestWithoutIDIsNotMatchedWithAnEarlierResponse(t *testing.T) {
 	g := NewWithT(t)
 	s := newSite(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { _ = l.Close() })
 	var ran atomic.Int64
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serveWithLateRefusals(c, &ran)
-		}
-	}()
-	s.register(&standin.PlatformUpstream{ID: "i-1"}, "s", l.Addr().String(), "a1", "ready", 1)
+	address := s.listen(func(c net.Conn) { serveWithLateRefusals(c, &ran) })
+	s.register(&standin.PlatformUpstream{ID: "i-1"}, "s", address, "a1", "ready", 1)
 	s.declare(4, "k1")
 	h := s.host("h1", "a1")
 	s.awaitServing()
