--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -97,7 +97,7 @@
 	// MaxShift bounds the fraction of a region's requests that may run in another region than
 	// before, from one two-second interval to the next. Default 0: not bounded.
 	MaxShift float64 `json:"max_shift"`
-	// UpstreamHeartbeat is how often an upstream writes its registration. Default 1.5s.
+	// UpstreamHeartbeat is how often an upstream writes its registration. Default 2s.
 	UpstreamHeartbeat Duration `json:"upstream_heartbeat"`
 }
 
@@ -119,7 +119,7 @@
 	defaultGrace       = "6s"
 	defaultRetryRatio  = 0.1
 	defaultRetryWindow = "10s"
-	defaultHeartbeat   = "1.5s"
+	defaultHeartbeat   = "2s"
 )
 
 // LoadSettings reads and validates a settings file. An invalid file gives an error of type
