--- a/internal/soak/refusal_test.go
+++ b/internal/soak/refusal_test.go
@@ -92,6 +92,7 @@
 		}
 	})
 	tasks.Go(func() { c.changeConfigurations(rand.New(rand.NewPCG(seed, 2)), stop) })
+	tasks.Go(func() { c.writeOddEntries(rand.New(rand.NewPCG(seed, 3)), upstreams, stop) })
 	tasks.Go(func() { c.cutLinks(rand.New(rand.NewPCG(seed, 5)), stop, false) })
 	tasks.Go(func() { c.disturbProcesses(rand.New(rand.NewPCG(seed, 1)), upstreams, scale.faultGap, stop) })
 	var mu sync.Mutex
@@ -108,6 +109,13 @@
 	close(stop)
 	tasks.Wait()
 	time.Sleep(settleTime)
+	for _, h := range c.processes {
+		select {
+		case <-h.exited:
+			c.reporter.Errorf("%s has ended by itself:\n%s", h.name, c.lastLog(h))
+		default:
+		}
+	}
 	runs := map[string][]string{}
 	for _, u := range upstreams {
 		for id, hows := range u.recordedRuns(t) {
@@ -118,6 +126,29 @@
 	checkPromises(c, requests, runs)
 }
 
+// writeOddEntries writes registrations as another writer may leave them, under keys of upstreams and of its own, until stop is
+// closed.
+func (c *cluster) writeOddEntries(rng *rand.Rand, upstreams []*upstreamProcess, stop <-chan struct{}) {
+	entry := func(address string, sequence, born uint64) string {
+		return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a1","version":"v","slots":4,"state":"draining","cold-remaining":"0ms","sequence":%d,"born":%d}`,
+			standin.Service, address, sequence, born)
+	}
+	odd := []string{
+		strings.Repeat(`{"service":`, 20_000), entry("127.0.0.1:70000", 1, firstStartMs), entry("127.0.0.1:0", 1, firstStartMs),
+		entry("127.0.0.1:9", 1<<63, firstStartMs), entry("127.0.0.1:9", 1<<40, firstStartMs), entry("127.0.0.1:9", 1, 1<<50), entry("0.0.0.0:9", 1, 1),
+	}
+	for !sleepUntil(stop, time.Duration(200+rng.IntN(1500))*time.Millisecond) {
+		id := fmt.Sprint("odd-", rng.IntN(3))
+		if rng.IntN(4) == 0 {
+			u := upstreams[rng.IntN(len(upstreams))]
+			u.mu.Lock()
+			id = u.id
+			u.mu.Unlock()
+		}
+		c.store.Put("servers/"+id, []byte(odd[rng.IntN(len(odd))]))
+	}
+}
+
 // checkPromises compares what callers were told with what the upstreams have run.
 func checkPromises(c *cluster, requests []callerRequest, runs map[string][]string) {
 	statuses := map[int]int{}
