--- a/internal/entryhost/hostentry_test.go
+++ b/internal/entryhost/hostentry_test.go
@@ -12,8 +12,7 @@
 	"balsambarrow/platform"
 )
 
-// registrationsKnown is how long a change of a host's registration may take to be known to another host, or to the host
-// itself, and to be corrected: it reads the store by itself after 8 s without confirmation.
+// registrationsKnown is the age that a host's view of registrations may have, and the time for a new registration.
 const registrationsKnown = 12 * time.Second
 
 // Guards against a host whose registration was overwritten, which hosts that start later never learn of.
