One line tells what a promise "not run" rests on; processes state their release

The record of the users could not tell which landing wrote it nor on what the promise rested: per attempt there were up to three lines, without the statement as it came, the connection and the bytes that were written; the kind of the route was in none.

"promised not run" has them in one line, what decides first, since excerpts are cut. Statements are logged as they came, connections with the number of their requests, bytes as counted by h1.Progress. "refused" and "answered" have status, execution, sends and ends first.

No decision changes. Tests of front, h1, platform and entryhost pass with -race.

--- a/cmd/balsambarrowd/main.go
+++ b/cmd/balsambarrowd/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -13,6 +14,7 @@
 
 	"balsambarrow/internal/daemon"
 	"balsambarrow/internal/jsonc"
+	"balsambarrow/internal/release"
 	"balsambarrow/internal/settings"
 	"balsambarrow/internal/telemetry"
 )
@@ -39,6 +41,7 @@
 	cmd := &cobra.Command{
 		Use:           "balsambarrowd SETTINGS",
 		Short:         "Serve as one entry host of the fleet",
+		Version:       strconv.Itoa(release.Number),
 		Args:          cobra.ExactArgs(1),
 		SilenceUsage:  true,
 		SilenceErrors: true,
--- a/internal/entryhost/daemon.go
+++ b/internal/entryhost/daemon.go
@@ -18,6 +18,7 @@
 	"balsambarrow/internal/kv"
 	"balsambarrow/internal/memory"
 	"balsambarrow/internal/place"
+	"balsambarrow/internal/release"
 	"balsambarrow/internal/retry"
 	"balsambarrow/internal/share"
 	"balsambarrow/internal/telemetry"
@@ -236,7 +237,7 @@
 	d.spawn(follower.Run)
 	d.spawn(registrar.run)
 	d.spawn(d.closeIdleCallers)
-	d.events.Info("started", "instance", d.self.Instance, "zone", d.self.Zone, "region", d.self.Region,
+	d.events.Info("started", "release", release.Number, "instance", d.self.Instance, "zone", d.self.Zone, "region", d.self.Region,
 		"callers", d.self.Callers, "peers", d.self.Peers, "store", d.settings.Load().Store)
 }
 
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -8,9 +8,11 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"balsambarrow/internal/front"
+	"balsambarrow/internal/release"
 )
 
 func (d *Daemon) metricsHandler() http.Handler {
+	d.metrics.Gauge("balsambarrow_release", func() float64 { return release.Number })
 	d.metrics.Gauge("balsambarrow_configuration_version", func() float64 {
 		if c := d.state.Load().Catalog; c != nil {
 			return float64(c.Version)
--- a/internal/entryhost/store.go
+++ b/internal/entryhost/store.go
@@ -8,6 +8,7 @@
 	"balsambarrow/internal/catalog"
 	"balsambarrow/internal/fleet"
 	"balsambarrow/internal/kv"
+	"balsambarrow/internal/release"
 	"balsambarrow/platform"
 )
 
@@ -257,7 +258,7 @@
 	if c.catalog != nil && next.Version <= c.catalog.Version {
 		return
 	}
-	c.d.events.Info("configuration in force", "version", next.Version, "before", c.version(), "revision", item.Revision, "by", c.source,
+	c.d.events.Info("configuration in force", "version", next.Version, "before", c.version(), "release", release.Number, "revision", item.Revision, "by", c.source,
 		"bytes", len(item.Value), "keys_required", next.RequiresKeys, "decoding_took", c.d.now().Sub(began), "confirmed_age", began.Sub(c.confirmedAt))
 	c.catalog, c.configuration, c.outdatedSince = next, item.Value, time.Time{}
 	c.base.digest.SetRefused(0)
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -206,32 +206,6 @@
 	attempts attempts
 }
 
-// attempts records the attempts of a request at upstreams.
-type attempts struct {
-	sends int
-	// tried are the IDs of the upstreams tried, and addresses their addresses.
-	tried, addresses []string
-	// timeLeft is the time limit that each upstream was told, or the time that was left if nothing was sent.
-	timeLeft []time.Duration
-	// ends are the outcomes of all attempts.
-	ends []string
-	// execution is what is known after all attempts so far.
-	execution Execution
-	// pathDown is set if this host had no network path to an upstream.
-	pathDown bool
-	// relay is the address of the host through which the last response came; "" if it came
-	// directly.
-	relay string
-	// current is the current attempt, and the last one after its end. avoided are the upstreams that it
-	// should not be sent to.
-	current suspect.Attempt
-	avoided []uint64
-	// longestQueueing is the longest expected queueing delay of the upstreams tried.
-	longestQueueing time.Duration
-	// latency is the comparison for the last response; nil if there was none.
-	latency *LatencyComparison
-}
-
 // idempotent reports whether the request may run more than once.
 func (q *request) idempotent() bool { return q.route != nil && q.route.Kind.Idempotent() }
 
@@ -465,10 +439,11 @@
 		Route: route, Status: f.status, Cause: f.cause, Duration: took, Sends: q.attempts.sends, Execution: q.attempts.execution, Idempotent: q.idempotent(),
 	})
 	pairs := []any{
-		"id", q.ID, "route", route, "service", q.service, "status", f.status, "cause", f.cause,
-		"reason", f.reason, "retry_after", f.retryAfter, "took", took, "waited_at_host", q.waited, "sends", q.attempts.sends, "tried", q.attempts.tried,
-		"time_left", q.attempts.timeLeft, "ends", q.attempts.ends, "execution", q.attempts.execution,
+		"id", q.ID, "status", f.status, "cause", f.cause, "execution", q.attempts.execution, "sends", q.attempts.sends, "ends", q.attempts.ends(),
+		"route", route, "service", q.service, "reason", f.reason, "retry_after", f.retryAfter, "took", took, "waited_at_host", q.waited,
+		"tried", q.attempts.tried, "time_left", q.attempts.timeLeft,
 	}
+	h.logPromise(q, f.status, q.attempts.execution)
 	h.Log.Info("refused", append(pairs, h.State().logPairs(h.Now())...)...)
 	if f.cause == CauseCallerLeft {
 		panic(http.ErrAbortHandler)
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -35,6 +35,14 @@
 	body   []byte
 }
 
+// execution returns what the response says about the execution of its request.
+func (r *response) execution() Execution {
+	if r.notRun {
+		return NotRun
+	}
+	return MayHaveRun
+}
+
 // receive reads the response of an upstream and, unless the upstream refused or
 // failed, writes it to the caller.
 func (h *Handler) receive(ctx context.Context, w http.ResponseWriter, q *request, c place.Choice, sentAt time.Time, upstream *h1.Response) (outcome, *response) {
@@ -44,6 +52,8 @@
 		SlowdownInvalid: meta.LoadError != nil,
 	}
 	q.attempts.relay = upstream.Relay
+	record := q.attempts.last()
+	record.answered, record.status, record.statement = h.Now().Sub(q.arrived), upstream.StatusCode, meta.Statement
 	h.observeAnnouncements(q, c, meta)
 	if problem := invalidResponse(upstream.Response, meta); problem != "" {
 		upstream.Close(meta.KeepAlive)
@@ -102,6 +112,7 @@
 		report.Result, end = place.Failed, outcomeFailed
 	}
 	h.done(q, c, report)
+	q.attempts.last().end = end.String()
 	q.attempts.latency = compareLatency(c, report)
 	h.Log.Debug("upstream answered", "id", q.ID, "route", q.route.Name, "object", q.Object, "upstream", c.ID, "zone", c.Zone,
 		"status", resp.status, "took", report.TimeToHeader, "expected", c.ExpectedLatency, "expected_wait", c.ExpectedQueueing, "warm", c.Warm,
@@ -138,6 +149,7 @@
 // writeResponse writes a buffered response to the caller.
 func (h *Handler) writeResponse(w http.ResponseWriter, q *request, resp *response) {
 	h.withdrawPromise(q, resp)
+	h.logPromise(q, resp.status, resp.execution())
 	h.endBody(w, q)
 	q.releaseBody()
 	moveHeader(w.Header(), resp.header)
@@ -160,9 +172,8 @@
 	late := q.route.TargetLatency > 0 && took > q.route.TargetLatency
 	if q.attempts.sends > 1 || late || q.state.unusualAge(q.arrived, now) || q.attempts.relay != "" || resp.status >= http.StatusInternalServerError || traffic.PromisesNotRun(resp.status) || h.responseCount.Add(1)%responseLogInterval == 0 {
 		pairs := []any{
-			"id", q.ID, "route", q.route.Name, "status", resp.status, "took", took,
-			"target", q.route.TargetLatency, "waited_at_host", q.waited, "sends", q.attempts.sends, "tried", q.attempts.tried, "time_left", q.attempts.timeLeft, "relay", q.attempts.relay,
-			"ends", q.attempts.ends,
+			"id", q.ID, "status", resp.status, "sends", q.attempts.sends, "ends", q.attempts.ends(), "route", q.route.Name, "took", took,
+			"target", q.route.TargetLatency, "waited_at_host", q.waited, "tried", q.attempts.tried, "time_left", q.attempts.timeLeft, "relay", q.attempts.relay,
 		}
 		pairs = append(pairs, q.state.logPairs(now)...)
 		h.Log.Info("answered", append(pairs, q.attempts.latency.logPairs()...)...)
@@ -172,6 +183,7 @@
 // stream forwards a response that exceeds maxBufferedResponse as it arrives.
 func (h *Handler) stream(w http.ResponseWriter, q *request, start *response, rest io.Reader) error {
 	h.withdrawPromise(q, start)
+	h.logPromise(q, start.status, start.execution())
 	h.endBody(w, q)
 	q.releaseBody()
 	moveHeader(w.Header(), start.header)
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"balsambarrow/internal/catalog"
@@ -97,7 +96,7 @@
 	h.latencies.start(q)
 	h.placeAttempt(q, choice)
 	end, resp = h.send(ctx, w, q, choice)
-	q.attempts.ends = append(q.attempts.ends, end.String())
+	q.attempts.last().end = end.String()
 	answered = end == outcomeAnswered || end == outcomeFailed
 	if end != outcomeAnswered {
 		h.ObserveFailedAttempt(end.String(), choice.Zone)
@@ -236,7 +235,8 @@
 func (h *Handler) send(ctx context.Context, w http.ResponseWriter, q *request, c place.Choice) (end outcome, resp *response) {
 	sentAt := h.Now()
 	q.attempts.relay = ""
-	q.attempts.tried, q.attempts.addresses = append(q.attempts.tried, c.ID), append(q.attempts.addresses, c.Address)
+	q.attempts.tried = append(q.attempts.tried, c.ID)
+	q.attempts.records = append(q.attempts.records, &attemptRecord{instance: c.ID, address: c.Address, begun: sentAt.Sub(q.arrived)})
 	q.attempts.timeLeft = append(q.attempts.timeLeft, q.deadline.Sub(sentAt))
 	q.attempts.longestQueueing = max(q.attempts.longestQueueing, c.ExpectedQueueing)
 	limit, err := traffic.NewTimeLimit(q.deadline.Sub(sentAt))
@@ -270,8 +270,8 @@
 	return &h1.Request{
 		Method: q.http.Method, Target: requestTarget(q.http), Host: q.http.Host,
 		Header: header, Body: q.body.reader(), Length: q.body.length, NonIdempotent: !q.route.Kind.Idempotent(),
-		NewConnection: q.ID == "" || slices.Contains(q.attempts.addresses[:len(q.attempts.addresses)-1], c.Address),
-		Matches:       func(r *http.Response) bool { return h.Codec.ParseResponse(r).ID == q.ID },
+		NewConnection: q.ID == "" || q.attempts.usedAddress(), Progress: &q.attempts.last().progress,
+		Matches: func(r *http.Response) bool { return h.Codec.ParseResponse(r).ID == q.ID },
 		Prepare: func() error {
 			// Connecting has taken some of the time.
 			limit, err := traffic.NewTimeLimit(q.deadline.Sub(h.Now()))
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -23,8 +23,9 @@
 	// header is what br reads from.
 	header *headerReader
 	br     *bufio.Reader
-	// reused is set once the connection has served a request.
-	reused bool
+	// reused is set once the connection has served a request, and requests is the number of requests that it has carried.
+	reused   bool
+	requests int64
 	// The connection may be reused until idleTimeout after idleSince. The upstream keeps
 	// it open for longer; see idleTimeoutMargin.
 	idleSince   time.Time
--- a/internal/h1/exchange.go
+++ b/internal/h1/exchange.go
@@ -33,6 +33,8 @@
 	// Prepare is called once there is a connection, immediately before the request is written. It may
 	// change Header. If it returns an error, nothing is sent. Optional.
 	Prepare func() error
+	// Progress receives what was written of the request. Optional.
+	Progress *Progress
 }
 
 const (
@@ -120,6 +122,12 @@
 }
 
 func (p *Pool) exchange(c *conn, r *Request) (*Response, error) {
+	progress := r.Progress
+	if progress == nil {
+		progress = &Progress{}
+	}
+	c.requests++
+	progress.requests.Store(c.requests)
 	var head bytes.Buffer
 	writeHead(&head, r)
 	if r.Body != nil && r.Length >= 0 && r.Length <= maxInlineBody {
@@ -128,9 +136,10 @@
 		}
 		r = &Request{Method: r.Method, Matches: r.Matches}
 	}
+	w := progress.writer(c)
 	// The upstream may respond before Write returns.
 	sentAt := p.now()
-	if n, err := c.Write(head.Bytes()); err != nil {
+	if n, err := w.Write(head.Bytes()); err != nil {
 		if n == 0 {
 			return nil, &UnsentError{Address: c.address, Cause: err}
 		}
@@ -144,7 +153,9 @@
 		resp.ConnectTime = c.roundTrip
 	}
 	if r.Body != nil {
-		resp.written = writeBody(c, r)
+		resp.written = writeBody(w, r, progress)
+	} else {
+		progress.complete.Store(true)
 	}
 	if _, err := c.br.Peek(1); err != nil {
 		p.recordNoResponse(c, sentAt, err)
@@ -187,24 +198,28 @@
 // writeBody writes the body in the background while the response is read: an
 // upstream may refuse a request before it has read the body, and may then never
 // read it.
-func writeBody(c *conn, r *Request) <-chan error {
+func writeBody(to io.Writer, r *Request, progress *Progress) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		if r.Length >= 0 {
-			_, err := io.CopyN(c, r.Body, r.Length)
-			done <- err
-			return
-		}
-		w := newChunkWriter(c)
-		_, err := io.Copy(w, r.Body)
-		if err == nil {
-			err = w.Close()
-		}
+		err := copyBody(to, r)
+		progress.complete.Store(err == nil)
 		done <- err
 	}()
 	return done
 }
 
+func copyBody(to io.Writer, r *Request) error {
+	if r.Length >= 0 {
+		_, err := io.CopyN(to, r.Body, r.Length)
+		return err
+	}
+	w := newChunkWriter(to)
+	if _, err := io.Copy(w, r.Body); err != nil {
+		return err
+	}
+	return w.Close()
+}
+
 // readResponse returns the response that belongs to the request, and skips
 // responses to other requests: a faulty upstream may send a second response to an
 // earlier request late, ahead of the response to this one.
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -57,6 +57,8 @@
 	Signed bool
 	// NotRun is set if the upstream certainly did not run the request.
 	NotRun bool
+	// Statement is what the upstream states about the execution, as it was received; "" if it states nothing.
+	Statement string
 	// Contradicts is set if the upstream states that it did not run the request, with a status that says that it did.
 	Contradicts bool
 	// Misdirected is set if the address now belongs to another upstream.
