--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -96,6 +96,8 @@
 	linkCuts []linkCut
 	// sharesRoom is set if hosts share the room of upstreams, and queue requests that find none.
 	sharesRoom bool
+	// retryRatio is that of the settings; 0 means the default.
+	retryRatio float64
 	// faultLog lists the injected faults. It is logged when a check fails.
 	faultLog []string
 }
@@ -210,7 +212,7 @@
 	text := standin.EntryHostSettings{
 		Name: name, Zone: host.zone, CallerAddress: h.callerAddress, DirectoryAddress: "127.0.0.1:0", StoreAddress: p.address(), LinkMbps: host.linkMbps,
 		PeerAddress: freeAddress(c.t), MetricsAddress: h.metrics,
-		GracePeriod: 4 * time.Second, RevocationDelay: revocationDelay, SharesRoom: c.sharesRoom,
+		GracePeriod: 4 * time.Second, RevocationDelay: revocationDelay, SharesRoom: c.sharesRoom, RetryRatio: c.retryRatio,
 	}.Encode()
 	if err := os.WriteFile(h.settingsFile, text, 0o600); err != nil {
 		c.t.Fatal(err)
--- a/internal/standin/platformconfig.go
+++ b/internal/standin/platformconfig.go
@@ -87,6 +87,8 @@
 	RevocationDelay time.Duration
 	// SharesRoom makes the hosts share the room of upstreams, and queue requests that find none.
 	SharesRoom bool
+	// RetryRatio is the ratio of retries to requests; 0 means 0.2.
+	RetryRatio float64
 }
 
 // Encode returns the text of the settings file.
@@ -94,6 +96,9 @@
 	if h.PeerAddress == "" {
 		h.PeerAddress = "127.0.0.1:0"
 	}
+	if h.RetryRatio == 0 {
+		h.RetryRatio = 0.2
+	}
 	overload := "auto"
 	if h.SharesRoom {
 		overload = "on"
@@ -107,7 +112,7 @@
 		"store": h.StoreAddress, "capacity": map[string]int{"link_mbps": h.LinkMbps},
 		"bounds": map[string]any{
 			"grace": h.GracePeriod.String(), "revoke": h.RevocationDelay.String(), "strict_revocation": true,
-			"retry_ratio": 0.2, "retry_slack": 60, "retry_window": "10s",
+			"retry_ratio": h.RetryRatio, "retry_slack": 60, "retry_window": "10s",
 		},
 		"overload": map[string]string{"sharing": overload, "queue": overload},
 	}, "", "  ")
