A version in force that declares a request unsafe binds also requests that it did not admit

Callers whose request was at an upstream, or waited, while a version came into force that makes its route unsafe (or adds an unsafe route below a safe one) were told 408, 429 or 503 after the request had run, or it ran twice. A caller may send such a request after the version was acknowledged, and the host learn of the version only afterwards.

Cause: whether a request may run twice was decided by the version that admitted it, however long ago. Class: a decision about now that rests on a state from before a wait; regions and keys are already decided by the version in force.

Now both versions must allow a second run: for the next attempt, for the connection that is used, and for an upstream's status that promises. Still open: a host that hears of the version only after the end of the request.

--- a/internal/front/attempts.go
+++ b/internal/front/attempts.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"balsambarrow/internal/catalog"
 	"balsambarrow/internal/h1"
 	"balsambarrow/internal/suspect"
 	"balsambarrow/internal/traffic"
@@ -91,12 +92,10 @@
 	for _, r := range q.attempts.records {
 		records = append(records, r.String())
 	}
-	version, inForce, kind := q.state.version(), h.State(), ""
-	if inForce.Catalog != nil {
-		if r := inForce.Catalog.Route(q.http.Host, requestPath(q.http)); r != nil {
-			kind = string(r.Kind)
-		}
+	var kind catalog.Kind
+	if r := h.routeInForce(q); r != nil {
+		kind = r.Kind
 	}
 	h.Log.Info("promised not run", "id", q.ID, "status", status, "execution", execution, "kind", q.route.Kind, "kind_now", kind,
-		"attempts", strings.Join(records, " "), "version", version, "version_now", inForce.version(), "relay", q.attempts.relay)
+		"attempts", strings.Join(records, " "), "version", q.state.version(), "version_now", h.State().version(), "relay", q.attempts.relay)
 }
--- a/internal/front/execution.go
+++ b/internal/front/execution.go
@@ -46,7 +46,7 @@
 // upstream does not state that: the caller may repeat a request that must not run twice. Requests that may
 // run twice keep the response as it is.
 func (h *Handler) withdrawPromise(q *request, resp *response) {
-	if resp.notRun || q.idempotent() || !traffic.PromisesNotRun(resp.status) {
+	if resp.notRun || h.idempotent(q) || !traffic.PromisesNotRun(resp.status) {
 		return
 	}
 	h.Log.Info("promise of upstream withdrawn", "id", q.ID, "status", resp.status, "tried", q.attempts.tried)
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -206,9 +206,6 @@
 	attempts attempts
 }
 
-// idempotent reports whether the request may run more than once.
-func (q *request) idempotent() bool { return q.route != nil && q.route.Kind.Idempotent() }
-
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{Request: h.Codec.ParseRequest(r), arrived: h.Now()}
@@ -436,7 +433,7 @@
 	}
 	took := h.Now().Sub(q.arrived)
 	h.Observe(Observation{
-		Route: route, Status: f.status, Cause: f.cause, Duration: took, Sends: q.attempts.sends, Execution: q.attempts.execution, Idempotent: q.idempotent(),
+		Route: route, Status: f.status, Cause: f.cause, Duration: took, Sends: q.attempts.sends, Execution: q.attempts.execution, Idempotent: h.idempotent(q),
 	})
 	pairs := []any{
 		"id", q.ID, "status", f.status, "cause", f.cause, "execution", q.attempts.execution, "sends", q.attempts.sends, "ends", q.attempts.ends(),
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -166,7 +166,7 @@
 	now := h.Now()
 	took := now.Sub(q.arrived)
 	h.Observe(Observation{
-		Route: q.route.Name, Status: resp.status, Duration: took, Bytes: len(resp.body), Sends: q.attempts.sends, Execution: MayHaveRun, Idempotent: q.idempotent(),
+		Route: q.route.Name, Status: resp.status, Duration: took, Bytes: len(resp.body), Sends: q.attempts.sends, Execution: MayHaveRun, Idempotent: h.idempotent(q),
 		Latency: q.attempts.latency,
 	})
 	late := q.route.TargetLatency > 0 && took > q.route.TargetLatency
--- a/internal/front/retry.go
+++ b/internal/front/retry.go
@@ -59,7 +59,7 @@
 		return RetryUnreachable
 	case end == outcomeUnsent:
 		return RetryAllowed
-	case end != outcomeShed && !q.route.Kind.Idempotent():
+	case end != outcomeShed && !h.idempotent(q):
 		return RetryNotIdempotent
 	case q.attempts.sends >= q.route.MaxAttempts:
 		return RetryMaxAttempts
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -117,21 +117,6 @@
 	}
 }
 
-// allowedRegions returns the regions that may run the request by the version that is in force now. The
-// request may have waited for its body, in the queue or for another upstream since it was admitted.
-func (h *Handler) allowedRegions(q *request) (regions []string, restricted bool) {
-	route, customer := q.route, q.customer
-	if c := h.State().Catalog; c != q.state.Catalog {
-		if r := c.Route(q.http.Host, requestPath(q.http)); r != nil {
-			route = r
-		}
-		if customer != nil {
-			customer = c.CustomerByName(customer.Name)
-		}
-	}
-	return catalog.AllowedRegions(route, customer)
-}
-
 // unservedRefusal returns the refusal that is correct for the attempts so far.
 func (h *Handler) unservedRefusal(q *request) *refusal {
 	switch q.attempts.execution {
@@ -269,7 +254,7 @@
 	header := h.Codec.ForwardHeader(q.http.Header, f)
 	return &h1.Request{
 		Method: q.http.Method, Target: requestTarget(q.http), Host: q.http.Host,
-		Header: header, Body: q.body.reader(), Length: q.body.length, NonIdempotent: !q.route.Kind.Idempotent(),
+		Header: header, Body: q.body.reader(), Length: q.body.length, NonIdempotent: !h.idempotent(q),
 		NewConnection: q.ID == "" || q.attempts.usedAddress(), Progress: &q.attempts.last().progress,
 		Matches: func(r *http.Response) bool { return h.Codec.ParseResponse(r).ID == q.ID },
 		Prepare: func() error {
--- a/spec/promises.pml
+++ b/spec/promises.pml
@@ -5,10 +5,12 @@
  * a part or all is written; an upstream may run what it has at any later time, also after the host has given
  * up. It states that it did not run the request only if it never will, and may answer with a refusal that
  * states nothing after it has run it, or state that it did not run it with a status that says that it failed. A request that must not run twice is sent again only if that is safe.
- * The host may refuse at any time between two attempts, as at a stop or for lack of room.
+ * The host may refuse at any time between two attempts, as at a stop or for lack of room. A version that comes into force
+ * meanwhile may declare that the request must not run twice.
  *
  * Checked by assertions: no request runs, before or after, whose caller got such a status. For requests that
- * may run twice this holds for the refusals of the host itself.
+ * may run twice this holds for the refusals of the host itself. No request that must not run twice by the version in force is
+ * sent after it may have run.
  *
  * Broken variants, which must be refuted:
  *   PASS_STATUS      the status of an upstream is passed on although it states nothing;
@@ -16,7 +18,8 @@
  *   PART_IS_UNSENT   an attempt of which a part was written counts as one that sent nothing;
  *   GAVE_UP_UNSENT   an attempt that was given up counts as one that sent nothing;
  *   SAME_CONNECTION  a second copy of a statement is read as the response to the next attempt, which uses the same connection;
- *   ANY_STATUS       a statement counts whatever the status that it comes with.
+ *   ANY_STATUS       a statement counts whatever the status that it comes with;
+ *   ADMITTED_KIND    whether a request may run twice is decided by the version that admitted it alone.
  */
 #define ATTEMPTS 3
 #define NOTHING 0
@@ -36,12 +39,20 @@
 
 byte written[ATTEMPTS], response[ATTEMPTS];
 bool ran[ATTEMPTS], declined[ATTEMPTS];
-bool promised, idempotent;
+bool promised;
+/* Whether the request may run twice, by the version that admitted it and by the one in force. */
+bool idempotent, declaredUnsafe;
 byte execution, attempt;
 bool done;
 
 #define anyRan (ran[0] || ran[1] || ran[2])
 
+#ifdef ADMITTED_KIND
+#define mayRunTwice idempotent
+#else
+#define mayRunTwice (idempotent && !declaredUnsafe)
+#endif
+
 #ifdef LAST_ATTEMPT
 #define learn(e) execution = e
 #else
@@ -77,14 +88,13 @@
 }
 
 inline passOn(a) {
-#ifdef PASS_STATUS
   if
-  :: response[a] == REFUSAL && !idempotent -> promise()
+  :: response[a] == REFUSAL && mayRunTwice && declaredUnsafe -> promise()
+#ifdef PASS_STATUS
+  :: response[a] == REFUSAL && !mayRunTwice -> promise()
+#endif
   :: else -> done = true
   fi
-#else
-  done = true
-#endif
 }
 
 inline endAttempt(a) {
@@ -120,8 +130,9 @@
   do
   :: done || attempt == ATTEMPTS -> break
   :: atomic { !done && attempt < ATTEMPTS -> refuse() }
-  :: !done && attempt < ATTEMPTS && (idempotent || execution != MAY_HAVE_RUN) ->
-     atomic {
+  :: atomic {
+       !done && attempt < ATTEMPTS && (mayRunTwice || execution != MAY_HAVE_RUN) ->
+       assert(!(declaredUnsafe && execution == MAY_HAVE_RUN));
        if
        :: skip
        :: written[attempt] = PART
@@ -138,12 +149,18 @@
   }
 }
 
+/* A version comes into force. */
+proctype Operator() {
+end:
+  atomic { idempotent && !declaredUnsafe -> declaredUnsafe = true }
+}
+
 init {
   atomic {
     if
     :: idempotent = true
     :: skip
     fi;
-    run Upstream(0); run Upstream(1); run Upstream(2); run Host()
+    run Upstream(0); run Upstream(1); run Upstream(2); run Host(); run Operator()
   }
 }
