--- a/internal/front/retry_internal_test.go
+++ b/internal/front/retry_internal_test.go
@@ -13,7 +13,7 @@
 // retryHandler is a handler with a retry budget for twelve requests.
 func retryHandler(now func() time.Time) *Handler {
 	h := &Handler{latencies: newLatencies(), Deps: Deps{
-		RetryBudget: retry.NewWindowBudget(retryWindow, 0.2), Now: now, ObserveRetry: func(RetryDecision) {}, Log: noLog{},
+		State: func() *State { return &State{} }, RetryBudget: retry.NewWindowBudget(retryWindow, 0.2), Now: now, ObserveRetry: func(RetryDecision) {}, Log: noLog{},
 	}}
 	for range 12 {
 		h.RetryBudget.RecordRequest(now(), "s")
@@ -26,7 +26,7 @@
 // failedRequest returns a request that one upstream has received.
 func failedRequest(deadline time.Time) *request {
 	return &request{
-		service: "s", body: &body{}, route: &catalog.Route{Name: "read", Kind: catalog.KindSafe, MaxAttempts: 2},
+		service: "s", state: &State{}, body: &body{}, route: &catalog.Route{Name: "read", Kind: catalog.KindSafe, MaxAttempts: 2},
 		deadline: deadline, attempts: attempts{sends: 1},
 	}
 }
