Soak: an upstream that aborts all responses serves no host, with or without links

The other upstream of the region leaves, or is evacuated and rejects. Hosts with links used an upstream of a region all of whose hosts were cut off, which is a known limit. No host could have served these requests.

The check left out requests without an upstream that is unrestricted and reachable, but took one that aborts for that. It leaves out the period of the fault, which the other checks of aborted requests exempt too. All bounds are as before; broken_test still shows each check what it has to find.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -57,10 +57,15 @@
 	zone         string
 	sequence     int
 	faultedUntil time.Time
+	// disruptions are the periods in which it aborted its responses, or had just done so.
+	disruptions []span
 	// leavingSince is when the upstream began to announce that it leaves; zero if it has not.
 	leavingSince time.Time
 }
 
+// span is a period of time.
+type span struct{ start, end time.Time }
+
 // evacuation is a period during which a zone was declared evacuated.
 type evacuation struct {
 	zone       string
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -28,6 +28,7 @@
 	2,    // hosts that started at the same time did not know of each other, and each admitted the full rate
 	605,  // an evacuation, two rate limits and a leaving upstream left 5 requests per second for all callers
 	5216, // hosts without links to upstreams told others that these were unreachable
+	5616, // the only upstream that hosts without links could reach aborted all responses
 }
 
 // faultSettleTime is the time after a fault of a host or an upstream during which its
@@ -315,6 +316,7 @@
 func (c *cluster) disruptUpstream(u *upstream, length time.Duration) {
 	c.mu.Lock()
 	u.faultedUntil = time.Now().Add(length)
+	u.disruptions = append(u.disruptions, span{time.Now(), u.faultedUntil})
 	c.mu.Unlock()
 	u.standIn.SetHandler(abortResponse)
 	time.Sleep(length / 2)
