The connection that shows that an upstream has not ended carries its next request

Callers of upstreams that lose many responses waited for new connections, and upstreams got one more for each lost response.

--- a/internal/entryhost/upstreamend.go
+++ b/internal/entryhost/upstreamend.go
@@ -105,7 +105,8 @@
 	defer cancel()
 	conn, err := e.d.dialUpstream(dialCtx, "tcp", lost.choice.Address)
 	if err == nil {
-		_ = conn.Close()
+		// It replaces the connection that was lost.
+		e.d.upstreamConns.Add(conn, lost.choice.Address)
 		return false
 	}
 	if !errors.Is(err, syscall.ECONNREFUSED) || e.d.upstreamConns.HasOpenIdle(lost.choice.Address) {
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -23,7 +23,8 @@
 	// header is what br reads from.
 	header *headerReader
 	br     *bufio.Reader
-	// reused is set once the connection has served a request, and requests is the number of requests that it has carried.
+	// reused is set if the connection was not opened for its current request, and requests is the number of requests that
+	// it has carried.
 	reused   bool
 	requests int64
 	// The connection may be reused until idleTimeout after idleSince. The upstream keeps
--- a/internal/h1/errors.go
+++ b/internal/h1/errors.go
@@ -22,7 +22,7 @@
 // response arrived: the request may have run, or may still run.
 type NoResponseError struct {
 	Address string
-	// Reused is set if the connection had served an earlier request.
+	// Reused is set if the connection was not opened for the request.
 	Reused bool
 	Cause  error
 }
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -94,6 +94,9 @@
 	return c, nil
 }
 
+// Add adds a connection to an upstream that has carried no request yet. The pool closes it if it cannot be used.
+func (p *Pool) Add(raw net.Conn, address string) { p.release(newConn(raw, address), 0) }
+
 func (p *Pool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -106,7 +109,7 @@
 	return c
 }
 
-// release returns a connection to the pool after a request. keepAlive is that of
+// release makes a connection available for the next request. keepAlive is that of
 // Response.Close.
 func (p *Pool) release(c *conn, keepAlive time.Duration) {
 	c.reused = true
