A request whose key is not needed any more is served, and its key stays at the host

Callers got 401, after which they do not retry, if a version without customers came into force while their request was read or waited: the key was looked up in a version that has none. Had that been mended alone, the key would have been passed on, since only the version in force decided about that.

The key is checked only if the version in force requires keys, and is removed if either version does. TestRequestIsServedOnceNoKeysAreRequired failed before (401, want 200), and fails with one half of the fix (the upstream sees the key).

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -369,6 +369,9 @@
 		return nil
 	}
 	state := h.State()
+	if !state.Catalog.RequiresKeys {
+		return nil
+	}
 	if maxAge := h.Bounds().KeyMaxAge; maxAge > 0 && state.configurationAge(h.Now()) > maxAge {
 		return unavailable(CauseKeysStale, retrySoon)
 	}
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -247,7 +247,7 @@
 }
 
 func (h *Handler) upstreamRequest(q *request, c place.Choice, limit traffic.TimeLimit) *h1.Request {
-	f := traffic.Forward{TimeLimit: limit, ExpectedInstance: c.ID, DropAPIKey: h.State().Catalog.RequiresKeys}
+	f := traffic.Forward{TimeLimit: limit, ExpectedInstance: c.ID, DropAPIKey: q.state.Catalog.RequiresKeys || h.State().Catalog.RequiresKeys}
 	if q.customer != nil {
 		f.Customer = q.customer.Name
 	}
