--- a/internal/soak/matrix_test.go
+++ b/internal/soak/matrix_test.go
@@ -139,14 +139,25 @@
 				for _, chunked := range []bool{false, true} {
 					for copies := range 2 {
 						for _, end := range []connEnd{endKeep, endClose, endReset} {
-							out = append(out, reply{status, statement, early, chunked, copies, end})
+							out = append(out, reply{status, statement, early, chunked, copies, end, false})
 						}
 					}
 				}
 			}
 		}
 	}
-	return append(out, noReplies...)
+	return slices.Concat(out, noReplies, longReplies())
+}
+
+// longReplies are replies that a host forwards as they arrive.
+func longReplies() []reply {
+	var out []reply
+	for _, status := range []int{408, 421, 429, 500, 503} {
+		for _, statement := range []string{"", "1", "0"} {
+			out = append(out, reply{status: status, statement: statement, long: true}, reply{status: status, statement: statement, long: true, chunked: true, end: endClose})
+		}
+	}
+	return out
 }
 
 // secondReplies are all kinds of replies to a second attempt.
@@ -157,7 +168,7 @@
 			out = append(out, reply{status: status, statement: statement}, reply{status: status, statement: statement, chunked: true, early: true, copies: 1, end: endClose})
 		}
 	}
-	return append(out, noReplies...)
+	return slices.Concat(out, noReplies, longReplies())
 }
 
 // noReplies end an attempt without a response.
--- a/internal/soak/matrixupstream_test.go
+++ b/internal/soak/matrixupstream_test.go
@@ -36,11 +36,13 @@
 	// copies are sent after the reply.
 	copies int
 	end    connEnd
+	// long is set if the body exceeds what a host holds of a response.
+	long bool
 }
 
 // String describes the reply, status and statement first.
 func (r reply) String() string {
-	return fmt.Sprintf("%d said=%q early=%v chunked=%v copies=%d end=%d", r.status, r.statement, r.early, r.chunked, r.copies, r.end)
+	return fmt.Sprintf("%d said=%q early=%v chunked=%v copies=%d end=%d long=%v", r.status, r.statement, r.early, r.chunked, r.copies, r.end, r.long)
 }
 
 // invitesAnother reports whether a host might send the request again after the reply.
@@ -69,12 +71,19 @@
 	if r.end == endClose {
 		head += "Connection: close\r\n"
 	}
+	body := "answer"
+	if r.long {
+		body = strings.Repeat("a", longResponse)
+	}
 	if r.chunked {
-		return head + "Transfer-Encoding: chunked\r\n\r\n3\r\nans\r\n3\r\nwer\r\n0\r\n\r\n"
+		return head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 	}
-	return head + "Content-Length: 6\r\n\r\nanswer"
+	return head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 }
 
+// longResponse exceeds what a host holds of a response before it forwards it, in bytes.
+const longResponse = 1_200_000
+
 // addUpstream starts an upstream that replies to each cell as the cell says.
 func (m *matrix) addUpstream(id, service, zone string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
