Tests wait for the log line that they look for

Lines pass through a queue and are written by a goroutine of their own, so nothing orders them before the answer. Shown by an output that takes 30 ms a line: all three cases and TestUpstreamThatAcceptsConnectionsHasNotEnded fail in the same way, each time; 48 runs under the race detector on one core did not. With the wait of 5 s they pass with that output too. What has to be in the log, and what must not, is as before.

--- a/internal/entryhost/entryhost_test.go
+++ b/internal/entryhost/entryhost_test.go
@@ -672,7 +672,7 @@
 	metrics := s.metrics(h)
 	g.Expect(metrics).To(ContainSubstring("balsambarrow_answers_total"))
 	g.Eventually(logs.String, "5s").Should(ContainSubstring("no-upstream"))
-	g.Expect(logs.String()).To(ContainSubstring("configuration refused"))
+	g.Eventually(logs.String, "5s", "20ms").Should(ContainSubstring("configuration refused"))
 	g.Expect(logs.String() + metrics).NotTo(ContainSubstring("secret"))
 }
 
--- a/internal/entryhost/suspect_test.go
+++ b/internal/entryhost/suspect_test.go
@@ -238,7 +238,7 @@
 	reads.Wait()
 	uplink.SetFault(standin.UplinkRefusesNew)
 	g.Expect(s.call(h, "POST", "/post/lost", "k1", "weight=200").status).To(Equal(http.StatusBadGateway))
-	g.Expect(logs.String()).To(ContainSubstring(`msg="answer lost"`))
+	g.Eventually(logs.String, "5s", "20ms").Should(ContainSubstring(`msg="answer lost"`))
 	g.Expect(logs.String()).NotTo(ContainSubstring(`msg="upstream ended"`))
 	g.Expect(s.metrics(h)).To(ContainSubstring("balsambarrow_suspect_requests 0"))
 }
@@ -258,7 +258,7 @@
 		_ = s.read(h)
 		return resets.Load()
 	}, "15s", "50ms").Should(BeNumerically(">=", 2*maxEnds))
-	g.Expect(logs.String()).To(ContainSubstring(`msg="answer lost"`))
+	g.Eventually(logs.String, "5s", "20ms").Should(ContainSubstring(`msg="answer lost"`))
 	g.Expect(logs.String()).NotTo(ContainSubstring(`msg="upstream ended"`))
 	g.Expect(s.metrics(h)).To(ContainSubstring("balsambarrow_suspect_requests 0"))
 }
@@ -304,7 +304,7 @@
 			}
 			close(finish)
 			g.Expect((<-answer).status).To(Equal(http.StatusBadGateway))
-			g.Expect(logs.String()).To(ContainSubstring(`msg="answer lost"`))
+			g.Eventually(logs.String, "5s", "20ms").Should(ContainSubstring(`msg="answer lost"`))
 			g.Consistently(logs.String, "300ms", "50ms").ShouldNot(ContainSubstring(`msg="upstream ended"`))
 		})
 	}
