--- a/internal/front/inforce_internal_test.go
+++ b/internal/front/inforce_internal_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"balsambarrow/internal/catalog"
+	"balsambarrow/internal/retry"
 )
 
 // Guards against a second attempt, or a promise, by the kind of a version that is not in force any more.
@@ -41,12 +42,15 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			state := version(test.before)
-			h := New(Deps{Now: func() time.Time { return now }, State: func() *State { return state }, Bounds: func() Bounds { return Bounds{} }})
+			h := New(Deps{Now: func() time.Time { return now }, State: func() *State { return state }, Bounds: func() Bounds { return Bounds{} }, Log: noLog{},
+				RetryBudget: retry.NewWindowBudget(retryWindow, 1), ObserveRetry: func(RetryDecision) {}})
 			q := &request{http: httptest.NewRequest("POST", "/r/p/1", nil), arrived: now, body: &body{}}
 			q.http.Host = "x"
 			g.Expect(h.authorize(state, q)).To(BeNil())
 			state = version(test.after)
 			g.Expect(h.idempotent(q)).To(Equal(test.want))
+			q.attempts.execution = MayHaveRun
+			g.Expect(h.allowSend(q)).To(Equal(test.want), "after it has waited for room")
 		})
 	}
 }
--- a/internal/front/retry.go
+++ b/internal/front/retry.go
@@ -70,8 +70,12 @@
 }
 
 // allowSend takes the retry from the budget if an upstream has already received the request. The
-// request may have waited for room since checkRetry.
+// request may have waited for room since checkRetry, and another version may be in force.
 func (h *Handler) allowSend(q *request) bool {
+	if q.attempts.execution == MayHaveRun && !h.idempotent(q) {
+		h.recordRetry(q, "wait", RetryNotIdempotent)
+		return false
+	}
 	if q.attempts.sends == 0 || h.RetryBudget.AllowRetry(h.Now(), q.service) {
 		return true
 	}
