--- a/internal/entryhost/suspect_test.go
+++ b/internal/entryhost/suspect_test.go
@@ -309,3 +309,38 @@
 		})
 	}
 }
+
+// Guards against a further connection to an upstream to which one was opened a moment ago to find out whether it has ended.
+func TestConnectionThatShowsNoEndCarriesTheNextRequest(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	var lose atomic.Bool
+	k := &standin.PlatformUpstream{ID: "i-1"}
+	server := httptest.NewUnstartedServer(k)
+	var opened atomic.Int64
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	k.SetHandler(func(w http.ResponseWriter, _ *http.Request) {
+		if lose.Swap(false) {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("X-Response-Signature", "signed")
+	})
+	s.register(k, "s", server.Listener.Addr().String(), "a1", "ready", 1)
+	s.declare(4, "k1")
+	h := s.host("h1", "a1")
+	s.awaitServing()
+	g.Expect(s.post(h).status).To(Equal(http.StatusOK))
+	lose.Store(true)
+	before := opened.Load()
+	g.Expect(s.post(h).status).To(Equal(http.StatusBadGateway))
+	const checks = 2 // of the upstream, and of the links
+	g.Eventually(func() int64 { return opened.Load() - before }, "5s", "5ms").Should(Equal(int64(checks)))
+	g.Expect(s.post(h).status).To(Equal(http.StatusOK))
+	g.Expect(opened.Load()-before).To(Equal(int64(checks)), "the request has opened none")
+}
