--- a/internal/soak/matrix_test.go
+++ b/internal/soak/matrix_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -86,6 +87,31 @@
 	m.awaitServing()
 	m.sendAll("tunnel", m.sample(answerCells()))
 	m.report()
+	text, err := os.ReadFile(m.c.logFile(m.c.processes[0]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	relayed, direct := answeredLines(string(text))
+	t.Logf("%d lines of answers through a tunnel, %d of others since the links are down", relayed, direct)
+	if relayed == 0 || direct > 0 {
+		t.Errorf("requests did not go through tunnels")
+	}
+}
+
+// answeredLines counts the lines of responses of upstreams that came through a tunnel, and directly, after the links were
+// found to be down.
+func answeredLines(log string) (relayed, direct int) {
+	_, after, _ := strings.Cut(log, `msg="upstream links down"`)
+	for line := range strings.Lines(after) {
+		switch {
+		case !strings.Contains(line, "msg=answered"):
+		case strings.Contains(line, "relay=127."):
+			relayed++
+		default:
+			direct++
+		}
+	}
+	return relayed, direct
 }
 
 // cell is one request: what its caller sends, and what upstreams answer.
