The owner of a bucket whose registration lapses transfers the tokens that it holds

What callers saw: requests within their customer's rate and burst are refused with 429 for a few milliseconds, or until the bucket has filled, when the store turns the owner of the bucket away for four seconds and its registration lapses.

Cause: Limiter.Release gave nothing once the lease had ended, and the control thread ends the lease before it names the next owner. So the tokens were lost on every lapse, though the host runs and knows who is next; the next owner began with the slack, in that test one token for two reads that follow each other at once.

Evidence: the registrations of the hosts of that test lapse 4 s after their start.

Change: an owner without a lease releases what the bucket held when it was last used. What has been refilled since does not count, as another host may have had the rate (a host that was suspended, for example). Requests without a lease do not refill the bucket either.

TestLapsedRegistrationOfTheOwnerKeepsTheBurst failed before, 2 of 2 (0 of 48 served), and passes 6 of 6 with the race detector; TestOwnerWithoutLeaseTransfersWhatItHeld failed before (0, want 20).

--- a/internal/entryhost/ratetokens_test.go
+++ b/internal/entryhost/ratetokens_test.go
@@ -41,21 +41,33 @@
 // burstSite starts two hosts of a zone, and returns the one that owns the bucket of the customer, and the
 // other.
 func burstSite(t *testing.T) (s *site, owner, other *host) {
+	s, owner, other, _ = gatedBurstSite(t)
+	return s, owner, other
+}
+
+// gatedBurstSite is burstSite with a gate between the owner and the store.
+func gatedBurstSite(t *testing.T) (s *site, owner, other *host, store *gate) {
 	g := NewWithT(t)
 	s = newSite(t)
 	s.rate = 60
 	s.worker("i-1", "s", "a1", 0)
 	s.declare(4, "k1")
-	hosts := []*host{s.host("h1", "a1"), s.host("h2", "a1")}
+	var hosts []*host
+	var gates []*gate
+	for _, name := range []string{"h1", "h2"} {
+		gate, address := s.gate()
+		gates, hosts = append(gates, gate), append(hosts, s.hostWith(name, "a1", hostOptions{store: address}))
+	}
 	s.awaitServing()
 	owns := func(i int) bool { return hosts[i].daemon.OwnsBucket("t1") }
 	g.Eventually(func() bool { return owns(0) != owns(1) }, "10s", "10ms").Should(BeTrue())
 	if owns(1) {
 		hosts[0], hosts[1] = hosts[1], hosts[0]
+		gates[0] = gates[1]
 	}
 	// The bucket is full, and has the whole rate, once the demand of the other host is forgotten.
 	time.Sleep(5 * time.Second)
-	return s, hosts[0], hosts[1]
+	return s, hosts[0], hosts[1], gates[0]
 }
 
 // readAll sends reads, a few at a time, and returns how many of them were served.
@@ -109,3 +121,14 @@
 	stopUntilMoved(t, owner, other)
 	g.Expect(s.readAll(other, s.rate*8/10)).To(Equal(s.rate * 8 / 10))
 }
+
+// Guards against callers within their burst that are refused because the store has turned the owner of the bucket away.
+func TestLapsedRegistrationOfTheOwnerKeepsTheBurst(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	s, owner, other, store := gatedBurstSite(t)
+	g.Expect(s.read(owner).status).To(Equal(http.StatusOK))
+	store.shut.Store(true)
+	g.Eventually(func() bool { return other.daemon.OwnsBucket("t1") }, "15s", "1ms").Should(BeTrue())
+	g.Expect(s.readAll(other, s.rate*8/10)).To(Equal(s.rate * 8 / 10))
+}
--- a/internal/share/shares.go
+++ b/internal/share/shares.go
@@ -165,15 +165,18 @@
 }
 
 // Release takes the tokens of a customer's bucket, which the next owner gets. It is called while this
-// host still owns the bucket.
+// host still owns the bucket. If the lease has ended, that is what the bucket held when it was last used,
+// because another host may have had the rate since.
 func (l *Limiter) Release(now time.Time, c *catalog.Customer) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.leaseHeld {
+	if l.leaseSince.IsZero() {
 		return 0
 	}
 	b := l.bucket(c.Name)
-	l.refill(now, c, b, l.fraction(now, c.Name, b))
+	if l.leaseHeld {
+		l.refill(now, c, b, l.fraction(now, c.Name, b))
+	}
 	released := max(b.tokens, 0)
 	b.tokens -= released
 	return released
@@ -242,13 +245,18 @@
 	}
 	fraction := l.fraction(now, c.Name, b)
 	d := Decision{Fraction: fraction, Demand: b.demand.perSecond}
+	if !l.leaseHeld {
+		rate, _ := l.bounds(c, fraction)
+		d.RetryAfter, d.NoLease = b.retryAfter(now, rate), true
+		return d
+	}
 	rate, _ := l.refill(now, c, b, fraction)
-	if l.leaseHeld && b.tokens >= 1 {
+	if b.tokens >= 1 {
 		b.tokens--
 		d.Admitted = true
 		return d
 	}
-	d.RetryAfter, d.NoLease = b.retryAfter(now, rate), !l.leaseHeld
+	d.RetryAfter = b.retryAfter(now, rate)
 	return d
 }
 
--- a/internal/share/transfer_test.go
+++ b/internal/share/transfer_test.go
@@ -87,6 +87,25 @@
 	})
 }
 
+// Guards against a burst that is lost, or granted again, because the owner of the bucket has lost its registration.
+func TestOwnerWithoutLeaseTransfersWhatItHeld(t *testing.T) {
+	g := NewWithT(t)
+	c := &catalog.Customer{Name: "c", Rate: 10, Burst: 100}
+	now := time.Unix(1000, 0)
+	l := share.New()
+	l.SetLease(now, true)
+	l.SetRemoteDemand(nil, 1, true)
+	l.SetOwned(now, map[string]bool{c.Name: true})
+	for range 80 {
+		g.Expect(l.Admit(now, c).Admitted).To(BeTrue())
+	}
+	later := now.Add(5 * time.Second)
+	l.SetLease(later, false)
+	g.Expect(l.Admit(later, c)).To(And(HaveField("Admitted", false), HaveField("NoLease", true)))
+	g.Expect(l.Release(later, c)).To(Equal(20.0), "nothing of the time in which another host may have had the rate")
+	g.Expect(l.Release(later, c)).To(BeZero())
+}
+
 // Guards against transferred tokens that no bucket can hold.
 func TestInvalidTransfersAddNothing(t *testing.T) {
 	g := NewWithT(t)
