A host of unknown memory ends bodies that stall, as others do

What callers saw: a caller that stops in the middle of a body got no response at all from a host whose settings state no memory: neither at its time limit nor when the upstream had answered; the request stayed open for as long as the connection did.

Cause: the guard of a body, and the end of its reading before the response is written, came with the budget of memory and applied only if there was one. Without it nothing bounds how long a body may take, and the HTTP server waits for the rest before it sends a response. The class: a bound on time that was tied to a bound on memory.

TestStalledBodyIsEndedAtHostOfUnknownMemory failed before (no response within 20 s), and passes.

--- a/internal/entryhost/memory_test.go
+++ b/internal/entryhost/memory_test.go
@@ -74,6 +74,25 @@
 	g.Expect(s.metrics(h)).To(ContainSubstring(`balsambarrow_memory_held_bytes{kind="bodies"} 0`))
 }
 
+// Guards against callers of a host of unknown memory that get no response because they stop in the middle of a body, which is
+// read before it is forwarded or forwarded as it arrives.
+func TestStalledBodyIsEndedAtHostOfUnknownMemory(t *testing.T) {
+	for sent, want := range map[int]int{5000: http.StatusRequestTimeout, 600_000: http.StatusGatewayTimeout} {
+		g := NewWithT(t)
+		s := newSite(t)
+		s.timeLimit = "500ms"
+		k := s.worker("i-1", "s", "a1", 0)
+		h := s.smallHost(0)
+		runs := len(k.Runs())
+		conn := s.open(h, "POST", "/post/1", "Content-Length: 1000000\r\n", make([]byte, sent))
+		g.Expect(conn.SetReadDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+		status, closed := readStatus(t, conn)
+		g.Expect(status).To(Equal(want))
+		g.Expect(closed).To(BeTrue())
+		g.Expect(k.Runs()).To(HaveLen(runs))
+	}
+}
+
 // Guards against a keep-alive connection on which the deadline of one body ends a later request.
 func TestConnectionIsKeptAfterSlowBody(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/front/memory.go
+++ b/internal/front/memory.go
@@ -115,7 +115,7 @@
 
 // drainBody reads the rest of the body of a request that has been refused, for discardTime at most.
 func (h *Handler) drainBody(w http.ResponseWriter, q *request) {
-	if h.Memory == nil || q.http.Body == nil || !arrivesLarge(q.http) || q.body != nil && (q.body.unread != nil || q.body.complete()) {
+	if q.http.Body == nil || !arrivesLarge(q.http) || q.body != nil && (q.body.unread != nil || q.body.complete()) {
 		return
 	}
 	// Errors mean that the caller has disconnected, or has sent nothing more.
@@ -126,7 +126,7 @@
 // endBody ends the reading of a body that has not arrived completely when the response to the
 // request is written. The HTTP server would wait for the rest before it sends the response.
 func (h *Handler) endBody(w http.ResponseWriter, q *request) {
-	if h.Memory == nil || q.http.Body == nil || q.http.Body == http.NoBody {
+	if q.http.Body == nil || q.http.Body == http.NoBody {
 		return
 	}
 	if q.body != nil {
--- a/internal/front/memoryguard.go
+++ b/internal/front/memoryguard.go
@@ -47,7 +47,7 @@
 // guardBody returns a reader of the body of a request that watches the caller.
 func (h *Handler) guardBody(q *request) io.Reader {
 	conn, ok := q.http.Context().Value(callerConnKey{}).(net.Conn)
-	if !ok || h.Memory == nil {
+	if !ok {
 		return q.http.Body
 	}
 	g := &bodyGuard{h: h, q: q, conn: conn, body: q.http.Body}
