--- a/internal/soak/matrix_test.go
+++ b/internal/soak/matrix_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"maps"
@@ -38,6 +39,8 @@
 	usualLimit  = 2 * time.Second
 	shortLimit  = 150 * time.Millisecond
 	silentLimit = 600 * time.Millisecond
+	// suspensionMargin is added to a time limit, so that a suspended host resumes after it.
+	suspensionMargin = 50 * time.Millisecond
 )
 
 // Guards against requests that ran although their callers were told that they did not, over what upstreams answer to each attempt.
@@ -114,6 +117,49 @@
 	return relayed, direct
 }
 
+// Guards against promises about requests that ran in another region, directly and in tunnels.
+func TestPromisesOfUpstreamsInAnotherRegion(t *testing.T) {
+	m := newMatrixWith(t, []string{"b1"}, []string{"a1", "b1"})
+	defer m.close()
+	m.sendAll("region", m.smallSample(answerCells(), 4))
+	m.sendAll("region moments", m.smallSample(momentCells(), 4))
+	m.c.setUplinks(m.c.processes[:1], standin.UplinkFaults[0])
+	time.Sleep(detectionDelay)
+	m.awaitServing()
+	m.sendAll("region tunnel", m.smallSample(answerCells(), 4))
+	m.report()
+}
+
+// Guards against promises about requests that ran while their host was suspended, within their time limits and beyond them.
+func TestPromisesWhileTheHostIsSuspended(t *testing.T) {
+	m := newMatrix(t)
+	defer m.close()
+	for _, length := range []time.Duration{shortLimit, silentLimit, usualLimit} {
+		cells := m.prepareChange("suspended", versionChange{})
+		wait := m.startAll(cells)
+		m.c.processes[0].signal(syscall.SIGSTOP)
+		m.release(cells)
+		time.Sleep(length + suspensionMargin)
+		m.c.processes[0].signal(syscall.SIGCONT)
+		wait()
+		m.awaitServing()
+	}
+	m.report()
+}
+
+// Guards against promises about requests that ran while the links of their host to upstreams failed.
+func TestPromisesWhileTheLinksFail(t *testing.T) {
+	m := newMatrix(t)
+	defer m.close()
+	for _, fault := range standin.UplinkFaults {
+		m.sendWhile("links "+string(fault), versionChange{}, func() { m.c.setUplinks(m.c.processes[:1], fault) })
+		m.sendAll("without links "+string(fault), m.smallSample(momentCells(), 8))
+		m.c.setUplinks(m.c.processes[:1], standin.UplinkWorks)
+		m.awaitServing()
+	}
+	m.report()
+}
+
 // cell is one request: what its caller sends, and what upstreams answer.
 type cell struct {
 	id, table, path, key string
@@ -138,6 +184,9 @@
 
 func newCell(body bodyKind, replies ...reply) *cell {
 	c := &cell{body: body, replies: replies, limit: usualLimit, key: "steady", arrived: make(chan struct{}), ended: make(chan struct{})}
+	if body == bodyLongStalled {
+		c.limit = shortLimit
+	}
 	for _, r := range replies {
 		if r.status == 0 && r.end == endSilent {
 			c.limit = shortLimit
@@ -265,6 +314,12 @@
 }
 
 func newMatrix(t *testing.T) *matrix {
+	return newMatrixWith(t, []string{"a1", "a2"}, []string{"a1", "a2"})
+}
+
+// newMatrixWith returns a matrix with upstreams in some availability zones, and a host in each of others. The first host
+// gets the requests.
+func newMatrixWith(t *testing.T, upstreamZones, hostZones []string) *matrix {
 	binary := *otherDaemon
 	if binary == "" {
 		binary = daemonBinary(t)
@@ -279,11 +334,12 @@
 	m.c.store.Put("op/config", m.config.encode())
 	for i := range matrixServices {
 		for j := range matrixUpstreams {
-			m.addUpstream(fmt.Sprintf("i-%d-%d", i, j), serviceName(i), []string{"a1", "a2"}[j%2])
+			m.addUpstream(fmt.Sprintf("i-%d-%d", i, j), serviceName(i), upstreamZones[j%len(upstreamZones)])
 		}
 	}
-	m.c.addProcess("h0", hostConfig{zone: "a1"})
-	m.c.addProcess("h1", hostConfig{zone: "a2"})
+	for i, zone := range hostZones {
+		m.c.addProcess(fmt.Sprint("h", i), hostConfig{zone: zone})
+	}
 	m.tasks.Go(func() { m.c.runHeartbeats(m.stop) })
 	m.awaitServing()
 	return m
@@ -296,10 +352,13 @@
 }
 
 // sample returns the cells that are sent, in random order.
-func (m *matrix) sample(cells []*cell) []*cell {
+func (m *matrix) sample(cells []*cell) []*cell { return m.smallSample(cells, 1) }
+
+// smallSample is sample for a table that gets a fraction of the cells, unless all are sent.
+func (m *matrix) smallSample(cells []*cell, fraction int) []*cell {
 	m.rng.Shuffle(len(cells), func(i, j int) { cells[i], cells[j] = cells[j], cells[i] })
 	if *matrixCells > 0 {
-		cells = cells[:min(*matrixCells, len(cells))]
+		cells = cells[:min(*matrixCells/fraction, len(cells))]
 	}
 	return cells
 }
@@ -453,7 +512,7 @@
 	}
 }
 
-// report checks what callers were told against what the upstreams ran.
+// report checks that callers got responses, and what they were told against what the upstreams ran.
 func (m *matrix) report() {
 	time.Sleep(300 * time.Millisecond)
 	sent, arrived, second, promises, failed := len(m.sent), 0, 0, 0, map[string]int{}
@@ -471,6 +530,9 @@
 		if promised {
 			promises++
 		}
+		if errors.Is(c.err, os.ErrDeadlineExceeded) {
+			failed["no response: "+c.String()]++
+		}
 		if len(c.runs) > 1 {
 			failed["ran twice: "+c.String()]++
 		}
@@ -497,7 +559,7 @@
 	for _, g := range slices.Sorted(maps.Keys(groups)) {
 		m.t.Logf("%6d %s", groups[g], g)
 	}
-	m.t.Errorf("%d requests ran twice, or ran although their callers were told that they did not", total)
+	m.t.Errorf("%d requests ran twice, ran although their callers were told that they did not, or got no response", total)
 }
 
 // groupOf returns a failed cell without its body and the form of its replies.
--- a/internal/soak/matrixcaller_test.go
+++ b/internal/soak/matrixcaller_test.go
@@ -33,6 +33,9 @@
 	bodyMediumChunks
 	bodyLong
 	bodyLongChunks
+	// A host forwards these as they arrive: one ends without the last chunk, and the caller of the other stops in the middle.
+	bodyLongCutChunks
+	bodyLongStalled
 	bodyKinds
 )
 
@@ -40,7 +43,7 @@
 func (b bodyKind) String() string {
 	return [...]string{
 		"none", "length", "chunks", "length in pieces", "chunks in pieces", "chunks with trailer", "cut chunks", "expect", "expect chunks",
-		"medium", "medium chunks", "long", "long chunks",
+		"medium", "medium chunks", "long", "long chunks", "long cut chunks", "long stalled",
 	}[b]
 }
 
@@ -61,7 +64,7 @@
 		return 0
 	case bodyMedium, bodyMediumChunks:
 		return mediumBody
-	case bodyLong, bodyLongChunks:
+	case bodyLong, bodyLongChunks, bodyLongCutChunks, bodyLongStalled:
 		return longBody
 	}
 	return shortBody
@@ -69,12 +72,17 @@
 
 func (b bodyKind) chunked() bool {
 	switch b {
-	case bodyChunks, bodyChunksInPieces, bodyChunksTrailer, bodyCutChunks, bodyExpectChunks, bodyMediumChunks, bodyLongChunks:
+	case bodyChunks, bodyChunksInPieces, bodyChunksTrailer, bodyCutChunks, bodyExpectChunks, bodyMediumChunks, bodyLongChunks, bodyLongCutChunks:
 		return true
 	}
 	return false
 }
 
+// incomplete reports whether the end of the body is not sent.
+func (b bodyKind) incomplete() bool {
+	return b == bodyCutChunks || b == bodyLongCutChunks || b == bodyLongStalled
+}
+
 // header returns the header fields of the body.
 func (b bodyKind) header() string {
 	out := ""
@@ -97,13 +105,16 @@
 func (b bodyKind) parts() (first, last string) {
 	text := strings.Repeat("w", b.size())
 	half := len(text) / 2
+	if b == bodyLongStalled {
+		half = len(text) - shortBody // more than a host holds
+	}
 	if !b.chunked() {
 		return text[:half], text[half:]
 	}
 	chunk := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
 	end := "0\r\n\r\n"
 	switch b {
-	case bodyCutChunks:
+	case bodyCutChunks, bodyLongCutChunks:
 		end = ""
 	case bodyChunksTrailer:
 		end = "0\r\nX-Not-Executed: 1\r\n\r\n"
@@ -160,7 +171,7 @@
 		}
 	}
 	_, err = io.Copy(io.Discard, resp.Body)
-	if err == nil && (resp.Close || early != nil || c.body == bodyCutChunks) {
+	if err == nil && (resp.Close || early != nil || c.body.incomplete()) {
 		w.close()
 	}
 	return resp.StatusCode, err
@@ -185,13 +196,16 @@
 		}
 		_, err = io.WriteString(w.conn, first+last)
 		return nil, err
-	case bodyLengthInPieces, bodyChunksInPieces, bodyCutChunks:
+	case bodyLongStalled:
+		_, err := io.WriteString(w.conn, head+first)
+		return nil, err
+	case bodyLengthInPieces, bodyChunksInPieces, bodyCutChunks, bodyLongCutChunks:
 		if _, err := io.WriteString(w.conn, head+first); err != nil {
 			return nil, err
 		}
 		time.Sleep(piecePause)
 		_, err := io.WriteString(w.conn, last)
-		if half, ok := w.conn.(*net.TCPConn); ok && c.body == bodyCutChunks && err == nil {
+		if half, ok := w.conn.(*net.TCPConn); ok && c.body.incomplete() && err == nil {
 			err = half.CloseWrite()
 		}
 		return nil, err
