--- a/internal/soak/matrix_test.go
+++ b/internal/soak/matrix_test.go
@@ -52,6 +52,14 @@
 	m.report()
 }
 
+// Guards against promises about a request whose only upstream failed at the time limit, with a statement that its status contradicts.
+func TestUpstreamFailureAtTheTimeLimitPromisesNothing(t *testing.T) {
+	m := newMatrix(t)
+	defer m.close()
+	m.sendAll("time limit", timeLimitCells())
+	m.report()
+}
+
 // Guards against promises, and second attempts, that rest on the kind which the route has in another version.
 func TestPromisesWhileTheConfigurationChanges(t *testing.T) {
 	m := newMatrix(t)
@@ -285,6 +293,24 @@
 	return out
 }
 
+// timeLimitCells are requests that an upstream answers too late for a second attempt.
+func timeLimitCells() []*cell {
+	const times = 5
+	var out []*cell
+	for _, body := range []bodyKind{bodyNone, bodyLength, bodyChunks} {
+		for _, late := range []time.Duration{-2 * time.Millisecond, -time.Millisecond, 0} {
+			for _, status := range []int{http.StatusInternalServerError, http.StatusGatewayTimeout} {
+				for range times {
+					c := newCell(body, reply{status: status, statement: "1"}, reply{status: http.StatusOK})
+					c.late, c.limit = &late, shortLimit
+					out = append(out, c)
+				}
+			}
+		}
+	}
+	return out
+}
+
 // changeCellsOf are the cells of one change.
 func changeCellsOf(rng *rand.Rand) []*cell {
 	firsts, seconds := firstReplies(), secondReplies()
