--- a/internal/entryhost/memory_test.go
+++ b/internal/entryhost/memory_test.go
@@ -74,8 +74,7 @@
 	g.Expect(s.metrics(h)).To(ContainSubstring(`balsambarrow_memory_held_bytes{kind="bodies"} 0`))
 }
 
-// Guards against callers of a host of unknown memory that get no response because they stop in the middle of a body, which is
-// read before it is forwarded or forwarded as it arrives.
+// Guards against callers that get no response from a host of unknown memory because they stop in the middle of a body.
 func TestStalledBodyIsEndedAtHostOfUnknownMemory(t *testing.T) {
 	for sent, want := range map[int]int{5000: http.StatusRequestTimeout, 600_000: http.StatusGatewayTimeout} {
 		g := NewWithT(t)
--- a/internal/soak/matrix_test.go
+++ b/internal/soak/matrix_test.go
@@ -380,11 +380,11 @@
 // sample returns the cells that are sent, in random order.
 func (m *matrix) sample(cells []*cell) []*cell { return m.smallSample(cells, 1) }
 
-// smallSample is sample for a table that gets a fraction of the cells, unless all are sent.
-func (m *matrix) smallSample(cells []*cell, fraction int) []*cell {
+// smallSample is sample, with the usual number of cells divided by divisor.
+func (m *matrix) smallSample(cells []*cell, divisor int) []*cell {
 	m.rng.Shuffle(len(cells), func(i, j int) { cells[i], cells[j] = cells[j], cells[i] })
 	if *matrixCells > 0 {
-		cells = cells[:min(*matrixCells/fraction, len(cells))]
+		cells = cells[:min(*matrixCells/divisor, len(cells))]
 	}
 	return cells
 }
