Soak: registrations lapse, and owners of buckets are suspended, under a customer of many times its rate

The customer sends little and then as much as it can, in turn, with a burst of 300, so that a burst that is granted again shows.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -178,7 +178,11 @@
 func (c *cluster) checkRate(times []time.Time) {
 	sort.Slice(times, func(i, j int) bool { return times[i].Before(times[j]) })
 	const window = 5 * time.Second
-	allowed := (standin.RateLimit*window.Seconds()+standin.RateBurst)*1.1 + 20
+	burst := c.burst
+	if burst == 0 {
+		burst = standin.RateBurst
+	}
+	allowed := (standin.RateLimit*window.Seconds()+float64(burst))*1.1 + 20
 	maxRuns, first, windowEnd := 0, 0, time.Time{}
 	for i := range times {
 		for times[i].Sub(times[first]) > window {
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -103,6 +103,8 @@
 	sharesRoom bool
 	// retryRatio is that of the settings; 0 means the default.
 	retryRatio float64
+	// burst is the burst of the customer with a rate; 0 means the default of the configuration.
+	burst int
 	// faultLog lists the injected faults. It is logged when a check fails.
 	faultLog []string
 }
@@ -187,7 +189,7 @@
 			keys = append(keys, key)
 		}
 	}
-	c.store.Put("op/config", standin.PlatformConfig{Version: c.version, Keys: keys}.Encode())
+	c.store.Put("op/config", standin.PlatformConfig{Version: c.version, Keys: keys, Burst: c.burst}.Encode())
 }
 
 func (c *cluster) addUpstream(id, zone string) {
--- a/internal/soak/matrix_test.go
+++ b/internal/soak/matrix_test.go
@@ -168,6 +168,14 @@
 	m.report()
 }
 
+// daemonUnderTest returns the path of the binary that otherDaemon names, or of that of this build.
+func daemonUnderTest(t *testing.T) string {
+	if *otherDaemon != "" {
+		return *otherDaemon
+	}
+	return daemonBinary(t)
+}
+
 // cell is one request: what its caller sends, and what upstreams answer.
 type cell struct {
 	id, table, path, key string
@@ -346,10 +354,7 @@
 // newMatrixWith returns a matrix with upstreams in some availability zones, and a host in each of others. The first host
 // gets the requests.
 func newMatrixWith(t *testing.T, upstreamZones, hostZones []string) *matrix {
-	binary := *otherDaemon
-	if binary == "" {
-		binary = daemonBinary(t)
-	}
+	binary := daemonUnderTest(t)
 	m := &matrix{
 		t: t, rng: rand.New(rand.NewPCG(*firstSeed, 77)), cells: map[string]*cell{}, stop: make(chan struct{}),
 		c: &cluster{t: t, reporter: t, binary: binary, dir: t.TempDir(), store: standin.NewKVStore(), retryRatio: 100},
--- a/internal/standin/platformconfig.go
+++ b/internal/standin/platformconfig.go
@@ -34,6 +34,8 @@
 	Version int
 	// Keys are the API keys of UnlimitedCustomer.
 	Keys []string
+	// Burst is the burst of RateLimitedCustomer; 0 means RateBurst.
+	Burst int
 }
 
 // platformTable is a table in the platform's encoding.
@@ -44,6 +46,10 @@
 
 // Encode returns the configuration's value in the store.
 func (d PlatformConfig) Encode() []byte {
+	burst := d.Burst
+	if burst == 0 {
+		burst = RateBurst
+	}
 	value, err := json.Marshal(map[string]any{
 		"version": fmt.Sprintf("r%d", d.Version),
 		"routes": platformTable{
@@ -56,7 +62,7 @@
 		"services": platformTable{[]string{"name", "health-check-path", "cold-start", "cold-per-s"}, [][]any{{Service, "/health", "1s", 50}}},
 		"limits":   map[string]any{},
 		"tenants": platformTable{[]string{"name", "api-keys", "rate-per-s", "burst"}, [][]any{
-			{UnlimitedCustomer, d.Keys, 0, 0}, {RateLimitedCustomer, []string{RateLimitedKey}, RateLimit, RateBurst},
+			{UnlimitedCustomer, d.Keys, 0, 0}, {RateLimitedCustomer, []string{RateLimitedKey}, RateLimit, burst},
 		}},
 	})
 	if err != nil {
