--- a/internal/soak/lapse_test.go
+++ b/internal/soak/lapse_test.go
@@ -25,6 +25,7 @@
 
 // Guards against a customer that gets more than its rate and burst while registrations lapse and owners of its bucket are suspended.
 func TestRateHoldsWhileRegistrationsLapse(t *testing.T) {
+	t.Parallel()
 	binary := daemonUnderTest(t)
 	for i := range uint64(*seedCount) {
 		seed := *firstSeed + i
--- a/internal/soak/matrix_test.go
+++ b/internal/soak/matrix_test.go
@@ -127,6 +127,7 @@
 
 // Guards against promises about requests that ran in another region, directly and in tunnels.
 func TestPromisesOfUpstreamsInAnotherRegion(t *testing.T) {
+	t.Parallel()
 	m := newMatrixWith(t, []string{"b1"}, []string{"a1", "b1"})
 	defer m.close()
 	m.sendAll("region", m.smallSample(answerCells(), 4))
@@ -140,6 +141,7 @@
 
 // Guards against promises about requests that ran while their host was suspended, within their time limits and beyond them.
 func TestPromisesWhileTheHostIsSuspended(t *testing.T) {
+	t.Parallel()
 	m := newMatrix(t)
 	defer m.close()
 	for _, length := range []time.Duration{shortLimit, silentLimit, usualLimit} {
@@ -157,6 +159,7 @@
 
 // Guards against promises about requests that ran while the links of their host to upstreams failed.
 func TestPromisesWhileTheLinksFail(t *testing.T) {
+	t.Parallel()
 	m := newMatrix(t)
 	defer m.close()
 	for _, fault := range standin.UplinkFaults {
