Review: restarts of the hosts renew the slack of a customer's quota

Cause: the bucket of a customer begins with half of the fleet's slack in each new process, whether an earlier process has granted it or not.

--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -52,6 +53,8 @@
 	storeAddress string
 	listeners    []net.Listener
 	stop         chan struct{}
+	// ports are those of the hosts.
+	ports map[int]bool
 
 	mu    sync.Mutex
 	hosts []*host
@@ -63,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{daemon: daemon, dir: dir, log: log, trouble: trouble, store: standin.NewKVStore(), stop: make(chan struct{})}
+	d := &deployment{daemon: daemon, dir: dir, log: log, trouble: trouble, store: standin.NewKVStore(), stop: make(chan struct{}), ports: map[int]bool{}}
 	l, err := d.listen()
 	if err != nil {
 		return nil, err
@@ -89,6 +92,7 @@
 	defer d.mu.Unlock()
 	for _, h := range d.hosts {
 		h.kill()
+		_ = h.logFile.Close()
 	}
 	for _, l := range d.listeners {
 		_ = l.Close()
@@ -100,56 +104,81 @@
 type host struct {
 	name, zone         string
 	callers, readiness string
+	settingsFile       string
 	process            *exec.Cmd
 	logFile            *os.File
 	ended              chan struct{}
 }
 
-// freePort returns a port that is free at present.
-func freePort() (int, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
+// Hosts listen on ports below those that the kernel gives to connections, so that a host that
+// starts again finds its ports free.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+	// portTries bounds the search for a free port.
+	portTries = 1000
+)
+
+// freePort returns a port that is free at present, and that no other host of the deployment uses.
+func (d *deployment) freePort() (int, error) {
+	for range portTries {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		if !d.ports[port] {
+			d.ports[port] = true
+			return port, nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, errors.New("no free port")
 }
 
 // startHost starts an entry host as the deploy file does.
 func (d *deployment) startHost(name, zone string) (*host, error) {
 	addresses := make([]string, 0, 5)
 	for range cap(addresses) {
-		port, err := freePort()
+		port, err := d.freePort()
 		if err != nil {
 			return nil, err
 		}
 		addresses = append(addresses, fmt.Sprintf("127.0.0.1:%d", port))
 	}
-	h := &host{name: name, zone: zone, callers: addresses[0], readiness: addresses[1], ended: make(chan struct{})}
-	file := filepath.Join(d.dir, name+".jsonc")
-	if err := os.WriteFile(file, d.settings(h, addresses), 0o600); err != nil {
+	h := &host{name: name, zone: zone, callers: addresses[0], readiness: addresses[1]}
+	h.settingsFile = filepath.Join(d.dir, name+".jsonc")
+	if err := os.WriteFile(h.settingsFile, d.settings(h, addresses), 0o600); err != nil {
 		return nil, err
 	}
 	var err error
 	if h.logFile, err = os.Create(filepath.Join(d.dir, name+".log")); err != nil {
 		return nil, err
 	}
-	h.process = exec.Command(d.daemon, "entry", file)
-	h.process.Stdout, h.process.Stderr = h.logFile, h.logFile
-	if err := h.process.Start(); err != nil {
+	if err := d.startProcess(h); err != nil {
 		return nil, err
 	}
-	go func() {
-		_ = h.process.Wait()
-		close(h.ended)
-	}()
 	d.mu.Lock()
 	d.hosts = append(d.hosts, h)
 	d.mu.Unlock()
-	d.log.printf("%s started, process %d, callers %s", name, h.process.Process.Pid, h.callers)
 	return h, nil
 }
 
+// startProcess starts the process of a host, whose earlier process has ended.
+func (d *deployment) startProcess(h *host) error {
+	h.process, h.ended = exec.Command(d.daemon, "entry", h.settingsFile), make(chan struct{})
+	h.process.Stdout, h.process.Stderr = h.logFile, h.logFile
+	if err := h.process.Start(); err != nil {
+		return err
+	}
+	go func(p *exec.Cmd, ended chan struct{}) {
+		_ = p.Wait()
+		close(ended)
+	}(h.process, h.ended)
+	d.log.printf("%s started, process %d, callers %s", h.name, h.process.Process.Pid, h.callers)
+	return nil
+}
+
 // settings returns the settings that the platform fills in for a host of a small deployment.
 func (d *deployment) settings(h *host, addresses []string) []byte {
 	text, err := json.MarshalIndent(map[string]any{
@@ -211,13 +240,13 @@
 
 func (h *host) signal(s syscall.Signal) error { return h.process.Process.Signal(s) }
 
+// kill ends the process with SIGKILL.
 func (h *host) kill() {
 	_ = h.process.Process.Kill()
 	select {
 	case <-h.ended:
 	case <-time.After(exitTimeout):
 	}
-	_ = h.logFile.Close()
 }
 
 // table is a table in the platform's encoding.
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -16,6 +16,7 @@
 // cases are the cases by the names of their folders.
 var cases = map[string]func(*deployment) (broken bool, err error){
 	`4`: showSlowUpstream,
+	`6`: showRestartedHosts,
 }
 
 func main() { os.Exit(show()) }
