--- a/review/standins-2/restartedhosts.go
+++ b/review/standins-2/restartedhosts.go
@@ -13,8 +13,8 @@
 const (
 	// customerRate and customerBurst are the quota of the customer, and customerDemand is how many
 	// requests per second it sends over all hosts: eight times its rate.
-	customerRate   = 5
-	customerBurst  = 5
+	customerRate   = 3
+	customerBurst  = 3
 	customerDemand = 8 * customerRate
 	// quotaWindow, quotaOverage and quotaSlack are bounds of the deployment.
 	quotaWindow  = 5 * time.Second
